--- /dev/null
+++ b/src/cartdale/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP interface of the users."""
--- /dev/null
+++ b/src/cartdale/clock.py
@@ -0,0 +1,65 @@
+"""Clock: the one source of time, in milliseconds."""
+
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+
+#: A point in time or a duration, in whole milliseconds.
+Millis = int
+
+SECOND_MS: Millis = 1000
+MINUTE_MS: Millis = 60 * SECOND_MS
+
+
+class Clock(Protocol):
+    """Give the current time to code that decides nothing by itself."""
+
+    def now(self) -> Millis:
+        """Return monotonic milliseconds since an arbitrary origin."""
+
+    def wall(self) -> Millis:
+        """Return milliseconds since the Unix epoch."""
+
+
+@dataclass(frozen=True, slots=True)
+class SystemClock:
+    """Read the running trio loop's clock, which tests may replace."""
+
+    def now(self) -> Millis:
+        """Return monotonic milliseconds of the running loop."""
+        return int(trio.current_time() * SECOND_MS)
+
+    def wall(self) -> Millis:
+        """Return milliseconds since the Unix epoch."""
+        return int(time.time() * SECOND_MS)
+
+
+class VirtualClock:
+    """Advance only when told to, for tests and measurements.
+
+    :param start: first reading of the monotonic clock, in milliseconds.
+    :param epoch: what to add for the wall clock, in milliseconds.
+    """
+
+    def __init__(self, start: Millis = 0, epoch: Millis = 0) -> None:
+        self._current = start
+        self._epoch = epoch
+
+    def now(self) -> Millis:
+        """Return the virtual monotonic time."""
+        return self._current
+
+    def wall(self) -> Millis:
+        """Return the virtual wall time."""
+        return self._epoch + self._current
+
+    def advance(self, step: Millis) -> None:
+        """Move time forward by ``step`` milliseconds."""
+        self._current += step
+
+
+def seconds(duration: Millis) -> float:
+    """Convert milliseconds to the seconds that libraries expect."""
+    return duration / SECOND_MS
--- /dev/null
+++ b/src/cartdale/command/__init__.py
@@ -0,0 +1,1 @@
+"""Command: the command-line tool."""
--- /dev/null
+++ b/src/cartdale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the confirmed state in force on this instance."""
--- /dev/null
+++ b/src/cartdale/configuration/decide.py
@@ -0,0 +1,137 @@
+"""Decide what configuration is in force; it only ever moves forward."""
+
+from dataclasses import replace
+from typing import assert_never
+
+from cartdale.clock import Millis
+from cartdale.configuration.types import (
+    KEPT_DELTAS,
+    Action,
+    Adopt,
+    Change,
+    ConfigurationState,
+    Decision,
+    Delta,
+    DeltasReceived,
+    Fetch,
+    Message,
+    RevisionHeard,
+    Snapshot,
+    SnapshotReceived,
+    digest_bodies,
+)
+from cartdale.invariants import NEVER_REVERTS, check
+
+
+def decide(
+    state: ConfigurationState, message: Message, now: Millis
+) -> Decision:
+    """Take one message.
+
+    :param now: monotonic milliseconds; unused, kept for the common shape.
+    :returns: the next state, and what to fetch or put in force.
+    """
+    match message:
+        case RevisionHeard(revision=revision):
+            after, actions = _hear(state, revision)
+        case DeltasReceived(deltas=deltas):
+            after, actions = _take_deltas(state, deltas)
+        case SnapshotReceived(snapshot=snapshot):
+            after, actions = _take_snapshot(state, snapshot)
+        case _:
+            assert_never(message)
+    check(
+        NEVER_REVERTS,
+        holds=after.revision >= state.revision,
+        detail=f'{state.revision} to {after.revision} at {now}',
+    )
+    return after, actions
+
+
+def apply_changes(
+    bodies_by_key: dict[str, str], changes: tuple[Change, ...]
+) -> dict[str, str]:
+    """Return a copy with the changes applied."""
+    after = dict(bodies_by_key)
+    for change in changes:
+        if change.body:
+            after[change.key] = change.body
+            continue
+        after.pop(change.key, None)
+    return after
+
+
+def select_deltas(
+    state: ConfigurationState, after: int
+) -> tuple[Delta, ...] | Snapshot:
+    """Choose what to hand to a peer whose revision is ``after``."""
+    wanted = tuple(delta for delta in state.recent if delta.revision > after)
+    contiguous = bool(wanted) and wanted[0].revision == after + 1
+    if contiguous or state.revision <= after:
+        return wanted
+    return Snapshot(state.revision, state.digest, state.bodies_by_key)
+
+
+def _hear(state: ConfigurationState, revision: int) -> Decision:
+    if revision < state.revision:
+        return replace(state, stale=state.stale + 1), ()
+    if revision <= state.target and revision == state.revision:
+        return state, ()
+    target = max(revision, state.target)
+    after = replace(state, target=target)
+    return after, _fetch_missing(after)
+
+
+def _take_deltas(
+    state: ConfigurationState, deltas: tuple[Delta, ...]
+) -> Decision:
+    actions: list[Action] = []
+    for delta in sorted(deltas, key=_revision_of):
+        if delta.revision <= state.revision:
+            state = replace(state, stale=state.stale + 1)
+            continue
+        if delta.revision != state.revision + 1:
+            state = replace(state, target=max(state.target, delta.revision))
+            break
+        bodies_by_key = apply_changes(state.bodies_by_key, delta.changes)
+        if digest_bodies(delta.revision, bodies_by_key) != delta.digest:
+            return replace(state, rejected=state.rejected + 1), tuple(actions)
+        state = replace(
+            state,
+            revision=delta.revision,
+            digest=delta.digest,
+            bodies_by_key=bodies_by_key,
+            target=max(state.target, delta.revision),
+            recent=(*state.recent, delta)[-KEPT_DELTAS:],
+        )
+        actions.append(Adopt(delta.revision, delta.wall_ms))
+    actions.extend(_fetch_missing(state))
+    return state, tuple(actions)
+
+
+def _take_snapshot(state: ConfigurationState, snapshot: Snapshot) -> Decision:
+    if snapshot.revision <= state.revision:
+        return replace(state, stale=state.stale + 1), ()
+    expected = digest_bodies(snapshot.revision, snapshot.bodies_by_key)
+    if expected != snapshot.digest:
+        return replace(state, rejected=state.rejected + 1), ()
+    after = replace(
+        state,
+        revision=snapshot.revision,
+        digest=snapshot.digest,
+        bodies_by_key=snapshot.bodies_by_key,
+        target=max(state.target, snapshot.revision),
+        recent=(),
+    )
+    adopt = Adopt(snapshot.revision, 0)
+    return after, (adopt, *_fetch_missing(after))
+
+
+def _fetch_missing(state: ConfigurationState) -> tuple[Action, ...]:
+    if state.target > state.revision:
+        return (Fetch(state.revision),)
+    return ()
+
+
+def _revision_of(delta: Delta) -> int:
+    return delta.revision
--- /dev/null
+++ b/src/cartdale/configuration/types.py
@@ -0,0 +1,130 @@
+"""Messages, state and actions of the configuration slice."""
+
+from dataclasses import dataclass, field
+
+from cartdale.clock import Millis
+from cartdale.codec import digest, encode_json
+
+#: Deltas an instance keeps to hand to peers that are a little behind.
+KEPT_DELTAS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Set or remove one declared object.
+
+    :param key: ``kind.name``.
+    :param body: the object as JSON; empty for a removal.
+    """
+
+    key: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Carry one confirmed revision.
+
+    :param revision: from 1, without gaps.
+    :param digest: digest of the whole configuration after this delta.
+    :param plan_id: the plan that was confirmed.
+    :param author: who confirmed it.
+    :param wall_ms: when, on the confirming instance's wall clock.
+    """
+
+    revision: int
+    digest: str
+    plan_id: str
+    author: str
+    wall_ms: Millis
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Carry the whole configuration at one revision."""
+
+    revision: int
+    digest: str
+    bodies_by_key: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Name the last confirmed revision, as the store holds it.
+
+    :param snapshot_revision: newest snapshot in the store; 0 for none.
+    """
+
+    revision: int
+    digest: str
+    plan_id: str
+    snapshot_revision: int = 0
+
+
+def digest_bodies(revision: int, bodies_by_key: dict[str, str]) -> str:
+    """Digest a whole configuration, independent of insertion order."""
+    return digest(encode_json((revision, sorted(bodies_by_key.items()))))
+
+
+EMPTY_DIGEST = digest_bodies(0, {})
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationState:
+    """Hold what is in force on one instance.
+
+    :param target: highest revision heard of from anyone.
+    :param recent: the last deltas, oldest first, for peers.
+    :param rejected: deltas and snapshots that failed verification.
+    :param stale: messages about revisions older than the one in force.
+    """
+
+    revision: int = 0
+    digest: str = EMPTY_DIGEST
+    bodies_by_key: dict[str, str] = field(default_factory=dict)
+    target: int = 0
+    recent: tuple[Delta, ...] = ()
+    rejected: int = 0
+    stale: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionHeard:
+    """Someone says that a revision exists."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class DeltasReceived:
+    """The store or a peer hands on deltas, in any order."""
+
+    deltas: tuple[Delta, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReceived:
+    """The store or a peer hands on a whole configuration."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """Put a configuration in force on this instance."""
+
+    revision: int
+    confirmed_at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Obtain the deltas after a revision, or a newer snapshot."""
+
+    after: int
+
+
+Message = RevisionHeard | DeltasReceived | SnapshotReceived
+Action = Adopt | Fetch
+Decision = tuple[ConfigurationState, tuple[Action, ...]]
--- /dev/null
+++ b/src/cartdale/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon: the long-running process."""
--- /dev/null
+++ b/src/cartdale/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations: what operators state, kept in version control."""
--- /dev/null
+++ b/src/cartdale/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines: model engines and plain services behind one adapter."""
--- /dev/null
+++ b/src/cartdale/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Ledger: at most one run for each idempotency key."""
--- /dev/null
+++ b/src/cartdale/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: shares of customers, held across instances."""
--- /dev/null
+++ b/src/cartdale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: who is alive, leaving or silent."""
--- /dev/null
+++ b/src/cartdale/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model: the systems served, as pure code in virtual time."""
--- /dev/null
+++ b/src/cartdale/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the HTTP interface of those who run the system."""
--- /dev/null
+++ b/src/cartdale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Peers: messages between entry instances."""
--- /dev/null
+++ b/src/cartdale/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Plans: the difference between an intent and what is in force."""
--- /dev/null
+++ b/src/cartdale/problems/__init__.py
@@ -0,0 +1,1 @@
+"""Problems: the typed refusals that a caller can receive."""
--- /dev/null
+++ b/src/cartdale/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports: service-level burn."""
--- /dev/null
+++ b/src/cartdale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which upstream takes a request, and when."""
--- /dev/null
+++ b/src/cartdale/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: what one process is told at start."""
--- /dev/null
+++ b/src/cartdale/store/__init__.py
@@ -0,0 +1,1 @@
+"""Store: the platform's key-value service behind one adapter."""
--- /dev/null
+++ b/src/cartdale/store/etcd.py
@@ -0,0 +1,221 @@
+"""Adapter to a key-value service that speaks the etcd v3 JSON gateway."""
+
+from collections import Counter
+from http import HTTPStatus
+from typing import TypeVar, assert_never
+
+import httpx
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.codec import decode_json, encode_json
+from cartdale.store import wire
+from cartdale.store.types import (
+    Committed,
+    Compare,
+    CompareFailed,
+    Delete,
+    Entry,
+    LeaseLost,
+    Listing,
+    Put,
+    StoreFailure,
+    StoreUnavailable,
+    TransactionOutcome,
+    Write,
+    WriteUnknown,
+)
+
+Answer = TypeVar('Answer')
+
+#: Failures before the request left this process: the write had no effect.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_REFUSED = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
+)
+
+
+class EtcdStore:
+    """Reach one etcd endpoint over a shared HTTP client.
+
+    :param client: client whose base URL is the endpoint.
+    :param timeout: longest wait for an answer, in milliseconds.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, timeout: Millis) -> None:
+        self._client = client
+        self._timeout = seconds(timeout)
+        self.calls_by_path: Counter[str] = Counter()
+
+    async def fetch(
+        self, prefix: str, start: str = '', limit: int = 0
+    ) -> Result[Listing, StoreFailure]:
+        """Read the keys with a prefix, from ``start`` on, in key order."""
+        request = wire.RangeRequest(
+            key=wire.pack(start or prefix),
+            range_end=wire.pack(wire.end_of_prefix(prefix)),
+            limit=str(limit),
+        )
+        answer = await self._read(wire.PATH_RANGE, request, wire.RangeResponse)
+        return answer.map(_to_listing)
+
+    async def transact(
+        self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
+    ) -> Result[TransactionOutcome, StoreFailure]:
+        """Apply all writes if all comparisons hold."""
+        request = wire.TxnRequest(
+            compare=tuple(_to_clause(compare) for compare in compares),
+            success=tuple(_to_operation(write) for write in writes),
+        )
+        answer = await self._write(wire.PATH_TXN, request, wire.TxnResponse)
+        return answer.map(_to_outcome)
+
+    async def grant(self, ttl: Millis) -> Result[int, StoreFailure]:
+        """Create a lease and return its id."""
+        request = wire.LeaseGrantRequest(ttl=str(ttl // SECOND_MS))
+        answer = await self._write(
+            wire.PATH_LEASE_GRANT, request, wire.LeaseResponse
+        )
+        return answer.map(_to_lease)
+
+    async def keep_alive(self, lease: int) -> Result[Millis, StoreFailure]:
+        """Renew a lease and return its time to live."""
+        request = wire.LeaseIdRequest(lease=str(lease))
+        answer = await self._write(
+            wire.PATH_LEASE_KEEP_ALIVE, request, wire.KeepAliveResponse
+        )
+        ttl = answer.map(_to_ttl)
+        if ttl == Success(0):
+            return Failure(LeaseLost(lease))
+        return ttl
+
+    async def revoke(self, lease: int) -> Result[None, StoreFailure]:
+        """End a lease and remove its keys."""
+        request = wire.LeaseIdRequest(lease=str(lease))
+        answer = await self._write(
+            wire.PATH_LEASE_REVOKE, request, wire.LeaseResponse
+        )
+        return answer.map(_to_nothing)
+
+    async def wait_change(
+        self, key: str, after: int, timeout: Millis
+    ) -> Result[bool, StoreFailure]:
+        """Wait until a key is written after a store revision.
+
+        :param timeout: give up and return ``False`` after so long.
+        """
+        self.calls_by_path[wire.PATH_WATCH] += 1
+        create = wire.WatchCreate(wire.pack(key), str(after + 1))
+        body = encode_json(wire.WatchRequest(create))
+        with trio.move_on_after(seconds(timeout)):
+            return await self._watch(body)
+        return Success(False)
+
+    async def _watch(self, body: bytes) -> Result[bool, StoreFailure]:
+        try:
+            return await self._read_watch(body)
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return Failure(StoreUnavailable(repr(error)))
+
+    async def _read_watch(self, body: bytes) -> Result[bool, StoreFailure]:
+        stream = self._client.stream(
+            'POST', wire.PATH_WATCH, content=body, timeout=None
+        )
+        async with stream as response:
+            if response.is_error:
+                return Failure(StoreUnavailable(str(response.status_code)))
+            async for line in response.aiter_lines():
+                if decode_json(line, wire.WatchResponse).result.events:
+                    return Success(True)
+        return Failure(StoreUnavailable('the watch ended'))
+
+    async def _read(
+        self, path: str, request: object, shape: type[Answer]
+    ) -> Result[Answer, StoreFailure]:
+        answer = await self._write(path, request, shape)
+        return answer.alt(_harmless)
+
+    async def _write(
+        self, path: str, request: object, shape: type[Answer]
+    ) -> Result[Answer, StoreFailure]:
+        self.calls_by_path[path] += 1
+        try:
+            response = await self._client.post(
+                path, content=encode_json(request), timeout=self._timeout
+            )
+        except _NOT_SENT as error:
+            return Failure(StoreUnavailable(repr(error)))
+        except httpx.HTTPError as late_error:
+            return Failure(WriteUnknown(repr(late_error)))
+        return _decode(response, shape)
+
+
+def _decode(
+    response: httpx.Response, shape: type[Answer]
+) -> Result[Answer, StoreFailure]:
+    if response.status_code in _REFUSED:
+        return Failure(StoreUnavailable(str(response.status_code)))
+    if response.is_error:
+        return Failure(WriteUnknown(str(response.status_code)))
+    try:
+        return Success(decode_json(response.content, shape))
+    except msgspec.MsgspecError as error:
+        return Failure(WriteUnknown(repr(error)))
+
+
+def _to_listing(response: wire.RangeResponse) -> Listing:
+    entries = tuple(
+        Entry(
+            key=wire.unpack(kv.key).decode(),
+            value=wire.unpack(kv.value),
+            mod_revision=int(kv.mod_revision),
+            create_revision=int(kv.create_revision),
+        )
+        for kv in response.kvs
+    )
+    return Listing(entries, int(response.header.revision), response.more)
+
+
+def _to_clause(compare: Compare) -> wire.CompareClause:
+    return wire.CompareClause(
+        key=wire.pack(compare.key), mod_revision=str(compare.mod_revision)
+    )
+
+
+def _to_operation(write: Write) -> wire.RequestOp:
+    match write:
+        case Put(key=key, value=value, lease=lease):
+            put = wire.PutRequest(wire.pack(key), wire.pack(value), str(lease))
+            return wire.RequestOp(request_put=put)
+        case Delete(key=key):
+            removal = wire.DeleteRangeRequest(wire.pack(key))
+            return wire.RequestOp(request_delete_range=removal)
+        case _:
+            assert_never(write)
+
+
+def _to_outcome(response: wire.TxnResponse) -> TransactionOutcome:
+    revision = int(response.header.revision)
+    if response.succeeded:
+        return Committed(revision)
+    return CompareFailed(revision)
+
+
+def _to_lease(response: wire.LeaseResponse) -> int:
+    return int(response.lease)
+
+
+def _to_ttl(response: wire.KeepAliveResponse) -> Millis:
+    return int(response.result.ttl) * SECOND_MS
+
+
+def _to_nothing(_: wire.LeaseResponse) -> None:
+    """Drop an answer that carries nothing."""
+
+
+def _harmless(failure: StoreFailure) -> StoreFailure:
+    if isinstance(failure, WriteUnknown):
+        return StoreUnavailable(failure.detail)
+    return failure
--- /dev/null
+++ b/src/cartdale/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams: one answer from an engine to its caller."""
