--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Commands for people; .ci/run is the same checks for machines.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+.PHONY: install test lint format demo soak bench bench-policy bench-scale
+install: $(VENV)/installed
+
+test: install
+	$(BIN)/python -m pytest -q
+
+lint: install
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check --select I src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff check --select I --fix src tests bench
+	$(BIN)/ruff format src tests bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of cartdale; not part of the package."""
--- /dev/null
+++ b/src/cartdale/callers/read.py
@@ -0,0 +1,149 @@
+"""Read a caller's request into typed messages, or a typed refusal."""
+
+import hashlib
+import math
+from dataclasses import dataclass
+from secrets import token_hex
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from cartdale.callers.types import Caller, Directory, GenerationBody
+from cartdale.clock import Millis
+from cartdale.codec import decode_json, digest
+from cartdale.declarations.types import Repeat, Service, UpstreamKind
+from cartdale.engines.types import GenerationRequest
+from cartdale.problems.types import BadRequest, Problem, Unauthorised
+from cartdale.routing.lengths import describe_shape
+from cartdale.routing.types import Work
+from cartdale.streams.driver import DeliveryRequest
+from cartdale.streams.position import Position
+
+_CHARACTERS_PER_TOKEN = 4
+_PREFIX_CHARACTERS = 1024
+_GENERATION_BYTES = 12
+_SEED_DIGITS = 12
+_BODY_DIGITS = 16
+_HEXADECIMAL = 16
+_PRIORITY_STEP = 10
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationCall:
+    """Hold a checked request for a generation.
+
+    :param path: the path the caller used, which the engine serves too.
+    """
+
+    caller: Caller
+    service_name: str
+    service: Service
+    path: str
+    raw: bytes
+    body: GenerationBody
+
+
+def identify_caller(
+    directory: Directory, authorization: str
+) -> Result[Caller, Problem]:
+    """Find the customer that a bearer key belongs to."""
+    scheme, _, key = authorization.partition(' ')
+    hashed = hashlib.sha256(key.strip().encode()).hexdigest()
+    caller = directory.callers_by_hash.get(hashed)
+    if scheme.lower() != 'bearer' or caller is None:
+        return Failure(Unauthorised())
+    return Success(caller)
+
+
+def read_generation(
+    directory: Directory, caller: Caller, path: str, raw: bytes
+) -> Result[GenerationCall, Problem]:
+    """Check a completion request and find its service."""
+    try:
+        body = decode_json(raw, GenerationBody)
+    except msgspec.MsgspecError as error:
+        return Failure(BadRequest('body', f'a completion request ({error})'))
+    if body.alternatives != 1:
+        return Failure(BadRequest('n', '1, one alternative for each request'))
+    if not body.prompt and not body.messages:
+        return Failure(BadRequest('prompt', 'a prompt or messages'))
+    name = _find_service(directory, caller, body.model)
+    if not name:
+        return Failure(BadRequest('model', 'a service open to this key'))
+    service = directory.services_by_name[name]
+    return Success(GenerationCall(caller, name, service, path, raw, body))
+
+
+def make_generation_id() -> str:
+    """Return a new generation id that nobody can guess."""
+    return token_hex(_GENERATION_BYTES)
+
+
+def make_delivery_request(
+    call: GenerationCall,
+    generation: str,
+    position: Position | None,
+    now: Millis,
+) -> DeliveryRequest:
+    """Describe the work and the delivery of a checked request."""
+    text = _full_text(call.body)
+    prompt_tokens = max(1, len(text) // _CHARACTERS_PER_TOKEN)
+    prefix = text[:_PREFIX_CHARACTERS]
+    priority = call.caller.customer.priority * _PRIORITY_STEP
+    work = Work(
+        work_id=generation,
+        service=call.service_name,
+        customer=call.caller.name,
+        prompt_tokens=prompt_tokens,
+        arrived_at=now,
+        deadline_at=now + call.service.deadline_ms,
+        priority=priority,
+        share=call.caller.customer.share,
+        shape=describe_shape(call.service_name, int(math.log2(prompt_tokens))),
+        prefix=digest(prefix.encode()),
+        prefix_tokens=len(prefix) // _CHARACTERS_PER_TOKEN,
+    )
+    seed = call.body.seed
+    if seed is None:
+        seed = derive_seed(generation)
+    return DeliveryRequest(
+        work=work,
+        generation=GenerationRequest(
+            generation, call.path, call.raw, seed, priority
+        ),
+        may_repeat=call.service.repeat is Repeat.ALLOWED,
+        customer=call.caller.name,
+        body_digest=digest_body(call.raw),
+        position=position,
+    )
+
+
+def digest_body(raw: bytes) -> str:
+    """Return the short digest by which a body is recognised."""
+    return digest(raw)[:_BODY_DIGITS]
+
+
+def derive_seed(generation: str) -> int:
+    """Derive the sampling seed from a first generation id."""
+    first = generation.partition('-')[0]
+    return int(digest(first.encode())[:_SEED_DIGITS], _HEXADECIMAL)
+
+
+def _find_service(
+    directory: Directory, caller: Caller, wanted: str
+) -> str | None:
+    for name in caller.customer.services:
+        service = directory.services_by_name.get(name)
+        if service is None or service.kind is not UpstreamKind.ENGINE:
+            continue
+        if wanted in {name, service.model}:
+            return name
+    return None
+
+
+def _full_text(body: GenerationBody) -> str:
+    if not body.messages:
+        return body.prompt
+    return '\n'.join(
+        f'{message.role}: {message.content}' for message in body.messages
+    )
--- /dev/null
+++ b/src/cartdale/command/main.py
@@ -0,0 +1,36 @@
+"""Entry point of the ``cartdale`` command-line tool."""
+
+import sys
+
+from cleo.application import Application
+
+from cartdale.command.planning import (
+    ConfirmCommand,
+    PlanCommand,
+    ValidateCommand,
+)
+from cartdale.command.watching import (
+    DrainCommand,
+    HistoryCommand,
+    StatusCommand,
+)
+
+
+def make_application() -> Application:
+    """Build the command-line application."""
+    application = Application('cartdale', '0.1.0')
+    for command in (
+        ValidateCommand(),
+        PlanCommand(),
+        ConfirmCommand(),
+        StatusCommand(),
+        HistoryCommand(),
+        DrainCommand(),
+    ):
+        application.add(command)
+    return application
+
+
+def main() -> None:
+    """Run the ``cartdale`` program."""
+    sys.exit(make_application().run())
--- /dev/null
+++ b/src/cartdale/configuration/driver.py
@@ -0,0 +1,127 @@
+"""Keep this instance's configuration in step with the store."""
+
+from collections.abc import Callable
+from typing import assert_never
+
+import trio
+from returns.result import Failure
+
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.configuration.decide import decide
+from cartdale.configuration.storage import (
+    HEAD_KEY,
+    StoredHead,
+    read_head,
+    read_log,
+    read_snapshot,
+)
+from cartdale.configuration.types import (
+    Action,
+    Adopt,
+    ConfigurationState,
+    DeltasReceived,
+    Fetch,
+    Message,
+    RevisionHeard,
+    SnapshotReceived,
+)
+from cartdale.store.types import Store
+
+WATCH_TIMEOUT: Millis = 60_000
+#: Pause after the store failed; the caller's back-off adds to it.
+_PAUSE: Millis = 1000
+
+Adopted = Callable[[ConfigurationState], None]
+
+
+class Configurator:
+    """Hold the configuration of this instance.
+
+    :param adopted: called after a newer configuration is in force.
+    """
+
+    def __init__(self, store: Store, clock: Clock, adopted: Adopted) -> None:
+        self._store = store
+        self._clock = clock
+        self._adopted = adopted
+        self._fetching = trio.Lock()
+        self.state = ConfigurationState()
+        self.in_force_at: Millis = 0
+        self.took: Millis = 0
+
+    async def tell(self, message: Message) -> None:
+        """Take a message and carry out what is decided."""
+        for action in self.apply(message):
+            match action:
+                case Fetch():
+                    await self.catch_up()
+                case Adopt():
+                    continue
+                case _:
+                    assert_never(action)
+
+    def apply(self, message: Message) -> tuple[Action, ...]:
+        """Take a message; adoptions are carried out at once."""
+        after, actions = decide(self.state, message, self._clock.now())
+        self.state = after
+        for action in actions:
+            if isinstance(action, Adopt):
+                self._note(action)
+        return actions
+
+    async def catch_up(self) -> bool:
+        """Read what the store has and this instance lacks.
+
+        :returns: whether the store answered.
+        """
+        async with self._fetching:
+            seen = await read_head(self._store)
+            if isinstance(seen, Failure):
+                return False
+            return await self._catch_up_to(seen.unwrap())
+
+    async def watch(self) -> None:
+        """Wait for confirmations at the store, for ever."""
+        while True:
+            seen = await read_head(self._store)
+            if isinstance(seen, Failure):
+                await trio.sleep(seconds(_PAUSE))
+                continue
+            head = seen.unwrap()
+            await self.tell(RevisionHeard(head.head.revision))
+            waited = await self._store.wait_change(
+                HEAD_KEY, head.mod_revision, WATCH_TIMEOUT
+            )
+            if isinstance(waited, Failure):
+                await trio.sleep(seconds(_PAUSE))
+
+    async def _catch_up_to(self, seen: StoredHead) -> bool:
+        self.apply(RevisionHeard(seen.head.revision))
+        while self.state.revision < seen.head.revision:
+            before = self.state.revision
+            log = await read_log(self._store, before)
+            if isinstance(log, Failure):
+                return False
+            self.apply(DeltasReceived(log.unwrap()))
+            if self.state.revision > before:
+                continue
+            if not await self._load_snapshot(seen.head.snapshot_revision):
+                return False
+        return True
+
+    async def _load_snapshot(self, revision: int) -> bool:
+        if revision <= self.state.revision:
+            return False
+        found = await read_snapshot(self._store, revision)
+        snapshot = found.value_or(None)
+        if snapshot is None:
+            return False
+        self.apply(SnapshotReceived(snapshot))
+        return self.state.revision >= revision
+
+    def _note(self, adopt: Adopt) -> None:
+        self.in_force_at = self._clock.wall()
+        self.took = 0
+        if adopt.confirmed_at:
+            self.took = max(0, self.in_force_at - adopt.confirmed_at)
+        self._adopted(self.state)
--- /dev/null
+++ b/src/cartdale/daemon/serve.py
@@ -0,0 +1,57 @@
+"""Serve one HTTP application on one listener."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from ssl import CERT_REQUIRED
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from cartdale.settings.types import Listener
+
+#: Streams in progress are never cut; they end by themselves.
+_GRACEFUL_SECONDS = 86400
+_KEEP_ALIVE_SECONDS = 60
+_BACKLOG = 512
+_HEADER_LIMIT = 16384
+
+
+class BoundListener:
+    """Own a bound socket, so that port 0 becomes a known port."""
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+        family = socket.AF_INET6 if ':' in listener.address else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((listener.address, listener.port))
+        self._socket.listen(_BACKLOG)
+        self.port: int = self._socket.getsockname()[1]
+
+    async def serve(self, app: QuartTrio, stopping: trio.Event) -> None:
+        """Serve until ``stopping`` is set and all answers have ended."""
+        shutdown: Callable[..., Awaitable[Any]] = stopping.wait
+        await serve(
+            app, self._configure(), mode='asgi', shutdown_trigger=shutdown
+        )
+
+    def _configure(self) -> Config:
+        config = Config()
+        config.bind = [f'fd://{self._socket.detach()}']
+        config.graceful_timeout = _GRACEFUL_SECONDS
+        config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
+        config.h11_max_incomplete_size = _HEADER_LIMIT
+        config.include_server_header = False
+        config.accesslog = None
+        config.errorlog = None
+        tls = self._listener.tls
+        if tls is not None:
+            config.certfile = tls.certificate
+            config.keyfile = tls.key
+            if tls.authority:
+                config.ca_certs = tls.authority
+                config.verify_mode = CERT_REQUIRED
+        return config
--- /dev/null
+++ b/src/cartdale/engines/http.py
@@ -0,0 +1,223 @@
+"""Adapter to an engine that streams OpenAI completions over HTTP."""
+
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httpx
+import msgspec
+from returns.result import Failure, Result, Success
+from sseclient import SSEClient
+
+from cartdale.clock import Millis, seconds
+from cartdale.codec import decode_json, encode_json
+from cartdale.engines.types import (
+    EngineFailure,
+    EngineRefused,
+    EngineUnreachable,
+    Event,
+    Events,
+    GenerationRequest,
+    GenerationUnknown,
+    LinkLost,
+    Order,
+    StreamStatus,
+)
+from cartdale.model.types import LoadReport
+
+HEADER_GENERATION = 'X-Request-Id'
+HEADER_PRIORITY = 'X-Priority'
+HEADER_SEED = 'X-Seed'
+END_MARK = '[DONE]'
+_EVENT_END = b'\n\n'
+
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_REFUSALS = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PriorityChange:
+    """Carry a new priority."""
+
+    priority: int
+
+
+class HttpEngine:
+    """Reach one engine over a shared HTTP client.
+
+    :param client: client shared by all engines.
+    :param address: base URL of the engine.
+    :param timeout: longest wait for connecting and control calls.
+    """
+
+    def __init__(
+        self, client: httpx.AsyncClient, address: str, timeout: Millis
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._timeout = seconds(timeout)
+        self._stream_timeout = httpx.Timeout(None, connect=self._timeout)
+
+    @asynccontextmanager
+    async def start(
+        self, request: GenerationRequest
+    ) -> AsyncIterator[Result[Events, EngineFailure]]:
+        """Begin a generation and stream it."""
+        outgoing = self._client.build_request(
+            'POST',
+            f'{self._address}{request.path}',
+            content=request.body,
+            headers={
+                'Content-Type': 'application/json',
+                HEADER_GENERATION: request.generation,
+                HEADER_PRIORITY: str(request.priority),
+                HEADER_SEED: str(request.seed),
+            },
+            timeout=self._stream_timeout,
+        )
+        async with self._open(outgoing) as opened:
+            yield opened
+
+    @asynccontextmanager
+    async def attach(
+        self, generation: str, offset: int
+    ) -> AsyncIterator[Result[Events, EngineFailure]]:
+        """Continue a generation after ``offset`` tokens."""
+        outgoing = self._client.build_request(
+            'GET',
+            f'{self._address}/v1/streams/{generation}',
+            params={'offset': offset},
+            timeout=self._stream_timeout,
+        )
+        async with self._open(outgoing) as opened:
+            yield opened
+
+    async def status(
+        self, generation: str, timeout: Millis
+    ) -> Result[StreamStatus, EngineFailure]:
+        """Ask what the engine does with a generation."""
+        answer = await self._call(
+            'GET',
+            f'/v1/streams/{generation}/status',
+            timeout=seconds(timeout),
+        )
+        return answer.map(_to_status)
+
+    async def cancel(self, generation: str) -> Result[None, EngineFailure]:
+        """End a generation that nobody waits for."""
+        answer = await self._call('DELETE', f'/v1/streams/{generation}')
+        return answer.map(_to_nothing)
+
+    async def raise_priority(
+        self, generation: str, priority: int
+    ) -> Result[None, EngineFailure]:
+        """Protect a generation that has run long."""
+        answer = await self._call(
+            'POST',
+            f'/v1/streams/{generation}/priority',
+            body=encode_json(PriorityChange(priority)),
+        )
+        return answer.map(_to_nothing)
+
+    async def report(self) -> Result[LoadReport, EngineFailure]:
+        """Read the load."""
+        answer = await self._call('GET', '/v1/load')
+        return answer.map(_to_report)
+
+    async def command(self, order: Order) -> Result[None, EngineFailure]:
+        """Give a fenced order."""
+        answer = await self._call('POST', '/v1/orders', body=encode_json(order))
+        return answer.map(_to_nothing)
+
+    @asynccontextmanager
+    async def _open(
+        self, outgoing: httpx.Request
+    ) -> AsyncIterator[Result[Events, EngineFailure]]:
+        try:
+            response = await self._client.send(outgoing, stream=True)
+        except NOT_SENT as error:
+            yield Failure(EngineUnreachable(repr(error)))
+            return
+        except httpx.HTTPError as late_error:
+            yield Failure(LinkLost(repr(late_error)))
+            return
+        try:
+            yield _judge(response).map(_read_events)
+        finally:
+            await response.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        timeout: float | None = None,
+    ) -> Result[httpx.Response, EngineFailure]:
+        try:
+            response = await self._client.request(
+                method,
+                f'{self._address}{path}',
+                content=body,
+                timeout=timeout or self._timeout,
+            )
+        except NOT_SENT as error:
+            return Failure(EngineUnreachable(repr(error)))
+        except httpx.HTTPError as late_error:
+            return Failure(LinkLost(repr(late_error)))
+        return _judge(response)
+
+
+def _judge(response: httpx.Response) -> Result[httpx.Response, EngineFailure]:
+    if response.status_code == HTTPStatus.NOT_FOUND:
+        return Failure(GenerationUnknown())
+    if response.status_code in _REFUSALS:
+        return Failure(EngineRefused(response.status_code))
+    if response.is_error:
+        return Failure(LinkLost(f'status {response.status_code}'))
+    return Success(response)
+
+
+async def _read_events(response: httpx.Response) -> Events:
+    pending = b''
+    async for raw in response.aiter_raw():
+        complete, separator, pending = (pending + raw).rpartition(_EVENT_END)
+        if not separator:
+            continue
+        batch = tuple(_parse_events(complete + separator))
+        if batch and batch[-1] is None:
+            yield tuple(event for event in batch if event is not None)
+            return
+        yield tuple(event for event in batch if event is not None)
+    raise httpx.ReadError('the stream ended without its end mark')
+
+
+def _parse_events(raw: bytes) -> Iterator[Event | None]:
+    for event in SSEClient(iter((raw,))).events():
+        if event.data == END_MARK:
+            yield None
+            return
+        generation, _, offset = (event.id or '').rpartition(':')
+        yield Event(generation, int(offset), event.data)
+
+
+def _to_status(response: httpx.Response) -> StreamStatus:
+    return decode_json(response.content, StreamStatus)
+
+
+def _to_report(response: httpx.Response) -> LoadReport:
+    return decode_json(response.content, LoadReport)
+
+
+def _to_nothing(_: httpx.Response) -> None:
+    """Drop an answer that carries nothing."""
+
+
+#: Errors that a reader of ``Events`` must expect.
+STREAM_ERRORS = (httpx.HTTPError, msgspec.MsgspecError, ValueError)
--- /dev/null
+++ b/src/cartdale/routing/decide.py
@@ -0,0 +1,221 @@
+"""Decide where and when each request runs."""
+
+from dataclasses import replace
+from typing import assert_never
+
+from cartdale.clock import Millis
+from cartdale.declarations.types import PolicyName
+from cartdale.invariants import NO_WORK_WHEN_LEAVING, check
+from cartdale.problems.types import NotRun, NotRunReason
+from cartdale.routing.policy import (
+    choose_baseline,
+    choose_fitting,
+    list_candidates,
+    make_outlooks,
+)
+from cartdale.routing.queue import (
+    estimate_wait,
+    list_hopeless,
+    note_drain,
+    order_waiting,
+    without,
+)
+from cartdale.routing.types import (
+    Action,
+    Decision,
+    EngineView,
+    LeaveBegan,
+    LoadHeard,
+    Message,
+    Place,
+    Placement,
+    RaisePriority,
+    Refuse,
+    RoutingState,
+    ServiceView,
+    TargetsChanged,
+    Tick,
+    UpstreamFailed,
+    Work,
+    WorkAbandoned,
+    WorkArrived,
+    WorkEnded,
+    WorkProgressed,
+)
+from cartdale.routing.views import hear_load, merge_targets, note_failure
+
+#: Queued work looked at in one decision; bounds its cost.
+_LOOKAHEAD = 4
+#: Produced tokens at which priority is raised, once for each.
+_RAISE_AT = (64, 256, 1024, 4096)
+_PREFIXES_KEPT = 64
+_NO_UPSTREAM_RETRY: Millis = 2000
+
+
+def decide(state: RoutingState, message: Message, now: Millis) -> Decision:
+    """Take one message.
+
+    :param now: monotonic milliseconds.
+    :returns: the next state, and what to place, refuse or protect.
+    """
+    match message:
+        case WorkArrived(work=work):
+            return _arrive(state, work, now)
+        case WorkProgressed(produced_by_work=produced_by_work):
+            return _progress(state, produced_by_work)
+        case WorkEnded():
+            return _place_waiting(_end(state, message), now)
+        case WorkAbandoned(work_id=work_id):
+            return replace(state, waiting=without(state.waiting, work_id)), ()
+        case LoadHeard(upstream=upstream, report=report):
+            return _place_waiting(hear_load(state, upstream, report, now), now)
+        case UpstreamFailed(upstream=upstream):
+            return note_failure(state, upstream, now), ()
+        case TargetsChanged():
+            return _place_waiting(merge_targets(state, message), now)
+        case LeaveBegan():
+            return _leave(state)
+        case Tick():
+            return _tick(state, now)
+        case _:
+            assert_never(message)
+
+
+def _arrive(state: RoutingState, work: Work, now: Millis) -> Decision:
+    if state.leaving:
+        refusal = NotRun(NotRunReason.LEAVING, 0)
+        return state, (Refuse(work, refusal),)
+    service = state.services_by_name.get(work.service)
+    if service is None:
+        refusal = NotRun(NotRunReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY)
+        return state, (Refuse(work, refusal),)
+    ahead = sum(1 for queued in state.waiting if queued.service == work.service)
+    wait = estimate_wait(state, ahead)
+    if ahead >= service.queue:
+        refusal = NotRun(NotRunReason.QUEUE_FULL, wait)
+        return state, (Refuse(work, refusal),)
+    if now + wait > work.deadline_at:
+        refusal = NotRun(NotRunReason.DEADLINE, wait)
+        return state, (Refuse(work, refusal),)
+    queued = replace(state, waiting=(*state.waiting, work))
+    return _place_waiting(queued, now)
+
+
+def _tick(state: RoutingState, now: Millis) -> Decision:
+    drained = note_drain(state, 0, now)
+    placed, actions = _place_waiting(drained, now)
+    refusals: list[Action] = []
+    waiting = placed.waiting
+    for work in list_hopeless(placed, now):
+        waiting = without(waiting, work.work_id)
+        wait = estimate_wait(placed, len(waiting))
+        refusal = NotRun(NotRunReason.DEADLINE, wait)
+        refusals.append(Refuse(work, refusal))
+    return replace(placed, waiting=waiting), (*actions, *refusals)
+
+
+def _leave(state: RoutingState) -> Decision:
+    refusal = NotRun(NotRunReason.LEAVING, 0)
+    refusals = tuple(Refuse(work, refusal) for work in state.waiting)
+    return replace(state, waiting=(), leaving=True), refusals
+
+
+def _place_waiting(state: RoutingState, now: Millis) -> Decision:
+    actions: list[Action] = []
+    blocked: set[str] = set()
+    looked = 0
+    for work in order_waiting(state, now):
+        if work.service in blocked:
+            continue
+        service = state.services_by_name.get(work.service)
+        if service is None:
+            continue
+        upstream = _choose(state, service, work, now)
+        if upstream is not None:
+            state = _place(state, work, upstream, now)
+            actions.append(Place(work, upstream))
+            continue
+        looked += 1
+        if looked >= _LOOKAHEAD:
+            blocked.add(work.service)
+    return state, tuple(actions)
+
+
+def _choose(
+    state: RoutingState, service: ServiceView, work: Work, now: Millis
+) -> str | None:
+    views = list_candidates(state, service, work, now)
+    if not views:
+        return None
+    if service.policy is not PolicyName.MEMORY_AWARE:
+        return choose_baseline(state, service.policy, views)
+    outlooks = make_outlooks(state, views, now)
+    return choose_fitting(outlooks, work, service.weights, state.lengths)
+
+
+def _place(
+    state: RoutingState, work: Work, upstream: str, now: Millis
+) -> RoutingState:
+    check(
+        NO_WORK_WHEN_LEAVING,
+        holds=not state.leaving,
+        detail=f'{work.work_id} on {upstream}',
+    )
+    view = state.engines_by_upstream[upstream]
+    engines_by_upstream = dict(state.engines_by_upstream)
+    engines_by_upstream[upstream] = _note_placement(view, work)
+    placements_by_work = dict(state.placements_by_work)
+    placements_by_work[work.work_id] = Placement(work, upstream, now)
+    served_by_customer = dict(state.served_by_customer)
+    served = served_by_customer.get(work.customer, 0)
+    served_by_customer[work.customer] = served + 1 / work.share
+    return replace(
+        note_drain(state, 1, now),
+        engines_by_upstream=engines_by_upstream,
+        placements_by_work=placements_by_work,
+        served_by_customer=served_by_customer,
+        waiting=without(state.waiting, work.work_id),
+        draws=state.draws + 1,
+    )
+
+
+def _note_placement(view: EngineView, work: Work) -> EngineView:
+    prefixes = view.prefixes
+    if work.prefix:
+        others = tuple(known for known in prefixes if known != work.prefix)
+        prefixes = (*others, work.prefix)[-_PREFIXES_KEPT:]
+    return replace(view, own_accepted=view.own_accepted + 1, prefixes=prefixes)
+
+
+def _progress(
+    state: RoutingState, produced_by_work: dict[str, int]
+) -> Decision:
+    placements_by_work = dict(state.placements_by_work)
+    actions: list[Action] = []
+    for work_id, produced in produced_by_work.items():
+        placement = placements_by_work.get(work_id)
+        if placement is None:
+            continue
+        raised = sum(1 for mark in _RAISE_AT if produced >= mark)
+        if raised > placement.raised:
+            priority = placement.work.priority + raised
+            actions.append(RaisePriority(work_id, placement.upstream, priority))
+        placements_by_work[work_id] = replace(
+            placement, produced=produced, raised=raised
+        )
+    after = replace(state, placements_by_work=placements_by_work)
+    return after, tuple(actions)
+
+
+def _end(state: RoutingState, ended: WorkEnded) -> RoutingState:
+    placements_by_work = dict(state.placements_by_work)
+    placement = placements_by_work.pop(ended.work_id, None)
+    if placement is None:
+        return state
+    lengths = state.lengths
+    if ended.finished:
+        lengths = lengths.observe(placement.work.shape, ended.produced)
+        lengths = lengths.observe(placement.upstream, ended.produced)
+    return replace(
+        state, placements_by_work=placements_by_work, lengths=lengths
+    )
--- /dev/null
+++ b/src/cartdale/routing/driver.py
@@ -0,0 +1,89 @@
+"""Run the routing decisions and let requests wait for them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import assert_never
+
+import trio
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import Clock
+from cartdale.problems.types import Limited, NotRun
+from cartdale.routing.decide import decide
+from cartdale.routing.types import (
+    Action,
+    Message,
+    Place,
+    RaisePriority,
+    Refuse,
+    RoutingState,
+    Work,
+    WorkAbandoned,
+    WorkArrived,
+    WorkEnded,
+)
+
+Placed = Result[str, NotRun | Limited]
+Protect = Callable[[RaisePriority], None]
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """Let one request wait for its decision."""
+
+    decided: trio.Event = field(default_factory=trio.Event)
+    outcome: Placed | None = None
+
+
+class Router:
+    """Hold the routing state of this instance.
+
+    :param protect: called when an engine should raise a priority.
+    """
+
+    def __init__(self, clock: Clock, seed: int, protect: Protect) -> None:
+        self._clock = clock
+        self._protect = protect
+        self._waiters_by_work: dict[str, _Waiter] = {}
+        self.state = RoutingState(seed=seed)
+
+    def tell(self, message: Message) -> None:
+        """Take a message and carry out what is decided."""
+        after, actions = decide(self.state, message, self._clock.now())
+        self.state = after
+        for action in actions:
+            self._carry_out(action)
+
+    async def place(self, work: Work) -> Placed:
+        """Wait until work may run, and return its upstream."""
+        waiter = _Waiter()
+        self._waiters_by_work[work.work_id] = waiter
+        self.tell(WorkArrived(work))
+        try:
+            await waiter.decided.wait()
+        finally:
+            self._waiters_by_work.pop(work.work_id, None)
+            if waiter.outcome is None:
+                self.tell(WorkAbandoned(work.work_id))
+        assert waiter.outcome is not None
+        return waiter.outcome
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Place(work=work, upstream=upstream):
+                if not self._resolve(work.work_id, Success(upstream)):
+                    self.tell(WorkEnded(work.work_id, 0, finished=False))
+            case Refuse(work=work, problem=problem):
+                self._resolve(work.work_id, Failure(problem))
+            case RaisePriority():
+                self._protect(action)
+            case _:
+                assert_never(action)
+
+    def _resolve(self, work_id: str, outcome: Placed) -> bool:
+        waiter = self._waiters_by_work.get(work_id)
+        if waiter is None:
+            return False
+        waiter.outcome = outcome
+        waiter.decided.set()
+        return True
--- /dev/null
+++ b/src/cartdale/routing/forecast.py
@@ -0,0 +1,155 @@
+"""Forecast an engine's memory from own placements and lagging reports."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cartdale.clock import Millis
+from cartdale.model.types import LoadReport
+from cartdale.routing.lengths import LengthBook, LengthProfile
+from cartdale.routing.types import EngineView, Placement, Work
+
+#: Further tokens of every running generation at which memory is foreseen.
+HORIZONS = (0, 32, 128, 384, 1024, 3072)
+#: Reports older than this tell nothing about others any more.
+STALE_MS: Millis = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """Hold the expected memory of an engine at each horizon.
+
+    :param expected: tokens, one number for each of ``HORIZONS``.
+    :param variance: tokens squared, likewise.
+    :param count: generations on the engine, own and foreign.
+    """
+
+    expected: tuple[float, ...]
+    variance: tuple[float, ...]
+    count: float
+
+    def peak(self, caution: float) -> float:
+        """Return the highest memory, ``caution`` deviations up, tokens."""
+        return max(
+            mean + caution * math.sqrt(spread)
+            for mean, spread in zip(self.expected, self.variance, strict=True)
+        )
+
+    def add(self, other: 'Forecast') -> 'Forecast':
+        """Return the sum of two independent loads."""
+        return Forecast(
+            _add(self.expected, other.expected),
+            _add(self.variance, other.variance),
+            self.count + other.count,
+        )
+
+
+_NOTHING = tuple(float(0) for _ in HORIZONS)
+_EMPTY = Forecast(_NOTHING, _NOTHING, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Own:
+    """Sum up own placements that a report already contains."""
+
+    count: int = 0
+    used: int = 0
+    prompts: int = 0
+
+    def add(self, placement: Placement) -> '_Own':
+        """Return the sum with one more placement."""
+        prompt = placement.work.prompt_tokens
+        return _Own(
+            self.count + 1,
+            self.used + prompt + placement.produced,
+            self.prompts + prompt,
+        )
+
+
+def forecast_engine(
+    view: EngineView,
+    placements: Iterable[Placement],
+    lengths: LengthBook,
+    now: Millis,
+) -> Forecast:
+    """Foresee an engine's memory.
+
+    :param placements: own work on this engine.
+    """
+    total = _EMPTY
+    own = _Own()
+    for placement in placements:
+        profile = lengths.find(placement.work.shape)
+        prompt = placement.work.prompt_tokens
+        total = total.add(forecast_one(profile, prompt, placement.produced))
+        if placement.placed_at < view.heard_at:
+            own = own.add(placement)
+    report = view.report
+    if report is None or now - view.heard_at > STALE_MS:
+        return total
+    typical = own.prompts / own.count if own.count else 0
+    foreign = _forecast_foreign(view, report, own, lengths)
+    arrived = _forecast_arrivals(view, typical, lengths, now)
+    return total.add(foreign).add(arrived)
+
+
+def forecast_work(work: Work, lengths: LengthBook) -> Forecast:
+    """Foresee what a request would add."""
+    return forecast_one(lengths.find(work.shape), work.prompt_tokens, 0)
+
+
+def forecast_one(
+    profile: LengthProfile, prompt: float, produced: int, count: float = 1
+) -> Forecast:
+    """Foresee ``count`` generations of one age.
+
+    :param prompt: prompt length, in tokens.
+    :param produced: tokens produced so far.
+    """
+    expected: list[float] = []
+    variance: list[float] = []
+    for horizon in HORIZONS:
+        alive = profile.survival(produced, horizon) if horizon else 1.0
+        size = prompt + produced + horizon
+        expected.append(count * alive * size)
+        variance.append(count * alive * (1 - alive) * size * size)
+    return Forecast(tuple(expected), tuple(variance), count)
+
+
+def _forecast_foreign(
+    view: EngineView,
+    report: LoadReport,
+    own: _Own,
+    lengths: LengthBook,
+) -> Forecast:
+    count = max(0, report.running + report.waiting - own.count)
+    if not count:
+        return _EMPTY
+    used = max(0, report.used_tokens - own.used)
+    profile = lengths.find(view.upstream)
+    running = max(1, report.running)
+    typical = used / max(1, count)
+    produced = min(int(profile.mean() / 2), int(typical / 2))
+    waiting_share = report.waiting / (running + report.waiting)
+    growing = forecast_one(profile, typical - produced, produced, count)
+    if not waiting_share:
+        return growing
+    return growing.add(forecast_one(profile, typical, 0, count * waiting_share))
+
+
+def _forecast_arrivals(
+    view: EngineView, typical: float, lengths: LengthBook, now: Millis
+) -> Forecast:
+    report = view.report
+    if report is None:
+        return _EMPTY
+    expected = view.foreign_per_ms * (now - view.heard_at)
+    if not expected:
+        return _EMPTY
+    return forecast_one(lengths.find(view.upstream), typical, 0, expected)
+
+
+def _add(
+    left: tuple[float, ...], right: tuple[float, ...]
+) -> tuple[float, ...]:
+    return tuple(map(sum, zip(left, right, strict=True)))
--- /dev/null
+++ b/src/cartdale/routing/policy.py
@@ -0,0 +1,169 @@
+"""Choose an engine: memory-aware, and the baselines it is measured against."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import assert_never
+
+from cartdale.clock import Millis
+from cartdale.declarations.types import PolicyName, Weights
+from cartdale.routing.forecast import (
+    Forecast,
+    forecast_engine,
+    forecast_work,
+)
+from cartdale.routing.lengths import LengthBook
+from cartdale.routing.types import (
+    EngineView,
+    Placement,
+    RoutingState,
+    ServiceView,
+    Work,
+)
+
+#: Share of an engine's memory that placements may fill.
+MEMORY_SHARE = 0.97
+#: Standard deviations kept free, for weights of zero and per weight.
+_CAUTION_BASE = 0.3
+_CAUTION_STALL = 0.7
+_CAUTION_PREEMPTIONS = 1.7
+#: Worth of a cached prefix, as a share of load for each 1,000 tokens.
+_PREFIX_WORTH = 0.15
+_KILO = 1000
+#: Step time at which the tail-time weight costs one unit of score.
+_STEP_SCALE_MS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """Pair an engine with its forecast."""
+
+    view: EngineView
+    forecast: Forecast
+
+
+def caution_of(weights: Weights) -> float:
+    """Return how many standard deviations of memory to keep free.
+
+    A preemption costs a stall too, so both weights add caution; the
+    weight on preemptions adds more, paid by waiting before the start.
+    """
+    return (
+        _CAUTION_BASE
+        + _CAUTION_STALL * weights.stall_time
+        + _CAUTION_PREEMPTIONS * weights.preemptions
+    )
+
+
+def list_candidates(
+    state: RoutingState, service: ServiceView, work: Work, now: Millis
+) -> list[EngineView]:
+    """Return the engines that may take work now."""
+    candidates: list[EngineView] = []
+    for upstream in service.upstreams:
+        view = state.engines_by_upstream.get(upstream)
+        if view is None or view.draining or view.excluded_until > now:
+            continue
+        if upstream in work.avoid:
+            continue
+        candidates.append(view)
+    return candidates
+
+
+def make_outlooks(
+    state: RoutingState, views: list[EngineView], now: Millis
+) -> list[Outlook]:
+    """Forecast each engine once."""
+    placements_by_upstream: dict[str, list[Placement]] = {}
+    for placement in state.placements_by_work.values():
+        placements_by_upstream.setdefault(placement.upstream, []).append(
+            placement
+        )
+    return [
+        Outlook(
+            view,
+            forecast_engine(
+                view,
+                placements_by_upstream.get(view.upstream, ()),
+                state.lengths,
+                now,
+            ),
+        )
+        for view in views
+    ]
+
+
+def choose_fitting(
+    outlooks: list[Outlook],
+    work: Work,
+    weights: Weights,
+    lengths: LengthBook,
+) -> str | None:
+    """Return the best engine whose memory holds the work, if any."""
+    added = forecast_work(work, lengths)
+    caution = caution_of(weights)
+    best: tuple[float, str] | None = None
+    for outlook in outlooks:
+        memory = outlook.view.memory_tokens * MEMORY_SHARE
+        filled = outlook.forecast.add(added).peak(caution) / memory
+        if filled > 1:
+            continue
+        score = filled + _step_cost(outlook.view, weights)
+        score -= _prefix_gain(outlook.view, work)
+        if best is None or (score, outlook.view.upstream) < best:
+            best = (score, outlook.view.upstream)
+    return best[1] if best else None
+
+
+def choose_baseline(
+    state: RoutingState, name: PolicyName, views: list[EngineView]
+) -> str:
+    """Return the engine that a baseline policy takes, without holding back.
+
+    :param views: at least one engine.
+    """
+    generator = random.Random(f'{state.seed}:{state.draws}')
+    match name:
+        case PolicyName.RANDOM:
+            return generator.choice(views).upstream
+        case PolicyName.ROUND_ROBIN:
+            return views[(state.draws + state.seed) % len(views)].upstream
+        case PolicyName.LEAST_REQUESTS:
+            return _least_loaded(views, state.placements_by_work)
+        case PolicyName.POWER_OF_TWO:
+            pair = generator.sample(views, min(2, len(views)))
+            return _least_loaded(pair, state.placements_by_work)
+        case PolicyName.MEMORY_AWARE:
+            return _least_loaded(views, state.placements_by_work)
+        case _:
+            assert_never(name)
+
+
+def _least_loaded(
+    views: list[EngineView], placements_by_work: Mapping[str, Placement]
+) -> str:
+    counts_by_upstream: dict[str, int] = {}
+    for placement in placements_by_work.values():
+        earlier = counts_by_upstream.get(placement.upstream, 0)
+        counts_by_upstream[placement.upstream] = earlier + 1
+    best: tuple[int, str] | None = None
+    for view in views:
+        reported = 0
+        if view.report is not None:
+            reported = view.report.running + view.report.waiting
+        own = counts_by_upstream.get(view.upstream, 0)
+        rank = (max(reported, own), view.upstream)
+        best = min(best or rank, rank)
+    return best[1] if best else ''
+
+
+def _step_cost(view: EngineView, weights: Weights) -> float:
+    if view.report is None:
+        return 0
+    return weights.tail_time * view.report.step_ms / _STEP_SCALE_MS
+
+
+def _prefix_gain(view: EngineView, work: Work) -> float:
+    if not work.prefix or work.prefix not in view.prefixes:
+        return 0
+    return _PREFIX_WORTH * work.prefix_tokens / _KILO
--- /dev/null
+++ b/src/cartdale/routing/views.py
@@ -0,0 +1,85 @@
+"""Keep the views of engines: reports, failures, targets."""
+
+from dataclasses import replace
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.model.types import LoadReport
+from cartdale.routing.types import (
+    EngineView,
+    RoutingState,
+    TargetsChanged,
+)
+
+_FIRST_EXCLUSION: Millis = SECOND_MS
+_LONGEST_EXCLUSION: Millis = 30_000
+_SMOOTHING = 0.3
+
+
+def hear_load(
+    state: RoutingState, upstream: str, report: LoadReport, now: Millis
+) -> RoutingState:
+    """Take a report; one that is older than the last is ignored."""
+    view = state.engines_by_upstream.get(upstream)
+    if view is None:
+        return state
+    if view.report is not None and report.at <= view.report.at:
+        return state
+    return _update(
+        state,
+        replace(
+            view,
+            report=report,
+            heard_at=now,
+            foreign_per_ms=_learn_foreign(view, report),
+            own_at_report=view.own_accepted,
+            failures=0,
+        ),
+    )
+
+
+def note_failure(
+    state: RoutingState, upstream: str, now: Millis
+) -> RoutingState:
+    """Exclude an engine, for longer each time until it reports again."""
+    view = state.engines_by_upstream.get(upstream)
+    if view is None:
+        return state
+    pause = min(_LONGEST_EXCLUSION, _FIRST_EXCLUSION << min(view.failures, 8))
+    return _update(
+        state,
+        replace(view, failures=view.failures + 1, excluded_until=now + pause),
+    )
+
+
+def merge_targets(state: RoutingState, targets: TargetsChanged) -> RoutingState:
+    """Take new services and engines; what was learned is kept."""
+    engines_by_upstream: dict[str, EngineView] = {}
+    for engine in targets.engines:
+        known = state.engines_by_upstream.get(engine.upstream, engine)
+        engines_by_upstream[engine.upstream] = replace(
+            known,
+            memory_tokens=engine.memory_tokens,
+            draining=engine.draining,
+        )
+    services_by_name = {service.name: service for service in targets.services}
+    return replace(
+        state,
+        services_by_name=services_by_name,
+        engines_by_upstream=engines_by_upstream,
+    )
+
+
+def _learn_foreign(view: EngineView, report: LoadReport) -> float:
+    earlier = view.report
+    if earlier is None:
+        return 0
+    own = view.own_accepted - view.own_at_report
+    foreign = max(0, report.accepted - earlier.accepted - own)
+    seen = foreign / max(1, report.at - earlier.at)
+    return view.foreign_per_ms * (1 - _SMOOTHING) + seen * _SMOOTHING
+
+
+def _update(state: RoutingState, view: EngineView) -> RoutingState:
+    engines_by_upstream = dict(state.engines_by_upstream)
+    engines_by_upstream[view.upstream] = view
+    return replace(state, engines_by_upstream=engines_by_upstream)
--- /dev/null
+++ b/src/cartdale/streams/chunks.py
@@ -0,0 +1,51 @@
+"""Read the text of a streamed completion chunk."""
+
+from dataclasses import dataclass, field
+
+from cartdale.codec import decode_json
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Carry the text of a chat chunk."""
+
+    content: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Carry one alternative; cartdale asks for one only."""
+
+    text: str = ''
+    delta: Delta = field(default_factory=Delta)
+    finish_reason: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionChunk:
+    """Carry one chunk of a completion, plain or chat.
+
+    :param id: the engine's name for the completion.
+    """
+
+    id: str = ''
+    object: str = ''
+    created: int = 0
+    model: str = ''
+    choices: tuple[Choice, ...] = ()
+
+
+def decode_chunk(payload: str) -> CompletionChunk:
+    """Decode one chunk.
+
+    :raises msgspec.MsgspecError: when it is not a completion chunk.
+    """
+    return decode_json(payload, CompletionChunk)
+
+
+def read_text(payload: str) -> str:
+    """Return the text that one chunk adds."""
+    return ''.join(
+        choice.text or choice.delta.content
+        for choice in decode_chunk(payload).choices
+    )
--- /dev/null
+++ b/src/cartdale/streams/driver.py
@@ -0,0 +1,336 @@
+"""Carry out one answer's delivery: place, link, compare, resume."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import assert_never
+
+import trio
+from returns.result import Failure, Success
+
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.engines.types import (
+    Engine,
+    Event,
+    GenerationRequest,
+    GenerationUnknown,
+    OpenedEvents,
+)
+from cartdale.problems.types import Problem
+from cartdale.routing.driver import Router
+from cartdale.routing.types import UpstreamFailed, Work, WorkEnded
+from cartdale.streams.chunks import read_text
+from cartdale.streams.decide import begin, decide, move, soften
+from cartdale.streams.link import Link
+from cartdale.streams.position import (
+    DeliveredPrefix,
+    Origin,
+    Position,
+    PositionSealer,
+)
+from cartdale.streams.types import (
+    SILENCE_MS,
+    Action,
+    AskStatus,
+    Attach,
+    ChunkArrived,
+    Compare,
+    Deliver,
+    Fail,
+    Finish,
+    GenerationLost,
+    Message,
+    NotSent,
+    Phase,
+    PrefixDiffers,
+    Restart,
+    SilenceElapsed,
+    StartRefused,
+    StatusArrived,
+    StreamState,
+)
+
+_STATUS_TIMEOUT: Millis = 1000
+_ABANDON_GRACE: Millis = 15_000
+
+#: Closings that speak against the engine and not only against the link.
+_ENGINE_AT_FAULT = (NotSent, StartRefused, GenerationLost)
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryPorts:
+    """Bundle what a delivery uses of its instance.
+
+    :param engine_of: finds the adapter of an upstream.
+    :param progress_by_work: tokens received of running work, shared.
+    """
+
+    clock: Clock
+    router: Router
+    sealer: PositionSealer
+    engine_of: Callable[[str], Engine]
+    nursery: trio.Nursery
+    progress_by_work: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryRequest:
+    """Describe the answer that a caller wants.
+
+    :param position: where a resumed answer stands, if it is one.
+    """
+
+    work: Work
+    generation: GenerationRequest
+    may_repeat: bool
+    customer: str
+    body_digest: str
+    position: Position | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Carry one chunk to the caller with its resume position."""
+
+    position: str
+    payload: str
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The answer is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The answer ended with a problem."""
+
+    problem: Problem
+
+
+Batch = tuple[Chunk, ...] | Whole | Broken
+
+
+class Delivery:
+    """Deliver one answer to one caller."""
+
+    def __init__(self, ports: DeliveryPorts, asked: DeliveryRequest) -> None:
+        self._ports = ports
+        self.asked = asked
+        self._link = Link()
+        self._ready: list[Chunk] = []
+        self._last: Whole | Broken | None = None
+        position = asked.position
+        digest = position.prefix_digest if position else ''
+        self._prefix = DeliveredPrefix(ports.sealer, digest)
+        self.state = begin(
+            asked.generation.generation,
+            '',
+            ports.clock.now(),
+            may_repeat=asked.may_repeat,
+        )
+
+    async def start(self) -> Problem | None:
+        """Place the work and open the first link.
+
+        :returns: the refusal when the work cannot be placed.
+        """
+        position = self.asked.position
+        if position is not None:
+            self._resume(position)
+            return None
+        placed = await self._ports.router.place(self.asked.work)
+        match placed:
+            case Success(upstream):
+                self.state = replace(self.state, upstream=upstream)
+                self._open_start()
+                return None
+            case Failure(refusal):
+                problem: Problem = refusal
+                return problem
+        return None
+
+    async def next_batch(self) -> Batch:
+        """Wait for chunks, or for the end of the answer."""
+        while True:
+            if self._ready:
+                batch = tuple(self._ready)
+                self._ready.clear()
+                return batch
+            if self._last is not None:
+                return self._last
+            await self._pump()
+
+    def close(self) -> None:
+        """Release the link; unfinished work is cancelled after a grace."""
+        self._link.drop()
+        if self.state.phase is Phase.ENDED or not self.state.upstream:
+            self._settle(finished=isinstance(self._last, Whole))
+            return
+        self._ports.nursery.start_soon(self._cancel_later, self.state)
+
+    def _resume(self, position: Position) -> None:
+        origin = position.origin
+        self.state = begin(
+            origin.generation,
+            origin.upstream,
+            self._ports.clock.now(),
+            may_repeat=self.asked.may_repeat,
+            delivered=position.offset,
+        )
+        self._bind()
+        self._open(Attach(0))
+
+    def _open_start(self) -> None:
+        self.state = replace(self.state, progress_at=self._ports.clock.now())
+        self._prefix.restart()
+        self._bind()
+        engine = self._ports.engine_of(self.state.upstream)
+        request = replace(
+            self.asked.generation, generation=self.state.generation
+        )
+        self._read(engine.start(request))
+
+    def _open(self, attach: Attach) -> None:
+        if not attach.offset:
+            self._prefix.restart()
+        engine = self._ports.engine_of(self.state.upstream)
+        self._read(engine.attach(self.state.generation, attach.offset))
+
+    def _read(self, opener: OpenedEvents) -> None:
+        self._link.drop()
+        self._link = Link()
+        self._ports.nursery.start_soon(self._link.run, opener)
+
+    async def _pump(self) -> None:
+        link = self._link
+        scope = trio.move_on_after(seconds(SILENCE_MS))
+        with scope:
+            await link.wait()
+        if scope.cancelled_caught:
+            await self._tell(SilenceElapsed())
+            return
+        closing = link.closing
+        for event in link.take():
+            await self._take(event)
+        if closing is not None and link is self._link:
+            self._blame(closing)
+            await self._tell(closing)
+
+    async def _take(self, event: Event) -> None:
+        after, actions = decide(
+            self.state,
+            ChunkArrived(event.generation, event.offset),
+            self._ports.clock.now(),
+        )
+        if after.received > self.state.received:
+            self._prefix.add(read_text(event.payload))
+            progress = self._ports.progress_by_work
+            progress[after.generation] = after.received
+        self.state = after
+        for action in actions:
+            if isinstance(action, Deliver):
+                position = self._prefix.deliver(event.offset)
+                self._ready.append(Chunk(position, event.payload))
+                continue
+            await self._carry_out(action)
+
+    async def _tell(self, message: Message) -> None:
+        after, actions = decide(self.state, message, self._ports.clock.now())
+        self.state = after
+        for action in actions:
+            await self._carry_out(action)
+
+    async def _carry_out(self, action: Action) -> None:
+        match action:
+            case Deliver():
+                """Done where the event is at hand."""
+            case Compare():
+                await self._compare()
+            case Attach(pause=pause):
+                await trio.sleep(seconds(pause))
+                self._open(action)
+            case AskStatus():
+                await self._ask_status()
+            case Restart():
+                await self._restart()
+            case Finish():
+                self._last = Whole()
+            case Fail(problem=problem):
+                self._last = Broken(problem)
+            case _:
+                assert_never(action)
+
+    async def _compare(self) -> None:
+        if self.state.received != self.state.delivered:
+            return
+        if not self._prefix.matches():
+            await self._tell(PrefixDiffers())
+
+    async def _ask_status(self) -> None:
+        engine = self._ports.engine_of(self.state.upstream)
+        answer = await engine.status(self.state.generation, _STATUS_TIMEOUT)
+        if answer == Failure(GenerationUnknown()):
+            await self._tell(GenerationLost())
+            return
+        await self._tell(StatusArrived(answer.value_or(None)))
+
+    async def _restart(self) -> None:
+        self._settle(finished=False)
+        abandoned = self.state
+        self._ports.nursery.start_soon(self._cancel, abandoned)
+        first = self.asked.generation.generation
+        generation = f'{first}-{abandoned.repeats + 1}'
+        work = replace(
+            self.asked.work,
+            work_id=generation,
+            avoid=(*self.asked.work.avoid, abandoned.upstream),
+        )
+        placed = await self._ports.router.place(work)
+        match placed:
+            case Success(upstream):
+                self.state = move(
+                    abandoned,
+                    generation,
+                    upstream,
+                    self._ports.clock.now(),
+                )
+                self._open_start()
+            case Failure(problem):
+                self.state = replace(abandoned, phase=Phase.ENDED)
+                self._last = Broken(soften(abandoned, problem))
+
+    def _bind(self) -> None:
+        self._prefix.bind(
+            Origin(
+                generation=self.state.generation,
+                upstream=self.state.upstream,
+                customer=self.asked.customer,
+                service=self.asked.work.service,
+                body_digest=self.asked.body_digest,
+            ),
+        )
+
+    def _blame(self, closing: Message) -> None:
+        if isinstance(closing, _ENGINE_AT_FAULT):
+            self._ports.router.tell(UpstreamFailed(self.state.upstream))
+
+    def _settle(self, *, finished: bool) -> None:
+        work_id = self.state.generation
+        self._ports.progress_by_work.pop(work_id, None)
+        self._ports.router.tell(
+            WorkEnded(work_id, self.state.received, finished=finished)
+        )
+
+    async def _cancel(self, abandoned: StreamState) -> None:
+        if abandoned.sent:
+            engine = self._ports.engine_of(abandoned.upstream)
+            await engine.cancel(abandoned.generation)
+
+    async def _cancel_later(self, abandoned: StreamState) -> None:
+        await trio.sleep(seconds(_ABANDON_GRACE))
+        engine = self._ports.engine_of(abandoned.upstream)
+        answer = await engine.status(abandoned.generation, _STATUS_TIMEOUT)
+        status = answer.value_or(None)
+        if status is not None and not status.readers:
+            await engine.cancel(abandoned.generation)
+        self._settle(finished=False)
--- /dev/null
+++ b/src/cartdale_standins/driver.py
@@ -0,0 +1,106 @@
+"""Drive the engine model by the clock, for the engine stand-in."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.model.engine import EngineModel
+from cartdale.model.types import Hardware
+
+_REPORT_LAG: Millis = 500
+_RETENTION: Millis = 120_000
+_IDLE_POLL: Millis = 5
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Announce that a prefix entered the cache."""
+
+    number: int
+    prefix: str
+
+
+@dataclass(slots=True)
+class Record:
+    """Track one generation for its readers."""
+
+    prompt: str
+    seed: int
+    length: int
+    chat: bool
+    produced: int = 0
+    ended_at: Millis = 0
+    readers: int = 0
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def advance(self) -> None:
+        """Count one token and wake the readers."""
+        self.produced += 1
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the readers."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class EngineDriver:
+    """Step the model and keep what readers of streams need.
+
+    :param hardware: speeds and sizes of the engine.
+    """
+
+    def __init__(self, hardware: Hardware, clock: Clock) -> None:
+        self._clock = clock
+        self.model = EngineModel(hardware)
+        self.frozen = False
+        self.records_by_generation: dict[str, Record] = {}
+        self.lagged = self.model.report(0)
+        self.events: list[CacheEvent] = []
+
+    async def run(self) -> None:
+        """Drive the model by the clock."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._lag_reports)
+            while True:
+                await self._advance()
+
+    async def _advance(self) -> None:
+        if self.frozen or not self.model.busy:
+            await trio.sleep(seconds(_IDLE_POLL))
+            return
+        step = self.model.step()
+        await trio.sleep(step.duration / SECOND_MS)
+        for generation in step.produced:
+            record = self.records_by_generation.get(generation)
+            if record is None:
+                continue
+            record.advance()
+            if record.produced >= record.length:
+                record.ended_at = self._clock.now()
+        self._note_prefixes()
+
+    async def _lag_reports(self) -> None:
+        while True:
+            report = self.model.report(self._clock.now())
+            await trio.sleep(seconds(_REPORT_LAG))
+            self.lagged = report
+            self._drop_old()
+
+    def _drop_old(self) -> None:
+        horizon = self._clock.now() - _RETENTION
+        old = [
+            generation
+            for generation, record in self.records_by_generation.items()
+            if 0 < record.ended_at < horizon
+        ]
+        for generation in old:
+            self.records_by_generation.pop(generation)
+
+    def _note_prefixes(self) -> None:
+        known = {event.prefix for event in self.events}
+        for prefix in self.model.cached_prefixes():
+            if prefix not in known:
+                number = len(self.events) + 1
+                self.events.append(CacheEvent(number, prefix))
--- /dev/null
+++ b/src/cartdale_standins/plain.py
@@ -0,0 +1,42 @@
+"""Plain-service stand-in: records every run it makes."""
+
+from collections import Counter
+
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from cartdale.codec import encode_json
+
+HEADER_FENCE = 'X-Fence'
+HEADER_KEY = 'Idempotency-Key'
+
+
+class PlainStandIn:
+    """Run whatever it is asked and count the runs by key."""
+
+    def __init__(self) -> None:
+        self.runs_by_key: Counter[str] = Counter()
+        self.delay_seconds = float(0)
+
+    def make_app(self) -> QuartTrio:
+        """Build the HTTP application."""
+        app = QuartTrio('plain')
+        app.add_url_rule('/standin/runs', 'runs', self._show_runs)
+        app.add_url_rule(
+            '/<path:path>', 'run', self._run, methods=['GET', 'POST', 'PUT']
+        )
+        return app
+
+    async def _run(self, path: str) -> Response:
+        key = request.headers.get(HEADER_KEY, '')
+        self.runs_by_key[key] += 1
+        await trio.sleep(self.delay_seconds)
+        return _answer({'path': path, 'run': self.runs_by_key[key]})
+
+    async def _show_runs(self) -> Response:
+        return _answer(self.runs_by_key)
+
+
+def _answer(message: object) -> Response:
+    return Response(encode_json(message), content_type='application/json')
