--- a/src/cartdale/callers/app.py
+++ b/src/cartdale/callers/app.py
@@ -2,45 +2,43 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
-from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 from werkzeug.exceptions import HTTPException
 
+from cartdale.callers.generations import GenerationGateway
+from cartdale.callers.keyed import HEADER_KEY
+from cartdale.callers.plain import PlainCall, PlainGateway
 from cartdale.callers.read import (
-    GenerationCall,
-    digest_body,
+    HEADER_RESUME,
     identify_caller,
-    make_delivery_request,
-    make_generation_id,
     read_generation,
+    read_position,
 )
-from cartdale.callers.respond import (
-    answer_json,
-    answer_problem,
-    collect_answer,
-    stream_answer,
-)
+from cartdale.callers.respond import answer_json, answer_problem
 from cartdale.callers.types import Caller, Directory
-from cartdale.invariants import RIGHT_CALLER, check
+from cartdale.declarations.types import UpstreamKind
+from cartdale.engines.plain import PlainRequest
+from cartdale.limits.driver import Limiter
+from cartdale.limits.rates import CUSTOMER_ACCOUNT, SERVICE_ACCOUNT
 from cartdale.problems.types import (
     BadRequest,
+    Limited,
     NotRun,
     NotRunReason,
     Problem,
+    Unauthorised,
 )
-from cartdale.streams.driver import Batch, Broken, Delivery, DeliveryPorts
-from cartdale.streams.position import Position
+from cartdale.streams.driver import DeliveryPorts
 
 #: Largest request body, in bytes, and longest time to receive it, seconds.
 BODY_LIMIT = 1048576
 BODY_SECONDS = 30
 
-HEADER_RESUME = 'Last-Event-ID'
-
 
 @dataclass(frozen=True, slots=True)
 class Health:
@@ -76,6 +74,9 @@
     """
 
     delivery: DeliveryPorts
+    generations: GenerationGateway
+    plain: PlainGateway
+    limiter: Limiter
     directory: Callable[[], Directory]
     ready: Callable[[], bool]
     leaving: Callable[[], bool]
@@ -100,12 +101,21 @@
             ('/readyz', self._readiness, 'GET'),
         ):
             app.add_url_rule(path, path, view, methods=[method])
+        app.add_url_rule(
+            '/services/<service>/<path:path>',
+            'services',
+            self._call_plain,
+            methods=['GET', 'POST', 'PUT', 'DELETE'],
+        )
         app.register_error_handler(HTTPException, _answer_http_error)
         return app
 
     async def _complete(self) -> Response:
         return await self._admit(self._generate)
 
+    async def _call_plain(self, service: str, path: str) -> Response:
+        return await self._admit(partial(self._forward, service, path))
+
     async def _admit(
         self, serve: Callable[[Caller], Awaitable[Response]]
     ) -> Response:
@@ -118,6 +128,40 @@
             return answer_problem(NotRun(NotRunReason.LEAVING, 0))
         return await serve(caller.unwrap())
 
+    async def _charge(self, caller: Caller, service: str) -> Problem | None:
+        for account in (
+            f'{CUSTOMER_ACCOUNT}{caller.name}',
+            f'{SERVICE_ACCOUNT}{service}',
+        ):
+            loan = await self._ports.limiter.admit(account)
+            if not loan.credits:
+                return Limited(account, loan.retry_after)
+        return None
+
+    async def _forward(
+        self, service_name: str, path: str, caller: Caller
+    ) -> Response:
+        service = self._ports.directory().services_by_name.get(service_name)
+        known = service_name in caller.customer.services
+        if service is None or not known:
+            return answer_problem(Unauthorised())
+        if service.kind is not UpstreamKind.PLAIN:
+            return answer_problem(BadRequest('path', 'a plain service'))
+        limited = await self._charge(caller, service_name)
+        if limited is not None:
+            return answer_problem(limited)
+        query = request.query_string.decode()
+        asked = PlainRequest(
+            method=request.method,
+            path=f'{path}?{query}' if query else path,
+            body=await read_body(),
+            headers_by_name=dict(request.headers),
+            key=request.headers.get(HEADER_KEY, ''),
+        )
+        return await self._ports.plain.serve(
+            PlainCall(caller, service_name, service, asked)
+        )
+
     async def _generate(self, caller: Caller) -> Response:
         raw = await read_body()
         read = read_generation(
@@ -126,63 +170,22 @@
         if isinstance(read, Failure):
             return answer_problem(read.failure())
         call = read.unwrap()
-        position = self._read_position(call)
+        position = read_position(
+            self._ports.delivery.sealer,
+            request.headers.get(HEADER_RESUME, ''),
+            call,
+        )
         if isinstance(position, Failure):
             return answer_problem(position.failure())
-        return await self._deliver(call, position.unwrap())
-
-    def _read_position(
-        self, call: GenerationCall
-    ) -> Result[Position | None, Problem]:
-        text = request.headers.get(HEADER_RESUME, '')
-        if not text:
-            return Success(None)
-        position = self._ports.delivery.sealer.open(text)
-        expected = 'the id of an event of this answer'
-        if position is None:
-            return Failure(BadRequest(HEADER_RESUME, expected))
-        origin = position.origin
-        if origin.customer != call.caller.name:
-            return Failure(BadRequest(HEADER_RESUME, expected))
-        if origin.body_digest != digest_body(call.raw):
-            return Failure(
-                BadRequest(HEADER_RESUME, 'the same body as at first')
-            )
-        return Success(position)
-
-    async def _deliver(
-        self, call: GenerationCall, position: Position | None
-    ) -> Response:
-        generation = make_generation_id()
-        if position is not None:
-            generation = position.origin.generation
-            check(
-                RIGHT_CALLER,
-                holds=position.origin.customer == call.caller.name,
-                detail=f'{generation} for {call.caller.name}',
-            )
-        asked = make_delivery_request(
-            call, generation, position, self._ports.delivery.clock.now()
+        found = position.unwrap()
+        if found is not None:
+            return await self._ports.generations.resume(call, found)
+        limited = await self._charge(caller, call.service_name)
+        if limited is not None:
+            return answer_problem(limited)
+        return await self._ports.generations.serve(
+            call, request.headers.get(HEADER_KEY, '')
         )
-        delivery = Delivery(self._ports.delivery, asked)
-        with logger.contextualize(request=generation):
-            return await self._answer(call, delivery)
-
-    async def _answer(
-        self, call: GenerationCall, delivery: Delivery
-    ) -> Response:
-        handed_over = False
-        try:
-            first = await _begin(delivery)
-            if call.body.stream and isinstance(first, tuple):
-                handed_over = True
-                return stream_answer(delivery, first)
-            return await collect_answer(
-                delivery, first, self._ports.delivery.clock
-            )
-        finally:
-            if not handed_over:
-                delivery.close()
 
     async def _list_models(self) -> Response:
         return await self._admit(self._list_models_of)
@@ -202,13 +205,6 @@
         return response
 
 
-async def _begin(delivery: Delivery) -> Batch:
-    refusal = await delivery.start()
-    if refusal is not None:
-        return Broken(refusal)
-    return await delivery.next_batch()
-
-
 async def read_body() -> bytes:
     """Return the body of the current request."""
     raw = await request.get_data()
--- /dev/null
+++ b/src/cartdale/callers/plain.py
@@ -0,0 +1,179 @@
+"""Serve calls to plain services: limits, keys, retries where allowed."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+
+from quart import Response
+from returns.result import Failure, Success
+
+from cartdale.callers.keyed import (
+    Grant,
+    KeyedRequest,
+    KeyGuard,
+    Repeated,
+)
+from cartdale.callers.read import digest_body
+from cartdale.callers.respond import answer_problem
+from cartdale.callers.types import Caller
+from cartdale.clock import Millis
+from cartdale.declarations.types import Repeat, Service, Upstream
+from cartdale.engines.plain import PlainAnswer, PlainRequest, PlainService
+from cartdale.engines.types import EngineFailure, LinkLost
+from cartdale.invariants import AT_MOST_ONCE, check
+from cartdale.ledger.types import ANSWER_LIMIT, KeptAnswer, RecordPhase
+from cartdale.problems.types import (
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    Problem,
+)
+from cartdale.retries.decide import RetryBudget
+
+_RETRY_AFTER: Millis = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class PlainCall:
+    """Hold a checked call to a plain service."""
+
+    caller: Caller
+    service_name: str
+    service: Service
+    request: PlainRequest
+
+
+@dataclass(frozen=True, slots=True)
+class PlainPorts:
+    """Bundle what plain calls use of their instance.
+
+    :param upstream_of: finds a declared upstream.
+    :param connect: makes the adapter of an upstream.
+    """
+
+    upstream_of: Callable[[str], Upstream | None]
+    connect: Callable[[Upstream, Millis], PlainService]
+    keys: KeyGuard
+    budget: RetryBudget
+    generator: Random
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempted:
+    """Hold how an attempt ended.
+
+    :param sent: whether the upstream may have run it.
+    """
+
+    answer: PlainAnswer | None
+    sent: bool
+
+
+class PlainGateway:
+    """Route calls to plain services."""
+
+    def __init__(self, ports: PlainPorts) -> None:
+        self._ports = ports
+
+    async def serve(self, call: PlainCall) -> Response:
+        """Answer one call."""
+        once = call.service.repeat is Repeat.NEVER
+        admitted = await self._ports.keys.admit(
+            KeyedRequest(
+                customer=call.caller.name,
+                service=call.service_name,
+                key=call.request.key,
+                body_digest=digest_body(_identity(call.request)),
+                once=once,
+            ),
+        )
+        match admitted:
+            case Failure(problem):
+                return answer_problem(problem)
+            case Success(Repeated(answer=kept)):
+                return _answer(
+                    PlainAnswer(kept.status, kept.content_type, kept.body)
+                )
+            case Success(Grant() as grant):
+                return await self._run(call, grant)
+        return answer_problem(_not_run())
+
+    async def _run(self, call: PlainCall, grant: Grant) -> Response:
+        attempted = await self._attempt_all(call, grant)
+        if attempted.answer is not None:
+            await self._ports.keys.settle(
+                grant, RecordPhase.FINISHED, _keep(attempted.answer)
+            )
+            return _answer(attempted.answer)
+        if attempted.sent:
+            await self._ports.keys.settle(grant, RecordPhase.UNKNOWN, None)
+            return answer_problem(OutcomeUnknown('the upstream was lost'))
+        await self._ports.keys.release(grant)
+        return answer_problem(_not_run())
+
+    async def _attempt_all(self, call: PlainCall, grant: Grant) -> _Attempted:
+        ever_sent = False
+        may_repeat = call.service.repeat is Repeat.ALLOWED
+        for index, name in enumerate(self._order(call.service)):
+            if index and not self._ports.budget.withdraw(
+                call.caller.name, name
+            ):
+                break
+            check(
+                AT_MOST_ONCE,
+                holds=may_repeat or not ever_sent,
+                detail=f'{call.service_name} would run again on {name}',
+            )
+            attempted = await self._attempt(call, name, grant)
+            ever_sent = ever_sent or attempted.sent
+            finished = attempted.answer is not None
+            if finished or (attempted.sent and not may_repeat):
+                return attempted
+        return _Attempted(None, ever_sent)
+
+    async def _attempt(
+        self, call: PlainCall, name: str, grant: Grant
+    ) -> _Attempted:
+        upstream = self._ports.upstream_of(name)
+        if upstream is None or upstream.draining:
+            return _Attempted(None, sent=False)
+        self._ports.budget.earn(call.caller.name, name)
+        fence = grant.fence if upstream.checks_fence else 0
+        service = self._ports.connect(upstream, call.service.deadline_ms)
+        answer = await service.call(replace(call.request, fence=fence))
+        match answer:
+            case Success(given):
+                return _Attempted(given, sent=True)
+            case Failure(failure):
+                return _Attempted(None, sent=_may_have_run(failure))
+        return _Attempted(None, sent=True)
+
+    def _order(self, service: Service) -> list[str]:
+        names = list(service.upstreams)
+        self._ports.generator.shuffle(names)
+        return names
+
+
+def _may_have_run(failure: EngineFailure) -> bool:
+    return isinstance(failure, LinkLost)
+
+
+def _identity(request: PlainRequest) -> bytes:
+    head = f'{request.method} {request.path}\n'.encode()
+    return head + request.body
+
+
+def _keep(answer: PlainAnswer) -> KeptAnswer | None:
+    if len(answer.body) > ANSWER_LIMIT:
+        return None
+    return KeptAnswer(answer.status, answer.content_type, answer.body)
+
+
+def _answer(answer: PlainAnswer) -> Response:
+    return Response(
+        answer.body, status=answer.status, content_type=answer.content_type
+    )
+
+
+def _not_run() -> Problem:
+    return NotRun(NotRunReason.REFUSED, _RETRY_AFTER)
--- a/src/cartdale/callers/read.py
+++ b/src/cartdale/callers/read.py
@@ -17,7 +17,9 @@
 from cartdale.routing.lengths import describe_shape
 from cartdale.routing.types import Work
 from cartdale.streams.driver import DeliveryRequest
-from cartdale.streams.position import Position
+from cartdale.streams.position import Position, PositionSealer
+
+HEADER_RESUME = 'Last-Event-ID'
 
 _CHARACTERS_PER_TOKEN = 4
 _PREFIX_CHARACTERS = 1024
@@ -74,6 +76,24 @@
     return Success(GenerationCall(caller, name, service, path, raw, body))
 
 
+def read_position(
+    sealer: PositionSealer, text: str, call: GenerationCall
+) -> Result[Position | None, Problem]:
+    """Open the position of a caller who resumes an answer.
+
+    :param text: the ``Last-Event-ID`` header; empty for a new request.
+    """
+    if not text:
+        return Success(None)
+    position = sealer.open(text)
+    if position is None or position.origin.customer != call.caller.name:
+        expected = 'the id of an event of this answer'
+        return Failure(BadRequest(HEADER_RESUME, expected))
+    if position.origin.body_digest != digest_body(call.raw):
+        return Failure(BadRequest(HEADER_RESUME, 'the same body as at first'))
+    return Success(position)
+
+
 def make_generation_id() -> str:
     """Return a new generation id that nobody can guess."""
     return token_hex(_GENERATION_BYTES)
--- a/src/cartdale/configuration/driver.py
+++ b/src/cartdale/configuration/driver.py
@@ -1,15 +1,19 @@
 """Keep this instance's configuration in step with the store."""
 
+import random
 from collections.abc import Callable
+from operator import not_
 from typing import assert_never
 
 import trio
 from returns.result import Failure
+from tenacity import AsyncRetrying, retry_if_result, wait_random_exponential
 
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.configuration.decide import decide
 from cartdale.configuration.storage import (
     HEAD_KEY,
+    NO_HEAD,
     StoredHead,
     read_head,
     read_log,
@@ -28,8 +32,13 @@
 from cartdale.store.types import Store
 
 WATCH_TIMEOUT: Millis = 60_000
-#: Pause after the store failed; the caller's back-off adds to it.
+#: Between reads of an instance that does not watch, and its spread.
+READ_SELDOM: Millis = 30_000
+#: Instances that start together read the store spread over so long.
+_START_SPREAD: Millis = 1000
+#: First and longest pause while the store fails.
 _PAUSE: Millis = 1000
+_LONGEST_PAUSE: Millis = 30_000
 
 Adopted = Callable[[ConfigurationState], None]
 
@@ -40,8 +49,12 @@
     :param adopted: called after a newer configuration is in force.
     """
 
-    def __init__(self, store: Store, clock: Clock, adopted: Adopted) -> None:
+    def __init__(
+        self, store: Store, clock: Clock, adopted: Adopted, seed: int
+    ) -> None:
         self._store = store
+        self._seen = NO_HEAD
+        self._generator = random.Random(seed)
         self._clock = clock
         self._adopted = adopted
         self._fetching = trio.Lock()
@@ -56,7 +69,7 @@
                 case Fetch():
                     await self.catch_up()
                 case Adopt():
-                    continue
+                    """Carried out when it was applied."""
                 case _:
                     assert_never(action)
 
@@ -78,22 +91,43 @@
             seen = await read_head(self._store)
             if isinstance(seen, Failure):
                 return False
-            return await self._catch_up_to(seen.unwrap())
+            self._seen = seen.unwrap()
+            return await self._catch_up_to(self._seen)
 
-    async def watch(self) -> None:
-        """Wait for confirmations at the store, for ever."""
+    async def run(self, watches: Callable[[], bool]) -> None:
+        """Follow the store for ever, without trampling it.
+
+        :param watches: tells whether this instance is one of the few that
+            wait at the store; the others hear from them and read seldom.
+        """
+        await trio.sleep(seconds(self._draw(_START_SPREAD)))
         while True:
-            seen = await read_head(self._store)
-            if isinstance(seen, Failure):
-                await trio.sleep(seconds(_PAUSE))
+            async for attempt in self._retrying():
+                with attempt:
+                    attempt.retry_state.set_result(await self.catch_up())
+            if watches():
+                await self._wait_for_change()
                 continue
-            head = seen.unwrap()
-            await self.tell(RevisionHeard(head.head.revision))
-            waited = await self._store.wait_change(
-                HEAD_KEY, head.mod_revision, WATCH_TIMEOUT
-            )
-            if isinstance(waited, Failure):
-                await trio.sleep(seconds(_PAUSE))
+            await trio.sleep(seconds(READ_SELDOM + self._draw(READ_SELDOM)))
+
+    def _retrying(self) -> AsyncRetrying:
+        return AsyncRetrying(
+            sleep=trio.sleep,
+            wait=wait_random_exponential(
+                multiplier=seconds(_PAUSE), max=seconds(_LONGEST_PAUSE)
+            ),
+            retry=retry_if_result(not_),
+        )
+
+    def _draw(self, span: Millis) -> Millis:
+        return self._generator.randrange(span)
+
+    async def _wait_for_change(self) -> None:
+        waited = await self._store.wait_change(
+            HEAD_KEY, self._seen.mod_revision, WATCH_TIMEOUT
+        )
+        if isinstance(waited, Failure):
+            await trio.sleep(seconds(_PAUSE))
 
     async def _catch_up_to(self, seen: StoredHead) -> bool:
         self.apply(RevisionHeard(seen.head.revision))
--- /dev/null
+++ b/src/cartdale/daemon/group.py
@@ -0,0 +1,133 @@
+"""What one instance shares with the others of its association."""
+
+import httpx
+import trio
+from quart_trio import QuartTrio
+
+from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.configuration.driver import Configurator
+from cartdale.daemon.links import PeerLinks
+from cartdale.ledger.claims import Claimer
+from cartdale.ledger.owner import OwnerPorts, SlotOwner
+from cartdale.limits.driver import Limiter
+from cartdale.membership.driver import Membership, MembershipPorts
+from cartdale.membership.types import MemberNews, MemberStatus
+from cartdale.peers.app import PeerApp
+from cartdale.peers.client import PeerClient
+from cartdale.peers.seal import Seal
+from cartdale.reports.recorder import Recorder
+from cartdale.settings.load import Keys
+from cartdale.settings.types import Settings, Tls
+from cartdale.store.types import Store
+
+_PEER_TIMEOUT: Millis = SECOND_MS
+#: Instances of a region that wait for changes at the store.
+_WATCHERS = 3
+_WATCH_KEY = 'configuration watch'
+
+
+class InstanceGroup:
+    """Own membership, limits, the ledger's slots and the peers' interface.
+
+    :param port: port that the peers' interface is bound to.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        keys: Keys,
+        port: int,
+        clock: Clock,
+        store: Store,
+        configurator: Configurator,
+        recorder: Recorder,
+    ) -> None:
+        self._settings = settings
+        self.leaving = False
+        tls = settings.peers.tls
+        scheme = 'https' if tls else 'http'
+        address = f'{scheme}://{settings.peers.address}:{port}'
+        client = _make_client(tls)
+        self.peers = PeerClient(
+            client, settings.name, Seal(keys.cluster), clock, _PEER_TIMEOUT
+        )
+        links = PeerLinks(self.peers, configurator, recorder)
+        self.membership = Membership(
+            MembershipPorts(
+                client=client,
+                peers=self.peers,
+                clock=clock,
+                list_url=settings.instances,
+                heard=links.hear,
+            ),
+            _introduce(settings, address, clock.wall()),
+        )
+        self.limiter = Limiter(self.membership, self.peers, clock)
+        self.owner = SlotOwner(
+            OwnerPorts(
+                store=store,
+                clock=clock,
+                name=settings.name,
+                address=address,
+                prefers=self._prefers_slot,
+                leaving=self._is_leaving,
+            ),
+        )
+        self.claimer = Claimer(self.owner, self.peers, settings.name, clock)
+        links.bind(self.membership, self.limiter, self.owner)
+        self._app = PeerApp(settings.name, self.peers, clock, links.serve)
+
+    async def run(self) -> None:
+        """Follow the others for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.owner.run)
+
+    async def release(self) -> None:
+        """Give up what others should take over."""
+        await self.owner.release_all()
+
+    def make_app(self) -> QuartTrio:
+        """Build the peers' HTTP application."""
+        return self._app.make_app()
+
+    def set_keys(self, keys: Keys) -> None:
+        """Take rotated cluster keys."""
+        self.peers.seal = Seal(keys.cluster)
+
+    def watches_store(self) -> bool:
+        """Tell whether this instance waits for changes at the store."""
+        ranked = [
+            news.name
+            for news in self.membership.rank(_WATCH_KEY)
+            if news.region == self._settings.region
+        ]
+        return self._settings.name in ranked[:_WATCHERS]
+
+    def _prefers_slot(self, number: int) -> bool:
+        ranked = self.membership.rank(f'slot:{number}')
+        return bool(ranked) and ranked[0].name == self._settings.name
+
+    def _is_leaving(self) -> bool:
+        return self.leaving
+
+
+def _introduce(settings: Settings, address: str, wall: Millis) -> MemberNews:
+    return MemberNews(
+        name=settings.name,
+        incarnation=wall,
+        beat=0,
+        status=MemberStatus.LIVE,
+        address=address,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        revision=0,
+    )
+
+
+def _make_client(tls: Tls | None) -> httpx.AsyncClient:
+    if tls is None:
+        return httpx.AsyncClient()
+    context = httpx.create_ssl_context(verify=tls.authority or True)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return httpx.AsyncClient(verify=context)
--- /dev/null
+++ b/src/cartdale/daemon/links.py
@@ -0,0 +1,95 @@
+"""Connect the slices of this instance to its peers."""
+
+from returns.result import Success
+
+from cartdale.configuration.decide import select_deltas
+from cartdale.configuration.driver import Configurator
+from cartdale.configuration.types import (
+    DeltasReceived,
+    RevisionHeard,
+    Snapshot,
+    SnapshotReceived,
+)
+from cartdale.ledger.owner import SlotOwner
+from cartdale.ledger.types import Claim, Release, Settle
+from cartdale.limits.driver import Limiter
+from cartdale.limits.types import Borrow
+from cartdale.membership.driver import Membership
+from cartdale.membership.types import MemberNews
+from cartdale.peers.client import PeerClient
+from cartdale.peers.messages import (
+    Acknowledged,
+    Exchange,
+    FetchDeltas,
+    FetchReport,
+    HandOn,
+    PeerMessage,
+    Unserved,
+)
+from cartdale.reports.recorder import Recorder
+
+
+class PeerLinks:
+    """Serve peers' messages, and fetch from peers what they have newer."""
+
+    def __init__(
+        self,
+        peers: PeerClient,
+        configurator: Configurator,
+        recorder: Recorder,
+    ) -> None:
+        self._recorder = recorder
+        self._peers = peers
+        self._configurator = configurator
+        self._membership: Membership | None = None
+        self._limiter: Limiter | None = None
+        self._owner: SlotOwner | None = None
+
+    def bind(
+        self, membership: Membership, limiter: Limiter, owner: SlotOwner
+    ) -> None:
+        """Name the slices that answer peers."""
+        self._membership = membership
+        self._limiter = limiter
+        self._owner = owner
+
+    async def serve(self, message: PeerMessage) -> PeerMessage:
+        """Answer one message of a peer."""
+        if self._membership is None:
+            return Unserved()
+        match message:
+            case Exchange():
+                return self._membership.answer(message)
+            case FetchReport():
+                return self._recorder.book.export()
+            case FetchDeltas(after=after):
+                return self._hand_on(after)
+            case Borrow() if self._limiter is not None:
+                return self._limiter.lend(message)
+            case Claim() if self._owner is not None:
+                return self._owner.take(message, message.key)
+            case Settle() | Release() if self._owner is not None:
+                self._owner.take(message, message.key)
+                return Acknowledged()
+        return Unserved()
+
+    async def hear(self, news: MemberNews) -> None:
+        """Compare a peer's revision with the one in force here."""
+        state = self._configurator.state
+        if news.revision <= state.revision:
+            return
+        self._configurator.apply(RevisionHeard(news.revision))
+        answer = await self._peers.ask(
+            news.name, news.address, FetchDeltas(state.revision), HandOn
+        )
+        match answer:
+            case Success(HandOn(deltas=deltas, snapshot=snapshot)):
+                self._configurator.apply(DeltasReceived(deltas))
+                if snapshot is not None:
+                    self._configurator.apply(SnapshotReceived(snapshot))
+
+    def _hand_on(self, after: int) -> HandOn:
+        chosen = select_deltas(self._configurator.state, after)
+        if isinstance(chosen, Snapshot):
+            return HandOn((), chosen)
+        return HandOn(chosen)
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -1,5 +1,6 @@
 """Runtime: wire the slices of one entry instance together."""
 
+import random
 import zlib
 from pathlib import Path
 
@@ -8,23 +9,30 @@
 from loguru import logger
 
 from cartdale.callers.app import CallerApp, CallerPorts
+from cartdale.callers.generations import GenerationGateway
+from cartdale.callers.keyed import KeyGuard
+from cartdale.callers.plain import PlainGateway, PlainPorts
 from cartdale.callers.types import Directory, make_directory
 from cartdale.clock import SECOND_MS, Clock, Millis, SystemClock, seconds
 from cartdale.configuration.bodies import decode_bodies
 from cartdale.configuration.driver import Configurator
 from cartdale.configuration.types import ConfigurationState
+from cartdale.daemon.describe import describe_system
+from cartdale.daemon.group import InstanceGroup
 from cartdale.daemon.serve import BoundListener
 from cartdale.daemon.targets import derive_targets
 from cartdale.daemon.upstreams import EnginePool
-from cartdale.declarations.types import Declarations
+from cartdale.declarations.types import Declarations, Objectives, Upstream
+from cartdale.engines.plain import PlainService
+from cartdale.limits.rates import derive_rates
+from cartdale.membership.types import OwnLeaving, RevisionAdopted
 from cartdale.operators.app import OperatorApp, OperatorPorts
-from cartdale.operators.types import (
-    EngineStatus,
-    InstanceStatus,
-    SystemStatus,
-)
+from cartdale.operators.types import SystemStatus
 from cartdale.plans.confirm import Confirmer
-from cartdale.routing.types import EngineView, LeaveBegan
+from cartdale.reports.recorder import Recorder
+from cartdale.reports.types import Report
+from cartdale.retries.decide import RetryBudget
+from cartdale.routing.types import LeaveBegan
 from cartdale.settings.load import Keys, load_keys
 from cartdale.settings.types import Settings
 from cartdale.store.etcd import EtcdStore
@@ -53,18 +61,39 @@
         self._keys: Keys = load_keys(settings, base)
         self._declared = Declarations()
         self._directory = Directory()
+        self._seed = zlib.crc32(settings.name.encode())
+        self._client = httpx.AsyncClient(
+            limits=httpx.Limits(
+                max_connections=None, max_keepalive_connections=None
+            ),
+        )
         self._store = EtcdStore(
             httpx.AsyncClient(base_url=settings.store), _STORE_TIMEOUT
         )
-        self._configurator = Configurator(self._store, self._clock, self._adopt)
+        self._configurator = Configurator(
+            self._store, self._clock, self._adopt, self._seed
+        )
         self._pool = EnginePool(
-            self._read_declared, self._clock, zlib.crc32(settings.name.encode())
+            self._client, self._read_declared, self._clock, self._seed
         )
-        self._leaving = False
-        self._stopping = trio.Event()
         self._callers = BoundListener(settings.callers)
+        self._peers = BoundListener(settings.peers)
         self._operators = BoundListener(settings.operators)
+        self._recorder = Recorder(
+            settings.name, self._clock, self._objectives_of
+        )
+        self._group = InstanceGroup(
+            settings,
+            self._keys,
+            self._peers.port,
+            self._clock,
+            self._store,
+            self._configurator,
+            self._recorder,
+        )
+        self._stopping = trio.Event()
         self._nursery: trio.Nursery | None = None
+        self.leaving = False
 
     @property
     def caller_port(self) -> int:
@@ -76,52 +105,67 @@
         """Return the port of the operators' interface."""
         return self._operators.port
 
+    @property
+    def group(self) -> InstanceGroup:
+        """Return what this instance shares with the others."""
+        return self._group
+
+    @property
+    def configurator(self) -> Configurator:
+        """Return what keeps the configuration."""
+        return self._configurator
+
     async def run(self) -> None:
         """Serve until the instance was told to leave and all work ended."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._configurator.watch)
+            nursery.start_soon(
+                self._configurator.run, self._group.watches_store
+            )
             nursery.start_soon(self._pool.run)
+            nursery.start_soon(self._group.run)
             await self._serve(nursery)
+            await self._group.release()
             nursery.cancel_scope.cancel()
 
     def leave(self) -> None:
         """Take no new work; stop once running work has ended."""
-        if self._leaving or self._nursery is None:
+        if self.leaving or self._nursery is None:
             return
-        self._leaving = True
+        self.leaving = True
         logger.info('leaving')
         self._pool.router.tell(LeaveBegan())
+        self._group.leaving = True
+        self._group.membership.tell(OwnLeaving())
         self._nursery.start_soon(self._stop_later)
 
     def reload_keys(self) -> None:
         """Read the key files again."""
         self._keys = load_keys(self._settings, self._base)
+        self._group.set_keys(self._keys)
         logger.info('keys reloaded')
 
     def describe(self) -> SystemStatus:
         """Return what operators see of this instance."""
-        state = self._configurator.state
-        return SystemStatus(
-            revision=state.revision,
-            target=state.target,
-            instances=(
-                InstanceStatus(
-                    self._settings.name,
-                    self._settings.failure_domain,
-                    'leaving' if self._leaving else 'live',
-                    state.revision,
-                    self._configurator.took,
-                ),
-            ),
-            engines=tuple(
-                _describe_engine(view, excluded=self._pool.is_excluded(view))
-                for view in self._pool.list_views()
-            ),
-            store_calls_by_path=dict(self._store.calls_by_path),
+        return describe_system(
+            self._configurator, self._group, self._pool, self._store
         )
 
     async def _serve(self, nursery: trio.Nursery) -> None:
+        logger.info(
+            'serving', callers=self.caller_port, operators=self.operator_port
+        )
+        async with trio.open_nursery() as serving:
+            for listener, app in (
+                (self._callers, self._make_callers(nursery).make_app()),
+                (self._operators, self._make_operators().make_app()),
+                (self._peers, self._group.make_app()),
+            ):
+                serving.start_soon(listener.serve, app, self._stopping)
+
+    def _make_callers(self, nursery: trio.Nursery) -> CallerApp:
+        budget = RetryBudget()
+        keys = KeyGuard(self._group.claimer)
         delivery = DeliveryPorts(
             clock=self._clock,
             router=self._pool.router,
@@ -130,17 +174,31 @@
             ),
             engine_of=self._pool.find,
             nursery=nursery,
+            budget=budget,
+            recorder=self._recorder,
             progress_by_work=self._pool.progress_by_work,
         )
-        callers = CallerApp(
+        plain = PlainPorts(
+            upstream_of=self._find_upstream,
+            connect=self._connect_plain,
+            keys=keys,
+            budget=budget,
+            generator=random.Random(self._seed),
+        )
+        return CallerApp(
             CallerPorts(
                 delivery=delivery,
+                generations=GenerationGateway(delivery, keys),
+                plain=PlainGateway(plain),
+                limiter=self._group.limiter,
                 directory=self._read_directory,
                 ready=self._is_ready,
                 leaving=self._is_leaving,
             ),
         )
-        operators = OperatorApp(
+
+    def _make_operators(self) -> OperatorApp:
+        return OperatorApp(
             OperatorPorts(
                 configurator=self._configurator,
                 confirmer=Confirmer(self._store, self._clock),
@@ -152,36 +210,43 @@
                 metrics=self._metrics,
             ),
         )
-        logger.info(
-            'serving', callers=self.caller_port, operators=self.operator_port
-        )
-        async with trio.open_nursery() as serving:
-            serving.start_soon(
-                self._callers.serve, callers.make_app(), self._stopping
-            )
-            serving.start_soon(
-                self._operators.serve, operators.make_app(), self._stopping
-            )
 
     def _adopt(self, state: ConfigurationState) -> None:
         self._declared = decode_bodies(state.bodies_by_key)
         self._directory = make_directory(self._declared)
         self._pool.router.tell(derive_targets(self._declared))
+        self._group.limiter.set_rates(derive_rates(self._declared))
+        took = self._configurator.took
+        self._group.membership.tell(RevisionAdopted(state.revision, took))
         logger.info(
-            'configuration in force',
-            revision=state.revision,
-            took_ms=self._configurator.took,
+            'configuration in force', revision=state.revision, took_ms=took
         )
 
+    def _find_upstream(self, name: str) -> Upstream | None:
+        return self._declared.upstreams.get(name)
+
+    def _connect_plain(
+        self, upstream: Upstream, timeout: Millis
+    ) -> PlainService:
+        return PlainService(self._client, upstream.address, timeout)
+
     async def _stop_later(self) -> None:
         await trio.sleep(seconds(_LEAVE_PAUSE))
         self._stopping.set()
 
-    async def _report(self) -> bytes:
-        return b'{}'
+    async def _report(self) -> Report:
+        return await self._recorder.gather(
+            self._group.membership, self._group.peers
+        )
 
     def _metrics(self) -> bytes:
-        return b''
+        return self._recorder.metrics.render(
+            self._configurator.state.revision, self._store.calls_by_path
+        )
+
+    def _objectives_of(self, service: str) -> Objectives:
+        declared = self._declared.services.get(service)
+        return declared.objectives if declared else Objectives()
 
     def _read_declared(self) -> Declarations:
         return self._declared
@@ -190,23 +255,10 @@
         return self._directory
 
     def _is_ready(self) -> bool:
-        return self._configurator.state.revision > 0 and not self._leaving
+        return self._configurator.state.revision > 0 and not self.leaving
 
     def _is_leaving(self) -> bool:
-        return self._leaving
+        return self.leaving
 
     def _operator_keys(self) -> tuple[bytes, ...]:
         return self._keys.operators
-
-
-def _describe_engine(view: EngineView, *, excluded: bool) -> EngineStatus:
-    report = view.report
-    return EngineStatus(
-        upstream=view.upstream,
-        running=report.running if report else 0,
-        waiting=report.waiting if report else 0,
-        used_tokens=report.used_tokens if report else 0,
-        memory_tokens=view.memory_tokens,
-        draining=view.draining,
-        excluded=excluded,
-    )
--- a/src/cartdale/daemon/upstreams.py
+++ b/src/cartdale/daemon/upstreams.py
@@ -35,16 +35,16 @@
     """
 
     def __init__(
-        self, declared: Callable[[], Declarations], clock: Clock, seed: int
+        self,
+        client: httpx.AsyncClient,
+        declared: Callable[[], Declarations],
+        clock: Clock,
+        seed: int,
     ) -> None:
+        self._client = client
         self._declared = declared
         self._clock = clock
         self._nursery: trio.Nursery | None = None
-        self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=None, max_keepalive_connections=None
-            ),
-        )
         self.router = Router(clock, seed, self._protect)
         self.progress_by_work: dict[str, int] = {}
 
--- /dev/null
+++ b/src/cartdale/membership/decide.py
@@ -0,0 +1,203 @@
+"""Decide whom to tell what, and who is believed to be alive."""
+
+import random
+from dataclasses import replace
+from typing import assert_never
+
+from cartdale.clock import Millis
+from cartdale.membership.types import (
+    FANOUT,
+    FORGET_MS,
+    NEWS_IN_MESSAGE,
+    ROUND_MS,
+    SILENT_ROUNDS,
+    URGENT_FANOUT,
+    Decision,
+    ListedInstance,
+    ListRead,
+    Member,
+    MemberNews,
+    MembershipState,
+    MemberStatus,
+    Message,
+    NewsHeard,
+    OwnLeaving,
+    PeerSilent,
+    RevisionAdopted,
+    RoundBegan,
+    Tell,
+)
+
+_LISTED_LIVE = 'live'
+
+
+def decide(state: MembershipState, message: Message, now: Millis) -> Decision:
+    """Take one message.
+
+    :param now: monotonic milliseconds.
+    :returns: the next state, and which peers to exchange news with.
+    """
+    match message:
+        case ListRead(instances=instances):
+            return _read_list(state, instances, now), ()
+        case NewsHeard(news=news):
+            return _hear(state, news, now), ()
+        case PeerSilent(name=name):
+            return _suspect(state, name, now), ()
+        case RoundBegan():
+            return _begin_round(state, now)
+        case RevisionAdopted(revision=revision, took_ms=took_ms):
+            return _adopt(state, revision, took_ms, now)
+        case OwnLeaving():
+            own = replace(state.own, status=MemberStatus.LEAVING)
+            return _tell_some(_beat(state, own), URGENT_FANOUT, now)
+        case _:
+            assert_never(message)
+
+
+def list_alive(state: MembershipState, now: Millis) -> tuple[MemberNews, ...]:
+    """Return the members believed to be alive, in order of name.
+
+    Includes this instance unless it is leaving. Others may believe
+    something else; nothing that must hold depends on agreement.
+    """
+    alive: list[MemberNews] = []
+    if state.own.status is MemberStatus.LIVE:
+        alive.append(state.own)
+    for member in state.members_by_name.values():
+        if is_alive(state, member, now):
+            alive.append(member.news)
+    alive.sort(key=_name_of)
+    return tuple(alive)
+
+
+def is_alive(state: MembershipState, member: Member, now: Millis) -> bool:
+    """Tell whether a member is believed to be alive and staying."""
+    if member.news.status is MemberStatus.LEAVING or member.suspected_at:
+        return False
+    return now - member.heard_at <= silence_limit(state)
+
+
+def silence_limit(state: MembershipState) -> Millis:
+    """Return how long a member may be quiet before it counts as silent.
+
+    A message holds a few members only, so in a large system news of each
+    takes longer to come round.
+    """
+    cycle = len(state.members_by_name) // NEWS_IN_MESSAGE
+    return ROUND_MS * (SILENT_ROUNDS + cycle)
+
+
+def _read_list(
+    state: MembershipState,
+    instances: tuple[ListedInstance, ...],
+    now: Millis,
+) -> MembershipState:
+    members_by_name = dict(state.members_by_name)
+    listed = {listing.name: listing for listing in instances}
+    for name, member in state.members_by_name.items():
+        live = name in listed and listed[name].state == _LISTED_LIVE
+        members_by_name[name] = replace(member, listed=live)
+        if not live and now - member.heard_at > FORGET_MS:
+            members_by_name.pop(name)
+    for listing in instances:
+        unknown = listing.name not in members_by_name
+        if unknown and listing.name != state.own.name:
+            members_by_name[listing.name] = _introduce(listing, now)
+    return replace(state, members_by_name=members_by_name)
+
+
+def _introduce(listing: ListedInstance, now: Millis) -> Member:
+    live = listing.state == _LISTED_LIVE
+    news = MemberNews(
+        name=listing.name,
+        incarnation=0,
+        beat=0,
+        status=MemberStatus.LIVE if live else MemberStatus.LEAVING,
+        address=listing.address,
+        failure_domain=listing.failure_domain,
+        region=listing.region,
+        revision=0,
+    )
+    return Member(news, heard_at=now, listed=live)
+
+
+def _hear(
+    state: MembershipState, heard: tuple[MemberNews, ...], now: Millis
+) -> MembershipState:
+    members_by_name = dict(state.members_by_name)
+    for index, news in enumerate(heard):
+        if news.name == state.own.name:
+            continue
+        known = members_by_name.get(news.name) or Member(news, heard_at=0)
+        if index == 0:
+            known = replace(known, suspected_at=0)
+        if not known.heard_at or _is_newer(news, known.news):
+            known = replace(known, news=news, heard_at=now)
+        members_by_name[news.name] = known
+    return replace(state, members_by_name=members_by_name)
+
+
+def _is_newer(news: MemberNews, known: MemberNews) -> bool:
+    return (news.incarnation, news.beat) > (known.incarnation, known.beat)
+
+
+def _suspect(state: MembershipState, name: str, now: Millis) -> MembershipState:
+    member = state.members_by_name.get(name)
+    if member is None or member.suspected_at:
+        return state
+    members_by_name = dict(state.members_by_name)
+    members_by_name[name] = replace(member, suspected_at=now)
+    return replace(state, members_by_name=members_by_name)
+
+
+def _begin_round(state: MembershipState, now: Millis) -> Decision:
+    return _tell_some(_beat(state, state.own), FANOUT, now)
+
+
+def _adopt(
+    state: MembershipState, revision: int, took_ms: Millis, now: Millis
+) -> Decision:
+    own = replace(state.own, revision=revision, took_ms=took_ms)
+    return _tell_some(_beat(state, own), URGENT_FANOUT, now)
+
+
+def _beat(state: MembershipState, own: MemberNews) -> MembershipState:
+    return replace(
+        state,
+        own=replace(own, beat=own.beat + 1),
+        rounds=state.rounds + 1,
+    )
+
+
+def _tell_some(state: MembershipState, fanout: int, now: Millis) -> Decision:
+    generator = random.Random(f'{state.own.name}:{state.rounds}')
+    peers = sorted(
+        name
+        for name, member in state.members_by_name.items()
+        if now - member.heard_at <= FORGET_MS or member.listed
+    )
+    chosen = generator.sample(peers, min(fanout, len(peers)))
+    news = select_news(state)
+    told = tuple(
+        Tell(name, state.members_by_name[name].news.address, news)
+        for name in chosen
+    )
+    return state, told
+
+
+def select_news(state: MembershipState) -> tuple[MemberNews, ...]:
+    """Return what to tell a peer: itself first, then the freshest news."""
+    freshest = sorted(
+        state.members_by_name.values(), key=_heard_at, reverse=True
+    )
+    others = tuple(member.news for member in freshest[: NEWS_IN_MESSAGE - 1])
+    return (state.own, *others)
+
+
+def _heard_at(member: Member) -> Millis:
+    return member.heard_at
+
+
+def _name_of(news: MemberNews) -> str:
+    return news.name
--- /dev/null
+++ b/src/cartdale/membership/driver.py
@@ -0,0 +1,148 @@
+"""Follow the platform's list and exchange news with peers."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import httpx
+import msgspec
+import trio
+from returns.result import Success
+
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.codec import decode_json
+from cartdale.membership.decide import decide, list_alive, select_news
+from cartdale.membership.ranking import rank_names
+from cartdale.membership.types import (
+    ROUND_MS,
+    ListedInstance,
+    ListRead,
+    MemberNews,
+    MembershipState,
+    Message,
+    NewsHeard,
+    PeerSilent,
+    RoundBegan,
+    Tell,
+)
+from cartdale.peers.client import PeerClient
+from cartdale.peers.messages import Exchange
+
+_LIST_EVERY: Millis = 20_000
+_LIST_TIMEOUT: Millis = 3 * SECOND_MS
+_JITTER = 0.2
+
+NewsFrom = Callable[[MemberNews], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceList:
+    """Carry the platform's list."""
+
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipPorts:
+    """Bundle what membership uses of its instance.
+
+    :param list_url: where the platform's list is read.
+    :param heard: called with a peer's own news after each exchange.
+    """
+
+    client: httpx.AsyncClient
+    peers: PeerClient
+    clock: Clock
+    list_url: str
+    heard: NewsFrom
+
+
+class Membership:
+    """Hold this instance's view of the others."""
+
+    def __init__(self, ports: MembershipPorts, own: MemberNews) -> None:
+        self._ports = ports
+        self._generator = random.Random(own.name)
+        self._urgent = trio.Event()
+        self._pending: list[Tell] = []
+        self.state = MembershipState(own)
+
+    async def run(self) -> None:
+        """Exchange news for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_list)
+            nursery.start_soon(self._gossip)
+            nursery.start_soon(self._send_urgent)
+
+    def tell(self, message: Message) -> None:
+        """Take a message; what must be told at once is sent soon."""
+        self._pending.extend(self._apply(message))
+        if self._pending:
+            self._urgent.set()
+
+    def answer(self, exchange: Exchange) -> Exchange:
+        """Take a peer's news and return own."""
+        self._apply(NewsHeard(exchange.news))
+        return Exchange(select_news(self.state))
+
+    def alive(self) -> tuple[MemberNews, ...]:
+        """Return the members believed to be alive."""
+        return list_alive(self.state, self._ports.clock.now())
+
+    def rank(self, key: str) -> list[MemberNews]:
+        """Return the living members, the preferred one for a key first."""
+        news_by_name = {news.name: news for news in self.alive()}
+        return [news_by_name[name] for name in rank_names(key, news_by_name)]
+
+    def _apply(self, message: Message) -> tuple[Tell, ...]:
+        after, actions = decide(self.state, message, self._ports.clock.now())
+        self.state = after
+        return actions
+
+    async def _gossip(self) -> None:
+        while True:
+            tells = self._apply(RoundBegan())
+            async with trio.open_nursery() as nursery:
+                for tell in tells:
+                    nursery.start_soon(self._exchange, tell)
+            await trio.sleep(seconds(self._vary(ROUND_MS)))
+
+    async def _send_urgent(self) -> None:
+        while True:
+            await self._urgent.wait()
+            self._urgent = trio.Event()
+            tells = tuple(self._pending)
+            self._pending.clear()
+            async with trio.open_nursery() as nursery:
+                for tell in tells:
+                    nursery.start_soon(self._exchange, tell)
+
+    async def _exchange(self, tell: Tell) -> None:
+        answer = await self._ports.peers.ask(
+            tell.name, tell.address, Exchange(tell.news), Exchange
+        )
+        match answer:
+            case Success(Exchange(news=news)) if news:
+                self._apply(NewsHeard(news))
+                await self._ports.heard(news[0])
+            case _:
+                self._apply(PeerSilent(tell.name))
+
+    async def _follow_list(self) -> None:
+        while True:
+            await self._read_list()
+            await trio.sleep(seconds(self._vary(_LIST_EVERY)))
+
+    async def _read_list(self) -> None:
+        try:
+            response = await self._ports.client.get(
+                self._ports.list_url, timeout=seconds(_LIST_TIMEOUT)
+            )
+            listed = decode_json(response.content, InstanceList)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return
+        self._apply(ListRead(listed.instances))
+
+    def _vary(self, period: Millis) -> Millis:
+        factor = 1 + self._generator.uniform(-_JITTER, _JITTER)
+        return int(period * factor)
--- a/src/cartdale/operators/app.py
+++ b/src/cartdale/operators/app.py
@@ -29,6 +29,7 @@
     PlanInvalid,
     PlanTampered,
 )
+from cartdale.reports.types import Report
 from cartdale.store.types import Store
 
 BODY_LIMIT = 8388608
@@ -49,7 +50,7 @@
     keys: Callable[[], tuple[bytes, ...]]
     status: Callable[[], types.SystemStatus]
     drain: Callable[[], None]
-    report: Callable[[], Awaitable[bytes]]
+    report: Callable[[], Awaitable[Report]]
     metrics: Callable[[], bytes]
 
 
@@ -133,8 +134,7 @@
         return answer_json(self._ports.status())
 
     async def _report(self) -> Response:
-        raw = await self._ports.report()
-        return Response(raw, content_type='application/json')
+        return answer_json(await self._ports.report())
 
     async def _metrics(self) -> Response:
         return Response(self._ports.metrics(), content_type=_METRICS_TYPE)
--- /dev/null
+++ b/src/cartdale/peers/client.py
@@ -0,0 +1,100 @@
+"""Ask other instances; every message is sealed, both ways."""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+import httpx
+import msgspec
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.codec import decode_binary, encode_binary
+from cartdale.peers.messages import PeerMessage
+from cartdale.peers.seal import Envelope, Seal
+
+PATH = '/peer/v1/messages'
+
+Reply = TypeVar('Reply')
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNotReached:
+    """Nothing was sent."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUncertain:
+    """The peer may have taken the message."""
+
+    detail: str
+
+
+PeerFailure = PeerNotReached | PeerUncertain
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class PeerClient:
+    """Send messages to other instances.
+
+    :param name: this instance's name.
+    :param timeout: longest wait for an answer, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        name: str,
+        seal: Seal,
+        clock: Clock,
+        timeout: Millis,
+    ) -> None:
+        self._client = client
+        self._name = name
+        self._clock = clock
+        self._timeout = seconds(timeout)
+        self.seal = seal
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def ask(
+        self, peer: str, address: str, message: PeerMessage, shape: type[Reply]
+    ) -> Result[Reply, PeerFailure]:
+        """Send a message and wait for its answer."""
+        sealed = self.close(peer, message)
+        self.sent_bytes += len(sealed)
+        try:
+            response = await self._client.post(
+                f'{address}{PATH}', content=sealed, timeout=self._timeout
+            )
+        except _NOT_SENT as error:
+            return Failure(PeerNotReached(repr(error)))
+        except httpx.HTTPError as late_error:
+            return Failure(PeerUncertain(repr(late_error)))
+        self.received_bytes += len(response.content)
+        return self._open(response.content, peer, shape)
+
+    def close(self, recipient: str, message: PeerMessage) -> bytes:
+        """Seal a message to a peer."""
+        envelope = Envelope(
+            sender=self._name,
+            recipient=recipient,
+            kind=type(message).__name__,
+            wall_ms=self._clock.wall(),
+            body=msgspec.Raw(encode_binary(message)),
+        )
+        return self.seal.close(envelope)
+
+    def _open(
+        self, sealed: bytes, peer: str, shape: type[Reply]
+    ) -> Result[Reply, PeerFailure]:
+        envelope = self.seal.open(sealed, self._clock.wall())
+        if envelope is None or envelope.recipient != self._name:
+            return Failure(PeerUncertain('the answer is not genuine'))
+        if envelope.sender != peer or envelope.kind != shape.__name__:
+            return Failure(PeerUncertain(f'unexpected {envelope.kind}'))
+        try:
+            return Success(decode_binary(bytes(envelope.body), shape))
+        except msgspec.MsgspecError as error:
+            return Failure(PeerUncertain(repr(error)))
--- /dev/null
+++ b/src/cartdale/peers/seal.py
@@ -0,0 +1,65 @@
+"""Authenticate what instances send each other with the cluster's keys."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+import msgspec
+
+from cartdale.clock import Millis
+from cartdale.codec import decode_binary, encode_binary
+
+_MAC_BYTES = 16
+_KEY_BYTES = 64
+#: Messages whose sender's wall clock differs more are refused.
+FRESH_MS: Millis = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Wrap a message between instances.
+
+    :param kind: name of the message's type.
+    :param wall_ms: sender's wall clock.
+    """
+
+    sender: str
+    recipient: str
+    kind: str
+    wall_ms: Millis
+    body: msgspec.Raw
+
+
+class Seal:
+    """Seal and open envelopes.
+
+    :param keys: accepted keys, the newest first; it seals.
+    """
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        self._keys = tuple(key[:_KEY_BYTES] for key in keys)
+
+    def close(self, envelope: Envelope) -> bytes:
+        """Return the envelope with its code in front."""
+        raw = encode_binary(envelope)
+        return _mac(self._keys[0], raw) + raw
+
+    def open(self, sealed: bytes, now_wall: Millis) -> Envelope | None:
+        """Return the envelope, or ``None`` unless genuine and fresh."""
+        code, raw = sealed[:_MAC_BYTES], sealed[_MAC_BYTES:]
+        genuine = any(
+            hmac.compare_digest(code, _mac(key, raw)) for key in self._keys
+        )
+        if not genuine:
+            return None
+        try:
+            envelope = decode_binary(raw, Envelope)
+        except msgspec.MsgspecError:
+            return None
+        if abs(envelope.wall_ms - now_wall) > FRESH_MS:
+            return None
+        return envelope
+
+
+def _mac(key: bytes, raw: bytes) -> bytes:
+    return hashlib.blake2b(raw, key=key, digest_size=_MAC_BYTES).digest()
--- a/src/cartdale/problems/types.py
+++ b/src/cartdale/problems/types.py
@@ -75,8 +75,16 @@
     """The idempotency key was used before with another body."""
 
 
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """Another attempt with the same key is running."""
+
+    retry_after: Millis
+
+
 Problem = (
     NotRun
+    | InProgress
     | OutcomeUnknown
     | EndedEarly
     | Limited
@@ -161,5 +169,13 @@
                 HTTPStatus.UNPROCESSABLE_ENTITY,
                 'this key was used with another request body',
             )
+        case InProgress(retry_after=wait):
+            return ProblemDocument(
+                f'{_TYPE_PREFIX}in-progress',
+                'In progress',
+                HTTPStatus.CONFLICT,
+                'a request with this key is running',
+                _round_up(wait),
+            )
         case _:
             assert_never(problem)
--- /dev/null
+++ b/src/cartdale/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries: budgets that keep them from amplifying an outage."""
--- a/src/cartdale/streams/decide.py
+++ b/src/cartdale/streams/decide.py
@@ -87,6 +87,7 @@
     *,
     may_repeat: bool,
     delivered: int = 0,
+    resumed: bool = False,
 ) -> StreamState:
     """Make the state of an answer that is about to start or resume."""
     return StreamState(
@@ -96,7 +97,7 @@
         may_repeat=may_repeat,
         delivered=delivered,
         resumed_at=delivered,
-        sent=delivered > 0,
+        sent=resumed,
     )
 
 
--- a/src/cartdale/streams/driver.py
+++ b/src/cartdale/streams/driver.py
@@ -14,8 +14,18 @@
     GenerationRequest,
     GenerationUnknown,
     OpenedEvents,
+    StreamPhase,
 )
-from cartdale.problems.types import Problem
+from cartdale.problems.types import (
+    EndedEarly,
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    Problem,
+)
+from cartdale.reports.recorder import Recorder
+from cartdale.reports.types import Outcome
+from cartdale.retries.decide import RetryBudget
 from cartdale.routing.driver import Router
 from cartdale.routing.types import UpstreamFailed, Work, WorkEnded
 from cartdale.streams.chunks import read_text
@@ -51,6 +61,7 @@
 
 _STATUS_TIMEOUT: Millis = 1000
 _ABANDON_GRACE: Millis = 15_000
+_RETRY_AFTER: Millis = 2000
 
 #: Closings that speak against the engine and not only against the link.
 _ENGINE_AT_FAULT = (NotSent, StartRefused, GenerationLost)
@@ -69,6 +80,8 @@
     sealer: PositionSealer
     engine_of: Callable[[str], Engine]
     nursery: trio.Nursery
+    budget: RetryBudget
+    recorder: Recorder
     progress_by_work: dict[str, int]
 
 
@@ -119,6 +132,9 @@
         self._link = Link()
         self._ready: list[Chunk] = []
         self._last: Whole | Broken | None = None
+        self._meter = ports.recorder.make_meter(
+            asked.work.service, asked.customer
+        )
         position = asked.position
         digest = position.prefix_digest if position else ''
         self._prefix = DeliveredPrefix(ports.sealer, digest)
@@ -129,6 +145,11 @@
             may_repeat=asked.may_repeat,
         )
 
+    @property
+    def sealed_origin(self) -> str:
+        """Return the sealed origin, by which others attach."""
+        return self._prefix.sealed
+
     async def start(self) -> Problem | None:
         """Place the work and open the first link.
 
@@ -142,6 +163,7 @@
         match placed:
             case Success(upstream):
                 self.state = replace(self.state, upstream=upstream)
+                self._ports.budget.earn(self.asked.customer, upstream)
                 self._open_start()
                 return None
             case Failure(refusal):
@@ -163,6 +185,8 @@
     def close(self) -> None:
         """Release the link; unfinished work is cancelled after a grace."""
         self._link.drop()
+        measured = self._meter.finish(choose_outcome(self._last))
+        self._ports.recorder.record(measured)
         if self.state.phase is Phase.ENDED or not self.state.upstream:
             self._settle(finished=isinstance(self._last, Whole))
             return
@@ -176,6 +200,7 @@
             self._ports.clock.now(),
             may_repeat=self.asked.may_repeat,
             delivered=position.offset,
+            resumed=True,
         )
         self._bind()
         self._open(Attach(0))
@@ -210,12 +235,21 @@
             await self._tell(SilenceElapsed())
             return
         closing = link.closing
-        for event in link.take():
-            await self._take(event)
+        await self._take_all(link.take())
         if closing is not None and link is self._link:
             self._blame(closing)
             await self._tell(closing)
 
+    async def _take_all(self, events: tuple[Event, ...]) -> None:
+        before = self.state.delivered
+        for event in events:
+            await self._take(event)
+        fresh = self.state.delivered - before
+        if fresh:
+            gap = self._meter.note(fresh, self._ports.clock.now())
+            service = self.asked.work.service
+            self._ports.recorder.book.note_gap(service, gap)
+
     async def _take(self, event: Event) -> None:
         after, actions = decide(
             self.state,
@@ -272,11 +306,19 @@
         if answer == Failure(GenerationUnknown()):
             await self._tell(GenerationLost())
             return
-        await self._tell(StatusArrived(answer.value_or(None)))
+        status = answer.value_or(None)
+        if status is not None and status.phase is StreamPhase.WAITING:
+            self._meter.preemptions += int(self.state.received > 0)
+        await self._tell(StatusArrived(status))
 
     async def _restart(self) -> None:
         self._settle(finished=False)
         abandoned = self.state
+        if not self._ports.budget.withdraw(
+            self.asked.customer, abandoned.upstream
+        ):
+            self._give_up(NotRun(NotRunReason.REFUSED, _RETRY_AFTER))
+            return
         self._ports.nursery.start_soon(self._cancel, abandoned)
         first = self.asked.generation.generation
         generation = f'{first}-{abandoned.repeats + 1}'
@@ -296,8 +338,11 @@
                 )
                 self._open_start()
             case Failure(problem):
-                self.state = replace(abandoned, phase=Phase.ENDED)
-                self._last = Broken(soften(abandoned, problem))
+                self._give_up(problem)
+
+    def _give_up(self, problem: Problem) -> None:
+        self._last = Broken(soften(self.state, problem))
+        self.state = replace(self.state, phase=Phase.ENDED)
 
     def _bind(self) -> None:
         self._prefix.bind(
@@ -334,3 +379,18 @@
         if status is not None and not status.readers:
             await engine.cancel(abandoned.generation)
         self._settle(finished=False)
+
+
+def choose_outcome(last: Whole | Broken | None) -> Outcome:
+    """Return how an answer ended, for the measures."""
+    match last:
+        case None:
+            return Outcome.LEFT
+        case Whole():
+            return Outcome.WHOLE
+        case Broken(problem=EndedEarly()):
+            return Outcome.EARLY
+        case Broken(problem=OutcomeUnknown()):
+            return Outcome.UNKNOWN
+        case Broken():
+            return Outcome.REFUSED
--- a/src/cartdale/streams/position.py
+++ b/src/cartdale/streams/position.py
@@ -111,11 +111,11 @@
         self._sealer = sealer
         self._running = PrefixDigest()
         self._delivered = prefix_digest
-        self._sealed = ''
+        self.sealed = ''
 
     def bind(self, origin: Origin) -> None:
         """Seal the origin of the run that is followed from now on."""
-        self._sealed = self._sealer.seal(origin)
+        self.sealed = self._sealer.seal(origin)
 
     def restart(self) -> None:
         """Begin to read a run from its first token."""
@@ -132,7 +132,7 @@
     def deliver(self, offset: int) -> str:
         """Count the last token as delivered and return its event id."""
         self._delivered = self._running.read()
-        return format_position(self._sealed, offset, self._delivered)
+        return format_position(self.sealed, offset, self._delivered)
 
 
 def format_position(sealed: str, offset: int, prefix_digest: str) -> str:
--- a/src/cartdale_standins/main.py
+++ b/src/cartdale_standins/main.py
@@ -12,6 +12,7 @@
 from cartdale.model.types import Hardware
 from cartdale.settings.types import Listener
 from cartdale_standins.engine import EngineStandIn
+from cartdale_standins.instances import InstancesStandIn
 from cartdale_standins.plain import PlainStandIn
 from cartdale_standins.store import StoreStandIn
 
@@ -74,6 +75,17 @@
             await self.serve_app(bound, standin.make_app())
 
 
+class InstancesCommand(StandInCommand):
+    """Serve the instance-list stand-in."""
+
+    name = 'instances'
+    description = 'Serve the instance-list stand-in.'
+
+    async def serve(self, bound: BoundListener) -> None:
+        """Serve the list."""
+        await self.serve_app(bound, InstancesStandIn().make_app())
+
+
 class PlainCommand(StandInCommand):
     """Serve the plain-service stand-in."""
 
@@ -88,6 +100,11 @@
 def main() -> None:
     """Run the ``cartdale-standin`` program."""
     application = Application('cartdale-standin', '0.1.0')
-    for command in (StoreCommand(), EngineCommand(), PlainCommand()):
+    for command in (
+        StoreCommand(),
+        EngineCommand(),
+        PlainCommand(),
+        InstancesCommand(),
+    ):
         application.add(command)
     sys.exit(application.run())
--- /dev/null
+++ b/tests/test_streams_end_to_end.py
@@ -0,0 +1,139 @@
+"""Answers reach their caller whole, over real sockets."""
+
+from pathlib import Path
+
+import openai
+import trio
+
+from cartdale_standins.engine import EngineFaults
+from tests.callers import Received, expect, make_body, stream
+from tests.stage import CALLER_KEY, OTHER_KEY, open_stage
+
+LONG = 'A long draft [length=400]'
+
+
+async def test_an_answer_arrives_whole(tmp_path: Path) -> None:
+    async with open_stage(tmp_path) as stage:
+        await stage.settle(stage.declare())
+        got = await stream(stage, 0, make_body(LONG))
+        assert got.done
+        assert got.tokens == expect(LONG, 400)
+        assert len(got.generations) == 1
+
+
+async def test_a_cut_caller_resumes_on_another_instance(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path, instances=2) as stage:
+        await stage.settle(stage.declare())
+        got = await stream(stage, 0, make_body(LONG), stop_after=50)
+        stage.kill(0)
+        got = await stream(stage, 1, make_body(LONG), received=got)
+        assert got.done
+        assert got.tokens == expect(LONG, 400)
+        assert len(got.generations) == 1
+        started = stage.engines[0].started_by_generation
+        assert list(started.values()) == [1]
+
+
+async def test_a_position_is_of_no_use_to_another_customer(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path) as stage:
+        await stage.settle(stage.declare())
+        got = await stream(stage, 0, make_body(LONG), stop_after=5)
+        other = Received(last_id=got.last_id)
+        await stream(stage, 0, make_body(LONG), received=other, key=OTHER_KEY)
+        assert other.status == 400
+        assert not other.tokens
+        changed = Received(last_id=got.last_id)
+        await stream(stage, 0, make_body('else'), received=changed)
+        assert changed.status == 400
+
+
+async def test_a_cut_link_to_the_engine_is_invisible(tmp_path: Path) -> None:
+    async with open_stage(tmp_path) as stage:
+        await stage.settle(stage.declare())
+        got = Received()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_follow, stage, got)
+            while len(got.tokens) < 20:
+                await trio.sleep(0.005)
+            stage.engines[0].faults = EngineFaults(cut_links=True)
+            await trio.sleep(0.1)
+            stage.engines[0].faults = EngineFaults()
+        assert got.done
+        assert got.tokens == expect(LONG, 400)
+
+
+async def test_a_restarted_engine_is_replaced_when_the_prefix_agrees(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path, engines=2) as stage:
+        await stage.settle(stage.declare())
+        got = Received()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_follow, stage, got)
+            while len(got.tokens) < 20:
+                await trio.sleep(0.005)
+            _forget(stage)
+        assert got.done
+        assert got.tokens == expect(LONG, 400)
+        assert len(got.generations) == 2
+
+
+async def test_a_service_without_repeats_ends_early_and_says_so(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path, engines=2) as stage:
+        await stage.settle(stage.declare(service={'repeat': 'never'}))
+        got = Received()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_follow, stage, got)
+            while len(got.tokens) < 20:
+                await trio.sleep(0.005)
+            _forget(stage)
+        assert not got.done
+        assert got.problem['type'] == 'urn:cartdale:problem:ended-early'
+        assert got.tokens == expect(LONG, 400)[: len(got.tokens)]
+        started = sum(
+            len(engine.started_by_generation) for engine in stage.engines
+        )
+        assert started == 1
+
+
+async def test_a_public_client_library_streams(tmp_path: Path) -> None:
+    async with open_stage(tmp_path) as stage:
+        await stage.settle(stage.declare())
+        base = stage.url(0, '/v1')
+
+        def call() -> tuple[str, str]:
+            client = openai.OpenAI(base_url=base, api_key=CALLER_KEY)
+            chunks = client.chat.completions.create(
+                model='writers',
+                messages=[{'role': 'user', 'content': 'Hi [length=12]'}],
+                stream=True,
+                seed=7,
+            )
+            streamed = ''.join(
+                chunk.choices[0].delta.content or '' for chunk in chunks
+            )
+            whole = client.completions.create(
+                model='writers', prompt='Hi [length=12]', seed=7
+            )
+            return streamed, whole.choices[0].text
+
+        streamed, whole = await trio.to_thread.run_sync(call)
+        assert streamed == ''.join(expect('user: Hi [length=12]', 12))
+        assert whole == ''.join(expect('Hi [length=12]', 12))
+
+
+async def _follow(stage, got: Received) -> None:
+    await stream(stage, 0, make_body(LONG), received=got)
+
+
+def _forget(stage) -> None:
+    for engine in stage.engines:
+        for generation in tuple(engine.driver.records_by_generation):
+            engine.driver.model.cancel(generation)
+        engine.driver.records_by_generation.clear()
