--- a/src/cartdale/daemon/group.py
+++ b/src/cartdale/daemon/group.py
@@ -2,12 +2,11 @@
 
 import zlib
 
-import httpx
 import trio
-from quart_trio import QuartTrio
 
 from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.configuration.driver import Configurator
+from cartdale.daemon.clients import make_client, make_peer_pool
 from cartdale.daemon.links import PeerLinks, SharedSlices
 from cartdale.daemon.upstreams import EnginePool
 from cartdale.ledger.claims import Claimer
@@ -21,7 +20,7 @@
 from cartdale.placement.driver import PlacementPorts, Placer
 from cartdale.reports.recorder import Recorder
 from cartdale.settings.load import Keys
-from cartdale.settings.types import Settings, Tls
+from cartdale.settings.types import Settings
 from cartdale.store.types import Store
 
 _PEER_TIMEOUT: Millis = SECOND_MS
@@ -52,14 +51,18 @@
         tls = settings.peers.tls
         scheme = 'https' if tls else 'http'
         address = f'{scheme}://{settings.peers.address}:{port}'
-        client = _make_client(tls)
+        pool_of_peers = make_peer_pool(tls)
         self.peers = PeerClient(
-            client, settings.name, Seal(keys.cluster), clock, _PEER_TIMEOUT
+            pool_of_peers,
+            settings.name,
+            Seal(keys.cluster),
+            clock,
+            _PEER_TIMEOUT,
         )
         links = PeerLinks(self.peers, configurator, recorder)
         self.membership = Membership(
             MembershipPorts(
-                client=client,
+                client=make_client(),
                 peers=self.peers,
                 clock=clock,
                 list_url=settings.instances,
@@ -107,9 +110,10 @@
         """Give up what others should take over."""
         await self.owner.release_all()
 
-    def make_app(self) -> QuartTrio:
-        """Build the peers' HTTP application."""
-        return self._app.make_app()
+    @property
+    def app(self) -> PeerApp:
+        """Return the peers' application."""
+        return self._app
 
     def set_keys(self, keys: Keys) -> None:
         """Take rotated cluster keys."""
@@ -151,11 +155,3 @@
         region=settings.region,
         revision=0,
     )
-
-
-def _make_client(tls: Tls | None) -> httpx.AsyncClient:
-    if tls is None:
-        return httpx.AsyncClient()
-    context = httpx.create_ssl_context(verify=tls.authority or True)
-    context.load_cert_chain(tls.certificate, tls.key)
-    return httpx.AsyncClient(verify=context)
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -4,7 +4,6 @@
 import zlib
 from pathlib import Path
 
-import httpx
 import trio
 from loguru import logger
 
@@ -17,6 +16,7 @@
 from cartdale.configuration.bodies import decode_bodies
 from cartdale.configuration.driver import Configurator
 from cartdale.configuration.types import ConfigurationState
+from cartdale.daemon.clients import make_client
 from cartdale.daemon.describe import describe_system
 from cartdale.daemon.group import InstanceGroup
 from cartdale.daemon.serve import BoundListener
@@ -62,14 +62,8 @@
         self._declared = Declarations()
         self._directory = Directory()
         self._seed = zlib.crc32(settings.name.encode())
-        self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=None, max_keepalive_connections=None
-            ),
-        )
-        self._store = EtcdStore(
-            httpx.AsyncClient(base_url=settings.store), _STORE_TIMEOUT
-        )
+        self._client = make_client()
+        self._store = EtcdStore(make_client(settings.store), _STORE_TIMEOUT)
         self._configurator = Configurator(
             self._store, self._clock, self._adopt, self._seed
         )
@@ -160,7 +154,7 @@
             for listener, app in (
                 (self._callers, self._make_callers(nursery).make_app()),
                 (self._operators, self._make_operators().make_app()),
-                (self._peers, self._group.make_app()),
+                (self._peers, self._group.app),
             ):
                 serving.start_soon(listener.serve, app, self._stopping)
 
--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -19,6 +19,10 @@
 _HEADER_LIMIT = 16384
 
 
+#: A framework's application or a plain ASGI callable.
+Application = QuartTrio | Callable[..., Awaitable[None]]
+
+
 class BoundListener:
     """Own a bound socket, so that port 0 becomes a known port."""
 
@@ -31,11 +35,12 @@
         self._socket.listen(_BACKLOG)
         self.port: int = self._socket.getsockname()[1]
 
-    async def serve(self, app: QuartTrio, stopping: trio.Event) -> None:
+    async def serve(self, app: Application, stopping: trio.Event) -> None:
         """Serve until ``stopping`` is set and all answers have ended."""
         shutdown: Callable[..., Awaitable[Any]] = stopping.wait
+        served: Any = app
         await serve(
-            app, self._configure(), mode='asgi', shutdown_trigger=shutdown
+            served, self._configure(), mode='asgi', shutdown_trigger=shutdown
         )
 
     def _configure(self) -> Config:
--- a/src/cartdale/daemon/upstreams.py
+++ b/src/cartdale/daemon/upstreams.py
@@ -80,7 +80,8 @@
     async def _tick(self) -> None:
         while True:
             await trio.sleep(seconds(_TICK))
-            self.router.tell(Tick())
+            if self.router.state.waiting:
+                self.router.tell(Tick())
 
     async def _poll(self, group: GroupView) -> None:
         while True:
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import httpx
+import httpcore
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -32,7 +32,16 @@
 
 
 PeerFailure = PeerNotReached | PeerUncertain
-_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+_LATE = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
 
 
 class PeerClient:
@@ -44,7 +53,7 @@
 
     def __init__(
         self,
-        client: httpx.AsyncClient,
+        client: httpcore.AsyncConnectionPool,
         name: str,
         seal: Seal,
         clock: Clock,
@@ -73,14 +82,15 @@
         sealed = self.close(peer, message)
         self.sent_bytes += len(sealed)
         try:
-            response = await self._client.post(
+            response = await self._client.request(
+                'POST',
                 f'{address}{PATH}',
                 content=sealed,
-                timeout=seconds(timeout or self._timeout),
+                extensions=_make_extensions(timeout or self._timeout),
             )
         except _NOT_SENT as error:
             return Failure(PeerNotReached(repr(error)))
-        except httpx.HTTPError as late_error:
+        except _LATE as late_error:
             return Failure(PeerUncertain(repr(late_error)))
         self.received_bytes += len(response.content)
         return self._open(response.content, peer, shape)
@@ -108,3 +118,9 @@
             return Success(decode_binary(bytes(envelope.body), shape))
         except msgspec.MsgspecError as error:
             return Failure(PeerUncertain(repr(error)))
+
+
+def _make_extensions(timeout: Millis) -> dict[str, object]:
+    longest = seconds(timeout)
+    limits = {'connect': longest, 'read': longest, 'write': longest}
+    return {'timeout': limits}
--- a/src/cartdale/streams/decide.py
+++ b/src/cartdale/streams/decide.py
@@ -23,6 +23,7 @@
 from cartdale.streams.types import (
     LOST_ENGINE_MS,
     REATTACH_PAUSE_MS,
+    REFUSING_ENGINE_MS,
     AskStatus,
     Attach,
     ChunkArrived,
@@ -51,6 +52,7 @@
 #: Times a request is run again before it is given up.
 MAX_REPEATS = 3
 _RETRY_AFTER: Millis = 2 * SECOND_MS
+_DELIVER = Deliver()
 
 
 def decide(state: StreamState, message: Message, now: Millis) -> Decision:
@@ -157,28 +159,29 @@
     )
     if chunk.offset <= state.received:
         return state, ()
+    if chunk.offset != state.received + 1:
+        return _lose_link(state, now)
+    fresh = chunk.offset > state.delivered
     after = replace(
         state,
         phase=Phase.STREAMING,
         received=chunk.offset,
+        delivered=max(chunk.offset, state.delivered),
         progress_at=now,
         link_lost_at=0,
         sent=True,
     )
-    if chunk.offset != state.received + 1:
-        return _lose_link(replace(after, received=state.received), now)
-    if chunk.offset <= state.delivered:
+    if not fresh:
         return after, (Compare(),)
     check(
         ONCE_IN_ORDER,
         holds=chunk.offset == state.delivered + 1,
         detail=f'token {chunk.offset} after {state.delivered}',
     )
-    delivered = replace(after, delivered=chunk.offset)
     steps = count_steps(chunk.offset)
     if steps > count_steps(state.delivered):
-        return delivered, (Deliver(), Protect(steps))
-    return delivered, (Deliver(),)
+        return after, (_DELIVER, Protect(steps))
+    return after, (_DELIVER,)
 
 
 def _complete(state: StreamState) -> Decision:
@@ -219,6 +222,9 @@
 def _not_sent(state: StreamState, now: Millis) -> Decision:
     if not state.sent:
         return _restart_or(state, _refusal(state))
+    refusing_since = state.link_lost_at or now
+    if now - refusing_since >= REFUSING_ENGINE_MS:
+        return _lose_generation(state)
     return _lose_link(state, now)
 
 
--- a/src/cartdale/streams/types.py
+++ b/src/cartdale/streams/types.py
@@ -10,7 +10,9 @@
 #: Silence after which the engine is asked what it is doing.
 SILENCE_MS: Millis = 2 * SECOND_MS
 #: Longest wait for an engine that answers nothing at all.
-LOST_ENGINE_MS: Millis = 10 * SECOND_MS
+LOST_ENGINE_MS: Millis = 5 * SECOND_MS
+#: Longest wait for an engine whose machine refuses connections.
+REFUSING_ENGINE_MS: Millis = SECOND_MS
 #: Pause before a failed attach is tried again.
 REATTACH_PAUSE_MS: Millis = 200
 
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,225 @@
+"""Delivery decisions: once, in order, one generation, truthful ends."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cartdale.engines.types import StreamPhase, StreamStatus
+from cartdale.exceptions import InvariantError
+from cartdale.problems.types import EndedEarly, NotRun, OutcomeUnknown
+from cartdale.streams import decide as streams
+from cartdale.streams.decide import begin, decide, move
+from cartdale.streams.position import Origin, PositionSealer
+from cartdale.streams.types import (
+    LOST_ENGINE_MS,
+    REFUSING_ENGINE_MS,
+    AskStatus,
+    Attach,
+    ChunkArrived,
+    Compare,
+    Deliver,
+    Fail,
+    Finish,
+    GenerationLost,
+    LinkBroke,
+    NotSent,
+    Phase,
+    Protect,
+    Restart,
+    SilenceElapsed,
+    StartRefused,
+    StatusArrived,
+    StreamCompleted,
+    StreamState,
+)
+
+
+def make_state(**fields: object) -> StreamState:
+    return replace(begin('g', 'u', 0, may_repeat=True), **fields)
+
+
+def streaming(count: int, **fields: object) -> StreamState:
+    return make_state(
+        phase=Phase.STREAMING,
+        delivered=count,
+        received=count,
+        sent=True,
+        **fields,
+    )
+
+
+def test_a_repeated_chunk_is_not_delivered() -> None:
+    state, actions = decide(streaming(5), ChunkArrived('g', 5), 0)
+    assert state.delivered == 5
+    assert actions == ()
+
+
+def test_a_gap_is_never_delivered() -> None:
+    state, actions = decide(streaming(5), ChunkArrived('g', 7), 0)
+    assert state.delivered == 5
+    assert actions == (Attach(5),)
+
+
+def test_a_crossed_answer_is_a_violation() -> None:
+    with pytest.raises(InvariantError, match='one_generation'):
+        decide(streaming(5), ChunkArrived('other', 6), 0)
+
+
+def test_a_long_run_is_protected() -> None:
+    _, actions = decide(streaming(63), ChunkArrived('g', 64), 0)
+    assert actions == (Deliver(), Protect(1))
+
+
+def test_nothing_sent_is_not_run() -> None:
+    state = make_state(may_repeat=False, repeats=3)
+    _, actions = decide(state, NotSent(), 0)
+    assert isinstance(actions[0].problem, NotRun)
+
+
+def test_a_refusal_before_running_may_go_elsewhere() -> None:
+    state = make_state(may_repeat=False)
+    assert decide(state, StartRefused(), 0)[1] == (Restart(),)
+
+
+def test_a_lost_start_is_unknown_not_not_run() -> None:
+    state = make_state(may_repeat=False)
+    state, actions = decide(state, LinkBroke(), 0)
+    assert actions == (Attach(0),)
+    _, actions = decide(state, GenerationLost(), 10)
+    assert isinstance(actions[0].problem, OutcomeUnknown)
+
+
+def test_not_run_after_sending_is_a_violation() -> None:
+    lie = Fail(NotRun(streams.NotRunReason.REFUSED, 0))
+    with pytest.raises(InvariantError, match='not_run'):
+        streams._end(streaming(0), lie)
+
+
+def test_running_again_without_permission_is_a_violation() -> None:
+    with pytest.raises(InvariantError, match='at_most_once'):
+        move(streaming(3, may_repeat=False), 'g-1', 'v', 0)
+
+
+def test_an_unrepeatable_stream_ends_early_with_its_count() -> None:
+    state = streaming(9, may_repeat=False)
+    _, actions = decide(state, GenerationLost(), 0)
+    assert actions == (Fail(EndedEarly(9)),)
+
+
+def test_a_stalled_link_is_told_from_a_preempted_engine() -> None:
+    state, actions = decide(streaming(5), SilenceElapsed(), 0)
+    assert actions == (AskStatus(),)
+    ahead = StatusArrived(StreamStatus(StreamPhase.RUNNING, 9))
+    assert decide(state, ahead, 0)[1] == (Attach(5),)
+    waiting = StatusArrived(StreamStatus(StreamPhase.WAITING, 5))
+    assert decide(state, waiting, 0)[1] == ()
+
+
+def test_a_refusing_machine_is_given_up_sooner_than_a_silent_one() -> None:
+    state, _ = decide(streaming(5), NotSent(), 1)
+    assert state.link_lost_at == 1
+    later = 1 + REFUSING_ENGINE_MS
+    assert decide(state, NotSent(), later)[1] == (Restart(),)
+    assert decide(state, LinkBroke(), later)[1] == (Attach(5, 200),)
+    lost = 1 + LOST_ENGINE_MS
+    assert decide(state, LinkBroke(), lost)[1] == (Restart(),)
+
+
+def test_positions_are_genuine_or_nothing() -> None:
+    sealer = PositionSealer((b'new-key', b'old-key'))
+    origin = Origin('g', 'u', 'c', 's', 'd')
+    sealed = PositionSealer((b'old-key',)).seal(origin)
+    assert sealer.open(f'{sealed}.7.abc').offset == 7
+    assert sealer.open(f'{sealed}.-7.abc') is None
+    assert sealer.open(f'{sealed[:-4]}AAAA.7.abc') is None
+    assert sealer.open('') is None
+    assert PositionSealer((b'else',)).open(f'{sealed}.7.abc') is None
+
+
+class Link:
+    """A link of the randomised run: late, repeated, cut and lost."""
+
+    def __init__(self, seed: int, length: int, *, may_repeat: bool) -> None:
+        self.random = random.Random(seed)
+        self.length = length
+        self.state = begin('g', 'u', 0, may_repeat=may_repeat)
+        self.delivered: list[int] = []
+        self.now = 0
+        self.next_offset = 1
+        self.runs = 0
+        self.alive = False
+        self.end: object = None
+        self.start()
+
+    def start(self) -> None:
+        self.runs += 1
+        self.alive = True
+        self.next_offset = 1
+
+    def step(self) -> None:
+        self.now += self.random.randrange(400)
+        self.tell(self.draw())
+
+    def draw(self) -> object:
+        chance = self.random.random()
+        if chance < 0.05:
+            self.alive = False
+            return self.random.choice([LinkBroke(), SilenceElapsed()])
+        if not self.alive:
+            return self.random.choice(
+                [NotSent(), LinkBroke(), GenerationLost(), StatusArrived(None)]
+            )
+        if chance < 0.12:
+            return LinkBroke()
+        if chance < 0.2:
+            repeated = self.random.randrange(1, self.next_offset + 1)
+            return ChunkArrived(self.state.generation, repeated)
+        if self.next_offset > self.length:
+            return StreamCompleted()
+        self.next_offset += 1
+        return ChunkArrived(self.state.generation, self.next_offset - 1)
+
+    def tell(self, message: object) -> None:
+        if isinstance(message, ChunkArrived):
+            # A repeated chunk may be ahead of what was really produced.
+            message = replace(message, offset=min(message.offset, self.length))
+        self.state, actions = decide(self.state, message, self.now)
+        for action in actions:
+            self.carry_out(action, message)
+
+    def carry_out(self, action: object, message: object) -> None:
+        match action:
+            case Deliver():
+                self.delivered.append(message.offset)
+            case Attach(offset=offset):
+                self.alive = self.alive or self.random.random() < 0.5
+                self.next_offset = offset + 1
+            case Restart():
+                generation = f'g-{self.state.repeats + 1}'
+                self.state = move(self.state, generation, 'v', self.now)
+                self.start()
+            case Finish() | Fail():
+                self.end = action
+            case Compare() | AskStatus() | Protect():
+                """Nothing to do without an engine."""
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.integers(0, 10**9), st.integers(1, 60), st.booleans())
+def test_any_schedule_of_faults_delivers_a_true_prefix(
+    seed: int, length: int, may_repeat: bool
+) -> None:
+    link = Link(seed, length, may_repeat=may_repeat)
+    for _ in range(4000):
+        if link.end is not None:
+            break
+        link.step()
+    assert link.end is not None
+    assert link.delivered == list(range(1, len(link.delivered) + 1))
+    if isinstance(link.end, Finish):
+        assert len(link.delivered) == length
+    if not may_repeat:
+        assert link.runs == 1 or not link.state.sent
