--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 bench-scale: install
 	$(BIN)/python -m bench.scale
 
+soak: install
+	$(BIN)/python -m tests.soak
+
 demo: install
 	scripts/demo
 
--- a/src/cartdale/membership/decide.py
+++ b/src/cartdale/membership/decide.py
@@ -43,7 +43,7 @@
         case NewsHeard(news=news):
             return _hear(state, news, now), ()
         case PeerSilent(name=name):
-            return _suspect(state, name, now), ()
+            return _suspect(state, name), ()
         case RoundBegan():
             return _begin_round(state, now)
         case RevisionAdopted(revision=revision, took_ms=took_ms):
@@ -73,7 +73,7 @@
 
 def is_alive(state: MembershipState, member: Member, now: Millis) -> bool:
     """Tell whether a member is believed to be alive and staying."""
-    if member.news.status is MemberStatus.LEAVING or member.suspected_at:
+    if member.news.status is MemberStatus.LEAVING or member.suspected:
         return False
     return now - member.heard_at <= silence_limit(state)
 
@@ -129,11 +129,13 @@
     for index, news in enumerate(heard):
         if news.name == state.own.name:
             continue
-        known = members_by_name.get(news.name) or Member(news, heard_at=0)
-        if index == 0:
-            known = replace(known, suspected_at=0)
-        if not known.heard_at or _is_newer(news, known.news):
+        known = members_by_name.get(news.name)
+        if known is None:
+            known = Member(news, heard_at=now)
+        elif _is_newer(news, known.news):
             known = replace(known, news=news, heard_at=now)
+        if index == 0:
+            known = replace(known, suspected=False)
         members_by_name[news.name] = known
     return replace(state, members_by_name=members_by_name)
 
@@ -142,12 +144,12 @@
     return (news.incarnation, news.beat) > (known.incarnation, known.beat)
 
 
-def _suspect(state: MembershipState, name: str, now: Millis) -> MembershipState:
+def _suspect(state: MembershipState, name: str) -> MembershipState:
     member = state.members_by_name.get(name)
-    if member is None or member.suspected_at:
+    if member is None or member.suspected:
         return state
     members_by_name = dict(state.members_by_name)
-    members_by_name[name] = replace(member, suspected_at=now)
+    members_by_name[name] = replace(member, suspected=True)
     return replace(state, members_by_name=members_by_name)
 
 
--- a/src/cartdale/membership/types.py
+++ b/src/cartdale/membership/types.py
@@ -52,13 +52,13 @@
     """Hold what this instance believes of another.
 
     :param heard_at: when news with a newer heartbeat arrived.
-    :param suspected_at: when a call to it failed; 0 since it answered.
+    :param suspected: whether a call to it failed and it was not heard since.
     :param listed: whether the platform's list shows it as live.
     """
 
     news: MemberNews
     heard_at: Millis
-    suspected_at: Millis = 0
+    suspected: bool = False
     listed: bool = False
 
 
--- a/src/cartdale/operators/app.py
+++ b/src/cartdale/operators/app.py
@@ -106,6 +106,7 @@
             configurator.state, Confirmation(asked.plan, asked.author)
         )
         await configurator.catch_up()
+        await self._ports.confirmer.keep_snapshots(configurator.state)
         return answer_json(_describe_verdict(verdict))
 
     async def _status(self) -> Response:
--- a/src/cartdale/plans/confirm.py
+++ b/src/cartdale/plans/confirm.py
@@ -12,6 +12,8 @@
     append,
     read_head,
     read_log,
+    snapshot_due,
+    write_snapshot,
 )
 from cartdale.configuration.types import (
     ConfigurationState,
@@ -81,6 +83,14 @@
             return Failure(ConfirmUnavailable('this instance is catching up'))
         return await self._write(state, asked, head)
 
+    async def keep_snapshots(self, state: ConfigurationState) -> None:
+        """Write a snapshot when one is due; failing does no harm."""
+        seen = await read_head(self._store)
+        if isinstance(seen, Failure):
+            return
+        if snapshot_due(state, seen.unwrap().head):
+            await write_snapshot(self._store, state)
+
     async def _write(
         self, state: ConfigurationState, asked: Confirmation, head: StoredHead
     ) -> Verdict:
--- a/src/cartdale/routing/policy.py
+++ b/src/cartdale/routing/policy.py
@@ -7,6 +7,7 @@
 
 from cartdale.clock import Millis
 from cartdale.declarations.types import PolicyName, Weights
+from cartdale.invariants import MEMORY_BOUND, check
 from cartdale.routing.forecast import (
     Forecast,
     forecast_engine,
@@ -42,6 +43,18 @@
     forecast: Forecast
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class _Choice:
+    """Rank an engine; the smallest score is the best.
+
+    :param filled: share of memory that may be promised, after the work.
+    """
+
+    score: float
+    upstream: str
+    filled: float
+
+
 def caution_of(weights: Weights) -> float:
     """Return how many standard deviations of memory to keep free.
 
@@ -109,17 +122,28 @@
     """Return the best engine whose memory holds the work, if any."""
     added = forecast_work(work, lengths)
     caution = caution_of(weights)
-    best: tuple[float, str] | None = None
+    best: _Choice | None = None
     for outlook in outlooks:
         memory = outlook.view.memory_tokens * MEMORY_SHARE
         filled = outlook.forecast.add(added).peak(caution) / memory
-        if filled > 1:
+        if not _fits(filled):
             continue
         score = filled + _step_cost(outlook.view, weights)
         score -= _prefix_gain(outlook.view, work)
-        if best is None or (score, outlook.view.upstream) < best:
-            best = (score, outlook.view.upstream)
-    return best[1] if best else None
+        choice = _Choice(score, outlook.view.upstream, filled)
+        best = min(best or choice, choice)
+    if best is None:
+        return None
+    check(
+        MEMORY_BOUND,
+        holds=best.filled <= 1,
+        detail=f'{work.work_id} fills {best.upstream} to {best.filled:.2f}',
+    )
+    return best.upstream
+
+
+def _fits(filled: float) -> bool:
+    return filled <= 1
 
 
 def choose_baseline(
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,236 @@
+"""Routing: memory is promised once, nobody starves, refusals are at once."""
+
+from dataclasses import replace
+
+import pytest
+
+from cartdale.declarations.types import PolicyName, Weights
+from cartdale.exceptions import InvariantError
+from cartdale.model.types import LoadReport
+from cartdale.problems.types import NotRunReason
+from cartdale.routing import policy as routing_policy
+from cartdale.routing.decide import _place, decide
+from cartdale.routing.lengths import LengthBook, LengthProfile
+from cartdale.routing.policy import caution_of
+from cartdale.routing.types import (
+    EngineView,
+    EntryGone,
+    LeaveBegan,
+    LoadHeard,
+    Place,
+    Refuse,
+    RoutingState,
+    ServiceView,
+    TargetsChanged,
+    Tick,
+    UpstreamFailed,
+    Work,
+    WorkAbandoned,
+    WorkArrived,
+    WorkEnded,
+)
+
+
+def make_routing(
+    memory: int = 4000,
+    engines: int = 1,
+    name: PolicyName = PolicyName.MEMORY_AWARE,
+    *,
+    draining: bool = False,
+    queue: int = 100,
+) -> RoutingState:
+    names = tuple(f'e{number}' for number in range(engines))
+    service = ServiceView('s', names, name, queue=queue)
+    views = tuple(
+        EngineView(upstream, memory, draining=draining) for upstream in names
+    )
+    return decide(RoutingState(1), TargetsChanged((service,), views), 0)[0]
+
+
+def make_work(work_id: str, **fields: object) -> Work:
+    work = Work(work_id, 's', 'c', 100, 0, 10_000, shape='s/6')
+    return replace(work, **fields)
+
+
+def arrive(state: RoutingState, *works: Work, now: int = 0) -> tuple:
+    actions: list = []
+    for work in works:
+        state, more = decide(state, WorkArrived(work), now)
+        actions.extend(more)
+    return state, actions
+
+
+def fill(state: RoutingState, now: int = 0) -> tuple[RoutingState, int]:
+    for number in range(100):
+        state, actions = arrive(state, make_work(f'f{number}'), now=now)
+        if not actions:
+            return state, number
+    raise AssertionError('the engine never filled')
+
+
+def test_an_engine_is_filled_and_then_work_waits() -> None:
+    state, placed = fill(make_routing())
+    assert 0 < placed < 20
+    assert len(state.waiting) == 1
+    assert len(state.placements_by_work) == placed
+
+
+def test_ended_work_makes_room() -> None:
+    state, _ = fill(make_routing())
+    state, actions = decide(state, WorkEnded('f0', 50, finished=True), 100)
+    assert [action.work.work_id for action in actions] == [
+        state.placements_by_work[action.work.work_id].work.work_id
+        for action in actions
+    ]
+    assert not state.waiting
+
+
+def test_more_caution_promises_less() -> None:
+    kadi = Weights(1, 0.2, 0.5)
+    caroni = Weights(0.2, 1, 0.2)
+    assert caution_of(caroni) > caution_of(kadi)
+    assert caution_of(kadi) > caution_of(Weights(0, 0, 0))
+
+
+def test_promising_beyond_memory_is_a_violation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(routing_policy, '_fits', lambda filled: True)
+    with pytest.raises(InvariantError, match='memory_bound'):
+        fill(make_routing())
+
+
+def test_baselines_never_hold_back() -> None:
+    for name in PolicyName:
+        if name is PolicyName.MEMORY_AWARE:
+            continue
+        state = make_routing(engines=2, name=name)
+        works = [make_work(f'w{number}') for number in range(60)]
+        _, actions = arrive(state, *works)
+        assert len(actions) == 60, name
+
+
+def test_a_full_queue_refuses_at_once() -> None:
+    state = make_routing(memory=10, queue=2)
+    works = [make_work(f'w{number}') for number in range(3)]
+    _, actions = arrive(state, *works)
+    assert actions[0].problem.reason is NotRunReason.QUEUE_FULL
+    assert actions[0].problem.retry_after > 0
+
+
+def test_hopeless_work_is_refused_before_its_deadline() -> None:
+    state = make_routing(memory=10)
+    works = [make_work(f'w{number}', deadline_at=25_000) for number in range(4)]
+    state, actions = arrive(state, *works)
+    refused = [action.work.work_id for action in actions]
+    assert refused == ['w3']
+    assert actions[0].problem.reason is NotRunReason.DEADLINE
+    state, actions = decide(state, Tick(), 24_000)
+    assert {action.work.work_id for action in actions} == {'w1', 'w2'}
+
+
+def test_nobody_starves() -> None:
+    state = make_routing(memory=1)
+    old = make_work('old', deadline_at=10**9)
+    state, _ = arrive(state, old)
+    young = make_work(
+        'young', priority=50, arrived_at=400_000, deadline_at=10**9
+    )
+    state, _ = arrive(state, young, now=400_000)
+    roomy = TargetsChanged(
+        tuple(state.services_by_name.values()), (EngineView('e0', 4000),)
+    )
+    state, actions = decide(state, roomy, 400_001)
+    assert actions[0].work.work_id == 'old'
+
+
+def test_shares_decide_between_customers() -> None:
+    state = make_routing(memory=10)
+    works = [
+        make_work(name, customer=name[0], deadline_at=10**9)
+        for name in ('a0', 'a1', 'b0')
+    ]
+    state = replace(state, served_by_customer={'a': 5.0, 'b': 1.0})
+    state, _ = arrive(state, *works)
+    roomy = TargetsChanged(
+        tuple(state.services_by_name.values()), (EngineView('e0', 4000),)
+    )
+    _, actions = decide(state, roomy, 1)
+    assert actions[0].work.work_id == 'b0'
+
+
+def test_a_draining_engine_gets_nothing() -> None:
+    state, actions = arrive(make_routing(draining=True), make_work('w'))
+    assert isinstance(actions[0], Refuse)
+    assert actions[0].problem.reason is NotRunReason.NO_UPSTREAM
+    assert not state.placements_by_work
+
+
+def test_a_failed_engine_is_excluded_longer_each_time() -> None:
+    state = make_routing(engines=1)
+    state, _ = decide(state, UpstreamFailed('e0'), 0)
+    state, actions = arrive(state, make_work('w'))
+    assert not actions
+    state, actions = decide(state, Tick(), 1000)
+    assert [type(action) for action in actions] == [Place]
+    state, _ = decide(state, UpstreamFailed('e0'), 1000)
+    assert state.engines_by_upstream['e0'].excluded_until == 3000
+    report = LoadReport(1, 0, 0, 0, 0, 20, 0)
+    state, _ = decide(state, LoadHeard('e0', report), 3000)
+    assert state.engines_by_upstream['e0'].failures == 0
+
+
+def test_an_older_report_is_ignored() -> None:
+    state = make_routing()
+    new = LoadReport(100, 50, 1, 0, 1, 20, 0)
+    state, _ = decide(state, LoadHeard('e0', new), 100)
+    state, _ = decide(state, LoadHeard('e0', replace(new, at=50)), 200)
+    assert state.engines_by_upstream['e0'].heard_at == 100
+
+
+def test_a_leaving_placer_hands_its_queue_back() -> None:
+    state = make_routing(memory=10)
+    state, _ = arrive(state, make_work('w'))
+    state, actions = decide(state, LeaveBegan(), 0)
+    assert actions[0].problem.reason is NotRunReason.LEAVING
+    _, actions = arrive(state, make_work('x'))
+    assert actions[0].problem.reason is NotRunReason.LEAVING
+
+
+def test_placing_while_leaving_is_a_violation() -> None:
+    state = replace(make_routing(), leaving=True)
+    with pytest.raises(InvariantError, match='no_work_when_leaving'):
+        _place(state, make_work('w'), 'e0', 0)
+
+
+def test_abandoned_work_leaves_the_queue() -> None:
+    state, _ = arrive(make_routing(memory=10), make_work('w'))
+    state, _ = decide(state, WorkAbandoned('w'), 0)
+    assert not state.waiting
+
+
+def test_work_of_a_lost_instance_is_forgotten_when_the_engine_lost_it() -> None:
+    state = make_routing(memory=100_000)
+    state, _ = arrive(state, make_work('w', entry='gone'))
+    state, _ = decide(state, EntryGone('gone'), 10)
+    empty = LoadReport(1, 0, 0, 0, 1, 20, 0)
+    for now in (100, 200):
+        report = replace(empty, at=now)
+        state, _ = decide(state, LoadHeard('e0', report), now)
+    assert not state.placements_by_work
+
+
+def test_lengths_are_conditional_on_age() -> None:
+    profile = LengthProfile()
+    for length in [10] * 90 + [5000] * 10:
+        profile = profile.observe(length)
+    assert profile.survival(0, 100) == pytest.approx(0.1, abs=0.05)
+    assert profile.survival(20, 100) == 1
+    assert 0 < profile.survival(6000, 3000) < 1
+
+
+def test_a_new_shape_falls_back_to_its_service() -> None:
+    book = LengthBook()
+    for _ in range(40):
+        book = book.observe('s/5', 77)
+    assert book.find('s/9').ordered[-1] == 77
