--- a/src/cartdale/daemon/clients.py
+++ b/src/cartdale/daemon/clients.py
@@ -1,7 +1,7 @@
 """Make HTTP clients that share one TLS context, which is costly to build."""
 
 from functools import cache
-from ssl import SSLContext
+from ssl import SSLContext, create_default_context
 
 import httpcore
 import httpx
@@ -28,6 +28,6 @@
         return httpcore.AsyncConnectionPool(
             _default_context(), max_connections=None
         )
-    context = httpx.create_ssl_context(verify=tls.authority or True)
+    context = create_default_context(cafile=tls.authority or None)
     context.load_cert_chain(tls.certificate, tls.key)
     return httpcore.AsyncConnectionPool(context, max_connections=None)
--- a/src/cartdale/daemon/group.py
+++ b/src/cartdale/daemon/group.py
@@ -79,6 +79,7 @@
                 address=address,
                 prefers=self._prefers_slot,
                 leaving=self._is_leaving,
+                clock_error=self.peers.clock_error,
             ),
         )
         self.claimer = Claimer(self.owner, self.peers, settings.name, clock)
--- a/src/cartdale/ledger/owner.py
+++ b/src/cartdale/ledger/owner.py
@@ -14,9 +14,11 @@
 from cartdale.ledger.decide import decide, first_horizon
 from cartdale.ledger.keys import slot_of
 from cartdale.ledger.types import (
+    CLOCK_ERROR_MS,
     LEASE_MARGIN_MS,
     LEASE_MS,
     SLOTS,
+    Claim,
     ClaimAnswer,
     Message,
     Renewed,
@@ -58,6 +60,7 @@
 
     :param prefers: tells whether this instance should own a slot.
     :param leaving: tells whether this instance is leaving.
+    :param clock_error: how far its wall clock is from the others'.
     """
 
     store: Store
@@ -66,6 +69,7 @@
     address: str
     prefers: Callable[[int], bool]
     leaving: Callable[[], bool]
+    clock_error: Callable[[], Millis]
 
 
 class SlotOwner:
@@ -94,7 +98,8 @@
         """Take a message about a key that should be owned here."""
         number = slot_of(key)
         state = self._slots_by_number.get(number)
-        if state is None:
+        trusted = self._ports.clock_error() <= CLOCK_ERROR_MS
+        if state is None or (isinstance(message, Claim) and not trusted):
             return ClaimAnswer(Verdict.NOT_OWNER)
         clock = self._ports.clock
         after, answer = decide(state, message, clock.now(), clock.wall())
@@ -150,7 +155,8 @@
         await self._acquire_preferred(free)
 
     async def _acquire_preferred(self, free: list[int]) -> None:
-        if self._ports.leaving():
+        trusted = self._ports.clock_error() <= CLOCK_ERROR_MS
+        if self._ports.leaving() or not trusted:
             return
         wanted = [number for number in free if self._ports.prefers(number)]
         for start in range(0, len(wanted), _ACQUIRED_AT_ONCE):
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -1,6 +1,7 @@
 """Ask other instances; every message is sealed, both ways."""
 
 from dataclasses import dataclass
+from statistics import median
 from typing import TypeVar
 
 import httpcore
@@ -9,13 +10,15 @@
 
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
-from cartdale.peers.messages import PeerMessage
+from cartdale.peers.messages import Exchange, PeerMessage
 from cartdale.peers.seal import Envelope, Seal
 
 PATH = '/peer/v1/messages'
 
 Reply = TypeVar('Reply')
 
+_FEWEST_OFFSETS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class PeerNotReached:
@@ -66,6 +69,7 @@
         self.seal = seal
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.offsets_by_peer: dict[str, Millis] = {}
 
     async def ask(
         self,
@@ -80,6 +84,7 @@
         :param timeout: longest wait; 0 for the client's own.
         """
         sealed = self.close(peer, message)
+        sent_at = self._clock.wall()
         self.sent_bytes += len(sealed)
         try:
             response = await self._client.request(
@@ -93,7 +98,7 @@
         except _LATE as late_error:
             return Failure(PeerUncertain(repr(late_error)))
         self.received_bytes += len(response.content)
-        return self._open(response.content, peer, shape)
+        return self._open(response.content, peer, shape, sent_at)
 
     def close(self, recipient: str, message: PeerMessage) -> bytes:
         """Seal a message to a peer."""
@@ -106,14 +111,34 @@
         )
         return self.seal.close(envelope)
 
+    def clock_error(self) -> Millis:
+        """Return how far this wall clock is from the peers', by the median.
+
+        Taken from exchanges of news, which are answered at once; 0 while
+        fewer than two peers answered.
+        """
+        if len(self.offsets_by_peer) < _FEWEST_OFFSETS:
+            return 0
+        return int(abs(median(self.offsets_by_peer.values())))
+
+    def _note_offset(self, peer: str, theirs: Millis, sent_at: Millis) -> None:
+        middle = (sent_at + self._clock.wall()) // 2
+        self.offsets_by_peer[peer] = theirs - middle
+
     def _open(
-        self, sealed: bytes, peer: str, shape: type[Reply]
+        self,
+        sealed: bytes,
+        peer: str,
+        shape: type[Reply],
+        sent_at: Millis,
     ) -> Result[Reply, PeerFailure]:
         envelope = self.seal.open(sealed, self._clock.wall())
         if envelope is None or envelope.recipient != self._name:
             return Failure(PeerUncertain('the answer is not genuine'))
         if envelope.sender != peer or envelope.kind != shape.__name__:
             return Failure(PeerUncertain(f'unexpected {envelope.kind}'))
+        if shape is Exchange:
+            self._note_offset(peer, envelope.wall_ms, sent_at)
         try:
             return Success(decode_binary(bytes(envelope.body), shape))
         except msgspec.MsgspecError as error:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -96,6 +96,7 @@
                 address=name,
                 prefers=lambda slot: self.prefers(number, slot),
                 leaving=bool,
+                clock_error=int,
             ),
         )
         return Node(
