--- a/tests/gossip.py
+++ b/tests/gossip.py
@@ -6,8 +6,8 @@
 from cartdale.membership.decide import decide, list_alive, select_news
 from cartdale.membership.types import (
     ROUND_MS,
-    MembershipState,
     MemberNews,
+    MembershipState,
     MemberStatus,
     Message,
     NewsHeard,
