--- a/src/cartdale/callers/generations.py
+++ b/src/cartdale/callers/generations.py
@@ -32,7 +32,8 @@
     OutcomeUnknown,
     Problem,
 )
-from cartdale.streams.driver import Batch, Broken, Delivery, DeliveryPorts
+from cartdale.streams.answers import Batch, Broken
+from cartdale.streams.driver import Delivery, DeliveryPorts
 from cartdale.streams.position import Position
 
 
--- a/src/cartdale/callers/read.py
+++ b/src/cartdale/callers/read.py
@@ -16,7 +16,7 @@
 from cartdale.problems.types import BadRequest, Problem, Unauthorised
 from cartdale.routing.lengths import describe_shape
 from cartdale.routing.types import Work
-from cartdale.streams.driver import DeliveryRequest
+from cartdale.streams.answers import DeliveryRequest
 from cartdale.streams.position import Position, PositionSealer
 
 HEADER_RESUME = 'Last-Event-ID'
--- a/src/cartdale/callers/respond.py
+++ b/src/cartdale/callers/respond.py
@@ -9,8 +9,9 @@
 from cartdale.clock import SECOND_MS, Clock
 from cartdale.codec import encode_json
 from cartdale.problems.types import Problem, ProblemDocument, describe
+from cartdale.streams.answers import Batch, Broken, Chunk, Whole
 from cartdale.streams.chunks import decode_chunk, read_text
-from cartdale.streams.driver import Batch, Broken, Chunk, Delivery, Whole
+from cartdale.streams.driver import Delivery
 
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
--- /dev/null
+++ b/src/cartdale/streams/answers.py
@@ -0,0 +1,62 @@
+"""What a delivery is asked for, and what it gives to the caller."""
+
+from dataclasses import dataclass
+
+from cartdale.engines.types import GenerationRequest
+from cartdale.problems.types import EndedEarly, OutcomeUnknown, Problem
+from cartdale.reports.types import Outcome
+from cartdale.routing.types import Work
+from cartdale.streams.position import Position
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryRequest:
+    """Describe the answer that a caller wants.
+
+    :param position: where a resumed answer stands, if it is one.
+    """
+
+    work: Work
+    generation: GenerationRequest
+    may_repeat: bool
+    customer: str
+    body_digest: str
+    position: Position | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Carry one chunk to the caller with its resume position."""
+
+    position: str
+    payload: str
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The answer is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The answer ended with a problem."""
+
+    problem: Problem
+
+
+Batch = tuple[Chunk, ...] | Whole | Broken
+
+
+def choose_outcome(last: Whole | Broken | None) -> Outcome:
+    """Return how an answer ended, for the measures."""
+    match last:
+        case None:
+            return Outcome.LEFT
+        case Whole():
+            return Outcome.WHOLE
+        case Broken(problem=EndedEarly()):
+            return Outcome.EARLY
+        case Broken(problem=OutcomeUnknown()):
+            return Outcome.UNKNOWN
+        case Broken():
+            return Outcome.REFUSED
--- a/src/cartdale/streams/driver.py
+++ b/src/cartdale/streams/driver.py
@@ -11,23 +11,26 @@
 from cartdale.engines.types import (
     Engine,
     Event,
-    GenerationRequest,
     GenerationUnknown,
     OpenedEvents,
     StreamPhase,
 )
 from cartdale.placement.driver import Placer
 from cartdale.problems.types import (
-    EndedEarly,
     NotRun,
     NotRunReason,
-    OutcomeUnknown,
     Problem,
 )
 from cartdale.reports.recorder import Recorder
-from cartdale.reports.types import Outcome
 from cartdale.retries.decide import RetryBudget
-from cartdale.routing.types import Work
+from cartdale.streams.answers import (
+    Batch,
+    Broken,
+    Chunk,
+    DeliveryRequest,
+    Whole,
+    choose_outcome,
+)
 from cartdale.streams.chunks import read_text
 from cartdale.streams.decide import begin, decide, move, soften
 from cartdale.streams.link import Link
@@ -84,44 +87,6 @@
     recorder: Recorder
 
 
-@dataclass(frozen=True, slots=True)
-class DeliveryRequest:
-    """Describe the answer that a caller wants.
-
-    :param position: where a resumed answer stands, if it is one.
-    """
-
-    work: Work
-    generation: GenerationRequest
-    may_repeat: bool
-    customer: str
-    body_digest: str
-    position: Position | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Chunk:
-    """Carry one chunk to the caller with its resume position."""
-
-    position: str
-    payload: str
-
-
-@dataclass(frozen=True, slots=True)
-class Whole:
-    """The answer is complete."""
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """The answer ended with a problem."""
-
-    problem: Problem
-
-
-Batch = tuple[Chunk, ...] | Whole | Broken
-
-
 class Delivery:
     """Deliver one answer to one caller."""
 
@@ -382,18 +347,3 @@
         if status is not None and not status.readers:
             await engine.cancel(abandoned.generation)
         self._settle(finished=False)
-
-
-def choose_outcome(last: Whole | Broken | None) -> Outcome:
-    """Return how an answer ended, for the measures."""
-    match last:
-        case None:
-            return Outcome.LEFT
-        case Whole():
-            return Outcome.WHOLE
-        case Broken(problem=EndedEarly()):
-            return Outcome.EARLY
-        case Broken(problem=OutcomeUnknown()):
-            return Outcome.UNKNOWN
-        case Broken():
-            return Outcome.REFUSED
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import httpx
+import trio
 
 from cartdale.model.text import make_token
 from tests.stage import CALLER_KEY, Stage
@@ -91,3 +92,9 @@
             got.tokens.append(chunk['choices'][0]['text'])
             if stop_after and len(got.tokens) >= stop_after:
                 return
+
+
+async def wait_tokens(got: Received, count: int) -> None:
+    """Wait until a caller that streams in the background has some tokens."""
+    while len(got.tokens) < count:
+        await trio.sleep(0.005)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from tests.callers import Received, expect, make_body, stream
+from tests.callers import Received, expect, make_body, stream, wait_tokens
 from tests.stage import Stage, open_stage
 
 LONG = 'A long draft [length=2500]'
@@ -15,11 +15,6 @@
     await stream(stage, index, body, received=got)
 
 
-async def wait_tokens(got: Received, count: int) -> None:
-    while len(got.tokens) < count:
-        await trio.sleep(0.005)
-
-
 async def test_a_leaving_instance_finishes_its_streams(tmp_path: Path) -> None:
     async with open_stage(tmp_path, instances=2) as stage:
         await stage.settle(stage.declare())
--- a/tests/test_streams_end_to_end.py
+++ b/tests/test_streams_end_to_end.py
@@ -6,7 +6,7 @@
 import trio
 
 from cartdale_standins.engine import EngineFaults
-from tests.callers import Received, expect, make_body, stream
+from tests.callers import Received, expect, make_body, stream, wait_tokens
 from tests.stage import CALLER_KEY, OTHER_KEY, open_stage
 
 LONG = 'A long draft [length=400]'
@@ -57,8 +57,7 @@
         got = Received()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_follow, stage, got)
-            while len(got.tokens) < 20:
-                await trio.sleep(0.005)
+            await wait_tokens(got, 20)
             stage.engines[0].faults = EngineFaults(cut_links=True)
             await trio.sleep(0.1)
             stage.engines[0].faults = EngineFaults()
@@ -74,8 +73,7 @@
         got = Received()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_follow, stage, got)
-            while len(got.tokens) < 20:
-                await trio.sleep(0.005)
+            await wait_tokens(got, 20)
             _forget(stage)
         assert got.done
         assert got.tokens == expect(LONG, 400)
@@ -90,8 +88,7 @@
         got = Received()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_follow, stage, got)
-            while len(got.tokens) < 20:
-                await trio.sleep(0.005)
+            await wait_tokens(got, 20)
             _forget(stage)
         assert not got.done
         assert got.problem['type'] == 'urn:cartdale:problem:ended-early'
