Answer broken invariants as outcome unknown; rotate the keys of positions

Cause: an unexpected error left a caller with a bare 500; SIGHUP rotated the peers' keys and not those that seal event ids.

--- a/src/cartdale/callers/app.py
+++ b/src/cartdale/callers/app.py
@@ -5,6 +5,7 @@
 from functools import partial
 from http import HTTPStatus
 
+from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
 from returns.result import Failure
@@ -30,6 +31,7 @@
     Limited,
     NotRun,
     NotRunReason,
+    OutcomeUnknown,
     Problem,
     Unauthorised,
 )
@@ -108,6 +110,7 @@
             methods=['GET', 'POST', 'PUT', 'DELETE'],
         )
         app.register_error_handler(HTTPException, _answer_http_error)
+        app.register_error_handler(Exception, _answer_failure)
         return app
 
     async def _complete(self) -> Response:
@@ -214,3 +217,8 @@
 async def _answer_http_error(error: HTTPException) -> Response:
     name = error.name
     return answer_problem(BadRequest('request', f'another request ({name})'))
+
+
+async def _answer_failure(error: Exception) -> Response:
+    logger.opt(exception=error).error('a request failed')
+    return answer_problem(OutcomeUnknown('an error of this instance'))
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -59,6 +59,7 @@
         self._base = base
         self._clock = clock or SystemClock()
         self._keys: Keys = load_keys(settings, base)
+        self._sealer = PositionSealer(_sealing_keys(self._keys))
         self._declared = Declarations()
         self._directory = Directory()
         self._seed = zlib.crc32(settings.name.encode())
@@ -139,6 +140,7 @@
         """Read the key files again."""
         self._keys = load_keys(self._settings, self._base)
         self._group.set_keys(self._keys)
+        self._sealer.rotate(_sealing_keys(self._keys))
         logger.info('keys reloaded')
 
     def describe(self) -> SystemStatus:
@@ -165,9 +167,7 @@
         delivery = DeliveryPorts(
             clock=self._clock,
             placer=self._group.placer,
-            sealer=PositionSealer(
-                tuple(key[:_KEY_BYTES] for key in self._keys.cluster)
-            ),
+            sealer=self._sealer,
             engine_of=self._pool.find,
             nursery=nursery,
             budget=budget,
@@ -258,3 +258,7 @@
 
     def _operator_keys(self) -> tuple[bytes, ...]:
         return self._keys.operators
+
+
+def _sealing_keys(keys: Keys) -> tuple[bytes, ...]:
+    return tuple(key[:_KEY_BYTES] for key in keys.cluster)
--- a/src/cartdale/streams/position.py
+++ b/src/cartdale/streams/position.py
@@ -71,6 +71,10 @@
     def __init__(self, keys: tuple[bytes, ...]) -> None:
         self._keys = keys
 
+    def rotate(self, keys: tuple[bytes, ...]) -> None:
+        """Take other keys; positions of keys still listed stay valid."""
+        self._keys = keys
+
     def seal(self, origin: Origin) -> str:
         """Return the sealed origin, the constant part of every event id."""
         raw = encode_binary(origin)
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -32,6 +32,11 @@
     Then one problem is "limited" with status 429
     And the caller is told when to come back
 
+  Scenario: A broken invariant is no bare error
+    Given the program has a fault
+    When a caller asks for a draft of "writers"
+    Then the problem is "outcome-unknown" with status 502
+
   Scenario: The instance is leaving
     Given the first instance is leaving
     When a caller asks for a draft of "writers"
--- a/tests/test_refusals_feature.py
+++ b/tests/test_refusals_feature.py
@@ -1,7 +1,10 @@
 """Steps of the refusals feature."""
 
+import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from cartdale.callers import app as app_module
+from cartdale.exceptions import InvariantError
 from cartdale_standins.engine import EngineFaults
 from tests.callers import make_body
 from tests.conftest import World
@@ -78,6 +81,14 @@
     assert response.json()['type'] == f'urn:cartdale:problem:{kind}'
 
 
+@given('the program has a fault')
+def break_program(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(*_: object) -> None:
+        raise InvariantError('right_caller', 'a test')
+
+    monkeypatch.setattr(app_module, 'read_generation', fail)
+
+
 @then(parsers.parse('one problem is "{kind}" with status {status:d}'))
 def check_one_problem(world: World, kind: str, status: int) -> None:
     first, second = world.found['responses']
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -139,6 +139,15 @@
     assert PositionSealer((b'else',)).open(f'{sealed}.7.abc') is None
 
 
+def test_positions_outlive_a_rotation_of_keys() -> None:
+    sealer = PositionSealer((b'first',))
+    sealed = sealer.seal(Origin('g', 'u', 'c', 's', 'd'))
+    sealer.rotate((b'second', b'first'))
+    assert sealer.open(f'{sealed}.7.abc') is not None
+    sealer.rotate((b'second',))
+    assert sealer.open(f'{sealed}.7.abc') is None
+
+
 class Link:
     """A link of the randomised run: late, repeated, cut and lost."""
 
