Stop once the last answer ended, with idle connections open

Cause: after SIGTERM an instance did not exit within 90 s. Found by stopping a real process: the server's own graceful wait holds on to idle kept connections (here the operators' listener's); the tests of leaving never waited for the end. Ruled out: the peers' and callers' listeners, which ended by themselves. Change: the instance counts the requests it is answering and stops the listeners when there is none.

--- /dev/null
+++ b/src/cartdale/daemon/inflight.py
@@ -0,0 +1,29 @@
+"""Count the requests that an application is answering."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+AsgiApplication = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+class InFlight:
+    """Pass requests to an application and count those not yet answered.
+
+    A stream counts until its last byte is written. A stop waits for this
+    count: the server's own wait also holds on to idle connections.
+    """
+
+    def __init__(self, application: Any) -> None:
+        self._application: AsgiApplication = application
+        self.count = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one ASGI connection."""
+        if scope['type'] != 'http':
+            await self._application(scope, receive, send)
+            return
+        self.count += 1
+        try:
+            await self._application(scope, receive, send)
+        finally:
+            self.count -= 1
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -19,6 +19,7 @@
 from cartdale.daemon.clients import make_client
 from cartdale.daemon.describe import describe_system
 from cartdale.daemon.group import InstanceGroup
+from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.serve import BoundListener
 from cartdale.daemon.targets import derive_targets
 from cartdale.daemon.upstreams import EnginePool
@@ -43,6 +44,8 @@
 #: Between leaving and closing the listeners, for the balancer to notice.
 _LEAVE_PAUSE: Millis = 3 * SECOND_MS
 _KEY_BYTES = 32
+#: Between looks at whether the last answers have ended.
+_STOP_POLL: Millis = 50
 
 
 class Runtime:
@@ -153,13 +156,19 @@
         logger.info(
             'serving', callers=self.caller_port, operators=self.operator_port
         )
+        callers = InFlight(self._make_callers(nursery).make_app())
+        operators = InFlight(self._make_operators().make_app())
         async with trio.open_nursery() as serving:
             for listener, app in (
-                (self._callers, self._make_callers(nursery).make_app()),
-                (self._operators, self._make_operators().make_app()),
+                (self._callers, callers),
+                (self._operators, operators),
                 (self._peers, self._group.app),
             ):
                 serving.start_soon(listener.serve, app, self._stopping)
+            await self._stopping.wait()
+            while callers.count or operators.count:
+                await trio.sleep(seconds(_STOP_POLL))
+            serving.cancel_scope.cancel()
 
     def _make_callers(self, nursery: trio.Nursery) -> CallerApp:
         budget = RetryBudget()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -49,6 +49,7 @@
     client: httpx.AsyncClient
     runtimes: list[Runtime] = field(default_factory=list)
     scopes: list[trio.CancelScope] = field(default_factory=list)
+    stopped: list[trio.Event] = field(default_factory=list)
 
     def declare(self, **overrides: object) -> dict[str, str]:
         """Return bodies of a small configuration."""
@@ -120,7 +121,9 @@
         self._list_instances()
         scope = trio.CancelScope()
         self.scopes.append(scope)
-        self.nursery.start_soon(self._run, runtime, scope)
+        stopped = trio.Event()
+        self.stopped.append(stopped)
+        self.nursery.start_soon(self._run, runtime, scope, stopped)
         return runtime
 
     def kill(self, index: int) -> None:
@@ -179,9 +182,12 @@
             ),
         )
 
-    async def _run(self, runtime: Runtime, scope: trio.CancelScope) -> None:
+    async def _run(
+        self, runtime: Runtime, scope: trio.CancelScope, stopped: trio.Event
+    ) -> None:
         with scope:
             await runtime.run()
+        stopped.set()
 
 
 @asynccontextmanager
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -31,6 +31,17 @@
         assert got.tokens == expect(LONG, 2500)
 
 
+async def test_idle_connections_do_not_hold_up_a_stop(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path) as stage:
+        await stage.settle(stage.declare())
+        assert (await stream(stage, 0, make_body(SHORT))).done
+        stage.runtimes[0].leave()
+        with trio.fail_after(60):
+            await stage.stopped[0].wait()
+
+
 async def test_others_hear_of_a_leave_at_once(tmp_path: Path) -> None:
     async with open_stage(tmp_path, instances=3) as stage:
         await stage.settle(stage.declare())
