--- a/src/cartdale/command/main.py
+++ b/src/cartdale/command/main.py
@@ -4,6 +4,7 @@
 
 from cleo.application import Application
 
+from cartdale.command.calling import CallCommand, GenerateCommand
 from cartdale.command.planning import (
     ConfirmCommand,
     PlanCommand,
@@ -28,6 +29,8 @@
         HistoryCommand(),
         DrainCommand(),
         ReportCommand(),
+        GenerateCommand(),
+        CallCommand(),
     ):
         application.add(command)
     return application
