Refuse as not run before a configuration is in force

Cause: an instance without a configuration answered 'unauthorised', which is not true; the reason for it stood unused. Found by looking for unused names.

--- a/src/cartdale/callers/app.py
+++ b/src/cartdale/callers/app.py
@@ -22,6 +22,7 @@
 )
 from cartdale.callers.respond import answer_json, answer_problem
 from cartdale.callers.types import Caller, Directory
+from cartdale.clock import Millis
 from cartdale.declarations.types import UpstreamKind
 from cartdale.engines.plain import PlainRequest
 from cartdale.limits.driver import Limiter
@@ -40,6 +41,7 @@
 #: Largest request body, in bytes, and longest time to receive it, seconds.
 BODY_LIMIT = 1048576
 BODY_SECONDS = 30
+_NOT_READY_RETRY: Millis = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,13 +124,17 @@
     async def _admit(
         self, serve: Callable[[Caller], Awaitable[Response]]
     ) -> Response:
+        if self._ports.leaving():
+            return answer_problem(NotRun(NotRunReason.LEAVING, 0))
+        if not self._ports.ready():
+            # Keys cannot be told apart before a configuration is in force.
+            refusal = NotRun(NotRunReason.NOT_READY, _NOT_READY_RETRY)
+            return answer_problem(refusal)
         caller = identify_caller(
             self._ports.directory(), request.headers.get('Authorization', '')
         )
         if isinstance(caller, Failure):
             return answer_problem(caller.failure())
-        if self._ports.leaving():
-            return answer_problem(NotRun(NotRunReason.LEAVING, 0))
         return await serve(caller.unwrap())
 
     async def _charge(self, caller: Caller, service: str) -> Problem | None:
--- a/src/cartdale/command/client.py
+++ b/src/cartdale/command/client.py
@@ -75,13 +75,6 @@
         answer = self._send('POST', path, encode_json(message))
         return self._decode(answer, shape)
 
-    def read_raw(self, path: str) -> bytes:
-        """Read a document as it is.
-
-        :raises CartdaleError: when the instance refuses or is silent.
-        """
-        return self._send('GET', path, b'').content
-
     def _send(self, method: str, path: str, body: bytes) -> httpx.Response:
         try:
             response = self._client.request(method, path, content=body)
--- a/tests/test_streams_end_to_end.py
+++ b/tests/test_streams_end_to_end.py
@@ -21,6 +21,15 @@
         assert len(got.generations) == 1
 
 
+async def test_a_key_is_not_judged_before_there_is_a_configuration(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path) as stage:
+        got = await stream(stage, 0, make_body(LONG))
+        assert got.status == 503
+        assert got.problem['type'] == 'urn:cartdale:problem:not-run'
+
+
 async def test_a_cut_caller_resumes_on_another_instance(
     tmp_path: Path,
 ) -> None:
