Keep work within the cell whose placer was asked

Cause: a placement request named its cell and nobody read the name, so a placer chose among all engines of the service, also those whose load it does not follow; a cell whose engines all drain could be chosen. Found by reading the change again. It shows only above 8 engines of one model, where cells begin to differ; today's services have one cell. Change: the work itself says which upstreams it may run on; the unread field is gone; only cells with an open engine are chosen. Measured: 59 tests of routing, leaving, streams, refusals and the group; the new test was seen to fail without the mend.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -289,7 +289,7 @@
         address = f'http://127.0.0.1:{bound.port}'
         async with trio.open_nursery() as nursery:
             nursery.start_soon(bound.serve, app, trio.Event())
-            asked = PlaceRequest('m/1', make_work('w', 300))
+            asked = PlaceRequest(make_work('w', 300))
             await asking.ask('entry-0001', address, asked, PlaceAnswer)
             began = time.process_time()
             for _ in range(calls):
@@ -327,7 +327,7 @@
     """Sizes of sealed messages, in bytes."""
     client = _seal_client()
     named: dict[str, PeerMessage] = {
-        'place': PlaceRequest('model-1/3', make_work('0' * 24, 300)),
+        'place': PlaceRequest(make_work('0' * 24, 300)),
         'place_answer': PlaceAnswer('engine-123'),
         'borrow': Borrow('customer/customer-123', 4),
         'loan': Loan(4, 0),
--- a/src/cartdale/placement/driver.py
+++ b/src/cartdale/placement/driver.py
@@ -81,8 +81,9 @@
         cell = self._choose_cell(work)
         if cell is None:
             return await self._ports.router.place(named)
+        confined = replace(named, within=tuple(sorted(cell.upstreams)))
         for placer in self._ports.membership.rank(cell.key)[:_PLACERS_TRIED]:
-            placed = await self._ask(placer, cell, named)
+            placed = await self._ask(placer, confined)
             if placed is not None and not _is_leaving(placed):
                 return placed
         return await self._ports.router.place(named)
@@ -151,15 +152,23 @@
             self._ports.declared(), self._cells, work.service
         )
         usable = tuple(
-            cell for cell in cells if not cell.upstreams <= set(work.avoid)
+            cell for cell in cells if self._has_open_engine(cell, work)
         )
         if not usable:
             return None
         return self._generator.choice(usable)
 
-    async def _ask(
-        self, placer: MemberNews, cell: Cell, work: Work
-    ) -> Placed | None:
+    def _has_open_engine(self, cell: Cell, work: Work) -> bool:
+        declared = self._ports.declared()
+        wanted = cell.upstreams.intersection(
+            declared.services[work.service].upstreams
+        )
+        return any(
+            not declared.upstreams[name].draining
+            for name in wanted.difference(work.avoid)
+        )
+
+    async def _ask(self, placer: MemberNews, work: Work) -> Placed | None:
         if placer.name == work.entry:
             return await self._ports.router.place(work)
         now = self._ports.clock.now()
@@ -171,7 +180,7 @@
         answer = await self._ports.peers.ask(
             placer.name,
             placer.address,
-            PlaceRequest(cell.cell_id, relative),
+            PlaceRequest(relative),
             PlaceAnswer,
             patience + _ANSWER_MARGIN,
         )
--- a/src/cartdale/placement/types.py
+++ b/src/cartdale/placement/types.py
@@ -14,7 +14,6 @@
     :param work: its times are relative to the sending, in milliseconds.
     """
 
-    cell_id: str
     work: Work
 
 
--- a/src/cartdale/routing/policy.py
+++ b/src/cartdale/routing/policy.py
@@ -84,7 +84,7 @@
         view = state.engines_by_upstream.get(upstream)
         if view is None or view.draining or view.excluded_until > now:
             continue
-        if upstream in avoid:
+        if upstream in avoid or (work.within and upstream not in work.within):
             continue
         candidates.append(view)
     return candidates
--- a/src/cartdale/routing/types.py
+++ b/src/cartdale/routing/types.py
@@ -20,6 +20,7 @@
     :param deadline_at: latest start, in monotonic milliseconds.
     :param avoid: upstreams that failed it already.
     :param entry: instance that delivers the answer.
+    :param within: upstreams of the cell it was sent to; empty for all.
     """
 
     work_id: str
@@ -35,6 +36,7 @@
     prefix_tokens: int = 0
     avoid: tuple[str, ...] = ()
     entry: str = ''
+    within: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -159,6 +159,13 @@
     assert actions[0].work.work_id == 'b0'
 
 
+def test_work_stays_within_its_cell() -> None:
+    state = make_routing(memory=100_000, engines=3)
+    works = [make_work(f'w{number}', within=('e2',)) for number in range(9)]
+    state, actions = arrive(state, *works)
+    assert {action.upstream for action in actions} == {'e2'}
+
+
 def test_a_draining_engine_gets_nothing() -> None:
     state, actions = arrive(make_routing(draining=True), make_work('w'))
     assert isinstance(actions[0], Refuse)
