Name the failures before sending in one place

The engines', the plain services' and the store's adapters each said which errors mean that nothing was sent; what 'not run' rests on now stands once.

--- a/src/cartdale/engines/http.py
+++ b/src/cartdale/engines/http.py
@@ -26,6 +26,7 @@
     StreamStatus,
 )
 from cartdale.model.types import LoadReport
+from cartdale.transport import NOT_SENT
 
 HEADER_GENERATION = 'X-Request-Id'
 HEADER_PRIORITY = 'X-Priority'
@@ -35,7 +36,6 @@
 #: Wait for the end of a body whose last event has come.
 _DRAIN_PATIENCE: Millis = 200
 
-NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _REFUSALS = frozenset(
     (
         HTTPStatus.BAD_REQUEST,
--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -8,13 +8,13 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis, seconds
-from cartdale.engines.http import NOT_SENT
 from cartdale.engines.types import (
     EngineFailure,
     EngineRefused,
     EngineUnreachable,
     LinkLost,
 )
+from cartdale.transport import NOT_SENT
 
 HEADER_FENCE = 'X-Fence'
 HEADER_KEY = 'Idempotency-Key'
--- a/src/cartdale/store/etcd.py
+++ b/src/cartdale/store/etcd.py
@@ -27,11 +27,10 @@
     Write,
     WriteUnknown,
 )
+from cartdale.transport import NOT_SENT
 
 Answer = TypeVar('Answer')
 
-#: Failures before the request left this process: the write had no effect.
-_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _REFUSED = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
 )
@@ -145,7 +144,7 @@
             response = await self._client.post(
                 path, content=encode_json(request), timeout=self._timeout
             )
-        except _NOT_SENT as error:
+        except NOT_SENT as error:
             return Failure(StoreUnavailable(repr(error)))
         except httpx.HTTPError as late_error:
             return Failure(WriteUnknown(repr(late_error)))
