--- /dev/null
+++ b/src/cartdale/daemon/gateway.py
@@ -0,0 +1,180 @@
+"""Runtime of an entry instance on the users' platform."""
+
+import random
+import signal
+import zlib
+from pathlib import Path
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from loguru import logger
+
+from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
+from cartdale.daemon.clients import make_client
+from cartdale.exceptions import BadInputError
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.follow import Follower
+from cartdale.gateway.app import GatewayApp, GatewayPorts
+from cartdale.gateway.ready import ReadyApp
+from cartdale.moves.driver import Mover
+from cartdale.platform.names import PATH_READY
+from cartdale.platform.settings import (
+    Endpoint,
+    PlatformSettings,
+    load_platform_settings,
+)
+from cartdale.platform.store import PlatformStore
+from cartdale.platform.translate import PlatformWire, make_translator
+from cartdale.platform.upstreams import PlatformUpstreams
+from cartdale.relay.admission import Admission
+from cartdale.relay.ports import RelayPorts
+from cartdale.retries.window import RepeatBudget
+from cartdale.routes.types import RoutingTable
+
+_STORE_TIMEOUT: Millis = SECOND_MS
+#: After SIGTERM the balancer asks twice, a second apart, until it sends no
+#: new connections; what still comes in that time is served.
+_LEAVE_PAUSE: Millis = 3 * SECOND_MS
+#: Before the platform's SIGKILL, what still runs is cut and logged.
+_STOP_MARGIN: Millis = 300
+_STOP_POLL: Millis = 50
+_GRACEFUL_SECONDS = 86400
+_BACKLOG = 512
+#: Events that wait for an application that does not read.
+_QUEUE = 32
+
+
+class GatewayRuntime:
+    """Run one entry instance on the platform.
+
+    :param path: the platform's settings file.
+    """
+
+    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = SystemClock()
+        seed = zlib.crc32(settings.name.encode())
+        self._fleet = Fleet(self._clock, settings.failure_domain, seed)
+        self._store = PlatformStore(
+            make_client(_base_url(settings.store)), _STORE_TIMEOUT
+        )
+        self._follower = Follower(
+            self._store, self._fleet, self._clock, make_translator()
+        )
+        upstreams = PlatformUpstreams()
+        self._mover = Mover(self._fleet, upstreams, self._clock)
+        bounds = settings.bounds
+        relay = RelayPorts(
+            clock=self._clock,
+            fleet=self._fleet,
+            admission=Admission(self._fleet, self._clock),
+            upstreams=upstreams,
+            budget=RepeatBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            ),
+        )
+        relay.budget.sharers = 16
+        self._app = GatewayApp(
+            GatewayPorts(
+                relay=relay,
+                mover=self._mover,
+                wire=PlatformWire(),
+                clock=self._clock,
+                table=self._read_table,
+                leaving=self._is_leaving,
+                generator=random.Random(seed),
+            ),
+        )
+        self._leaving = False
+        self._stopping = trio.Event()
+        self._callers = _configure(settings.callers)
+        self._ready = _configure(settings.ready)
+
+    async def run(self) -> None:
+        """Serve until the instance was told to leave and all work ended."""
+        logger.info('started', instance=self._settings.name)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._obey_signals, nursery.cancel_scope)
+            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._fleet.run)
+            nursery.start_soon(self._mover.run)
+            nursery.start_soon(self._follow_limits)
+            for app, config in (
+                (self._app, self._callers),
+                (ReadyApp(PATH_READY, self._is_ready), self._ready),
+            ):
+                nursery.start_soon(self._serve, app, config)
+        logger.info('stopped', instance=self._settings.name)
+
+    async def _serve(self, app: object, config: Config) -> None:
+        await serve(
+            app,  # type: ignore[arg-type]
+            config,
+            mode='asgi',
+            shutdown_trigger=self._stopping.wait,
+        )
+
+    async def _obey_signals(self, scope: trio.CancelScope) -> None:
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*wanted) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                break
+            await self._leave()
+        scope.cancel()
+
+    async def _leave(self) -> None:
+        began = self._clock.now()
+        self._leaving = True
+        logger.info('leaving', in_flight=self._app.in_flight)
+        await trio.sleep(seconds(_LEAVE_PAUSE))
+        self._stopping.set()
+        last = began + self._settings.bounds.grace - _STOP_MARGIN
+        while self._app.in_flight and self._clock.now() < last:
+            await trio.sleep(seconds(_STOP_POLL))
+        logger.info('left', in_flight=self._app.in_flight)
+
+    def _reload(self) -> None:
+        try:
+            load_platform_settings(self._path)
+        except BadInputError as error:
+            logger.error('settings refused', detail=error.format_message())
+            return
+        logger.info('settings reloaded')
+
+    async def _follow_limits(self) -> None:
+        while True:
+            limits = self._fleet.table.limits
+            self._callers.keep_alive_timeout = limits.idle_timeout / SECOND_MS
+            self._callers.h11_max_incomplete_size = limits.header_bytes
+            await trio.sleep(1)
+
+    def _read_table(self) -> RoutingTable:
+        return self._fleet.table
+
+    def _is_leaving(self) -> bool:
+        return self._leaving
+
+    def _is_ready(self) -> bool:
+        return bool(self._fleet.table.version) and not self._leaving
+
+
+def _base_url(endpoint: Endpoint) -> str:
+    return f'http://{endpoint.address}:{endpoint.port}'
+
+
+def _configure(endpoint: Endpoint) -> Config:
+    config = Config()
+    config.bind = [f'{endpoint.address}:{endpoint.port}']
+    config.graceful_timeout = _GRACEFUL_SECONDS
+    config.backlog = _BACKLOG
+    config.max_app_queue_size = _QUEUE
+    config.include_server_header = False
+    config.include_date_header = False
+    config.accesslog = None
+    config.errorlog = None
+    return config
--- /dev/null
+++ b/src/cartdale/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet: the upstreams of every service, as one instance believes them to be."""
--- /dev/null
+++ b/src/cartdale/fleet/decide.py
@@ -0,0 +1,158 @@
+"""Decide which upstreams exist, which are leaving and which to avoid."""
+
+from dataclasses import replace
+from typing import assert_never
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.fleet.types import (
+    Action,
+    BeganLeaving,
+    Decision,
+    EntriesListed,
+    EntryRemoved,
+    EntryWritten,
+    FleetState,
+    Lifecycle,
+    Message,
+    Replaced,
+    RequestEnded,
+    TimePassed,
+    Upstream,
+    UpstreamEntry,
+    Vanished,
+)
+
+#: An entry that lapsed in an outage comes back within about two seconds.
+LAPSED_KEPT_MS: Millis = 2 * SECOND_MS
+#: A removed upstream is forgotten after so long; until then its running work
+#: is still known to be there.
+LEAVING_KEPT_MS: Millis = 30 * SECOND_MS
+#: Weight of one request in the share of failed requests.
+_FAILING_WEIGHT = 0.2
+#: First and longest time that an upstream which does not answer is avoided.
+_AVOID_MS: Millis = 500
+_AVOID_LONGEST_MS: Millis = 4 * SECOND_MS
+
+
+def decide(state: FleetState, message: Message, now: Millis) -> Decision:
+    """Take one message.
+
+    :param now: monotonic milliseconds.
+    :returns: the next state, and which upstreams began to leave or vanished.
+    """
+    match message:
+        case EntriesListed():
+            return _list(state, message, now)
+        case EntryWritten(entry=entry):
+            return _write(state, entry, now)
+        case EntryRemoved():
+            return _remove(state, message, now)
+        case RequestEnded():
+            return _count(state, message, now), ()
+        case Replaced(upstream=name):
+            return _drop(state, (name,))
+        case TimePassed():
+            return _expire(state, now)
+        case _:
+            assert_never(message)
+
+
+def _list(state: FleetState, message: EntriesListed, now: Millis) -> Decision:
+    actions: list[Action] = []
+    listed = {entry.upstream for entry in message.entries}
+    for entry in message.entries:
+        state, began = _write(state, entry, now)
+        actions.extend(began)
+    for name in state.upstreams_by_id:
+        if name in listed:
+            continue
+        removed = EntryRemoved(name, message.after_outage)
+        state, began = _remove(state, removed, now)
+        actions.extend(began)
+    return state, tuple(actions)
+
+
+def _write(state: FleetState, entry: UpstreamEntry, now: Millis) -> Decision:
+    known = state.upstreams_by_id.get(entry.upstream)
+    if known is None:
+        known = Upstream(entry, entry.lifecycle, now, now + entry.cold_for)
+        after = _put(state, known)
+        return after, _announce(known)
+    if known.lifecycle is Lifecycle.LEAVING:
+        return state, ()
+    changed = replace(known, entry=entry, lifecycle=entry.lifecycle)
+    if changed.lifecycle is not known.lifecycle:
+        changed = replace(changed, changed_at=now)
+    if entry.lifecycle is Lifecycle.LEAVING:
+        return _put(state, changed), _announce(changed)
+    return _put(state, changed), ()
+
+
+def _announce(upstream: Upstream) -> tuple[Action, ...]:
+    if upstream.lifecycle is Lifecycle.LEAVING:
+        return (BeganLeaving(upstream.entry.upstream),)
+    return ()
+
+
+def _remove(state: FleetState, message: EntryRemoved, now: Millis) -> Decision:
+    known = state.upstreams_by_id.get(message.upstream)
+    if known is None or known.lifecycle is Lifecycle.LEAVING:
+        return state, ()
+    if message.after_outage:
+        if known.lifecycle is Lifecycle.LAPSED:
+            return state, ()
+        lapsed = replace(known, lifecycle=Lifecycle.LAPSED, changed_at=now)
+        return _put(state, lapsed), ()
+    leaving = replace(known, lifecycle=Lifecycle.LEAVING, changed_at=now)
+    return _put(state, leaving), _announce(leaving)
+
+
+def _count(state: FleetState, message: RequestEnded, now: Millis) -> FleetState:
+    known = state.upstreams_by_id.get(message.upstream)
+    if known is None:
+        return state
+    failed = 0 if message.good else 1
+    failing = known.failing + _FAILING_WEIGHT * (failed - known.failing)
+    if message.reached:
+        counted = replace(known, failing=failing, strikes=0, avoided_until=0)
+        return _put(state, counted)
+    pause = min(_AVOID_MS * 2**known.strikes, _AVOID_LONGEST_MS)
+    struck = replace(
+        known,
+        failing=failing,
+        strikes=known.strikes + 1,
+        avoided_until=now + pause,
+    )
+    return _put(state, struck)
+
+
+def _expire(state: FleetState, now: Millis) -> Decision:
+    actions: list[Action] = []
+    vanished: list[str] = []
+    for name, upstream in state.upstreams_by_id.items():
+        age = now - upstream.changed_at
+        match upstream.lifecycle:
+            case Lifecycle.LAPSED if age >= LAPSED_KEPT_MS:
+                state, began = _remove(state, EntryRemoved(name), now)
+                actions.extend(began)
+            case Lifecycle.LEAVING if age >= LEAVING_KEPT_MS:
+                vanished.append(name)
+    state, dropped = _drop(state, tuple(vanished))
+    return state, (*actions, *dropped)
+
+
+def _drop(state: FleetState, names: tuple[str, ...]) -> Decision:
+    if not any(name in state.upstreams_by_id for name in names):
+        return state, ()
+    remaining = {
+        name: upstream
+        for name, upstream in state.upstreams_by_id.items()
+        if name not in names
+    }
+    return FleetState(remaining), tuple(Vanished(name) for name in names)
+
+
+def _put(state: FleetState, upstream: Upstream) -> FleetState:
+    upstreams_by_id = dict(state.upstreams_by_id)
+    upstreams_by_id[upstream.entry.upstream] = upstream
+    return FleetState(upstreams_by_id)
--- /dev/null
+++ b/src/cartdale/fleet/driver.py
@@ -0,0 +1,102 @@
+"""Hold the fleet and tell those who wait for changes."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.fleet.choose import (
+    Need,
+    Surroundings,
+    choose,
+    list_candidates,
+)
+from cartdale.fleet.decide import decide
+from cartdale.fleet.loads import LoadBook
+from cartdale.fleet.types import (
+    BeganLeaving,
+    FleetState,
+    Message,
+    TimePassed,
+    Upstream,
+)
+from cartdale.routes.types import RoutingTable, ServiceSpec
+
+_TICK: Millis = 200
+
+Left = Callable[[str], None]
+
+
+class Fleet:
+    """Own the state of the upstreams and the choice among them.
+
+    :param failure_domain: where this instance runs.
+    :param seed: makes the choices repeatable.
+    """
+
+    def __init__(self, clock: Clock, failure_domain: str, seed: int) -> None:
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._generator = random.Random(seed)
+        self.state = FleetState()
+        self.loads = LoadBook()
+        self.table = RoutingTable()
+        self.on_leaving: Left | None = None
+        self._changed = trio.Event()
+
+    def tell(self, message: Message) -> None:
+        """Take one message and act on what follows from it."""
+        before = self.state
+        self.state, actions = decide(before, message, self._clock.now())
+        for action in actions:
+            logger.info('upstream changed', change=repr(action))
+            if isinstance(action, BeganLeaving) and self.on_leaving:
+                self.on_leaving(action.upstream)
+        if self.state is not before:
+            self.notify()
+
+    def notify(self) -> None:
+        """Wake those who wait for room."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def changed(self) -> None:
+        """Wait until room may have come up."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Let time pass, for ever."""
+        while True:
+            await trio.sleep(seconds(_TICK))
+            self.tell(TimePassed())
+
+    def find(self, upstream: str) -> Upstream | None:
+        """Return what is known of an upstream."""
+        return self.state.upstreams_by_id.get(upstream)
+
+    def choose(
+        self, need: Need, failure_domain: str | None = None
+    ) -> Upstream | None:
+        """Return an upstream with room for a request, or ``None``.
+
+        :param failure_domain: where the work comes from; this instance's
+            own when left out.
+        """
+        spec = self.table.services_by_name.get(need.service)
+        if spec is None:
+            spec = ServiceSpec(need.service, '', 0)
+        now = self._clock.now()
+        around = Surroundings(
+            spec=spec,
+            loads_by_upstream=self.loads.totals(now),
+            failure_domain=failure_domain or self._failure_domain,
+            now=now,
+        )
+        candidates = list_candidates(self.state, need)
+        return choose(candidates, need, around, self._generator)
+
+    def has_any(self, service: str) -> bool:
+        """Tell whether any upstream of the service takes new work."""
+        return bool(list_candidates(self.state, Need(service)))
--- /dev/null
+++ b/src/cartdale/fleet/follow.py
@@ -0,0 +1,202 @@
+"""Keep the routing table and the fleet in step with the store.
+
+One waiting watch covers all keys. After a failure, or when the store has
+forgotten what happened since, everything is read anew.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+from tenacity import AsyncRetrying, retry_if_result, wait_random_exponential
+
+from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import (
+    EntriesListed,
+    EntryRemoved,
+    EntryWritten,
+    UpstreamEntry,
+)
+from cartdale.routes.types import RoutingTable
+from cartdale.store.types import (
+    Entry,
+    HistoryLost,
+    Listing,
+    Removed,
+    StoreFailure,
+    WatchedStore,
+)
+
+#: How long the store holds a watch without a change. A lost watch is noticed
+#: after so long at the latest.
+WATCH_FOR: Millis = 5 * SECOND_MS
+#: An entry that goes within this time after an outage may come back.
+_OUTAGE_SHADOW: Millis = 3 * SECOND_MS
+#: First and longest pause between calls while the store fails.
+_PAUSE_SECONDS = 0.1
+_LONGEST_PAUSE_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class TableWritten:
+    """The operator wrote a configuration."""
+
+    table: RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A value in the store can't be used; what was in force stays."""
+
+    detail: str
+
+
+News = TableWritten | EntryWritten | EntryRemoved | Unreadable
+
+
+@dataclass(frozen=True, slots=True)
+class Translator:
+    """Translate stored keys to news.
+
+    :param prefixes: what to read; the whole store is watched.
+    :param translate: returns ``None`` for keys of no interest.
+    """
+
+    prefixes: tuple[str, ...]
+    translate: Callable[[Entry | Removed], News | None]
+
+
+class Follower:
+    """Follow the store."""
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        fleet: Fleet,
+        clock: Clock,
+        translator: Translator,
+    ) -> None:
+        self._store = store
+        self._fleet = fleet
+        self._clock = clock
+        self._translator = translator
+        self._failed_at: Millis | None = None
+
+    async def run(self) -> None:
+        """Follow the store, for ever."""
+        while True:
+            revision = await self._read_all()
+            await self._watch(revision)
+
+    def adopt(self, table: RoutingTable) -> None:
+        """Put a configuration in force unless it is older than the present.
+
+        :param table: from the store or from a peer.
+        """
+        if table.version <= self._fleet.table.version:
+            return
+        self._fleet.table = table
+        self._fleet.notify()
+        logger.info('configuration in force', version=table.version)
+
+    async def _read_all(self) -> int:
+        """Read every prefix; return the revision to watch from."""
+        entries: list[Entry] = []
+        revision = 0
+        for prefix in self._translator.prefixes:
+            listing = await self._insist(prefix)
+            entries.extend(listing.entries)
+            oldest = listing.store_revision
+            revision = min(revision, oldest) if revision else oldest
+        self._take_all(entries)
+        return revision
+
+    async def _insist(self, prefix: str) -> Listing:
+        """Read a prefix until the store answers."""
+        retrying = AsyncRetrying(
+            sleep=trio.sleep,
+            retry=retry_if_result(_is_failure),
+            wait=wait_random_exponential(
+                _PAUSE_SECONDS, max=_LONGEST_PAUSE_SECONDS
+            ),
+        )
+        answer: Result[Listing, StoreFailure] = await retrying(
+            self._read_prefix, prefix
+        )
+        return answer.unwrap()
+
+    async def _read_prefix(self, prefix: str) -> Result[Listing, StoreFailure]:
+        entries: list[Entry] = []
+        start = ''
+        revision = 0
+        while True:
+            answer = await self._store.fetch(prefix, start)
+            if not isinstance(answer, Success):
+                self._note_failure(repr(answer.failure()))
+                return answer
+            page = answer.unwrap()
+            entries.extend(page.entries)
+            revision = revision or page.store_revision
+            if not page.more or not page.entries:
+                return Success(Listing(tuple(entries), revision))
+            start = page.entries[-1].key
+
+    def _take_all(self, entries: Iterable[Entry]) -> None:
+        listed: list[UpstreamEntry] = []
+        for entry in entries:
+            news = self._translator.translate(entry)
+            if isinstance(news, EntryWritten):
+                listed.append(news.entry)
+            elif news is not None:
+                self._take(news)
+        shadowed = self._in_shadow()
+        self._fleet.tell(EntriesListed(tuple(listed), shadowed))
+
+    async def _watch(self, revision: int) -> None:
+        """Follow changes until the store fails or has forgotten some."""
+        while True:
+            answer = await self._store.watch('', revision, WATCH_FOR)
+            match answer:
+                case Success(changes):
+                    for change in changes.changes:
+                        news = self._translator.translate(change)
+                        if news is not None:
+                            self._take(news)
+                    revision = max(revision, changes.store_revision)
+                case Failure(HistoryLost()):
+                    logger.info('store forgot history', revision=revision)
+                    return
+                case Failure(failure):
+                    self._note_failure(repr(failure))
+                    await trio.sleep(_PAUSE_SECONDS)
+                    return
+
+    def _take(self, news: News) -> None:
+        match news:
+            case TableWritten(table=table):
+                self.adopt(table)
+            case EntryWritten():
+                self._fleet.tell(news)
+            case EntryRemoved(upstream=upstream):
+                shadowed = self._in_shadow()
+                self._fleet.tell(EntryRemoved(upstream, shadowed))
+            case Unreadable(detail=detail):
+                logger.error('stored value unreadable', detail=detail)
+
+    def _note_failure(self, detail: str) -> None:
+        if not self._in_shadow():
+            logger.warning('store lost', detail=detail)
+        self._failed_at = self._clock.now()
+
+    def _in_shadow(self) -> bool:
+        """Tell whether the store was away within the last seconds."""
+        if self._failed_at is None:
+            return False
+        return self._clock.now() - self._failed_at <= _OUTAGE_SHADOW
+
+
+def _is_failure(answer: Result[Listing, StoreFailure]) -> bool:
+    return not isinstance(answer, Success)
--- /dev/null
+++ b/src/cartdale/fleet/loads.py
@@ -0,0 +1,117 @@
+"""Loads: what this instance and its peers have running at each upstream."""
+
+from dataclasses import dataclass
+
+from cartdale.clock import SECOND_MS, Millis
+
+#: A peer's load counts for so long after it was last heard.
+PEER_LOAD_KEPT_MS: Millis = 3 * SECOND_MS
+#: A generation that outruns its estimate is expected to make this much more
+#: of what it has made: for lognormal lengths the rest grows with the age.
+_OUTRUN_SHARE = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Sum up the work at one upstream.
+
+    :param runs: requests that run or wait there.
+    :param tokens: memory that they hold now.
+    :param growth: tokens that they are still expected to make.
+    :param reading: prompt tokens of those that have not begun to answer.
+    """
+
+    runs: int = 0
+    tokens: int = 0
+    growth: int = 0
+    reading: int = 0
+
+    def add(self, other: 'Load') -> 'Load':
+        """Return the sum."""
+        return Load(
+            self.runs + other.runs,
+            self.tokens + other.tokens,
+            self.growth + other.growth,
+            self.reading + other.reading,
+        )
+
+
+class Assignment:
+    """Follow one request at one upstream.
+
+    :param prompt: tokens to read, 0 for a plain request.
+    :param expected: tokens that it is expected to make, at the median.
+    :param made: tokens made before it came here.
+    """
+
+    __slots__ = ('began', 'expected', 'made', 'prompt', 'upstream')
+
+    def __init__(
+        self, upstream: str, prompt: int, expected: int, made: int = 0
+    ) -> None:
+        self.upstream = upstream
+        self.prompt = prompt
+        self.expected = expected
+        self.made = made
+        self.began = made > 0
+
+    def advance(self, tokens: int) -> None:
+        """Count tokens that arrived."""
+        self.began = True
+        self.made += tokens
+
+    def load(self) -> Load:
+        """Return what it adds to its upstream's load."""
+        left = max(self.expected - self.made, int(self.made * _OUTRUN_SHARE))
+        return Load(
+            runs=1,
+            tokens=self.prompt + self.made,
+            growth=left if self.prompt else 0,
+            reading=0 if self.began else self.prompt,
+        )
+
+
+class LoadBook:
+    """Hold the work of this instance, and what peers said of theirs."""
+
+    def __init__(self) -> None:
+        self._assignments: set[Assignment] = set()
+        self._peers_by_name: dict[str, tuple[Millis, dict[str, Load]]] = {}
+        self.version = 0
+
+    def assign(self, assignment: Assignment) -> None:
+        """Add a request to an upstream."""
+        self._assignments.add(assignment)
+        self.version += 1
+
+    def release(self, assignment: Assignment) -> None:
+        """Remove a request from its upstream."""
+        self._assignments.discard(assignment)
+        self.version += 1
+
+    def hear(
+        self, peer: str, loads_by_upstream: dict[str, Load], now: Millis
+    ) -> None:
+        """Replace what a peer has running."""
+        self._peers_by_name[peer] = (now, loads_by_upstream)
+
+    def own(self) -> dict[str, Load]:
+        """Return this instance's load by upstream."""
+        loads_by_upstream: dict[str, Load] = {}
+        for assignment in self._assignments:
+            before = loads_by_upstream.get(assignment.upstream, Load())
+            loads_by_upstream[assignment.upstream] = before.add(
+                assignment.load()
+            )
+        return loads_by_upstream
+
+    def totals(self, now: Millis) -> dict[str, Load]:
+        """Return everybody's load by upstream, as far as it is known."""
+        totals_by_upstream = self.own()
+        for heard_at, loads_by_upstream in self._peers_by_name.values():
+            if now - heard_at > PEER_LOAD_KEPT_MS:
+                continue
+            for upstream, load in loads_by_upstream.items():
+                before = totals_by_upstream.get(upstream, Load())
+                totals_by_upstream[upstream] = before.add(load)
+        return totals_by_upstream
--- /dev/null
+++ b/src/cartdale/fleet/types.py
@@ -0,0 +1,170 @@
+"""Types of the fleet: upstreams, what they report and how they fare."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cartdale.clock import Millis
+
+
+class Lifecycle(StrEnum):
+    """Say whether an upstream takes new work."""
+
+    LIVE = 'live'
+    #: Said that it leaves, or was removed while it may still serve.
+    LEAVING = 'leaving'
+    #: Its entry went during an outage of the store; it may come back.
+    LAPSED = 'lapsed'
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """Describe an upstream as it described itself in the store.
+
+    :param upstream: new with every start of the upstream.
+    :param address: ``IP:PORT``.
+    :param cold_for: how much longer it is slow after its start.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    lifecycle: Lifecycle = Lifecycle.LIVE
+    cold_for: Millis = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """Describe a generation as its engine reported it.
+
+    :param tokens: memory that it holds.
+    :param events: events made so far.
+    """
+
+    request_id: str
+    tokens: int
+    events: int
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """Tell what an engine held some hundred milliseconds ago.
+
+    :param used_tokens: memory that can't give way.
+    :param leaves_in: time until the engine is gone, if it is known.
+    """
+
+    running: int
+    waiting: int
+    used_tokens: int
+    total_tokens: int
+    leaves_in: Millis | None = None
+    runs: tuple[RunReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """Hold what this instance believes of one upstream.
+
+    :param warm_at: when it stops being slow after its start.
+    :param failing: share of recent requests that failed, 0 to 1.
+    :param strikes: failures in a row that show it unreachable.
+    :param avoided_until: no new work before this time, if others can.
+    """
+
+    entry: UpstreamEntry
+    lifecycle: Lifecycle
+    changed_at: Millis
+    warm_at: Millis = 0
+    failing: float = 0
+    strikes: int = 0
+    avoided_until: Millis = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetState:
+    """Hold all upstreams by their ids."""
+
+    upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesListed:
+    """The store listed all entries.
+
+    :param after_outage: whether the store was away before.
+    """
+
+    entries: tuple[UpstreamEntry, ...]
+    after_outage: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EntryWritten:
+    """An upstream wrote its entry."""
+
+    entry: UpstreamEntry
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRemoved:
+    """An upstream's entry is gone.
+
+    :param after_outage: whether the store was away shortly before.
+    """
+
+    upstream: str
+    after_outage: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """A request's attempt at an upstream ended.
+
+    :param good: whether the upstream did what it was asked.
+    :param reached: whether the upstream answered at all.
+    """
+
+    upstream: str
+    good: bool
+    reached: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """Another upstream answered at this one's address."""
+
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """Drop what lapsed and did not come back."""
+
+
+@dataclass(frozen=True, slots=True)
+class BeganLeaving:
+    """Tell that running work should move away from an upstream."""
+
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class Vanished:
+    """Tell that an upstream was dropped."""
+
+    upstream: str
+
+
+Message = (
+    EntriesListed
+    | EntryWritten
+    | EntryRemoved
+    | RequestEnded
+    | Replaced
+    | TimePassed
+)
+Action = BeganLeaving | Vanished
+Decision = tuple[FleetState, tuple[Action, ...]]
--- /dev/null
+++ b/src/cartdale/gateway/app.py
@@ -0,0 +1,316 @@
+"""Serve callers' requests over HTTP: route them and stream the answers.
+
+A plain ASGI application, since a framework would cost more for each event
+than passing it on does.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.clock import Clock, Millis
+from cartdale.codec import encode_json
+from cartdale.moves.driver import Mover
+from cartdale.problems.types import (
+    NotRun,
+    NotRunReason,
+    Problem,
+    describe,
+)
+from cartdale.relay.plain import PlainCarrier
+from cartdale.relay.ports import RelayPorts
+from cartdale.relay.stream import StreamCarrier, StreamEnd
+from cartdale.relay.types import CallerRequest, Headers, RoutedRequest
+from cartdale.routes.match import (
+    find_route,
+    needs_key,
+    pick_service,
+    rank_request,
+)
+from cartdale.routes.types import Customer, Route, RouteKind, RoutingTable
+
+AsgiEvent = dict[str, Any]
+Receive = Callable[[], Awaitable[AsgiEvent]]
+Send = Callable[[AsgiEvent], Awaitable[None]]
+
+#: When a caller should come back to an instance that is not ready yet.
+_NOT_READY_WAIT: Millis = 500
+#: Tokens in an event where the engine does not say.
+EVENT_TOKENS = 4
+
+
+class Wire(Protocol):
+    """Translate between the wire's headers and the product's types."""
+
+    def read_request(
+        self, method: str, target: bytes, headers: Headers
+    ) -> CallerRequest:
+        """Read the head of a request."""
+
+    def write_refusal(self, status: int, retry_after: Millis) -> Headers:
+        """Return the headers of an answer of our own."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayPorts:
+    """Hold what the gateway works with.
+
+    :param table: reads the routing table in force.
+    :param leaving: tells whether connections should be closed.
+    """
+
+    relay: RelayPorts
+    mover: Mover
+    wire: Wire
+    clock: Clock
+    table: Callable[[], RoutingTable]
+    leaving: Callable[[], bool]
+    generator: random.Random
+
+
+class _Refused(Exception):
+    """Carry a refusal out of the routing of a request."""
+
+    def __init__(self, status: HTTPStatus) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class GatewayApp:
+    """Answer callers' requests as an ASGI application."""
+
+    def __init__(self, ports: GatewayPorts) -> None:
+        self._ports = ports
+        self.in_flight = 0
+
+    async def __call__(
+        self, scope: AsgiEvent, receive: Receive, send: Send
+    ) -> None:
+        """Answer one ASGI connection."""
+        if scope['type'] == 'lifespan':
+            await live(receive, send)
+            return
+        if scope['type'] != 'http':
+            return
+        self.in_flight += 1
+        try:
+            await _Exchange(self._ports, scope, receive, send).answer()
+        finally:
+            self.in_flight -= 1
+
+
+class _Exchange:
+    """Answer one request."""
+
+    def __init__(
+        self,
+        ports: GatewayPorts,
+        scope: AsgiEvent,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._ports = ports
+        self._receive = receive
+        self._sink = AsgiSink(send, ports.leaving)
+        self._arrived_at = ports.clock.now()
+        query: bytes = scope['query_string']
+        target: bytes = scope['raw_path']
+        if query:
+            target = target + b'?' + query
+        self._request = ports.wire.read_request(
+            scope['method'], target, tuple(scope['headers'])
+        )
+
+    async def answer(self) -> None:
+        """Read the request, carry it and write the answer."""
+        body = await self._read_body()
+        if body is None:
+            return
+        self._request = replace(self._request, body=body)
+        try:
+            routed = self._route()
+        except _Refused as refused:
+            await self._refuse_plainly(refused.status)
+            return
+        if routed is None:
+            wait = NotRun(NotRunReason.NOT_READY, _NOT_READY_WAIT)
+            await self._refuse(wait)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._carry(routed)
+            nursery.cancel_scope.cancel()
+
+    async def _read_body(self) -> bytes | None:
+        """Return the body; ``None`` when the caller left or sent too much."""
+        parts: list[bytes] = []
+        size = 0
+        limit = self._ports.table().limits.body_bytes
+        while True:
+            event = await self._receive()
+            if event['type'] == 'http.disconnect':
+                return None
+            part: bytes = event.get('body', b'')
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                await self._refuse_plainly(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                return None
+            if not event.get('more_body', False):
+                return b''.join(parts)
+
+    def _route(self) -> RoutedRequest | None:
+        table = self._ports.table()
+        if not table.version:
+            return None
+        request = self._request
+        route = find_route(table, request.host, request.path)
+        if route is None:
+            raise _Refused(HTTPStatus.NOT_FOUND)
+        customer = table.customers_by_key.get(request.key)
+        if customer is None and needs_key(table, route):
+            raise _Refused(HTTPStatus.UNAUTHORIZED)
+        return self._make_routed(route, customer)
+
+    def _make_routed(
+        self, route: Route, customer: Customer | None
+    ) -> RoutedRequest:
+        longest = route.timeout
+        if self._request.deadline:
+            longest = min(longest, self._request.deadline)
+        return RoutedRequest(
+            request=self._request,
+            route=route,
+            service=pick_service(route, self._ports.generator),
+            customer=customer.name if customer else '',
+            priority=rank_request(route, customer),
+            arrived_at=self._arrived_at,
+            ends_at=self._arrived_at + longest,
+        )
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Stop the work once the caller has left."""
+        while True:
+            event = await self._receive()
+            if event['type'] == 'http.disconnect':
+                logger.info('caller left', request=self._request.request_id)
+                scope.cancel()
+                return
+
+    async def _carry(self, routed: RoutedRequest) -> None:
+        if routed.route.kind is RouteKind.STREAM:
+            await self._carry_stream(routed)
+            return
+        carrier = PlainCarrier(self._ports.relay, routed)
+        match await carrier.carry():
+            case Success(whole):
+                await self._sink.start(
+                    whole.status, whole.headers, len(whole.body)
+                )
+                await self._sink.write(whole.body)
+                await self._sink.finish()
+            case Failure(problem):
+                await self._refuse(problem)
+
+    async def _carry_stream(self, routed: RoutedRequest) -> None:
+        carrier = StreamCarrier(
+            self._ports.relay, routed, self._sink, EVENT_TOKENS
+        )
+        self._ports.mover.add(carrier)
+        try:
+            outcome = await carrier.carry()
+        finally:
+            self._ports.mover.remove(carrier)
+        match outcome:
+            case Success(end):
+                _log_end(self._request.request_id, end, carrier.events)
+            case Failure(problem):
+                await self._refuse(problem)
+
+    async def _refuse(self, problem: Problem) -> None:
+        document = describe(problem)
+        logger.info(
+            'refused',
+            request=self._request.request_id,
+            problem=repr(problem),
+            held=self._ports.clock.now() - self._arrived_at,
+        )
+        wait = getattr(problem, 'retry_after', 0)
+        await self._write(document.status, wait, encode_json(document))
+
+    async def _refuse_plainly(self, status: HTTPStatus) -> None:
+        logger.info(
+            'refused',
+            request=self._request.request_id,
+            status=int(status),
+            version=self._ports.table().version,
+        )
+        await self._write(status, 0, b'')
+
+    async def _write(self, status: int, wait: Millis, body: bytes) -> None:
+        headers = self._ports.wire.write_refusal(status, wait)
+        await self._sink.start(status, headers, len(body))
+        await self._sink.write(body)
+        await self._sink.finish()
+
+
+class AsgiSink:
+    """Write an answer as ASGI events.
+
+    :param leaving: tells whether the connection is to be closed after it.
+    """
+
+    def __init__(self, send: Send, leaving: Callable[[], bool]) -> None:
+        self._send = send
+        self._leaving = leaving
+
+    async def start(
+        self, status: int, headers: Headers, length: int | None = None
+    ) -> None:
+        """Write the head.
+
+        :param length: size of the body in bytes, if it is known.
+        """
+        written = list(headers)
+        if length is not None:
+            written.append((b'content-length', str(length).encode()))
+        if self._leaving():
+            written.append((b'connection', b'close'))
+        event = {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': written,
+        }
+        await self._send(event)
+
+    async def write(self, chunk: bytes) -> None:
+        """Write a part of the body."""
+        event = {
+            'type': 'http.response.body',
+            'body': chunk,
+            'more_body': True,
+        }
+        await self._send(event)
+
+    async def finish(self) -> None:
+        """Mark the body as whole."""
+        await self._send({'type': 'http.response.body', 'body': b''})
+
+
+async def live(receive: Receive, send: Send) -> None:
+    """Answer the server's events of start and stop."""
+    while True:
+        event = await receive()
+        await send({'type': f'{event["type"]}.complete'})
+        if event['type'] == 'lifespan.shutdown':
+            return
+
+
+def _log_end(request_id: str, end: StreamEnd, events: int) -> None:
+    logger.info('stream ended', request=request_id, end=end, events=events)
--- a/src/cartdale/logs.py
+++ b/src/cartdale/logs.py
@@ -1,7 +1,10 @@
 """Logs: structured lines, as text for people or JSON for programs."""
 
+import os
 import sys
+from typing import Any
 
+import msgspec
 from loguru import logger
 
 from cartdale.settings.types import LogForm, Logging
@@ -27,3 +30,66 @@
         backtrace=False,
         diagnose=False,
     )
+
+
+class PipeSink:
+    """Write lines to a pipe without ever waiting for its reader.
+
+    Lines that don't fit are counted, and the count is told once the pipe
+    has room again.
+
+    :param descriptor: where to write; it is made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._rest = b''
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or count it as dropped."""
+        if not self._flush(self._rest):
+            self.dropped += 1
+            return
+        if self.dropped:
+            line = b'{"event":"lines dropped","count":%d}\n%s' % (
+                self.dropped,
+                line,
+            )
+            self.dropped = 0
+        self._flush(line)
+
+    def _flush(self, raw: bytes) -> bool:
+        """Write as much as fits; tell whether that was all."""
+        try:
+            written = os.write(self._descriptor, raw) if raw else 0
+        except BlockingIOError:
+            written = 0
+        self._rest = raw[written:]
+        return not self._rest
+
+
+def configure_json_logs(instance: str) -> None:
+    """Send all logs as JSON lines to standard output, without blocking.
+
+    :param instance: name of this instance, put on every line.
+    """
+    sink = PipeSink(sys.stdout.fileno())
+
+    def write(message: Any) -> None:
+        sink.write(_format_line(message.record))
+
+    logger.remove()
+    logger.configure(extra={'node': instance})
+    logger.add(write, level='INFO', format='{message}', catch=False)
+
+
+def _format_line(record: Any) -> bytes:
+    line = {
+        'at': record['time'].timestamp(),
+        'level': record['level'].name,
+        'event': record['message'],
+        **record['extra'],
+    }
+    return msgspec.json.encode(line, enc_hook=repr) + b'\n'
--- /dev/null
+++ b/src/cartdale/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves: carry running generations away from an upstream that leaves."""
--- /dev/null
+++ b/src/cartdale/moves/types.py
@@ -0,0 +1,125 @@
+"""Messages, state and actions of one generation's moves."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay.types import CopyFault
+
+
+class MovePhase(StrEnum):
+    """Say where a generation stands."""
+
+    #: It runs at its source; nothing is under way.
+    SETTLED = 'settled'
+    #: It runs at its source while its memory is copied.
+    COPYING = 'copying'
+    #: It was told to stop, and the rest of its memory is copied.
+    STOPPING = 'stopping'
+    #: It stopped; a copy lies at the target.
+    AT_TARGET = 'at_target'
+    #: It stopped; its memory lies at the source.
+    AT_SOURCE = 'at_source'
+    #: It can't go on anywhere.
+    LOST = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class MoveState:
+    """Hold where a generation runs and where it goes.
+
+    :param handle: the newest copy's name; empty for none.
+    :param tries: copies asked for since it settled.
+    """
+
+    source: UpstreamEntry
+    phase: MovePhase = MovePhase.SETTLED
+    target: UpstreamEntry | None = None
+    handle: str = ''
+    tries: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetChosen:
+    """The source leaves, and an engine has room for the generation."""
+
+    target: UpstreamEntry
+
+
+@dataclass(frozen=True, slots=True)
+class CopyEnded:
+    """A copy is done."""
+
+    handle: str
+
+
+@dataclass(frozen=True, slots=True)
+class CopyRejected:
+    """A copy was not made, or its answer was lost.
+
+    :param handle: names the memory that a stopped source keeps.
+    """
+
+    fault: CopyFault
+    handle: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class LinkEnded:
+    """The stream ended without its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resumed:
+    """The generation goes on where it was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeRejected:
+    """The engine did not take the generation, and did not run it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """Copy the memory to the target.
+
+    :param last: whether the generation stops first.
+    :param pause: whether to wait a little before.
+    """
+
+    last: bool
+    pause: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ChooseAgain:
+    """Look for another target."""
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitCopy:
+    """Wait for the copy that is under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Send the request to the engine that holds the memory."""
+
+    upstream: UpstreamEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """End the answer; the generation is lost."""
+
+
+Message = (
+    TargetChosen
+    | CopyEnded
+    | CopyRejected
+    | LinkEnded
+    | Resumed
+    | ResumeRejected
+)
+Action = Copy | ChooseAgain | AwaitCopy | Resume | Cut
+Decision = tuple[MoveState, tuple[Action, ...]]
--- /dev/null
+++ b/src/cartdale/news/__init__.py
@@ -0,0 +1,1 @@
+"""News: what instances tell each other in datagrams."""
--- /dev/null
+++ b/src/cartdale/platform/documents.py
@@ -0,0 +1,222 @@
+"""Decode what the operator and the upstreams write into the store."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from cartdale.clock import Millis
+from cartdale.exceptions import CartdaleError
+from cartdale.fleet.types import Lifecycle, UpstreamEntry
+from cartdale.routes.types import (
+    Customer,
+    EngineTraits,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceShare,
+    ServiceSpec,
+)
+
+CONFIGURATION_KEY = 'op/config'
+UPSTREAM_PREFIX = 'servers/'
+
+_KINDS_BY_WORD: Mapping[str, RouteKind] = {
+    'safe': RouteKind.SAFE,
+    'unsafe': RouteKind.UNSAFE,
+    'streaming': RouteKind.STREAM,
+}
+_DRAINING_WORD = 'draining'
+
+
+class BadDocumentError(CartdaleError):
+    """Report a stored value that can't be used.
+
+    :param key: where the value lies in the store.
+    :param detail: what is wrong, with the path of the field.
+    """
+
+    exit_code = 2
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(key, detail)
+        self.key = key
+        self.detail = detail
+
+    def format_message(self) -> str:
+        """Return the key and what is wrong with its value."""
+        return f'{self.key}: {self.detail}'
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str
+    timeout_ms: Millis
+    target_latency_ms: Millis = 0
+    #: Longest pause between events that is still in time.
+    target_gap_ms: Millis = 0
+    priority: int = 0
+    service: str = ''
+    traffic_split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    slots: int
+    #: Tokens of running requests and cached prompts together.
+    kv_capacity: int
+    kv_bytes: float
+    link_mbps: float
+    moves: bool = False
+    backups: bool = False
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/health'
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: Millis = 3000
+    idle_timeout_ms: Millis = 15000
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Upstream(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str = ''
+    slots: int = 1
+    state: str = 'ready'
+    #: How much longer the upstream is slow after its start.
+    cold_remaining_ms: float = 0
+
+
+def decode_table(raw: bytes) -> RoutingTable:
+    """Decode the operator's configuration.
+
+    :raises BadDocumentError: when it is malformed.
+    """
+    stored = _decode(CONFIGURATION_KEY, raw, _Configuration)
+    routes_by_host: dict[str, list[Route]] = {}
+    for stored_route in stored.routes:
+        route = _to_route(stored_route)
+        routes_by_host.setdefault(route.host, []).append(route)
+    limits = stored.limits
+    return RoutingTable(
+        version=stored.version,
+        routes_by_host={
+            host: tuple(sorted(routes, key=_prefix_length, reverse=True))
+            for host, routes in routes_by_host.items()
+        },
+        services_by_name={
+            service.name: _to_service(service) for service in stored.services
+        },
+        customers_by_key={
+            key: Customer(tenant.name, tenant.priority)
+            for tenant in stored.tenants
+            for key in tenant.api_keys
+        },
+        limits=RequestLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout=limits.header_timeout_ms,
+            idle_timeout=limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_upstream(key: str, raw: bytes) -> UpstreamEntry:
+    """Decode what an upstream says of itself.
+
+    :raises BadDocumentError: when it is malformed.
+    """
+    stored = _decode(key, raw, _Upstream)
+    draining = stored.state == _DRAINING_WORD
+    return UpstreamEntry(
+        upstream=key.removeprefix(UPSTREAM_PREFIX),
+        service=stored.service,
+        address=stored.address,
+        failure_domain=stored.zone,
+        slots=stored.slots,
+        lifecycle=Lifecycle.LEAVING if draining else Lifecycle.LIVE,
+        cold_for=int(stored.cold_remaining_ms),
+    )
+
+
+def _decode(key: str, raw: bytes, shape: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(raw, type=shape)
+    except msgspec.MsgspecError as error:
+        raise BadDocumentError(key, str(error)) from error
+
+
+def _to_route(stored: _Route) -> Route:
+    kind = _KINDS_BY_WORD.get(stored.kind, RouteKind.UNSAFE)
+    shares = tuple(
+        ServiceShare(split.service, split.weight)
+        for split in stored.traffic_split
+    )
+    return Route(
+        name=stored.name,
+        host=stored.hostname.lower(),
+        prefix=stored.path_prefix,
+        kind=kind,
+        timeout=stored.timeout_ms,
+        target_latency=stored.target_latency_ms,
+        shares=shares or (ServiceShare(stored.service),),
+        target_gap=stored.target_gap_ms,
+        priority=stored.priority,
+        max_attempts=stored.max_attempts,
+        anonymous=stored.allow_anonymous,
+    )
+
+
+def _to_service(stored: _Service) -> ServiceSpec:
+    return ServiceSpec(
+        name=stored.name,
+        health_path=stored.health_path,
+        max_connections=stored.max_connections,
+        engine=_to_engine(stored.engine) if stored.engine else None,
+    )
+
+
+def _to_engine(stored: _Engine) -> EngineTraits:
+    return EngineTraits(
+        slots=stored.slots,
+        memory_tokens=stored.kv_capacity,
+        token_bytes=int(stored.kv_bytes),
+        link_mbps=stored.link_mbps,
+        moves=stored.moves,
+        backups=stored.backups,
+    )
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/src/cartdale/platform/main.py
@@ -0,0 +1,26 @@
+"""Start an entry instance on the platform."""
+
+import os
+import sys
+from pathlib import Path
+
+import trio
+
+from cartdale.daemon.gateway import GatewayRuntime
+from cartdale.exceptions import CartdaleError
+from cartdale.logs import configure_json_logs
+from cartdale.platform.settings import PATH_VARIABLE, load_platform_settings
+
+_DEFAULT_PATH = '/etc/cartdale/local.conf'
+
+
+def main() -> None:
+    """Run the daemon with the settings that the platform laid out."""
+    path = Path(os.environ.get(PATH_VARIABLE, _DEFAULT_PATH))
+    try:
+        settings = load_platform_settings(path)
+    except CartdaleError as error:
+        sys.stderr.write(f'{error.format_message()}\n')
+        sys.exit(error.exit_code)
+    configure_json_logs(settings.name)
+    trio.run(GatewayRuntime(settings, path).run)
--- /dev/null
+++ b/src/cartdale/platform/names.py
@@ -0,0 +1,25 @@
+"""Names on the platform's wire that more than one module needs."""
+
+from typing import Final
+
+HEADER_REQUEST_ID: Final = 'request-id'
+HEADER_DEADLINE: Final = 'deadline-ms'
+HEADER_TENANT: Final = 'tenant'
+HEADER_EXPECT: Final = 'expect-instance'
+HEADER_LOAD: Final = 'instance-load'
+HEADER_NOT_RUN: Final = 'not-executed'
+HEADER_RETRY_AFTER: Final = 'retry-after'
+HEADER_TOKENS: Final = 'token-count'
+HEADER_PREFIX: Final = 'prompt-prefix'
+HEADER_URGENCY: Final = 'request-urgency'
+HEADER_HINT: Final = 'length-hint'
+HEADER_RESUME_FROM: Final = 'kv-from'
+HEADER_BACKUP: Final = 'kv-backup'
+HEADER_LAST_EVENT: Final = 'last-event-id'
+HEADER_AUTHORIZATION: Final = 'authorization'
+HEADER_SEAL: Final = 'response-seal'
+
+PATH_REPORT: Final = '/cartdale/report'
+PATH_MOVE: Final = '/cartdale/kv-move'
+PATH_HANDLE: Final = '/cartdale/kv-handle/'
+PATH_READY: Final = '/cartdale/ready'
--- /dev/null
+++ b/src/cartdale/platform/settings.py
@@ -0,0 +1,185 @@
+"""Read the settings file that the platform lays on a machine.
+
+Each line is ``a.b=value``; commas join the items of a list. Fields that are
+not known are skipped, since later versions of the platform may add some.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final, TypeVar
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.exceptions import BadInputError, InputFault, Place
+
+#: Environment variable that holds the path of the settings file.
+PATH_VARIABLE: Final = 'CARTDALE_BOOT'
+
+_HIGHEST_PORT = 65535
+_MISSING_LINE = 0
+
+Parsed = TypeVar('Parsed')
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Name an address that a process binds or connects to."""
+
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the time bounds that the platform sets.
+
+    :param grace: from SIGTERM to SIGKILL.
+    :param retry_ratio: repeats allowed for each request of a service.
+    :param retry_window: span over which repeats are counted.
+    :param retry_slack: repeats allowed on top, in all instances together.
+    """
+
+    grace: Millis
+    retry_ratio: float
+    retry_window: Millis
+    retry_slack: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Configure one instance on the platform.
+
+    :param name: unique among the machines.
+    :param callers: where callers connect.
+    :param ready: where the balancer asks whether to send connections here.
+    :param peer_ports: first and last port that is free between instances.
+    :param store: the platform's store.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    region: str
+    callers: Endpoint
+    ready: Endpoint
+    peer_ports: tuple[int, int]
+    store: Endpoint
+    bounds: Bounds
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Read and check a settings file.
+
+    :raises BadInputError: naming file, line and field of every fault.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        place = Place(str(path), _MISSING_LINE, '(file)')
+        raise BadInputError((InputFault(place, str(error)),)) from error
+    return parse_platform_settings(text, str(path))
+
+
+def parse_platform_settings(text: str, path: str) -> PlatformSettings:
+    """Check the text of a settings file.
+
+    :param path: names the file in errors.
+    :raises BadInputError: naming file, line and field of every fault.
+    """
+    reader = _FieldReader(text, path)
+    settings = PlatformSettings(
+        name=reader.take('node', _parse_text, ''),
+        address=reader.take('ip', _parse_text, ''),
+        failure_domain=reader.take('zone', _parse_text, ''),
+        region=reader.take('region', _parse_text, ''),
+        callers=reader.take('listen.front', _parse_endpoint, _NO_ENDPOINT),
+        ready=reader.take('listen.ready', _parse_endpoint, _NO_ENDPOINT),
+        peer_ports=reader.take('internalPorts', _parse_ports, (0, 0)),
+        store=reader.take('platform.address', _parse_endpoint, _NO_ENDPOINT),
+        bounds=Bounds(
+            grace=reader.take('bounds.graceS', _parse_seconds, 0),
+            retry_ratio=reader.take('bounds.retryBudgetRatio', float, float()),
+            retry_window=reader.take('bounds.budgetWindowS', _parse_seconds, 0),
+            retry_slack=reader.take('bounds.budgetSlack', float, float()),
+        ),
+    )
+    reader.finish()
+    return settings
+
+
+_NO_ENDPOINT = Endpoint('', 0)
+
+
+class _FieldReader:
+    """Take typed fields from the text and gather every fault."""
+
+    def __init__(self, text: str, path: str) -> None:
+        self._path = path
+        self._faults: list[InputFault] = []
+        self._rows_by_field: dict[str, tuple[int, str]] = {}
+        for number, line in enumerate(text.splitlines(), start=1):
+            self._add(number, line.strip())
+
+    def take(
+        self, name: str, parse: Callable[[str], Parsed], missing: Parsed
+    ) -> Parsed:
+        """Return a field's value, or note a fault and return ``missing``."""
+        number, raw = self._rows_by_field.get(name, (_MISSING_LINE, ''))
+        if not raw:
+            self._blame(number, name, 'a value is required')
+            return missing
+        try:
+            return parse(raw)
+        except ValueError as error:
+            self._blame(number, name, str(error))
+            return missing
+
+    def finish(self) -> None:
+        """Raise what was found.
+
+        :raises BadInputError: when there was any fault.
+        """
+        if self._faults:
+            raise BadInputError(tuple(self._faults))
+
+    def _add(self, number: int, line: str) -> None:
+        if not line or line.startswith('#'):
+            return
+        name, mark, raw = line.partition('=')
+        if not mark:
+            self._blame(number, line, 'expected NAME=VALUE')
+            return
+        self._rows_by_field[name.strip()] = (number, raw.strip())
+
+    def _blame(self, number: int, name: str, expected: str) -> None:
+        place = Place(self._path, number, name)
+        self._faults.append(InputFault(place, expected))
+
+
+def _parse_text(raw: str) -> str:
+    return raw
+
+
+def _parse_seconds(raw: str) -> Millis:
+    return int(float(raw) * SECOND_MS)
+
+
+def _parse_endpoint(raw: str) -> Endpoint:
+    address, mark, port = raw.rpartition(':')
+    if not mark or not address:
+        raise ValueError('expected IP:PORT')
+    return Endpoint(address, _parse_port(port))
+
+
+def _parse_port(raw: str) -> int:
+    port = int(raw)
+    if not 0 < port <= _HIGHEST_PORT:
+        raise ValueError(f'expected a port from 1 to {_HIGHEST_PORT}')
+    return port
+
+
+def _parse_ports(raw: str) -> tuple[int, int]:
+    first, mark, last = raw.partition(',')
+    if not mark:
+        raise ValueError('expected FIRST,LAST')
+    return _parse_port(first), _parse_port(last)
--- /dev/null
+++ b/src/cartdale/platform/store.py
@@ -0,0 +1,285 @@
+"""Adapter to the platform's key-value store, which speaks JSON over HTTP."""
+
+import base64
+from collections import Counter
+from http import HTTPStatus
+from typing import TypeVar
+
+import httpx
+import msgspec
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.store.types import (
+    Changes,
+    Committed,
+    Compare,
+    CompareFailed,
+    Entry,
+    HistoryLost,
+    LeaseLost,
+    Listing,
+    Put,
+    Removed,
+    StoreFailure,
+    StoreUnavailable,
+    TransactionOutcome,
+    Write,
+    WriteUnknown,
+)
+from cartdale.transport import NOT_SENT
+
+_PATH_RANGE = '/cartdale/kv-range'
+_PATH_WATCH = '/cartdale/kv-watch'
+_PATH_TRANSACT = '/cartdale/kv-txn'
+_PATH_GRANT = '/cartdale/kv-lease'
+_PATH_RENEW = '/cartdale/kv-keep/'
+_PATH_REVOKE = '/cartdale/kv-lease-end/'
+
+#: How long a held watch may answer late before it is taken for lost.
+_WATCH_SLACK: Millis = SECOND_MS
+
+#: Statuses that say that the call had no effect.
+_REFUSED = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
+)
+
+Answer = TypeVar('Answer')
+
+
+class _Item(msgspec.Struct):
+    key: str
+    #: Base64; empty in an event that tells of a removal.
+    value: str = ''
+    #: Store revision of the last write.
+    revision: int = 0
+    #: Store revision of the creation.
+    created: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, rename='camel'):
+    items: tuple[_Item, ...]
+    truncated: bool = False
+    #: Revision of the whole store when it was read.
+    as_of: int = 0
+
+
+class _Events(msgspec.Struct, rename='camel'):
+    events: tuple[_Item, ...] = ()
+    #: Where the next watch continues.
+    as_of: int = 0
+
+
+class _Expectation(msgspec.Struct):
+    key: str
+    #: Store revision of the key's last write; 0 when it must be absent.
+    revision: int
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: str
+    lease: int
+
+
+class _Transaction(msgspec.Struct, rename='camel'):
+    #: What must hold for the call to do anything.
+    expected_revision: tuple[_Expectation, ...]
+    writes: tuple[_Put, ...]
+    remove: tuple[str, ...]
+
+
+class _Written(msgspec.Struct):
+    revision: int = 0
+
+
+class _Lease(msgspec.Struct, rename='camel'):
+    lease: int = 0
+    ttl_ms: float = 0
+
+
+class _LeaseRequest(msgspec.Struct, rename='camel'):
+    ttl_ms: Millis
+
+
+class PlatformStore:
+    """Reach the platform's store over a shared HTTP client.
+
+    :param client: client whose base URL is the store.
+    :param timeout: longest wait for an answer, in milliseconds.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, timeout: Millis) -> None:
+        self._client = client
+        self._timeout = timeout
+        self.calls_by_path: Counter[str] = Counter()
+
+    async def fetch(
+        self, prefix: str, start: str = '', limit: int = 0
+    ) -> Result[Listing, StoreFailure]:
+        """Read a page of the keys with a prefix, after the key ``start``.
+
+        :param limit: not known to this store, which has a limit of its own.
+        """
+        params = {'pathPrefix': prefix}
+        if start:
+            params['sinceRevision'] = start
+        answer = await self._call('GET', _PATH_RANGE, params=params)
+        return answer.bind(_read_page).alt(_harmless)
+
+    async def watch(
+        self, prefix: str, after: int, timeout: Millis
+    ) -> Result[Changes, StoreFailure]:
+        """Wait for changes after a revision, at most ``timeout``."""
+        params = {
+            'pathPrefix': prefix,
+            'sinceRevision': str(after),
+            'waitMs': str(timeout),
+        }
+        answer = await self._call(
+            'GET', _PATH_WATCH, params=params, timeout=timeout + _WATCH_SLACK
+        )
+        return answer.bind(_read_events).alt(_harmless)
+
+    async def transact(
+        self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
+    ) -> Result[TransactionOutcome, StoreFailure]:
+        """Apply all writes if all comparisons hold."""
+        puts = [write for write in writes if isinstance(write, Put)]
+        request = _Transaction(
+            expected_revision=tuple(
+                _Expectation(compare.key, compare.mod_revision)
+                for compare in compares
+            ),
+            writes=tuple(
+                _Put(put.key, base64.b64encode(put.value).decode(), put.lease)
+                for put in puts
+            ),
+            remove=tuple(
+                write.key for write in writes if not isinstance(write, Put)
+            ),
+        )
+        answer = await self._call('POST', _PATH_TRANSACT, request)
+        leases = [put.lease for put in puts if put.lease]
+        return answer.bind(lambda response: _read_written(response, leases))
+
+    async def grant(self, ttl: Millis) -> Result[int, StoreFailure]:
+        """Create a lease and return its id."""
+        answer = await self._call('POST', _PATH_GRANT, _LeaseRequest(ttl))
+        return answer.bind(lambda response: _read_lease(response, 0)).map(
+            lambda lease: lease.lease
+        )
+
+    async def keep_alive(self, lease: int) -> Result[Millis, StoreFailure]:
+        """Renew a lease and return its time to live."""
+        answer = await self._call('POST', f'{_PATH_RENEW}{lease}')
+        return answer.bind(lambda response: _read_lease(response, lease)).map(
+            lambda renewed: int(renewed.ttl_ms)
+        )
+
+    async def revoke(self, lease: int) -> Result[None, StoreFailure]:
+        """End a lease and remove its keys."""
+        answer = await self._call('DELETE', f'{_PATH_REVOKE}{lease}')
+        return answer.map(lambda _: None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        request: object = None,
+        params: dict[str, str] | None = None,
+        timeout: Millis = 0,
+    ) -> Result[httpx.Response, StoreFailure]:
+        self.calls_by_path[path] += 1
+        body = b'' if request is None else msgspec.json.encode(request)
+        try:
+            response = await self._client.request(
+                method,
+                path,
+                params=params,
+                content=body,
+                headers={'content-type': 'application/json'},
+                timeout=seconds(timeout or self._timeout),
+            )
+        except NOT_SENT as error:
+            return Failure(StoreUnavailable(repr(error)))
+        except httpx.HTTPError as late_error:
+            return Failure(WriteUnknown(repr(late_error)))
+        if response.status_code in _REFUSED:
+            return Failure(StoreUnavailable(str(response.status_code)))
+        return Success(response)
+
+
+def _harmless(failure: StoreFailure) -> StoreFailure:
+    """Say that a read without an answer certainly changed nothing."""
+    if isinstance(failure, WriteUnknown):
+        return StoreUnavailable(failure.detail)
+    return failure
+
+
+def _decode(
+    response: httpx.Response, shape: type[Answer]
+) -> Result[Answer, StoreFailure]:
+    if response.is_error:
+        return Failure(WriteUnknown(f'status {response.status_code}'))
+    try:
+        return Success(msgspec.json.decode(response.content, type=shape))
+    except msgspec.MsgspecError as error:
+        return Failure(WriteUnknown(str(error)))
+
+
+def _read_page(response: httpx.Response) -> Result[Listing, StoreFailure]:
+    return _decode(response, _Page).map(
+        lambda page: Listing(
+            tuple(_to_entry(stored) for stored in page.items),
+            page.as_of,
+            page.truncated,
+        )
+    )
+
+
+def _read_events(response: httpx.Response) -> Result[Changes, StoreFailure]:
+    if response.status_code == HTTPStatus.GONE:
+        return Failure(HistoryLost())
+    return _decode(response, _Events).map(
+        lambda answer: Changes(
+            tuple(_to_change(event) for event in answer.events), answer.as_of
+        )
+    )
+
+
+def _read_written(
+    response: httpx.Response, leases: list[int]
+) -> Result[TransactionOutcome, StoreFailure]:
+    if response.status_code == HTTPStatus.PRECONDITION_FAILED:
+        return Success(CompareFailed(0))
+    if response.status_code == HTTPStatus.NOT_FOUND:
+        return Failure(LeaseLost(leases[0] if leases else 0))
+    return _decode(response, _Written).map(
+        lambda written: Committed(written.revision)
+    )
+
+
+def _read_lease(
+    response: httpx.Response, lease: int
+) -> Result[_Lease, StoreFailure]:
+    if response.status_code == HTTPStatus.NOT_FOUND:
+        return Failure(LeaseLost(lease))
+    return _decode(response, _Lease)
+
+
+def _to_entry(stored: _Item) -> Entry:
+    return Entry(
+        stored.key,
+        base64.b64decode(stored.value),
+        stored.revision,
+        stored.created,
+    )
+
+
+def _to_change(event: _Item) -> Entry | Removed:
+    if event.deleted:
+        return Removed(event.key, event.revision)
+    return _to_entry(event)
--- /dev/null
+++ b/src/cartdale/platform/translate.py
@@ -0,0 +1,49 @@
+"""Bind the platform's wire to the product's interfaces."""
+
+from cartdale.clock import Millis
+from cartdale.fleet.follow import News, TableWritten, Translator, Unreadable
+from cartdale.fleet.types import EntryRemoved, EntryWritten
+from cartdale.platform.callers import read_request, write_refusal
+from cartdale.platform.documents import (
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+    BadDocumentError,
+    decode_table,
+    decode_upstream,
+)
+from cartdale.relay.types import CallerRequest, Headers
+from cartdale.store.types import Entry, Removed
+
+
+def make_translator() -> Translator:
+    """Return what reads the platform's keys."""
+    return Translator((CONFIGURATION_KEY, UPSTREAM_PREFIX), _translate)
+
+
+class PlatformWire:
+    """Translate callers' headers."""
+
+    def read_request(
+        self, method: str, target: bytes, headers: Headers
+    ) -> CallerRequest:
+        """Read the head of a request."""
+        return read_request(method, target, headers)
+
+    def write_refusal(self, status: int, retry_after: Millis) -> Headers:
+        """Return the headers of an answer of our own."""
+        return write_refusal(status, retry_after)
+
+
+def _translate(change: Entry | Removed) -> News | None:
+    if isinstance(change, Removed):
+        if not change.key.startswith(UPSTREAM_PREFIX):
+            return None
+        return EntryRemoved(change.key.removeprefix(UPSTREAM_PREFIX))
+    try:
+        if change.key == CONFIGURATION_KEY:
+            return TableWritten(decode_table(change.value))
+        if change.key.startswith(UPSTREAM_PREFIX):
+            return EntryWritten(decode_upstream(change.key, change.value))
+    except BadDocumentError as error:
+        return Unreadable(error.format_message())
+    return None
--- /dev/null
+++ b/src/cartdale/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay: carry one request to an upstream and its answer back."""
--- /dev/null
+++ b/src/cartdale/relay/plain.py
@@ -0,0 +1,155 @@
+"""Carry a request whose answer is passed on once it is whole."""
+
+from math import inf
+
+import trio
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import Millis, seconds
+from cartdale.fleet.loads import Assignment
+from cartdale.fleet.types import Upstream
+from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.decide import (
+    Answered,
+    AttemptEnd,
+    AttemptState,
+    Broken,
+    Declined,
+    GiveUp,
+    PassOn,
+    TryAgain,
+    Unsent,
+    begin,
+    refuse,
+)
+from cartdale.relay.ports import (
+    RelayPorts,
+    WholeAnswer,
+    conclude,
+    make_call,
+    make_need,
+    tell_replaced,
+    wait_until,
+)
+from cartdale.relay.types import (
+    LinkBroke,
+    LinkBrokeError,
+    NotSent,
+    OpenedAnswer,
+    RoutedRequest,
+    Standing,
+    UpstreamCall,
+)
+
+#: Part of the target latency after which a request that may repeat is sent
+#: elsewhere: an upstream that stays silent so long is slower than nearly all
+#: answers, and the rest of the time suffices for one more.
+_PATIENCE_SHARE = 0.6
+_FIRST_SERVER_ERROR = 500
+
+Ended = tuple[AttemptEnd, WholeAnswer | None]
+
+
+class PlainCarrier:
+    """Carry one request.
+
+    :param routed: the request and what is known of it.
+    """
+
+    def __init__(self, ports: RelayPorts, routed: RoutedRequest) -> None:
+        self._ports = ports
+        self._routed = routed
+        self._tried: set[str] = set()
+        route = routed.route
+        self._state: AttemptState = begin(route.kind, route.max_attempts)
+
+    async def carry(self) -> Result[WholeAnswer, Problem]:
+        """Return an upstream's answer, or why there is none."""
+        self._ports.budget.count(self._routed.service, self._ports.clock.now())
+        with trio.move_on_after(seconds(self._left())):
+            return await self._try_upstreams()
+        return Failure(self._time_out())
+
+    async def _try_upstreams(self) -> Result[WholeAnswer, Problem]:
+        while True:
+            upstream = await self._place()
+            if upstream is None:
+                problem = refuse(self._state, NotRunReason.NO_UPSTREAM)
+                return Failure(problem)
+            name = upstream.entry.upstream
+            self._tried.add(name)
+            ended, whole = await self._attempt(upstream)
+            self._state, step = conclude(
+                self._ports, self._routed, self._state, ended, name
+            )
+            match step:
+                case GiveUp(problem=problem):
+                    return Failure(problem)
+                case PassOn() if whole is not None:
+                    return Success(whole)
+                case TryAgain() | PassOn():
+                    continue
+
+    async def _place(self) -> Upstream | None:
+        need = make_need(self._routed, frozenset(self._tried))
+        return await self._ports.admission.place(
+            need,
+            self._routed.priority,
+            self._routed.arrived_at,
+            wait_until(self._routed),
+        )
+
+    async def _attempt(self, upstream: Upstream) -> Ended:
+        assignment = Assignment(upstream.entry.upstream, 0, 0)
+        fleet = self._ports.fleet
+        fleet.loads.assign(assignment)
+        call = make_call(self._ports, self._routed, upstream)
+        try:
+            with trio.move_on_after(self._patience()):
+                return await self._send(call)
+            return Broken('no answer in time'), None
+        finally:
+            fleet.loads.release(assignment)
+            fleet.notify()
+
+    async def _send(self, call: UpstreamCall) -> Ended:
+        async with self._ports.upstreams.open(call) as opened:
+            match opened:
+                case Success(answer):
+                    return await self._read(answer, call.upstream.upstream)
+                case Failure(NotSent()):
+                    return Unsent(), None
+                case Failure(LinkBroke(detail=detail)):
+                    return Broken(detail), None
+        return Broken('no answer'), None
+
+    async def _read(self, answer: OpenedAnswer, upstream: str) -> Ended:
+        match answer.standing:
+            case Standing.NOT_RUN:
+                return Declined(), None
+            case Standing.REPLACED:
+                tell_replaced(self._ports.fleet, upstream)
+                return Declined(), None
+        try:
+            body = b''.join([chunk async for chunk in answer.chunks])
+        except LinkBrokeError as error:
+            return Broken(error.detail), None
+        good = answer.status < _FIRST_SERVER_ERROR
+        whole = WholeAnswer(answer.status, answer.headers, body)
+        return Answered(good=good), whole
+
+    def _patience(self) -> float:
+        """Return how many seconds an attempt may stay silent."""
+        may_repeat = self._state.runs + 1 < self._state.may_run
+        target = self._routed.route.target_latency
+        if may_repeat and target:
+            return seconds(int(_PATIENCE_SHARE * target))
+        return inf
+
+    def _left(self) -> Millis:
+        return max(self._routed.ends_at - self._ports.clock.now(), 0)
+
+    def _time_out(self) -> Problem:
+        if self._state.runs or self._tried:
+            return OutcomeUnknown('the time limit passed')
+        return refuse(self._state, NotRunReason.DEADLINE)
--- /dev/null
+++ b/src/cartdale/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: which service a request goes to, and for whom."""
--- /dev/null
+++ b/src/cartdale/routes/match.py
@@ -0,0 +1,37 @@
+"""Find the route, the customer and the service of a request."""
+
+import random
+
+from cartdale.routes.types import Customer, Route, RoutingTable
+
+_PORT_MARK = ':'
+
+
+def find_route(table: RoutingTable, host: str, path: str) -> Route | None:
+    """Return the route of the host with the longest prefix of the path."""
+    bare_host = host.partition(_PORT_MARK)[0].lower()
+    for route in table.routes_by_host.get(bare_host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def needs_key(table: RoutingTable, route: Route) -> bool:
+    """Tell whether a request on the route has to carry a known key."""
+    return bool(table.customers_by_key) and not route.anonymous
+
+
+def rank_request(route: Route, customer: Customer | None) -> int:
+    """Return the request's priority; 0 is the most urgent."""
+    if customer is None or customer.priority is None:
+        return route.priority
+    return customer.priority
+
+
+def pick_service(route: Route, generator: random.Random) -> str:
+    """Return a service of the route, by the weights of its shares."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    services = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    return generator.choices(services, weights)[0]
--- a/src/cartdale/store/types.py
+++ b/src/cartdale/store/types.py
@@ -94,9 +94,36 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True)
+class Removed:
+    """Tell that a key is gone.
+
+    :param mod_revision: store revision of the removal.
+    """
+
+    key: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Answer a watch, in the order of the revisions.
+
+    :param store_revision: where the next watch continues.
+    """
+
+    changes: tuple[Entry | Removed, ...]
+    store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The changes since the asked revision are not kept any more."""
+
+
 Write = Put | Delete
 TransactionOutcome = Committed | CompareFailed
-StoreFailure = StoreUnavailable | WriteUnknown | LeaseLost
+StoreFailure = StoreUnavailable | WriteUnknown | LeaseLost | HistoryLost
 
 
 class Store(Protocol):
@@ -125,3 +152,17 @@
         self, key: str, after: int, timeout: Millis
     ) -> Result[bool, StoreFailure]:
         """Wait until a key is written after a store revision."""
+
+
+class WatchedStore(Protocol):
+    """Read keys by prefix and follow their changes."""
+
+    async def fetch(
+        self, prefix: str, start: str = '', limit: int = 0
+    ) -> Result[Listing, StoreFailure]:
+        """Read the keys with a prefix, from ``start`` on, in key order."""
+
+    async def watch(
+        self, prefix: str, after: int, timeout: Millis
+    ) -> Result[Changes, StoreFailure]:
+        """Wait for changes after a store revision, at most ``timeout``."""
