Copy all generations first, stop each once the link is free

A run that had not begun when its engine left was given up. Change: every run is copied at once, and stopped when the link is expected to be free; an older copy serves if the source ends before; a refused target is excluded. Not measured yet.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -1,8 +1,10 @@
 """Decide how a running generation gets from one engine to another.
 
-The source runs on while most of the memory is copied; then it stops, the
-rest follows, and the same request goes on at the target after the last event
-that the caller has. At any moment at most one engine works on it.
+The source runs on while most of the memory is copied, and until its link is
+free; then it stops, the rest follows at once, and the same request goes on at
+the target after the last event that the caller has. Should the source end
+before, the older copy serves: the target reads again what it lacks. At any
+moment at most one engine works on the generation.
 """
 
 from dataclasses import replace
@@ -11,6 +13,7 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves.types import (
     AwaitCopy,
+    AwaitQuiet,
     ChooseAgain,
     Copy,
     CopyEnded,
@@ -18,6 +21,7 @@
     Cut,
     Decision,
     LinkEnded,
+    LinkQuiet,
     Message,
     MovePhase,
     MoveState,
@@ -29,7 +33,7 @@
 from cartdale.relay.types import CopyFault
 
 #: Copies asked for in one move before it is given up.
-MOST_TRIES = 12
+MOST_TRIES = 40
 
 _UNDER_WAY = frozenset((MovePhase.COPYING, MovePhase.STOPPING))
 _STOPPED = frozenset((MovePhase.AT_TARGET, MovePhase.AT_SOURCE))
@@ -50,6 +54,8 @@
             return _choose(state, target)
         case CopyEnded(handle=handle):
             return _end_copy(state, handle)
+        case LinkQuiet():
+            return _stop(state)
         case CopyRejected():
             return _reject_copy(state, message)
         case LinkEnded():
@@ -78,8 +84,8 @@
 def _end_copy(state: MoveState, handle: str) -> Decision:
     match state.phase:
         case MovePhase.COPYING:
-            after = replace(state, phase=MovePhase.STOPPING, handle=handle)
-            return after, (Copy(last=True),)
+            after = replace(state, phase=MovePhase.COPIED, handle=handle)
+            return after, (AwaitQuiet(),)
         case MovePhase.STOPPING:
             after = replace(state, phase=MovePhase.AT_TARGET, handle=handle)
             return after, ()
@@ -87,6 +93,12 @@
             return state, ()
 
 
+def _stop(state: MoveState) -> Decision:
+    if state.phase is not MovePhase.COPIED:
+        return state, ()
+    return replace(state, phase=MovePhase.STOPPING), (Copy(last=True),)
+
+
 def _reject_copy(state: MoveState, rejected: CopyRejected) -> Decision:
     if state.phase not in _UNDER_WAY:
         return state, ()
@@ -100,11 +112,9 @@
         return _give_up(state), ()
     tried = replace(state, tries=state.tries + 1)
     match rejected.fault:
-        case CopyFault.UNKNOWN_RUN:
-            return _give_up(state), ()
         case CopyFault.BUSY | CopyFault.NO_ANSWER:
             return tried, (Copy(last=stopping, pause=True),)
-        case CopyFault.NO_ROOM:
+        case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
             if stopping:
                 return _give_up(state), ()
             settled = replace(tried, phase=MovePhase.SETTLED, target=None)
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -1,16 +1,15 @@
 """Tell this instance's generations when their engine leaves."""
 
-from collections.abc import Mapping
 from typing import Protocol
 
 import trio
 from loguru import logger
 from returns.result import Success
 
-from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EngineReport, UpstreamEntry
-from cartdale.moves.schedule import schedule
+from cartdale.moves.schedule import estimate_all
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
@@ -29,8 +28,16 @@
     def upstream(self) -> str:
         """Return the id of the engine that runs it; empty for none."""
 
-    async def leave(self, until: Millis) -> None:
-        """Move away from the engine, which is gone at ``until``."""
+    @property
+    def tokens(self) -> int:
+        """Return the memory that it holds, in tokens."""
+
+    async def leave(self, until: Millis, quiet_at: Millis) -> None:
+        """Move away from the engine.
+
+        :param until: when the engine is gone, as far as it is known.
+        :param quiet_at: when the engine's link is free.
+        """
 
 
 class Mover:
@@ -75,7 +82,9 @@
         noticed_at = self._clock.now()
         report = await self._upstreams.report(upstream.entry.address)
         held = report.value_or(EngineReport(0, 0, 0, 0))
-        begins_by_request = schedule(held.runs, engine)
+        own = self._runs_at(name)
+        tokens_by_request = {run.request_id: run.tokens for run in own}
+        takes = estimate_all(held.runs, tokens_by_request, engine)
         leaves_in = held.leaves_in
         until = noticed_at + (_SERVES_ON if leaves_in is None else leaves_in)
         logger.info(
@@ -83,25 +92,13 @@
             upstream=name,
             known=isinstance(report, Success),
             leaves_in=leaves_in,
-            own=len(self._runs_at(name)),
+            own=len(own),
             reported=len(held.runs),
+            takes=takes,
         )
         async with trio.open_nursery() as nursery:
-            for run in self._runs_at(name):
-                nursery.start_soon(
-                    self._leave, run, begins_by_request, noticed_at, until
-                )
-
-    async def _leave(
-        self,
-        run: MovingRun,
-        begins_by_request: Mapping[str, Millis],
-        noticed_at: Millis,
-        until: Millis,
-    ) -> None:
-        begins = noticed_at + begins_by_request.get(run.request_id, 0)
-        await trio.sleep(seconds(max(begins - self._clock.now(), 0)))
-        await run.leave(until)
+            for run in own:
+                nursery.start_soon(run.leave, until, noticed_at + takes)
 
     def _runs_at(self, upstream: str) -> list[MovingRun]:
         return [run for run in self._runs.values() if run.upstream == upstream]
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -1,11 +1,11 @@
-"""Spread the copies of an engine's generations over its link.
+"""Estimate when the link of an engine that leaves is free again.
 
-Every instance moves only its own generations, yet all copies leave by the
-same link, one after another. All instances read the same report and derive
-the same order from it, so each begins when the link is free.
+Every instance copies only its own generations, yet all copies leave by the
+same link, one after another. Nobody is stopped while others still copy: the
+rest of its memory would wait behind them, and the caller with it.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from cartdale.clock import Millis
 from cartdale.fleet.types import RunReport
@@ -14,32 +14,32 @@
 _BITS = 8
 _BITS_PER_MEGABIT_MS = 1000
 #: Copies between failure domains take twice as long; targets are mixed.
-_LINK_FACTOR = 1.5
-#: Between the end of a copy and the start of the next: two calls each way.
-_TURN_MS = 12
+_LINK_FACTOR = 1.7
+#: What every copy adds: its call, and the engine's own preparation.
+_SETUP_MS = 5
 
 
 def estimate_copy(tokens: int, engine: EngineTraits) -> Millis:
     """Return how long the copy of a generation takes, in milliseconds."""
     bits = tokens * engine.token_bytes * _BITS
-    return int(_LINK_FACTOR * bits / (engine.link_mbps * _BITS_PER_MEGABIT_MS))
+    through_link = bits / (engine.link_mbps * _BITS_PER_MEGABIT_MS)
+    return int(_LINK_FACTOR * through_link) + _SETUP_MS
 
 
-def schedule(
-    runs: Iterable[RunReport], engine: EngineTraits
-) -> Mapping[str, Millis]:
-    """Return when the copy of each generation begins, by request id.
+def estimate_all(
+    reported: Iterable[RunReport],
+    own_tokens_by_request: dict[str, int],
+    engine: EngineTraits,
+) -> Millis:
+    """Return how long the copies of all generations take together.
 
-    :returns: milliseconds from the time of the report; the smallest first,
-        so that as many as possible leave in time.
+    :param reported: what the engine held some hundred milliseconds ago.
+    :param own_tokens_by_request: this instance's generations there, which
+        may be too young for the report.
     """
-    begins_by_request: dict[str, Millis] = {}
-    begins = 0
-    for run in sorted(runs, key=_size):
-        begins_by_request[run.request_id] = begins
-        begins += estimate_copy(run.tokens, engine) + _TURN_MS
-    return begins_by_request
-
-
-def _size(run: RunReport) -> tuple[int, str]:
-    return (run.tokens, run.request_id)
+    tokens_by_request = {run.request_id: run.tokens for run in reported}
+    for request_id, tokens in own_tokens_by_request.items():
+        tokens_by_request.setdefault(request_id, tokens)
+    return sum(
+        estimate_copy(tokens, engine) for tokens in tokens_by_request.values()
+    )
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -14,6 +14,8 @@
     SETTLED = 'settled'
     #: It runs at its source while its memory is copied.
     COPYING = 'copying'
+    #: It runs at its source; a copy that is a little old lies at the target.
+    COPIED = 'copied'
     #: It was told to stop, and the rest of its memory is copied.
     STOPPING = 'stopping'
     #: It stopped; a copy lies at the target.
@@ -53,6 +55,11 @@
     handle: str
 
 
+@dataclass(frozen=True, slots=True)
+class LinkQuiet:
+    """The source's link is free, so that the rest is copied at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class CopyRejected:
     """A copy was not made, or its answer was lost.
@@ -96,6 +103,11 @@
     """Look for another target."""
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitQuiet:
+    """Wait until the source's link is free."""
+
+
 @dataclass(frozen=True, slots=True)
 class AwaitCopy:
     """Wait for the copy that is under way."""
@@ -116,10 +128,11 @@
 Message = (
     TargetChosen
     | CopyEnded
+    | LinkQuiet
     | CopyRejected
     | LinkEnded
     | Resumed
     | ResumeRejected
 )
-Action = Copy | ChooseAgain | AwaitCopy | Resume | Cut
+Action = Copy | ChooseAgain | AwaitQuiet | AwaitCopy | Resume | Cut
 Decision = tuple[MoveState, tuple[Action, ...]]
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -15,12 +15,14 @@
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
+    AwaitQuiet,
     ChooseAgain,
     Copy,
     CopyEnded,
     CopyRejected,
     Cut,
     LinkEnded,
+    LinkQuiet,
     Message,
     MovePhase,
     MoveState,
@@ -120,6 +122,11 @@
         """Return the id of the engine that runs it; empty for none."""
         return self.move.source.upstream if self.move else ''
 
+    @property
+    def tokens(self) -> int:
+        """Return the memory that it holds, in tokens."""
+        return self._assignment.load().tokens if self._assignment else 0
+
     async def carry(self) -> Result[StreamEnd, Problem]:
         """Stream the answer, or return why nothing was streamed."""
         self._ports.budget.count(self.routed.service, self._ports.clock.now())
@@ -234,47 +241,59 @@
 
     # Moving.
 
-    async def leave(self, until: Millis) -> None:
+    async def leave(self, until: Millis, quiet_at: Millis) -> None:
         """Move away from an engine that leaves.
 
         :param until: when the engine is gone, as far as it is known.
+        :param quiet_at: when the engine's link is free.
         """
+        refused: set[str] = set()
         while not self.ended and self._ports.clock.now() < until:
-            target = self._choose_target()
-            if target is None:
-                await trio.sleep(seconds(_LOOK_EVERY))
+            target = self._choose_target(refused)
+            if target is not None:
+                if await self._copy_to(target, quiet_at):
+                    return
+                refused.add(target.entry.upstream)
                 continue
-            settled = await self._copy_to(target)
-            if settled:
-                return
+            refused.clear()
+            await trio.sleep(seconds(_LOOK_EVERY))
 
-    def _choose_target(self) -> Upstream | None:
-        if self.move is None or self._assignment is None:
+    def _choose_target(self, refused: set[str]) -> Upstream | None:
+        if self.move is None or self._assignment is None or not self.events:
             return None
         load = self._assignment.load()
         need = Need(
             service=self.routed.service,
             prompt=load.tokens,
             expected=load.growth,
-            excluded=frozenset((self.move.source.upstream,)),
+            excluded=frozenset((self.move.source.upstream, *refused)),
             far_cost=_FAR_MOVE_COST,
         )
         return self._ports.fleet.choose(need, self.move.source.failure_domain)
 
-    async def _copy_to(self, target: Upstream) -> bool:
+    async def _copy_to(self, target: Upstream, quiet_at: Millis) -> bool:
         """Copy to a target; tell whether the move is over, good or bad."""
         reserved = self._make_assignment(target.entry)
         self._ports.fleet.loads.assign(reserved)
         self._settled = trio.Event()
         try:
             action = self._tell(TargetChosen(target.entry))
-            while isinstance(action, Copy):
-                action = await self._copy(action)
+            while isinstance(action, Copy | AwaitQuiet):
+                action = await self._advance(action, quiet_at)
             return not isinstance(action, ChooseAgain)
         finally:
             self._ports.fleet.loads.release(reserved)
             self._settled.set()
 
+    async def _advance(
+        self, action: Copy | AwaitQuiet, quiet_at: Millis
+    ) -> Action | None:
+        if isinstance(action, Copy):
+            return await self._copy(action)
+        left = quiet_at - self._ports.clock.now()
+        await trio.sleep(seconds(max(left, 0)))
+        return self._tell(LinkQuiet())
+
     async def _copy(self, action: Copy) -> Action | None:
         if action.pause:
             await trio.sleep(seconds(_COPY_PAUSE))
