Tell peers each instance's load by sealed datagrams

Cause: instances chose engines without knowing each other's work, so up to eight generations ran at one engine while others were empty; their copies did not fit into the notice of an engine that leaves, and all moved to the same target. Change: instances list themselves in the store under a lease, share a key there and send each other their load by upstream when it changes. A copy whose engine can't be reached is not asked for again. Not measured yet.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -5,19 +5,25 @@
 import zlib
 from pathlib import Path
 
+import msgspec
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 from loguru import logger
 
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
+from cartdale.codec import decode_json
 from cartdale.daemon.clients import make_client
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.follow import Follower
+from cartdale.fleet.follow import Follower, OwnKey
 from cartdale.gateway.app import GatewayApp, GatewayPorts
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
+from cartdale.news.driver import NewsLine
+from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
+from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
+from cartdale.peers.seal import Seal
 from cartdale.platform.names import PATH_READY
 from cartdale.platform.settings import (
     Endpoint,
@@ -60,8 +66,15 @@
         self._store = PlatformStore(
             make_client(_base_url(settings.store)), _STORE_TIMEOUT
         )
+        own = PeerEntry(settings.name, settings.address, settings.peer_ports[0])
+        self._news = NewsLine(own, self._fleet, self._clock, self._fetch_table)
+        self._roster = Roster(self._store, own)
         self._follower = Follower(
-            self._store, self._fleet, self._clock, make_translator()
+            self._store,
+            self._fleet,
+            self._clock,
+            make_translator(),
+            self._take_own_key,
         )
         upstreams = PlatformUpstreams()
         self._mover = Mover(self._fleet, upstreams, self._clock)
@@ -75,7 +88,7 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
             ),
         )
-        relay.budget.sharers = 16
+        self._budget = relay.budget
         self._app = GatewayApp(
             GatewayPorts(
                 relay=relay,
@@ -100,6 +113,8 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._fleet.run)
             nursery.start_soon(self._mover.run)
+            nursery.start_soon(self._news.run)
+            nursery.start_soon(self._join)
             nursery.start_soon(self._follow_limits)
             for app, config in (
                 (self._app, self._callers),
@@ -138,6 +153,31 @@
             await trio.sleep(seconds(_STOP_POLL))
         logger.info('left', in_flight=self._app.in_flight)
 
+    async def _join(self) -> None:
+        """Join the other instances once the store was read."""
+        await self._follower.in_step.wait()
+        if self._news.seal is None:
+            await self._roster.propose_key()
+        await self._roster.run()
+
+    def _take_own_key(self, news: OwnKey) -> None:
+        if news.key == KEY_NAME and news.stored:
+            self._news.seal = Seal((news.stored,))
+        if not news.key.startswith(PEER_PREFIX):
+            return
+        if not news.stored:
+            self._news.tell(PeerRemoved(news.key.removeprefix(PEER_PREFIX)))
+            return
+        try:
+            peer = decode_json(news.stored, PeerEntry)
+        except msgspec.MsgspecError as error:
+            logger.error('peer unreadable', key=news.key, detail=str(error))
+            return
+        self._news.tell(PeerListed(peer))
+
+    def _fetch_table(self, peer: PeerEntry) -> None:
+        """Fetch a newer configuration from a peer."""
+
     def _reload(self) -> None:
         try:
             load_platform_settings(self._path)
@@ -151,6 +191,9 @@
             limits = self._fleet.table.limits
             self._callers.keep_alive_timeout = limits.idle_timeout / SECOND_MS
             self._callers.h11_max_incomplete_size = limits.header_bytes
+            self._budget.sharers = max(
+                self._news.count_alive(), len(self._news.state.peers_by_name)
+            )
             await trio.sleep(1)
 
     def _read_table(self) -> RoutingTable:
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -54,7 +54,18 @@
     detail: str
 
 
-News = TableWritten | EntryWritten | EntryRemoved | Unreadable
+@dataclass(frozen=True, slots=True)
+class OwnKey:
+    """A key of cartdale itself was written or removed.
+
+    :param stored: empty when it was removed.
+    """
+
+    key: str
+    stored: bytes
+
+
+News = TableWritten | EntryWritten | EntryRemoved | Unreadable | OwnKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +81,10 @@
 
 
 class Follower:
-    """Follow the store."""
+    """Follow the store.
+
+    :param take_own: takes what instances wrote for each other.
+    """
 
     def __init__(
         self,
@@ -78,12 +92,16 @@
         fleet: Fleet,
         clock: Clock,
         translator: Translator,
+        take_own: Callable[[OwnKey], None],
     ) -> None:
+        self._take_own = take_own
         self._store = store
         self._fleet = fleet
         self._clock = clock
         self._translator = translator
         self._failed_at: Millis | None = None
+        #: Set once everything was read for the first time.
+        self.in_step = trio.Event()
 
     async def run(self) -> None:
         """Follow the store, for ever."""
@@ -154,6 +172,7 @@
                 self._take(news)
         shadowed = self._in_shadow()
         self._fleet.tell(EntriesListed(tuple(listed), shadowed))
+        self.in_step.set()
 
     async def _watch(self, revision: int) -> None:
         """Follow changes until the store fails or has forgotten some."""
@@ -183,6 +202,8 @@
             case EntryRemoved(upstream=upstream):
                 shadowed = self._in_shadow()
                 self._fleet.tell(EntryRemoved(upstream, shadowed))
+            case OwnKey():
+                self._take_own(news)
             case Unreadable(detail=detail):
                 logger.error('stored value unreadable', detail=detail)
 
--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -112,6 +112,8 @@
         return _give_up(state), ()
     tried = replace(state, tries=state.tries + 1)
     match rejected.fault:
+        case CopyFault.UNREACHABLE:
+            return _give_up(state), ()
         case CopyFault.BUSY | CopyFault.NO_ANSWER:
             return tried, (Copy(last=stopping, pause=True),)
         case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
--- /dev/null
+++ b/src/cartdale/news/driver.py
@@ -0,0 +1,166 @@
+"""Send and receive datagrams with news, sealed with the cluster's key."""
+
+import socket
+from collections.abc import Callable
+
+import msgspec
+import trio
+from loguru import logger
+
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.codec import decode_binary, encode_binary
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import EntryRemoved, Lifecycle
+from cartdale.news.decide import count_alive, decide
+from cartdale.news.types import (
+    FetchTable,
+    LoadNews,
+    Message,
+    NewsArrived,
+    NewsState,
+    PeerEntry,
+    TakeLeaving,
+    TakeLoads,
+)
+from cartdale.peers.seal import Envelope, Seal
+
+#: Between two messages when there is something new: several changes that
+#: come together travel together.
+_CHANGED_EVERY: Millis = 20
+#: Between two messages when nothing is new but the tokens made meanwhile,
+#: for each ``_CROWD`` peers, so that a large system is told more seldom.
+_UNCHANGED_EVERY: Millis = 400
+_CROWD = 16
+_LARGEST_DATAGRAM = 65507
+_EVERYBODY = '*'
+_KIND = LoadNews.__name__
+#: Upstreams that left are told about for so long.
+_LEAVING_TOLD: Millis = 10 * SECOND_MS
+
+Fetch = Callable[[PeerEntry], None]
+
+
+class NewsLine:
+    """Keep this instance and its peers informed of each other.
+
+    :param name: this instance's name.
+    :param fetch_table: asks a peer for its newer configuration.
+    """
+
+    def __init__(
+        self, own: PeerEntry, fleet: Fleet, clock: Clock, fetch_table: Fetch
+    ) -> None:
+        self._own = own
+        self._fleet = fleet
+        self._clock = clock
+        self._fetch_table = fetch_table
+        self._boot = clock.wall()
+        self._number = 0
+        self._told = (-1, -1)
+        self._socket: trio.socket.SocketType | None = None
+        self.state = NewsState()
+        self.seal: Seal | None = None
+
+    def tell(self, message: Message) -> None:
+        """Take one message and act on what follows from it."""
+        now = self._clock.now()
+        version = self._fleet.table.version
+        self.state, actions = decide(self.state, message, now, version)
+        for action in actions:
+            match action:
+                case TakeLoads(peer=peer, loads_by_upstream=loads_by_upstream):
+                    self._fleet.loads.hear(peer, loads_by_upstream, now)
+                case TakeLeaving(upstream=upstream):
+                    self._fleet.tell(EntryRemoved(upstream))
+                case FetchTable(peer=newer):
+                    self._fetch_table(newer)
+
+    def count_alive(self) -> int:
+        """Return how many instances are alive, this one included."""
+        return 1 + count_alive(self.state, self._clock.now())
+
+    async def run(self) -> None:
+        """Send and receive, for ever."""
+        self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        await self._socket.bind((self._own.address, self._own.port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, self._socket)
+            nursery.start_soon(self._send, self._socket)
+
+    async def _receive(self, bound: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                raw, _ = await bound.recvfrom(_LARGEST_DATAGRAM)
+            except OSError as error:
+                logger.warning('news not received', detail=repr(error))
+                continue
+            self._take(raw)
+
+    def _take(self, raw: bytes) -> None:
+        if self.seal is None:
+            return
+        envelope = self.seal.open(raw, self._clock.wall())
+        if envelope is None or envelope.kind != _KIND:
+            return
+        try:
+            news = decode_binary(bytes(envelope.body), LoadNews)
+        except msgspec.MsgspecError as error:
+            logger.warning('news not understood', detail=repr(error))
+            return
+        self.tell(NewsArrived(envelope.sender, news))
+
+    async def _send(self, bound: trio.socket.SocketType) -> None:
+        while True:
+            await self._wait_for_news()
+            if self.seal is None:
+                continue
+            sealed = self._make_message(self.seal)
+            for peer in list(self.state.peers_by_name.values()):
+                if peer.name != self._own.name:
+                    await self._send_to(bound, sealed, peer)
+            await trio.sleep(seconds(_CHANGED_EVERY))
+
+    async def _wait_for_news(self) -> None:
+        crowds = 1 + len(self.state.peers_by_name) // _CROWD
+        with trio.move_on_after(seconds(_UNCHANGED_EVERY * crowds)):
+            while self._told == self._newest():
+                await self._fleet.changed()
+
+    def _newest(self) -> tuple[int, int]:
+        return (self._fleet.loads.version, self._fleet.table.version)
+
+    def _make_message(self, seal: Seal) -> bytes:
+        self._number += 1
+        self._told = self._newest()
+        news = LoadNews(
+            boot=self._boot,
+            number=self._number,
+            version=self._fleet.table.version,
+            loads_by_upstream=self._fleet.loads.own(),
+            leaving=self._list_leaving(),
+        )
+        envelope = Envelope(
+            sender=self._own.name,
+            recipient=_EVERYBODY,
+            kind=_KIND,
+            wall_ms=self._clock.wall(),
+            body=msgspec.Raw(encode_binary(news)),
+        )
+        return seal.close(envelope)
+
+    def _list_leaving(self) -> tuple[str, ...]:
+        now = self._clock.now()
+        return tuple(
+            name
+            for name, upstream in self._fleet.state.upstreams_by_id.items()
+            if upstream.lifecycle is Lifecycle.LEAVING
+            and now - upstream.changed_at <= _LEAVING_TOLD
+        )
+
+    async def _send_to(
+        self, bound: trio.socket.SocketType, sealed: bytes, peer: PeerEntry
+    ) -> None:
+        try:
+            await bound.sendto(sealed, (peer.address, peer.port))
+        except OSError as error:
+            logger.warning('news not sent', peer=peer.name, detail=repr(error))
--- /dev/null
+++ b/src/cartdale/news/roster.py
@@ -0,0 +1,82 @@
+"""List this instance in the store, and share the cluster's key there."""
+
+import secrets
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.codec import encode_json
+from cartdale.news.types import PeerEntry
+from cartdale.store.types import (
+    Compare,
+    LeaseLost,
+    Put,
+    Store,
+    StoreFailure,
+    TransactionOutcome,
+)
+
+PEER_PREFIX = 'cartdale/peers/'
+KEY_NAME = 'cartdale/cluster-key'
+#: An instance that dies stays listed for so long; datagrams to it are lost.
+_LEASE: Millis = 20 * SECOND_MS
+_RENEW_EVERY: Millis = 6 * SECOND_MS
+_RETRY_EVERY: Millis = SECOND_MS
+_KEY_BYTES = 32
+
+
+class Roster:
+    """Keep this instance listed.
+
+    :param own: what the others need to reach it.
+    """
+
+    def __init__(self, store: Store, own: PeerEntry) -> None:
+        self._store = store
+        self._own = own
+        self._lease = 0
+        self._listed = False
+
+    async def run(self) -> None:
+        """List this instance and renew its lease, for ever."""
+        while True:
+            if self._listed:
+                await self._renew()
+            else:
+                await self._register()
+            pause = _RENEW_EVERY if self._listed else _RETRY_EVERY
+            await trio.sleep(seconds(pause))
+
+    async def withdraw(self) -> None:
+        """Remove this instance from the list."""
+        if self._listed:
+            await self._store.revoke(self._lease)
+
+    async def propose_key(self) -> None:
+        """Write a new cluster key unless there is one."""
+        raw = secrets.token_bytes(_KEY_BYTES)
+        await self._store.transact(
+            (Compare(KEY_NAME, 0),), (Put(KEY_NAME, raw),)
+        )
+
+    async def _register(self) -> None:
+        granted = await self._store.grant(_LEASE)
+        if not isinstance(granted, Success):
+            logger.info('not listed', detail=repr(granted))
+            return
+        self._lease = granted.unwrap()
+        key = f'{PEER_PREFIX}{self._own.name}'
+        entry = Put(key, encode_json(self._own), self._lease)
+        written: Result[
+            TransactionOutcome, StoreFailure
+        ] = await self._store.transact((), (entry,))
+        self._listed = isinstance(written, Success)
+
+    async def _renew(self) -> None:
+        renewed = await self._store.keep_alive(self._lease)
+        match renewed:
+            case Failure(LeaseLost()):
+                self._listed = False
+                logger.info('listing lapsed', lease=self._lease)
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -1,7 +1,13 @@
 """Bind the platform's wire to the product's interfaces."""
 
 from cartdale.clock import Millis
-from cartdale.fleet.follow import News, TableWritten, Translator, Unreadable
+from cartdale.fleet.follow import (
+    News,
+    OwnKey,
+    TableWritten,
+    Translator,
+    Unreadable,
+)
 from cartdale.fleet.types import EntryRemoved, EntryWritten
 from cartdale.platform.callers import read_request, write_refusal
 from cartdale.platform.documents import (
@@ -14,10 +20,14 @@
 from cartdale.relay.types import CallerRequest, Headers
 from cartdale.store.types import Entry, Removed
 
+#: Keys that instances write for each other.
+_OWN_PREFIX = 'cartdale/'
+
 
 def make_translator() -> Translator:
     """Return what reads the platform's keys."""
-    return Translator((CONFIGURATION_KEY, UPSTREAM_PREFIX), _translate)
+    prefixes = (CONFIGURATION_KEY, UPSTREAM_PREFIX, _OWN_PREFIX)
+    return Translator(prefixes, _translate)
 
 
 class PlatformWire:
@@ -35,6 +45,9 @@
 
 
 def _translate(change: Entry | Removed) -> News | None:
+    if change.key.startswith(_OWN_PREFIX):
+        stored = b'' if isinstance(change, Removed) else change.value
+        return OwnKey(change.key, stored)
     if isinstance(change, Removed):
         if not change.key.startswith(UPSTREAM_PREFIX):
             return None
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -138,9 +138,12 @@
             msgspec.json.encode(order),
             _COPY_TIMEOUT,
         )
-        if not isinstance(answer, Success):
-            return Failure(CopyFailed(CopyFault.NO_ANSWER))
-        return _read_copy(answer.unwrap())
+        match answer:
+            case Success(response):
+                return _read_copy(response)
+            case Failure(NotSent()):
+                return Failure(CopyFailed(CopyFault.UNREACHABLE))
+        return Failure(CopyFailed(CopyFault.NO_ANSWER))
 
     async def drop(self, address: str, handle: str) -> None:
         """Free a copy that is not needed."""
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -317,6 +317,7 @@
         """Decide where the generation goes on after its link ended."""
         action = self._tell(LinkEnded())
         if isinstance(action, AwaitCopy):
+            logger.info('link ended in a move', request=self.request_id)
             await self._settled.wait()
             action = self._tell(LinkEnded())
         if isinstance(action, Resume):
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -182,6 +182,8 @@
     BUSY = 'busy'
     #: The target has no room or can't be reached.
     NO_ROOM = 'no_room'
+    #: The engine can't be reached: nothing was asked of it.
+    UNREACHABLE = 'unreachable'
     #: No answer came.
     NO_ANSWER = 'no_answer'
 
