--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -111,6 +111,7 @@
 
     async def _send(self, bound: trio.socket.SocketType) -> None:
         while True:
+            await trio.sleep(seconds(_CHANGED_EVERY))
             await self._wait_for_news()
             if self.seal is None:
                 continue
@@ -118,7 +119,6 @@
             for peer in list(self.state.peers_by_name.values()):
                 if peer.name != self._own.name:
                     await self._send_to(bound, sealed, peer)
-            await trio.sleep(seconds(_CHANGED_EVERY))
 
     async def _wait_for_news(self) -> None:
         crowds = 1 + len(self.state.peers_by_name) // _CROWD
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -11,9 +11,9 @@
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
     Compare,
+    LeasedStore,
     LeaseLost,
     Put,
-    Store,
     StoreFailure,
     TransactionOutcome,
 )
@@ -33,7 +33,7 @@
     :param own: what the others need to reach it.
     """
 
-    def __init__(self, store: Store, own: PeerEntry) -> None:
+    def __init__(self, store: LeasedStore, own: PeerEntry) -> None:
         self._store = store
         self._own = own
         self._lease = 0
--- a/src/cartdale/store/types.py
+++ b/src/cartdale/store/types.py
@@ -126,13 +126,8 @@
 StoreFailure = StoreUnavailable | WriteUnknown | LeaseLost | HistoryLost
 
 
-class Store(Protocol):
-    """Reach the key-value service."""
-
-    async def fetch(
-        self, prefix: str, start: str = '', limit: int = 0
-    ) -> Result[Listing, StoreFailure]:
-        """Read the keys with a prefix, from ``start`` on, in key order."""
+class LeasedStore(Protocol):
+    """Write keys under conditions and leases."""
 
     async def transact(
         self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
@@ -148,6 +143,15 @@
     async def revoke(self, lease: int) -> Result[None, StoreFailure]:
         """End a lease and remove its keys."""
 
+
+class Store(LeasedStore, Protocol):
+    """Reach the key-value service."""
+
+    async def fetch(
+        self, prefix: str, start: str = '', limit: int = 0
+    ) -> Result[Listing, StoreFailure]:
+        """Read the keys with a prefix, from ``start`` on, in key order."""
+
     async def wait_change(
         self, key: str, after: int, timeout: Millis
     ) -> Result[bool, StoreFailure]:
