Keep backups of long generations and rescue those whose link broke

Cause: with eight generations at an engine that leaves within 1.5 s its link can't carry all copies, and an engine that ends without notice loses all. Change: a long generation is sent with a backup where an engine has memory to spare; when its link breaks it is stopped at the source if that answers, and goes on from the copy or the backup.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -34,6 +34,7 @@
     :param expected: tokens that it is expected to make.
     :param excluded: upstreams that must not be chosen.
     :param far_cost: what another failure domain counts, in capacity.
+    :param filled: part of an engine's memory that may be filled.
     """
 
     service: str
@@ -41,6 +42,7 @@
     expected: int = 0
     excluded: frozenset[str] = frozenset()
     far_cost: float = _FAR_COST
+    filled: float = MEMORY_FILLED
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,12 +103,14 @@
 ) -> bool:
     if load.runs >= upstream.entry.slots:
         return False
-    if spec.engine is None or not load.runs:
+    if spec.engine is None:
+        return True
+    if not load.runs and need.filled >= MEMORY_FILLED:
         return True
     if load.reading and load.reading + need.prompt > READING_LIMIT:
         return False
     wanted = need.prompt + GROWTH_RESERVED * (need.expected + load.growth)
-    room = MEMORY_FILLED * spec.engine.memory_tokens
+    room = need.filled * spec.engine.memory_tokens
     return load.tokens + wanted <= room
 
 
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -44,11 +44,19 @@
     :param made: tokens made before it came here.
     """
 
-    __slots__ = ('began', 'expected', 'made', 'prompt', 'upstream')
+    __slots__ = (
+        'backup',
+        'began',
+        'expected',
+        'made',
+        'prompt',
+        'upstream',
+    )
 
     def __init__(
         self, upstream: str, prompt: int, expected: int, made: int = 0
     ) -> None:
+        self.backup = ''
         self.upstream = upstream
         self.prompt = prompt
         self.expected = expected
@@ -60,6 +68,10 @@
         self.began = True
         self.made += tokens
 
+    def backup_load(self) -> Load:
+        """Return what it adds to the load of its backup's upstream."""
+        return Load(tokens=self.prompt + self.made)
+
     def load(self) -> Load:
         """Return what it adds to its upstream's load."""
         left = max(self.expected - self.made, int(self.made * _OUTRUN_SHARE))
@@ -99,10 +111,10 @@
         """Return this instance's load by upstream."""
         loads_by_upstream: dict[str, Load] = {}
         for assignment in self._assignments:
-            before = loads_by_upstream.get(assignment.upstream, Load())
-            loads_by_upstream[assignment.upstream] = before.add(
-                assignment.load()
-            )
+            _add(loads_by_upstream, assignment.upstream, assignment.load())
+            if assignment.backup:
+                copied = assignment.backup_load()
+                _add(loads_by_upstream, assignment.backup, copied)
         return loads_by_upstream
 
     def totals(self, now: Millis) -> dict[str, Load]:
@@ -112,6 +124,10 @@
             if now - heard_at > PEER_LOAD_KEPT_MS:
                 continue
             for upstream, load in loads_by_upstream.items():
-                before = totals_by_upstream.get(upstream, Load())
-                totals_by_upstream[upstream] = before.add(load)
+                _add(totals_by_upstream, upstream, load)
         return totals_by_upstream
+
+
+def _add(loads_by_upstream: dict[str, Load], upstream: str, load: Load) -> None:
+    before = loads_by_upstream.get(upstream, Load())
+    loads_by_upstream[upstream] = before.add(load)
--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -15,6 +15,7 @@
     AwaitCopy,
     AwaitQuiet,
     ChooseAgain,
+    ChooseRescue,
     Copy,
     CopyEnded,
     CopyRejected,
@@ -25,6 +26,7 @@
     Message,
     MovePhase,
     MoveState,
+    RescueTarget,
     Resume,
     Resumed,
     ResumeRejected,
@@ -35,13 +37,18 @@
 #: Copies asked for in one move before it is given up.
 MOST_TRIES = 40
 
-_UNDER_WAY = frozenset((MovePhase.COPYING, MovePhase.STOPPING))
-_STOPPED = frozenset((MovePhase.AT_TARGET, MovePhase.AT_SOURCE))
+_ENDING = frozenset((MovePhase.STOPPING, MovePhase.RESCUING))
+_UNDER_WAY = _ENDING | {MovePhase.COPYING}
+_STOPPED = frozenset(
+    (MovePhase.AT_TARGET, MovePhase.AT_SOURCE, MovePhase.AT_BACKUP)
+)
 
 
-def begin(source: UpstreamEntry) -> MoveState:
+def begin(
+    source: UpstreamEntry, backup: UpstreamEntry | None = None
+) -> MoveState:
     """Make the state of a generation that runs at its first engine."""
-    return MoveState(source)
+    return MoveState(source, backup=backup)
 
 
 def decide(state: MoveState, message: Message) -> Decision:
@@ -60,8 +67,10 @@
             return _reject_copy(state, message)
         case LinkEnded():
             return _end_link(state)
-        case Resumed():
-            return _settle(state), ()
+        case RescueTarget(target=target):
+            return _rescue(state, target)
+        case Resumed(backup=backup):
+            return MoveState(_holder(state), backup=backup), ()
         case ResumeRejected():
             return _reject_resume(state)
         case _:
@@ -86,7 +95,7 @@
         case MovePhase.COPYING:
             after = replace(state, phase=MovePhase.COPIED, handle=handle)
             return after, (AwaitQuiet(),)
-        case MovePhase.STOPPING:
+        case MovePhase.STOPPING | MovePhase.RESCUING:
             after = replace(state, phase=MovePhase.AT_TARGET, handle=handle)
             return after, ()
         case _:
@@ -102,12 +111,14 @@
 def _reject_copy(state: MoveState, rejected: CopyRejected) -> Decision:
     if state.phase not in _UNDER_WAY:
         return state, ()
-    stopping = state.phase is MovePhase.STOPPING
+    stopping = state.phase in _ENDING
     if stopping and rejected.handle:
         after = replace(
             state, phase=MovePhase.AT_SOURCE, handle=rejected.handle
         )
         return after, ()
+    if state.phase is MovePhase.RESCUING:
+        return _fall_back(state)
     if state.tries >= MOST_TRIES:
         return _give_up(state), ()
     tried = replace(state, tries=state.tries + 1)
@@ -133,7 +144,25 @@
     if state.handle and state.target is not None:
         after = replace(state, phase=MovePhase.AT_TARGET)
         return after, (Resume(state.target),)
-    return replace(state, phase=MovePhase.LOST), (Cut(),)
+    if state.phase is MovePhase.LOST:
+        return state, (Cut(),)
+    return replace(state, phase=MovePhase.RESCUING), (ChooseRescue(),)
+
+
+def _rescue(state: MoveState, target: UpstreamEntry | None) -> Decision:
+    """Stop the generation at its source, if it runs on behind the link."""
+    if state.phase is not MovePhase.RESCUING:
+        return state, ()
+    if target is None:
+        return _fall_back(state)
+    return replace(state, target=target), (Copy(last=True),)
+
+
+def _fall_back(state: MoveState) -> Decision:
+    """Go on from the backup; the source has nothing that could run on."""
+    if state.backup is None:
+        return replace(state, phase=MovePhase.LOST), (Cut(),)
+    return replace(state, phase=MovePhase.AT_BACKUP), (Resume(state.backup),)
 
 
 def _give_up(state: MoveState) -> MoveState:
@@ -141,10 +170,6 @@
     return replace(state, phase=MovePhase.SETTLED)
 
 
-def _settle(state: MoveState) -> MoveState:
-    return MoveState(_holder(state))
-
-
 def _reject_resume(state: MoveState) -> Decision:
     if state.phase is MovePhase.AT_TARGET:
         after = replace(state, phase=MovePhase.AT_SOURCE)
@@ -153,6 +178,10 @@
 
 
 def _holder(state: MoveState) -> UpstreamEntry:
-    if state.phase is MovePhase.AT_TARGET and state.target is not None:
-        return state.target
-    return state.source
+    match state.phase:
+        case MovePhase.AT_TARGET if state.target is not None:
+            return state.target
+        case MovePhase.AT_BACKUP if state.backup is not None:
+            return state.backup
+        case _:
+            return state.source
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -22,6 +22,10 @@
     AT_TARGET = 'at_target'
     #: It stopped; its memory lies at the source.
     AT_SOURCE = 'at_source'
+    #: Its link broke; it is stopped at its source, if it runs on there.
+    RESCUING = 'rescuing'
+    #: It has ended at its source; a backup lies at another engine.
+    AT_BACKUP = 'at_backup'
     #: It can't go on anywhere.
     LOST = 'lost'
 
@@ -32,6 +36,7 @@
 
     :param handle: the newest copy's name; empty for none.
     :param tries: copies asked for since it settled.
+    :param backup: engine that is kept up to date with its memory.
     """
 
     source: UpstreamEntry
@@ -39,6 +44,7 @@
     target: UpstreamEntry | None = None
     handle: str = ''
     tries: int = 0
+    backup: UpstreamEntry | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,9 +82,24 @@
     """The stream ended without its end."""
 
 
+@dataclass(frozen=True, slots=True)
+class RescueTarget:
+    """An engine was looked for, for a generation whose link broke.
+
+    :param target: ``None`` when no engine has room.
+    """
+
+    target: UpstreamEntry | None
+
+
 @dataclass(frozen=True, slots=True)
 class Resumed:
-    """The generation goes on where it was sent."""
+    """The generation goes on where it was sent.
+
+    :param backup: engine that is kept up to date from now on.
+    """
+
+    backup: UpstreamEntry | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +134,11 @@
     """Wait for the copy that is under way."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChooseRescue:
+    """Look for an engine that can take a generation whose link broke."""
+
+
 @dataclass(frozen=True, slots=True)
 class Resume:
     """Send the request to the engine that holds the memory."""
@@ -131,8 +157,11 @@
     | LinkQuiet
     | CopyRejected
     | LinkEnded
+    | RescueTarget
     | Resumed
     | ResumeRejected
 )
-Action = Copy | ChooseAgain | AwaitQuiet | AwaitCopy | Resume | Cut
+Action = (
+    Copy | ChooseAgain | AwaitQuiet | AwaitCopy | ChooseRescue | Resume | Cut
+)
 Decision = tuple[MoveState, tuple[Action, ...]]
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -19,6 +19,7 @@
 from cartdale.fleet.types import EngineReport, RunReport
 from cartdale.platform.callers import CONNECTION_HEADERS
 from cartdale.platform.names import (
+    HEADER_BACKUP,
     HEADER_DEADLINE,
     HEADER_EXPECT,
     HEADER_LAST_EVENT,
@@ -55,8 +56,6 @@
 _CONNECT_TIMEOUT: Millis = 1500
 #: Longest wait for a report.
 _REPORT_TIMEOUT: Millis = 500
-#: Longest wait for a copy: all of an engine's memory over its link.
-_COPY_TIMEOUT: Millis = 3 * SECOND_MS
 #: Unacknowledged bytes and unanswered probes end a connection after so long.
 _DEAD_LINK: Millis = 2 * SECOND_MS
 _PROBE_SECONDS = 1
@@ -136,7 +135,7 @@
             copy.source,
             PATH_MOVE,
             msgspec.json.encode(order),
-            _COPY_TIMEOUT,
+            copy.patience,
         )
         match answer:
             case Success(response):
@@ -238,6 +237,8 @@
     if routed.route.kind is RouteKind.STREAM:
         urgency = _MOST_URGENT + _URGENCY_STEP * routed.priority
         own[HEADER_URGENCY] = str(min(urgency, _LEAST_URGENT))
+    if call.backup:
+        own[HEADER_BACKUP] = call.backup
     if call.resume is not None:
         resume = call.resume
         own[HEADER_RESUME_FROM] = f'{resume.address}/{resume.handle}'
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -1,5 +1,6 @@
 """Carry a streamed generation, over as many engines as it moves through."""
 
+from dataclasses import replace
 from enum import StrEnum
 
 import trio
@@ -17,6 +18,7 @@
     AwaitCopy,
     AwaitQuiet,
     ChooseAgain,
+    ChooseRescue,
     Copy,
     CopyEnded,
     CopyRejected,
@@ -26,6 +28,7 @@
     Message,
     MovePhase,
     MoveState,
+    RescueTarget,
     Resume,
     Resumed,
     ResumeRejected,
@@ -52,6 +55,7 @@
     wait_until,
 )
 from cartdale.relay.types import (
+    COPY_PATIENCE,
     AnswerSink,
     Copied,
     CopyFailed,
@@ -73,6 +77,12 @@
 #: twice as long, and the others of the engine wait behind it.
 _FAR_MOVE_COST = 0.3
 _SUCCESS = 200
+#: Longest wait for an engine whose link broke to answer a copy.
+_RESCUE_PATIENCE: Millis = 400
+#: Part of an engine's memory that may be filled when a backup is sent there.
+_BACKUP_FILLED = 0.6
+#: Tokens to make from which on a backup is worth its memory.
+_BACKUP_WORTH = 100
 
 
 class StreamEnd(StrEnum):
@@ -109,6 +119,7 @@
         self._settled = trio.Event()
         self._assignment: Assignment | None = None
         self.move: MoveState | None = None
+        self._new_backup: UpstreamEntry | None = None
         self.events = 0
         self.ended = False
 
@@ -172,8 +183,12 @@
         )
 
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
-        call = make_call(self._ports, self.routed, upstream)
-        self.move = moves.begin(upstream.entry)
+        backup = self._choose_backup(upstream.entry)
+        self.move = moves.begin(upstream.entry, backup)
+        call = replace(
+            make_call(self._ports, self.routed, upstream),
+            backup=backup.address if backup else '',
+        )
         ended = await self._open(call)
         while isinstance(ended, Resume):
             ended = await self._resume(ended.upstream)
@@ -204,7 +219,7 @@
             await self._sink.start(answer.status, answer.headers)
             self._started = True
         if call.resume is not None:
-            self._tell(Resumed())
+            self._tell(Resumed(self._new_backup))
         good = answer.status == _SUCCESS
         self._ports.fleet.tell(RequestEnded(upstream, good=good))
         return await self._pass_events(answer)
@@ -248,6 +263,8 @@
         :param quiet_at: when the engine's link is free.
         """
         refused: set[str] = set()
+        if self.move is not None and self.move.backup is not None:
+            return
         while not self.ended and self._ports.clock.now() < until:
             target = self._choose_target(refused)
             if target is not None:
@@ -294,7 +311,9 @@
         await trio.sleep(seconds(max(left, 0)))
         return self._tell(LinkQuiet())
 
-    async def _copy(self, action: Copy) -> Action | None:
+    async def _copy(
+        self, action: Copy, patience: Millis = COPY_PATIENCE
+    ) -> Action | None:
         if action.pause:
             await trio.sleep(seconds(_COPY_PAUSE))
         state = self.move
@@ -305,6 +324,7 @@
             state.source.address,
             state.target.address,
             action.last,
+            patience,
         )
         match await self._ports.upstreams.copy(copy):
             case Success(Copied(handle=handle)):
@@ -317,9 +337,10 @@
         """Decide where the generation goes on after its link ended."""
         action = self._tell(LinkEnded())
         if isinstance(action, AwaitCopy):
-            logger.info('link ended in a move', request=self.request_id)
             await self._settled.wait()
             action = self._tell(LinkEnded())
+        if isinstance(action, ChooseRescue):
+            action = await self._rescue()
         if isinstance(action, Resume):
             return action
         logger.warning(
@@ -332,6 +353,41 @@
             return StreamEnd.CUT
         return Broken(detail)
 
+    async def _rescue(self) -> Action | None:
+        """Go on elsewhere after the link broke without a move."""
+        target = self._choose_rescue() if self.events else None
+        action = self._tell(RescueTarget(target))
+        if isinstance(action, Copy):
+            action = await self._copy(action, _RESCUE_PATIENCE)
+        if action is None:
+            action = self._tell(LinkEnded())
+        return action
+
+    def _choose_rescue(self) -> UpstreamEntry | None:
+        backup = self.move.backup if self.move else None
+        if backup is not None:
+            return backup
+        target = self._choose_target(set())
+        return target.entry if target else None
+
+    def _choose_backup(self, source: UpstreamEntry) -> UpstreamEntry | None:
+        """Return an engine with memory to spare for a second copy."""
+        spec = self._ports.fleet.table.services_by_name.get(source.service)
+        if spec is None or spec.engine is None or not spec.engine.backups:
+            return None
+        need = replace(
+            make_need(self.routed, frozenset((source.upstream,))),
+            filled=_BACKUP_FILLED,
+        )
+        if need.expected < _BACKUP_WORTH:
+            return None
+        chosen = self._ports.fleet.choose(need)
+        if chosen is None:
+            return None
+        if self._assignment is not None:
+            self._assignment.backup = chosen.entry.upstream
+        return chosen.entry
+
     async def _resume(
         self, upstream: UpstreamEntry
     ) -> StreamEnd | AttemptEnd | Resume:
@@ -339,16 +395,27 @@
         if state is None:
             return StreamEnd.CUT
         self._assign(self._make_assignment(upstream))
-        point = ResumePoint(
-            state.source.address, state.handle, self._last_event
+        self._new_backup = self._choose_backup(upstream)
+        call = UpstreamCall(
+            self.routed,
+            upstream,
+            self._left(),
+            self._find_memory(state),
+            self._new_backup.address if self._new_backup else '',
         )
-        call = UpstreamCall(self.routed, upstream, self._left(), point)
         ended = await self._open(call)
         if not isinstance(ended, Unsent | Declined):
             return ended
         action = self._tell(ResumeRejected())
         return action if isinstance(action, Resume) else StreamEnd.CUT
 
+    def _find_memory(self, state: MoveState) -> ResumePoint:
+        if state.phase is MovePhase.AT_BACKUP and state.backup is not None:
+            return ResumePoint(
+                state.backup.address, self.request_id, self._last_event
+            )
+        return ResumePoint(state.source.address, state.handle, self._last_event)
+
     def _tell(self, message: Message) -> Action | None:
         if self.move is None:
             return Cut()
@@ -370,6 +437,8 @@
             MovePhase.STOPPING,
             MovePhase.AT_TARGET,
             MovePhase.AT_SOURCE,
+            MovePhase.RESCUING,
+            MovePhase.AT_BACKUP,
         }
         return self.move.phase in stopped
 
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -8,11 +8,14 @@
 
 from returns.result import Result
 
-from cartdale.clock import Millis
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.routes.types import Route
 
+#: Longest wait for a copy: all of an engine's memory over its link.
+COPY_PATIENCE: Millis = 3 * SECOND_MS
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -86,12 +89,14 @@
 
     :param left: time that remains, in milliseconds.
     :param resume: where a moved generation goes on.
+    :param backup: address of the engine to keep up to date; empty for none.
     """
 
     routed: RoutedRequest
     upstream: UpstreamEntry
     left: Millis
     resume: ResumePoint | None = None
+    backup: str = ''
 
 
 class Standing(StrEnum):
@@ -153,12 +158,14 @@
     """Ask an engine to copy a generation's memory to another.
 
     :param last: whether the generation stops first.
+    :param patience: longest wait for the answer.
     """
 
     request_id: str
     source: str
     target: str
     last: bool
+    patience: Millis = COPY_PATIENCE
 
 
 @dataclass(frozen=True, slots=True)
