Revert the trial of a backup for every long generation

Backups that are not counted displace running generations: they stay limited to engines that are less than 60% full, and count there.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -70,7 +70,7 @@
 
     def backup_load(self) -> Load:
         """Return what it adds to the load of its backup's upstream."""
-        return Load()
+        return Load(tokens=self.prompt + self.made)
 
     def load(self) -> Load:
         """Return what it adds to its upstream's load."""
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -80,7 +80,7 @@
 #: Longest wait for an engine whose link broke to answer a copy.
 _RESCUE_PATIENCE: Millis = 400
 #: Part of an engine's memory that may be filled when a backup is sent there.
-_BACKUP_FILLED = 2
+_BACKUP_FILLED = 0.6
 #: Tokens to make from which on a backup is worth its memory.
 _BACKUP_WORTH = 100
 
