Ask engines themselves while cut off; hand the configuration on to peers

Change: without news for 1.2 s, or while the store fails, the reports of the engines that run own generations are read; news carry the version in force, and a newer document is fetched from the peer. Not measured yet.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -1,6 +1,7 @@
 """Runtime of an entry instance on the users' platform."""
 
 import random
+import secrets
 import signal
 import zlib
 from pathlib import Path
@@ -10,19 +11,28 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 from loguru import logger
+from returns.result import Failure, Success
 
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
 from cartdale.codec import decode_json
-from cartdale.daemon.clients import make_client
+from cartdale.daemon.clients import make_client, make_peer_pool
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.follow import Follower, OwnKey
+from cartdale.fleet.follow import Follower, OwnKey, TableWritten
 from cartdale.gateway.app import GatewayApp, GatewayPorts
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
 from cartdale.news.driver import NewsLine
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
+from cartdale.peers.app import PeerApp
+from cartdale.peers.client import PeerClient
+from cartdale.peers.messages import (
+    Document,
+    FetchDocument,
+    PeerMessage,
+    Unserved,
+)
 from cartdale.peers.seal import Seal
 from cartdale.platform.names import PATH_READY
 from cartdale.platform.settings import (
@@ -31,7 +41,11 @@
     load_platform_settings,
 )
 from cartdale.platform.store import PlatformStore
-from cartdale.platform.translate import PlatformWire, make_translator
+from cartdale.platform.translate import (
+    PlatformWire,
+    make_translator,
+    read_table,
+)
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay.admission import Admission
 from cartdale.relay.ports import RelayPorts
@@ -39,6 +53,10 @@
 from cartdale.routes.types import RoutingTable
 
 _STORE_TIMEOUT: Millis = SECOND_MS
+_PEER_TIMEOUT: Millis = SECOND_MS
+#: Length of the key that seals nothing that anyone opens, until the
+#: cluster's own is known.
+_KEY_BYTES = 32
 #: After SIGTERM the balancer asks twice, a second apart, until it sends no
 #: new connections; what still comes in that time is served.
 _LEAVE_PAUSE: Millis = 3 * SECOND_MS
@@ -69,6 +87,15 @@
         own = PeerEntry(settings.name, settings.address, settings.peer_ports[0])
         self._news = NewsLine(own, self._fleet, self._clock, self._fetch_table)
         self._roster = Roster(self._store, own)
+        self._peers = PeerClient(
+            make_peer_pool(None),
+            settings.name,
+            Seal((secrets.token_bytes(_KEY_BYTES),)),
+            self._clock,
+            _PEER_TIMEOUT,
+        )
+        self._nursery: trio.Nursery | None = None
+        self._fetching = False
         self._follower = Follower(
             self._store,
             self._fleet,
@@ -77,7 +104,9 @@
             self._take_own_key,
         )
         upstreams = PlatformUpstreams()
-        self._mover = Mover(self._fleet, upstreams, self._clock)
+        self._mover = Mover(
+            self._fleet, upstreams, self._clock, self._is_cut_off
+        )
         bounds = settings.bounds
         relay = RelayPorts(
             clock=self._clock,
@@ -104,11 +133,15 @@
         self._stopping = trio.Event()
         self._callers = _configure(settings.callers)
         self._ready = _configure(settings.ready)
+        self._peer_config = _configure(
+            Endpoint(settings.address, settings.peer_ports[0])
+        )
 
     async def run(self) -> None:
         """Serve until the instance was told to leave and all work ended."""
         logger.info('started', instance=self._settings.name)
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._obey_signals, nursery.cancel_scope)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._fleet.run)
@@ -119,10 +152,16 @@
             for app, config in (
                 (self._app, self._callers),
                 (ReadyApp(PATH_READY, self._is_ready), self._ready),
+                (self._peer_app(), self._peer_config),
             ):
                 nursery.start_soon(self._serve, app, config)
         logger.info('stopped', instance=self._settings.name)
 
+    def _peer_app(self) -> PeerApp:
+        return PeerApp(
+            self._settings.name, self._peers, self._clock, self._serve_peer
+        )
+
     async def _serve(self, app: object, config: Config) -> None:
         await serve(
             app,  # type: ignore[arg-type]
@@ -163,6 +202,7 @@
     def _take_own_key(self, news: OwnKey) -> None:
         if news.key == KEY_NAME and news.stored:
             self._news.seal = Seal((news.stored,))
+            self._peers.seal = self._news.seal
         if not news.key.startswith(PEER_PREFIX):
             return
         if not news.stored:
@@ -176,7 +216,37 @@
         self._news.tell(PeerListed(peer))
 
     def _fetch_table(self, peer: PeerEntry) -> None:
-        """Fetch a newer configuration from a peer."""
+        """Fetch a newer configuration from a peer, unless one is fetched."""
+        if self._nursery is not None and not self._fetching:
+            self._fetching = True
+            self._nursery.start_soon(self._ask_for_table, peer)
+
+    async def _ask_for_table(self, peer: PeerEntry) -> None:
+        address = f'http://{peer.address}:{peer.port}'
+        answer = await self._peers.ask(
+            peer.name, address, FetchDocument(), Document
+        )
+        self._fetching = False
+        match answer:
+            case Success(document):
+                news = read_table(document.raw)
+                if isinstance(news, TableWritten):
+                    self._follower.adopt(news)
+            case Failure(failure):
+                logger.info(
+                    'configuration not fetched',
+                    peer=peer.name,
+                    detail=repr(failure),
+                )
+
+    async def _serve_peer(self, message: PeerMessage) -> PeerMessage:
+        if isinstance(message, FetchDocument):
+            return Document(self._follower.raw_table)
+        return Unserved()
+
+    def _is_cut_off(self) -> bool:
+        """Tell whether nobody would say that an upstream leaves."""
+        return self._follower.failing or self._news.is_silent()
 
     def _reload(self) -> None:
         try:
--- a/src/cartdale/fleet/__init__.py
+++ b/src/cartdale/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Fleet: the upstreams of every service, as one instance believes them to be."""
+"""Fleet: the upstreams of every service, as one instance sees them."""
--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import assert_never
 
-from cartdale.clock import SECOND_MS, Millis
+from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
 from cartdale.fleet.types import (
     Action,
     BeganLeaving,
@@ -26,7 +26,7 @@
 LAPSED_KEPT_MS: Millis = 2 * SECOND_MS
 #: A removed upstream is forgotten after so long; until then its running work
 #: is still known to be there.
-LEAVING_KEPT_MS: Millis = 30 * SECOND_MS
+LEAVING_KEPT_MS: Millis = MINUTE_MS // 2
 #: Weight of one request in the share of failed requests.
 _FAILING_WEIGHT = 0.2
 #: First and longest time that an upstream which does not answer is avoided.
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -49,7 +49,8 @@
     def tell(self, message: Message) -> None:
         """Take one message and act on what follows from it."""
         before = self.state
-        self.state, actions = decide(before, message, self._clock.now())
+        after, actions = decide(before, message, self._clock.now())
+        self.state = after
         for action in actions:
             logger.info('upstream changed', change=repr(action))
             if isinstance(action, BeganLeaving) and self.on_leaving:
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -22,6 +22,7 @@
 )
 from cartdale.routes.types import RoutingTable
 from cartdale.store.types import (
+    Changes,
     Entry,
     HistoryLost,
     Listing,
@@ -42,9 +43,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TableWritten:
-    """The operator wrote a configuration."""
+    """The operator wrote a configuration.
+
+    :param raw: as it is stored, to hand on to peers.
+    """
 
     table: RoutingTable
+    raw: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +105,10 @@
         self._clock = clock
         self._translator = translator
         self._failed_at: Millis | None = None
+        #: The configuration in force, as it is stored.
+        self.raw_table = b''
+        #: Whether the last call to the store failed.
+        self.failing = False
         #: Set once everything was read for the first time.
         self.in_step = trio.Event()
 
@@ -109,16 +118,18 @@
             revision = await self._read_all()
             await self._watch(revision)
 
-    def adopt(self, table: RoutingTable) -> None:
+    def adopt(self, written: TableWritten) -> None:
         """Put a configuration in force unless it is older than the present.
 
-        :param table: from the store or from a peer.
+        :param written: from the store or from a peer.
         """
-        if table.version <= self._fleet.table.version:
+        version = written.table.version
+        if version <= self._fleet.table.version:
             return
-        self._fleet.table = table
+        self._fleet.table = written.table
+        self.raw_table = written.raw
         self._fleet.notify()
-        logger.info('configuration in force', version=table.version)
+        logger.info('configuration in force', version=version)
 
     async def _read_all(self) -> int:
         """Read every prefix; return the revision to watch from."""
@@ -130,6 +141,7 @@
             oldest = listing.store_revision
             revision = min(revision, oldest) if revision else oldest
         self._take_all(entries)
+        self.failing = False
         return revision
 
     async def _insist(self, prefix: str) -> Listing:
@@ -180,10 +192,7 @@
             answer = await self._store.watch('', revision, WATCH_FOR)
             match answer:
                 case Success(changes):
-                    for change in changes.changes:
-                        news = self._translator.translate(change)
-                        if news is not None:
-                            self._take(news)
+                    self._take_changes(changes)
                     revision = max(revision, changes.store_revision)
                 case Failure(HistoryLost()):
                     logger.info('store forgot history', revision=revision)
@@ -193,10 +202,16 @@
                     await trio.sleep(_PAUSE_SECONDS)
                     return
 
+    def _take_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            news = self._translator.translate(change)
+            if news is not None:
+                self._take(news)
+
     def _take(self, news: News) -> None:
         match news:
-            case TableWritten(table=table):
-                self.adopt(table)
+            case TableWritten():
+                self.adopt(news)
             case EntryWritten():
                 self._fleet.tell(news)
             case EntryRemoved(upstream=upstream):
@@ -211,6 +226,7 @@
         if not self._in_shadow():
             logger.warning('store lost', detail=detail)
         self._failed_at = self._clock.now()
+        self.failing = True
 
     def _in_shadow(self) -> bool:
         """Tell whether the store was away within the last seconds."""
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -83,12 +83,20 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerLoad:
+    """Hold what a peer said last."""
+
+    heard_at: Millis
+    loads_by_upstream: dict[str, Load]
+
+
 class LoadBook:
     """Hold the work of this instance, and what peers said of theirs."""
 
     def __init__(self) -> None:
         self._assignments: set[Assignment] = set()
-        self._peers_by_name: dict[str, tuple[Millis, dict[str, Load]]] = {}
+        self._peers_by_name: dict[str, _PeerLoad] = {}
         self.version = 0
 
     def assign(self, assignment: Assignment) -> None:
@@ -105,7 +113,7 @@
         self, peer: str, loads_by_upstream: dict[str, Load], now: Millis
     ) -> None:
         """Replace what a peer has running."""
-        self._peers_by_name[peer] = (now, loads_by_upstream)
+        self._peers_by_name[peer] = _PeerLoad(now, loads_by_upstream)
 
     def own(self) -> dict[str, Load]:
         """Return this instance's load by upstream."""
@@ -120,10 +128,10 @@
     def totals(self, now: Millis) -> dict[str, Load]:
         """Return everybody's load by upstream, as far as it is known."""
         totals_by_upstream = self.own()
-        for heard_at, loads_by_upstream in self._peers_by_name.values():
-            if now - heard_at > PEER_LOAD_KEPT_MS:
+        for peer in self._peers_by_name.values():
+            if now - peer.heard_at > PEER_LOAD_KEPT_MS:
                 continue
-            for upstream, load in loads_by_upstream.items():
+            for upstream, load in peer.loads_by_upstream.items():
                 _add(totals_by_upstream, upstream, load)
         return totals_by_upstream
 
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -54,6 +54,7 @@
 
     :param used_tokens: memory that can't give way.
     :param leaves_in: time until the engine is gone, if it is known.
+    :param leaving: whether the engine says that it leaves.
     """
 
     running: int
@@ -61,6 +62,7 @@
     used_tokens: int
     total_tokens: int
     leaves_in: Millis | None = None
+    leaving: bool = False
     runs: tuple[RunReport, ...] = ()
 
 
--- a/src/cartdale/gateway/__init__.py
+++ b/src/cartdale/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Gateway: the HTTP interface that routes callers' requests by host and path."""
+"""Gateway: the HTTP interface that routes requests by host and path."""
--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -23,9 +23,10 @@
     Problem,
     describe,
 )
+from cartdale.relay.itinerary import Itinerary
 from cartdale.relay.plain import PlainCarrier
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.stream import StreamCarrier, StreamEnd
+from cartdale.relay.stream import StreamCarrier
 from cartdale.relay.types import CallerRequest, Headers, RoutedRequest
 from cartdale.routes.match import (
     find_route,
@@ -39,6 +40,8 @@
 Receive = Callable[[], Awaitable[AsgiEvent]]
 Send = Callable[[AsgiEvent], Awaitable[None]]
 
+#: Names the kind of an ASGI scope or event.
+_TYPE = 'type'
 #: When a caller should come back to an instance that is not ready yet.
 _NOT_READY_WAIT: Millis = 500
 #: Tokens in an event where the engine does not say.
@@ -93,10 +96,10 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope['type'] == 'lifespan':
+        if scope[_TYPE] == 'lifespan':
             await live(receive, send)
             return
-        if scope['type'] != 'http':
+        if scope[_TYPE] != 'http':
             return
         self.in_flight += 1
         try:
@@ -117,12 +120,12 @@
     ) -> None:
         self._ports = ports
         self._receive = receive
-        self._sink = AsgiSink(send, ports.leaving)
         self._arrived_at = ports.clock.now()
+        self._sink = AsgiSink(send, ports.leaving, ports.clock)
         query: bytes = scope['query_string']
         target: bytes = scope['raw_path']
         if query:
-            target = target + b'?' + query
+            target = b'?'.join((target, query))
         self._request = ports.wire.read_request(
             scope['method'], target, tuple(scope['headers'])
         )
@@ -154,7 +157,7 @@
         limit = self._ports.table().limits.body_bytes
         while True:
             event = await self._receive()
-            if event['type'] == 'http.disconnect':
+            if event[_TYPE] == 'http.disconnect':
                 return None
             part: bytes = event.get('body', b'')
             parts.append(part)
@@ -198,7 +201,7 @@
         """Stop the work once the caller has left."""
         while True:
             event = await self._receive()
-            if event['type'] == 'http.disconnect':
+            if event[_TYPE] == 'http.disconnect':
                 logger.info('caller left', request=self._request.request_id)
                 scope.cancel()
                 return
@@ -219,17 +222,24 @@
                 await self._refuse(problem)
 
     async def _carry_stream(self, routed: RoutedRequest) -> None:
-        carrier = StreamCarrier(
-            self._ports.relay, routed, self._sink, EVENT_TOKENS
-        )
-        self._ports.mover.add(carrier)
+        relay = self._ports.relay
+        itinerary = Itinerary(relay, routed, EVENT_TOKENS)
+        carrier = StreamCarrier(relay, routed, self._sink, itinerary)
+        self._ports.mover.add(itinerary)
         try:
             outcome = await carrier.carry()
         finally:
-            self._ports.mover.remove(carrier)
+            self._ports.mover.remove(itinerary)
         match outcome:
             case Success(end):
-                _log_end(self._request.request_id, end, carrier.events)
+                logger.info(
+                    'stream ended',
+                    request=self._request.request_id,
+                    end=end,
+                    events=itinerary.events,
+                    first_after=self._sink.started_after,
+                    longest_gap=carrier.longest_gap,
+                )
             case Failure(problem):
                 await self._refuse(problem)
 
@@ -266,9 +276,15 @@
     :param leaving: tells whether the connection is to be closed after it.
     """
 
-    def __init__(self, send: Send, leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self, send: Send, leaving: Callable[[], bool], clock: Clock
+    ) -> None:
         self._send = send
         self._leaving = leaving
+        self._clock = clock
+        self._made_at = clock.now()
+        #: From the request's arrival to the head, in milliseconds.
+        self.started_after: Millis = 0
 
     async def start(
         self, status: int, headers: Headers, length: int | None = None
@@ -277,13 +293,14 @@
 
         :param length: size of the body in bytes, if it is known.
         """
+        self.started_after = self._clock.now() - self._made_at
         written = list(headers)
         if length is not None:
             written.append((b'content-length', str(length).encode()))
         if self._leaving():
             written.append((b'connection', b'close'))
         event = {
-            'type': 'http.response.start',
+            _TYPE: 'http.response.start',
             'status': status,
             'headers': written,
         }
@@ -292,7 +309,7 @@
     async def write(self, chunk: bytes) -> None:
         """Write a part of the body."""
         event = {
-            'type': 'http.response.body',
+            _TYPE: 'http.response.body',
             'body': chunk,
             'more_body': True,
         }
@@ -300,17 +317,13 @@
 
     async def finish(self) -> None:
         """Mark the body as whole."""
-        await self._send({'type': 'http.response.body', 'body': b''})
+        await self._send({_TYPE: 'http.response.body', 'body': b''})
 
 
 async def live(receive: Receive, send: Send) -> None:
     """Answer the server's events of start and stop."""
     while True:
         event = await receive()
-        await send({'type': f'{event["type"]}.complete'})
-        if event['type'] == 'lifespan.shutdown':
+        await send({_TYPE: f'{event["type"]}.complete'})
+        if event[_TYPE] == 'lifespan.shutdown':
             return
-
-
-def _log_end(request_id: str, end: StreamEnd, events: int) -> None:
-    logger.info('stream ended', request=request_id, end=end, events=events)
--- a/src/cartdale/logs.py
+++ b/src/cartdale/logs.py
@@ -77,12 +77,14 @@
     """
     sink = PipeSink(sys.stdout.fileno())
 
-    def write(message: Any) -> None:
-        sink.write(_format_line(message.record))
-
     logger.remove()
     logger.configure(extra={'node': instance})
-    logger.add(write, level='INFO', format='{message}', catch=False)
+    logger.add(
+        lambda message: sink.write(_format_line(message.record)),
+        level='INFO',
+        format='{message}',
+        catch=False,
+    )
 
 
 def _format_line(record: Any) -> bytes:
@@ -92,4 +94,4 @@
         'event': record['message'],
         **record['extra'],
     }
-    return msgspec.json.encode(line, enc_hook=repr) + b'\n'
+    return b'%s\n' % msgspec.json.encode(line, enc_hook=repr)
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -1,20 +1,34 @@
 """Tell this instance's generations when their engine leaves."""
 
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import trio
 from loguru import logger
-from returns.result import Success
+from returns.result import Failure, Success
 
-from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import EngineReport, UpstreamEntry
+from cartdale.fleet.types import (
+    EngineReport,
+    EntryRemoved,
+    Lifecycle,
+    RunReport,
+    UpstreamEntry,
+)
 from cartdale.moves.schedule import estimate_all
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
 #: How long an engine is taken to serve on when it doesn't say.
 _SERVES_ON: Millis = 2 * SECOND_MS
+#: Between the copies that are asked for: the smaller goes first into the
+#: engine's queue, so that as many as possible leave in time.
+_TURN: Millis = 4
+#: Between questions to engines while cut off from the store and the peers.
+_SCOUT_EVERY: Millis = 300
 
 
 class MovingRun(Protocol):
@@ -40,12 +54,28 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class _Ranked:
+    """Hold a generation and its place in the order of all."""
+
+    run: MovingRun
+    rank: int
+
+
 class Mover:
-    """Know which generations of this instance run at which upstream."""
+    """Know which generations of this instance run at which upstream.
+
+    :param cut_off: tells whether neither the store nor peers can be heard.
+    """
 
     def __init__(
-        self, fleet: Fleet, upstreams: UpstreamPort, clock: Clock
+        self,
+        fleet: Fleet,
+        upstreams: UpstreamPort,
+        clock: Clock,
+        cut_off: Callable[[], bool],
     ) -> None:
+        self._cut_off = cut_off
         self._fleet = fleet
         self._upstreams = upstreams
         self._clock = clock
@@ -57,7 +87,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._fleet.on_leaving = self.begin
-            await trio.sleep_forever()
+            while True:
+                await trio.sleep(seconds(_SCOUT_EVERY))
+                if self._cut_off():
+                    await self._scout()
 
     def add(self, run: MovingRun) -> None:
         """Watch over a generation."""
@@ -74,31 +107,57 @@
 
     async def _empty(self, name: str) -> None:
         upstream = self._fleet.find(name)
-        if upstream is None or not self._runs_at(name):
-            return
-        engine = self._engine_of(upstream.entry)
-        if engine is None or not engine.moves:
+        own = self._runs_at(name)
+        engine = self._engine_of(upstream.entry) if upstream else None
+        if upstream is None or engine is None or not (own and engine.moves):
             return
         noticed_at = self._clock.now()
-        report = await self._upstreams.report(upstream.entry.address)
-        held = report.value_or(EngineReport(0, 0, 0, 0))
-        own = self._runs_at(name)
+        held = await self._read_report(upstream.entry)
         tokens_by_request = {run.request_id: run.tokens for run in own}
         takes = estimate_all(held.runs, tokens_by_request, engine)
-        leaves_in = held.leaves_in
-        until = noticed_at + (_SERVES_ON if leaves_in is None else leaves_in)
         logger.info(
             'emptying upstream',
             upstream=name,
-            known=isinstance(report, Success),
-            leaves_in=leaves_in,
+            leaves_in=held.leaves_in,
             own=len(own),
             reported=len(held.runs),
             takes=takes,
         )
+        until = noticed_at + (held.leaves_in or _SERVES_ON)
         async with trio.open_nursery() as nursery:
-            for run in own:
-                nursery.start_soon(run.leave, until, noticed_at + takes)
+            for run in _sort_by_size(own, held.runs):
+                nursery.start_soon(self._leave, run, until, noticed_at + takes)
+
+    async def _leave(
+        self, run: _Ranked, until: Millis, quiet_at: Millis
+    ) -> None:
+        await trio.sleep(seconds(run.rank * _TURN))
+        await run.run.leave(until, quiet_at)
+
+    async def _scout(self) -> None:
+        """Ask engines themselves while nobody tells that they leave."""
+        names = {run.upstream for run in self._runs.values()}
+        for name in names:
+            known = self._fleet.find(name)
+            if known is None or known.lifecycle is Lifecycle.LEAVING:
+                continue
+            report = await self._read_report(known.entry)
+            if report.leaving or report.leaves_in is not None:
+                self._fleet.tell(EntryRemoved(name))
+
+    async def _read_report(self, entry: UpstreamEntry) -> EngineReport:
+        """Read what an engine holds; nothing when it does not answer."""
+        report = await self._upstreams.report(entry.address)
+        match report:
+            case Success(EngineReport() as held):
+                return held
+            case Failure(failure):
+                logger.info(
+                    'report missing',
+                    upstream=entry.upstream,
+                    detail=repr(failure),
+                )
+        return EngineReport(0, 0, 0, 0)
 
     def _runs_at(self, upstream: str) -> list[MovingRun]:
         return [run for run in self._runs.values() if run.upstream == upstream]
@@ -106,3 +165,11 @@
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
         return spec.engine if spec else None
+
+
+def _sort_by_size(
+    own: list[MovingRun], reported: tuple[RunReport, ...]
+) -> list[_Ranked]:
+    """Rank own generations among all of the engine, the smallest first."""
+    sizes = sorted(run.tokens for run in reported)
+    return [_Ranked(run, bisect_left(sizes, run.tokens)) for run in own]
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -41,5 +41,5 @@
     for request_id, tokens in own_tokens_by_request.items():
         tokens_by_request.setdefault(request_id, tokens)
     return sum(
-        estimate_copy(tokens, engine) for tokens in tokens_by_request.values()
+        estimate_copy(held, engine) for held in tokens_by_request.values()
     )
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -20,6 +20,9 @@
 
 #: A peer counts as alive for so long after its last message.
 ALIVE_MS: Millis = 3 * SECOND_MS
+#: No message from anyone for so long shows that this instance is cut off;
+#: each of the others sends at least every 400 ms in a small system.
+SILENT_MS: Millis = 1200
 
 
 def decide(
@@ -44,6 +47,14 @@
             assert_never(message)
 
 
+def is_silent(state: NewsState, now: Millis) -> bool:
+    """Tell whether peers were heard before, and none of them of late."""
+    if not state.heard_by_name:
+        return False
+    last = max(heard.at for heard in state.heard_by_name.values())
+    return now - last > SILENT_MS
+
+
 def count_alive(state: NewsState, now: Millis) -> int:
     """Return how many peers were heard of late."""
     return sum(
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -11,7 +11,7 @@
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EntryRemoved, Lifecycle
-from cartdale.news.decide import count_alive, decide
+from cartdale.news.decide import count_alive, decide, is_silent
 from cartdale.news.types import (
     FetchTable,
     LoadNews,
@@ -65,7 +65,8 @@
         """Take one message and act on what follows from it."""
         now = self._clock.now()
         version = self._fleet.table.version
-        self.state, actions = decide(self.state, message, now, version)
+        after, actions = decide(self.state, message, now, version)
+        self.state = after
         for action in actions:
             match action:
                 case TakeLoads(peer=peer, loads_by_upstream=loads_by_upstream):
@@ -75,6 +76,10 @@
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
 
+    def is_silent(self) -> bool:
+        """Tell whether no peer was heard of late."""
+        return is_silent(self.state, self._clock.now())
+
     def count_alive(self) -> int:
         """Return how many instances are alive, this one included."""
         return 1 + count_alive(self.state, self._clock.now())
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -6,7 +6,7 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
@@ -21,7 +21,7 @@
 PEER_PREFIX = 'cartdale/peers/'
 KEY_NAME = 'cartdale/cluster-key'
 #: An instance that dies stays listed for so long; datagrams to it are lost.
-_LEASE: Millis = 20 * SECOND_MS
+_LEASE: Millis = MINUTE_MS // 3
 _RENEW_EVERY: Millis = 6 * SECOND_MS
 _RETRY_EVERY: Millis = SECOND_MS
 _KEY_BYTES = 32
--- a/src/cartdale/peers/messages.py
+++ b/src/cartdale/peers/messages.py
@@ -35,6 +35,21 @@
     snapshot: Snapshot | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class FetchDocument:
+    """Ask for the operator's document that is in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Hand on the operator's document as it is stored.
+
+    :param raw: empty when there is none yet.
+    """
+
+    raw: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class FetchReport:
     """Ask for the measures of an instance."""
@@ -50,21 +65,16 @@
     """The message was not understood here."""
 
 
+_ConfigurationMessage = FetchDeltas | HandOn | FetchDocument | Document
+_LedgerMessage = Claim | ClaimAnswer | Settle | Release
+_PlacementMessage = PlaceRequest | PlaceAnswer | EndReport
+_CountMessage = Borrow | Loan | FetchReport | ReportPart
 PeerMessage = (
     Exchange
-    | FetchDeltas
-    | HandOn
-    | Borrow
-    | Loan
-    | Claim
-    | ClaimAnswer
-    | Settle
-    | Release
-    | PlaceRequest
-    | PlaceAnswer
-    | EndReport
-    | FetchReport
-    | ReportPart
+    | _ConfigurationMessage
+    | _LedgerMessage
+    | _PlacementMessage
+    | _CountMessage
     | Acknowledged
     | Unserved
 )
@@ -85,6 +95,8 @@
             PlaceRequest,
             PlaceAnswer,
             EndReport,
+            FetchDocument,
+            Document,
             FetchReport,
             ReportPart,
             Acknowledged,
--- a/src/cartdale/platform/__init__.py
+++ b/src/cartdale/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Platform: translate between the users' platform and the product, nothing else."""
+"""Platform: translate between the users' platform and the product."""
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -1,6 +1,7 @@
 """Decode what the operator and the upstreams write into the store."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -8,6 +9,7 @@
 from cartdale.clock import Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import Lifecycle, UpstreamEntry
+from cartdale.platform.names import WORD_DRAINING
 from cartdale.routes.types import (
     Customer,
     EngineTraits,
@@ -22,12 +24,13 @@
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
 
-_KINDS_BY_WORD: Mapping[str, RouteKind] = {
-    'safe': RouteKind.SAFE,
-    'unsafe': RouteKind.UNSAFE,
-    'streaming': RouteKind.STREAM,
-}
-_DRAINING_WORD = 'draining'
+_KINDS_BY_WORD: Mapping[str, RouteKind] = MappingProxyType(
+    {
+        'safe': RouteKind.SAFE,
+        'unsafe': RouteKind.UNSAFE,
+        'streaming': RouteKind.STREAM,
+    },
+)
 
 
 class BadDocumentError(CartdaleError):
@@ -158,7 +161,7 @@
     :raises BadDocumentError: when it is malformed.
     """
     stored = _decode(key, raw, _Upstream)
-    draining = stored.state == _DRAINING_WORD
+    draining = stored.state == WORD_DRAINING
     return UpstreamEntry(
         upstream=key.removeprefix(UPSTREAM_PREFIX),
         service=stored.service,
--- a/src/cartdale/platform/names.py
+++ b/src/cartdale/platform/names.py
@@ -19,6 +19,9 @@
 HEADER_AUTHORIZATION: Final = 'authorization'
 HEADER_SEAL: Final = 'response-seal'
 
+#: State of an upstream that takes no new work.
+WORD_DRAINING: Final = 'draining'
+
 PATH_REPORT: Final = '/cartdale/report'
 PATH_MOVE: Final = '/cartdale/kv-move'
 PATH_HANDLE: Final = '/cartdale/kv-handle/'
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -47,7 +47,7 @@
 Answer = TypeVar('Answer')
 
 
-class _Item(msgspec.Struct):
+class _Stored(msgspec.Struct):
     key: str
     #: Base64; empty in an event that tells of a removal.
     value: str = ''
@@ -60,14 +60,14 @@
 
 
 class _Page(msgspec.Struct, rename='camel'):
-    items: tuple[_Item, ...]
+    rows: tuple[_Stored, ...] = msgspec.field(name='items')
     truncated: bool = False
     #: Revision of the whole store when it was read.
     as_of: int = 0
 
 
 class _Events(msgspec.Struct, rename='camel'):
-    events: tuple[_Item, ...] = ()
+    events: tuple[_Stored, ...] = ()
     #: Where the next watch continues.
     as_of: int = 0
 
@@ -233,7 +233,7 @@
 def _read_page(response: httpx.Response) -> Result[Listing, StoreFailure]:
     return _decode(response, _Page).map(
         lambda page: Listing(
-            tuple(_to_entry(stored) for stored in page.items),
+            tuple(_to_entry(stored) for stored in page.rows),
             page.as_of,
             page.truncated,
         )
@@ -270,7 +270,7 @@
     return _decode(response, _Lease)
 
 
-def _to_entry(stored: _Item) -> Entry:
+def _to_entry(stored: _Stored) -> Entry:
     return Entry(
         stored.key,
         base64.b64decode(stored.value),
@@ -279,7 +279,7 @@
     )
 
 
-def _to_change(event: _Item) -> Entry | Removed:
+def _to_change(event: _Stored) -> Entry | Removed:
     if event.deleted:
         return Removed(event.key, event.revision)
     return _to_entry(event)
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -24,6 +24,14 @@
 _OWN_PREFIX = 'cartdale/'
 
 
+def read_table(raw: bytes) -> News:
+    """Decode a configuration that a peer handed on."""
+    try:
+        return TableWritten(decode_table(raw), raw)
+    except BadDocumentError as error:
+        return Unreadable(error.format_message())
+
+
 def make_translator() -> Translator:
     """Return what reads the platform's keys."""
     prefixes = (CONFIGURATION_KEY, UPSTREAM_PREFIX, _OWN_PREFIX)
@@ -54,7 +62,7 @@
         return EntryRemoved(change.key.removeprefix(UPSTREAM_PREFIX))
     try:
         if change.key == CONFIGURATION_KEY:
-            return TableWritten(decode_table(change.value))
+            return TableWritten(decode_table(change.value), change.value)
         if change.key.startswith(UPSTREAM_PREFIX):
             return EntryWritten(decode_upstream(change.key, change.value))
     except BadDocumentError as error:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -33,6 +33,7 @@
     PATH_HANDLE,
     PATH_MOVE,
     PATH_REPORT,
+    WORD_DRAINING,
 )
 from cartdale.relay.types import (
     Copied,
@@ -105,6 +106,7 @@
 class _Report(msgspec.Struct, rename='camel'):
     running: int = 0
     queued: int = 0
+    state: str = ''
     #: Tokens that can't give way.
     kv_used: int = 0
     kv_total: int = 0
@@ -327,6 +329,7 @@
             used_tokens=stored.kv_used,
             total_tokens=stored.kv_total,
             leaves_in=None if leaves is None else int(leaves),
+            leaving=stored.state == WORD_DRAINING,
             runs=tuple(RunReport(*row) for row in stored.runs),
         )
     )
--- /dev/null
+++ b/src/cartdale/relay/itinerary.py
@@ -0,0 +1,332 @@
+"""Hold where one generation runs, and carry it from engine to engine."""
+
+from dataclasses import replace
+
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.clock import Millis, seconds
+from cartdale.fleet.choose import Need
+from cartdale.fleet.loads import Assignment
+from cartdale.fleet.types import Upstream, UpstreamEntry
+from cartdale.moves import decide as moves
+from cartdale.moves.types import (
+    Action,
+    AwaitCopy,
+    AwaitQuiet,
+    ChooseAgain,
+    ChooseRescue,
+    Copy,
+    CopyEnded,
+    CopyRejected,
+    Cut,
+    LinkEnded,
+    LinkQuiet,
+    Message,
+    MovePhase,
+    MoveState,
+    RescueTarget,
+    Resume,
+    Resumed,
+    ResumeRejected,
+    TargetChosen,
+)
+from cartdale.relay.ports import RelayPorts, make_need
+from cartdale.relay.types import (
+    COPY_PATIENCE,
+    Copied,
+    CopyFailed,
+    MemoryCopy,
+    ResumePoint,
+    RoutedRequest,
+)
+
+#: Pause before a copy that was refused as busy is asked for again.
+_COPY_PAUSE: Millis = 30
+#: Between looks for an engine with room for a generation that must leave.
+_LOOK_EVERY: Millis = 40
+#: What another failure domain counts when a target is chosen: the copy takes
+#: twice as long, and the others of the engine wait behind it.
+_FAR_MOVE_COST = 0.3
+#: Longest wait for an engine whose link broke to answer a copy.
+_RESCUE_PATIENCE: Millis = 400
+#: Part of an engine's memory that may be filled when a backup is sent there;
+#: backups beyond it displace running generations (trial in the journal).
+_BACKUP_FILLED = 0.6
+#: Tokens to make from which on a backup is worth its memory.
+_BACKUP_WORTH = 100
+
+_STOPPED = frozenset(
+    (
+        MovePhase.STOPPING,
+        MovePhase.AT_TARGET,
+        MovePhase.AT_SOURCE,
+        MovePhase.RESCUING,
+        MovePhase.AT_BACKUP,
+    ),
+)
+
+
+class Itinerary:
+    """Follow one generation over the engines that it runs on.
+
+    :param event_tokens: tokens that an event holds.
+    """
+
+    def __init__(
+        self, ports: RelayPorts, routed: RoutedRequest, event_tokens: int
+    ) -> None:
+        self._ports = ports
+        self._routed = routed
+        self._event_tokens = event_tokens
+        self._settled = trio.Event()
+        self._assignment: Assignment | None = None
+        self._next_backup: UpstreamEntry | None = None
+        self._state: MoveState | None = None
+        self._ended = False
+        self.events = 0
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self._routed.request.request_id
+
+    @property
+    def upstream(self) -> str:
+        """Return the id of the engine that runs it; empty for none."""
+        return self._state.source.upstream if self._state else ''
+
+    @property
+    def tokens(self) -> int:
+        """Return the memory that it holds, in tokens."""
+        return self._assignment.load().tokens if self._assignment else 0
+
+    @property
+    def has_backup(self) -> bool:
+        """Tell whether another engine is kept up to date with it."""
+        return self._state is not None and self._state.backup is not None
+
+    @property
+    def is_stopped(self) -> bool:
+        """Tell whether it was stopped, so that its link ends without end."""
+        return self._state is not None and self._state.phase in _STOPPED
+
+    def begin(self, upstream: UpstreamEntry) -> str:
+        """Start at an engine.
+
+        :returns: address of the engine to keep up to date; empty for none.
+        """
+        self._assign(upstream)
+        backup = self._choose_backup(upstream)
+        self._state = moves.begin(upstream, backup)
+        return backup.address if backup else ''
+
+    def end(self, *, over: bool = True) -> None:
+        """Note that the engine has ended it, or did not take it.
+
+        :param over: whether no other engine follows.
+        """
+        self._ended = over
+        self._release()
+        self._state = None
+
+    def advance(self) -> None:
+        """Count an event that the caller got."""
+        self.events += 1
+        if self._assignment is not None:
+            self._assignment.advance(self._event_tokens)
+
+    # Leaving while the engine still serves.
+
+    async def leave(self, until: Millis, quiet_at: Millis) -> None:
+        """Move away from an engine that leaves.
+
+        A generation with a backup stays to the end: that costs the link of
+        the engine nothing, which is what others need to leave in time.
+
+        :param until: when the engine is gone, as far as it is known.
+        :param quiet_at: when the engine's link is free.
+        """
+        if self.has_backup:
+            return
+        refused: set[str] = set()
+        while not self._ended and self._ports.clock.now() < until:
+            target = self._choose_target(refused)
+            if target is None:
+                refused.clear()
+                await trio.sleep(seconds(_LOOK_EVERY))
+                continue
+            if await self._copy_to(target, quiet_at):
+                return
+            refused.add(target.entry.upstream)
+
+    # Going on after the link has ended.
+
+    async def lose_link(self) -> UpstreamEntry | None:
+        """Return where it goes on after its link ended, if anywhere."""
+        action = self._tell(LinkEnded())
+        if isinstance(action, AwaitCopy):
+            await self._settled.wait()
+            action = self._tell(LinkEnded())
+        if isinstance(action, ChooseRescue):
+            action = await self._rescue()
+        return action.upstream if isinstance(action, Resume) else None
+
+    def prepare_resume(
+        self, upstream: UpstreamEntry, last_event: bytes
+    ) -> tuple[ResumePoint, str]:
+        """Return what to send along, and the address of the next backup."""
+        state = self._state or moves.begin(upstream)
+        self._assign(upstream)
+        self._next_backup = self._choose_backup(upstream)
+        if state.phase is MovePhase.AT_BACKUP and state.backup is not None:
+            point = ResumePoint(
+                state.backup.address, self.request_id, last_event
+            )
+        else:
+            point = ResumePoint(state.source.address, state.handle, last_event)
+        backup = self._next_backup
+        return point, backup.address if backup else ''
+
+    def resumed(self) -> None:
+        """Note that it goes on where it was sent."""
+        self._tell(Resumed(self._next_backup))
+
+    def resume_rejected(self) -> UpstreamEntry | None:
+        """Return where else it may go on, if anywhere."""
+        action = self._tell(ResumeRejected())
+        return action.upstream if isinstance(action, Resume) else None
+
+    # Copying.
+
+    async def _copy_to(self, target: Upstream, quiet_at: Millis) -> bool:
+        """Copy to a target; tell whether the move is over, good or bad."""
+        loads = self._ports.fleet.loads
+        reserved = self._make_assignment(target.entry)
+        loads.assign(reserved)
+        self._settled = trio.Event()
+        try:
+            action = self._tell(TargetChosen(target.entry))
+            while isinstance(action, Copy | AwaitQuiet):
+                action = await self._proceed(action, quiet_at)
+            return not isinstance(action, ChooseAgain)
+        finally:
+            loads.release(reserved)
+            self._settled.set()
+
+    async def _proceed(
+        self, action: Copy | AwaitQuiet, quiet_at: Millis
+    ) -> Action | None:
+        if isinstance(action, Copy):
+            return await self._copy(action)
+        left = quiet_at - self._ports.clock.now()
+        await trio.sleep(seconds(max(left, 0)))
+        return self._tell(LinkQuiet())
+
+    async def _copy(
+        self, action: Copy, patience: Millis = COPY_PATIENCE
+    ) -> Action | None:
+        if action.pause:
+            await trio.sleep(seconds(_COPY_PAUSE))
+        state = self._state
+        if state is None or state.target is None or self._ended:
+            return None
+        copy = MemoryCopy(
+            self.request_id,
+            state.source.address,
+            state.target.address,
+            action.last,
+            patience,
+        )
+        match await self._ports.upstreams.copy(copy):
+            case Success(Copied(handle=handle)):
+                return self._tell(CopyEnded(handle))
+            case Failure(CopyFailed(fault=fault, handle=kept)):
+                return self._tell(CopyRejected(fault, kept))
+        return None
+
+    async def _rescue(self) -> Action | None:
+        """Stop it at its source, if it runs on there behind the link."""
+        backup = self._state.backup if self._state else None
+        target = None if backup else self._choose_target(set())
+        entry = target.entry if target else backup
+        action = self._tell(RescueTarget(entry))
+        if isinstance(action, Copy):
+            action = await self._copy(action, _RESCUE_PATIENCE)
+        if action is None:
+            action = self._tell(LinkEnded())
+        return action
+
+    # The engines that it may go to.
+
+    def _choose_target(self, refused: set[str]) -> Upstream | None:
+        state = self._state
+        if state is None or self._assignment is None or not self.events:
+            return None
+        load = self._assignment.load()
+        need = Need(
+            service=self._routed.service,
+            prompt=load.tokens,
+            expected=load.growth,
+            excluded=frozenset((state.source.upstream, *refused)),
+            far_cost=_FAR_MOVE_COST,
+        )
+        return self._ports.fleet.choose(need, state.source.failure_domain)
+
+    def _choose_backup(self, source: UpstreamEntry) -> UpstreamEntry | None:
+        """Return an engine with memory to spare for a second copy."""
+        fleet = self._ports.fleet
+        spec = fleet.table.services_by_name.get(source.service)
+        if spec is None or spec.engine is None or not spec.engine.backups:
+            return None
+        need = replace(
+            make_need(self._routed, frozenset((source.upstream,))),
+            filled=_BACKUP_FILLED,
+        )
+        if need.expected < _BACKUP_WORTH:
+            return None
+        chosen = fleet.choose(need)
+        if chosen is None:
+            return None
+        if self._assignment is not None:
+            self._assignment.backup = chosen.entry.upstream
+        return chosen.entry
+
+    def _tell(self, message: Message) -> Action | None:
+        before = self._state
+        if before is None:
+            return Cut()
+        after, actions = moves.decide(before, message)
+        self._state = after
+        logger.info(
+            'move',
+            request=self.request_id,
+            message=repr(message),
+            before=before.phase,
+            after=after.phase,
+            events=self.events,
+        )
+        return actions[0] if actions else None
+
+    # The load that it is.
+
+    def _assign(self, upstream: UpstreamEntry) -> None:
+        self._release()
+        self._assignment = self._make_assignment(upstream)
+        self._ports.fleet.loads.assign(self._assignment)
+
+    def _release(self) -> None:
+        if self._assignment is not None:
+            self._ports.fleet.loads.release(self._assignment)
+            self._assignment = None
+            self._ports.fleet.notify()
+
+    def _make_assignment(self, upstream: UpstreamEntry) -> Assignment:
+        need = make_need(self._routed)
+        return Assignment(
+            upstream.upstream,
+            need.prompt,
+            need.expected,
+            self.events * self._event_tokens,
+        )
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -17,7 +17,6 @@
     Declined,
     GiveUp,
     PassOn,
-    TryAgain,
     Unsent,
     begin,
     refuse,
@@ -79,16 +78,15 @@
             name = upstream.entry.upstream
             self._tried.add(name)
             ended, whole = await self._attempt(upstream)
-            self._state, step = conclude(
+            after, step = conclude(
                 self._ports, self._routed, self._state, ended, name
             )
+            self._state = after
             match step:
                 case GiveUp(problem=problem):
                     return Failure(problem)
                 case PassOn() if whole is not None:
                     return Success(whole)
-                case TryAgain() | PassOn():
-                    continue
 
     async def _place(self) -> Upstream | None:
         need = make_need(self._routed, frozenset(self._tried))
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -100,8 +100,11 @@
     return after, step
 
 
+_NOTHING: frozenset[str] = frozenset()
+
+
 def make_need(
-    routed: RoutedRequest, excluded: frozenset[str] = frozenset()
+    routed: RoutedRequest, excluded: frozenset[str] = _NOTHING
 ) -> Need:
     """Return what a request takes at an upstream."""
     request = routed.request
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from cartdale.clock import SECOND_MS, Millis
+from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
 
 
 class RouteKind(StrEnum):
@@ -107,7 +107,7 @@
     header_bytes: int = 16384
     body_bytes: int = 4194304
     header_timeout: Millis = 3 * SECOND_MS
-    idle_timeout: Millis = 15 * SECOND_MS
+    idle_timeout: Millis = MINUTE_MS // 4
 
 
 @dataclass(frozen=True, slots=True)
