Don't take the end of an exchange for a caller who left

Cause: the server tells the application of a disconnect also after the last byte; the work was cancelled before it logged its end. Change: what comes after the answer is written is ignored.

--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -201,6 +201,8 @@
         """Stop the work once the caller has left."""
         while True:
             event = await self._receive()
+            if self._sink.finished:
+                return
             if event[_TYPE] == 'http.disconnect':
                 logger.info('caller left', request=self._request.request_id)
                 scope.cancel()
@@ -283,6 +285,9 @@
         self._leaving = leaving
         self._clock = clock
         self._made_at = clock.now()
+        #: Whether the answer is written; the server then closes the exchange
+        #: as if the caller had left.
+        self.finished = False
         #: From the request's arrival to the head, in milliseconds.
         self.started_after: Millis = 0
 
@@ -317,6 +322,7 @@
 
     async def finish(self) -> None:
         """Mark the body as whole."""
+        self.finished = True
         await self._send({_TYPE: 'http.response.body', 'body': b''})
 
 
