--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -18,7 +18,7 @@
     RunReport,
     UpstreamEntry,
 )
-from cartdale.moves.schedule import estimate_all
+from cartdale.moves.schedule import Departure, estimate_all
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
@@ -27,6 +27,8 @@
 #: Between the copies that are asked for: the smaller goes first into the
 #: engine's queue, so that as many as possible leave in time.
 _TURN: Millis = 4
+#: Reports show an engine as it was about half a second ago.
+_REPORT_LAG: Millis = 550
 #: Between questions to engines while cut off from the store and the peers.
 _SCOUT_EVERY: Millis = 300
 
@@ -46,12 +48,8 @@
     def tokens(self) -> int:
         """Return the memory that it holds, in tokens."""
 
-    async def leave(self, until: Millis, quiet_at: Millis) -> None:
-        """Move away from the engine.
-
-        :param until: when the engine is gone, as far as it is known.
-        :param quiet_at: when the engine's link is free.
-        """
+    async def leave(self, departure: Departure) -> None:
+        """Move away from the engine."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,16 +121,29 @@
             reported=len(held.runs),
             takes=takes,
         )
-        until = noticed_at + (held.leaves_in or _SERVES_ON)
+        departure = Departure(
+            until=noticed_at + _SERVES_ON, quiet_at=noticed_at + takes
+        )
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._learn_end, upstream.entry, departure)
             for run in _sort_by_size(own, held.runs):
-                nursery.start_soon(self._leave, run, until, noticed_at + takes)
+                nursery.start_soon(self._leave, run, departure)
 
-    async def _leave(
-        self, run: _Ranked, until: Millis, quiet_at: Millis
+    async def _learn_end(
+        self, entry: UpstreamEntry, departure: Departure
     ) -> None:
-        await trio.sleep(seconds(run.rank * _TURN))
-        await run.run.leave(until, quiet_at)
+        """Read when the engine is gone, once its reports can tell."""
+        await trio.sleep(seconds(_REPORT_LAG))
+        held = await self._read_report(entry)
+        logger.info(
+            'upstream ends', upstream=entry.upstream, leaves_in=held.leaves_in
+        )
+        if held.leaves_in is not None:
+            departure.until = self._clock.now() + held.leaves_in
+
+    async def _leave(self, ranked: _Ranked, departure: Departure) -> None:
+        await trio.sleep(seconds(ranked.rank * _TURN))
+        await ranked.run.leave(departure)
 
     async def _scout(self) -> None:
         """Ask engines themselves while nobody tells that they leave."""
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -11,6 +11,7 @@
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream, UpstreamEntry
 from cartdale.moves import decide as moves
+from cartdale.moves.schedule import Departure
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
@@ -139,25 +140,22 @@
 
     # Leaving while the engine still serves.
 
-    async def leave(self, until: Millis, quiet_at: Millis) -> None:
+    async def leave(self, departure: Departure) -> None:
         """Move away from an engine that leaves.
 
         A generation with a backup stays to the end: that costs the link of
         the engine nothing, which is what others need to leave in time.
-
-        :param until: when the engine is gone, as far as it is known.
-        :param quiet_at: when the engine's link is free.
         """
         if self.has_backup:
             return
         refused: set[str] = set()
-        while not self._ended and self._ports.clock.now() < until:
+        while not self._ended and self._ports.clock.now() < departure.until:
             target = self._choose_target(refused)
             if target is None:
                 refused.clear()
                 await trio.sleep(seconds(_LOOK_EVERY))
                 continue
-            if await self._copy_to(target, quiet_at):
+            if await self._copy_to(target, departure):
                 return
             refused.add(target.entry.upstream)
 
@@ -200,7 +198,7 @@
 
     # Copying.
 
-    async def _copy_to(self, target: Upstream, quiet_at: Millis) -> bool:
+    async def _copy_to(self, target: Upstream, departure: Departure) -> bool:
         """Copy to a target; tell whether the move is over, good or bad."""
         loads = self._ports.fleet.loads
         reserved = self._make_assignment(target.entry)
@@ -209,19 +207,19 @@
         try:
             action = self._tell(TargetChosen(target.entry))
             while isinstance(action, Copy | AwaitQuiet):
-                action = await self._proceed(action, quiet_at)
+                action = await self._proceed(action, departure)
             return not isinstance(action, ChooseAgain)
         finally:
             loads.release(reserved)
             self._settled.set()
 
     async def _proceed(
-        self, action: Copy | AwaitQuiet, quiet_at: Millis
+        self, action: Copy | AwaitQuiet, departure: Departure
     ) -> Action | None:
         if isinstance(action, Copy):
             return await self._copy(action)
-        left = quiet_at - self._ports.clock.now()
-        await trio.sleep(seconds(max(left, 0)))
+        while (left := departure.stop_at - self._ports.clock.now()) > 0:
+            await trio.sleep(seconds(min(left, _LOOK_EVERY)))
         return self._tell(LinkQuiet())
 
     async def _copy(
