--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -28,7 +28,9 @@
 #: engine's queue, so that as many as possible leave in time.
 _TURN: Millis = 4
 #: Reports show an engine as it was about half a second ago.
-_REPORT_LAG: Millis = 550
+_REPORT_LAG: Millis = 500
+#: Reports that are read to learn when an engine ends.
+_END_READS = 2
 #: Between questions to engines while cut off from the store and the peers.
 _SCOUT_EVERY: Millis = 300
 
@@ -134,12 +136,18 @@
     ) -> None:
         """Read when the engine is gone, once its reports can tell."""
         await trio.sleep(seconds(_REPORT_LAG))
-        held = await self._read_report(entry)
-        logger.info(
-            'upstream ends', upstream=entry.upstream, leaves_in=held.leaves_in
-        )
-        if held.leaves_in is not None:
-            departure.until = self._clock.now() + held.leaves_in
+        for _ in range(_END_READS):
+            held = await self._read_report(entry)
+            if held.leaves_in is None:
+                await trio.sleep(seconds(_SCOUT_EVERY))
+                continue
+            departure.until = self._clock.now() + held.leaves_in - _REPORT_LAG
+            logger.info(
+                'upstream ends',
+                upstream=entry.upstream,
+                ends_in=departure.until - self._clock.now(),
+            )
+            return
 
     async def _leave(self, ranked: _Ranked, departure: Departure) -> None:
         await trio.sleep(seconds(ranked.rank * _TURN))
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -218,7 +218,8 @@
     ) -> Action | None:
         if isinstance(action, Copy):
             return await self._copy(action)
-        while (left := departure.stop_at - self._ports.clock.now()) > 0:
+        while self._ports.clock.now() < departure.stop_at:
+            left = departure.stop_at - self._ports.clock.now()
             await trio.sleep(seconds(min(left, _LOOK_EVERY)))
         return self._tell(LinkQuiet())
 
