--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -55,6 +55,14 @@
     return now - last > SILENT_MS
 
 
+def hears_of_loss(state: NewsState, now: Millis) -> bool:
+    """Tell whether a peer said of late that the store does not answer."""
+    return any(
+        heard.news.store_lost and now - heard.at <= SILENT_MS
+        for heard in state.heard_by_name.values()
+    )
+
+
 def count_alive(state: NewsState, now: Millis) -> int:
     """Return how many peers were heard of late."""
     return sum(
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 import trio
@@ -11,7 +12,7 @@
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EntryRemoved, Lifecycle
-from cartdale.news.decide import count_alive, decide, is_silent
+from cartdale.news.decide import count_alive, decide, hears_of_loss, is_silent
 from cartdale.news.types import (
     FetchTable,
     LoadNews,
@@ -28,9 +29,9 @@
 #: come together travel together.
 _CHANGED_EVERY: Millis = 20
 #: Between two messages when nothing is new but the tokens made meanwhile,
-#: for each ``_CROWD`` peers, so that a large system is told more seldom.
+#: for each ``CROWD`` peers, so that a large system is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
-_CROWD = 16
+CROWD = 16
 _LARGEST_DATAGRAM = 65507
 _EVERYBODY = '*'
 _KIND = LoadNews.__name__
@@ -40,23 +41,39 @@
 Fetch = Callable[[PeerEntry], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Content:
+    """Tell apart what is worth a message before its time."""
+
+    loads: int
+    version: int
+    lost: bool
+
+
 class NewsLine:
     """Keep this instance and its peers informed of each other.
 
     :param name: this instance's name.
     :param fetch_table: asks a peer for its newer configuration.
+    :param store_lost: tells whether the store does not answer here.
     """
 
     def __init__(
-        self, own: PeerEntry, fleet: Fleet, clock: Clock, fetch_table: Fetch
+        self,
+        own: PeerEntry,
+        fleet: Fleet,
+        clock: Clock,
+        fetch_table: Fetch,
+        store_lost: Callable[[], bool],
     ) -> None:
+        self._store_lost = store_lost
         self._own = own
         self._fleet = fleet
         self._clock = clock
         self._fetch_table = fetch_table
         self._boot = clock.wall()
         self._number = 0
-        self._told = (-1, -1)
+        self._told = _Content(-1, -1, lost=False)
         self._socket: trio.socket.SocketType | None = None
         self.state = NewsState()
         self.seal: Seal | None = None
@@ -76,6 +93,10 @@
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
 
+    def hears_of_loss(self) -> bool:
+        """Tell whether a peer says that the store does not answer."""
+        return hears_of_loss(self.state, self._clock.now())
+
     def is_silent(self) -> bool:
         """Tell whether no peer was heard of late."""
         return is_silent(self.state, self._clock.now())
@@ -126,13 +147,17 @@
                     await self._send_to(bound, sealed, peer)
 
     async def _wait_for_news(self) -> None:
-        crowds = 1 + len(self.state.peers_by_name) // _CROWD
+        crowds = 1 + len(self.state.peers_by_name) // CROWD
         with trio.move_on_after(seconds(_UNCHANGED_EVERY * crowds)):
             while self._told == self._newest():
                 await self._fleet.changed()
 
-    def _newest(self) -> tuple[int, int]:
-        return (self._fleet.loads.version, self._fleet.table.version)
+    def _newest(self) -> _Content:
+        return _Content(
+            self._fleet.loads.version,
+            self._fleet.table.version,
+            lost=self._store_lost(),
+        )
 
     def _make_message(self, seal: Seal) -> bytes:
         self._number += 1
@@ -143,6 +168,7 @@
             version=self._fleet.table.version,
             loads_by_upstream=self._fleet.loads.own(),
             leaving=self._list_leaving(),
+            store_lost=self._store_lost(),
         )
         envelope = Envelope(
             sender=self._own.name,
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -1,6 +1,7 @@
 """List this instance in the store, and share the cluster's key there."""
 
 import secrets
+from collections.abc import Callable
 
 import trio
 from loguru import logger
@@ -8,6 +9,7 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
+from cartdale.news.driver import CROWD
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
     Compare,
@@ -22,7 +24,9 @@
 KEY_NAME = 'cartdale/cluster-key'
 #: An instance that dies stays listed for so long; datagrams to it are lost.
 _LEASE: Millis = MINUTE_MS // 3
-_RENEW_EVERY: Millis = 6 * SECOND_MS
+#: Between renewals, for each ``CROWD`` peers. They also show within about a
+#: second that the store is away, which a held watch does not.
+_RENEW_EVERY: Millis = SECOND_MS
 _RETRY_EVERY: Millis = SECOND_MS
 _KEY_BYTES = 32
 
@@ -31,13 +35,22 @@
     """Keep this instance listed.
 
     :param own: what the others need to reach it.
+    :param count_peers: counts the instances that are listed.
     """
 
-    def __init__(self, store: LeasedStore, own: PeerEntry) -> None:
+    def __init__(
+        self,
+        store: LeasedStore,
+        own: PeerEntry,
+        count_peers: Callable[[], int],
+    ) -> None:
+        self._count_peers = count_peers
         self._store = store
         self._own = own
         self._lease = 0
         self._listed = False
+        #: Whether the store did not answer the last call.
+        self.failing = False
 
     async def run(self) -> None:
         """List this instance and renew its lease, for ever."""
@@ -46,7 +59,8 @@
                 await self._renew()
             else:
                 await self._register()
-            pause = _RENEW_EVERY if self._listed else _RETRY_EVERY
+            crowds = 1 + self._count_peers() // CROWD
+            pause = _RENEW_EVERY * crowds if self._listed else _RETRY_EVERY
             await trio.sleep(seconds(pause))
 
     async def withdraw(self) -> None:
@@ -63,6 +77,7 @@
 
     async def _register(self) -> None:
         granted = await self._store.grant(_LEASE)
+        self.failing = not isinstance(granted, Success)
         if not isinstance(granted, Success):
             logger.info('not listed', detail=repr(granted))
             return
@@ -76,7 +91,11 @@
 
     async def _renew(self) -> None:
         renewed = await self._store.keep_alive(self._lease)
+        self.failing = False
         match renewed:
             case Failure(LeaseLost()):
                 self._listed = False
                 logger.info('listing lapsed', lease=self._lease)
+            case Failure(failure):
+                self.failing = True
+                logger.info('listing not renewed', detail=repr(failure))
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -28,6 +28,7 @@
     :param number: counts the sender's messages since its start.
     :param version: configuration in force at the sender.
     :param leaving: upstreams that take no new work.
+    :param store_lost: whether the store does not answer the sender.
     """
 
     boot: Millis
@@ -35,6 +36,7 @@
     version: int
     loads_by_upstream: dict[str, Load]
     leaving: tuple[str, ...] = ()
+    store_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
