--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -85,8 +85,14 @@
             make_client(_base_url(settings.store)), _STORE_TIMEOUT
         )
         own = PeerEntry(settings.name, settings.address, settings.peer_ports[0])
-        self._news = NewsLine(own, self._fleet, self._clock, self._fetch_table)
-        self._roster = Roster(self._store, own)
+        self._news = NewsLine(
+            own,
+            self._fleet,
+            self._clock,
+            self._fetch_table,
+            self._lost_store,
+        )
+        self._roster = Roster(self._store, own, self._count_peers)
         self._peers = PeerClient(
             make_peer_pool(None),
             settings.name,
@@ -246,7 +252,14 @@
 
     def _is_cut_off(self) -> bool:
         """Tell whether nobody would say that an upstream leaves."""
-        return self._follower.failing or self._news.is_silent()
+        lost = self._lost_store() or self._news.hears_of_loss()
+        return lost or self._news.is_silent()
+
+    def _lost_store(self) -> bool:
+        return self._follower.failing or self._roster.failing
+
+    def _count_peers(self) -> int:
+        return len(self._news.state.peers_by_name)
 
     def _reload(self) -> None:
         try:
@@ -262,7 +275,7 @@
             self._callers.keep_alive_timeout = limits.idle_timeout / SECOND_MS
             self._callers.h11_max_incomplete_size = limits.header_bytes
             self._budget.sharers = max(
-                self._news.count_alive(), len(self._news.state.peers_by_name)
+                self._news.count_alive(), self._count_peers()
             )
             await trio.sleep(1)
 
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -31,8 +31,9 @@
 from cartdale.retries.window import RepeatBudget
 
 #: Part of the target latency that a request may wait for room. Refused
-#: within it, the caller's next attempt can still be in time.
-WAIT_SHARE = 0.25
+#: within a quarter of it, with what the way here took, the caller's next
+#: attempt can still be in time.
+WAIT_SHARE = 0.2
 #: Longest wait where the route names no target.
 _WAIT_LONGEST: Millis = 1000
 
