Split the platform's runtime: neighbours apart, listeners bound at once

Change without a new behaviour: one module for what instances share, the bound listener of the other daemon instead of a second configuration of the server, one reading of signals for both daemons; ports may be 0, as tests need.

--- a/src/cartdale/daemon/main.py
+++ b/src/cartdale/daemon/main.py
@@ -1,6 +1,5 @@
 """Command line of the daemon."""
 
-import signal
 import sys
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 from cleo.helpers import option
 
 from cartdale.daemon.runtime import Runtime
+from cartdale.daemon.signals import obey_signals
 from cartdale.exceptions import CartdaleError
 from cartdale.logs import configure_logs
 from cartdale.settings.load import load_settings
@@ -59,21 +59,11 @@
 
 async def _run(runtime: Runtime) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_obey_signals, runtime)
+        nursery.start_soon(obey_signals, runtime.leave, runtime.reload_keys)
         await runtime.run()
         nursery.cancel_scope.cancel()
 
 
-async def _obey_signals(runtime: Runtime) -> None:
-    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*wanted) as received:
-        async for number in received:
-            if number == signal.SIGHUP:
-                runtime.reload_keys()
-                continue
-            runtime.leave()
-
-
 def main() -> None:
     """Run the ``cartdaled`` program."""
     application = Application('cartdaled', '0.1.0')
--- /dev/null
+++ b/src/cartdale/daemon/neighbours.py
@@ -0,0 +1,154 @@
+"""What an instance on the platform shares with the others."""
+
+import secrets
+
+import msgspec
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.codec import decode_json
+from cartdale.daemon.clients import make_peer_pool
+from cartdale.daemon.serve import BoundListener
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.follow import Follower, OwnKey, TableWritten
+from cartdale.news.driver import NewsLine
+from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
+from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
+from cartdale.peers.app import PeerApp
+from cartdale.peers.client import PeerClient
+from cartdale.peers.messages import (
+    Document,
+    FetchDocument,
+    PeerMessage,
+    Unserved,
+)
+from cartdale.peers.seal import Seal
+from cartdale.platform.translate import read_table
+from cartdale.settings.types import Listener
+from cartdale.store.types import LeasedStore
+
+_PEER_TIMEOUT: Millis = SECOND_MS
+#: Longest wait for the store when this instance takes itself off the list.
+_WITHDRAW_TIMEOUT: Millis = 150
+#: Length of the key that seals nothing that anyone opens, until the
+#: cluster's own is known.
+_KEY_BYTES = 32
+
+
+class Neighbours:
+    """Keep in touch with the other instances.
+
+    :param name: this instance's name.
+    :param listener: where datagrams and peers' calls arrive.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listener: Listener,
+        store: LeasedStore,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._listener = BoundListener(listener)
+        own = PeerEntry(name, listener.address, self._listener.port)
+        self.news = NewsLine(
+            own, fleet, clock, self._fetch_table, self.lost_store
+        )
+        self._roster = Roster(store, own, self.count_listed)
+        self._peers = PeerClient(
+            make_peer_pool(None),
+            name,
+            Seal((secrets.token_bytes(_KEY_BYTES),)),
+            clock,
+            _PEER_TIMEOUT,
+        )
+        self._app = PeerApp(name, self._peers, clock, self._serve)
+        self._nursery: trio.Nursery | None = None
+        self._fetching = False
+        self._follower: Follower | None = None
+
+    async def run(self, follower: Follower, stopping: trio.Event) -> None:
+        """Join the others and keep in touch, for ever.
+
+        :param follower: follows the store, which lists the others.
+        """
+        self._follower = follower
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.news.run)
+            nursery.start_soon(self._listener.serve, self._app, stopping)
+            await follower.in_step.wait()
+            if self.news.seal is None:
+                await self._roster.propose_key()
+            await self._roster.run()
+
+    async def withdraw(self) -> None:
+        """Take this instance off the list, if the store answers soon."""
+        with trio.move_on_after(seconds(_WITHDRAW_TIMEOUT)):
+            await self._roster.withdraw()
+
+    def take_own_key(self, news: OwnKey) -> None:
+        """Take what instances wrote for each other in the store."""
+        if news.key == KEY_NAME and news.stored:
+            self.news.seal = Seal((news.stored,))
+            self._peers.seal = self.news.seal
+        if not news.key.startswith(PEER_PREFIX):
+            return
+        if not news.stored:
+            self.news.tell(PeerRemoved(news.key.removeprefix(PEER_PREFIX)))
+            return
+        try:
+            peer = decode_json(news.stored, PeerEntry)
+        except msgspec.MsgspecError as error:
+            logger.error('peer unreadable', key=news.key, detail=str(error))
+            return
+        self.news.tell(PeerListed(peer))
+
+    def is_cut_off(self) -> bool:
+        """Tell whether nobody would say that an upstream leaves."""
+        lost = self.lost_store() or self.news.hears_of_loss()
+        return lost or self.news.is_silent()
+
+    def lost_store(self) -> bool:
+        """Tell whether the store does not answer this instance."""
+        following = self._follower is not None and self._follower.failing
+        return following or self._roster.failing
+
+    def count_listed(self) -> int:
+        """Return how many instances the store lists."""
+        return len(self.news.state.peers_by_name)
+
+    def _fetch_table(self, peer: PeerEntry) -> None:
+        """Fetch a newer configuration from a peer, unless one is fetched."""
+        if self._nursery is not None and not self._fetching:
+            self._fetching = True
+            self._nursery.start_soon(self._ask_for_table, peer)
+
+    async def _ask_for_table(self, peer: PeerEntry) -> None:
+        address = f'http://{peer.address}:{peer.port}'
+        answer = await self._peers.ask(
+            peer.name, address, FetchDocument(), Document
+        )
+        self._fetching = False
+        match answer:
+            case Success(document):
+                self._adopt(document)
+            case Failure(failure):
+                logger.info(
+                    'configuration not fetched',
+                    peer=peer.name,
+                    detail=repr(failure),
+                )
+
+    def _adopt(self, document: Document) -> None:
+        news = read_table(document.raw)
+        if isinstance(news, TableWritten) and self._follower is not None:
+            self._follower.adopt(news)
+
+    async def _serve(self, message: PeerMessage) -> PeerMessage:
+        if isinstance(message, FetchDocument) and self._follower is not None:
+            return Document(self._follower.raw_table)
+        return Unserved()
--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -8,8 +8,8 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
-from quart_trio import QuartTrio
 
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.settings.types import Listener
 
 #: Streams in progress are never cut; they end by themselves.
@@ -17,10 +17,12 @@
 _KEEP_ALIVE_SECONDS = 60
 _BACKLOG = 512
 _HEADER_LIMIT = 16384
+#: Events that wait for an application which does not read.
+_QUEUE = 32
 
 
-#: A framework's application or a plain ASGI callable.
-Application = QuartTrio | Callable[..., Awaitable[None]]
+#: A framework's application or a plain ASGI callable: both are called.
+Application = Callable[..., Awaitable[None]]
 
 
 class BoundListener:
@@ -34,15 +36,21 @@
         self._socket.bind((listener.address, listener.port))
         self._socket.listen(_BACKLOG)
         self.port: int = self._socket.getsockname()[1]
+        self._config = self._configure()
 
     async def serve(self, app: Application, stopping: trio.Event) -> None:
         """Serve until ``stopping`` is set and all answers have ended."""
         shutdown: Callable[..., Awaitable[Any]] = stopping.wait
         served: Any = app
         await serve(
-            served, self._configure(), mode='asgi', shutdown_trigger=shutdown
+            served, self._config, mode='asgi', shutdown_trigger=shutdown
         )
 
+    def limit(self, header_bytes: int, idle_timeout: Millis) -> None:
+        """Bound new connections' headers and all connections' rests."""
+        self._config.h11_max_incomplete_size = header_bytes
+        self._config.keep_alive_timeout = idle_timeout / SECOND_MS
+
     def _configure(self) -> Config:
         config = Config()
         config.bind = [f'fd://{self._socket.detach()}']
@@ -50,6 +58,8 @@
         config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
         config.h11_max_incomplete_size = _HEADER_LIMIT
         config.include_server_header = False
+        config.include_date_header = False
+        config.max_app_queue_size = _QUEUE
         config.accesslog = None
         config.errorlog = None
         tls = self._listener.tls
--- a/src/cartdale/platform/main.py
+++ b/src/cartdale/platform/main.py
@@ -7,6 +7,7 @@
 import trio
 
 from cartdale.daemon.gateway import GatewayRuntime
+from cartdale.daemon.signals import obey_signals
 from cartdale.exceptions import CartdaleError
 from cartdale.logs import configure_json_logs
 from cartdale.platform.settings import PATH_VARIABLE, load_platform_settings
@@ -23,4 +24,11 @@
         sys.stderr.write(f'{error.format_message()}\n')
         sys.exit(error.exit_code)
     configure_json_logs(settings.name)
-    trio.run(GatewayRuntime(settings, path).run)
+    trio.run(_run, GatewayRuntime(settings, path))
+
+
+async def _run(runtime: GatewayRuntime) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(obey_signals, runtime.leave, runtime.reload)
+        await runtime.run()
+        nursery.cancel_scope.cancel()
