--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -59,19 +59,19 @@
         store = PlatformStore(
             make_client(_base_url(settings.store)), _STORE_TIMEOUT
         )
-        self._neighbours = Neighbours(
+        self.neighbours = Neighbours(
             settings.name,
             Listener(settings.address, settings.peer_ports[0]),
             store,
             self.fleet,
             self._clock,
         )
-        self._follower = Follower(
+        self.follower = Follower(
             store,
             self.fleet,
             self._clock,
             make_translator(),
-            self._neighbours.take_own_key,
+            self.neighbours.take_own_key,
         )
         bounds = settings.bounds
         self._budget = RepeatBudget(
@@ -82,7 +82,7 @@
             self.fleet,
             self._upstreams,
             self._clock,
-            self._neighbours.is_cut_off,
+            self.neighbours.is_cut_off,
         )
         self._app = self._make_app()
         self._callers = _bind(settings.callers)
@@ -108,11 +108,11 @@
         ready = ReadyApp(PATH_READY, self._is_ready)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self._mover.run)
             nursery.start_soon(
-                self._neighbours.run, self._follower, self._stopping
+                self.neighbours.run, self.follower, self._stopping
             )
             nursery.start_soon(self._follow_bounds)
             nursery.start_soon(self._callers.serve, self._app, self._stopping)
@@ -165,7 +165,7 @@
         while self._app.in_flight and self._clock.now() < last:
             await trio.sleep(seconds(_STOP_POLL))
         logger.info('left', in_flight=self._app.in_flight)
-        await self._neighbours.withdraw()
+        await self.neighbours.withdraw()
         self._left.set()
 
     async def _follow_bounds(self) -> None:
@@ -174,8 +174,8 @@
             limits = self.fleet.table.limits
             self._callers.limit(limits.header_bytes, limits.idle_timeout)
             self._budget.sharers = max(
-                self._neighbours.news.count_alive(),
-                self._neighbours.count_listed(),
+                self.neighbours.news.count_alive(),
+                self.neighbours.count_listed(),
             )
             await trio.sleep(seconds(_FOLLOW_EVERY))
 
--- /dev/null
+++ b/src/cartdale_standins/platform_store.py
@@ -0,0 +1,204 @@
+"""Stand-in of the platform's store: keys, watches and leases over HTTP."""
+
+import base64
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from cartdale.clock import Clock, Millis, SystemClock, seconds
+from cartdale.store.types import Committed, Compare, Delete, Entry, Put, Write
+from cartdale_standins.state import KeyValueState, RateMeter
+
+_WATCH_POLL: Millis = 5
+_READS_PER_SECOND = 2000
+_WRITES_PER_SECOND = 400
+_PAGE = 500
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformStoreFaults:
+    """Switch the stand-in's failures.
+
+    :param busy: answer 503 to every call.
+    :param silent: answer nothing.
+    """
+
+    busy: bool = False
+    silent: bool = False
+
+
+class PlatformStoreStandIn:
+    """Serve a key-value state by the platform's protocol."""
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        chosen = clock or SystemClock()
+        self.state = KeyValueState(chosen)
+        self.faults = PlatformStoreFaults()
+        self._reads = RateMeter(chosen, _READS_PER_SECOND)
+        self._writes = RateMeter(chosen, _WRITES_PER_SECOND)
+        self._forgotten = 0
+
+    def make_app(self) -> QuartTrio:
+        """Build the HTTP application."""
+        app = QuartTrio('platform-store')
+        for path, view, method in (
+            ('/cartdale/kv-range', self._range, 'GET'),
+            ('/cartdale/kv-watch', self._watch, 'GET'),
+            ('/cartdale/kv-txn', self._transact, 'POST'),
+            ('/cartdale/kv-lease', self._grant, 'POST'),
+            ('/cartdale/kv-keep/<int:lease>', self._renew, 'POST'),
+            ('/cartdale/kv-lease-end/<int:lease>', self._revoke, 'DELETE'),
+        ):
+            app.add_url_rule(path, path, view, methods=[method])
+        return app
+
+    def put(self, key: str, document: object) -> None:
+        """Write as the operator or an upstream does."""
+        raw = msgspec.json.encode(document)
+        self.state.transact((), (Put(key, raw),))
+
+    def remove(self, key: str) -> None:
+        """Remove a key as the platform does."""
+        self.state.transact((), (Delete(key),))
+
+    def forget(self) -> None:
+        """Drop the history of changes."""
+        self._forgotten = self.state.revision
+        self.state.history.clear()
+
+    async def _range(self) -> Response:
+        refusal = await self._admit(self._reads)
+        if refusal:
+            return refusal
+        prefix = request.args['pathPrefix']
+        after = request.args.get('sinceRevision', '')
+        found = [
+            entry
+            for entry in self.state.fetch(prefix, _end(prefix), 0).entries
+            if entry.key > after
+        ]
+        return _answer(
+            {
+                'items': [_describe(entry) for entry in found[:_PAGE]],
+                'truncated': len(found) > _PAGE,
+                'asOf': self.state.revision,
+            }
+        )
+
+    async def _watch(self) -> Response:
+        refusal = await self._admit(self._reads)
+        if refusal:
+            return refusal
+        prefix = request.args['pathPrefix']
+        since = int(request.args['sinceRevision'])
+        if since < self._forgotten:
+            return _answer({}, HTTPStatus.GONE)
+        events: list[dict[str, Any]] = []
+        with trio.move_on_after(seconds(int(request.args['waitMs']))):
+            while not events:
+                await trio.sleep(seconds(_WATCH_POLL))
+                events = self._changes(prefix, since)
+        return _answer({'events': events, 'asOf': self.state.revision})
+
+    def _changes(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        if self.faults.silent or self.faults.busy:
+            return []
+        changes: list[dict[str, Any]] = []
+        for change in self.state.history:
+            if change.mod_revision <= since:
+                continue
+            if not change.key.startswith(prefix):
+                continue
+            if isinstance(change, Entry):
+                changes.append(_describe(change))
+                continue
+            changes.append(
+                {
+                    'key': change.key,
+                    'revision': change.mod_revision,
+                    'deleted': True,
+                }
+            )
+        return changes
+
+    async def _transact(self) -> Response:
+        refusal = await self._admit(self._writes)
+        if refusal:
+            return refusal
+        body = msgspec.json.decode(await request.get_data())
+        compares = tuple(
+            Compare(row['key'], row['revision'])
+            for row in body['expectedRevision']
+        )
+        writes: list[Write] = [Delete(key) for key in body['remove']]
+        for row in body['writes']:
+            if not self.state.knows_lease(row['lease']):
+                return _answer({}, HTTPStatus.NOT_FOUND)
+            stored = base64.b64decode(row['value'])
+            writes.append(Put(row['key'], stored, row['lease']))
+        outcome = self.state.transact(compares, tuple(writes))
+        if not isinstance(outcome, Committed):
+            return _answer({'items': []}, HTTPStatus.PRECONDITION_FAILED)
+        return _answer({'revision': outcome.store_revision})
+
+    async def _grant(self) -> Response:
+        refusal = await self._admit(self._writes)
+        if refusal:
+            return refusal
+        ttl = msgspec.json.decode(await request.get_data())['ttlMs']
+        return _answer({'lease': self.state.grant(ttl), 'ttlMs': ttl})
+
+    async def _renew(self, lease: int) -> Response:
+        refusal = await self._admit(self._reads)
+        if refusal:
+            return refusal
+        ttl = self.state.keep_alive(lease)
+        if not ttl:
+            return _answer({}, HTTPStatus.NOT_FOUND)
+        return _answer({'ttlMs': ttl})
+
+    async def _revoke(self, lease: int) -> Response:
+        refusal = await self._admit(self._writes)
+        if refusal:
+            return refusal
+        self.state.revoke(lease)
+        return _answer({})
+
+    async def _admit(self, meter: RateMeter) -> Response | None:
+        """Return a refusal, or nothing when the call is admitted."""
+        if self.faults.silent:
+            await trio.sleep_forever()
+        if self.faults.busy:
+            return _answer({}, HTTPStatus.SERVICE_UNAVAILABLE)
+        if not meter.admit(request.path.rpartition('/')[0]):
+            return _answer({}, HTTPStatus.TOO_MANY_REQUESTS)
+        return None
+
+
+def _end(prefix: str) -> str:
+    """Return the first key after all that have the prefix."""
+    last = chr(ord(prefix[-1]) + 1)
+    return f'{prefix[:-1]}{last}'
+
+
+def _describe(entry: Entry) -> dict[str, Any]:
+    return {
+        'key': entry.key,
+        'value': base64.b64encode(entry.value).decode(),
+        'revision': entry.mod_revision,
+        'created': entry.create_revision,
+        'lease': 0,
+    }
+
+
+def _answer(message: object, status: int = HTTPStatus.OK) -> Response:
+    return Response(
+        msgspec.json.encode(message),
+        status=int(status),
+        content_type='application/json',
+    )
--- a/src/cartdale_standins/state.py
+++ b/src/cartdale_standins/state.py
@@ -11,6 +11,7 @@
     Entry,
     Listing,
     Put,
+    Removed,
     TransactionOutcome,
     Write,
 )
@@ -37,6 +38,8 @@
         self._leases_by_id: dict[int, Lease] = {}
         self._last_lease = 0
         self.revision = 1
+        #: What was written and removed, oldest first, for watches.
+        self.history: list[Entry | Removed] = []
 
     def fetch(self, start: str, end: str, limit: int) -> Listing:
         """Read the keys in ``[start, end)``; an empty end means one key."""
@@ -112,13 +115,14 @@
             return
         earlier = self._entries_by_key.get(write.key)
         created = earlier.create_revision if earlier else self.revision
-        self._entries_by_key[write.key] = Entry(
-            write.key, write.value, self.revision, created
-        )
+        entry = Entry(write.key, write.value, self.revision, created)
+        self._entries_by_key[write.key] = entry
+        self.history.append(entry)
         self._leases_by_key[write.key] = write.lease
 
     def _remove(self, key: str) -> None:
-        self._entries_by_key.pop(key, None)
+        if self._entries_by_key.pop(key, None) is not None:
+            self.history.append(Removed(key, self.revision))
         self._leases_by_key.pop(key, None)
 
     def _expire(self) -> None:
--- /dev/null
+++ b/tests/platform_stage.py
@@ -0,0 +1,228 @@
+"""Stage: instances on stand-ins of the platform, over loopback sockets."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+import trio
+
+from cartdale.clock import SECOND_MS
+from cartdale.daemon.gateway import GatewayRuntime
+from cartdale.daemon.serve import BoundListener
+from cartdale.model.types import Hardware
+from cartdale.platform.settings import Bounds, Endpoint, PlatformSettings
+from cartdale.settings.types import Listener
+from cartdale_standins.platform_store import PlatformStoreStandIn
+from cartdale_standins.platform_worker import PlatformEngine, PlatformWorker
+
+KEY = 'key-of-a-test'
+HOST = 'mill.example'
+LOCAL = '127.0.0.1'
+#: 100 tokens take about 0.4 s, so that a test can act in the middle.
+HARDWARE = Hardware(
+    memory_tokens=20000, step_base_ms=4, step_per_sequence_ms=0.01
+)
+
+
+def make_configuration(version: int = 1) -> dict:
+    """Return an operator's configuration as the store holds it."""
+    route = {
+        'hostname': HOST,
+        'timeoutMs': 20000,
+        'targetLatencyMs': 2000,
+        'maxAttempts': 1,
+        'priority': 0,
+        'allowAnonymous': False,
+    }
+    engine = {
+        'slots': 64,
+        'kvCapacity': 20000,
+        'kvBytes': 1000,
+        'linkMbps': 2700.0,
+        'moves': True,
+        'backups': True,
+    }
+    return {
+        'version': version,
+        'routes': [
+            {
+                **route,
+                'name': 'draft',
+                'pathPrefix': '/draft/',
+                'kind': 'streaming',
+                'service': 'writers',
+            },
+            {
+                **route,
+                'name': 'cut',
+                'pathPrefix': '/cut/',
+                'kind': 'unsafe',
+                'service': 'portal',
+            },
+            {
+                **route,
+                'name': 'look',
+                'pathPrefix': '/look/',
+                'kind': 'safe',
+                'service': 'portal',
+                'maxAttempts': 2,
+            },
+        ],
+        'services': [
+            {'name': 'writers', 'maxConnections': 100, 'engine': engine},
+            {'name': 'portal', 'maxConnections': 100},
+        ],
+        'limits': {'maxBodyBytes': 4096},
+        'tenants': [{'name': 'mill', 'apiKeys': [KEY], 'priority': 1}],
+    }
+
+
+@dataclass
+class PlatformStage:
+    """Hold everything that a test touches."""
+
+    nursery: trio.Nursery
+    client: httpx.AsyncClient
+    store: PlatformStoreStandIn
+    store_port: int
+    engines: list[PlatformEngine] = field(default_factory=list)
+    plains: list[PlatformWorker] = field(default_factory=list)
+    runtimes: list[GatewayRuntime] = field(default_factory=list)
+    scopes: list[trio.CancelScope] = field(default_factory=list)
+    stopped: list[trio.Event] = field(default_factory=list)
+
+    def add_engine(self) -> PlatformEngine:
+        bound = BoundListener(Listener(LOCAL, 0))
+        name = f'engine-{len(self.engines)}'
+        address = f'{LOCAL}:{bound.port}'
+        engine = PlatformEngine(name, address, HARDWARE)
+        self.engines.append(engine)
+        self.nursery.start_soon(engine.driver.run)
+        self._serve(bound, engine)
+        self.list_upstream(name, 'writers', address)
+        return engine
+
+    def add_plain(self) -> PlatformWorker:
+        bound = BoundListener(Listener(LOCAL, 0))
+        name = f'plain-{len(self.plains)}'
+        plain = PlatformWorker(name)
+        self.plains.append(plain)
+        self._serve(bound, plain)
+        self.list_upstream(name, 'portal', f'{LOCAL}:{bound.port}')
+        return plain
+
+    def list_upstream(
+        self, name: str, service: str, address: str, state: str = 'ready'
+    ) -> None:
+        self.store.put(
+            f'servers/{name}',
+            {
+                'service': service,
+                'address': address,
+                'zone': 'west',
+                'slots': 64,
+                'state': state,
+            },
+        )
+
+    def drain(self, engine: PlatformEngine) -> None:
+        self.list_upstream(engine.name, 'writers', engine.address, 'draining')
+
+    def add_instance(self) -> GatewayRuntime:
+        settings = PlatformSettings(
+            name=f'entry-{len(self.runtimes)}',
+            address=LOCAL,
+            failure_domain='west',
+            region='here',
+            callers=Endpoint(LOCAL, 0),
+            ready=Endpoint(LOCAL, 0),
+            peer_ports=(0, 0),
+            store=Endpoint(LOCAL, self.store_port),
+            bounds=Bounds(8 * SECOND_MS, 0.2, 10 * SECOND_MS, 50),
+        )
+        runtime = GatewayRuntime(settings, Path('no-file'))
+        self.runtimes.append(runtime)
+        scope, stopped = trio.CancelScope(), trio.Event()
+        self.scopes.append(scope)
+        self.stopped.append(stopped)
+        self.nursery.start_soon(self._run, runtime, scope, stopped)
+        return runtime
+
+    async def settle(self, version: int = 1) -> None:
+        """Wait until every instance has a version and all upstreams."""
+        upstreams = len(self.engines) + len(self.plains)
+
+        def settled() -> bool:
+            return all(
+                runtime.fleet.table.version >= version
+                and len(runtime.fleet.state.upstreams_by_id) >= upstreams
+                for runtime in self.runtimes
+            )
+
+        await until(settled)
+
+    def url(self, path: str, index: int = 0) -> str:
+        return f'http://{LOCAL}:{self.runtimes[index].caller_port}{path}'
+
+    async def _run(
+        self,
+        runtime: GatewayRuntime,
+        scope: trio.CancelScope,
+        stopped: trio.Event,
+    ) -> None:
+        with scope:
+            await runtime.run()
+        stopped.set()
+
+    def _serve(self, bound: BoundListener, worker: PlatformWorker) -> None:
+        self.nursery.start_soon(bound.serve, worker.make_app(), trio.Event())
+
+
+async def until(holds) -> None:
+    """Wait until a condition holds; the test's own limit ends it."""
+    while not holds():
+        await trio.sleep(0.005)
+
+
+def make_headers(request_id: str, **more: str) -> dict[str, str]:
+    return {
+        'Host': HOST,
+        'Request-Id': request_id,
+        'Authorization': f'Token {KEY}',
+        'Deadline-Ms': '15000',
+        **more,
+    }
+
+
+def make_draft(request_id: str, tokens: int = 100) -> dict[str, str]:
+    return {
+        **make_headers(request_id),
+        'Token-Count': f'40,{tokens}',
+        'Length-Hint': str(tokens),
+        'Model': 'm',
+    }
+
+
+@asynccontextmanager
+async def open_platform(
+    engines: int = 1, plains: int = 1, instances: int = 1
+) -> AsyncIterator[PlatformStage]:
+    """Run stand-ins and instances while the context is open."""
+    async with trio.open_nursery() as nursery:
+        store = PlatformStoreStandIn()
+        bound = BoundListener(Listener(LOCAL, 0))
+        nursery.start_soon(bound.serve, store.make_app(), trio.Event())
+        async with httpx.AsyncClient(timeout=20) as client:
+            stage = PlatformStage(nursery, client, store, bound.port)
+            store.put('op/config', make_configuration())
+            for _ in range(engines):
+                stage.add_engine()
+            for _ in range(plains):
+                stage.add_plain()
+            for _ in range(instances):
+                stage.add_instance()
+            await stage.settle()
+            yield stage
+        nursery.cancel_scope.cancel()
