--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,180 @@
+"""Fleet: lifecycles, health, loads and the choice of an upstream."""
+
+from random import Random
+
+import pytest
+
+from cartdale.fleet.choose import (
+    Need,
+    Surroundings,
+    choose,
+    list_candidates,
+)
+from cartdale.fleet.decide import LAPSED_KEPT_MS, LEAVING_KEPT_MS, decide
+from cartdale.fleet.loads import (
+    PEER_LOAD_KEPT_MS,
+    Assignment,
+    Load,
+    LoadBook,
+)
+from cartdale.fleet.types import (
+    BeganLeaving,
+    EntriesListed,
+    EntryRemoved,
+    EntryWritten,
+    FleetState,
+    Lifecycle,
+    Replaced,
+    RequestEnded,
+    TimePassed,
+    UpstreamEntry,
+    Vanished,
+)
+from cartdale.routes.types import EngineTraits, ServiceSpec
+
+ENGINE = EngineTraits(64, 10000, 1000, 2700, moves=True, backups=True)
+SPEC = ServiceSpec('s', '/health', 100, ENGINE)
+
+
+def make_entry(name: str, **changes) -> UpstreamEntry:
+    given = {
+        'upstream': name,
+        'service': 's',
+        'address': f'10.0.0.{len(name)}:80',
+        'failure_domain': 'west',
+        'slots': 4,
+        **changes,
+    }
+    return UpstreamEntry(**given)
+
+
+def make_fleet(*names: str, **changes) -> FleetState:
+    entries = tuple(make_entry(name, **changes) for name in names)
+    return decide(FleetState(), EntriesListed(entries), 0)[0]
+
+
+def pick(state: FleetState, need: Need, loads=None, now=0, domain='west'):
+    around = Surroundings(SPEC, loads or {}, domain, now)
+    candidates = list_candidates(state, need)
+    chosen = choose(candidates, need, around, Random(1))
+    return chosen.entry.upstream if chosen else None
+
+
+def test_draining_entry_begins_to_leave_once() -> None:
+    state = make_fleet('a')
+    drained = EntryWritten(make_entry('a', lifecycle=Lifecycle.LEAVING))
+    state, actions = decide(state, drained, 5)
+    assert actions == (BeganLeaving('a'),)
+    assert decide(state, drained, 6)[1] == ()
+    assert decide(state, EntryRemoved('a'), 7)[1] == ()
+
+
+def test_leaving_upstream_never_takes_work_again() -> None:
+    state, _ = decide(make_fleet('a'), EntryRemoved('a'), 5)
+    state, _ = decide(state, EntryWritten(make_entry('a')), 6)
+    assert pick(state, Need('s')) is None
+
+
+def test_entry_removed_in_an_outage_lapses_and_may_come_back() -> None:
+    state, actions = decide(make_fleet('a'), EntryRemoved('a', True), 5)
+    assert not actions
+    assert pick(state, Need('s')) == 'a'
+    back, _ = decide(state, EntryWritten(make_entry('a')), 50)
+    assert back.upstreams_by_id['a'].lifecycle is Lifecycle.LIVE
+
+
+def test_lapsed_entry_that_stays_away_leaves() -> None:
+    state, _ = decide(make_fleet('a'), EntryRemoved('a', True), 5)
+    early, actions = decide(state, TimePassed(), 4 + LAPSED_KEPT_MS)
+    assert not actions
+    _, actions = decide(early, TimePassed(), 5 + LAPSED_KEPT_MS)
+    assert actions == (BeganLeaving('a'),)
+
+
+def test_list_without_an_entry_removes_it() -> None:
+    state, actions = decide(make_fleet('a', 'b'), EntriesListed(()), 5)
+    assert set(actions) == {BeganLeaving('a'), BeganLeaving('b')}
+    _, vanished = decide(state, TimePassed(), 5 + LEAVING_KEPT_MS)
+    assert set(vanished) == {Vanished('a'), Vanished('b')}
+
+
+def test_replaced_upstream_vanishes() -> None:
+    state, actions = decide(make_fleet('a'), Replaced('a'), 5)
+    assert not state.upstreams_by_id
+    assert actions == (Vanished('a'),)
+
+
+def test_unreachable_upstream_is_avoided_for_longer_each_time() -> None:
+    state = make_fleet('a', 'b')
+    unreachable = RequestEnded('a', good=False, reached=False)
+    state, _ = decide(state, unreachable, 1000)
+    state, _ = decide(state, unreachable, 1000)
+    assert state.upstreams_by_id['a'].avoided_until == 2000
+    full = {'b': Load(runs=3, tokens=9000)}
+    assert pick(state, Need('s'), full, now=1500) == 'b'
+    assert pick(state, Need('s'), full, now=2500) == 'a'
+
+
+def test_only_upstream_is_used_though_it_was_unreachable() -> None:
+    unreachable = RequestEnded('a', good=False, reached=False)
+    state, _ = decide(make_fleet('a'), unreachable, 1000)
+    assert pick(state, Need('s'), now=1001) == 'a'
+
+
+def test_failing_upstream_is_chosen_after_others() -> None:
+    state = make_fleet('a', 'b')
+    for _ in range(5):
+        state, _ = decide(state, RequestEnded('a', good=False), 1000)
+    assert pick(state, Need('s')) == 'b'
+
+
+@pytest.mark.parametrize(
+    ('load', 'fits'),
+    [
+        (Load(runs=1, tokens=5000, growth=1000), True),
+        (Load(runs=1, tokens=8000, growth=1000), False),
+        (Load(runs=4, tokens=10), False),
+        (Load(runs=2, tokens=10, reading=7500), False),
+    ],
+)
+def test_room_is_memory_slots_and_reading(load: Load, fits: bool) -> None:
+    chosen = pick(make_fleet('a'), Need('s', 1000, 500), {'a': load})
+    assert (chosen == 'a') is fits
+
+
+def test_request_larger_than_the_share_goes_to_an_empty_engine() -> None:
+    assert pick(make_fleet('a'), Need('s', 9800, 500)) == 'a'
+
+
+def test_least_filled_engine_is_chosen_and_near_ones_first() -> None:
+    loads = {'a': Load(runs=1, tokens=4000), 'b': Load(runs=1, tokens=1000)}
+    assert pick(make_fleet('a', 'b'), Need('s', 100, 10), loads) == 'b'
+    far = make_fleet('a')
+    far, _ = decide(far, EntryWritten(make_entry('b')), 1)
+    far, _ = decide(
+        far, EntryWritten(make_entry('a', failure_domain='east')), 1
+    )
+    assert pick(far, Need('s', 100, 10), now=5) == 'b'
+
+
+def test_assignment_expects_more_the_longer_it_runs() -> None:
+    run = Assignment('a', prompt=100, expected=50)
+    assert run.load() == Load(1, 100, 50, 100)
+    run.advance(40)
+    assert run.load() == Load(1, 140, 12, 0)
+    run.advance(60)
+    assert run.load() == Load(1, 200, 30, 0)
+
+
+def test_loads_of_peers_count_until_they_are_old() -> None:
+    book = LoadBook()
+    run = Assignment('a', prompt=100, expected=0)
+    run.backup = 'b'
+    book.assign(run)
+    book.hear('peer', {'a': Load(runs=2, tokens=30)}, 1000)
+    totals = book.totals(1000)
+    assert totals['a'] == Load(3, 130, 0, 100)
+    assert totals['b'] == Load(tokens=100)
+    assert book.totals(1001 + PEER_LOAD_KEPT_MS)['a'].runs == 1
+    book.release(run)
+    assert not book.own()
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,188 @@
+"""Moves: at any moment at most one engine works on a generation."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cartdale.fleet.types import RunReport, UpstreamEntry
+from cartdale.moves.decide import MOST_TRIES, begin, decide
+from cartdale.moves.schedule import Departure, estimate_all, estimate_copy
+from cartdale.moves.types import (
+    AwaitCopy,
+    AwaitQuiet,
+    ChooseAgain,
+    ChooseRescue,
+    Copy,
+    CopyEnded,
+    CopyRejected,
+    Cut,
+    LinkEnded,
+    LinkQuiet,
+    MovePhase,
+    RescueTarget,
+    Resume,
+    Resumed,
+    ResumeRejected,
+    TargetChosen,
+)
+from cartdale.relay.types import CopyFault
+from cartdale.routes.types import EngineTraits
+
+
+def make_entry(name: str) -> UpstreamEntry:
+    return UpstreamEntry(name, 's', f'{name}:80', 'west', 64)
+
+
+SOURCE, TARGET, SPARE = (make_entry(name) for name in ('a', 'b', 'c'))
+STOPPED = (
+    MovePhase.STOPPING,
+    MovePhase.AT_TARGET,
+    MovePhase.AT_SOURCE,
+    MovePhase.RESCUING,
+    MovePhase.AT_BACKUP,
+    MovePhase.LOST,
+)
+
+
+def play(state, *messages):
+    actions = ()
+    for message in messages:
+        state, actions = decide(state, message)
+    return state, actions[0] if actions else None
+
+
+def test_copies_stops_and_resumes_at_the_target() -> None:
+    state, action = play(begin(SOURCE), TargetChosen(TARGET))
+    assert action == Copy(last=False)
+    state, action = play(state, CopyEnded('h'))
+    assert action == AwaitQuiet()
+    state, action = play(state, LinkQuiet())
+    assert action == Copy(last=True)
+    state, action = play(state, LinkEnded())
+    assert action == AwaitCopy()
+    state, action = play(state, CopyEnded('h'), LinkEnded())
+    assert action == Resume(TARGET)
+    state, _ = play(state, Resumed(SPARE))
+    assert (state.source, state.backup) == (TARGET, SPARE)
+    assert state.phase is MovePhase.SETTLED
+
+
+def test_source_that_ends_early_leaves_its_copy() -> None:
+    state, action = play(
+        begin(SOURCE), TargetChosen(TARGET), CopyEnded('h'), LinkEnded()
+    )
+    assert action == Resume(TARGET)
+    assert state.handle == 'h'
+    assert play(state, LinkQuiet())[1] is None
+
+
+def test_refused_target_is_replaced() -> None:
+    refused = CopyRejected(CopyFault.NO_ROOM)
+    state, action = play(begin(SOURCE), TargetChosen(TARGET), refused)
+    assert action == ChooseAgain()
+    assert state.phase is MovePhase.SETTLED
+
+
+def test_target_that_refuses_the_rest_sends_back_to_the_source() -> None:
+    refused = CopyRejected(CopyFault.NO_ROOM, 'kept')
+    state, action = play(
+        begin(SOURCE),
+        TargetChosen(TARGET),
+        CopyEnded('h'),
+        LinkQuiet(),
+        refused,
+        LinkEnded(),
+    )
+    assert action == Resume(SOURCE)
+    assert state.handle == 'kept'
+
+
+def test_target_that_rejects_the_resume_sends_back_to_the_source() -> None:
+    state, _ = play(
+        begin(SOURCE),
+        TargetChosen(TARGET),
+        CopyEnded('h'),
+        LinkQuiet(),
+        CopyEnded('h'),
+        LinkEnded(),
+    )
+    state, action = play(state, ResumeRejected())
+    assert action == Resume(SOURCE)
+    assert play(state, ResumeRejected())[1] == Cut()
+
+
+def test_lost_answers_are_asked_again_and_end() -> None:
+    state, _ = play(begin(SOURCE), TargetChosen(TARGET))
+    lost = CopyRejected(CopyFault.NO_ANSWER)
+    state, action = play(state, lost)
+    assert action == Copy(last=False, pause=True)
+    state, action = play(state, *[lost] * MOST_TRIES)
+    assert action is None
+    assert state.phase is MovePhase.SETTLED
+
+
+@pytest.mark.parametrize('fault', list(CopyFault))
+def test_broken_link_falls_back_to_the_backup(fault: CopyFault) -> None:
+    state, action = play(begin(SOURCE, SPARE), LinkEnded())
+    assert action == ChooseRescue()
+    state, action = play(state, RescueTarget(SPARE))
+    assert action == Copy(last=True)
+    state, action = play(state, CopyRejected(fault))
+    assert action == Resume(SPARE)
+    assert state.phase is MovePhase.AT_BACKUP
+
+
+def test_run_behind_a_broken_link_is_stopped_before_it_goes_on() -> None:
+    state, action = play(begin(SOURCE), LinkEnded(), RescueTarget(TARGET))
+    assert action == Copy(last=True)
+    state, action = play(state, CopyEnded('h'), LinkEnded())
+    assert action == Resume(TARGET)
+
+
+def test_broken_link_without_anywhere_to_go_cuts() -> None:
+    state, action = play(begin(SOURCE), LinkEnded(), RescueTarget(None))
+    assert action == Cut()
+    assert play(state, LinkEnded())[1] == Cut()
+
+
+def messages():
+    return st.one_of(
+        st.just(TargetChosen(TARGET)),
+        st.just(CopyEnded('h')),
+        st.just(LinkQuiet()),
+        st.builds(
+            CopyRejected,
+            st.sampled_from(CopyFault),
+            st.sampled_from(('', 'kept')),
+        ),
+        st.just(LinkEnded()),
+        st.sampled_from((RescueTarget(None), RescueTarget(TARGET))),
+        st.just(ResumeRejected()),
+    )
+
+
+@given(st.lists(messages(), max_size=30), st.booleans())
+def test_resumes_only_what_no_engine_runs(told, backed_up: bool) -> None:
+    """A resume follows a stop, the engine's silence or its link's end."""
+    state = begin(SOURCE, SPARE if backed_up else None)
+    for message in told:
+        before = state
+        state, actions = decide(state, message)
+        if not any(isinstance(action, Resume) for action in actions):
+            continue
+        link_ended = isinstance(message, LinkEnded)
+        assert link_ended or before.phase in STOPPED
+        assert state.phase in STOPPED
+
+
+def test_estimate_covers_reported_and_own_generations_once() -> None:
+    engine = EngineTraits(64, 30000, 18432, 2700, moves=True)
+    one = estimate_copy(4000, engine)
+    assert 300 < one < 450
+    reported = (RunReport('r1', 4000, 10, 0), RunReport('r2', 4000, 10, 0))
+    assert estimate_all(reported, {'r2': 9, 'r3': 4000}, engine) == 3 * one
+
+
+def test_stop_comes_before_the_end_of_the_engine() -> None:
+    assert Departure(until=2000, quiet_at=900).stop_at == 900
+    assert Departure(until=1000, quiet_at=2500).stop_at < 1000
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,81 @@
+"""News: newer messages replace older ones, in any order of arrival."""
+
+from cartdale.fleet.loads import Load
+from cartdale.news.decide import (
+    ALIVE_MS,
+    SILENT_MS,
+    count_alive,
+    decide,
+    hears_of_loss,
+    is_silent,
+)
+from cartdale.news.types import (
+    FetchTable,
+    LoadNews,
+    NewsArrived,
+    NewsState,
+    PeerEntry,
+    PeerListed,
+    PeerRemoved,
+    TakeLeaving,
+    TakeLoads,
+)
+
+PEER = PeerEntry('p', '10.0.0.1', 7200)
+
+
+def make_news(number: int, boot: int = 1, **changes) -> NewsArrived:
+    news = LoadNews(boot, number, 3, {'u': Load(runs=number)}, **changes)
+    return NewsArrived('p', news)
+
+
+def hear(state: NewsState, message, now: int = 0, version: int = 3):
+    return decide(state, message, now, version)
+
+
+def test_older_messages_change_nothing() -> None:
+    state, actions = hear(NewsState(), make_news(5))
+    assert actions == (TakeLoads('p', {'u': Load(runs=5)}),)
+    assert hear(state, make_news(4)) == (state, ())
+    assert hear(state, make_news(5)) == (state, ())
+    _, actions = hear(state, make_news(1, boot=2))
+    assert actions == (TakeLoads('p', {'u': Load(runs=1)}),)
+
+
+def test_leaving_upstreams_are_taken_over() -> None:
+    _, actions = hear(NewsState(), make_news(1, leaving=('x', 'y')))
+    assert actions[1:] == (TakeLeaving('x'), TakeLeaving('y'))
+
+
+def test_newer_configuration_is_fetched_from_listed_peers_only() -> None:
+    _, actions = hear(NewsState(), make_news(1), version=2)
+    assert len(actions) == 1
+    state, _ = hear(NewsState(), PeerListed(PEER))
+    _, actions = hear(state, make_news(1), version=2)
+    assert actions[-1] == FetchTable(PEER)
+    _, actions = hear(state, make_news(1), version=4)
+    assert len(actions) == 1
+
+
+def test_silence_is_told_from_never_having_heard() -> None:
+    assert not is_silent(NewsState(), 10**6)
+    state, _ = hear(NewsState(), make_news(1), now=100)
+    assert not is_silent(state, 100 + SILENT_MS)
+    assert is_silent(state, 101 + SILENT_MS)
+
+
+def test_peers_say_that_the_store_is_lost() -> None:
+    state, _ = hear(NewsState(), make_news(1, store_lost=True), now=100)
+    assert hears_of_loss(state, 100 + SILENT_MS)
+    assert not hears_of_loss(state, 101 + SILENT_MS)
+    state, _ = hear(state, make_news(2), now=200)
+    assert not hears_of_loss(state, 200)
+
+
+def test_alive_peers_are_counted_until_they_fall_silent() -> None:
+    state, _ = hear(NewsState(), make_news(1), now=0)
+    assert count_alive(state, ALIVE_MS) == 1
+    assert count_alive(state, ALIVE_MS + 1) == 0
+    state, _ = hear(state, PeerListed(PEER))
+    state, _ = hear(state, PeerRemoved('p'))
+    assert not state.peers_by_name
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,183 @@
+"""The platform's wire: settings, documents and headers."""
+
+import msgspec
+import pytest
+
+from cartdale.exceptions import BadInputError
+from cartdale.fleet.follow import OwnKey, TableWritten, Unreadable
+from cartdale.fleet.types import EntryRemoved, EntryWritten, Lifecycle
+from cartdale.platform.callers import read_request, write_refusal
+from cartdale.platform.documents import (
+    BadDocumentError,
+    decode_table,
+    decode_upstream,
+)
+from cartdale.platform.settings import (
+    Endpoint,
+    load_platform_settings,
+    parse_platform_settings,
+)
+from cartdale.platform.translate import make_translator
+from cartdale.routes.types import RouteKind
+from cartdale.store.types import Entry, Removed
+from tests.platform_stage import make_configuration
+
+SETTINGS = """
+node=front-1
+ip=10.1.0.19
+zone=west
+region=here
+listen.front=10.1.0.19:8740
+listen.ready=10.1.0.19:8749
+internalPorts=7200,7215
+bounds.graceS=8
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetSlack=56
+platform.address=10.200.1.7:8742
+aField.of.a.later=version
+"""
+
+
+def test_settings_are_read_and_unknown_fields_skipped() -> None:
+    settings = parse_platform_settings(SETTINGS, 'f')
+    assert settings.name == 'front-1'
+    assert settings.callers == Endpoint('10.1.0.19', 8740)
+    assert settings.peer_ports == (7200, 7215)
+    assert settings.bounds.grace == 8000
+    assert settings.bounds.retry_slack == 56
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'fault'),
+    [
+        ('10.1.0.19:8740', '8740', 'f:6: listen.front: expected IP:PORT'),
+        ('10.1.0.19:8740', '10.1.0.19:0', 'f:6: listen.front: expected a'),
+        ('7200,7215', '7200', 'f:8: internalPorts: expected FIRST,LAST'),
+        ('graceS=8', 'graceS=soon', 'f:9: bounds.graceS: could not'),
+        ('node=front-1', '', 'f:0: node: a value is required'),
+        ('zone=west', 'zone west', 'f:4: zone west: expected NAME=VALUE'),
+    ],
+)
+def test_faults_name_file_line_and_field(before, after, fault) -> None:
+    with pytest.raises(BadInputError) as caught:
+        parse_platform_settings(SETTINGS.replace(before, after), 'f')
+    assert fault in caught.value.format_message()
+
+
+def test_missing_file_is_a_fault_of_its_own(tmp_path) -> None:
+    with pytest.raises(BadInputError) as caught:
+        load_platform_settings(tmp_path / 'none')
+    assert caught.value.exit_code == 2
+
+
+def encode(document: object) -> bytes:
+    return msgspec.json.encode(document)
+
+
+def test_configuration_becomes_a_table() -> None:
+    document = make_configuration(7)
+    document['routes'][0]['trafficSplit'] = [
+        {'service': 'writers', 'weight': 90},
+        {'service': 'portal', 'weight': 10},
+    ]
+    table = decode_table(encode(document))
+    assert table.version == 7
+    kinds = {
+        route.name: route.kind for route in table.routes_by_host['mill.example']
+    }
+    assert kinds['draft'] is RouteKind.STREAM
+    assert kinds['cut'] is RouteKind.UNSAFE
+    assert table.customers_by_key['key-of-a-test'].priority == 1
+    assert table.services_by_name['writers'].engine.moves
+    assert table.services_by_name['portal'].engine is None
+    assert table.limits.body_bytes == 4096
+
+
+def test_unreadable_values_name_key_and_field() -> None:
+    document = make_configuration()
+    document['routes'][0]['timeoutMs'] = 'long'
+    with pytest.raises(BadDocumentError) as caught:
+        decode_table(encode(document))
+    assert 'op/config' in caught.value.format_message()
+    assert 'routes' in caught.value.format_message()
+
+
+def test_unknown_kind_is_taken_as_not_to_be_repeated() -> None:
+    document = make_configuration()
+    document['routes'][2]['kind'] = 'of-a-later-version'
+    table = decode_table(encode(document))
+    route = table.routes_by_host['mill.example'][1]
+    kinds = {each.name: each.kind for each in (route,)}
+    assert RouteKind.SAFE not in kinds.values() or route.name != 'look'
+
+
+def test_upstream_entries() -> None:
+    raw = encode(
+        {'service': 's', 'address': 'a:1', 'slots': 6, 'state': 'draining'}
+    )
+    entry = decode_upstream('servers/i-1', raw)
+    assert entry.upstream == 'i-1'
+    assert entry.lifecycle is Lifecycle.LEAVING
+
+
+def test_keys_become_news() -> None:
+    translate = make_translator().translate
+    good = encode({'service': 's', 'address': 'a:1'})
+    assert isinstance(translate(Entry('servers/i', good, 1, 1)), EntryWritten)
+    assert translate(Removed('servers/i', 2)) == EntryRemoved('i')
+    assert isinstance(translate(Entry('servers/i', b'{', 1, 1)), Unreadable)
+    assert translate(Removed('op/config', 3)) is None
+    assert translate(Entry('else', b'', 1, 1)) is None
+    own = Entry('cartdale/cluster-key', b'k', 1, 1)
+    assert translate(own) == OwnKey('cartdale/cluster-key', b'k')
+    table = encode(make_configuration())
+    assert isinstance(translate(Entry('op/config', table, 1, 1)), TableWritten)
+
+
+def test_request_heads() -> None:
+    request = read_request(
+        'POST',
+        b'/a/b?c=d',
+        (
+            (b'host', b'H.example'),
+            (b'request-id', b'r1'),
+            (b'authorization', b'Token secret'),
+            (b'deadline-ms', b'1500'),
+            (b'token-count', b'1460,80'),
+            (b'length-hint', b'60'),
+            (b'connection', b'keep-alive, x-hop'),
+            (b'x-hop', b'1'),
+            (b'x-kept', b'2'),
+            (b'kv-from', b'forged'),
+            (b'kv-backup', b'forged'),
+            (b'hold', b'forged'),
+            (b'pin-ms', b'forged'),
+            (b'tenant', b'forged'),
+            (b'transfer-encoding', b'chunked'),
+        ),
+    )
+    assert request.path == '/a/b'
+    assert request.key == 'secret'
+    assert request.deadline == 1500
+    assert (request.prompt_tokens, request.most_tokens) == (1460, 80)
+    assert request.expected_tokens == 60
+    names = {name for name, _ in request.headers}
+    assert names == {
+        b'host',
+        b'request-id',
+        b'token-count',
+        b'length-hint',
+        b'x-kept',
+    }
+
+
+def test_unreadable_numbers_count_as_absent() -> None:
+    headers = ((b'deadline-ms', b'soon'), (b'token-count', b'x'))
+    request = read_request('GET', b'/', headers)
+    assert (request.deadline, request.prompt_tokens) == (0, 0)
+
+
+def test_refusals_say_when_to_come_back() -> None:
+    assert (b'retry-after', b'0.50') in write_refusal(503, 500)
+    assert all(name != b'retry-after' for name, _ in write_refusal(502, 500))
