Serve metrics, explain requests from logs, take changed settings

Metrics of the gateway on the last internal port; cartdale explain makes one timeline of a request from several logs; a settings file that changes without a signal is read again, bounds change in place. A watch that answers without changes no longer moves on: the test of lost history failed in two of three runs, since the stand-in answered a held watch with a later revision after its history was dropped; the stand-in now answers 410, and the follower does not depend on it.

--- a/src/cartdale/command/main.py
+++ b/src/cartdale/command/main.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from cartdale.command.calling import CallCommand, GenerateCommand
+from cartdale.command.explaining import ExplainCommand
 from cartdale.command.planning import (
     ConfirmCommand,
     PlanCommand,
@@ -31,6 +32,7 @@
         ReportCommand(),
         GenerateCommand(),
         CallCommand(),
+        ExplainCommand(),
     ):
         application.add(command)
     return application
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -2,6 +2,7 @@
 
 import random
 import zlib
+from dataclasses import replace
 from pathlib import Path
 
 import trio
@@ -15,13 +16,16 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.gateway.app import GatewayApp, GatewayPorts
+from cartdale.gateway.metrics import GatewayMetrics, MetricsApp
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
 from cartdale.platform.names import PATH_READY
 from cartdale.platform.settings import (
+    Bounds,
     Endpoint,
     PlatformSettings,
     load_platform_settings,
+    read_stamp,
 )
 from cartdale.platform.store import PlatformStore
 from cartdale.platform.translate import PlatformWire, make_translator
@@ -41,6 +45,8 @@
 _STOP_POLL: Millis = 50
 #: Between looks at what the configuration and the peers bound.
 _FOLLOW_EVERY: Millis = SECOND_MS
+#: Between looks at whether the settings file has changed without a signal.
+_SETTINGS_EVERY: Millis = 2 * SECOND_MS
 
 
 class GatewayRuntime:
@@ -53,6 +59,7 @@
     def __init__(self, settings: PlatformSettings, path: Path) -> None:
         self._settings = settings
         self._path = path
+        self._stamp = read_stamp(path)
         self._clock = SystemClock()
         self._seed = zlib.crc32(settings.name.encode())
         self.fleet = Fleet(self._clock, settings.failure_domain, self._seed)
@@ -78,6 +85,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self._upstreams = PlatformUpstreams()
+        self.metrics = GatewayMetrics(self._read_version, store.calls_by_path)
         self._mover = Mover(
             self.fleet,
             self._upstreams,
@@ -87,11 +95,19 @@
         self._app = self._make_app()
         self._callers = _bind(settings.callers)
         self._ready = _bind(settings.ready)
+        self._metrics_listener = _bind(
+            Endpoint(settings.address, settings.peer_ports[1])
+        )
         self._leaving = False
         self._stopping = trio.Event()
         self._left = trio.Event()
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def bounds(self) -> Bounds:
+        """Return the bounds in force."""
+        return self._settings.bounds
+
     @property
     def caller_port(self) -> int:
         """Return the port of the callers' interface."""
@@ -105,7 +121,11 @@
     async def run(self) -> None:
         """Serve until the instance was told to leave and all work ended."""
         logger.info('started', instance=self._settings.name)
-        ready = ReadyApp(PATH_READY, self._is_ready)
+        apps = (
+            (self._callers, self._app),
+            (self._ready, ReadyApp(PATH_READY, self._is_ready)),
+            (self._metrics_listener, MetricsApp(self.metrics)),
+        )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.follower.run)
@@ -115,8 +135,9 @@
                 self.neighbours.run, self.follower, self._stopping
             )
             nursery.start_soon(self._follow_bounds)
-            nursery.start_soon(self._callers.serve, self._app, self._stopping)
-            nursery.start_soon(self._ready.serve, ready, self._stopping)
+            nursery.start_soon(self._watch_settings)
+            for listener, app in apps:
+                nursery.start_soon(listener.serve, app, self._stopping)
             await self._left.wait()
             nursery.cancel_scope.cancel()
         logger.info('stopped', instance=self._settings.name)
@@ -128,13 +149,28 @@
             self._nursery.start_soon(self._leave)
 
     def reload(self) -> None:
-        """Check the settings file again and say what came of it."""
+        """Read the settings again; bounds change, addresses stay."""
         try:
-            load_platform_settings(self._path)
+            settings = load_platform_settings(self._path)
         except BadInputError as error:
             logger.error('settings refused', detail=error.format_message())
             return
-        logger.info('settings reloaded')
+        self._settings = replace(self._settings, bounds=settings.bounds)
+        self._budget.bound(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window,
+        )
+        logger.info('settings reloaded', bounds=repr(settings.bounds))
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again when the file changes without a signal."""
+        while True:
+            await trio.sleep(seconds(_SETTINGS_EVERY))
+            stamp = read_stamp(self._path)
+            if stamp != self._stamp:
+                self._stamp = stamp
+                self.reload()
 
     def _make_app(self) -> GatewayApp:
         relay = RelayPorts(
@@ -152,6 +188,7 @@
                 clock=self._clock,
                 table=self._read_table,
                 leaving=self._is_leaving,
+                metrics=self.metrics,
                 generator=random.Random(self._seed),
             ),
         )
@@ -179,6 +216,9 @@
             )
             await trio.sleep(seconds(_FOLLOW_EVERY))
 
+    def _read_version(self) -> int:
+        return self.fleet.table.version
+
     def _read_table(self) -> RoutingTable:
         return self.fleet.table
 
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -192,8 +192,7 @@
             answer = await self._store.watch('', revision, WATCH_FOR)
             match answer:
                 case Success(changes):
-                    self._take_changes(changes)
-                    revision = max(revision, changes.store_revision)
+                    revision = self._take_changes(changes, revision)
                 case Failure(HistoryLost()):
                     logger.info('store forgot history', revision=revision)
                     return
@@ -202,11 +201,19 @@
                     await trio.sleep(_PAUSE_SECONDS)
                     return
 
-    def _take_changes(self, changes: Changes) -> None:
+    def _take_changes(self, changes: Changes, revision: int) -> int:
+        """Take what changed; return the revision to watch from.
+
+        An answer without changes does not move it on: whatever the store
+        counted meanwhile would be passed over if it was a change after all.
+        """
+        if not changes.changes:
+            return revision
         for change in changes.changes:
             news = self._translator.translate(change)
             if news is not None:
                 self._take(news)
+        return max(revision, changes.store_revision)
 
     def _take(self, news: News) -> None:
         match news:
--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -5,10 +5,10 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Protocol
 
 import trio
 from loguru import logger
@@ -16,6 +16,15 @@
 
 from cartdale.clock import Clock, Millis
 from cartdale.codec import encode_json
+from cartdale.gateway.asgi import (
+    TYPE,
+    AsgiEvent,
+    AsgiSink,
+    Receive,
+    Send,
+    live,
+)
+from cartdale.gateway.metrics import GatewayMetrics
 from cartdale.moves.driver import Mover
 from cartdale.problems.types import (
     NotRun,
@@ -26,7 +35,7 @@
 from cartdale.relay.itinerary import Itinerary
 from cartdale.relay.plain import PlainCarrier
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.stream import StreamCarrier
+from cartdale.relay.stream import StreamCarrier, StreamEnd
 from cartdale.relay.types import CallerRequest, Headers, RoutedRequest
 from cartdale.routes.match import (
     find_route,
@@ -36,12 +45,6 @@
 )
 from cartdale.routes.types import Customer, Route, RouteKind, RoutingTable
 
-AsgiEvent = dict[str, Any]
-Receive = Callable[[], Awaitable[AsgiEvent]]
-Send = Callable[[AsgiEvent], Awaitable[None]]
-
-#: Names the kind of an ASGI scope or event.
-_TYPE = 'type'
 #: When a caller should come back to an instance that is not ready yet.
 _NOT_READY_WAIT: Millis = 500
 #: Tokens in an event where the engine does not say.
@@ -74,6 +77,7 @@
     clock: Clock
     table: Callable[[], RoutingTable]
     leaving: Callable[[], bool]
+    metrics: GatewayMetrics
     generator: random.Random
 
 
@@ -96,10 +100,10 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope[_TYPE] == 'lifespan':
+        if scope[TYPE] == 'lifespan':
             await live(receive, send)
             return
-        if scope[_TYPE] != 'http':
+        if scope[TYPE] != 'http':
             return
         self.in_flight += 1
         try:
@@ -157,7 +161,7 @@
         limit = self._ports.table().limits.body_bytes
         while True:
             event = await self._receive()
-            if event[_TYPE] == 'http.disconnect':
+            if event[TYPE] == 'http.disconnect':
                 return None
             part: bytes = event.get('body', b'')
             parts.append(part)
@@ -203,7 +207,7 @@
             event = await self._receive()
             if self._sink.finished:
                 return
-            if event[_TYPE] == 'http.disconnect':
+            if event[TYPE] == 'http.disconnect':
                 logger.info('caller left', request=self._request.request_id)
                 scope.cancel()
                 return
@@ -215,6 +219,7 @@
         carrier = PlainCarrier(self._ports.relay, routed)
         match await carrier.carry():
             case Success(whole):
+                self._ports.metrics.note_answer(routed.route, whole.status)
                 await self._sink.start(
                     whole.status, whole.headers, len(whole.body)
                 )
@@ -234,18 +239,27 @@
             self._ports.mover.remove(itinerary)
         match outcome:
             case Success(end):
-                logger.info(
-                    'stream ended',
-                    request=self._request.request_id,
-                    end=end,
-                    events=itinerary.events,
-                    first_after=self._sink.started_after,
-                    longest_gap=carrier.longest_gap,
-                )
+                self._note_stream(end, itinerary, carrier.longest_gap)
             case Failure(problem):
                 await self._refuse(problem)
 
+    def _note_stream(
+        self, end: StreamEnd, itinerary: Itinerary, gap: Millis
+    ) -> None:
+        first = self._sink.started_after
+        self._ports.metrics.note_stream(end, itinerary.moves, first, gap)
+        logger.info(
+            'stream ended',
+            request=self._request.request_id,
+            end=end,
+            events=itinerary.events,
+            moves=itinerary.moves,
+            first_after=first,
+            longest_gap=gap,
+        )
+
     async def _refuse(self, problem: Problem) -> None:
+        self._ports.metrics.note_refusal(problem)
         document = describe(problem)
         logger.info(
             'refused',
@@ -270,66 +284,3 @@
         await self._sink.start(status, headers, len(body))
         await self._sink.write(body)
         await self._sink.finish()
-
-
-class AsgiSink:
-    """Write an answer as ASGI events.
-
-    :param leaving: tells whether the connection is to be closed after it.
-    """
-
-    def __init__(
-        self, send: Send, leaving: Callable[[], bool], clock: Clock
-    ) -> None:
-        self._send = send
-        self._leaving = leaving
-        self._clock = clock
-        self._made_at = clock.now()
-        #: Whether the answer is written; the server then closes the exchange
-        #: as if the caller had left.
-        self.finished = False
-        #: From the request's arrival to the head, in milliseconds.
-        self.started_after: Millis = 0
-
-    async def start(
-        self, status: int, headers: Headers, length: int | None = None
-    ) -> None:
-        """Write the head.
-
-        :param length: size of the body in bytes, if it is known.
-        """
-        self.started_after = self._clock.now() - self._made_at
-        written = list(headers)
-        if length is not None:
-            written.append((b'content-length', str(length).encode()))
-        if self._leaving():
-            written.append((b'connection', b'close'))
-        event = {
-            _TYPE: 'http.response.start',
-            'status': status,
-            'headers': written,
-        }
-        await self._send(event)
-
-    async def write(self, chunk: bytes) -> None:
-        """Write a part of the body."""
-        event = {
-            _TYPE: 'http.response.body',
-            'body': chunk,
-            'more_body': True,
-        }
-        await self._send(event)
-
-    async def finish(self) -> None:
-        """Mark the body as whole."""
-        self.finished = True
-        await self._send({_TYPE: 'http.response.body', 'body': b''})
-
-
-async def live(receive: Receive, send: Send) -> None:
-    """Answer the server's events of start and stop."""
-    while True:
-        event = await receive()
-        await send({_TYPE: f'{event["type"]}.complete'})
-        if event[_TYPE] == 'lifespan.shutdown':
-            return
--- /dev/null
+++ b/src/cartdale/gateway/metrics.py
@@ -0,0 +1,131 @@
+"""Counters and histograms of the gateway, by aioprometheus."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from math import inf
+from string import digits
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from cartdale import invariants
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.gateway.asgi import TYPE, AsgiEvent, Receive, Send, live
+from cartdale.problems.types import NotRun, Problem
+from cartdale.routes.types import Route
+
+_ACCEPT = ('text/plain',)
+#: Upper bounds in seconds: around the targets of first events and of pauses.
+_FIRST_BOUNDS = (0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, inf)
+_GAP_BOUNDS = (0.05, 0.1, 0.18, 0.25, 0.5, 1, 2, 5, inf)
+
+
+class GatewayMetrics:
+    """Own the registry of one instance on the platform.
+
+    :param read_version: returns the configuration in force.
+    :param calls_by_path: counts the calls to the store.
+    """
+
+    def __init__(
+        self, read_version: Callable[[], int], calls_by_path: dict[str, int]
+    ) -> None:
+        self._read_version = read_version
+        self._calls_by_path = calls_by_path
+        self._registry = Registry()
+        self._answers = self._count('answers', 'Answers by kind and status.')
+        self._refusals = self._count('refusals', 'Own refusals by reason.')
+        self._streams = self._count('streams', 'Streams by their end.')
+        self._moves = self._count('moves', 'Generations that went on.')
+        self._first = self._bin(
+            'first_event_seconds', 'Wait for the head.', _FIRST_BOUNDS
+        )
+        self._gap = self._bin(
+            'longest_gap_seconds', 'Longest pause of a stream.', _GAP_BOUNDS
+        )
+        self._version = self._measure('configuration_version', 'In force.')
+        self._calls = self._measure('store_calls', 'Calls to the store.')
+        self._violations = self._measure(
+            'invariant_violations', 'Broken invariants by name.'
+        )
+
+    def note_answer(self, route: Route, status: int) -> None:
+        """Count an upstream's answer that was passed on."""
+        self._answers.inc({'kind': route.kind.value, 'status': str(status)})
+
+    def note_refusal(self, problem: Problem) -> None:
+        """Count an answer of our own."""
+        reason = type(problem).__name__
+        if isinstance(problem, NotRun):
+            reason = problem.reason.name
+        self._refusals.inc({'reason': reason})
+
+    def note_stream(
+        self, end: str, moves: int, first: Millis, gap: Millis
+    ) -> None:
+        """Count a stream that ended.
+
+        :param end: how it ended.
+        :param moves: times that it went on at another engine.
+        :param first: wait for its head.
+        :param gap: its longest pause.
+        """
+        self._streams.inc({'end': end})
+        self._moves.add({}, moves)
+        self._first.add({}, first / SECOND_MS)
+        self._gap.add({}, gap / SECOND_MS)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text form."""
+        self._version.set({}, self._read_version())
+        for path, count in self._calls_by_path.items():
+            self._calls.set({'path': path.rstrip(digits)}, count)
+        for name in invariants.NAMES:
+            broken = invariants.count_violations(name)
+            self._violations.set({'invariant': name}, broken)
+        rendered, _ = render(self._registry, list(_ACCEPT))
+        return bytes(rendered)
+
+    def _count(self, name: str, text: str) -> Counter:
+        full = f'cartdale_gateway_{name}_total'
+        return Counter(full, text, registry=self._registry)
+
+    def _measure(self, name: str, text: str) -> Gauge:
+        full = f'cartdale_gateway_{name}'
+        return Gauge(full, text, registry=self._registry)
+
+    def _bin(
+        self, name: str, text: str, bounds: tuple[float, ...]
+    ) -> Histogram:
+        full = f'cartdale_gateway_{name}'
+        return Histogram(
+            full, text, registry=self._registry, buckets=list(bounds)
+        )
+
+
+class MetricsApp:
+    """Serve the metrics as an ASGI application on every path."""
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(
+        self, scope: AsgiEvent, receive: Receive, send: Send
+    ) -> None:
+        """Answer one ASGI connection."""
+        if scope[TYPE] == 'lifespan':
+            await live(receive, send)
+            return
+        if scope[TYPE] != 'http':
+            return
+        body = self._metrics.render()
+        start = {
+            TYPE: 'http.response.start',
+            'status': int(HTTPStatus.OK),
+            'headers': [
+                (b'content-type', b'text/plain; version=0.0.4'),
+                (b'content-length', str(len(body)).encode()),
+            ],
+        }
+        await send(start)
+        await send({TYPE: 'http.response.body', 'body': body})
--- a/src/cartdale/gateway/ready.py
+++ b/src/cartdale/gateway/ready.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from cartdale.gateway.app import AsgiEvent, Receive, Send, live
+from cartdale.gateway.asgi import TYPE, AsgiEvent, Receive, Send, live
 
 
 class ReadyApp:
@@ -21,19 +21,19 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope['type'] == 'lifespan':
+        if scope[TYPE] == 'lifespan':
             await live(receive, send)
             return
-        if scope['type'] != 'http':
+        if scope[TYPE] != 'http':
             return
         status = HTTPStatus.NOT_FOUND
         if scope['path'] == self._path:
             ready = self._ready()
             status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         start = {
-            'type': 'http.response.start',
+            TYPE: 'http.response.start',
             'status': int(status),
             'headers': [(b'content-length', b'0')],
         }
         await send(start)
-        await send({'type': 'http.response.body', 'body': b''})
+        await send({TYPE: 'http.response.body', 'body': b''})
--- a/src/cartdale/invariants.py
+++ b/src/cartdale/invariants.py
@@ -13,6 +13,17 @@
 NO_WORK_WHEN_LEAVING: Final = 'no_work_when_leaving'
 MEMORY_BOUND: Final = 'memory_bound'
 NEVER_REVERTS: Final = 'never_reverts'
+#: All of them, for the metrics.
+NAMES: Final = (
+    ONCE_IN_ORDER,
+    ONE_GENERATION,
+    RIGHT_CALLER,
+    NOT_RUN,
+    AT_MOST_ONCE,
+    NO_WORK_WHEN_LEAVING,
+    MEMORY_BOUND,
+    NEVER_REVERTS,
+)
 
 _violations_by_name: Counter[str] = Counter()
 
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -80,6 +80,15 @@
     return parse_platform_settings(text, str(path))
 
 
+def read_stamp(path: Path) -> tuple[int, int]:
+    """Return what changes when the file does; zeros when there is none."""
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
+
+
 def parse_platform_settings(text: str, path: str) -> PlatformSettings:
     """Check the text of a settings file.
 
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -87,6 +87,7 @@
         self._state: MoveState | None = None
         self._ended = False
         self.events = 0
+        self.moves = 0
 
     @property
     def request_id(self) -> str:
@@ -189,6 +190,7 @@
 
     def resumed(self) -> None:
         """Note that it goes on where it was sent."""
+        self.moves += 1
         self._tell(Resumed(self._next_backup))
 
     def resume_rejected(self) -> UpstreamEntry | None:
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -72,7 +72,19 @@
     ports: RelayPorts, routed: RoutedRequest, upstream: Upstream
 ) -> UpstreamCall:
     """Make the call of an attempt, with the time that is left."""
-    left = routed.ends_at - ports.clock.now()
+    now = ports.clock.now()
+    left = routed.ends_at - now
+    logger.info(
+        'placed',
+        request=routed.request.request_id,
+        upstream=upstream.entry.upstream,
+        customer=routed.customer,
+        route=routed.route.name,
+        version=ports.fleet.table.version,
+        waited=now - routed.arrived_at,
+        left=left,
+        failing=round(upstream.failing, 2),
+    )
     return UpstreamCall(routed, upstream.entry, left)
 
 
--- a/src/cartdale/reports/metrics.py
+++ b/src/cartdale/reports/metrics.py
@@ -7,16 +7,6 @@
 from cartdale.reports.types import AnswerMeasured
 
 _ACCEPT = ('text/plain',)
-_INVARIANTS = (
-    invariants.ONCE_IN_ORDER,
-    invariants.ONE_GENERATION,
-    invariants.RIGHT_CALLER,
-    invariants.NOT_RUN,
-    invariants.AT_MOST_ONCE,
-    invariants.NO_WORK_WHEN_LEAVING,
-    invariants.MEMORY_BOUND,
-    invariants.NEVER_REVERTS,
-)
 
 
 class Metrics:
@@ -48,7 +38,7 @@
         self._revision.set({}, revision)
         for path, count in calls_by_path.items():
             self._calls.set({'path': path}, count)
-        for name in _INVARIANTS:
+        for name in invariants.NAMES:
             violations = invariants.count_violations(name)
             self._violations.set({'invariant': name}, violations)
         rendered, _ = render(self._registry, list(_ACCEPT))
--- a/src/cartdale/retries/window.py
+++ b/src/cartdale/retries/window.py
@@ -42,6 +42,11 @@
         self._repeats.append(now)
         return True
 
+    def bound(self, ratio: float, span: Millis) -> None:
+        """Change the bound; what was counted stays."""
+        self._ratio = ratio
+        self._span = span
+
     def _forget(self, now: Millis) -> None:
         for times in (self._requests, self._repeats):
             while times and now - times[0] > self._span:
@@ -72,6 +77,14 @@
             self._slack / max(self.sharers, 1), now
         )
 
+    def bound(self, ratio: float, slack: float, span: Millis) -> None:
+        """Change the bound; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+        self._span = span
+        for window in self._windows_by_service.values():
+            window.bound(ratio, span)
+
     def _window(self, service: str) -> RepeatWindow:
         return self._windows_by_service.setdefault(
             service, RepeatWindow(self._ratio, self._span)
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -96,13 +96,13 @@
             return refusal
         prefix = request.args['pathPrefix']
         since = int(request.args['sinceRevision'])
-        if since < self._forgotten:
-            return _answer({}, HTTPStatus.GONE)
         events: list[dict[str, Any]] = []
         with trio.move_on_after(seconds(int(request.args['waitMs']))):
-            while not events:
+            while not events and since >= self._forgotten:
                 await trio.sleep(seconds(_WATCH_POLL))
                 events = self._changes(prefix, since)
+        if since < self._forgotten:
+            return _answer({}, HTTPStatus.GONE)
         return _answer({'events': events, 'asOf': self.state.revision})
 
     def _changes(self, prefix: str, since: int) -> list[dict[str, Any]]:
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -20,11 +20,28 @@
 KEY = 'key-of-a-test'
 HOST = 'mill.example'
 LOCAL = '127.0.0.1'
+NO_FILE = Path('no-file')
 #: 100 tokens take about 0.4 s, so that a test can act in the middle.
 HARDWARE = Hardware(
     memory_tokens=20000, step_base_ms=4, step_per_sequence_ms=0.01
 )
 
+SETTINGS = """
+node=front-1
+ip=10.1.0.19
+zone=west
+region=here
+listen.front=10.1.0.19:8740
+listen.ready=10.1.0.19:8749
+internalPorts=7200,7215
+bounds.graceS=8
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetSlack=56
+platform.address=10.200.1.7:8742
+aField.of.a.later=version
+"""
+
 
 def make_configuration(version: int = 1) -> dict:
     """Return an operator's configuration as the store holds it."""
@@ -130,7 +147,7 @@
     def drain(self, engine: PlatformEngine) -> None:
         self.list_upstream(engine.name, 'writers', engine.address, 'draining')
 
-    def add_instance(self) -> GatewayRuntime:
+    def add_instance(self, path: Path = NO_FILE) -> GatewayRuntime:
         settings = PlatformSettings(
             name=f'entry-{len(self.runtimes)}',
             address=LOCAL,
@@ -142,7 +159,7 @@
             store=Endpoint(LOCAL, self.store_port),
             bounds=Bounds(8 * SECOND_MS, 0.2, 10 * SECOND_MS, 50),
         )
-        runtime = GatewayRuntime(settings, Path('no-file'))
+        runtime = GatewayRuntime(settings, path)
         self.runtimes.append(runtime)
         scope, stopped = trio.CancelScope(), trio.Event()
         self.scopes.append(scope)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,13 +3,17 @@
 import httpx
 import msgspec
 import trio
+from loguru import logger
 
+from cartdale.platform.settings import load_platform_settings
 from cartdale.platform.translate import read_table
 from cartdale_standins.platform_store import PlatformStoreFaults
 from cartdale_standins.platform_worker import PlatformEngine, format_event
 from tests.platform_stage import (
     HOST,
+    KEY,
     LOCAL,
+    SETTINGS,
     PlatformStage,
     make_configuration,
     make_draft,
@@ -250,6 +254,36 @@
             await until(lambda: second.fleet.table.version == 7)
 
 
+async def test_logs_explain_and_keep_secrets() -> None:
+    lines: list[str] = []
+    sink = logger.add(lines.append, serialize=True)
+    with trio.fail_after(LIMIT):
+        async with open_platform() as stage:
+            await draft(stage, 'r1')
+            await until(lambda: any('stream ended' in line for line in lines))
+            metrics = stage.runtimes[0].metrics.render().decode()
+    logger.remove(sink)
+    text = ''.join(lines)
+    assert KEY not in text
+    assert 'streams_total{end="whole"} 1' in metrics
+
+
+async def test_settings_that_change_are_taken(tmp_path) -> None:
+    path = tmp_path / 'settings'
+    path.write_text(SETTINGS)
+    settings = load_platform_settings(path)
+    with trio.fail_after(LIMIT):
+        async with open_platform(instances=0) as stage:
+            runtime = stage.add_instance(path)
+            before = runtime.bounds
+            path.write_text(SETTINGS.replace('graceS=8', 'graceS=eight'))
+            runtime.reload()
+            assert runtime.bounds == before
+            path.write_text(SETTINGS.replace('graceS=8', 'graceS=30'))
+            await until(lambda: runtime.bounds.grace == 30000)
+            assert settings.bounds.grace == 8000
+
+
 async def test_history_that_is_lost_is_read_anew() -> None:
     with trio.fail_after(LIMIT):
         async with open_platform() as stage:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -20,23 +20,7 @@
 from cartdale.platform.translate import make_translator
 from cartdale.routes.types import RouteKind
 from cartdale.store.types import Entry, Removed
-from tests.platform_stage import make_configuration
-
-SETTINGS = """
-node=front-1
-ip=10.1.0.19
-zone=west
-region=here
-listen.front=10.1.0.19:8740
-listen.ready=10.1.0.19:8749
-internalPorts=7200,7215
-bounds.graceS=8
-bounds.retryBudgetRatio=0.2
-bounds.budgetWindowS=10
-bounds.budgetSlack=56
-platform.address=10.200.1.7:8742
-aField.of.a.later=version
-"""
+from tests.platform_stage import SETTINGS, make_configuration
 
 
 def test_settings_are_read_and_unknown_fields_skipped() -> None:
