Let four instances watch the store and tell the others

Change: the first four of a fixed order among those that the store answers watch; entries, leaving upstreams and the version in force travel in news, and the others read all each 20 s. Messages become rarer with the number of peers.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -79,6 +79,7 @@
             self._clock,
             make_translator(),
             self.neighbours.take_own_key,
+            self.neighbours.news.is_watcher,
         )
         bounds = settings.bounds
         self._budget = RepeatBudget(
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -44,6 +44,8 @@
         self.loads = LoadBook()
         self.table = RoutingTable()
         self.on_leaving: Left | None = None
+        #: Counts what changed in the upstreams' lifecycles, for news.
+        self.lifecycles = 0
         self._changed = trio.Event()
 
     def tell(self, message: Message) -> None:
@@ -51,7 +53,10 @@
         before = self.state
         after, actions = decide(before, message, self._clock.now())
         self.state = after
+        if len(after.upstreams_by_id) != len(before.upstreams_by_id):
+            self.lifecycles += 1
         for action in actions:
+            self.lifecycles += 1
             logger.info('upstream changed', change=repr(action))
             if isinstance(action, BeganLeaving) and self.on_leaving:
                 self.on_leaving(action.upstream)
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 from tenacity import AsyncRetrying, retry_if_result, wait_random_exponential
 
-from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.clock import MINUTE_MS, SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import (
     EntriesListed,
@@ -36,6 +36,10 @@
 WATCH_FOR: Millis = 5 * SECOND_MS
 #: An entry that goes within this time after an outage may come back.
 _OUTAGE_SHADOW: Millis = 3 * SECOND_MS
+#: Between reads of an instance that does not watch, and between its looks
+#: at whether it has to.
+_READ_EVERY: Millis = MINUTE_MS // 3
+_LOOK_EVERY: Millis = 250
 #: First and longest pause between calls while the store fails.
 _PAUSE_SECONDS = 0.1
 _LONGEST_PAUSE_SECONDS = 0.5
@@ -89,6 +93,8 @@
     """Follow the store.
 
     :param take_own: takes what instances wrote for each other.
+    :param watches: tells whether this instance is one of those that watch;
+        the others hear of changes in news, and read all once in a while.
     """
 
     def __init__(
@@ -98,7 +104,9 @@
         clock: Clock,
         translator: Translator,
         take_own: Callable[[OwnKey], None],
+        watches: Callable[[], bool],
     ) -> None:
+        self._watches = watches
         self._take_own = take_own
         self._store = store
         self._fleet = fleet
@@ -117,6 +125,8 @@
         while True:
             revision = await self._read_all()
             await self._watch(revision)
+            if not self._watches():
+                await self._rest()
 
     def adopt(self, written: TableWritten) -> None:
         """Put a configuration in force unless it is older than the present.
@@ -131,6 +141,13 @@
         self._fleet.notify()
         logger.info('configuration in force', version=version)
 
+    async def _rest(self) -> None:
+        """Wait until this instance has to watch, or has not read for long."""
+        rested: Millis = 0
+        while rested < _READ_EVERY and not self._watches():
+            await trio.sleep(seconds(_LOOK_EVERY))
+            rested += _LOOK_EVERY
+
     async def _read_all(self) -> int:
         """Read every prefix; return the revision to watch from."""
         entries: list[Entry] = []
@@ -188,7 +205,7 @@
 
     async def _watch(self, revision: int) -> None:
         """Follow changes until the store fails or has forgotten some."""
-        while True:
+        while self._watches():
             answer = await self._store.watch('', revision, WATCH_FOR)
             match answer:
                 case Success(changes):
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -1,9 +1,10 @@
 """Decide what to take from the news of other instances."""
 
+import zlib
 from dataclasses import replace
 from typing import assert_never
 
-from cartdale.clock import SECOND_MS, Millis
+from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
 from cartdale.news.types import (
     Action,
     Decision,
@@ -12,8 +13,10 @@
     Message,
     NewsArrived,
     NewsState,
+    PeerEntry,
     PeerListed,
     PeerRemoved,
+    TakeEntry,
     TakeLeaving,
     TakeLoads,
 )
@@ -23,6 +26,13 @@
 #: No message from anyone for so long shows that this instance is cut off;
 #: each of the others sends at least every 400 ms in a small system.
 SILENT_MS: Millis = 1200
+#: A peer that was silent for so long gets no more messages.
+FORGET_MS: Millis = MINUTE_MS // 2
+#: Instances that wait for changes at the store; the others hear of them in
+#: news. All of them are lost at once only with most of the system.
+WATCHERS = 4
+#: For each so many peers, messages without anything new come more seldom.
+CROWD = 16
 
 
 def decide(
@@ -47,6 +57,23 @@
             assert_never(message)
 
 
+def is_watcher(state: NewsState, own: str, now: Millis) -> bool:
+    """Tell whether this instance follows the store for the others.
+
+    The first of a fixed order among those that were heard of late and that
+    the store answers; each instance decides by itself, and while they
+    disagree a few more than needed watch.
+    """
+    watching = [
+        name
+        for name, heard in state.heard_by_name.items()
+        if now - heard.at <= SILENT_MS * count_crowds(state)
+        and not heard.news.store_lost
+    ]
+    earlier = [name for name in watching if _order(name) < _order(own)]
+    return len(earlier) < WATCHERS
+
+
 def is_silent(state: NewsState, now: Millis) -> bool:
     """Tell whether peers were heard before, and none of them of late."""
     if not state.heard_by_name:
@@ -70,6 +97,10 @@
     )
 
 
+def _order(name: str) -> int:
+    return zlib.crc32(name.encode())
+
+
 def _remove(state: NewsState, name: str) -> NewsState:
     peers_by_name = dict(state.peers_by_name)
     peers_by_name.pop(name, None)
@@ -87,9 +118,26 @@
             return state, ()
     heard_by_name = dict(state.heard_by_name)
     heard_by_name[message.sender] = Heard(news, now)
+    peers_by_name = dict(state.peers_by_name)
+    peers_by_name[message.sender] = news.peer
     actions: list[Action] = [TakeLoads(message.sender, news.loads_by_upstream)]
+    actions.extend(TakeEntry(entry) for entry in news.entries)
     actions.extend(TakeLeaving(upstream) for upstream in news.leaving)
-    peer = state.peers_by_name.get(message.sender)
-    if news.version > version and peer is not None:
-        actions.append(FetchTable(peer))
-    return replace(state, heard_by_name=heard_by_name), tuple(actions)
+    if news.version > version:
+        actions.append(FetchTable(news.peer))
+    return NewsState(peers_by_name, heard_by_name), tuple(actions)
+
+
+def list_reachable(state: NewsState, now: Millis) -> list[PeerEntry]:
+    """Return the peers that are worth a message."""
+    reachable: list[PeerEntry] = []
+    for name, peer in state.peers_by_name.items():
+        heard = state.heard_by_name.get(name)
+        if heard is None or now - heard.at <= FORGET_MS:
+            reachable.append(peer)
+    return reachable
+
+
+def count_crowds(state: NewsState) -> int:
+    """Return by how much messages are rarer than in a small system."""
+    return 1 + len(state.peers_by_name) // CROWD
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -11,8 +11,21 @@
 from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import EntryRemoved, Lifecycle
-from cartdale.news.decide import count_alive, decide, hears_of_loss, is_silent
+from cartdale.fleet.types import (
+    EntryRemoved,
+    EntryWritten,
+    Lifecycle,
+    UpstreamEntry,
+)
+from cartdale.news.decide import (
+    count_alive,
+    count_crowds,
+    decide,
+    hears_of_loss,
+    is_silent,
+    is_watcher,
+    list_reachable,
+)
 from cartdale.news.types import (
     FetchTable,
     LoadNews,
@@ -20,23 +33,24 @@
     NewsArrived,
     NewsState,
     PeerEntry,
+    TakeEntry,
     TakeLeaving,
     TakeLoads,
 )
 from cartdale.peers.seal import Envelope, Seal
 
-#: Between two messages when there is something new: several changes that
-#: come together travel together.
+#: Between two messages when there is something new, for each ``CROWD``
+#: peers: changes that come together travel together.
 _CHANGED_EVERY: Millis = 20
 #: Between two messages when nothing is new but the tokens made meanwhile,
 #: for each ``CROWD`` peers, so that a large system is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
-CROWD = 16
 _LARGEST_DATAGRAM = 65507
 _EVERYBODY = '*'
 _KIND = LoadNews.__name__
-#: Upstreams that left are told about for so long.
+#: Upstreams that left, and those that changed, are told about for so long.
 _LEAVING_TOLD: Millis = 10 * SECOND_MS
+_CHANGED_TOLD: Millis = 4 * SECOND_MS
 
 Fetch = Callable[[PeerEntry], None]
 
@@ -47,6 +61,7 @@
 
     loads: int
     version: int
+    lifecycles: int
     lost: bool
 
 
@@ -73,7 +88,7 @@
         self._fetch_table = fetch_table
         self._boot = clock.wall()
         self._number = 0
-        self._told = _Content(-1, -1, lost=False)
+        self._told = _Content(-1, -1, -1, lost=False)
         self._socket: trio.socket.SocketType | None = None
         self.state = NewsState()
         self.seal: Seal | None = None
@@ -88,11 +103,17 @@
             match action:
                 case TakeLoads(peer=peer, loads_by_upstream=loads_by_upstream):
                     self._fleet.loads.hear(peer, loads_by_upstream, now)
+                case TakeEntry(entry=entry):
+                    self._fleet.tell(EntryWritten(entry))
                 case TakeLeaving(upstream=upstream):
                     self._fleet.tell(EntryRemoved(upstream))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
 
+    def is_watcher(self) -> bool:
+        """Tell whether this instance follows the store for the others."""
+        return is_watcher(self.state, self._own.name, self._clock.now())
+
     def hears_of_loss(self) -> bool:
         """Tell whether a peer says that the store does not answer."""
         return hears_of_loss(self.state, self._clock.now())
@@ -137,17 +158,17 @@
 
     async def _send(self, bound: trio.socket.SocketType) -> None:
         while True:
-            await trio.sleep(seconds(_CHANGED_EVERY))
-            await self._wait_for_news()
+            crowds = count_crowds(self.state)
+            await trio.sleep(seconds(_CHANGED_EVERY * crowds))
+            await self._wait_for_news(crowds)
             if self.seal is None:
                 continue
             sealed = self._make_message(self.seal)
-            for peer in list(self.state.peers_by_name.values()):
+            for peer in list_reachable(self.state, self._clock.now()):
                 if peer.name != self._own.name:
                     await self._send_to(bound, sealed, peer)
 
-    async def _wait_for_news(self) -> None:
-        crowds = 1 + len(self.state.peers_by_name) // CROWD
+    async def _wait_for_news(self, crowds: int) -> None:
         with trio.move_on_after(seconds(_UNCHANGED_EVERY * crowds)):
             while self._told == self._newest():
                 await self._fleet.changed()
@@ -156,6 +177,7 @@
         return _Content(
             self._fleet.loads.version,
             self._fleet.table.version,
+            self._fleet.lifecycles,
             lost=self._store_lost(),
         )
 
@@ -166,8 +188,10 @@
             boot=self._boot,
             number=self._number,
             version=self._fleet.table.version,
+            peer=self._own,
             loads_by_upstream=self._fleet.loads.own(),
             leaving=self._list_leaving(),
+            entries=self._list_changed(),
             store_lost=self._store_lost(),
         )
         envelope = Envelope(
@@ -188,6 +212,15 @@
             and now - upstream.changed_at <= _LEAVING_TOLD
         )
 
+    def _list_changed(self) -> tuple[UpstreamEntry, ...]:
+        now = self._clock.now()
+        return tuple(
+            upstream.entry
+            for upstream in self._fleet.state.upstreams_by_id.values()
+            if upstream.lifecycle is Lifecycle.LIVE
+            and now - upstream.changed_at <= _CHANGED_TOLD
+        )
+
     async def _send_to(
         self, bound: trio.socket.SocketType, sealed: bytes, peer: PeerEntry
     ) -> None:
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -9,7 +9,7 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
-from cartdale.news.driver import CROWD
+from cartdale.news.decide import CROWD
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
     Compare,
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -4,6 +4,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.loads import Load
+from cartdale.fleet.types import UpstreamEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,15 +28,19 @@
         is newer.
     :param number: counts the sender's messages since its start.
     :param version: configuration in force at the sender.
+    :param peer: how the sender is reached.
     :param leaving: upstreams that take no new work.
+    :param entries: upstreams whose entries changed of late.
     :param store_lost: whether the store does not answer the sender.
     """
 
     boot: Millis
     number: int
     version: int
+    peer: PeerEntry
     loads_by_upstream: dict[str, Load]
     leaving: tuple[str, ...] = ()
+    entries: tuple[UpstreamEntry, ...] = ()
     store_lost: bool = False
 
 
@@ -92,6 +97,13 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class TakeEntry:
+    """Take over what an upstream wrote of itself."""
+
+    entry: UpstreamEntry
+
+
 @dataclass(frozen=True, slots=True)
 class FetchTable:
     """Ask a peer for its configuration, which is newer."""
@@ -100,5 +112,5 @@
 
 
 Message = PeerListed | PeerRemoved | NewsArrived
-Action = TakeLoads | TakeLeaving | FetchTable
+Action = TakeLoads | TakeLeaving | TakeEntry | FetchTable
 Decision = tuple[NewsState, tuple[Action, ...]]
