Move to any engine that can hold a generation now

Change: a move asks for the memory held now; the engine refuses what does not fit. Not measured yet.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -35,6 +35,7 @@
     :param excluded: upstreams that must not be chosen.
     :param far_cost: what another failure domain counts, in capacity.
     :param filled: part of an engine's memory that may be filled.
+    :param reserved: part of the expected growth that must fit as well.
     """
 
     service: str
@@ -43,6 +44,7 @@
     excluded: frozenset[str] = frozenset()
     far_cost: float = _FAR_COST
     filled: float = MEMORY_FILLED
+    reserved: float = GROWTH_RESERVED
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +109,13 @@
         return True
     if not load.runs and need.filled >= MEMORY_FILLED:
         return True
-    if load.reading and load.reading + need.prompt > READING_LIMIT:
+    if (
+        need.reserved
+        and load.reading
+        and load.reading + need.prompt > READING_LIMIT
+    ):
         return False
-    wanted = need.prompt + GROWTH_RESERVED * (need.expected + load.growth)
+    wanted = need.prompt + need.reserved * (need.expected + load.growth)
     room = need.filled * spec.engine.memory_tokens
     return load.tokens + wanted <= room
 
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -262,6 +262,11 @@
     # The engines that it may go to.
 
     def _choose_target(self, refused: set[str]) -> Upstream | None:
+        """Return an engine that can hold it now.
+
+        Room to grow is not asked for: to be pushed aside later is better
+        than to be lost, and an engine without room refuses the copy.
+        """
         state = self._state
         if state is None or self._assignment is None or not self.events:
             return None
@@ -272,6 +277,8 @@
             expected=load.growth,
             excluded=frozenset((state.source.upstream, *refused)),
             far_cost=_FAR_MOVE_COST,
+            filled=1,
+            reserved=0,
         )
         return self._ports.fleet.choose(need, state.source.failure_domain)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -178,3 +178,11 @@
     assert book.totals(1001 + PEER_LOAD_KEPT_MS)['a'].runs == 1
     book.release(run)
     assert not book.own()
+
+
+def test_move_asks_only_for_the_memory_held_now() -> None:
+    loads = {'a': Load(runs=1, tokens=6000, growth=3000, reading=9000)}
+    need = Need('s', 3500, 500)
+    assert pick(make_fleet('a'), need, loads) is None
+    moving = Need('s', 3500, 500, filled=1, reserved=0)
+    assert pick(make_fleet('a'), moving, loads) == 'a'
