Begin only copies that can end before their engine does

Change: a copy begins at once only if all smaller ones and itself fit into the notice; the others begin when the link is expected to be free, if time is left. Generations that come to an engine after it began to leave are told as well. Not measured yet.

--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -1,8 +1,6 @@
 """Tell this instance's generations when their engine leaves."""
 
-from bisect import bisect_left
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import trio
@@ -15,10 +13,9 @@
     EngineReport,
     EntryRemoved,
     Lifecycle,
-    RunReport,
     UpstreamEntry,
 )
-from cartdale.moves.schedule import Departure, estimate_all
+from cartdale.moves.schedule import Departure, Turn, estimate_all, place
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
@@ -54,14 +51,6 @@
         """Move away from the engine."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Ranked:
-    """Hold a generation and its place in the order of all."""
-
-    run: MovingRun
-    rank: int
-
-
 class Mover:
     """Know which generations of this instance run at which upstream.
 
@@ -80,6 +69,8 @@
         self._upstreams = upstreams
         self._clock = clock
         self._runs: dict[str, MovingRun] = {}
+        #: Generations and the upstreams that they were told to leave.
+        self._told: set[tuple[str, str]] = set()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -89,6 +80,7 @@
             self._fleet.on_leaving = self.begin
             while True:
                 await trio.sleep(seconds(_SCOUT_EVERY))
+                self._sweep()
                 if self._cut_off():
                     await self._scout()
 
@@ -99,6 +91,11 @@
     def remove(self, run: MovingRun) -> None:
         """Forget a generation that has ended."""
         self._runs.pop(run.request_id, None)
+        self._told = {
+            (request_id, name)
+            for request_id, name in self._told
+            if request_id != run.request_id
+        }
 
     def begin(self, upstream: str) -> None:
         """Move everything away from an upstream."""
@@ -111,10 +108,12 @@
         engine = self._engine_of(upstream.entry) if upstream else None
         if upstream is None or engine is None or not (own and engine.moves):
             return
+        self._told.update((run.request_id, name) for run in own)
         noticed_at = self._clock.now()
         held = await self._read_report(upstream.entry)
-        tokens_by_request = {run.request_id: run.tokens for run in own}
-        takes = estimate_all(held.runs, tokens_by_request, engine)
+        takes = estimate_all(
+            held.runs, {run.request_id: run.tokens for run in own}, engine
+        )
         logger.info(
             'emptying upstream',
             upstream=name,
@@ -128,8 +127,9 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._learn_end, upstream.entry, departure)
-            for run in _sort_by_size(own, held.runs):
-                nursery.start_soon(self._leave, run, departure)
+            for run in own:
+                turn = place(run.tokens, held.runs, engine)
+                nursery.start_soon(self._leave, run, turn, departure)
 
     async def _learn_end(
         self, entry: UpstreamEntry, departure: Departure
@@ -149,9 +149,31 @@
             )
             return
 
-    async def _leave(self, ranked: _Ranked, departure: Departure) -> None:
-        await trio.sleep(seconds(ranked.rank * _TURN))
-        await ranked.run.leave(departure)
+    async def _leave(
+        self, run: MovingRun, turn: Turn, departure: Departure
+    ) -> None:
+        """Move a generation, unless its copy would only hold up others."""
+        began = self._clock.now()
+        begins = began + turn.waits
+        if departure.leaves_time(begins, turn):
+            begins = began + turn.rank * _TURN
+        await trio.sleep(seconds(begins - began))
+        if departure.leaves_time(self._clock.now(), turn):
+            await run.leave(departure)
+            return
+        logger.info(
+            'not moved',
+            request=run.request_id,
+            waits=turn.waits,
+            takes=turn.takes,
+            left=departure.until - self._clock.now(),
+        )
+
+    def _sweep(self) -> None:
+        """Move what came to an engine only after it began to leave."""
+        for name, known in self._fleet.state.upstreams_by_id.items():
+            if known.lifecycle is Lifecycle.LEAVING and self._runs_at(name):
+                self.begin(name)
 
     async def _scout(self) -> None:
         """Ask engines themselves while nobody tells that they leave."""
@@ -179,16 +201,9 @@
         return EngineReport(0, 0, 0, 0)
 
     def _runs_at(self, upstream: str) -> list[MovingRun]:
+        """Return the generations there that were not told to leave yet."""
         return [run for run in self._runs.values() if run.upstream == upstream]
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
         return spec.engine if spec else None
-
-
-def _sort_by_size(
-    own: list[MovingRun], reported: tuple[RunReport, ...]
-) -> list[_Ranked]:
-    """Rank own generations among all of the engine, the smallest first."""
-    sizes = sorted(run.tokens for run in reported)
-    return [_Ranked(run, bisect_left(sizes, run.tokens)) for run in own]
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -6,7 +6,12 @@
 
 from cartdale.fleet.types import RunReport, UpstreamEntry
 from cartdale.moves.decide import MOST_TRIES, begin, decide
-from cartdale.moves.schedule import Departure, estimate_all, estimate_copy
+from cartdale.moves.schedule import (
+    Departure,
+    estimate_all,
+    estimate_copy,
+    place,
+)
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
@@ -186,3 +191,18 @@
 def test_stop_comes_before_the_end_of_the_engine() -> None:
     assert Departure(until=2000, quiet_at=900).stop_at == 900
     assert Departure(until=1000, quiet_at=2500).stop_at < 1000
+
+
+def test_turns_are_by_size_and_doomed_copies_are_told() -> None:
+    engine = EngineTraits(64, 30000, 18432, 2700, moves=True)
+    reported = [
+        RunReport(str(tokens), tokens, 1, 0) for tokens in (1000, 3000, 4000)
+    ]
+    turn = place(3500, reported, engine)
+    assert turn.rank == 2
+    earlier = place(2000, reported, engine)
+    assert earlier.rank == 1
+    assert turn.waits > earlier.waits
+    departure = Departure(until=1000, quiet_at=0)
+    assert departure.leaves_time(0, turn)
+    assert not departure.leaves_time(900, turn)
