Tell each generation once to leave, and move it once

Change: what was told is remembered, and a generation that moves is not moved again; the test fails without the second.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -87,7 +87,7 @@
         )
         self._upstreams = PlatformUpstreams()
         self.metrics = GatewayMetrics(self._read_version, store.calls_by_path)
-        self._mover = Mover(
+        self.mover = Mover(
             self.fleet,
             self._upstreams,
             self._clock,
@@ -131,7 +131,7 @@
             self._nursery = nursery
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
-            nursery.start_soon(self._mover.run)
+            nursery.start_soon(self.mover.run)
             nursery.start_soon(
                 self.neighbours.run, self.follower, self._stopping
             )
@@ -184,7 +184,7 @@
         return GatewayApp(
             GatewayPorts(
                 relay=relay,
-                mover=self._mover,
+                mover=self.mover,
                 wire=PlatformWire(),
                 clock=self._clock,
                 table=self._read_table,
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -88,6 +88,10 @@
         """Watch over a generation."""
         self._runs[run.request_id] = run
 
+    def list_runs(self) -> list[MovingRun]:
+        """Return the generations that are watched over."""
+        return list(self._runs.values())
+
     def remove(self, run: MovingRun) -> None:
         """Forget a generation that has ended."""
         self._runs.pop(run.request_id, None)
@@ -109,6 +113,7 @@
         if upstream is None or engine is None or not (own and engine.moves):
             return
         self._told.update((run.request_id, name) for run in own)
+        self._told.update((run.request_id, name) for run in own)
         noticed_at = self._clock.now()
         held = await self._read_report(upstream.entry)
         takes = estimate_all(
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -33,7 +33,7 @@
     ResumeRejected,
     TargetChosen,
 )
-from cartdale.relay.ports import RelayPorts, make_need
+from cartdale.relay.ports import RelayPorts, make_assignment, make_need
 from cartdale.relay.types import (
     COPY_PATIENCE,
     Copied,
@@ -86,6 +86,7 @@
         self._next_backup: UpstreamEntry | None = None
         self._state: MoveState | None = None
         self._ended = False
+        self._moving = False
         self.events = 0
         self.moves = 0
 
@@ -147,18 +148,13 @@
         A generation with a backup stays to the end: that costs the link of
         the engine nothing, which is what others need to leave in time.
         """
-        if self.has_backup:
+        if self.has_backup or self._moving:
             return
-        refused: set[str] = set()
-        while not self._ended and self._ports.clock.now() < departure.until:
-            target = self._choose_target(refused)
-            if target is None:
-                refused.clear()
-                await trio.sleep(seconds(_LOOK_EVERY))
-                continue
-            if await self._copy_to(target, departure):
-                return
-            refused.add(target.entry.upstream)
+        self._moving = True
+        try:
+            await self._try_targets(departure)
+        finally:
+            self._moving = False
 
     # Going on after the link has ended.
 
@@ -200,10 +196,24 @@
 
     # Copying.
 
+    async def _try_targets(self, departure: Departure) -> None:
+        refused: set[str] = set()
+        while not self._ended and self._ports.clock.now() < departure.until:
+            target = self._choose_target(refused)
+            if target is None:
+                refused.clear()
+                await trio.sleep(seconds(_LOOK_EVERY))
+                continue
+            if await self._copy_to(target, departure):
+                return
+            refused.add(target.entry.upstream)
+
     async def _copy_to(self, target: Upstream, departure: Departure) -> bool:
         """Copy to a target; tell whether the move is over, good or bad."""
         loads = self._ports.fleet.loads
-        reserved = self._make_assignment(target.entry)
+        reserved = make_assignment(
+            self._routed, target.entry, self.events * self._event_tokens
+        )
         loads.assign(reserved)
         self._settled = trio.Event()
         try:
@@ -321,7 +331,9 @@
 
     def _assign(self, upstream: UpstreamEntry) -> None:
         self._release()
-        self._assignment = self._make_assignment(upstream)
+        self._assignment = make_assignment(
+            self._routed, upstream, self.events * self._event_tokens
+        )
         self._ports.fleet.loads.assign(self._assignment)
 
     def _release(self) -> None:
@@ -329,12 +341,3 @@
             self._ports.fleet.loads.release(self._assignment)
             self._assignment = None
             self._ports.fleet.notify()
-
-    def _make_assignment(self, upstream: UpstreamEntry) -> Assignment:
-        need = make_need(self._routed)
-        return Assignment(
-            upstream.upstream,
-            need.prompt,
-            need.expected,
-            self.events * self._event_tokens,
-        )
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -7,7 +7,8 @@
 from cartdale.clock import Clock, Millis
 from cartdale.fleet.choose import Need
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import Replaced, RequestEnded, Upstream
+from cartdale.fleet.loads import Assignment
+from cartdale.fleet.types import Replaced, RequestEnded, Upstream, UpstreamEntry
 from cartdale.relay.admission import Admission
 from cartdale.relay.decide import (
     Answered,
@@ -132,6 +133,17 @@
     )
 
 
+def make_assignment(
+    routed: RoutedRequest, upstream: UpstreamEntry, made: int
+) -> Assignment:
+    """Return the load that a request is at an upstream.
+
+    :param made: tokens made before it came there.
+    """
+    need = make_need(routed)
+    return Assignment(upstream.upstream, need.prompt, need.expected, made)
+
+
 def _tell_fleet(fleet: Fleet, ended: AttemptEnd, upstream: str) -> None:
     match ended:
         case Unsent():
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -136,6 +136,7 @@
         self.resumed_by_request: Counter[str] = Counter()
         self.dead = False
         self.leaves_ms: float | None = None
+        self.copies_asked = 0
         self._stopped: set[str] = set()
 
     def make_app(self) -> QuartTrio:
@@ -224,6 +225,7 @@
     async def _move(self) -> Response:
         order = msgspec.json.decode(await request.get_data())
         request_id: str = order['id']
+        self.copies_asked += 1
         record = self.driver.records_by_generation.get(request_id)
         if record is None:
             return Response(status=HTTPStatus.NOT_FOUND.value)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 import trio
 from loguru import logger
 
+from cartdale.moves.schedule import Departure
 from cartdale.platform.settings import load_platform_settings
 from cartdale.platform.translate import read_table
 from cartdale_standins.platform_store import PlatformStoreFaults
@@ -181,6 +182,30 @@
             assert not target.memory.events_by_handle
 
 
+async def test_generation_that_is_told_twice_to_move_moves_once() -> None:
+    with trio.fail_after(LIMIT):
+        async with open_platform(engines=1) as stage:
+            found: list[bytes] = []
+
+            async def ask() -> None:
+                answer = await draft(stage, 'r1')
+                found.append(answer.content)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                source = await find_runner(stage, 'r1')
+                target = stage.add_engine()
+                await stage.settle()
+                itinerary = stage.runtimes[0].mover.list_runs()[0]
+                soon = Departure(until=10**9, quiet_at=0)
+                for _ in range(3):
+                    nursery.start_soon(itinerary.leave, soon)
+                stage.drain(source)
+            assert found == [whole('r1')]
+            assert target.resumed_by_request['r1'] == 1
+            assert source.copies_asked == 2
+
+
 async def test_generation_goes_on_from_its_backup() -> None:
     with trio.fail_after(LIMIT):
         async with open_platform(engines=2) as stage:
