Tell only generations' loads, and entries only from those who watch

Change: plain requests end before their news arrive and are not told; entries and their changes are told by those who watch. Not measured yet.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -97,17 +97,18 @@
     def __init__(self) -> None:
         self._assignments: set[Assignment] = set()
         self._peers_by_name: dict[str, _PeerLoad] = {}
+        #: Counts the changes that are worth telling.
         self.version = 0
 
     def assign(self, assignment: Assignment) -> None:
         """Add a request to an upstream."""
         self._assignments.add(assignment)
-        self.version += 1
+        self._count(assignment)
 
     def release(self, assignment: Assignment) -> None:
         """Remove a request from its upstream."""
         self._assignments.discard(assignment)
-        self.version += 1
+        self._count(assignment)
 
     def hear(
         self, peer: str, loads_by_upstream: dict[str, Load], now: Millis
@@ -115,10 +116,16 @@
         """Replace what a peer has running."""
         self._peers_by_name[peer] = _PeerLoad(now, loads_by_upstream)
 
-    def own(self) -> dict[str, Load]:
-        """Return this instance's load by upstream."""
+    def own(self, *, shared: bool = False) -> dict[str, Load]:
+        """Return this instance's load by upstream.
+
+        :param shared: only what is worth telling: plain requests end sooner
+            than their news arrive.
+        """
         loads_by_upstream: dict[str, Load] = {}
         for assignment in self._assignments:
+            if shared and not assignment.prompt:
+                continue
             _add(loads_by_upstream, assignment.upstream, assignment.load())
             if assignment.backup:
                 copied = assignment.backup_load()
@@ -135,6 +142,10 @@
                 _add(totals_by_upstream, upstream, load)
         return totals_by_upstream
 
+    def _count(self, assignment: Assignment) -> None:
+        if assignment.prompt:
+            self.version += 1
+
 
 def _add(loads_by_upstream: dict[str, Load], upstream: str, load: Load) -> None:
     before = loads_by_upstream.get(upstream, Load())
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -49,8 +49,8 @@
 _EVERYBODY = '*'
 _KIND = LoadNews.__name__
 #: Upstreams that left, and those that changed, are told about for so long.
-_LEAVING_TOLD: Millis = 10 * SECOND_MS
-_CHANGED_TOLD: Millis = 4 * SECOND_MS
+_LEAVING_TOLD: Millis = 3 * SECOND_MS
+_CHANGED_TOLD: Millis = 3 * SECOND_MS
 
 Fetch = Callable[[PeerEntry], None]
 
@@ -177,7 +177,7 @@
         return _Content(
             self._fleet.loads.version,
             self._fleet.table.version,
-            self._fleet.lifecycles,
+            self._fleet.lifecycles if self.is_watcher() else 0,
             lost=self._store_lost(),
         )
 
@@ -189,7 +189,7 @@
             number=self._number,
             version=self._fleet.table.version,
             peer=self._own,
-            loads_by_upstream=self._fleet.loads.own(),
+            loads_by_upstream=self._fleet.loads.own(shared=True),
             leaving=self._list_leaving(),
             entries=self._list_changed(),
             store_lost=self._store_lost(),
@@ -213,6 +213,9 @@
         )
 
     def _list_changed(self) -> tuple[UpstreamEntry, ...]:
+        """Return new entries, if this instance tells them to the others."""
+        if not self.is_watcher():
+            return ()
         now = self._clock.now()
         return tuple(
             upstream.entry
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -186,3 +186,15 @@
     assert pick(make_fleet('a'), need, loads) is None
     moving = Need('s', 3500, 500, filled=1, reserved=0)
     assert pick(make_fleet('a'), moving, loads) == 'a'
+
+
+def test_plain_requests_are_not_worth_telling() -> None:
+    book = LoadBook()
+    plain = Assignment('a', prompt=0, expected=0)
+    book.assign(plain)
+    assert book.version == 0
+    assert book.own()['a'].runs == 1
+    assert not book.own(shared=True)
+    book.assign(Assignment('a', prompt=10, expected=0))
+    assert book.version == 1
+    assert book.own(shared=True)['a'].runs == 1
