Split the tests of moves from the platform's path

A draft on the side, the stage's time limit and the search for the engine that runs a request are each written once, in the stage; every test, its limit and what it asserts stay. Behaviour is unchanged.

--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -15,12 +15,20 @@
 from cartdale.platform.settings import Bounds, Endpoint, PlatformSettings
 from cartdale.settings.types import Listener
 from cartdale_standins.platform_store import PlatformStoreStandIn
-from cartdale_standins.platform_worker import PlatformEngine, PlatformWorker
+from cartdale_standins.platform_worker import (
+    PlatformEngine,
+    PlatformWorker,
+    format_event,
+)
 
 KEY = 'key-of-a-test'
 HOST = 'mill.example'
 LOCAL = '127.0.0.1'
+#: Events of a draft that `make_draft` asks for.
+EVENTS = 25
 NO_FILE = Path('no-file')
+#: Longest that a test may keep its stage open, in seconds.
+STAGE_LIMIT = 25
 #: 100 tokens take about 0.4 s, so that a test can act in the middle.
 HARDWARE = Hardware(
     memory_tokens=20000, step_base_ms=4, step_per_sequence_ms=0.01
@@ -198,7 +206,7 @@
 
 
 async def until(holds) -> None:
-    """Wait until a condition holds; the test's own limit ends it."""
+    """Wait until a condition holds; the stage's limit ends it."""
     while not holds():
         await trio.sleep(0.005)
 
@@ -226,7 +234,19 @@
 async def open_platform(
     engines: int = 1, plains: int = 1, instances: int = 1
 ) -> AsyncIterator[PlatformStage]:
-    """Run stand-ins and instances while the context is open."""
+    """Run stand-ins and instances while the context is open.
+
+    :raises trio.TooSlowError: when that takes longer than ``STAGE_LIMIT``.
+    """
+    with trio.fail_after(STAGE_LIMIT):
+        async with _open_stage(engines, plains, instances) as stage:
+            yield stage
+
+
+@asynccontextmanager
+async def _open_stage(
+    engines: int, plains: int, instances: int
+) -> AsyncIterator[PlatformStage]:
     async with trio.open_nursery() as nursery:
         store = PlatformStoreStandIn()
         bound = BoundListener(Listener(LOCAL, 0))
@@ -243,3 +263,55 @@
             await stage.settle()
             yield stage
         nursery.cancel_scope.cancel()
+
+
+def whole(request_id: str, events: int = EVENTS) -> bytes:
+    """Return the body of a draft that nothing is missing from."""
+    return b''.join(
+        format_event(request_id, number) for number in range(1, events + 1)
+    )
+
+
+async def draft(stage: PlatformStage, request_id: str) -> httpx.Response:
+    """Ask for a draft and return its answer."""
+    return await stage.client.post(
+        stage.url('/draft/a'), headers=make_draft(request_id), content=b'brief'
+    )
+
+
+@asynccontextmanager
+async def draft_meanwhile(
+    stage: PlatformStage, request_id: str
+) -> AsyncIterator[list[httpx.Response]]:
+    """Ask for a draft on the side; the context's end waits for its answer."""
+    answers: list[httpx.Response] = []
+
+    async def ask() -> None:
+        answers.append(await draft(stage, request_id))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        yield answers
+
+
+def count_runs(stage: PlatformStage, request_id: str) -> int:
+    """Return how many upstreams began to run a request."""
+    return sum(
+        each.runs_by_request[request_id]
+        for each in (*stage.engines, *stage.plains)
+    )
+
+
+async def find_runner(stage: PlatformStage, request_id: str) -> PlatformEngine:
+    """Wait for a draft's first events and return the engine that runs it."""
+
+    def runners() -> list[PlatformEngine]:
+        return [
+            engine
+            for engine in stage.engines
+            if request_id in engine.driver.records_by_generation
+            and engine.driver.records_by_generation[request_id].produced > 16
+        ]
+
+    await until(runners)
+    return runners()[0]
--- /dev/null
+++ b/tests/test_platform_moves.py
@@ -0,0 +1,73 @@
+"""Generations that change their engine, or lose it, over real sockets."""
+
+import httpx
+import trio
+
+from cartdale.moves.schedule import Departure
+from tests.platform_stage import (
+    count_runs,
+    draft,
+    draft_meanwhile,
+    find_runner,
+    open_platform,
+    whole,
+)
+
+
+async def test_generation_moves_off_an_engine_that_drains() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            stage.drain(source)
+        assert answers[0].content == whole('r1')
+        assert count_runs(stage, 'r1') == 1
+        assert target.resumed_by_request['r1'] == 1
+        assert not target.memory.events_by_handle
+
+
+async def test_generation_that_is_told_twice_to_move_moves_once() -> None:
+    async with open_platform(engines=1) as stage:
+        async with (
+            draft_meanwhile(stage, 'r1') as answers,
+            trio.open_nursery() as nursery,
+        ):
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            itinerary = stage.runtimes[0].mover.list_runs()[0]
+            soon = Departure(until=10**9, quiet_at=0)
+            for _ in range(3):
+                nursery.start_soon(itinerary.leave, soon)
+            stage.drain(source)
+        assert answers[0].content == whole('r1')
+        assert target.resumed_by_request['r1'] == 1
+        assert source.copies_asked == 2
+
+
+async def test_generation_goes_on_from_its_backup() -> None:
+    async with open_platform(engines=2) as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            source = await find_runner(stage, 'r1')
+            source.die()
+        assert answers[0].content == whole('r1')
+        assert count_runs(stage, 'r1') == 1
+
+
+async def test_stream_without_a_backup_is_cut_not_completed() -> None:
+    async with open_platform(engines=1) as stage:
+        failures: list[type] = []
+
+        async def ask() -> None:
+            try:
+                await draft(stage, 'r1')
+            except httpx.RemoteProtocolError as error:
+                failures.append(type(error))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            source = await find_runner(stage, 'r1')
+            source.die()
+        assert failures == [httpx.RemoteProtocolError]
+        assert count_runs(stage, 'r1') == 1
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,292 +1,165 @@
 """The whole path on the platform, with failures, over real sockets."""
 
-import httpx
 import msgspec
 import trio
 from loguru import logger
 
-from cartdale.moves.schedule import Departure
 from cartdale.platform.settings import load_platform_settings
 from cartdale.platform.translate import read_table
 from cartdale_standins.platform_store import PlatformStoreFaults
-from cartdale_standins.platform_worker import PlatformEngine, format_event
 from tests.platform_stage import (
     HOST,
     KEY,
     LOCAL,
     SETTINGS,
-    PlatformStage,
+    count_runs,
+    draft,
+    draft_meanwhile,
+    find_runner,
     make_configuration,
-    make_draft,
     make_headers,
     open_platform,
     until,
+    whole,
 )
 
-LIMIT = 25
-EVENTS = 25
-
-
-def whole(request_id: str, events: int = EVENTS) -> bytes:
-    return b''.join(
-        format_event(request_id, number) for number in range(1, events + 1)
-    )
-
-
-async def draft(stage: PlatformStage, request_id: str) -> httpx.Response:
-    return await stage.client.post(
-        stage.url('/draft/a'), headers=make_draft(request_id), content=b'brief'
-    )
-
-
-def count_runs(stage: PlatformStage, request_id: str) -> int:
-    return sum(
-        each.runs_by_request[request_id]
-        for each in (*stage.engines, *stage.plains)
-    )
-
 
 async def test_plain_answer_is_passed_on_whole() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            answer = await stage.client.post(
-                stage.url('/cut/one?x=%20y'),
-                headers=make_headers('r1', Tenant='forged', Hold='h'),
-                content=b'body',
-            )
-            assert answer.status_code == 200
-            assert answer.text == 'cut/one of r1'
-            assert answer.headers['Response-Seal'] == 'plain-0.r1'
-            head = stage.plains[0].heads[0]
-            assert head['Tenant'] == 'mill'
-            assert head['Expect-Instance'] == 'plain-0'
-            assert head['Host'] == HOST
-            assert 0 < int(head['Deadline-Ms']) <= 15000
-            assert 'Authorization' not in head
-            assert 'Hold' not in head
-            assert stage.plains[0].bodies == [b'body']
+    async with open_platform() as stage:
+        answer = await stage.client.post(
+            stage.url('/cut/one?x=%20y'),
+            headers=make_headers('r1', Tenant='forged', Hold='h'),
+            content=b'body',
+        )
+        assert answer.status_code == 200
+        assert answer.text == 'cut/one of r1'
+        assert answer.headers['Response-Seal'] == 'plain-0.r1'
+        head = stage.plains[0].heads[0]
+        assert head['Tenant'] == 'mill'
+        assert head['Expect-Instance'] == 'plain-0'
+        assert head['Host'] == HOST
+        assert 0 < int(head['Deadline-Ms']) <= 15000
+        assert 'Authorization' not in head
+        assert 'Hold' not in head
+        assert stage.plains[0].bodies == [b'body']
 
 
 async def test_refusals_without_an_upstream() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            unknown = make_headers('r1')
-            unknown['Authorization'] = 'Token unknown'
-            statuses = []
-            for path, headers, content in (
-                ('/cut/one', unknown, b''),
-                ('/nowhere/', make_headers('r2'), b''),
-                ('/cut/one', make_headers('r3'), b'x' * 5000),
-            ):
-                answer = await stage.client.post(
-                    stage.url(path), headers=headers, content=content
-                )
-                statuses.append(answer.status_code)
-            assert statuses == [401, 404, 413]
-            assert not stage.plains[0].heads
+    async with open_platform() as stage:
+        unknown = make_headers('r1')
+        unknown['Authorization'] = 'Token unknown'
+        statuses = []
+        for path, headers, content in (
+            ('/cut/one', unknown, b''),
+            ('/nowhere/', make_headers('r2'), b''),
+            ('/cut/one', make_headers('r3'), b'x' * 5000),
+        ):
+            answer = await stage.client.post(
+                stage.url(path), headers=headers, content=content
+            )
+            statuses.append(answer.status_code)
+        assert statuses == [401, 404, 413]
+        assert not stage.plains[0].heads
 
 
 async def test_not_ready_before_a_configuration() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(instances=0) as stage:
-            stage.store.remove('op/config')
-            runtime = stage.add_instance()
-            ready = f'http://{LOCAL}:{runtime.ready_port}/cartdale/ready'
-            assert (await stage.client.get(ready)).status_code == 503
-            early = await draft(stage, 'r1')
-            assert early.status_code == 503
-            assert float(early.headers['Retry-After']) > 0
-            stage.store.put('op/config', make_configuration())
-            await stage.settle()
-            assert (await stage.client.get(ready)).status_code == 200
+    async with open_platform(instances=0) as stage:
+        stage.store.remove('op/config')
+        runtime = stage.add_instance()
+        ready = f'http://{LOCAL}:{runtime.ready_port}/cartdale/ready'
+        assert (await stage.client.get(ready)).status_code == 503
+        early = await draft(stage, 'r1')
+        assert early.status_code == 503
+        assert float(early.headers['Retry-After']) > 0
+        stage.store.put('op/config', make_configuration())
+        await stage.settle()
+        assert (await stage.client.get(ready)).status_code == 200
 
 
 async def test_declined_request_goes_to_another_upstream() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(plains=2) as stage:
-            for plain in stage.plains:
-                plain.faults.declines = 1
-            stage.plains[1].faults.declines = 0
-            for number in range(4):
-                answer = await stage.client.post(
-                    stage.url('/cut/one'), headers=make_headers(f'r{number}')
-                )
-                assert answer.status_code == 200
-                assert count_runs(stage, f'r{number}') == 1
+    async with open_platform(plains=2) as stage:
+        for plain in stage.plains:
+            plain.faults.declines = 1
+        stage.plains[1].faults.declines = 0
+        for number in range(4):
+            answer = await stage.client.post(
+                stage.url('/cut/one'), headers=make_headers(f'r{number}')
+            )
+            assert answer.status_code == 200
+            assert count_runs(stage, f'r{number}') == 1
 
 
 async def test_unsafe_request_runs_once_when_its_answer_is_lost() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(plains=2) as stage:
-            for plain in stage.plains:
-                plain.faults.cuts = 1
-            answer = await stage.client.post(
-                stage.url('/cut/one'), headers=make_headers('r1')
-            )
-            assert answer.status_code == 502
-            assert count_runs(stage, 'r1') == 1
+    async with open_platform(plains=2) as stage:
+        for plain in stage.plains:
+            plain.faults.cuts = 1
+        answer = await stage.client.post(
+            stage.url('/cut/one'), headers=make_headers('r1')
+        )
+        assert answer.status_code == 502
+        assert count_runs(stage, 'r1') == 1
 
 
 async def test_safe_request_is_repeated_and_another_answer_dropped() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(plains=2) as stage:
-            for plain in stage.plains:
-                plain.faults.strangers = 1
-            stage.plains[1].faults.strangers = 0
-            for number in range(4):
-                answer = await stage.client.get(
-                    stage.url('/look/one'), headers=make_headers(f'r{number}')
-                )
-                assert answer.text == f'look/one of r{number}'
+    async with open_platform(plains=2) as stage:
+        for plain in stage.plains:
+            plain.faults.strangers = 1
+        stage.plains[1].faults.strangers = 0
+        for number in range(4):
+            answer = await stage.client.get(
+                stage.url('/look/one'), headers=make_headers(f'r{number}')
+            )
+            assert answer.text == f'look/one of r{number}'
 
 
 async def test_stream_is_whole() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            answer = await draft(stage, 'r1')
-            assert answer.content == whole('r1')
-            assert count_runs(stage, 'r1') == 1
-
-
-async def find_runner(stage: PlatformStage, request_id: str) -> PlatformEngine:
-    def runners() -> list[PlatformEngine]:
-        return [
-            engine
-            for engine in stage.engines
-            if request_id in engine.driver.records_by_generation
-            and engine.driver.records_by_generation[request_id].produced > 16
-        ]
-
-    await until(runners)
-    return runners()[0]
-
-
-async def test_generation_moves_off_an_engine_that_drains() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=1) as stage:
-            found: list[bytes] = []
-
-            async def ask() -> None:
-                answer = await draft(stage, 'r1')
-                found.append(answer.content)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                source = await find_runner(stage, 'r1')
-                target = stage.add_engine()
-                await stage.settle()
-                stage.drain(source)
-            assert found == [whole('r1')]
-            assert count_runs(stage, 'r1') == 1
-            assert target.resumed_by_request['r1'] == 1
-            assert not target.memory.events_by_handle
-
-
-async def test_generation_that_is_told_twice_to_move_moves_once() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=1) as stage:
-            found: list[bytes] = []
-
-            async def ask() -> None:
-                answer = await draft(stage, 'r1')
-                found.append(answer.content)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                source = await find_runner(stage, 'r1')
-                target = stage.add_engine()
-                await stage.settle()
-                itinerary = stage.runtimes[0].mover.list_runs()[0]
-                soon = Departure(until=10**9, quiet_at=0)
-                for _ in range(3):
-                    nursery.start_soon(itinerary.leave, soon)
-                stage.drain(source)
-            assert found == [whole('r1')]
-            assert target.resumed_by_request['r1'] == 1
-            assert source.copies_asked == 2
-
-
-async def test_generation_goes_on_from_its_backup() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=2) as stage:
-            found: list[bytes] = []
-
-            async def ask() -> None:
-                answer = await draft(stage, 'r1')
-                found.append(answer.content)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                source = await find_runner(stage, 'r1')
-                source.die()
-            assert found == [whole('r1')]
-            assert count_runs(stage, 'r1') == 1
-
-
-async def test_stream_without_a_backup_is_cut_not_completed() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=1) as stage:
-            failures: list[type] = []
-
-            async def ask() -> None:
-                try:
-                    await draft(stage, 'r1')
-                except httpx.RemoteProtocolError as error:
-                    failures.append(type(error))
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                source = await find_runner(stage, 'r1')
-                source.die()
-            assert failures == [httpx.RemoteProtocolError]
-            assert count_runs(stage, 'r1') == 1
+    async with open_platform() as stage:
+        answer = await draft(stage, 'r1')
+        assert answer.content == whole('r1')
+        assert count_runs(stage, 'r1') == 1
 
 
 async def test_engine_stops_when_the_caller_leaves() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=1) as stage:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(draft, stage, 'r1')
-                source = await find_runner(stage, 'r1')
-                nursery.cancel_scope.cancel()
-            await until(lambda: not source.driver.records_by_generation)
+    async with open_platform(engines=1) as stage:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draft, stage, 'r1')
+            source = await find_runner(stage, 'r1')
+            nursery.cancel_scope.cancel()
+        await until(lambda: not source.driver.records_by_generation)
 
 
 async def test_removed_engine_gets_no_new_work() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(engines=2) as stage:
-            stage.store.remove('servers/engine-0')
-            runtime = stage.runtimes[0]
-            await until(
-                lambda: runtime.fleet.find('engine-0').lifecycle == 'leaving'
-            )
-            for number in range(4):
-                answer = await draft(stage, f'r{number}')
-                assert answer.content == whole(f'r{number}')
-            assert not stage.engines[0].runs_by_request
+    async with open_platform(engines=2) as stage:
+        stage.store.remove('servers/engine-0')
+        runtime = stage.runtimes[0]
+        await until(
+            lambda: runtime.fleet.find('engine-0').lifecycle == 'leaving'
+        )
+        for number in range(4):
+            answer = await draft(stage, f'r{number}')
+            assert answer.content == whole(f'r{number}')
+        assert not stage.engines[0].runs_by_request
 
 
 async def test_peer_hands_on_a_configuration_past_a_busy_store() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform(instances=2) as stage:
-            first, second = stage.runtimes
-            await until(lambda: second.neighbours.news.count_alive() == 2)
-            second.follower.raw_table = b''
-            # Only the first instance learns of the second version.
-            stage.store.faults = PlatformStoreFaults(silent=True)
-            newer = make_configuration(version=7)
-            first.follower.adopt(read_table(msgspec.json.encode(newer)))
-            await until(lambda: second.fleet.table.version == 7)
+    async with open_platform(instances=2) as stage:
+        first, second = stage.runtimes
+        await until(lambda: second.neighbours.news.count_alive() == 2)
+        second.follower.raw_table = b''
+        # Only the first instance learns of the second version.
+        stage.store.faults = PlatformStoreFaults(silent=True)
+        newer = make_configuration(version=7)
+        first.follower.adopt(read_table(msgspec.json.encode(newer)))
+        await until(lambda: second.fleet.table.version == 7)
 
 
 async def test_logs_explain_and_keep_secrets() -> None:
     lines: list[str] = []
     sink = logger.add(lines.append, serialize=True)
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            await draft(stage, 'r1')
-            await until(lambda: any('stream ended' in line for line in lines))
-            metrics = stage.runtimes[0].metrics.render().decode()
+    async with open_platform() as stage:
+        await draft(stage, 'r1')
+        await until(lambda: any('stream ended' in line for line in lines))
+        metrics = stage.runtimes[0].metrics.render().decode()
     logger.remove(sink)
     text = ''.join(lines)
     assert KEY not in text
@@ -297,43 +170,34 @@
     path = tmp_path / 'settings'
     path.write_text(SETTINGS)
     settings = load_platform_settings(path)
-    with trio.fail_after(LIMIT):
-        async with open_platform(instances=0) as stage:
-            runtime = stage.add_instance(path)
-            before = runtime.bounds
-            path.write_text(SETTINGS.replace('graceS=8', 'graceS=eight'))
-            runtime.reload()
-            assert runtime.bounds == before
-            path.write_text(SETTINGS.replace('graceS=8', 'graceS=30'))
-            await until(lambda: runtime.bounds.grace == 30000)
-            assert settings.bounds.grace == 8000
+    async with open_platform(instances=0) as stage:
+        runtime = stage.add_instance(path)
+        before = runtime.bounds
+        path.write_text(SETTINGS.replace('graceS=8', 'graceS=eight'))
+        runtime.reload()
+        assert runtime.bounds == before
+        path.write_text(SETTINGS.replace('graceS=8', 'graceS=30'))
+        await until(lambda: runtime.bounds.grace == 30000)
+        assert settings.bounds.grace == 8000
 
 
 async def test_history_that_is_lost_is_read_anew() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            stage.store.put('op/config', make_configuration(version=2))
-            stage.store.forget()
-            await stage.settle(version=2)
+    async with open_platform() as stage:
+        stage.store.put('op/config', make_configuration(version=2))
+        stage.store.forget()
+        await stage.settle(version=2)
 
 
 async def test_stop_ends_what_runs_and_closes_connections() -> None:
-    with trio.fail_after(LIMIT):
-        async with open_platform() as stage:
-            found: list[httpx.Response] = []
-
-            async def ask() -> None:
-                found.append(await draft(stage, 'r1'))
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                await find_runner(stage, 'r1')
-                stage.runtimes[0].leave()
-                ready = stage.runtimes[0].ready_port
-                url = f'http://{LOCAL}:{ready}/cartdale/ready'
-                assert (await stage.client.get(url)).status_code == 503
-                late = await draft(stage, 'r2')
-                assert late.content == whole('r2')
-                assert late.headers['Connection'] == 'close'
-                await stage.stopped[0].wait()
-            assert found[0].content == whole('r1')
+    async with open_platform() as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            await find_runner(stage, 'r1')
+            stage.runtimes[0].leave()
+            ready = stage.runtimes[0].ready_port
+            url = f'http://{LOCAL}:{ready}/cartdale/ready'
+            assert (await stage.client.get(url)).status_code == 503
+            late = await draft(stage, 'r2')
+            assert late.content == whole('r2')
+            assert late.headers['Connection'] == 'close'
+            await stage.stopped[0].wait()
+        assert answers[0].content == whole('r1')
