--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -102,7 +102,3 @@
         )
         candidates = list_candidates(self.state, need)
         return choose(candidates, need, around, self._generator)
-
-    def has_any(self, service: str) -> bool:
-        """Tell whether any upstream of the service takes new work."""
-        return bool(list_candidates(self.state, Need(service)))
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -113,7 +113,6 @@
         if upstream is None or engine is None or not (own and engine.moves):
             return
         self._told.update((run.request_id, name) for run in own)
-        self._told.update((run.request_id, name) for run in own)
         noticed_at = self._clock.now()
         held = await self._read_report(upstream.entry)
         takes = estimate_all(
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -1,7 +1,7 @@
 """Admission: who goes next when the upstreams of a service are full."""
 
 from bisect import insort
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -26,13 +26,6 @@
     number: int
 
 
-@dataclass(slots=True)
-class _Line:
-    """Hold the requests that wait for one service, the next one first."""
-
-    tickets: list[Ticket] = field(default_factory=list)
-
-
 class Admission:
     """Let requests choose an upstream in the order of their rank.
 
@@ -42,13 +35,9 @@
     def __init__(self, fleet: Fleet, clock: Clock) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._lines_by_service: dict[str, _Line] = {}
-        self._tickets = 0
-
-    def count_waiting(self, service: str) -> int:
-        """Return how many requests wait for a service."""
-        line = self._lines_by_service.get(service)
-        return len(line.tickets) if line else 0
+        #: The tickets of the requests that wait, the next one first.
+        self._queues_by_service: dict[str, list[Ticket]] = {}
+        self._arrivals = 0
 
     async def place(
         self, need: Need, priority: int, arrived_at: Millis, until: Millis
@@ -57,22 +46,22 @@
 
         :param until: monotonic milliseconds.
         """
-        line = self._lines_by_service.setdefault(need.service, _Line())
-        self._tickets += 1
-        ticket = Ticket(priority, arrived_at, self._tickets)
-        insort(line.tickets, ticket)
+        queue = self._queues_by_service.setdefault(need.service, [])
+        self._arrivals += 1
+        ticket = Ticket(priority, arrived_at, self._arrivals)
+        insort(queue, ticket)
         try:
-            return await self._wait(line, ticket, need, until)
+            return await self._wait(queue, ticket, need, until)
         finally:
-            line.tickets.remove(ticket)
-            if line.tickets:
+            queue.remove(ticket)
+            if queue:
                 self._fleet.notify()
 
     async def _wait(
-        self, line: _Line, ticket: Ticket, need: Need, until: Millis
+        self, queue: list[Ticket], ticket: Ticket, need: Need, until: Millis
     ) -> Upstream | None:
         while True:
-            if line.tickets[0] == ticket:
+            if queue[0] == ticket:
                 chosen = self._fleet.choose(need)
                 if chosen is not None:
                     return chosen
