--- /dev/null
+++ b/src/cartdale/relay/attempts.py
@@ -0,0 +1,122 @@
+"""Attempts of a request at upstreams: their start, and what their end means.
+
+Plain requests and streamed generations are placed, sent and counted alike.
+"""
+
+from collections.abc import Iterable
+
+from loguru import logger
+
+from cartdale.clock import Millis
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import Replaced, RequestEnded, Upstream
+from cartdale.relay.decide import (
+    Answered,
+    AttemptEnd,
+    AttemptState,
+    Broken,
+    Declined,
+    GiveUp,
+    Step,
+    TryAgain,
+    Unsent,
+    check_refusal,
+    decide,
+)
+from cartdale.relay.needs import make_need
+from cartdale.relay.ports import RelayPorts
+from cartdale.relay.types import RoutedRequest, UpstreamCall
+
+#: Part of the target latency that a request may wait for room. Refused
+#: within a quarter of it, with what the way here took, the caller's next
+#: attempt can still be in time.
+_WAIT_SHARE = 0.2
+#: Longest wait where the route names no target.
+_WAIT_LONGEST: Millis = 1000
+
+
+async def place(
+    ports: RelayPorts, routed: RoutedRequest, tried: Iterable[str]
+) -> Upstream | None:
+    """Wait for an upstream with room; ``None`` when there was none in time.
+
+    :param tried: upstreams that are not chosen again.
+    """
+    return await ports.admission.place(
+        make_need(routed, frozenset(tried)),
+        routed.priority,
+        routed.arrived_at,
+        _wait_until(routed),
+    )
+
+
+def time_left(ports: RelayPorts, routed: RoutedRequest) -> Millis:
+    """Return the time that remains for a request, 0 when it has passed."""
+    return max(routed.ends_at - ports.clock.now(), 0)
+
+
+def make_call(
+    ports: RelayPorts, routed: RoutedRequest, upstream: Upstream
+) -> UpstreamCall:
+    """Make the call of an attempt, with the time that is left."""
+    now = ports.clock.now()
+    left = routed.ends_at - now
+    logger.info(
+        'placed',
+        request=routed.request.request_id,
+        upstream=upstream.entry.upstream,
+        customer=routed.customer,
+        route=routed.route.name,
+        version=ports.fleet.table.version,
+        waited=now - routed.arrived_at,
+        left=left,
+        failing=round(upstream.failing, 2),
+    )
+    return UpstreamCall(routed, upstream.entry, left)
+
+
+def conclude(
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    state: AttemptState,
+    ended: AttemptEnd,
+    upstream: str,
+) -> tuple[AttemptState, Step]:
+    """Count the end of an attempt, decide what follows and log it."""
+    _tell_fleet(ports.fleet, ended, upstream)
+    after, step = decide(state, ended, affordable=True)
+    if isinstance(step, TryAgain):
+        paid = ports.budget.withdraw(routed.service, ports.clock.now())
+        after, step = decide(state, ended, affordable=paid)
+    if isinstance(step, GiveUp):
+        check_refusal(after, step.problem)
+    logger.info(
+        'attempt ended',
+        request=routed.request.request_id,
+        upstream=upstream,
+        ended=repr(ended),
+        step=type(step).__name__,
+    )
+    return after, step
+
+
+def tell_replaced(fleet: Fleet, upstream: str) -> None:
+    """Note that another upstream has the address now."""
+    fleet.tell(Replaced(upstream))
+
+
+def _wait_until(routed: RoutedRequest) -> Millis:
+    """Return until when a request may wait for room."""
+    target = routed.route.target_latency
+    longest = int(target * _WAIT_SHARE) if target else _WAIT_LONGEST
+    return min(routed.arrived_at + longest, routed.ends_at)
+
+
+def _tell_fleet(fleet: Fleet, ended: AttemptEnd, upstream: str) -> None:
+    match ended:
+        case Unsent():
+            fleet.tell(RequestEnded(upstream, good=False, reached=False))
+        case Declined() | Broken():
+            fleet.tell(RequestEnded(upstream, good=False))
+        case Answered(good=good):
+            fleet.tell(RequestEnded(upstream, good=good))
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/itinerary.py
@@ -33,7 +33,8 @@
     ResumeRejected,
     TargetChosen,
 )
-from cartdale.relay.ports import RelayPorts, make_assignment, make_need
+from cartdale.relay.needs import make_assignment, make_need
+from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     COPY_PATIENCE,
     Copied,
--- /dev/null
+++ b/src/cartdale/relay/needs.py
@@ -0,0 +1,35 @@
+"""What a request takes at an upstream."""
+
+from cartdale.fleet.choose import Need
+from cartdale.fleet.loads import Assignment
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay.types import RoutedRequest
+
+_NOTHING: frozenset[str] = frozenset()
+
+
+def make_need(
+    routed: RoutedRequest, excluded: frozenset[str] = _NOTHING
+) -> Need:
+    """Return what a request takes at an upstream."""
+    request = routed.request
+    expected = request.expected_tokens or request.most_tokens // 2
+    if request.most_tokens:
+        expected = min(expected, request.most_tokens)
+    return Need(
+        service=routed.service,
+        prompt=request.prompt_tokens,
+        expected=expected,
+        excluded=excluded,
+    )
+
+
+def make_assignment(
+    routed: RoutedRequest, upstream: UpstreamEntry, made: int
+) -> Assignment:
+    """Return the load that a request is at an upstream.
+
+    :param made: tokens made before it came there.
+    """
+    need = make_need(routed)
+    return Assignment(upstream.upstream, need.prompt, need.expected, made)
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -1,14 +1,22 @@
 """Carry a request whose answer is passed on once it is whole."""
 
+from dataclasses import dataclass
 from math import inf
 
 import trio
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import Millis, seconds
+from cartdale.clock import seconds
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.attempts import (
+    conclude,
+    make_call,
+    place,
+    tell_replaced,
+    time_left,
+)
 from cartdale.relay.decide import (
     Answered,
     AttemptEnd,
@@ -21,16 +29,9 @@
     begin,
     refuse,
 )
-from cartdale.relay.ports import (
-    RelayPorts,
-    WholeAnswer,
-    conclude,
-    make_call,
-    make_need,
-    tell_replaced,
-    wait_until,
-)
+from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
+    Headers,
     LinkBroke,
     LinkBrokeError,
     NotSent,
@@ -46,6 +47,16 @@
 _PATIENCE_SHARE = 0.6
 _FIRST_SERVER_ERROR = 500
 
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold an upstream's answer that is whole."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 Ended = tuple[AttemptEnd, WholeAnswer | None]
 
 
@@ -65,13 +76,14 @@
     async def carry(self) -> Result[WholeAnswer, Problem]:
         """Return an upstream's answer, or why there is none."""
         self._ports.budget.count(self._routed.service, self._ports.clock.now())
-        with trio.move_on_after(seconds(self._left())):
+        left = time_left(self._ports, self._routed)
+        with trio.move_on_after(seconds(left)):
             return await self._try_upstreams()
         return Failure(self._time_out())
 
     async def _try_upstreams(self) -> Result[WholeAnswer, Problem]:
         while True:
-            upstream = await self._place()
+            upstream = await place(self._ports, self._routed, self._tried)
             if upstream is None:
                 problem = refuse(self._state, NotRunReason.NO_UPSTREAM)
                 return Failure(problem)
@@ -88,15 +100,6 @@
                 case PassOn() if whole is not None:
                     return Success(whole)
 
-    async def _place(self) -> Upstream | None:
-        need = make_need(self._routed, frozenset(self._tried))
-        return await self._ports.admission.place(
-            need,
-            self._routed.priority,
-            self._routed.arrived_at,
-            wait_until(self._routed),
-        )
-
     async def _attempt(self, upstream: Upstream) -> Ended:
         assignment = Assignment(upstream.entry.upstream, 0, 0)
         fleet = self._ports.fleet
@@ -144,9 +147,6 @@
             return seconds(int(_PATIENCE_SHARE * target))
         return inf
 
-    def _left(self) -> Millis:
-        return max(self._routed.ends_at - self._ports.clock.now(), 0)
-
     def _time_out(self) -> Problem:
         if self._state.runs or self._tried:
             return OutcomeUnknown('the time limit passed')
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -13,6 +13,13 @@
 from cartdale.fleet.types import RequestEnded, Upstream, UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.attempts import (
+    conclude,
+    make_call,
+    place,
+    tell_replaced,
+    time_left,
+)
 from cartdale.relay.decide import (
     AttemptEnd,
     AttemptState,
@@ -25,14 +32,7 @@
 )
 from cartdale.relay.frames import EventFrames, read_id
 from cartdale.relay.itinerary import Itinerary
-from cartdale.relay.ports import (
-    RelayPorts,
-    conclude,
-    make_call,
-    make_need,
-    tell_replaced,
-    wait_until,
-)
+from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     AnswerSink,
     LinkBroke,
@@ -91,10 +91,10 @@
 
     async def carry(self) -> Result[StreamEnd, Problem]:
         """Stream the answer, or return why nothing was streamed."""
-        now = self._ports.clock.now()
-        self._ports.budget.count(self._routed.service, now)
+        self._ports.budget.count(self._routed.service, self._ports.clock.now())
+        left = time_left(self._ports, self._routed)
         try:
-            with trio.move_on_after(seconds(self._left())):
+            with trio.move_on_after(seconds(left)):
                 return await self._try_upstreams()
             return self._time_out()
         finally:
@@ -103,7 +103,7 @@
     async def _try_upstreams(self) -> Result[StreamEnd, Problem]:
         tried: set[str] = set()
         while True:
-            upstream = await self._place(frozenset(tried))
+            upstream = await place(self._ports, self._routed, tried)
             if upstream is None:
                 problem = refuse(self._attempts, NotRunReason.NO_UPSTREAM)
                 return Failure(problem)
@@ -123,14 +123,6 @@
             if isinstance(step, GiveUp):
                 return Failure(step.problem)
 
-    async def _place(self, tried: frozenset[str]) -> Upstream | None:
-        return await self._ports.admission.place(
-            make_need(self._routed, tried),
-            self._routed.priority,
-            self._routed.arrived_at,
-            wait_until(self._routed),
-        )
-
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
         backup = self._itinerary.begin(upstream.entry)
         call = make_call(self._ports, self._routed, upstream)
@@ -143,7 +135,8 @@
         point, backup = self._itinerary.prepare_resume(
             upstream, self._last_event
         )
-        call = UpstreamCall(self._routed, upstream, self._left(), point, backup)
+        left = time_left(self._ports, self._routed)
+        call = UpstreamCall(self._routed, upstream, left, point, backup)
         ended = await self._open(call)
         if isinstance(ended, Unsent | Declined):
             return self._itinerary.resume_rejected() or StreamEnd.CUT
@@ -237,9 +230,6 @@
         )
         return StreamEnd.CUT if self._started else Broken(detail)
 
-    def _left(self) -> Millis:
-        return max(self._routed.ends_at - self._ports.clock.now(), 0)
-
     def _time_out(self) -> Result[StreamEnd, Problem]:
         logger.warning('time limit', request=self._routed.request.request_id)
         if self._started:
