Split and rename what holds a running generation

The choice of engines and the load that a generation is are modules of their own, and whether it was stopped is told where its phases are decided.

--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -32,7 +32,7 @@
     Problem,
     describe,
 )
-from cartdale.relay.itinerary import Itinerary
+from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.plain import PlainCarrier
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.stream import StreamCarrier, StreamEnd
@@ -230,30 +230,30 @@
 
     async def _carry_stream(self, routed: RoutedRequest) -> None:
         relay = self._ports.relay
-        itinerary = Itinerary(relay, routed, EVENT_TOKENS)
-        carrier = StreamCarrier(relay, routed, self._sink, itinerary)
-        self._ports.mover.add(itinerary)
+        generation = RunningGeneration(relay, routed, EVENT_TOKENS)
+        carrier = StreamCarrier(relay, routed, self._sink, generation)
+        self._ports.mover.add(generation)
         try:
             outcome = await carrier.carry()
         finally:
-            self._ports.mover.remove(itinerary)
+            self._ports.mover.remove(generation)
         match outcome:
             case Success(end):
-                self._note_stream(end, itinerary, carrier.longest_gap)
+                self._note_stream(end, generation, carrier.longest_gap)
             case Failure(problem):
                 await self._refuse(problem)
 
     def _note_stream(
-        self, end: StreamEnd, itinerary: Itinerary, gap: Millis
+        self, end: StreamEnd, generation: RunningGeneration, gap: Millis
     ) -> None:
         first = self._sink.started_after
-        self._ports.metrics.note_stream(end, itinerary.moves, first, gap)
+        self._ports.metrics.note_stream(end, generation.moves, first, gap)
         logger.info(
             'stream ended',
             request=self._request.request_id,
             end=end,
-            events=itinerary.events,
-            moves=itinerary.moves,
+            events=generation.events,
+            moves=generation.moves,
             first_after=first,
             longest_gap=gap,
         )
--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -77,6 +77,11 @@
             assert_never(message)
 
 
+def is_stopped(state: MoveState) -> bool:
+    """Tell whether the generation was told to stop where it ran."""
+    return state.phase in _STOPPED or state.phase in _ENDING
+
+
 def _choose(state: MoveState, target: UpstreamEntry) -> Decision:
     if state.phase is not MovePhase.SETTLED:
         return state, ()
--- a/src/cartdale/relay/itinerary.py
+++ b/src/cartdale/relay/generation.py
@@ -1,14 +1,15 @@
-"""Hold where one generation runs, and carry it from engine to engine."""
+"""Hold which engine runs a generation, and move it to another.
 
-from dataclasses import replace
+A generation moves when its engine leaves, and goes on from a copy or its
+backup when its link breaks. What follows from each event is decided in
+``moves.decide``; this module acts on it.
+"""
 
 import trio
 from loguru import logger
 from returns.result import Failure, Success
 
 from cartdale.clock import Millis, seconds
-from cartdale.fleet.choose import Need
-from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream, UpstreamEntry
 from cartdale.moves import decide as moves
 from cartdale.moves.schedule import Departure
@@ -33,8 +34,9 @@
     ResumeRejected,
     TargetChosen,
 )
-from cartdale.relay.needs import make_assignment, make_need
+from cartdale.relay.occupancy import Occupancy
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.targets import choose_backup, choose_target
 from cartdale.relay.types import (
     COPY_PATIENCE,
     Copied,
@@ -48,30 +50,12 @@
 _COPY_PAUSE: Millis = 30
 #: Between looks for an engine with room for a generation that must leave.
 _LOOK_EVERY: Millis = 40
-#: What another failure domain counts when a target is chosen: the copy takes
-#: twice as long, and the others of the engine wait behind it.
-_FAR_MOVE_COST = 0.3
 #: Longest wait for an engine whose link broke to answer a copy.
 _RESCUE_PATIENCE: Millis = 400
-#: Part of an engine's memory that may be filled when a backup is sent there;
-#: backups beyond it displace running generations (trial in the journal).
-_BACKUP_FILLED = 0.6
-#: Tokens to make from which on a backup is worth its memory.
-_BACKUP_WORTH = 100
-
-_STOPPED = frozenset(
-    (
-        MovePhase.STOPPING,
-        MovePhase.AT_TARGET,
-        MovePhase.AT_SOURCE,
-        MovePhase.RESCUING,
-        MovePhase.AT_BACKUP,
-    ),
-)
 
 
-class Itinerary:
-    """Follow one generation over the engines that it runs on.
+class RunningGeneration:
+    """Hold where one generation runs, and what is under way with it.
 
     :param event_tokens: tokens that an event holds.
     """
@@ -81,14 +65,14 @@
     ) -> None:
         self._ports = ports
         self._routed = routed
-        self._event_tokens = event_tokens
+        self._occupancy = Occupancy(ports.fleet, routed, event_tokens)
+        #: Set once the copy that is under way has ended.
         self._settled = trio.Event()
-        self._assignment: Assignment | None = None
         self._next_backup: UpstreamEntry | None = None
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
-        self.events = 0
+        #: Times that it went on at another engine.
         self.moves = 0
 
     @property
@@ -104,7 +88,13 @@
     @property
     def tokens(self) -> int:
         """Return the memory that it holds, in tokens."""
-        return self._assignment.load().tokens if self._assignment else 0
+        load = self._occupancy.load
+        return load.tokens if load else 0
+
+    @property
+    def events(self) -> int:
+        """Return how many events the caller got."""
+        return self._occupancy.events
 
     @property
     def has_backup(self) -> bool:
@@ -114,14 +104,14 @@
     @property
     def is_stopped(self) -> bool:
         """Tell whether it was stopped, so that its link ends without end."""
-        return self._state is not None and self._state.phase in _STOPPED
+        return self._state is not None and moves.is_stopped(self._state)
 
     def begin(self, upstream: UpstreamEntry) -> str:
         """Start at an engine.
 
         :returns: address of the engine to keep up to date; empty for none.
         """
-        self._assign(upstream)
+        self._occupancy.assign(upstream)
         backup = self._choose_backup(upstream)
         self._state = moves.begin(upstream, backup)
         return backup.address if backup else ''
@@ -132,14 +122,12 @@
         :param over: whether no other engine follows.
         """
         self._ended = over
-        self._release()
+        self._occupancy.release()
         self._state = None
 
     def advance(self) -> None:
         """Count an event that the caller got."""
-        self.events += 1
-        if self._assignment is not None:
-            self._assignment.advance(self._event_tokens)
+        self._occupancy.advance()
 
     # Leaving while the engine still serves.
 
@@ -174,7 +162,7 @@
     ) -> tuple[ResumePoint, str]:
         """Return what to send along, and the address of the next backup."""
         state = self._state or moves.begin(upstream)
-        self._assign(upstream)
+        self._occupancy.assign(upstream)
         self._next_backup = self._choose_backup(upstream)
         if state.phase is MovePhase.AT_BACKUP and state.backup is not None:
             point = ResumePoint(
@@ -211,19 +199,14 @@
 
     async def _copy_to(self, target: Upstream, departure: Departure) -> bool:
         """Copy to a target; tell whether the move is over, good or bad."""
-        loads = self._ports.fleet.loads
-        reserved = make_assignment(
-            self._routed, target.entry, self.events * self._event_tokens
-        )
-        loads.assign(reserved)
         self._settled = trio.Event()
         try:
-            action = self._tell(TargetChosen(target.entry))
-            while isinstance(action, Copy | AwaitQuiet):
-                action = await self._proceed(action, departure)
+            with self._occupancy.reserve(target.entry):
+                action = self._tell(TargetChosen(target.entry))
+                while isinstance(action, Copy | AwaitQuiet):
+                    action = await self._proceed(action, departure)
             return not isinstance(action, ChooseAgain)
         finally:
-            loads.release(reserved)
             self._settled.set()
 
     async def _proceed(
@@ -270,47 +253,17 @@
             action = self._tell(LinkEnded())
         return action
 
-    # The engines that it may go to.
-
     def _choose_target(self, refused: set[str]) -> Upstream | None:
-        """Return an engine that can hold it now.
-
-        Room to grow is not asked for: to be pushed aside later is better
-        than to be lost, and an engine without room refuses the copy.
-        """
-        state = self._state
-        if state is None or self._assignment is None or not self.events:
+        state, load = self._state, self._occupancy.load
+        if state is None or load is None or not self.events:
             return None
-        load = self._assignment.load()
-        need = Need(
-            service=self._routed.service,
-            prompt=load.tokens,
-            expected=load.growth,
-            excluded=frozenset((state.source.upstream, *refused)),
-            far_cost=_FAR_MOVE_COST,
-            filled=1,
-            reserved=0,
-        )
-        return self._ports.fleet.choose(need, state.source.failure_domain)
+        return choose_target(self._ports.fleet, load, state.source, refused)
 
     def _choose_backup(self, source: UpstreamEntry) -> UpstreamEntry | None:
-        """Return an engine with memory to spare for a second copy."""
-        fleet = self._ports.fleet
-        spec = fleet.table.services_by_name.get(source.service)
-        if spec is None or spec.engine is None or not spec.engine.backups:
-            return None
-        need = replace(
-            make_need(self._routed, frozenset((source.upstream,))),
-            filled=_BACKUP_FILLED,
-        )
-        if need.expected < _BACKUP_WORTH:
-            return None
-        chosen = fleet.choose(need)
-        if chosen is None:
-            return None
-        if self._assignment is not None:
-            self._assignment.backup = chosen.entry.upstream
-        return chosen.entry
+        backup = choose_backup(self._ports.fleet, self._routed, source)
+        if backup is not None:
+            self._occupancy.note_backup(backup.upstream)
+        return backup
 
     def _tell(self, message: Message) -> Action | None:
         before = self._state
@@ -327,18 +280,3 @@
             events=self.events,
         )
         return actions[0] if actions else None
-
-    # The load that it is.
-
-    def _assign(self, upstream: UpstreamEntry) -> None:
-        self._release()
-        self._assignment = make_assignment(
-            self._routed, upstream, self.events * self._event_tokens
-        )
-        self._ports.fleet.loads.assign(self._assignment)
-
-    def _release(self) -> None:
-        if self._assignment is not None:
-            self._ports.fleet.loads.release(self._assignment)
-            self._assignment = None
-            self._ports.fleet.notify()
--- /dev/null
+++ b/src/cartdale/relay/occupancy.py
@@ -0,0 +1,70 @@
+"""Count a generation among the loads of the engines that it occupies."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Assignment, Load
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay.needs import make_assignment
+from cartdale.relay.types import RoutedRequest
+
+
+class Occupancy:
+    """Follow what one generation takes at engines.
+
+    :param event_tokens: tokens that an event holds.
+    """
+
+    def __init__(
+        self, fleet: Fleet, routed: RoutedRequest, event_tokens: int
+    ) -> None:
+        self._fleet = fleet
+        self._routed = routed
+        self._event_tokens = event_tokens
+        self._assignment: Assignment | None = None
+        #: Events that the caller got, from all engines.
+        self.events = 0
+
+    @property
+    def load(self) -> Load | None:
+        """Return its load at the engine that runs it; ``None`` for none."""
+        return self._assignment.load() if self._assignment else None
+
+    def assign(self, upstream: UpstreamEntry) -> None:
+        """Count it at an engine, and no more at the one before."""
+        self.release()
+        self._assignment = self._make_assignment(upstream)
+        self._fleet.loads.assign(self._assignment)
+
+    def release(self) -> None:
+        """Count it nowhere, and wake those who wait for room."""
+        if self._assignment is not None:
+            self._fleet.loads.release(self._assignment)
+            self._assignment = None
+            self._fleet.notify()
+
+    def note_backup(self, upstream: str) -> None:
+        """Count its backup at an engine as well."""
+        if self._assignment is not None:
+            self._assignment.backup = upstream
+
+    def advance(self) -> None:
+        """Count an event that the caller got."""
+        self.events += 1
+        if self._assignment is not None:
+            self._assignment.advance(self._event_tokens)
+
+    @contextmanager
+    def reserve(self, target: UpstreamEntry) -> Iterator[None]:
+        """Count it at its target too while it is copied there."""
+        reserved = self._make_assignment(target)
+        self._fleet.loads.assign(reserved)
+        try:
+            yield
+        finally:
+            self._fleet.loads.release(reserved)
+
+    def _make_assignment(self, upstream: UpstreamEntry) -> Assignment:
+        made = self.events * self._event_tokens
+        return make_assignment(self._routed, upstream, made)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -31,7 +31,7 @@
     refuse,
 )
 from cartdale.relay.frames import EventFrames, read_id
-from cartdale.relay.itinerary import Itinerary
+from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     AnswerSink,
@@ -66,7 +66,7 @@
     """Carry one generation.
 
     :param sink: where the answer is written.
-    :param itinerary: where the generation runs.
+    :param generation: holds which engine runs it.
     """
 
     def __init__(
@@ -74,12 +74,12 @@
         ports: RelayPorts,
         routed: RoutedRequest,
         sink: AnswerSink,
-        itinerary: Itinerary,
+        generation: RunningGeneration,
     ) -> None:
         self._ports = ports
         self._routed = routed
         self._sink = sink
-        self._itinerary = itinerary
+        self._generation = generation
         route = routed.route
         self._attempts: AttemptState = begin(route.kind, route.max_attempts)
         self._frames = EventFrames()
@@ -98,7 +98,7 @@
                 return await self._try_upstreams()
             return self._time_out()
         finally:
-            self._itinerary.end()
+            self._generation.end()
 
     async def _try_upstreams(self) -> Result[StreamEnd, Problem]:
         tried: set[str] = set()
@@ -111,7 +111,7 @@
             ended = await self._attempt(upstream)
             if isinstance(ended, StreamEnd):
                 return Success(ended)
-            self._itinerary.end(over=False)
+            self._generation.end(over=False)
             after, step = conclude(
                 self._ports,
                 self._routed,
@@ -124,7 +124,7 @@
                 return Failure(step.problem)
 
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
-        backup = self._itinerary.begin(upstream.entry)
+        backup = self._generation.begin(upstream.entry)
         call = make_call(self._ports, self._routed, upstream)
         ended = await self._open(replace(call, backup=backup))
         while isinstance(ended, UpstreamEntry):
@@ -132,14 +132,14 @@
         return ended
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
-        point, backup = self._itinerary.prepare_resume(
+        point, backup = self._generation.prepare_resume(
             upstream, self._last_event
         )
         left = time_left(self._ports, self._routed)
         call = UpstreamCall(self._routed, upstream, left, point, backup)
         ended = await self._open(call)
         if isinstance(ended, Unsent | Declined):
-            return self._itinerary.resume_rejected() or StreamEnd.CUT
+            return self._generation.resume_rejected() or StreamEnd.CUT
         if isinstance(ended, Broken):
             return StreamEnd.CUT
         return ended
@@ -167,7 +167,7 @@
             await self._sink.start(answer.status, answer.headers)
             self._started = True
         if call.resume is not None:
-            self._itinerary.resumed()
+            self._generation.resumed()
         fleet.tell(RequestEnded(upstream, good=answer.status == _SUCCESS))
         return await self._pass_events(answer)
 
@@ -177,7 +177,7 @@
             await self._pass_chunks(answer.chunks)
         except LinkBrokeError as error:
             return await self._lose_link(error.detail)
-        if self._itinerary.is_stopped:
+        if self._generation.is_stopped:
             return await self._lose_link('stopped')
         if self._frames.pending:
             await self._sink.write(self._frames.pending)
@@ -187,7 +187,7 @@
     async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> None:
         while True:
             patience = inf
-            if self._itinerary.has_backup and self._itinerary.events:
+            if self._generation.has_backup and self._generation.events:
                 patience = seconds(_SILENCE)
             try:
                 with trio.fail_after(patience):
@@ -207,7 +207,7 @@
                 detail=f'event {name!r} came twice',
             )
             self._last_event = name or self._last_event
-            self._itinerary.advance()
+            self._generation.advance()
             self._note_gap()
             await self._sink.write(event)
 
@@ -219,13 +219,13 @@
 
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how it ended."""
-        upstream = await self._itinerary.lose_link()
+        upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
         logger.warning(
             'stream cut',
             request=self._routed.request.request_id,
-            events=self._itinerary.events,
+            events=self._generation.events,
             detail=detail,
         )
         return StreamEnd.CUT if self._started else Broken(detail)
--- /dev/null
+++ b/src/cartdale/relay/targets.py
@@ -0,0 +1,63 @@
+"""Choose the engine that a generation moves to, and the one of its backup."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from cartdale.fleet.choose import Need
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
+from cartdale.fleet.types import Upstream, UpstreamEntry
+from cartdale.relay.needs import make_need
+from cartdale.relay.types import RoutedRequest
+
+#: What another failure domain counts when a target is chosen: the copy takes
+#: twice as long, and the others of the engine wait behind it.
+_FAR_MOVE_COST = 0.3
+#: Part of an engine's memory that may be filled when a backup is sent there;
+#: backups beyond it displace running generations (trial in the journal).
+_BACKUP_FILLED = 0.6
+#: Tokens to make from which on a backup is worth its memory.
+_BACKUP_WORTH = 100
+
+
+def choose_target(
+    fleet: Fleet, load: Load, source: UpstreamEntry, refused: Iterable[str]
+) -> Upstream | None:
+    """Return an engine that can hold a generation now.
+
+    Room to grow is not asked for: to be pushed aside later is better than to
+    be lost, and an engine without room refuses the copy.
+
+    :param load: what the generation takes at its source.
+    :param refused: engines that did not take the copy.
+    """
+    need = Need(
+        service=source.service,
+        prompt=load.tokens,
+        expected=load.growth,
+        excluded=frozenset((source.upstream, *refused)),
+        far_cost=_FAR_MOVE_COST,
+        filled=1,
+        reserved=0,
+    )
+    return fleet.choose(need, source.failure_domain)
+
+
+def choose_backup(
+    fleet: Fleet, routed: RoutedRequest, source: UpstreamEntry
+) -> UpstreamEntry | None:
+    """Return an engine with memory to spare for a second copy.
+
+    ``None`` where the service keeps no backups, and for short generations.
+    """
+    spec = fleet.table.services_by_name.get(source.service)
+    if spec is None or spec.engine is None or not spec.engine.backups:
+        return None
+    need = replace(
+        make_need(routed, frozenset((source.upstream,))),
+        filled=_BACKUP_FILLED,
+    )
+    if need.expected < _BACKUP_WORTH:
+        return None
+    chosen = fleet.choose(need)
+    return chosen.entry if chosen else None
