--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -15,8 +15,9 @@
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
-from cartdale.gateway.app import GatewayApp, GatewayPorts
+from cartdale.gateway.app import GatewayApp
 from cartdale.gateway.metrics import GatewayMetrics, MetricsApp
+from cartdale.gateway.ports import GatewayPorts
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
 from cartdale.platform.names import PATH_READY
--- /dev/null
+++ b/src/cartdale/gateway/exchange.py
@@ -0,0 +1,215 @@
+"""Answer one request: route it, carry it and write the answer."""
+
+from dataclasses import replace
+from http import HTTPStatus
+
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.clock import Millis
+from cartdale.codec import encode_json
+from cartdale.gateway.asgi import TYPE, AsgiEvent, AsgiSink, Receive, Send
+from cartdale.gateway.ports import GatewayPorts
+from cartdale.problems.types import NotRun, NotRunReason, Problem, describe
+from cartdale.relay.generation import RunningGeneration
+from cartdale.relay.plain import PlainCarrier
+from cartdale.relay.stream import StreamCarrier, StreamEnd
+from cartdale.relay.types import RoutedRequest
+from cartdale.routes.match import (
+    find_route,
+    needs_key,
+    pick_service,
+    rank_request,
+)
+from cartdale.routes.types import Customer, Route, RouteKind
+
+#: When a caller should come back to an instance that is not ready yet.
+_NOT_READY_WAIT: Millis = 500
+#: Tokens in an event where the engine does not say.
+_EVENT_TOKENS = 4
+
+
+class _Refused(Exception):
+    """Carry a refusal out of the routing of a request."""
+
+    def __init__(self, status: HTTPStatus) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class Exchange:
+    """Answer one request.
+
+    :param scope: the request's head, as ASGI gives it.
+    """
+
+    def __init__(
+        self,
+        ports: GatewayPorts,
+        scope: AsgiEvent,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._ports = ports
+        self._receive = receive
+        self._arrived_at = ports.clock.now()
+        self._sink = AsgiSink(send, ports.leaving, ports.clock)
+        query: bytes = scope['query_string']
+        target: bytes = scope['raw_path']
+        if query:
+            target = b'?'.join((target, query))
+        self._request = ports.wire.read_request(
+            scope['method'], target, tuple(scope['headers'])
+        )
+
+    async def answer(self) -> None:
+        """Read the request, carry it and write the answer."""
+        body = await self._read_body()
+        if body is None:
+            return
+        self._request = replace(self._request, body=body)
+        try:
+            routed = self._route()
+        except _Refused as refused:
+            await self._refuse_plainly(refused.status)
+            return
+        if routed is None:
+            wait = NotRun(NotRunReason.NOT_READY, _NOT_READY_WAIT)
+            await self._refuse(wait)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._carry(routed)
+            nursery.cancel_scope.cancel()
+
+    async def _read_body(self) -> bytes | None:
+        """Return the body; ``None`` when the caller left or sent too much."""
+        parts: list[bytes] = []
+        size = 0
+        limit = self._ports.table().limits.body_bytes
+        while True:
+            event = await self._receive()
+            if event[TYPE] == 'http.disconnect':
+                return None
+            part: bytes = event.get('body', b'')
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                await self._refuse_plainly(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                return None
+            if not event.get('more_body', False):
+                return b''.join(parts)
+
+    def _route(self) -> RoutedRequest | None:
+        table = self._ports.table()
+        if not table.version:
+            return None
+        request = self._request
+        route = find_route(table, request.host, request.path)
+        if route is None:
+            raise _Refused(HTTPStatus.NOT_FOUND)
+        customer = table.customers_by_key.get(request.key)
+        if customer is None and needs_key(table, route):
+            raise _Refused(HTTPStatus.UNAUTHORIZED)
+        return self._make_routed(route, customer)
+
+    def _make_routed(
+        self, route: Route, customer: Customer | None
+    ) -> RoutedRequest:
+        longest = route.timeout
+        if self._request.deadline:
+            longest = min(longest, self._request.deadline)
+        return RoutedRequest(
+            request=self._request,
+            route=route,
+            service=pick_service(route, self._ports.generator),
+            customer=customer.name if customer else '',
+            priority=rank_request(route, customer),
+            arrived_at=self._arrived_at,
+            ends_at=self._arrived_at + longest,
+        )
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Stop the work once the caller has left."""
+        while True:
+            event = await self._receive()
+            if self._sink.finished:
+                return
+            if event[TYPE] == 'http.disconnect':
+                logger.info('caller left', request=self._request.request_id)
+                scope.cancel()
+                return
+
+    async def _carry(self, routed: RoutedRequest) -> None:
+        if routed.route.kind is RouteKind.STREAM:
+            await self._carry_stream(routed)
+            return
+        carrier = PlainCarrier(self._ports.relay, routed)
+        match await carrier.carry():
+            case Success(whole):
+                self._ports.metrics.note_answer(routed.route, whole.status)
+                await self._sink.start(
+                    whole.status, whole.headers, len(whole.body)
+                )
+                await self._sink.write(whole.body)
+                await self._sink.finish()
+            case Failure(problem):
+                await self._refuse(problem)
+
+    async def _carry_stream(self, routed: RoutedRequest) -> None:
+        relay = self._ports.relay
+        generation = RunningGeneration(relay, routed, _EVENT_TOKENS)
+        carrier = StreamCarrier(relay, routed, self._sink, generation)
+        self._ports.mover.add(generation)
+        try:
+            outcome = await carrier.carry()
+        finally:
+            self._ports.mover.remove(generation)
+        match outcome:
+            case Success(end):
+                self._note_stream(end, generation, carrier.longest_gap)
+            case Failure(problem):
+                await self._refuse(problem)
+
+    def _note_stream(
+        self, end: StreamEnd, generation: RunningGeneration, gap: Millis
+    ) -> None:
+        first = self._sink.started_after
+        self._ports.metrics.note_stream(end, generation.moves, first, gap)
+        logger.info(
+            'stream ended',
+            request=self._request.request_id,
+            end=end,
+            events=generation.events,
+            moves=generation.moves,
+            first_after=first,
+            longest_gap=gap,
+        )
+
+    async def _refuse(self, problem: Problem) -> None:
+        self._ports.metrics.note_refusal(problem)
+        document = describe(problem)
+        logger.info(
+            'refused',
+            request=self._request.request_id,
+            problem=repr(problem),
+            held=self._ports.clock.now() - self._arrived_at,
+        )
+        wait = getattr(problem, 'retry_after', 0)
+        await self._write(document.status, wait, encode_json(document))
+
+    async def _refuse_plainly(self, status: HTTPStatus) -> None:
+        logger.info(
+            'refused',
+            request=self._request.request_id,
+            status=int(status),
+            version=self._ports.table().version,
+        )
+        await self._write(status, 0, b'')
+
+    async def _write(self, status: int, wait: Millis, body: bytes) -> None:
+        headers = self._ports.wire.write_refusal(status, wait)
+        await self._sink.start(status, headers, len(body))
+        await self._sink.write(body)
+        await self._sink.finish()
