--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -4,7 +4,7 @@
 than passing it on does.
 """
 
-from cartdale.gateway.asgi import TYPE, AsgiEvent, Receive, Send, live
+from cartdale.gateway.asgi import AsgiEvent, Receive, Send, takes_request
 from cartdale.gateway.exchange import Exchange
 from cartdale.gateway.ports import GatewayPorts
 
@@ -20,10 +20,7 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope[TYPE] == 'lifespan':
-            await live(receive, send)
-            return
-        if scope[TYPE] != 'http':
+        if not await takes_request(scope, receive, send):
             return
         self.in_flight += 1
         try:
--- a/src/cartdale/gateway/asgi.py
+++ b/src/cartdale/gateway/asgi.py
@@ -69,7 +69,28 @@
         await self._send({TYPE: 'http.response.body', 'body': b''})
 
 
-async def live(receive: Receive, send: Send) -> None:
+async def takes_request(scope: AsgiEvent, receive: Receive, send: Send) -> bool:
+    """Tell whether a connection carries a request; serve its lifespan else."""
+    if scope[TYPE] == 'lifespan':
+        await _live(receive, send)
+    return bool(scope[TYPE] == 'http')
+
+
+async def answer_at_once(
+    send: Send, status: int, headers: Headers = (), body: bytes = b''
+) -> None:
+    """Write an answer that is known as a whole."""
+    length = (b'content-length', str(len(body)).encode())
+    start = {
+        TYPE: 'http.response.start',
+        'status': status,
+        'headers': [*headers, length],
+    }
+    await send(start)
+    await send({TYPE: 'http.response.body', 'body': body})
+
+
+async def _live(receive: Receive, send: Send) -> None:
     """Answer the server's events of start and stop."""
     while True:
         event = await receive()
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -10,11 +10,18 @@
 
 from cartdale import invariants
 from cartdale.clock import SECOND_MS, Millis
-from cartdale.gateway.asgi import TYPE, AsgiEvent, Receive, Send, live
+from cartdale.gateway.asgi import (
+    AsgiEvent,
+    Receive,
+    Send,
+    answer_at_once,
+    takes_request,
+)
 from cartdale.problems.types import NotRun, Problem
 from cartdale.routes.types import Route
 
 _ACCEPT = ('text/plain',)
+_TEXT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
 #: Upper bounds in seconds: around the targets of first events and of pauses.
 _FIRST_BOUNDS = (0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, inf)
 _GAP_BOUNDS = (0.05, 0.1, 0.18, 0.25, 0.5, 1, 2, 5, inf)
@@ -113,19 +120,8 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope[TYPE] == 'lifespan':
-            await live(receive, send)
+        if not await takes_request(scope, receive, send):
             return
-        if scope[TYPE] != 'http':
-            return
-        body = self._metrics.render()
-        start = {
-            TYPE: 'http.response.start',
-            'status': int(HTTPStatus.OK),
-            'headers': [
-                (b'content-type', b'text/plain; version=0.0.4'),
-                (b'content-length', str(len(body)).encode()),
-            ],
-        }
-        await send(start)
-        await send({TYPE: 'http.response.body', 'body': body})
+        await answer_at_once(
+            send, int(HTTPStatus.OK), (_TEXT_TYPE,), self._metrics.render()
+        )
--- a/src/cartdale/gateway/ready.py
+++ b/src/cartdale/gateway/ready.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from cartdale.gateway.asgi import TYPE, AsgiEvent, Receive, Send, live
+from cartdale.gateway.asgi import (
+    AsgiEvent,
+    Receive,
+    Send,
+    answer_at_once,
+    takes_request,
+)
 
 
 class ReadyApp:
@@ -21,19 +27,10 @@
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if scope[TYPE] == 'lifespan':
-            await live(receive, send)
-            return
-        if scope[TYPE] != 'http':
+        if not await takes_request(scope, receive, send):
             return
         status = HTTPStatus.NOT_FOUND
         if scope['path'] == self._path:
             ready = self._ready()
             status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
-        start = {
-            TYPE: 'http.response.start',
-            'status': int(status),
-            'headers': [(b'content-length', b'0')],
-        }
-        await send(start)
-        await send({TYPE: 'http.response.body', 'body': b''})
+        await answer_at_once(send, int(status))
