--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -35,6 +35,10 @@
 #: within a quarter of it, with what the way here took, the caller's next
 #: attempt can still be in time.
 WAIT_SHARE = 0.2
+#: Part of its whole time that a request may wait. Room for a long generation
+#: comes within seconds, and a caller who has that time is served better by a
+#: late start than by a second refusal (journal, an incident of caroni-looms).
+PATIENT_SHARE = 0.1
 #: Longest wait where the route names no target.
 _WAIT_LONGEST: Millis = 1000
 
@@ -66,7 +70,9 @@
     """Return until when a request may wait for room."""
     target = routed.route.target_latency
     longest = int(target * WAIT_SHARE) if target else _WAIT_LONGEST
-    return min(routed.arrived_at + longest, routed.ends_at)
+    whole = routed.ends_at - routed.arrived_at
+    patient = int(whole * PATIENT_SHARE)
+    return routed.arrived_at + min(max(longest, patient), whole)
 
 
 def make_call(
