--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -113,7 +113,6 @@
         if upstream is None or engine is None or not (own and engine.moves):
             return
         self._told.update((run.request_id, name) for run in own)
-        self._told.update((run.request_id, name) for run in own)
         noticed_at = self._clock.now()
         held = await self._read_report(upstream.entry)
         takes = estimate_all(
@@ -207,7 +206,12 @@
 
     def _runs_at(self, upstream: str) -> list[MovingRun]:
         """Return the generations there that were not told to leave yet."""
-        return [run for run in self._runs.values() if run.upstream == upstream]
+        return [
+            run
+            for run in self._runs.values()
+            if run.upstream == upstream
+            and (run.request_id, upstream) not in self._told
+        ]
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -137,6 +137,7 @@
         self.dead = False
         self.leaves_ms: float | None = None
         self.copies_asked = 0
+        self.reports_asked = 0
         self._stopped: set[str] = set()
 
     def make_app(self) -> QuartTrio:
@@ -256,6 +257,7 @@
     async def _report(self) -> Response:
         if self.dead:
             raise LinkCutError
+        self.reports_asked += 1
         records = self.driver.records_by_generation
         report: dict[str, Any] = {
             'running': len(records),
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,7 +9,11 @@
 from cartdale.platform.settings import load_platform_settings
 from cartdale.platform.translate import read_table
 from cartdale_standins.platform_store import PlatformStoreFaults
-from cartdale_standins.platform_worker import PlatformEngine, format_event
+from cartdale_standins.platform_worker import (
+    STRIDE,
+    PlatformEngine,
+    format_event,
+)
 from tests.platform_stage import (
     HOST,
     KEY,
@@ -25,6 +29,7 @@
 
 LIMIT = 25
 EVENTS = 25
+TOKENS = EVENTS * STRIDE
 
 
 def whole(request_id: str, events: int = EVENTS) -> bytes:
@@ -33,9 +38,13 @@
     )
 
 
-async def draft(stage: PlatformStage, request_id: str) -> httpx.Response:
+async def draft(
+    stage: PlatformStage, request_id: str, tokens: int = TOKENS
+) -> httpx.Response:
     return await stage.client.post(
-        stage.url('/draft/a'), headers=make_draft(request_id), content=b'brief'
+        stage.url('/draft/a'),
+        headers=make_draft(request_id, tokens),
+        content=b'brief',
     )
 
 
@@ -223,6 +232,19 @@
             assert count_runs(stage, 'r1') == 1
 
 
+async def test_engine_that_drains_is_not_asked_over_and_over() -> None:
+    with trio.fail_after(LIMIT):
+        async with open_platform(engines=2) as stage:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(draft, stage, 'r1', 2000)
+                source = await find_runner(stage, 'r1')
+                stage.drain(source)
+                # The generation has a backup and stays for ten sweeps.
+                await trio.sleep(3)
+                nursery.cancel_scope.cancel()
+            assert source.reports_asked <= 3
+
+
 async def test_stream_without_a_backup_is_cut_not_completed() -> None:
     with trio.fail_after(LIMIT):
         async with open_platform(engines=1) as stage:
