--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -206,7 +206,12 @@
 
     def _runs_at(self, upstream: str) -> list[MovingRun]:
         """Return the generations there that were not told to leave yet."""
-        return [run for run in self._runs.values() if run.upstream == upstream]
+        return [
+            run
+            for run in self._runs.values()
+            if run.upstream == upstream
+            and (run.request_id, upstream) not in self._told
+        ]
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -16,6 +16,7 @@
 from cartdale.settings.types import Listener
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import (
+    STRIDE,
     PlatformEngine,
     PlatformWorker,
     format_event,
@@ -26,6 +27,7 @@
 LOCAL = '127.0.0.1'
 #: Events of a draft that `make_draft` asks for.
 EVENTS = 25
+TOKENS = EVENTS * STRIDE
 NO_FILE = Path('no-file')
 #: Longest that a test may keep its stage open, in seconds.
 STAGE_LIMIT = 25
@@ -221,7 +223,7 @@
     }
 
 
-def make_draft(request_id: str, tokens: int = 100) -> dict[str, str]:
+def make_draft(request_id: str, tokens: int = TOKENS) -> dict[str, str]:
     return {
         **make_headers(request_id),
         'Token-Count': f'40,{tokens}',
@@ -272,10 +274,14 @@
     )
 
 
-async def draft(stage: PlatformStage, request_id: str) -> httpx.Response:
+async def draft(
+    stage: PlatformStage, request_id: str, tokens: int = TOKENS
+) -> httpx.Response:
     """Ask for a draft and return its answer."""
     return await stage.client.post(
-        stage.url('/draft/a'), headers=make_draft(request_id), content=b'brief'
+        stage.url('/draft/a'),
+        headers=make_draft(request_id, tokens),
+        content=b'brief',
     )
 
 
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -55,6 +55,18 @@
         assert count_runs(stage, 'r1') == 1
 
 
+async def test_engine_that_drains_is_not_asked_over_and_over() -> None:
+    async with open_platform(engines=2) as stage:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draft, stage, 'r1', 2000)
+            source = await find_runner(stage, 'r1')
+            stage.drain(source)
+            # The generation has a backup and stays for ten sweeps.
+            await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+        assert source.reports_asked <= 3
+
+
 async def test_stream_without_a_backup_is_cut_not_completed() -> None:
     async with open_platform(engines=1) as stage:
         failures: list[type] = []
