--- a/src/cartdale/daemon/neighbours.py
+++ b/src/cartdale/daemon/neighbours.py
@@ -13,7 +13,7 @@
 from cartdale.daemon.serve import BoundListener
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower, OwnKey, TableWritten
-from cartdale.news.driver import NewsLine
+from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
 from cartdale.peers.app import PeerApp
@@ -54,7 +54,7 @@
     ) -> None:
         self._listener = BoundListener(listener)
         own = PeerEntry(name, listener.address, self._listener.port)
-        self.news = NewsLine(
+        self.news = NewsExchange(
             own, fleet, clock, self._fetch_table, self.lost_store
         )
         self._roster = Roster(store, own, self.count_listed)
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -1,22 +1,16 @@
-"""Send and receive datagrams with news, sealed with the cluster's key."""
+"""Exchange news with the peers, in datagrams that the cluster's key seals."""
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 import trio
 from loguru import logger
 
-from cartdale.clock import SECOND_MS, Clock, Millis, seconds
-from cartdale.codec import decode_binary, encode_binary
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import (
-    EntryRemoved,
-    EntryWritten,
-    Lifecycle,
-    UpstreamEntry,
-)
+from cartdale.fleet.types import EntryRemoved, EntryWritten
 from cartdale.news.decide import (
     count_alive,
     count_crowds,
@@ -37,7 +31,8 @@
     TakeLeaving,
     TakeLoads,
 )
-from cartdale.peers.seal import Envelope, Seal
+from cartdale.news.writing import NEWS_KIND, NewsWriter
+from cartdale.peers.seal import Seal
 
 #: Between two messages when there is something new, for each ``CROWD``
 #: peers: changes that come together travel together.
@@ -46,29 +41,14 @@
 #: for each ``CROWD`` peers, so that a large system is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
 _LARGEST_DATAGRAM = 65507
-_EVERYBODY = '*'
-_KIND = LoadNews.__name__
-#: Upstreams that left, and those that changed, are told about for so long.
-_LEAVING_TOLD: Millis = 3 * SECOND_MS
-_CHANGED_TOLD: Millis = 3 * SECOND_MS
 
 Fetch = Callable[[PeerEntry], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _Content:
-    """Tell apart what is worth a message before its time."""
-
-    loads: int
-    version: int
-    lifecycles: int
-    lost: bool
-
-
-class NewsLine:
+class NewsExchange:
     """Keep this instance and its peers informed of each other.
 
-    :param name: this instance's name.
+    :param own: how this instance is reached.
     :param fetch_table: asks a peer for its newer configuration.
     :param store_lost: tells whether the store does not answer here.
     """
@@ -81,15 +61,13 @@
         fetch_table: Fetch,
         store_lost: Callable[[], bool],
     ) -> None:
-        self._store_lost = store_lost
         self._own = own
         self._fleet = fleet
         self._clock = clock
         self._fetch_table = fetch_table
-        self._boot = clock.wall()
-        self._number = 0
-        self._told = _Content(-1, -1, -1, lost=False)
-        self._socket: trio.socket.SocketType | None = None
+        self._writer = NewsWriter(
+            own, fleet, clock, self.is_watcher, store_lost
+        )
         self.state = NewsState()
         self.seal: Seal | None = None
 
@@ -128,11 +106,11 @@
 
     async def run(self) -> None:
         """Send and receive, for ever."""
-        self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        await self._socket.bind((self._own.address, self._own.port))
+        bound = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        await bound.bind((self._own.address, self._own.port))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive, self._socket)
-            nursery.start_soon(self._send, self._socket)
+            nursery.start_soon(self._receive, bound)
+            nursery.start_soon(self._send, bound)
 
     async def _receive(self, bound: trio.socket.SocketType) -> None:
         while True:
@@ -147,7 +125,7 @@
         if self.seal is None:
             return
         envelope = self.seal.open(raw, self._clock.wall())
-        if envelope is None or envelope.kind != _KIND:
+        if envelope is None or envelope.kind != NEWS_KIND:
             return
         try:
             news = decode_binary(bytes(envelope.body), LoadNews)
@@ -163,67 +141,16 @@
             await self._wait_for_news(crowds)
             if self.seal is None:
                 continue
-            sealed = self._make_message(self.seal)
+            sealed = self._writer.write(self.seal)
             for peer in list_reachable(self.state, self._clock.now()):
                 if peer.name != self._own.name:
                     await self._send_to(bound, sealed, peer)
 
     async def _wait_for_news(self, crowds: int) -> None:
         with trio.move_on_after(seconds(_UNCHANGED_EVERY * crowds)):
-            while self._told == self._newest():
+            while not self._writer.has_new():
                 await self._fleet.changed()
 
-    def _newest(self) -> _Content:
-        return _Content(
-            self._fleet.loads.version,
-            self._fleet.table.version,
-            self._fleet.lifecycles if self.is_watcher() else 0,
-            lost=self._store_lost(),
-        )
-
-    def _make_message(self, seal: Seal) -> bytes:
-        self._number += 1
-        self._told = self._newest()
-        news = LoadNews(
-            boot=self._boot,
-            number=self._number,
-            version=self._fleet.table.version,
-            peer=self._own,
-            loads_by_upstream=self._fleet.loads.own(shared=True),
-            leaving=self._list_leaving(),
-            entries=self._list_changed(),
-            store_lost=self._store_lost(),
-        )
-        envelope = Envelope(
-            sender=self._own.name,
-            recipient=_EVERYBODY,
-            kind=_KIND,
-            wall_ms=self._clock.wall(),
-            body=msgspec.Raw(encode_binary(news)),
-        )
-        return seal.close(envelope)
-
-    def _list_leaving(self) -> tuple[str, ...]:
-        now = self._clock.now()
-        return tuple(
-            name
-            for name, upstream in self._fleet.state.upstreams_by_id.items()
-            if upstream.lifecycle is Lifecycle.LEAVING
-            and now - upstream.changed_at <= _LEAVING_TOLD
-        )
-
-    def _list_changed(self) -> tuple[UpstreamEntry, ...]:
-        """Return new entries, if this instance tells them to the others."""
-        if not self.is_watcher():
-            return ()
-        now = self._clock.now()
-        return tuple(
-            upstream.entry
-            for upstream in self._fleet.state.upstreams_by_id.values()
-            if upstream.lifecycle is Lifecycle.LIVE
-            and now - upstream.changed_at <= _CHANGED_TOLD
-        )
-
     async def _send_to(
         self, bound: trio.socket.SocketType, sealed: bytes, peer: PeerEntry
     ) -> None:
