--- /dev/null
+++ b/src/cartdale/moves/leaving.py
@@ -0,0 +1,144 @@
+"""Move generations away from one engine that leaves, while it serves on."""
+
+from typing import Protocol
+
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.fleet.types import EngineReport, UpstreamEntry
+from cartdale.moves.schedule import Departure, Turn, estimate_all, place
+from cartdale.relay.types import UpstreamPort
+from cartdale.routes.types import EngineTraits
+
+#: How long an engine is taken to serve on when it doesn't say.
+_SERVES_ON: Millis = 2 * SECOND_MS
+#: Between the copies that are asked for: the smaller goes first into the
+#: engine's queue, so that as many as possible leave in time.
+_COPY_EVERY: Millis = 4
+#: Reports show an engine as it was about half a second ago.
+_REPORT_LAG: Millis = 500
+#: Reports that are read to learn when an engine ends.
+_END_READS = 2
+#: Between questions to an engine that leaves or may leave, and between looks
+#: for generations that came to one late.
+ASK_EVERY: Millis = 300
+
+
+class MovableGeneration(Protocol):
+    """Move one generation away from its engine."""
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of the request."""
+
+    @property
+    def upstream(self) -> str:
+        """Return the id of the engine that runs it; empty for none."""
+
+    @property
+    def tokens(self) -> int:
+        """Return the memory that it holds, in tokens."""
+
+    async def leave(self, departure: Departure) -> None:
+        """Move away from the engine."""
+
+
+class LeavingEngine:
+    """Move generations away from an engine before it ends.
+
+    :param entry: what the engine wrote of itself.
+    :param traits: its memory and its link.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamPort,
+        clock: Clock,
+        entry: UpstreamEntry,
+        traits: EngineTraits,
+    ) -> None:
+        self._upstreams = upstreams
+        self._clock = clock
+        self._entry = entry
+        self._traits = traits
+
+    async def move_all(self, own: list[MovableGeneration]) -> None:
+        """Move this instance's generations, each in its turn.
+
+        :param own: those that run at the engine.
+        """
+        noticed_at = self._clock.now()
+        held = await read_report(self._upstreams, self._entry)
+        tokens_by_request = {each.request_id: each.tokens for each in own}
+        takes = estimate_all(held.runs, tokens_by_request, self._traits)
+        logger.info(
+            'emptying upstream',
+            upstream=self._entry.upstream,
+            leaves_in=held.leaves_in,
+            own=len(own),
+            reported=len(held.runs),
+            takes=takes,
+        )
+        departure = Departure(
+            until=noticed_at + _SERVES_ON, quiet_at=noticed_at + takes
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._learn_end, departure)
+            for generation in own:
+                turn = place(generation.tokens, held.runs, self._traits)
+                nursery.start_soon(self._move, generation, turn, departure)
+
+    async def _learn_end(self, departure: Departure) -> None:
+        """Read when the engine is gone, once its reports can tell."""
+        await trio.sleep(seconds(_REPORT_LAG))
+        for _ in range(_END_READS):
+            held = await read_report(self._upstreams, self._entry)
+            if held.leaves_in is None:
+                await trio.sleep(seconds(ASK_EVERY))
+                continue
+            departure.until = self._clock.now() + held.leaves_in - _REPORT_LAG
+            logger.info(
+                'upstream ends',
+                upstream=self._entry.upstream,
+                ends_in=departure.until - self._clock.now(),
+            )
+            return
+
+    async def _move(
+        self, generation: MovableGeneration, turn: Turn, departure: Departure
+    ) -> None:
+        """Move a generation, unless its copy would only hold up others."""
+        began = self._clock.now()
+        begins = began + turn.waits
+        if departure.leaves_time(begins, turn):
+            begins = began + turn.rank * _COPY_EVERY
+        await trio.sleep(seconds(begins - began))
+        if departure.leaves_time(self._clock.now(), turn):
+            await generation.leave(departure)
+            return
+        logger.info(
+            'not moved',
+            request=generation.request_id,
+            waits=turn.waits,
+            takes=turn.takes,
+            left=departure.until - self._clock.now(),
+        )
+
+
+async def read_report(
+    upstreams: UpstreamPort, entry: UpstreamEntry
+) -> EngineReport:
+    """Read what an engine holds; nothing when it does not answer."""
+    report = await upstreams.report(entry.address)
+    match report:
+        case Success(EngineReport() as held):
+            return held
+        case Failure(failure):
+            logger.info(
+                'report missing',
+                upstream=entry.upstream,
+                detail=repr(failure),
+            )
+    return EngineReport(0, 0, 0, 0)
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -36,7 +36,7 @@
             source = await find_runner(stage, 'r1')
             target = stage.add_engine()
             await stage.settle()
-            generation = stage.runtimes[0].mover.list_runs()[0]
+            generation = stage.runtimes[0].mover.list_generations()[0]
             soon = Departure(until=10**9, quiet_at=0)
             for _ in range(3):
                 nursery.start_soon(generation.leave, soon)
