--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -10,7 +10,12 @@
 import trio
 from loguru import logger
 from returns.result import Failure, Result, Success
-from tenacity import AsyncRetrying, retry_if_result, wait_random_exponential
+from tenacity import (
+    AsyncRetrying,
+    RetryCallState,
+    retry_if_result,
+    wait_random_exponential,
+)
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.driver import Fleet
@@ -42,7 +47,9 @@
 _LOOK_EVERY: Millis = 250
 #: First and longest pause between calls while the store fails.
 _PAUSE_SECONDS = 0.1
-_LONGEST_PAUSE_SECONDS = 0.5
+_WATCHER_PAUSE = wait_random_exponential(_PAUSE_SECONDS, max=0.5)
+#: The same for an instance that hears of changes in news.
+_TOLD_PAUSE_SECONDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,15 +173,22 @@
         retrying = AsyncRetrying(
             sleep=trio.sleep,
             retry=retry_if_result(_is_failure),
-            wait=wait_random_exponential(
-                _PAUSE_SECONDS, max=_LONGEST_PAUSE_SECONDS
-            ),
+            wait=self._choose_pause,
         )
         answer: Result[Listing, StoreFailure] = await retrying(
             self._read_prefix, prefix
         )
         return answer.unwrap()
 
+    def _choose_pause(self, attempts: RetryCallState) -> float:
+        """Return how many seconds to wait before the next try.
+
+        Those whom others tell of changes leave the store in peace.
+        """
+        if not self._watches():
+            return _TOLD_PAUSE_SECONDS
+        return _WATCHER_PAUSE(attempts)
+
     async def _read_prefix(self, prefix: str) -> Result[Listing, StoreFailure]:
         entries: list[Entry] = []
         start = ''
