--- /dev/null
+++ b/bench/news.py
@@ -0,0 +1,77 @@
+"""Measure what news between instances cost: sealing, sending, taking.
+
+Run with ``python -m bench.news``; prints processor time in microseconds.
+"""
+
+import socket
+import time
+
+import msgspec
+import trio
+
+from cartdale.clock import SystemClock
+from cartdale.codec import encode_binary
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
+from cartdale.news.driver import NewsLine
+from cartdale.news.types import LoadNews, PeerEntry
+from cartdale.peers.seal import Envelope, Seal
+
+_ROUNDS = 5000
+_ENGINES = 3
+_MICROSECONDS = 1_000_000
+
+
+def make_message(seal: Seal, number: int, wall: int) -> bytes:
+    """Return one sealed message with the load at a few engines."""
+    loads_by_upstream = {
+        f'i-{engine:010x}': Load(2, 7000, 500, 3000)
+        for engine in range(_ENGINES)
+    }
+    peer = PeerEntry('front-westlands-2', '127.0.0.1', 1)
+    news = LoadNews(1, number, 0, peer, loads_by_upstream)
+    body = msgspec.Raw(encode_binary(news))
+    return seal.close(Envelope(peer.name, '*', 'LoadNews', wall, body))
+
+
+async def measure() -> dict[str, float]:
+    """Return microseconds of processor time for each part."""
+    clock = SystemClock()
+    seal = Seal((b'k' * 32,))
+    fleet = Fleet(clock, 'west', 1)
+    own = PeerEntry('front-westlands-1', '127.0.0.1', 1)
+    line = NewsLine(own, fleet, clock, print, bool)
+    line.seal = seal
+    began = time.process_time()
+    sealed = [
+        make_message(seal, number, clock.wall()) for number in range(_ROUNDS)
+    ]
+    made = time.process_time()
+    for raw in sealed:
+        line._take(raw)  # noqa: SLF001
+    taken = time.process_time()
+    receiver = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    await receiver.bind(('127.0.0.1', 0))
+    sender = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    address = receiver.getsockname()
+    prepared = time.process_time()
+    for _ in range(_ROUNDS):
+        await sender.sendto(sealed[0], address)
+    sent = time.process_time()
+    scale = _MICROSECONDS / _ROUNDS
+    return {
+        'bytes': len(sealed[0]),
+        'make and seal': (made - began) * scale,
+        'open and take': (taken - made) * scale,
+        'send to one peer': (sent - prepared) * scale,
+    }
+
+
+def main() -> None:
+    """Print the measures."""
+    for name, figure in trio.run(measure).items():
+        print(f'{name}: {figure:.1f}')
+
+
+if __name__ == '__main__':
+    main()
