--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -31,8 +31,9 @@
 #: Instances that wait for changes at the store; the others hear of them in
 #: news. All of them are lost at once only with most of the system.
 WATCHERS = 4
-#: For each so many peers, messages without anything new come more seldom.
-CROWD = 16
+#: Intervals grow by their first length for each so many peers, so that what
+#: an instance sends to all of them stays bounded.
+PEERS_PER_INTERVAL = 16
 
 
 def decide(
@@ -67,7 +68,7 @@
     watching = [
         name
         for name, heard in state.heard_by_name.items()
-        if now - heard.at <= SILENT_MS * count_crowds(state)
+        if now - heard.at <= SILENT_MS * stretch(len(state.peers_by_name))
         and not heard.news.store_lost
     ]
     earlier = [name for name in watching if _order(name) < _order(own)]
@@ -138,6 +139,6 @@
     return reachable
 
 
-def count_crowds(state: NewsState) -> int:
-    """Return by how much messages are rarer than in a small system."""
-    return 1 + len(state.peers_by_name) // CROWD
+def stretch(peers: int) -> int:
+    """Return how many times longer intervals are than in a small system."""
+    return 1 + peers // PEERS_PER_INTERVAL
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -13,12 +13,12 @@
 from cartdale.fleet.types import EntryRemoved, EntryWritten
 from cartdale.news.decide import (
     count_alive,
-    count_crowds,
     decide,
     hears_of_loss,
     is_silent,
     is_watcher,
     list_reachable,
+    stretch,
 )
 from cartdale.news.types import (
     FetchTable,
@@ -34,11 +34,11 @@
 from cartdale.news.writing import NEWS_KIND, NewsWriter
 from cartdale.peers.seal import Seal
 
-#: Between two messages when there is something new, for each ``CROWD``
-#: peers: changes that come together travel together.
+#: Between two messages when there is something new, in a small system:
+#: changes that come together travel together.
 _CHANGED_EVERY: Millis = 20
-#: Between two messages when nothing is new but the tokens made meanwhile,
-#: for each ``CROWD`` peers, so that a large system is told more seldom.
+#: Between two messages when nothing is new but the tokens made meanwhile, in
+#: a small system; a large one is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
 _LARGEST_DATAGRAM = 65507
 
@@ -136,9 +136,9 @@
 
     async def _send(self, bound: trio.socket.SocketType) -> None:
         while True:
-            crowds = count_crowds(self.state)
-            await trio.sleep(seconds(_CHANGED_EVERY * crowds))
-            await self._wait_for_news(crowds)
+            factor = stretch(len(self.state.peers_by_name))
+            await trio.sleep(seconds(_CHANGED_EVERY * factor))
+            await self._wait_for_news(_UNCHANGED_EVERY * factor)
             if self.seal is None:
                 continue
             sealed = self._writer.write(self.seal)
@@ -146,8 +146,8 @@
                 if peer.name != self._own.name:
                     await self._send_to(bound, sealed, peer)
 
-    async def _wait_for_news(self, crowds: int) -> None:
-        with trio.move_on_after(seconds(_UNCHANGED_EVERY * crowds)):
+    async def _wait_for_news(self, longest: Millis) -> None:
+        with trio.move_on_after(seconds(longest)):
             while not self._writer.has_new():
                 await self._fleet.changed()
 
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -9,7 +9,7 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
-from cartdale.news.decide import CROWD
+from cartdale.news.decide import stretch
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
     Compare,
@@ -24,7 +24,7 @@
 KEY_NAME = 'cartdale/cluster-key'
 #: An instance that dies stays listed for so long; datagrams to it are lost.
 _LEASE: Millis = MINUTE_MS // 3
-#: Between renewals, for each ``CROWD`` peers. They also show within about a
+#: Between renewals in a small system. They also show within about a
 #: second that the store is away, which a held watch does not.
 _RENEW_EVERY: Millis = SECOND_MS
 _RETRY_EVERY: Millis = SECOND_MS
@@ -59,8 +59,8 @@
                 await self._renew()
             else:
                 await self._register()
-            crowds = 1 + self._count_peers() // CROWD
-            pause = _RENEW_EVERY * crowds if self._listed else _RETRY_EVERY
+            renew_every = _RENEW_EVERY * stretch(self._count_peers())
+            pause = renew_every if self._listed else _RETRY_EVERY
             await trio.sleep(seconds(pause))
 
     async def withdraw(self) -> None:
