--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -1,28 +1,13 @@
-"""Stand-in of the platform's upstreams: engines and plain services.
-
-An engine runs the one engine model of this repository. Copies of a
-generation's memory go to other stand-ins by a call of the stand-ins' own.
-"""
+"""Stand-in of the platform's plain services, and what engines share."""
 
 from collections import Counter
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
 
-import httpx
-import msgspec
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from cartdale.clock import SystemClock
-from cartdale.model.types import Hardware, Job
-from cartdale_standins.driver import EngineDriver, Record
-
-#: Tokens that an event holds.
-STRIDE = 4
-_METHODS = ('GET', 'POST', 'PUT')
-_SSE_TYPE = 'text/event-stream'
+METHODS = ('GET', 'POST', 'PUT')
 _FAILED = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
 
@@ -63,7 +48,7 @@
         """Build the HTTP application."""
         app = QuartTrio(self.name)
         app.add_url_rule(
-            '/<path:path>', 'run', self._run, methods=list(_METHODS)
+            '/<path:path>', 'run', self._run, methods=list(METHODS)
         )
         return app
 
@@ -94,7 +79,7 @@
         if request.headers.get('Expect-Instance', self.name) != self.name:
             return Response(status=HTTPStatus.MISDIRECTED_REQUEST.value)
         if self._spend('declines'):
-            return _decline()
+            return decline()
         return None
 
     def _sign(self, request_id: str) -> dict[str, str]:
@@ -110,190 +95,7 @@
         return bool(left)
 
 
-@dataclass
-class EngineMemory:
-    """Hold what an engine keeps of generations that don't run there.
-
-    :param events_by_handle: copies, by the copy's name.
-    :param backed_up: ids of the requests whose backup is kept here.
-    """
-
-    events_by_handle: dict[str, int] = field(default_factory=dict)
-    backed_up: set[str] = field(default_factory=set)
-
-
-class PlatformEngine(PlatformWorker):
-    """Run generations that can be moved.
-
-    :param address: ``IP:PORT`` of this stand-in.
-    """
-
-    def __init__(self, name: str, address: str, hardware: Hardware) -> None:
-        super().__init__(name)
-        self.address = address
-        self.driver = EngineDriver(hardware, SystemClock())
-        self.memory = EngineMemory()
-        self.resumed_by_request: Counter[str] = Counter()
-        self.dead = False
-        self.leaves_ms: float | None = None
-        self.copies_asked = 0
-        self.reports_asked = 0
-        self._stopped: set[str] = set()
-
-    def make_app(self) -> QuartTrio:
-        """Build the HTTP application."""
-        app = QuartTrio(self.name)
-        for path, view, method in (
-            ('/cartdale/report', self._report, 'GET'),
-            ('/cartdale/kv-move', self._move, 'POST'),
-            ('/cartdale/kv-handle/<handle>', self._free, 'DELETE'),
-            ('/standin/copies', self._take_copy, 'POST'),
-        ):
-            app.add_url_rule(path, path, view, methods=[method])
-        app.add_url_rule(
-            '/<path:path>', 'run', self._run, methods=list(_METHODS)
-        )
-        return app
-
-    def die(self) -> None:
-        """Cut every stream, as a machine that is taken away does."""
-        self.dead = True
-        for record in self.driver.records_by_generation.values():
-            record.wake()
-
-    async def _run(self, path: str) -> Response:
-        if self.dead:
-            raise LinkCutError
-        refusal = self._refuse()
-        if refusal:
-            return refusal
-        request_id = request.headers['Request-Id']
-        made = int(request.headers.get('Last-Event-Id', '0'))
-        if not self._has_memory(request_id):
-            return _decline()
-        resumed = 'Kv-From' in request.headers
-        counter = self.resumed_by_request if resumed else self.runs_by_request
-        counter[request_id] += 1
-        await self._back_up(request_id)
-        return self._begin(request_id, made)
-
-    def _has_memory(self, request_id: str) -> bool:
-        source = request.headers.get('Kv-From')
-        if source is None:
-            return True
-        handle = source.rpartition('/')[2]
-        if handle == request_id:
-            return request_id in self.memory.backed_up
-        return self.memory.events_by_handle.pop(handle, None) is not None
-
-    async def _back_up(self, request_id: str) -> None:
-        target = request.headers.get('Kv-Backup')
-        if target:
-            await _tell(target, {'backup': request_id})
-
-    def _begin(self, request_id: str, made: int) -> Response:
-        prompt, _, most = request.headers['Token-Count'].partition(',')
-        length = int(most) - made * STRIDE
-        record = Record(request_id, 0, length, chat=False)
-        self._stopped.discard(request_id)
-        self.driver.records_by_generation[request_id] = record
-        self.driver.model.accept(Job(request_id, int(prompt), length))
-        response = Response(
-            self._follow(request_id, record, made),
-            content_type=_SSE_TYPE,
-            headers=self._sign(request_id),
-        )
-        response.timeout = None
-        return response
-
-    async def _follow(
-        self, request_id: str, record: Record, made: int
-    ) -> AsyncIterator[bytes]:
-        sent = 0
-        try:
-            while sent * STRIDE < record.length:
-                if self.dead or request_id in self._stopped:
-                    raise LinkCutError
-                if record.produced < min((sent + 1) * STRIDE, record.length):
-                    await record.changed.wait()
-                    continue
-                sent += 1
-                yield format_event(request_id, made + sent)
-        finally:
-            self.driver.model.cancel(request_id)
-            self.driver.records_by_generation.pop(request_id, None)
-
-    async def _move(self) -> Response:
-        order = msgspec.json.decode(await request.get_data())
-        request_id: str = order['id']
-        self.copies_asked += 1
-        record = self.driver.records_by_generation.get(request_id)
-        if record is None:
-            return Response(status=HTTPStatus.NOT_FOUND.value)
-        handle = f'{self.name}-{request_id}'
-        if order.get('last'):
-            self._stopped.add(request_id)
-            self.driver.model.cancel(request_id)
-            record.wake()
-        events = record.produced // STRIDE
-        await _tell(
-            order['targetVersion'], {'handle': handle, 'events': events}
-        )
-        return _answer({'handle': handle, 'created': events})
-
-    async def _take_copy(self) -> Response:
-        copy = msgspec.json.decode(await request.get_data())
-        backed_up = copy.get('backup')
-        if backed_up:
-            self.memory.backed_up.add(backed_up)
-        else:
-            self.memory.events_by_handle[copy['handle']] = copy['events']
-        return _answer({})
-
-    async def _free(self, handle: str) -> Response:
-        self.memory.events_by_handle.pop(handle, None)
-        return _answer({})
-
-    async def _report(self) -> Response:
-        if self.dead:
-            raise LinkCutError
-        self.reports_asked += 1
-        records = self.driver.records_by_generation
-        report: dict[str, Any] = {
-            'running': len(records),
-            'queued': 0,
-            'kvUsed': 0,
-            'kvTotal': self.driver.model.hardware.memory_tokens,
-            'runs': [
-                [name, record.produced, record.produced // STRIDE, 0]
-                for name, record in records.items()
-            ],
-        }
-        if self.leaves_ms is not None:
-            report['leaves_ms'] = self.leaves_ms
-            report['state'] = 'draining'
-        return _answer(report)
-
-
-def format_event(request_id: str, number: int) -> bytes:
-    """Return the event with a number of a request's one generation."""
-    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
-
-
-async def _tell(address: str, message: dict[str, Any]) -> None:
-    async with httpx.AsyncClient() as client:
-        await client.post(
-            f'http://{address}/standin/copies',
-            content=msgspec.json.encode(message),
-        )
-
-
-async def _read_body() -> bytes:
-    body = await request.get_data(as_text=False)
-    return body if isinstance(body, bytes) else body.encode()
-
-
-def _decline() -> Response:
+def decline() -> Response:
     """Say that the request did not run."""
     return Response(
         status=HTTPStatus.SERVICE_UNAVAILABLE.value,
@@ -301,7 +103,6 @@
     )
 
 
-def _answer(message: object) -> Response:
-    return Response(
-        msgspec.json.encode(message), content_type='application/json'
-    )
+async def _read_body() -> bytes:
+    body = await request.get_data(as_text=False)
+    return body if isinstance(body, bytes) else body.encode()
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -14,13 +14,13 @@
 from cartdale.model.types import Hardware
 from cartdale.platform.settings import Bounds, Endpoint, PlatformSettings
 from cartdale.settings.types import Listener
-from cartdale_standins.platform_store import PlatformStoreStandIn
-from cartdale_standins.platform_worker import (
+from cartdale_standins.platform_engine import (
     STRIDE,
     PlatformEngine,
-    PlatformWorker,
     format_event,
 )
+from cartdale_standins.platform_store import PlatformStoreStandIn
+from cartdale_standins.platform_worker import PlatformWorker
 
 KEY = 'key-of-a-test'
 HOST = 'mill.example'
