--- /dev/null
+++ b/src/cartdale/platform/exchanges.py
@@ -0,0 +1,198 @@
+"""Translate what is sent to upstreams, and what they answer."""
+
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+
+import httpcore
+import msgspec
+from returns.result import Failure, Result, Success
+
+from cartdale.fleet.types import EngineReport, RunReport
+from cartdale.platform.callers import CONNECTION_HEADERS
+from cartdale.platform.names import (
+    HEADER_BACKUP,
+    HEADER_DEADLINE,
+    HEADER_EXPECT,
+    HEADER_LAST_EVENT,
+    HEADER_LOAD,
+    HEADER_NOT_RUN,
+    HEADER_REQUEST_ID,
+    HEADER_RESUME_FROM,
+    HEADER_SEAL,
+    HEADER_TENANT,
+    HEADER_URGENCY,
+    WORD_DRAINING,
+)
+from cartdale.relay.types import (
+    Copied,
+    CopyFailed,
+    CopyFault,
+    Headers,
+    LinkBroke,
+    LinkBrokeError,
+    OpenedAnswer,
+    SendFailure,
+    Standing,
+    UpstreamCall,
+)
+from cartdale.routes.types import RouteKind
+
+#: What the transport raises once a request may have reached its upstream.
+BROKEN = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
+_HIDDEN_HEADERS = CONNECTION_HEADERS | {
+    HEADER_LOAD.encode(),
+    HEADER_NOT_RUN.encode(),
+}
+_MOST_URGENT = 1
+_URGENCY_STEP = 2
+_LEAST_URGENT = 9
+
+
+class CopyRequest(msgspec.Struct, rename='camel', omit_defaults=True):
+    """Ask an engine for a copy, in the words of the wire."""
+
+    id: str
+    #: IP:PORT of the engine that gets the copy, despite the name.
+    target_version: str
+    #: Whether the generation stops first.
+    last: bool = False
+
+
+class _CopyAnswer(msgspec.Struct):
+    handle: str = ''
+    #: Events made so far, despite the name.
+    created: int = 0
+
+
+class _Report(msgspec.Struct, rename='camel'):
+    running: int = 0
+    queued: int = 0
+    state: str = ''
+    #: Tokens that can't give way.
+    kv_used: int = 0
+    kv_total: int = 0
+    leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
+    #: Rows of id, tokens in memory, events made and priority.
+    runs: tuple[tuple[str, int, int, int], ...] = ()
+
+
+def write_headers(call: UpstreamCall) -> list[tuple[bytes, bytes]]:
+    """Return the caller's headers and those that cartdale adds."""
+    routed = call.routed
+    request = routed.request
+    own = {
+        HEADER_DEADLINE: str(max(call.left, 1)),
+        HEADER_EXPECT: call.upstream.upstream,
+        'connection': 'close',
+    }
+    if request.body or request.method != 'GET':
+        own['content-length'] = str(len(request.body))
+    if routed.customer:
+        own[HEADER_TENANT] = routed.customer
+    if routed.route.kind is RouteKind.STREAM:
+        urgency = _MOST_URGENT + _URGENCY_STEP * routed.priority
+        own[HEADER_URGENCY] = str(min(urgency, _LEAST_URGENT))
+    if call.backup:
+        own[HEADER_BACKUP] = call.backup
+    if call.resume is not None:
+        resume = call.resume
+        own[HEADER_RESUME_FROM] = f'{resume.address}/{resume.handle}'
+        own[HEADER_LAST_EVENT] = resume.last_event.decode('latin-1')
+    written = [(name.encode(), text.encode()) for name, text in own.items()]
+    return [*request.headers, *written]
+
+
+def read_head(
+    call: UpstreamCall, response: httpcore.Response
+) -> Result[OpenedAnswer, SendFailure]:
+    """Read the head of an answer.
+
+    One to another request, or a success without its seal, is no answer.
+    """
+    named = {name.lower(): value for name, value in response.headers}
+    standing = _judge(response.status, named)
+    answered = named.get(HEADER_REQUEST_ID.encode(), b'').decode('latin-1')
+    request_id = call.routed.request.request_id
+    if standing is Standing.RAN:
+        if answered != request_id:
+            return Failure(LinkBroke(f'answer to {answered!r}'))
+        sealed = HEADER_SEAL.encode() in named
+        if response.status < HTTPStatus.MULTIPLE_CHOICES and not sealed:
+            return Failure(LinkBroke('a success without its seal'))
+    return Success(
+        OpenedAnswer(
+            status=response.status,
+            headers=_pass_headers(response.headers),
+            standing=standing,
+            chunks=_read_chunks(response),
+        )
+    )
+
+
+def read_copy(response: httpcore.Response) -> Result[Copied, CopyFailed]:
+    """Read what became of a copy."""
+    try:
+        answer = msgspec.json.decode(response.content, type=_CopyAnswer)
+    except msgspec.MsgspecError:
+        answer = _CopyAnswer()
+    match response.status:
+        case HTTPStatus.OK:
+            return Success(Copied(answer.handle, answer.created))
+        case HTTPStatus.NOT_FOUND:
+            return Failure(CopyFailed(CopyFault.UNKNOWN_RUN))
+        case HTTPStatus.CONFLICT:
+            return Failure(CopyFailed(CopyFault.BUSY))
+        case _:
+            return Failure(CopyFailed(CopyFault.NO_ROOM, answer.handle))
+
+
+def read_report(
+    response: httpcore.Response,
+) -> Result[EngineReport, SendFailure]:
+    """Read an engine's report."""
+    if response.status != HTTPStatus.OK:
+        return Failure(LinkBroke(f'status {response.status}'))
+    try:
+        stored = msgspec.json.decode(response.content, type=_Report)
+    except msgspec.MsgspecError as error:
+        return Failure(LinkBroke(str(error)))
+    leaves = stored.leaves_ms
+    return Success(
+        EngineReport(
+            running=stored.running,
+            waiting=stored.queued,
+            used_tokens=stored.kv_used,
+            total_tokens=stored.kv_total,
+            leaves_in=None if leaves is None else int(leaves),
+            leaving=stored.state == WORD_DRAINING,
+            runs=tuple(RunReport(*row) for row in stored.runs),
+        )
+    )
+
+
+def _judge(status: int, named: dict[bytes, bytes]) -> Standing:
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Standing.REPLACED
+    if HEADER_NOT_RUN.encode() in named:
+        return Standing.NOT_RUN
+    return Standing.RAN
+
+
+def _pass_headers(headers: list[tuple[bytes, bytes]]) -> Headers:
+    return tuple(
+        (name.lower(), value)
+        for name, value in headers
+        if name.lower() not in _HIDDEN_HEADERS
+    )
+
+
+async def _read_chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in response.aiter_stream():
+            yield chunk
+    except BROKEN as error:
+        raise LinkBrokeError(repr(error)) from error
