--- a/src/cartdale_standins/main.py
+++ b/src/cartdale_standins/main.py
@@ -14,6 +14,8 @@
 from cartdale_standins.engine import EngineStandIn
 from cartdale_standins.instances import InstancesStandIn
 from cartdale_standins.plain import PlainStandIn
+from cartdale_standins.platform_store import PlatformStoreStandIn, enlist
+from cartdale_standins.platform_worker import PlatformEngine, PlatformWorker
 from cartdale_standins.store import StoreStandIn
 from cartdale_standins.weights import WeightsStandIn
 
@@ -109,6 +111,61 @@
         await self.serve_app(bound, PlainStandIn().make_app())
 
 
+class PlatformStoreCommand(StandInCommand):
+    """Serve the stand-in of the platform's store."""
+
+    name = 'platform-store'
+    description = "Serve the stand-in of the platform's store."
+
+    async def serve(self, bound: BoundListener) -> None:
+        """Serve the store."""
+        await self.serve_app(bound, PlatformStoreStandIn().make_app())
+
+
+class PlatformPlainCommand(StandInCommand):
+    """Serve a plain service that lists itself in the platform's store."""
+
+    name = 'platform-plain'
+    description = 'Serve a plain service of the platform.'
+    service = 'portal'
+    options = [
+        _PORT,
+        option('name', None, 'Id of this start.', flag=False),
+        option('store', None, 'IP:PORT of the store.', flag=False),
+    ]
+
+    async def serve(self, bound: BoundListener) -> None:
+        """List the service, then serve it."""
+        worker = self.make_worker(f'127.0.0.1:{bound.port}')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                enlist,
+                self.option('store'),
+                self.option('name'),
+                self.service,
+                bound.port,
+            )
+            nursery.start_soon(worker.run)
+            await self.serve_app(bound, worker.make_app())
+
+    def make_worker(self, address: str) -> PlatformWorker:
+        """Return what is served."""
+        return PlatformWorker(self.option('name'))
+
+
+class PlatformEngineCommand(PlatformPlainCommand):
+    """Serve an engine that lists itself in the platform's store."""
+
+    name = 'platform-engine'
+    description = 'Serve an engine of the platform.'
+    service = 'writers'
+
+    def make_worker(self, address: str) -> PlatformWorker:
+        """Return what is served."""
+        hardware = Hardware(memory_tokens=_MEMORY, step_base_ms=_STEP_MS)
+        return PlatformEngine(self.option('name'), address, hardware)
+
+
 def main() -> None:
     """Run the ``cartdale-standin`` program."""
     application = Application('cartdale-standin', '0.1.0')
@@ -118,6 +175,9 @@
         PlainCommand(),
         InstancesCommand(),
         WeightsCommand(),
+        PlatformStoreCommand(),
+        PlatformPlainCommand(),
+        PlatformEngineCommand(),
     ):
         application.add(command)
     sys.exit(application.run())
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import httpx
 import msgspec
 import trio
 from quart import Response, request
@@ -18,6 +19,9 @@
 _READS_PER_SECOND = 2000
 _WRITES_PER_SECOND = 400
 _PAGE = 500
+_SLOTS = 64
+#: Between tries to reach a store that is not up yet.
+_ENLIST_EVERY: Millis = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +184,36 @@
         return None
 
 
+async def enlist(store: str, name: str, service: str, port: int) -> None:
+    """List an upstream in the store, once that is up.
+
+    :param store: ``IP:PORT``.
+    """
+    entry = {
+        'service': service,
+        'address': f'127.0.0.1:{port}',
+        'zone': 'west',
+        'slots': _SLOTS,
+    }
+    write = {
+        'key': f'servers/{name}',
+        'value': base64.b64encode(msgspec.json.encode(entry)).decode(),
+        'lease': 0,
+    }
+    body = {'expectedRevision': [], 'writes': [write], 'remove': []}
+    async with httpx.AsyncClient() as client:
+        while True:
+            try:
+                await client.post(
+                    f'http://{store}/cartdale/kv-txn',
+                    content=msgspec.json.encode(body),
+                )
+            except httpx.TransportError:
+                await trio.sleep(seconds(_ENLIST_EVERY))
+                continue
+            return
+
+
 def _end(prefix: str) -> str:
     """Return the first key after all that have the prefix."""
     last = chr(ord(prefix[-1]) + 1)
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -12,6 +12,7 @@
 
 import httpx
 import msgspec
+from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -67,6 +68,9 @@
         )
         return app
 
+    async def run(self) -> None:
+        """Do what goes on beside the requests."""
+
     def seal(self, request_id: str) -> str:
         """Return the seal of an answer."""
         return f'{self.name}.{request_id}'
@@ -155,6 +159,10 @@
         )
         return app
 
+    async def run(self) -> None:
+        """Drive the engine model."""
+        await self.driver.run()
+
     def die(self) -> None:
         """Cut every stream, as a machine that is taken away does."""
         self.dead = True
@@ -188,8 +196,12 @@
 
     async def _back_up(self, request_id: str) -> None:
         target = request.headers.get('Kv-Backup')
-        if target:
+        if not target:
+            return
+        try:
             await _tell(target, {'backup': request_id})
+        except httpx.TransportError as error:
+            logger.info('no backup kept', target=target, detail=repr(error))
 
     def _begin(self, request_id: str, made: int) -> Response:
         prompt, _, most = request.headers['Token-Count'].partition(',')
