--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -52,6 +52,9 @@
         )
         return app
 
+    async def run(self) -> None:
+        """Do what goes on beside the requests."""
+
     def seal(self, request_id: str) -> str:
         """Return the seal of an answer."""
         return f'{self.name}.{request_id}'
