--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -10,7 +10,7 @@
 
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
 from cartdale.daemon.clients import make_client
-from cartdale.daemon.neighbours import Neighbours
+from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import BoundListener
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
@@ -67,7 +67,7 @@
         store = PlatformStore(
             make_client(_base_url(settings.store)), _STORE_TIMEOUT
         )
-        self.neighbours = Neighbours(
+        self.peers = Peers(
             settings.name,
             Listener(settings.address, settings.peer_ports[0]),
             store,
@@ -79,8 +79,8 @@
             self.fleet,
             self._clock,
             make_translator(),
-            self.neighbours.take_own_key,
-            self.neighbours.news.is_watcher,
+            self.peers.take_own_key,
+            self.peers.news.is_watcher,
         )
         bounds = settings.bounds
         self._budget = RepeatBudget(
@@ -92,7 +92,7 @@
             self.fleet,
             self._upstreams,
             self._clock,
-            self.neighbours.is_cut_off,
+            self.peers.is_cut_off,
         )
         self._app = self._make_app()
         self._callers = _bind(settings.callers)
@@ -133,9 +133,7 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.mover.run)
-            nursery.start_soon(
-                self.neighbours.run, self.follower, self._stopping
-            )
+            nursery.start_soon(self.peers.run, self.follower, self._stopping)
             nursery.start_soon(self._follow_bounds)
             nursery.start_soon(self._watch_settings)
             for listener, app in apps:
@@ -204,7 +202,7 @@
         while self._app.in_flight and self._clock.now() < last:
             await trio.sleep(seconds(_STOP_POLL))
         logger.info('left', in_flight=self._app.in_flight)
-        await self.neighbours.withdraw()
+        await self.peers.withdraw()
         self._left.set()
 
     async def _follow_bounds(self) -> None:
@@ -213,8 +211,8 @@
             limits = self.fleet.table.limits
             self._callers.limit(limits.header_bytes, limits.idle_timeout)
             self._budget.sharers = max(
-                self.neighbours.news.count_alive(),
-                self.neighbours.count_listed(),
+                self.peers.news.count_alive(),
+                self.peers.count_listed(),
             )
             await trio.sleep(seconds(_FOLLOW_EVERY))
 
--- a/src/cartdale/daemon/neighbours.py
+++ b/src/cartdale/daemon/peers.py
@@ -1,4 +1,7 @@
-"""What an instance on the platform shares with the others."""
+"""What an instance on the platform exchanges with the other instances.
+
+News travel in datagrams; a configuration that is newer is fetched by a call.
+"""
 
 import secrets
 
@@ -37,7 +40,7 @@
 _KEY_BYTES = 32
 
 
-class Neighbours:
+class Peers:
     """Keep in touch with the other instances.
 
     :param name: this instance's name.
@@ -58,14 +61,14 @@
             own, fleet, clock, self._fetch_table, self.lost_store
         )
         self._roster = Roster(store, own, self.count_listed)
-        self._peers = PeerClient(
+        self._client = PeerClient(
             make_peer_pool(None),
             name,
             Seal((secrets.token_bytes(_KEY_BYTES),)),
             clock,
             _PEER_TIMEOUT,
         )
-        self._app = PeerApp(name, self._peers, clock, self._serve)
+        self._app = PeerApp(name, self._client, clock, self._serve)
         self._nursery: trio.Nursery | None = None
         self._fetching = False
         self._follower: Follower | None = None
@@ -94,7 +97,7 @@
         """Take what instances wrote for each other in the store."""
         if news.key == KEY_NAME and news.stored:
             self.news.seal = Seal((news.stored,))
-            self._peers.seal = self.news.seal
+            self._client.seal = self.news.seal
         if not news.key.startswith(PEER_PREFIX):
             return
         if not news.stored:
@@ -129,7 +132,7 @@
 
     async def _ask_for_table(self, peer: PeerEntry) -> None:
         address = f'http://{peer.address}:{peer.port}'
-        answer = await self._peers.ask(
+        answer = await self._client.ask(
             peer.name, address, FetchDocument(), Document
         )
         self._fetching = False
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -144,7 +144,7 @@
 async def test_peer_hands_on_a_configuration_past_a_busy_store() -> None:
     async with open_platform(instances=2) as stage:
         first, second = stage.runtimes
-        await until(lambda: second.neighbours.news.count_alive() == 2)
+        await until(lambda: second.peers.news.count_alive() == 2)
         second.follower.raw_table = b''
         # Only the first instance learns of the second version.
         stage.store.faults = PlatformStoreFaults(silent=True)
