--- a/scripts/demo_platform_traffic.py
+++ b/scripts/demo_platform_traffic.py
@@ -10,7 +10,7 @@
 
 from cartdale.store.types import Put
 from cartdale.platform.store import PlatformStore
-from cartdale_standins.platform_worker import STRIDE, format_event
+from cartdale_standins.platform_engine import STRIDE, format_event
 
 STORE = 'http://127.0.0.1:7501'
 HOST = 'mill.example'
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -13,6 +13,13 @@
 from cartdale.fleet.types import RequestEnded, Upstream, UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.attempts import (
+    conclude,
+    make_call,
+    place,
+    tell_replaced,
+    time_left,
+)
 from cartdale.relay.decide import (
     AttemptEnd,
     AttemptState,
@@ -24,15 +31,8 @@
     refuse,
 )
 from cartdale.relay.frames import EventFrames, read_id
-from cartdale.relay.itinerary import Itinerary
-from cartdale.relay.ports import (
-    RelayPorts,
-    conclude,
-    make_call,
-    make_need,
-    tell_replaced,
-    wait_until,
-)
+from cartdale.relay.generation import RunningGeneration
+from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     AnswerSink,
     LinkBroke,
@@ -66,7 +66,7 @@
     """Carry one generation.
 
     :param sink: where the answer is written.
-    :param itinerary: where the generation runs.
+    :param generation: holds which engine runs it.
     """
 
     def __init__(
@@ -74,12 +74,12 @@
         ports: RelayPorts,
         routed: RoutedRequest,
         sink: AnswerSink,
-        itinerary: Itinerary,
+        generation: RunningGeneration,
     ) -> None:
         self._ports = ports
         self._routed = routed
         self._sink = sink
-        self._itinerary = itinerary
+        self._generation = generation
         route = routed.route
         self._attempts: AttemptState = begin(route.kind, route.max_attempts)
         self._frames = EventFrames()
@@ -91,19 +91,19 @@
 
     async def carry(self) -> Result[StreamEnd, Problem]:
         """Stream the answer, or return why nothing was streamed."""
-        now = self._ports.clock.now()
-        self._ports.budget.count(self._routed.service, now)
+        self._ports.budget.count(self._routed.service, self._ports.clock.now())
+        left = time_left(self._ports, self._routed)
         try:
-            with trio.move_on_after(seconds(self._left())):
+            with trio.move_on_after(seconds(left)):
                 return await self._try_upstreams()
             return self._time_out()
         finally:
-            self._itinerary.end()
+            self._generation.end()
 
     async def _try_upstreams(self) -> Result[StreamEnd, Problem]:
         tried: set[str] = set()
         while True:
-            upstream = await self._place(frozenset(tried))
+            upstream = await place(self._ports, self._routed, tried)
             if upstream is None:
                 problem = refuse(self._attempts, NotRunReason.NO_UPSTREAM)
                 return Failure(problem)
@@ -111,7 +111,7 @@
             ended = await self._attempt(upstream)
             if isinstance(ended, StreamEnd):
                 return Success(ended)
-            self._itinerary.end(over=False)
+            self._generation.end(over=False)
             after, step = conclude(
                 self._ports,
                 self._routed,
@@ -123,16 +123,8 @@
             if isinstance(step, GiveUp):
                 return Failure(step.problem)
 
-    async def _place(self, tried: frozenset[str]) -> Upstream | None:
-        return await self._ports.admission.place(
-            make_need(self._routed, tried),
-            self._routed.priority,
-            self._routed.arrived_at,
-            wait_until(self._routed),
-        )
-
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
-        backup = self._itinerary.begin(upstream.entry)
+        backup = self._generation.begin(upstream.entry)
         call = make_call(self._ports, self._routed, upstream)
         ended = await self._open(replace(call, backup=backup))
         while isinstance(ended, UpstreamEntry):
@@ -140,13 +132,14 @@
         return ended
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
-        point, backup = self._itinerary.prepare_resume(
+        point, backup = self._generation.prepare_resume(
             upstream, self._last_event
         )
-        call = UpstreamCall(self._routed, upstream, self._left(), point, backup)
+        left = time_left(self._ports, self._routed)
+        call = UpstreamCall(self._routed, upstream, left, point, backup)
         ended = await self._open(call)
         if isinstance(ended, Unsent | Declined):
-            return self._itinerary.resume_rejected() or StreamEnd.CUT
+            return self._generation.resume_rejected() or StreamEnd.CUT
         if isinstance(ended, Broken):
             return StreamEnd.CUT
         return ended
@@ -174,7 +167,7 @@
             await self._sink.start(answer.status, answer.headers)
             self._started = True
         if call.resume is not None:
-            self._itinerary.resumed()
+            self._generation.resumed()
         fleet.tell(RequestEnded(upstream, good=answer.status == _SUCCESS))
         return await self._pass_events(answer)
 
@@ -184,7 +177,7 @@
             await self._pass_chunks(answer.chunks)
         except LinkBrokeError as error:
             return await self._lose_link(error.detail)
-        if self._itinerary.is_stopped:
+        if self._generation.is_stopped:
             return await self._lose_link('stopped')
         if self._frames.pending:
             await self._sink.write(self._frames.pending)
@@ -194,7 +187,7 @@
     async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> None:
         while True:
             patience = inf
-            if self._itinerary.has_backup and self._itinerary.events:
+            if self._generation.has_backup and self._generation.events:
                 patience = seconds(_SILENCE)
             try:
                 with trio.fail_after(patience):
@@ -214,7 +207,7 @@
                 detail=f'event {name!r} came twice',
             )
             self._last_event = name or self._last_event
-            self._itinerary.advance()
+            self._generation.advance()
             self._note_gap()
             await self._sink.write(event)
 
@@ -226,20 +219,17 @@
 
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how it ended."""
-        upstream = await self._itinerary.lose_link()
+        upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
         logger.warning(
             'stream cut',
             request=self._routed.request.request_id,
-            events=self._itinerary.events,
+            events=self._generation.events,
             detail=detail,
         )
         return StreamEnd.CUT if self._started else Broken(detail)
 
-    def _left(self) -> Millis:
-        return max(self._routed.ends_at - self._ports.clock.now(), 0)
-
     def _time_out(self) -> Result[StreamEnd, Problem]:
         logger.warning('time limit', request=self._routed.request.request_id)
         if self._started:
--- a/src/cartdale_standins/main.py
+++ b/src/cartdale_standins/main.py
@@ -14,8 +14,9 @@
 from cartdale_standins.engine import EngineStandIn
 from cartdale_standins.instances import InstancesStandIn
 from cartdale_standins.plain import PlainStandIn
+from cartdale_standins.platform_engine import PlatformEngine
 from cartdale_standins.platform_store import PlatformStoreStandIn, enlist
-from cartdale_standins.platform_worker import PlatformEngine, PlatformWorker
+from cartdale_standins.platform_worker import PlatformWorker
 from cartdale_standins.store import StoreStandIn
 from cartdale_standins.weights import WeightsStandIn
 
