--- a/scripts/demo_platform_traffic.py
+++ b/scripts/demo_platform_traffic.py
@@ -18,7 +18,7 @@
 DRAFTS = 12
 TOKENS = 400
 TIMEOUT = 30
-CONFIGURATION = Path('examples/platform/configuration.json')
+CONFIGURATION = Path('deploy/demo-configuration.json')
 
 
 async def main(work: Path) -> int:
