--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -15,7 +15,8 @@
 from cartdale.daemon.clients import make_peer_pool
 from cartdale.daemon.serve import BoundListener
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.follow import Follower, OwnKey, TableWritten
+from cartdale.fleet.follow import Follower
+from cartdale.fleet.stored import OwnKey, TableWritten
 from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
@@ -93,20 +94,20 @@
         with trio.move_on_after(seconds(_WITHDRAW_TIMEOUT)):
             await self._roster.withdraw()
 
-    def take_own_key(self, news: OwnKey) -> None:
+    def take_own_key(self, change: OwnKey) -> None:
         """Take what instances wrote for each other in the store."""
-        if news.key == KEY_NAME and news.stored:
-            self.news.seal = Seal((news.stored,))
+        if change.key == KEY_NAME and change.stored:
+            self.news.seal = Seal((change.stored,))
             self._client.seal = self.news.seal
-        if not news.key.startswith(PEER_PREFIX):
+        if not change.key.startswith(PEER_PREFIX):
             return
-        if not news.stored:
-            self.news.tell(PeerRemoved(news.key.removeprefix(PEER_PREFIX)))
+        if not change.stored:
+            self.news.tell(PeerRemoved(change.key.removeprefix(PEER_PREFIX)))
             return
         try:
-            peer = decode_json(news.stored, PeerEntry)
+            peer = decode_json(change.stored, PeerEntry)
         except msgspec.MsgspecError as error:
-            logger.error('peer unreadable', key=news.key, detail=str(error))
+            logger.error('peer unreadable', key=change.key, detail=str(error))
             return
         self.news.tell(PeerListed(peer))
 
@@ -147,9 +148,9 @@
                 )
 
     def _adopt(self, document: Document) -> None:
-        news = read_table(document.raw)
-        if isinstance(news, TableWritten) and self._follower is not None:
-            self._follower.adopt(news)
+        change = read_table(document.raw)
+        if isinstance(change, TableWritten) and self._follower is not None:
+            self._follower.adopt(change)
 
     async def _serve(self, message: PeerMessage) -> PeerMessage:
         if isinstance(message, FetchDocument) and self._follower is not None:
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 import trio
 from loguru import logger
@@ -19,19 +18,24 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.stored import (
+    OwnKey,
+    StoredChange,
+    TableWritten,
+    Translator,
+    Unreadable,
+)
 from cartdale.fleet.types import (
     EntriesListed,
     EntryRemoved,
     EntryWritten,
     UpstreamEntry,
 )
-from cartdale.routes.types import RoutingTable
 from cartdale.store.types import (
     Changes,
     Entry,
     HistoryLost,
     Listing,
-    Removed,
     StoreFailure,
     WatchedStore,
 )
@@ -40,7 +44,7 @@
 #: after so long at the latest.
 WATCH_FOR: Millis = 5 * SECOND_MS
 #: An entry that goes within this time after an outage may come back.
-_OUTAGE_SHADOW: Millis = 3 * SECOND_MS
+_OUTAGE_RECENT: Millis = 3 * SECOND_MS
 #: Between reads of an instance that does not watch, and between its looks
 #: at whether it has to.
 _READ_EVERY: Millis = MINUTE_MS // 3
@@ -52,50 +56,6 @@
 _TOLD_PAUSE_SECONDS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class TableWritten:
-    """The operator wrote a configuration.
-
-    :param raw: as it is stored, to hand on to peers.
-    """
-
-    table: RoutingTable
-    raw: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Unreadable:
-    """A value in the store can't be used; what was in force stays."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class OwnKey:
-    """A key of cartdale itself was written or removed.
-
-    :param stored: empty when it was removed.
-    """
-
-    key: str
-    stored: bytes
-
-
-News = TableWritten | EntryWritten | EntryRemoved | Unreadable | OwnKey
-
-
-@dataclass(frozen=True, slots=True)
-class Translator:
-    """Translate stored keys to news.
-
-    :param prefixes: what to read; the whole store is watched.
-    :param translate: returns ``None`` for keys of no interest.
-    """
-
-    prefixes: tuple[str, ...]
-    translate: Callable[[Entry | Removed], News | None]
-
-
 class Follower:
     """Follow the store.
 
@@ -160,7 +120,7 @@
         entries: list[Entry] = []
         revision = 0
         for prefix in self._translator.prefixes:
-            listing = await self._insist(prefix)
+            listing = await self._read_until_answered(prefix)
             entries.extend(listing.entries)
             oldest = listing.store_revision
             revision = min(revision, oldest) if revision else oldest
@@ -168,7 +128,7 @@
         self.failing = False
         return revision
 
-    async def _insist(self, prefix: str) -> Listing:
+    async def _read_until_answered(self, prefix: str) -> Listing:
         """Read a prefix until the store answers."""
         retrying = AsyncRetrying(
             sleep=trio.sleep,
@@ -208,13 +168,13 @@
     def _take_all(self, entries: Iterable[Entry]) -> None:
         listed: list[UpstreamEntry] = []
         for entry in entries:
-            news = self._translator.translate(entry)
-            if isinstance(news, EntryWritten):
-                listed.append(news.entry)
-            elif news is not None:
-                self._take(news)
-        shadowed = self._in_shadow()
-        self._fleet.tell(EntriesListed(tuple(listed), shadowed))
+            change = self._translator.translate(entry)
+            if isinstance(change, EntryWritten):
+                listed.append(change.entry)
+            elif change is not None:
+                self._take(change)
+        after_outage = self._had_outage()
+        self._fleet.tell(EntriesListed(tuple(listed), after_outage))
         self.in_step.set()
 
     async def _watch(self, revision: int) -> None:
@@ -240,37 +200,37 @@
         """
         if not changes.changes:
             return revision
-        for change in changes.changes:
-            news = self._translator.translate(change)
-            if news is not None:
-                self._take(news)
+        for stored in changes.changes:
+            change = self._translator.translate(stored)
+            if change is not None:
+                self._take(change)
         return max(revision, changes.store_revision)
 
-    def _take(self, news: News) -> None:
-        match news:
+    def _take(self, change: StoredChange) -> None:
+        match change:
             case TableWritten():
-                self.adopt(news)
+                self.adopt(change)
             case EntryWritten():
-                self._fleet.tell(news)
+                self._fleet.tell(change)
             case EntryRemoved(upstream=upstream):
-                shadowed = self._in_shadow()
-                self._fleet.tell(EntryRemoved(upstream, shadowed))
+                after_outage = self._had_outage()
+                self._fleet.tell(EntryRemoved(upstream, after_outage))
             case OwnKey():
-                self._take_own(news)
+                self._take_own(change)
             case Unreadable(detail=detail):
                 logger.error('stored value unreadable', detail=detail)
 
     def _note_failure(self, detail: str) -> None:
-        if not self._in_shadow():
+        if not self._had_outage():
             logger.warning('store lost', detail=detail)
         self._failed_at = self._clock.now()
         self.failing = True
 
-    def _in_shadow(self) -> bool:
+    def _had_outage(self) -> bool:
         """Tell whether the store was away within the last seconds."""
         if self._failed_at is None:
             return False
-        return self._clock.now() - self._failed_at <= _OUTAGE_SHADOW
+        return self._clock.now() - self._failed_at <= _OUTAGE_RECENT
 
 
 def _is_failure(answer: Result[Listing, StoreFailure]) -> bool:
--- /dev/null
+++ b/src/cartdale/fleet/stored.py
@@ -0,0 +1,52 @@
+"""What a change in the store means to an instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cartdale.fleet.types import EntryRemoved, EntryWritten
+from cartdale.routes.types import RoutingTable
+from cartdale.store.types import Entry, Removed
+
+
+@dataclass(frozen=True, slots=True)
+class TableWritten:
+    """The operator wrote a configuration.
+
+    :param raw: as it is stored, to hand on to peers.
+    """
+
+    table: RoutingTable
+    raw: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A value in the store can't be used; what was in force stays."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class OwnKey:
+    """A key of cartdale itself was written or removed.
+
+    :param stored: empty when it was removed.
+    """
+
+    key: str
+    stored: bytes
+
+
+StoredChange = TableWritten | EntryWritten | EntryRemoved | Unreadable | OwnKey
+
+
+@dataclass(frozen=True, slots=True)
+class Translator:
+    """Translate what is stored into changes that matter here.
+
+    :param prefixes: what to read; the whole store is watched.
+    :param translate: returns ``None`` for keys of no interest.
+    """
+
+    prefixes: tuple[str, ...]
+    translate: Callable[[Entry | Removed], StoredChange | None]
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -1,9 +1,9 @@
 """Bind the platform's wire to the product's interfaces."""
 
 from cartdale.clock import Millis
-from cartdale.fleet.follow import (
-    News,
+from cartdale.fleet.stored import (
     OwnKey,
+    StoredChange,
     TableWritten,
     Translator,
     Unreadable,
@@ -24,7 +24,7 @@
 _OWN_PREFIX = 'cartdale/'
 
 
-def read_table(raw: bytes) -> News:
+def read_table(raw: bytes) -> StoredChange:
     """Decode a configuration that a peer handed on."""
     try:
         return TableWritten(decode_table(raw), raw)
@@ -52,7 +52,7 @@
         return write_refusal(status, retry_after)
 
 
-def _translate(change: Entry | Removed) -> News | None:
+def _translate(change: Entry | Removed) -> StoredChange | None:
     if change.key.startswith(_OWN_PREFIX):
         stored = b'' if isinstance(change, Removed) else change.value
         return OwnKey(change.key, stored)
