--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/python -m pytest -q
 
 lint: install
-	$(BIN)/ruff format --check src tests bench scripts
+	$(BIN)/ruff format --check src tests bench scripts deploy
 	$(BIN)/ruff check --select I src tests bench
 	$(BIN)/flake8 src tests
 	$(BIN)/mypy
@@ -38,4 +38,4 @@
 
 format: install
 	$(BIN)/ruff check --select I --fix src tests bench
-	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff format src tests bench scripts deploy
