--- a/bench/news.py
+++ b/bench/news.py
@@ -13,7 +13,7 @@
 from cartdale.codec import encode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
-from cartdale.news.driver import NewsLine
+from cartdale.news.driver import NewsExchange
 from cartdale.news.types import LoadNews, PeerEntry
 from cartdale.peers.seal import Envelope, Seal
 
@@ -40,15 +40,15 @@
     seal = Seal((b'k' * 32,))
     fleet = Fleet(clock, 'west', 1)
     own = PeerEntry('front-westlands-1', '127.0.0.1', 1)
-    line = NewsLine(own, fleet, clock, print, bool)
-    line.seal = seal
+    exchange = NewsExchange(own, fleet, clock, print, bool)
+    exchange.seal = seal
     began = time.process_time()
     sealed = [
         make_message(seal, number, clock.wall()) for number in range(_ROUNDS)
     ]
     made = time.process_time()
     for raw in sealed:
-        line._take(raw)  # noqa: SLF001
+        exchange._take(raw)  # noqa: SLF001
     taken = time.process_time()
     receiver = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     await receiver.bind(('127.0.0.1', 0))
