--- /dev/null
+++ b/src/cartdale/asgi.py
@@ -0,0 +1,47 @@
+"""Shapes of ASGI, and the answers that need no framework.
+
+Plain ASGI applications use these where a framework would cost more than the
+request itself.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, Final
+
+#: Names the kind of a scope or event.
+TYPE: Final = 'type'
+
+#: Events and scopes have the shapes that the ASGI specification gives.
+AsgiEvent = dict[str, Any]
+Receive = Callable[[], Awaitable[AsgiEvent]]
+Send = Callable[[AsgiEvent], Awaitable[None]]
+Header = tuple[bytes, bytes]
+
+
+async def takes_request(scope: AsgiEvent, receive: Receive, send: Send) -> bool:
+    """Tell whether a connection carries a request; serve its lifespan else."""
+    if scope[TYPE] == 'lifespan':
+        await _live(receive, send)
+    return bool(scope[TYPE] == 'http')
+
+
+async def answer_at_once(
+    send: Send, status: int, headers: Iterable[Header] = (), body: bytes = b''
+) -> None:
+    """Write an answer that is known as a whole."""
+    length = (b'content-length', str(len(body)).encode())
+    start = {
+        TYPE: 'http.response.start',
+        'status': status,
+        'headers': [*headers, length],
+    }
+    await send(start)
+    await send({TYPE: 'http.response.body', 'body': body})
+
+
+async def _live(receive: Receive, send: Send) -> None:
+    """Answer the server's events of start and stop."""
+    while True:
+        event = await receive()
+        await send({TYPE: f'{event["type"]}.complete'})
+        if event[TYPE] == 'lifespan.shutdown':
+            return
--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -4,7 +4,7 @@
 than passing it on does.
 """
 
-from cartdale.gateway.asgi import AsgiEvent, Receive, Send, takes_request
+from cartdale.asgi import AsgiEvent, Receive, Send, takes_request
 from cartdale.gateway.exchange import Exchange
 from cartdale.gateway.ports import GatewayPorts
 
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -7,10 +7,11 @@
 from loguru import logger
 from returns.result import Failure, Success
 
+from cartdale.asgi import TYPE, AsgiEvent, Receive, Send
 from cartdale.clock import Millis
 from cartdale.codec import encode_json
-from cartdale.gateway.asgi import TYPE, AsgiEvent, AsgiSink, Receive, Send
 from cartdale.gateway.ports import GatewayPorts
+from cartdale.gateway.sink import AsgiSink
 from cartdale.problems.types import NotRun, NotRunReason, Problem, describe
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.plain import PlainCarrier
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -9,14 +9,14 @@
 from aioprometheus.renderer import render
 
 from cartdale import invariants
-from cartdale.clock import SECOND_MS, Millis
-from cartdale.gateway.asgi import (
+from cartdale.asgi import (
     AsgiEvent,
     Receive,
     Send,
     answer_at_once,
     takes_request,
 )
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.problems.types import NotRun, Problem
 from cartdale.routes.types import Route
 
--- a/src/cartdale/gateway/ready.py
+++ b/src/cartdale/gateway/ready.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from cartdale.gateway.asgi import (
+from cartdale.asgi import (
     AsgiEvent,
     Receive,
     Send,
--- a/src/cartdale/gateway/asgi.py
+++ b/src/cartdale/gateway/sink.py
@@ -1,19 +1,11 @@
-"""Shapes of ASGI, and an answer written as its events."""
+"""Write an answer to a caller as the events of ASGI."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from collections.abc import Callable
 
+from cartdale.asgi import TYPE, Send
 from cartdale.clock import Clock, Millis
 from cartdale.relay.types import Headers
 
-#: Names the kind of a scope or event.
-TYPE: Final = 'type'
-
-#: Events and scopes have the shapes that the ASGI specification gives.
-AsgiEvent = dict[str, Any]
-Receive = Callable[[], Awaitable[AsgiEvent]]
-Send = Callable[[AsgiEvent], Awaitable[None]]
-
 
 class AsgiSink:
     """Write an answer as ASGI events.
@@ -67,33 +59,3 @@
         """Mark the body as whole."""
         self.finished = True
         await self._send({TYPE: 'http.response.body', 'body': b''})
-
-
-async def takes_request(scope: AsgiEvent, receive: Receive, send: Send) -> bool:
-    """Tell whether a connection carries a request; serve its lifespan else."""
-    if scope[TYPE] == 'lifespan':
-        await _live(receive, send)
-    return bool(scope[TYPE] == 'http')
-
-
-async def answer_at_once(
-    send: Send, status: int, headers: Headers = (), body: bytes = b''
-) -> None:
-    """Write an answer that is known as a whole."""
-    length = (b'content-length', str(len(body)).encode())
-    start = {
-        TYPE: 'http.response.start',
-        'status': status,
-        'headers': [*headers, length],
-    }
-    await send(start)
-    await send({TYPE: 'http.response.body', 'body': body})
-
-
-async def _live(receive: Receive, send: Send) -> None:
-    """Answer the server's events of start and stop."""
-    while True:
-        event = await receive()
-        await send({TYPE: f'{event["type"]}.complete'})
-        if event[TYPE] == 'lifespan.shutdown':
-            return
