Mend faults found in the reading of the platform's slices

A port for datagrams is looked for beside the one for connections, which a test hit once. Calls about leases are counted under one name; a listing that was not written counts as a lost store; an unreadable document of a peer is logged.

--- a/bench/news.py
+++ b/bench/news.py
@@ -40,7 +40,9 @@
     seal = Seal((b'k' * 32,))
     fleet = Fleet(clock, 'west', 1)
     own = PeerEntry('front-westlands-1', '127.0.0.1', 1)
-    exchange = NewsExchange(own, fleet, clock, print, bool)
+    exchange = NewsExchange(
+        own, fleet, clock, print, bool, socket.socket(type=socket.SOCK_DGRAM)
+    )
     exchange.seal = seal
     began = time.process_time()
     sealed = [
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -4,6 +4,8 @@
 """
 
 import secrets
+import socket
+from dataclasses import dataclass
 
 import msgspec
 import trio
@@ -56,10 +58,16 @@
         fleet: Fleet,
         clock: Clock,
     ) -> None:
-        self._listener = BoundListener(listener)
+        both = _bind_both(listener)
+        self._listener = both.connections
         own = PeerEntry(name, listener.address, self._listener.port)
         self.news = NewsExchange(
-            own, fleet, clock, self._fetch_table, self.lost_store
+            own,
+            fleet,
+            clock,
+            self._fetch_table,
+            self.lost_store,
+            both.datagrams,
         )
         self._roster = Roster(store, own, self.count_listed)
         self._client = PeerClient(
@@ -151,8 +159,37 @@
         change = read_table(document.raw)
         if isinstance(change, TableWritten) and self._follower is not None:
             self._follower.adopt(change)
+            return
+        logger.error('document of a peer unreadable', detail=repr(change))
 
     async def _serve(self, message: PeerMessage) -> PeerMessage:
         if isinstance(message, FetchDocument) and self._follower is not None:
             return Document(self._follower.raw_table)
         return Unserved()
+
+
+@dataclass(frozen=True, slots=True)
+class _BothKinds:
+    """Hold one port bound for connections and for datagrams."""
+
+    connections: BoundListener
+    datagrams: socket.socket
+
+
+def _bind_both(listener: Listener) -> _BothKinds:
+    """Bind a port for connections and the same one for datagrams.
+
+    With port 0 the system picks one that is free for connections only, so
+    that another has to be tried when it is taken for datagrams.
+    """
+    while True:
+        bound = BoundListener(listener)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            datagrams.bind((listener.address, bound.port))
+        except OSError:
+            datagrams.close()
+            if listener.port:
+                raise
+            continue
+        return _BothKinds(bound, datagrams)
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -173,7 +173,7 @@
                 listed.append(change.entry)
             elif change is not None:
                 self._take(change)
-        after_outage = self._had_outage()
+        after_outage = self.failing or self._had_outage()
         self._fleet.tell(EntriesListed(tuple(listed), after_outage))
         self.in_step.set()
 
@@ -221,7 +221,7 @@
                 logger.error('stored value unreadable', detail=detail)
 
     def _note_failure(self, detail: str) -> None:
-        if not self._had_outage():
+        if not self.failing:
             logger.warning('store lost', detail=detail)
         self._failed_at = self._clock.now()
         self.failing = True
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from math import inf
-from string import digits
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -86,7 +85,7 @@
         """Return all metrics in Prometheus' text form."""
         self._version.set({}, self._read_version())
         for path, count in self._calls_by_path.items():
-            self._calls.set({'path': path.rstrip(digits)}, count)
+            self._calls.set({'path': path}, count)
         for name in invariants.NAMES:
             broken = invariants.count_violations(name)
             self._violations.set({'invariant': name}, broken)
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -34,9 +34,10 @@
         self._fleet = fleet
         self._upstreams = upstreams
         self._clock = clock
-        self._generations_by_request: dict[str, MovableGeneration] = {}
+        #: Callers may give two requests one id, or none.
+        self._generations: set[MovableGeneration] = set()
         #: Generations and the upstreams that they were told to leave.
-        self._told: set[tuple[str, str]] = set()
+        self._told: set[tuple[MovableGeneration, str]] = set()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -52,19 +53,17 @@
 
     def add(self, generation: MovableGeneration) -> None:
         """Watch over a generation."""
-        self._generations_by_request[generation.request_id] = generation
+        self._generations.add(generation)
 
     def list_generations(self) -> list[MovableGeneration]:
         """Return the generations that are watched over."""
-        return list(self._generations_by_request.values())
+        return list(self._generations)
 
     def remove(self, generation: MovableGeneration) -> None:
         """Forget a generation that has ended."""
-        self._generations_by_request.pop(generation.request_id, None)
+        self._generations.discard(generation)
         self._told = {
-            (request_id, name)
-            for request_id, name in self._told
-            if request_id != generation.request_id
+            (told, name) for told, name in self._told if told != generation
         }
 
     def begin(self, upstream: str) -> None:
@@ -79,7 +78,7 @@
         engine = self._engine_of(upstream.entry) if upstream else None
         if upstream is None or engine is None or not (own and engine.moves):
             return
-        self._told.update((each.request_id, name) for each in own)
+        self._told.update((each, name) for each in own)
         leaving = LeavingEngine(
             self._upstreams, self._clock, upstream.entry, engine
         )
@@ -93,9 +92,7 @@
 
     async def _ask_engines(self) -> None:
         """Ask engines themselves while nobody tells that they leave."""
-        names = {
-            each.upstream for each in self._generations_by_request.values()
-        }
+        names = {each.upstream for each in self._generations}
         for name in names:
             known = self._fleet.find(name)
             if known is None or known.lifecycle is Lifecycle.LEAVING:
@@ -108,9 +105,8 @@
         """Return the generations there that were not told to leave yet."""
         return [
             each
-            for each in self._generations_by_request.values()
-            if each.upstream == upstream
-            and (each.request_id, upstream) not in self._told
+            for each in self._generations
+            if each.upstream == upstream and (each, upstream) not in self._told
         ]
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -51,6 +51,7 @@
     :param own: how this instance is reached.
     :param fetch_table: asks a peer for its newer configuration.
     :param store_lost: tells whether the store does not answer here.
+    :param bound: datagram socket that peers send to.
     """
 
     def __init__(
@@ -60,7 +61,9 @@
         clock: Clock,
         fetch_table: Fetch,
         store_lost: Callable[[], bool],
+        bound: socket.socket,
     ) -> None:
+        self._bound = bound
         self._own = own
         self._fleet = fleet
         self._clock = clock
@@ -106,8 +109,7 @@
 
     async def run(self) -> None:
         """Send and receive, for ever."""
-        bound = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        await bound.bind((self._own.address, self._own.port))
+        bound = trio.socket.from_stdlib_socket(self._bound)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, bound)
             nursery.start_soon(self._send, bound)
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -88,6 +88,7 @@
             TransactionOutcome, StoreFailure
         ] = await self._store.transact((), (entry,))
         self._listed = isinstance(written, Success)
+        self.failing = not self._listed
 
     async def _renew(self) -> None:
         renewed = await self._store.keep_alive(self._lease)
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -127,6 +127,7 @@
     :raises BadDocumentError: when it is malformed.
     """
     stored = _decode(CONFIGURATION_KEY, raw, _Configuration)
+    _check(stored)
     routes_by_host: dict[str, list[Route]] = {}
     for stored_route in stored.routes:
         route = _to_route(stored_route)
@@ -173,6 +174,25 @@
     )
 
 
+def _check(stored: _Configuration) -> None:
+    """Refuse figures that nothing can be worked out from."""
+    for number, route in enumerate(stored.routes):
+        weights = [split.weight for split in route.traffic_split]
+        if weights and (min(weights) < 0 or sum(weights) <= 0):
+            raise BadDocumentError(
+                CONFIGURATION_KEY,
+                f'no positive weight - at `$.routes[{number}].trafficSplit`',
+            )
+    for index, service in enumerate(stored.services):
+        engine = service.engine
+        if engine and min(engine.kv_capacity, engine.link_mbps) <= 0:
+            raise BadDocumentError(
+                CONFIGURATION_KEY,
+                'kvCapacity and linkMbps must be positive '
+                f'- at `$.services[{index}].engine`',
+            )
+
+
 def _decode(key: str, raw: bytes, shape: type[Any]) -> Any:
     try:
         return msgspec.json.decode(raw, type=shape)
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -1,12 +1,15 @@
 """Adapter to the platform's key-value store, which speaks JSON over HTTP."""
 
 import base64
+import binascii
 from collections import Counter
 from http import HTTPStatus
+from string import digits
 from typing import TypeVar
 
 import httpx
 import msgspec
+from loguru import logger
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import SECOND_MS, Millis, seconds
@@ -58,6 +61,16 @@
     lease: int = 0
     deleted: bool = False
 
+    def decode(self) -> bytes:
+        """Return the value; empty when its base64 is broken."""
+        try:
+            return base64.b64decode(self.value)
+        except binascii.Error as error:
+            logger.error(
+                'stored value unreadable', key=self.key, detail=str(error)
+            )
+            return b''
+
 
 class _Page(msgspec.Struct, rename='camel'):
     rows: tuple[_Stored, ...] = msgspec.field(name='items')
@@ -192,7 +205,8 @@
         params: dict[str, str] | None = None,
         timeout: Millis = 0,
     ) -> Result[httpx.Response, StoreFailure]:
-        self.calls_by_path[path] += 1
+        # Calls about a lease end with its number.
+        self.calls_by_path[path.rstrip(digits)] += 1
         body = b'' if request is None else msgspec.json.encode(request)
         try:
             response = await self._client.request(
@@ -273,7 +287,7 @@
 def _to_entry(stored: _Stored) -> Entry:
     return Entry(
         stored.key,
-        base64.b64decode(stored.value),
+        stored.decode(),
         stored.revision,
         stored.created,
     )
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,11 +1,16 @@
 """Moves: at any moment at most one engine works on a generation."""
 
+from dataclasses import dataclass
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cartdale.clock import VirtualClock
+from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import RunReport, UpstreamEntry
 from cartdale.moves.decide import MOST_TRIES, begin, decide
+from cartdale.moves.driver import Mover
 from cartdale.moves.schedule import (
     Departure,
     estimate_all,
@@ -206,3 +211,25 @@
     departure = Departure(until=1000, quiet_at=0)
     assert departure.leaves_time(0, turn)
     assert not departure.leaves_time(900, turn)
+
+
+@dataclass(eq=False)
+class Running:
+    """Stay where it is."""
+
+    upstream: str
+    request_id: str = ''
+    tokens: int = 0
+
+    async def leave(self, departure: Departure) -> None:
+        """Stay."""
+
+
+def test_generations_with_one_id_are_told_apart() -> None:
+    clock = VirtualClock()
+    mover = Mover(Fleet(clock, 'west', 1), None, clock, bool)
+    first, second = Running('a'), Running('b')
+    mover.add(first)
+    mover.add(second)
+    mover.remove(first)
+    assert mover.list_generations() == [second]
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,5 +1,6 @@
 """The platform's wire: settings, documents and headers."""
 
+import httpx
 import msgspec
 import pytest
 
@@ -17,6 +18,7 @@
     load_platform_settings,
     parse_platform_settings,
 )
+from cartdale.platform.store import PlatformStore
 from cartdale.platform.translate import make_translator
 from cartdale.routes.types import RouteKind
 from cartdale.store.types import Entry, Removed
@@ -165,3 +167,42 @@
 def test_refusals_say_when_to_come_back() -> None:
     assert (b'retry-after', b'0.50') in write_refusal(503, 500)
     assert all(name != b'retry-after' for name, _ in write_refusal(502, 500))
+
+
+@pytest.mark.parametrize(
+    ('change', 'place'),
+    [
+        ({'trafficSplit': [{'service': 's', 'weight': 0}]}, 'routes[0]'),
+        ({'trafficSplit': [{'service': 's', 'weight': -1}]}, 'routes[0]'),
+    ],
+)
+def test_weights_that_choose_nothing_are_refused(change, place) -> None:
+    document = make_configuration()
+    document['routes'][0].update(change)
+    with pytest.raises(BadDocumentError) as caught:
+        decode_table(encode(document))
+    assert place in caught.value.format_message()
+
+
+@pytest.mark.parametrize('field', ['kvCapacity', 'linkMbps'])
+def test_engines_without_memory_or_link_are_refused(field: str) -> None:
+    document = make_configuration()
+    document['services'][0]['engine'][field] = 0
+    with pytest.raises(BadDocumentError) as caught:
+        decode_table(encode(document))
+    assert 'services[0].engine' in caught.value.format_message()
+
+
+async def test_broken_base64_in_the_store_is_an_empty_value() -> None:
+    page = {'items': [{'key': 'servers/i', 'value': 'A'}], 'asOf': 3}
+
+    def answer(request: httpx.Request) -> httpx.Response:
+        return httpx.Response(200, json=page)
+
+    transport = httpx.MockTransport(answer)
+    async with httpx.AsyncClient(
+        transport=transport, base_url='http://store'
+    ) as client:
+        listing = await PlatformStore(client, 100).fetch('servers/')
+    entries = listing.unwrap().entries
+    assert [(each.key, each.value) for each in entries] == [('servers/i', b'')]
