Take back upstreams whose entries return after an outage

Change: only what said itself that it leaves never returns; an entry that is written again brings its upstream back, at once from the store, after 4 s from a peer, who may be behind; missing entries are waited for three seconds.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -22,8 +22,12 @@
     Vanished,
 )
 
-#: An entry that lapsed in an outage comes back within about two seconds.
-LAPSED_KEPT_MS: Millis = 2 * SECOND_MS
+#: An entry that lapsed in an outage comes back within about two seconds; one
+#: more is for the way here.
+LAPSED_KEPT_MS: Millis = 3 * SECOND_MS
+#: What a peer tells against what the store showed here counts only after so
+#: long: peers repeat what changed for three seconds.
+HEARD_AFTER_MS: Millis = 4 * SECOND_MS
 #: A removed upstream is forgotten after so long; until then its running work
 #: is still known to be there.
 LEAVING_KEPT_MS: Millis = MINUTE_MS // 2
@@ -44,7 +48,7 @@
         case EntriesListed():
             return _list(state, message, now)
         case EntryWritten(entry=entry):
-            return _write(state, entry, now)
+            return _write(state, entry, now, heard=message.heard)
         case EntryRemoved():
             return _remove(state, message, now)
         case RequestEnded():
@@ -72,15 +76,32 @@
     return state, tuple(actions)
 
 
-def _write(state: FleetState, entry: UpstreamEntry, now: Millis) -> Decision:
+def _write(
+    state: FleetState,
+    entry: UpstreamEntry,
+    now: Millis,
+    *,
+    heard: bool = False,
+) -> Decision:
     known = state.upstreams_by_id.get(entry.upstream)
     if known is None:
-        known = Upstream(entry, entry.lifecycle, now, now + entry.cold_for)
+        known = Upstream(
+            entry,
+            entry.lifecycle,
+            now,
+            said=entry.lifecycle is Lifecycle.LEAVING,
+            warm_at=now + entry.cold_for,
+        )
         after = _put(state, known)
         return after, _announce(known)
     if known.lifecycle is Lifecycle.LEAVING:
-        return state, ()
-    changed = replace(known, entry=entry, lifecycle=entry.lifecycle)
+        return _return(state, known, entry, now, heard=heard), ()
+    changed = replace(
+        known,
+        entry=entry,
+        lifecycle=entry.lifecycle,
+        said=entry.lifecycle is Lifecycle.LEAVING,
+    )
     if changed.lifecycle is not known.lifecycle:
         changed = replace(changed, changed_at=now)
     if entry.lifecycle is Lifecycle.LEAVING:
@@ -88,6 +109,29 @@
     return _put(state, changed), ()
 
 
+def _return(
+    state: FleetState,
+    known: Upstream,
+    entry: UpstreamEntry,
+    now: Millis,
+    *,
+    heard: bool,
+) -> FleetState:
+    """Take back an upstream that was only missing from the store."""
+    leaving = known.said or entry.lifecycle is Lifecycle.LEAVING
+    early = heard and now - known.changed_at < HEARD_AFTER_MS
+    if leaving or early:
+        return state
+    back = replace(
+        known,
+        entry=entry,
+        lifecycle=entry.lifecycle,
+        changed_at=now,
+        returned=True,
+    )
+    return _put(state, back)
+
+
 def _announce(upstream: Upstream) -> tuple[Action, ...]:
     if upstream.lifecycle is Lifecycle.LEAVING:
         return (BeganLeaving(upstream.entry.upstream),)
@@ -98,6 +142,9 @@
     known = state.upstreams_by_id.get(message.upstream)
     if known is None or known.lifecycle is Lifecycle.LEAVING:
         return state, ()
+    age = now - known.changed_at
+    if message.heard and known.returned and age < HEARD_AFTER_MS:
+        return state, ()
     if message.after_outage:
         if known.lifecycle is Lifecycle.LAPSED:
             return state, ()
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -70,6 +70,8 @@
 class Upstream:
     """Hold what this instance believes of one upstream.
 
+    :param said: whether it said itself that it leaves; it never returns.
+    :param returned: whether its entry came back after it was missing.
     :param warm_at: when it stops being slow after its start.
     :param failing: share of recent requests that failed, 0 to 1.
     :param strikes: failures in a row that show it unreachable.
@@ -79,6 +81,8 @@
     entry: UpstreamEntry
     lifecycle: Lifecycle
     changed_at: Millis
+    said: bool = False
+    returned: bool = False
     warm_at: Millis = 0
     failing: float = 0
     strikes: int = 0
@@ -105,9 +109,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryWritten:
-    """An upstream wrote its entry."""
+    """An upstream wrote its entry.
+
+    :param heard: whether a peer told it, who may be a little behind.
+    """
 
     entry: UpstreamEntry
+    heard: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,10 +123,12 @@
     """An upstream's entry is gone.
 
     :param after_outage: whether the store was away shortly before.
+    :param heard: whether a peer told it, who may be a little behind.
     """
 
     upstream: str
     after_outage: bool = False
+    heard: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -85,9 +85,9 @@
                 case TakeLoads(peer=peer, loads_by_upstream=loads_by_upstream):
                     self._fleet.loads.hear(peer, loads_by_upstream, now)
                 case TakeEntry(entry=entry):
-                    self._fleet.tell(EntryWritten(entry))
+                    self._fleet.tell(EntryWritten(entry, heard=True))
                 case TakeLeaving(upstream=upstream):
-                    self._fleet.tell(EntryRemoved(upstream))
+                    self._fleet.tell(EntryRemoved(upstream, heard=True))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
 
