Call what stands already for requests in flight, whole answers and declines

The gateway counted its requests beside daemon/inflight.py; whole answers were written twice as start, write and finish; plain requests and streams each read that an upstream declined; targets of moves were upstreams where backups were entries. Behaviour unchanged.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -10,6 +10,7 @@
 
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
 from cartdale.daemon.clients import make_client
+from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import BoundListener
 from cartdale.exceptions import BadInputError
@@ -94,7 +95,7 @@
             self._clock,
             self.peers.is_cut_off,
         )
-        self._app = self._make_app()
+        self._app = InFlight(self._make_app())
         self._callers = _bind(settings.callers)
         self._ready = _bind(settings.ready)
         self._metrics_listener = _bind(
@@ -195,13 +196,13 @@
 
     async def _leave(self) -> None:
         began = self._clock.now()
-        logger.info('leaving', in_flight=self._app.in_flight)
+        logger.info('leaving', in_flight=self._app.count)
         await trio.sleep(seconds(_LEAVE_PAUSE))
         self._stopping.set()
         last = began + self._settings.bounds.grace - _STOP_MARGIN
-        while self._app.in_flight and self._clock.now() < last:
+        while self._app.count and self._clock.now() < last:
             await trio.sleep(seconds(_STOP_POLL))
-        logger.info('left', in_flight=self._app.in_flight)
+        logger.info('left', in_flight=self._app.count)
         await self.peers.withdraw()
         self._left.set()
 
--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -14,16 +14,10 @@
 
     def __init__(self, ports: GatewayPorts) -> None:
         self._ports = ports
-        self.in_flight = 0
 
     async def __call__(
         self, scope: AsgiEvent, receive: Receive, send: Send
     ) -> None:
         """Answer one ASGI connection."""
-        if not await takes_request(scope, receive, send):
-            return
-        self.in_flight += 1
-        try:
+        if await takes_request(scope, receive, send):
             await Exchange(self._ports, scope, receive, send).answer()
-        finally:
-            self.in_flight -= 1
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -150,11 +150,7 @@
         match await carrier.carry():
             case Success(whole):
                 self._ports.metrics.note_answer(routed.route, whole.status)
-                await self._sink.start(
-                    whole.status, whole.headers, len(whole.body)
-                )
-                await self._sink.write(whole.body)
-                await self._sink.finish()
+                await self._sink.answer(whole.status, whole.headers, whole.body)
             case Failure(problem):
                 await self._refuse(problem)
 
@@ -211,6 +207,4 @@
 
     async def _write(self, status: int, wait: Millis, body: bytes) -> None:
         headers = self._ports.wire.write_refusal(status, wait)
-        await self._sink.start(status, headers, len(body))
-        await self._sink.write(body)
-        await self._sink.finish()
+        await self._sink.answer(status, headers, body)
--- a/src/cartdale/gateway/sink.py
+++ b/src/cartdale/gateway/sink.py
@@ -46,6 +46,12 @@
         }
         await self._send(event)
 
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write an answer that is known as a whole."""
+        await self.start(status, headers, len(body))
+        await self.write(body)
+        await self.finish()
+
     async def write(self, chunk: bytes) -> None:
         """Write a part of the body."""
         event = {
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -25,7 +25,12 @@
 )
 from cartdale.relay.needs import make_need
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.types import RoutedRequest, UpstreamCall
+from cartdale.relay.types import (
+    OpenedAnswer,
+    RoutedRequest,
+    Standing,
+    UpstreamCall,
+)
 
 #: Part of the target latency that a request may wait for room. Refused
 #: within a quarter of it, with what the way here took, the caller's next
@@ -60,9 +65,15 @@
 
 
 def make_call(
-    ports: RelayPorts, routed: RoutedRequest, upstream: Upstream
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    upstream: Upstream,
+    backup: str = '',
 ) -> UpstreamCall:
-    """Make the call of an attempt, with the time that is left."""
+    """Make the call of an attempt, with the time that is left.
+
+    :param backup: address of the engine to keep up to date; empty for none.
+    """
     now = ports.clock.now()
     left = routed.ends_at - now
     logger.info(
@@ -76,7 +87,7 @@
         left=left,
         failing=round(upstream.failing, 2),
     )
-    return UpstreamCall(routed, upstream.entry, left)
+    return UpstreamCall(routed, upstream.entry, left, backup=backup)
 
 
 def conclude(
@@ -104,9 +115,19 @@
     return after, step
 
 
-def tell_replaced(fleet: Fleet, upstream: str) -> None:
-    """Note that another upstream has the address now."""
-    fleet.tell(Replaced(upstream))
+def find_decline(
+    fleet: Fleet, answer: OpenedAnswer, upstream: str
+) -> Declined | None:
+    """Return that an upstream did not run a request, if it says so.
+
+    Another upstream at its address is told to the fleet.
+    """
+    match answer.standing:
+        case Standing.RAN:
+            return None
+        case Standing.REPLACED:
+            fleet.tell(Replaced(upstream))
+    return Declined()
 
 
 def _wait_until(routed: RoutedRequest) -> Millis:
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from cartdale.clock import Millis, seconds
-from cartdale.fleet.types import Upstream, UpstreamEntry
+from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves import decide as moves
 from cartdale.moves.schedule import Departure
 from cartdale.moves.types import (
@@ -195,14 +195,16 @@
                 continue
             if await self._copy_to(target, departure):
                 return
-            refused.add(target.entry.upstream)
+            refused.add(target.upstream)
 
-    async def _copy_to(self, target: Upstream, departure: Departure) -> bool:
+    async def _copy_to(
+        self, target: UpstreamEntry, departure: Departure
+    ) -> bool:
         """Copy to a target; tell whether the move is over, good or bad."""
         self._settled = trio.Event()
         try:
-            with self._occupancy.reserve(target.entry):
-                action = self._tell(TargetChosen(target.entry))
+            with self._occupancy.reserve(target):
+                action = self._tell(TargetChosen(target))
                 while isinstance(action, Copy | AwaitQuiet):
                     action = await self._proceed(action, departure)
             return not isinstance(action, ChooseAgain)
@@ -244,16 +246,15 @@
     async def _rescue(self) -> Action | None:
         """Stop it at its source, if it runs on there behind the link."""
         backup = self._state.backup if self._state else None
-        target = None if backup else self._choose_target(set())
-        entry = target.entry if target else backup
-        action = self._tell(RescueTarget(entry))
+        target = backup or self._choose_target(set())
+        action = self._tell(RescueTarget(target))
         if isinstance(action, Copy):
             action = await self._copy(action, _RESCUE_PATIENCE)
         if action is None:
             action = self._tell(LinkEnded())
         return action
 
-    def _choose_target(self, refused: set[str]) -> Upstream | None:
+    def _choose_target(self, refused: set[str]) -> UpstreamEntry | None:
         state, load = self._state, self._occupancy.load
         if state is None or load is None or not self.events:
             return None
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -12,9 +12,9 @@
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
 from cartdale.relay.attempts import (
     conclude,
+    find_decline,
     make_call,
     place,
-    tell_replaced,
     time_left,
 )
 from cartdale.relay.decide import (
@@ -22,7 +22,6 @@
     AttemptEnd,
     AttemptState,
     Broken,
-    Declined,
     GiveUp,
     PassOn,
     Unsent,
@@ -37,7 +36,6 @@
     NotSent,
     OpenedAnswer,
     RoutedRequest,
-    Standing,
     UpstreamCall,
 )
 
@@ -125,12 +123,9 @@
         return Broken('no answer'), None
 
     async def _read(self, answer: OpenedAnswer, upstream: str) -> Ended:
-        match answer.standing:
-            case Standing.NOT_RUN:
-                return Declined(), None
-            case Standing.REPLACED:
-                tell_replaced(self._ports.fleet, upstream)
-                return Declined(), None
+        declined = find_decline(self._ports.fleet, answer, upstream)
+        if declined is not None:
+            return declined, None
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -1,7 +1,6 @@
 """Carry a streamed generation, over as many engines as it moves through."""
 
 from collections.abc import AsyncIterator
-from dataclasses import replace
 from enum import StrEnum
 from math import inf
 
@@ -15,9 +14,9 @@
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
 from cartdale.relay.attempts import (
     conclude,
+    find_decline,
     make_call,
     place,
-    tell_replaced,
     time_left,
 )
 from cartdale.relay.decide import (
@@ -39,7 +38,6 @@
     LinkBrokeError,
     OpenedAnswer,
     RoutedRequest,
-    Standing,
     UpstreamCall,
 )
 
@@ -125,8 +123,8 @@
 
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
         backup = self._generation.begin(upstream.entry)
-        call = make_call(self._ports, self._routed, upstream)
-        ended = await self._open(replace(call, backup=backup))
+        call = make_call(self._ports, self._routed, upstream, backup)
+        ended = await self._open(call)
         while isinstance(ended, UpstreamEntry):
             ended = await self._resume(ended)
         return ended
@@ -157,12 +155,9 @@
     async def _read(self, answer: OpenedAnswer, call: UpstreamCall) -> LinkEnd:
         fleet = self._ports.fleet
         upstream = call.upstream.upstream
-        match answer.standing:
-            case Standing.NOT_RUN:
-                return Declined()
-            case Standing.REPLACED:
-                tell_replaced(fleet, upstream)
-                return Declined()
+        declined = find_decline(fleet, answer, upstream)
+        if declined is not None:
+            return declined
         if not self._started:
             await self._sink.start(answer.status, answer.headers)
             self._started = True
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -6,7 +6,7 @@
 from cartdale.fleet.choose import Need
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
-from cartdale.fleet.types import Upstream, UpstreamEntry
+from cartdale.fleet.types import UpstreamEntry
 from cartdale.relay.needs import make_need
 from cartdale.relay.types import RoutedRequest
 
@@ -22,7 +22,7 @@
 
 def choose_target(
     fleet: Fleet, load: Load, source: UpstreamEntry, refused: Iterable[str]
-) -> Upstream | None:
+) -> UpstreamEntry | None:
     """Return an engine that can hold a generation now.
 
     Room to grow is not asked for: to be pushed aside later is better than to
@@ -40,7 +40,8 @@
         filled=1,
         reserved=0,
     )
-    return fleet.choose(need, source.failure_domain)
+    chosen = fleet.choose(need, source.failure_domain)
+    return chosen.entry if chosen else None
 
 
 def choose_backup(
