Derive what an upstream said; keep one record of told generations

Whether an upstream said that it leaves is in its entry; an outage that lasts is one also where entries are removed; the mover held a set of generations and a set of pairs over them; the failures of httpcore stood in two places; a stored table and a peer's were decoded by two copies; a set of headers was joined for each request, and two methods only passed a call on. The test of an unknown kind of route could not fail and now names the route and its kind. Behaviour unchanged.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -85,28 +85,16 @@
 ) -> Decision:
     known = state.upstreams_by_id.get(entry.upstream)
     if known is None:
-        known = Upstream(
-            entry,
-            entry.lifecycle,
-            now,
-            said=entry.lifecycle is Lifecycle.LEAVING,
-            warm_at=now + entry.cold_for,
+        found = Upstream(
+            entry, entry.lifecycle, now, warm_at=now + entry.cold_for
         )
-        after = _put(state, known)
-        return after, _announce(known)
+        return _put(state, found), _announce(found)
     if known.lifecycle is Lifecycle.LEAVING:
         return _return(state, known, entry, now, heard=heard), ()
-    changed = replace(
-        known,
-        entry=entry,
-        lifecycle=entry.lifecycle,
-        said=entry.lifecycle is Lifecycle.LEAVING,
-    )
+    changed = replace(known, entry=entry, lifecycle=entry.lifecycle)
     if changed.lifecycle is not known.lifecycle:
         changed = replace(changed, changed_at=now)
-    if entry.lifecycle is Lifecycle.LEAVING:
-        return _put(state, changed), _announce(changed)
-    return _put(state, changed), ()
+    return _put(state, changed), _announce(changed)
 
 
 def _return(
@@ -118,7 +106,7 @@
     heard: bool,
 ) -> FleetState:
     """Take back an upstream that was only missing from the store."""
-    leaving = known.said or entry.lifecycle is Lifecycle.LEAVING
+    leaving = known.said_leaving or entry.lifecycle is Lifecycle.LEAVING
     early = heard and now - known.changed_at < HEARD_AFTER_MS
     if leaving or early:
         return state
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -173,7 +173,7 @@
                 listed.append(change.entry)
             elif change is not None:
                 self._take(change)
-        after_outage = self.failing or self._had_outage()
+        after_outage = self._had_outage()
         self._fleet.tell(EntriesListed(tuple(listed), after_outage))
         self.in_step.set()
 
@@ -227,9 +227,9 @@
         self.failing = True
 
     def _had_outage(self) -> bool:
-        """Tell whether the store was away within the last seconds."""
-        if self._failed_at is None:
-            return False
+        """Tell whether the store was away until now or within seconds."""
+        if self.failing or self._failed_at is None:
+            return self.failing
         return self._clock.now() - self._failed_at <= _OUTAGE_RECENT
 
 
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -70,7 +70,6 @@
 class Upstream:
     """Hold what this instance believes of one upstream.
 
-    :param said: whether it said itself that it leaves; it never returns.
     :param returned: whether its entry came back after it was missing.
     :param warm_at: when it stops being slow after its start.
     :param failing: share of recent requests that failed, 0 to 1.
@@ -81,13 +80,17 @@
     entry: UpstreamEntry
     lifecycle: Lifecycle
     changed_at: Millis
-    said: bool = False
     returned: bool = False
     warm_at: Millis = 0
     failing: float = 0
     strikes: int = 0
     avoided_until: Millis = 0
 
+    @property
+    def said_leaving(self) -> bool:
+        """Tell whether it said itself that it leaves; it never returns."""
+        return self.entry.lifecycle is Lifecycle.LEAVING
+
 
 @dataclass(frozen=True, slots=True)
 class FleetState:
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -34,10 +34,9 @@
         self._fleet = fleet
         self._upstreams = upstreams
         self._clock = clock
-        #: Callers may give two requests one id, or none.
-        self._generations: set[MovableGeneration] = set()
-        #: Generations and the upstreams that they were told to leave.
-        self._told: set[tuple[MovableGeneration, str]] = set()
+        #: The upstreams that each generation was told to leave. Callers may
+        #: give two requests one id, or none, so that ids are no keys.
+        self._told_by_generation: dict[MovableGeneration, set[str]] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -53,18 +52,15 @@
 
     def add(self, generation: MovableGeneration) -> None:
         """Watch over a generation."""
-        self._generations.add(generation)
+        self._told_by_generation[generation] = set()
 
     def list_generations(self) -> list[MovableGeneration]:
         """Return the generations that are watched over."""
-        return list(self._generations)
+        return list(self._told_by_generation)
 
     def remove(self, generation: MovableGeneration) -> None:
         """Forget a generation that has ended."""
-        self._generations.discard(generation)
-        self._told = {
-            (told, name) for told, name in self._told if told != generation
-        }
+        self._told_by_generation.pop(generation, None)
 
     def begin(self, upstream: str) -> None:
         """Move everything away from an upstream."""
@@ -78,7 +74,8 @@
         engine = self._engine_of(upstream.entry) if upstream else None
         if upstream is None or engine is None or not (own and engine.moves):
             return
-        self._told.update((each, name) for each in own)
+        for each in own:
+            self._told_by_generation[each].add(name)
         leaving = LeavingEngine(
             self._upstreams, self._clock, upstream.entry, engine
         )
@@ -92,7 +89,7 @@
 
     async def _ask_engines(self) -> None:
         """Ask engines themselves while nobody tells that they leave."""
-        names = {each.upstream for each in self._generations}
+        names = {each.upstream for each in self._told_by_generation}
         for name in names:
             known = self._fleet.find(name)
             if known is None or known.lifecycle is Lifecycle.LEAVING:
@@ -105,8 +102,8 @@
         """Return the generations there that were not told to leave yet."""
         return [
             each
-            for each in self._generations
-            if each.upstream == upstream and (each, upstream) not in self._told
+            for each, told in self._told_by_generation.items()
+            if each.upstream == upstream and upstream not in told
         ]
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -12,6 +12,7 @@
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.peers.messages import Exchange, PeerMessage
 from cartdale.peers.seal import Envelope, Seal
+from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
 PATH = '/peer/v1/messages'
 
@@ -35,16 +36,6 @@
 
 
 PeerFailure = PeerNotReached | PeerUncertain
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
-_LATE = (
-    httpcore.TimeoutException,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-)
 
 
 class PeerClient:
@@ -93,9 +84,9 @@
                 content=sealed,
                 extensions=_make_extensions(timeout or self._timeout),
             )
-        except _NOT_SENT as error:
+        except CORE_NOT_SENT as error:
             return Failure(PeerNotReached(repr(error)))
-        except _LATE as late_error:
+        except CORE_BROKEN as late_error:
             return Failure(PeerUncertain(repr(late_error)))
         self.received_bytes += len(response.content)
         return self._open(response.content, peer, shape, sent_at)
--- a/src/cartdale/platform/callers.py
+++ b/src/cartdale/platform/callers.py
@@ -56,6 +56,8 @@
     )
 )
 
+_DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
+
 
 def read_request(
     method: str, target: bytes, headers: Iterable[tuple[bytes, bytes]]
@@ -66,9 +68,8 @@
     """
     named: dict[str, str] = {}
     forwarded: list[tuple[bytes, bytes]] = []
-    dropped = CONNECTION_HEADERS | _OWN_HEADERS
     listed = list(headers)
-    dropped |= _name_connection_options(listed)
+    dropped = _DROPPED_HEADERS | _name_connection_options(listed)
     for name, value in listed:
         named.setdefault(name.decode('latin-1'), value.decode('latin-1'))
         if name not in dropped:
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -36,13 +36,8 @@
     UpstreamCall,
 )
 from cartdale.routes.types import RouteKind
+from cartdale.transport import CORE_BROKEN
 
-#: What the transport raises once a request may have reached its upstream.
-BROKEN = (
-    httpcore.TimeoutException,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-)
 _HIDDEN_HEADERS = CONNECTION_HEADERS | {
     HEADER_LOAD.encode(),
     HEADER_NOT_RUN.encode(),
@@ -194,5 +189,5 @@
     try:
         async for chunk in response.aiter_stream():
             yield chunk
-    except BROKEN as error:
+    except CORE_BROKEN as error:
         raise LinkBrokeError(repr(error)) from error
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -25,7 +25,7 @@
 
 
 def read_table(raw: bytes) -> StoredChange:
-    """Decode a configuration that a peer handed on."""
+    """Decode a configuration as the store or a peer holds it."""
     try:
         return TableWritten(decode_table(raw), raw)
     except BadDocumentError as error:
@@ -62,7 +62,7 @@
         return EntryRemoved(change.key.removeprefix(UPSTREAM_PREFIX))
     try:
         if change.key == CONFIGURATION_KEY:
-            return TableWritten(decode_table(change.value), change.value)
+            return read_table(change.value)
         if change.key.startswith(UPSTREAM_PREFIX):
             return EntryWritten(decode_upstream(change.key, change.value))
     except BadDocumentError as error:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -17,7 +17,6 @@
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.fleet.types import EngineReport
 from cartdale.platform.exchanges import (
-    BROKEN,
     CopyRequest,
     read_copy,
     read_head,
@@ -32,11 +31,11 @@
     LinkBroke,
     MemoryCopy,
     NotSent,
-    Opened,
     OpenedAnswer,
     SendFailure,
     UpstreamCall,
 )
+from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
 #: A connection comes up in a few milliseconds, or its opening packet was
 #: dropped and is sent again after a second.
@@ -56,11 +55,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
 )
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
 
 
 class PlatformUpstreams:
@@ -73,9 +67,31 @@
             socket_options=_SOCKET_OPTIONS,
         )
 
-    def open(self, call: UpstreamCall) -> Opened:
+    @asynccontextmanager
+    async def open(
+        self, call: UpstreamCall
+    ) -> AsyncIterator[Result[OpenedAnswer, SendFailure]]:
         """Send a request and read the head of its answer."""
-        return self._open(call)
+        request = call.routed.request
+        outgoing = httpcore.Request(
+            request.method,
+            _make_url(call.upstream.address, request.target),
+            headers=write_headers(call),
+            content=request.body,
+            extensions=_limit(None),
+        )
+        try:
+            response = await self._pool.handle_async_request(outgoing)
+        except CORE_NOT_SENT as error:
+            yield Failure(NotSent(repr(error)))
+            return
+        except CORE_BROKEN as late_error:
+            yield Failure(LinkBroke(repr(late_error)))
+            return
+        try:
+            yield read_head(call, response)
+        finally:
+            await response.aclose()
 
     async def copy(self, copy: MemoryCopy) -> Result[Copied, CopyFailed]:
         """Copy a generation's memory."""
@@ -127,37 +143,12 @@
                 content=body,
                 extensions=_limit(timeout),
             )
-        except _NOT_SENT as error:
+        except CORE_NOT_SENT as error:
             return Failure(NotSent(repr(error)))
-        except BROKEN as late_error:
+        except CORE_BROKEN as late_error:
             return Failure(LinkBroke(repr(late_error)))
         return Success(response)
 
-    @asynccontextmanager
-    async def _open(
-        self, call: UpstreamCall
-    ) -> AsyncIterator[Result[OpenedAnswer, SendFailure]]:
-        request = call.routed.request
-        outgoing = httpcore.Request(
-            request.method,
-            _make_url(call.upstream.address, request.target),
-            headers=write_headers(call),
-            content=request.body,
-            extensions=_limit(None),
-        )
-        try:
-            response = await self._pool.handle_async_request(outgoing)
-        except _NOT_SENT as error:
-            yield Failure(NotSent(repr(error)))
-            return
-        except BROKEN as late_error:
-            yield Failure(LinkBroke(repr(late_error)))
-            return
-        try:
-            yield read_head(call, response)
-        finally:
-            await response.aclose()
-
 
 def _limit(timeout: Millis | None) -> dict[str, Any]:
     longest = None if timeout is None else seconds(timeout)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -94,8 +94,7 @@
     document['routes'][2]['kind'] = 'of-a-later-version'
     table = decode_table(encode(document))
     route = table.routes_by_host['mill.example'][1]
-    kinds = {each.name: each.kind for each in (route,)}
-    assert RouteKind.SAFE not in kinds.values() or route.name != 'look'
+    assert (route.name, route.kind) == ('look', RouteKind.UNSAFE)
 
 
 def test_upstream_entries() -> None:
