Make metrics by one registry, and guard the stand-in's calls in one place

The gateway's metrics repeated the making and rendering of the reports' (counters, gauges, invariants, calls to the store), under another prefix; six views of the stand-in of the platform's store began with the same refusal. Names, values and answers unchanged.

--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -4,10 +4,6 @@
 from http import HTTPStatus
 from math import inf
 
-from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
-
-from cartdale import invariants
 from cartdale.asgi import (
     AsgiEvent,
     Receive,
@@ -17,9 +13,9 @@
 )
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.problems.types import NotRun, Problem
+from cartdale.reports.registry import MetricRegistry
 from cartdale.routes.types import Route
 
-_ACCEPT = ('text/plain',)
 _TEXT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
 #: Upper bounds in seconds: around the targets of first events and of pauses.
 _FIRST_BOUNDS = (0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, inf)
@@ -38,22 +34,19 @@
     ) -> None:
         self._read_version = read_version
         self._calls_by_path = calls_by_path
-        self._registry = Registry()
-        self._answers = self._count('answers', 'Answers by kind and status.')
-        self._refusals = self._count('refusals', 'Own refusals by reason.')
-        self._streams = self._count('streams', 'Streams by their end.')
-        self._moves = self._count('moves', 'Generations that went on.')
-        self._first = self._bin(
+        registry = MetricRegistry('cartdale_gateway')
+        self._registry = registry
+        self._answers = registry.count('answers', 'Answers by kind and status.')
+        self._refusals = registry.count('refusals', 'Own refusals by reason.')
+        self._streams = registry.count('streams', 'Streams by their end.')
+        self._moves = registry.count('moves', 'Generations that went on.')
+        self._first = registry.bin(
             'first_event_seconds', 'Wait for the head.', _FIRST_BOUNDS
         )
-        self._gap = self._bin(
+        self._gap = registry.bin(
             'longest_gap_seconds', 'Longest pause of a stream.', _GAP_BOUNDS
         )
-        self._version = self._measure('configuration_version', 'In force.')
-        self._calls = self._measure('store_calls', 'Calls to the store.')
-        self._violations = self._measure(
-            'invariant_violations', 'Broken invariants by name.'
-        )
+        self._version = registry.measure('configuration_version', 'In force.')
 
     def note_answer(self, route: Route, status: int) -> None:
         """Count an upstream's answer that was passed on."""
@@ -84,29 +77,7 @@
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text form."""
         self._version.set({}, self._read_version())
-        for path, count in self._calls_by_path.items():
-            self._calls.set({'path': path}, count)
-        for name in invariants.NAMES:
-            broken = invariants.count_violations(name)
-            self._violations.set({'invariant': name}, broken)
-        rendered, _ = render(self._registry, list(_ACCEPT))
-        return bytes(rendered)
-
-    def _count(self, name: str, text: str) -> Counter:
-        full = f'cartdale_gateway_{name}_total'
-        return Counter(full, text, registry=self._registry)
-
-    def _measure(self, name: str, text: str) -> Gauge:
-        full = f'cartdale_gateway_{name}'
-        return Gauge(full, text, registry=self._registry)
-
-    def _bin(
-        self, name: str, text: str, bounds: tuple[float, ...]
-    ) -> Histogram:
-        full = f'cartdale_gateway_{name}'
-        return Histogram(
-            full, text, registry=self._registry, buckets=list(bounds)
-        )
+        return self._registry.render(self._calls_by_path)
 
 
 class MetricsApp:
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -1,7 +1,9 @@
 """Stand-in of the platform's store: keys, watches and leases over HTTP."""
 
 import base64
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -23,6 +25,8 @@
 #: Between tries to reach a store that is not up yet.
 _ENLIST_EVERY: Millis = 100
 
+View = Callable[..., Awaitable[Response]]
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformStoreFaults:
@@ -50,15 +54,21 @@
     def make_app(self) -> QuartTrio:
         """Build the HTTP application."""
         app = QuartTrio('platform-store')
-        for path, view, method in (
-            ('/cartdale/kv-range', self._range, 'GET'),
-            ('/cartdale/kv-watch', self._watch, 'GET'),
-            ('/cartdale/kv-txn', self._transact, 'POST'),
-            ('/cartdale/kv-lease', self._grant, 'POST'),
-            ('/cartdale/kv-keep/<int:lease>', self._renew, 'POST'),
-            ('/cartdale/kv-lease-end/<int:lease>', self._revoke, 'DELETE'),
+        reads, writes = self._reads, self._writes
+        for path, view, meter, method in (
+            ('kv-range', self._range, reads, 'GET'),
+            ('kv-watch', self._watch, reads, 'GET'),
+            ('kv-txn', self._transact, writes, 'POST'),
+            ('kv-lease', self._grant, writes, 'POST'),
+            ('kv-keep/<int:lease>', self._renew, reads, 'POST'),
+            ('kv-lease-end/<int:lease>', self._revoke, writes, 'DELETE'),
         ):
-            app.add_url_rule(path, path, view, methods=[method])
+            app.add_url_rule(
+                f'/cartdale/{path}',
+                path,
+                partial(self._serve, view, meter),
+                methods=[method],
+            )
         return app
 
     def put(self, key: str, document: object) -> None:
@@ -76,9 +86,6 @@
         self.state.history.clear()
 
     async def _range(self) -> Response:
-        refusal = await self._admit(self._reads)
-        if refusal:
-            return refusal
         prefix = request.args['pathPrefix']
         after = request.args.get('sinceRevision', '')
         found = [
@@ -95,9 +102,6 @@
         )
 
     async def _watch(self) -> Response:
-        refusal = await self._admit(self._reads)
-        if refusal:
-            return refusal
         prefix = request.args['pathPrefix']
         since = int(request.args['sinceRevision'])
         events: list[dict[str, Any]] = []
@@ -131,9 +135,6 @@
         return changes
 
     async def _transact(self) -> Response:
-        refusal = await self._admit(self._writes)
-        if refusal:
-            return refusal
         body = msgspec.json.decode(await request.get_data())
         compares = tuple(
             Compare(row['key'], row['revision'])
@@ -151,28 +152,26 @@
         return _answer({'revision': outcome.store_revision})
 
     async def _grant(self) -> Response:
-        refusal = await self._admit(self._writes)
-        if refusal:
-            return refusal
         ttl = msgspec.json.decode(await request.get_data())['ttlMs']
         return _answer({'lease': self.state.grant(ttl), 'ttlMs': ttl})
 
     async def _renew(self, lease: int) -> Response:
-        refusal = await self._admit(self._reads)
-        if refusal:
-            return refusal
         ttl = self.state.keep_alive(lease)
         if not ttl:
             return _answer({}, HTTPStatus.NOT_FOUND)
         return _answer({'ttlMs': ttl})
 
     async def _revoke(self, lease: int) -> Response:
-        refusal = await self._admit(self._writes)
-        if refusal:
-            return refusal
         self.state.revoke(lease)
         return _answer({})
 
+    async def _serve(
+        self, view: View, meter: RateMeter, **arguments: int
+    ) -> Response:
+        """Answer a call unless the rates or the faults refuse it."""
+        refusal = await self._admit(meter)
+        return refusal or await view(**arguments)
+
     async def _admit(self, meter: RateMeter) -> Response | None:
         """Return a refusal, or nothing when the call is admitted."""
         if self.faults.silent:
