Count on a backup no more once its engine leaves

A generation with a backup stays at a leaving engine, so nobody moved it, and the resume was rejected. Ruled out: a backup that had no room (the resume was answered 503 by an engine that was gone or leaving; the log shows BeganLeaving of it 5 s and 8 s earlier). Change: when an engine begins to leave, generations give up their backups there; those that stayed at a leaving engine because of it are told again. A test over sockets failed before and passes now.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -14,6 +14,7 @@
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
+    BackupLost,
     ChooseAgain,
     ChooseRescue,
     Copy,
@@ -73,6 +74,8 @@
             return MoveState(_holder(state), backup=backup), ()
         case ResumeRejected():
             return _reject_resume(state)
+        case BackupLost():
+            return _lose_backup(state), ()
         case _:
             assert_never(message)
 
@@ -182,6 +185,13 @@
     return replace(state, phase=MovePhase.LOST), (Cut(),)
 
 
+def _lose_backup(state: MoveState) -> MoveState:
+    """Count on the backup no more, unless it already serves."""
+    if state.phase is MovePhase.AT_BACKUP:
+        return state
+    return replace(state, backup=None)
+
+
 def _holder(state: MoveState) -> UpstreamEntry:
     match state.phase:
         case MovePhase.AT_TARGET if state.target is not None:
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -63,7 +63,15 @@
         self._told_by_generation.pop(generation, None)
 
     def begin(self, upstream: str) -> None:
-        """Move everything away from an upstream."""
+        """Move everything away from an upstream, and give up backups there.
+
+        A generation that stayed at an engine that leaves, since it had a
+        backup, is told again.
+        """
+        for each, told in self._told_by_generation.items():
+            if each.backup == upstream:
+                each.lose_backup()
+                told.discard(each.upstream)
         if self._nursery is not None:
             self._nursery.start_soon(self._empty, upstream)
 
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -41,6 +41,13 @@
     def tokens(self) -> int:
         """Return the memory that it holds, in tokens."""
 
+    @property
+    def backup(self) -> str:
+        """Return the id of the engine that keeps its backup; empty for none."""
+
+    def lose_backup(self) -> None:
+        """Count on its backup no more: the backup's engine leaves."""
+
     async def leave(self, departure: Departure) -> None:
         """Move away from the engine."""
 
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -151,6 +151,11 @@
     """End the answer; the generation is lost."""
 
 
+@dataclass(frozen=True, slots=True)
+class BackupLost:
+    """The engine of the backup leaves or is gone."""
+
+
 Message = (
     TargetChosen
     | CopyEnded
@@ -160,6 +165,7 @@
     | RescueTarget
     | Resumed
     | ResumeRejected
+    | BackupLost
 )
 Action = (
     Copy | ChooseAgain | AwaitQuiet | AwaitCopy | ChooseRescue | Resume | Cut
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -17,6 +17,7 @@
     Action,
     AwaitCopy,
     AwaitQuiet,
+    BackupLost,
     ChooseAgain,
     ChooseRescue,
     Copy,
@@ -97,9 +98,10 @@
         return self._occupancy.events
 
     @property
-    def has_backup(self) -> bool:
-        """Tell whether another engine is kept up to date with it."""
-        return self._state is not None and self._state.backup is not None
+    def backup(self) -> str:
+        """Return the id of the engine that keeps its backup; empty for none."""
+        kept = self._state.backup if self._state else None
+        return kept.upstream if kept else ''
 
     @property
     def is_stopped(self) -> bool:
@@ -137,7 +139,7 @@
         A generation with a backup stays to the end: that costs the link of
         the engine nothing, which is what others need to leave in time.
         """
-        if self.has_backup or self._moving:
+        if self.backup or self._moving:
             return
         self._moving = True
         try:
@@ -145,6 +147,11 @@
         finally:
             self._moving = False
 
+    def lose_backup(self) -> None:
+        """Count on its backup no more: the backup's engine leaves."""
+        self._tell(BackupLost())
+        self._occupancy.note_backup('')
+
     # Going on after the link has ended.
 
     async def lose_link(self) -> UpstreamEntry | None:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -182,7 +182,7 @@
     async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> None:
         while True:
             patience = inf
-            if self._generation.has_backup and self._generation.events:
+            if self._generation.backup and self._generation.events:
                 patience = seconds(_SILENCE)
             try:
                 with trio.fail_after(patience):
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -20,6 +20,7 @@
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
+    BackupLost,
     ChooseAgain,
     ChooseRescue,
     Copy,
@@ -142,6 +143,20 @@
     assert state.phase is MovePhase.AT_BACKUP
 
 
+def test_backup_at_an_engine_that_left_is_not_resumed() -> None:
+    state, _ = play(begin(SOURCE, SPARE), BackupLost())
+    assert state.backup is None
+    state, action = play(state, LinkEnded(), RescueTarget(None))
+    assert action == Cut()
+
+
+def test_backup_that_serves_already_stays() -> None:
+    state, action = play(begin(SOURCE, SPARE), LinkEnded(), RescueTarget(None))
+    assert action == Resume(SPARE)
+    state, _ = play(state, BackupLost())
+    assert state.backup == SPARE
+
+
 def test_run_behind_a_broken_link_is_stopped_before_it_goes_on() -> None:
     state, action = play(begin(SOURCE), LinkEnded(), RescueTarget(TARGET))
     assert action == Copy(last=True)
@@ -168,6 +183,7 @@
         st.just(LinkEnded()),
         st.sampled_from((RescueTarget(None), RescueTarget(TARGET))),
         st.just(ResumeRejected()),
+        st.just(BackupLost()),
     )
 
 
@@ -220,6 +236,10 @@
     upstream: str
     request_id: str = ''
     tokens: int = 0
+    backup: str = ''
+
+    def lose_backup(self) -> None:
+        self.backup = ''
 
     async def leave(self, departure: Departure) -> None:
         """Stay."""
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -10,6 +10,7 @@
     draft_meanwhile,
     find_runner,
     open_platform,
+    until,
     whole,
 )
 
@@ -55,6 +56,25 @@
         assert count_runs(stage, 'r1') == 1
 
 
+async def test_generation_moves_once_the_engine_of_its_backup_has_left() -> (
+    None
+):
+    async with open_platform(engines=2) as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            source = await find_runner(stage, 'r1')
+            kept = next(each for each in stage.engines if each is not source)
+            assert 'r1' in kept.memory.backed_up
+            target = stage.add_engine()
+            await stage.settle()
+            stage.drain(kept)
+            kept.memory.backed_up.clear()
+            stage.drain(source)
+            await until(lambda: target.resumed_by_request['r1'])
+            source.die()
+        assert answers[0].content == whole('r1')
+        assert count_runs(stage, 'r1') == 1
+
+
 async def test_engine_that_drains_is_not_asked_over_and_over() -> None:
     async with open_platform(engines=2) as stage:
         async with trio.open_nursery() as nursery:
