Renew copies until they are quick instead of guessing when a link is free

Cause: generations that leave an engine were stopped when the estimate of all copies had passed, or 150 ms before the engine's end. Change: a copied generation copies what it made since, again and again, until that takes at most 80 ms: only then it is stopped. An older copy still serves when the source ends meanwhile.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -1,8 +1,9 @@
 """Decide how a running generation gets from one engine to another.
 
-The source runs on while most of the memory is copied, and until its link is
-free; then it stops, the rest follows at once, and the same request goes on at
-the target after the last event that the caller has. Should the source end
+The source runs on while most of the memory is copied, and what it made since
+is copied again until that is quick: its link is free. Then it stops, the rest
+follows at once, and the same request goes on at the target after the last
+event that the caller has. Should the source end
 before, the older copy serves: the target reads again what it lacks. At any
 moment at most one engine works on the generation.
 """
@@ -22,6 +23,7 @@
     CopyRejected,
     Cut,
     Decision,
+    LinkBusy,
     LinkEnded,
     LinkQuiet,
     Message,
@@ -39,7 +41,7 @@
 MOST_TRIES = 40
 
 _ENDING = frozenset((MovePhase.STOPPING, MovePhase.RESCUING))
-_UNDER_WAY = _ENDING | {MovePhase.COPYING}
+_COPYING = frozenset((MovePhase.COPYING, MovePhase.REFRESHING))
 _STOPPED = frozenset(
     (MovePhase.AT_TARGET, MovePhase.AT_SOURCE, MovePhase.AT_BACKUP)
 )
@@ -64,6 +66,8 @@
             return _end_copy(state, handle)
         case LinkQuiet():
             return _stop(state)
+        case LinkBusy():
+            return _refresh(state)
         case CopyRejected():
             return _reject_copy(state, message)
         case LinkEnded():
@@ -100,7 +104,7 @@
 
 def _end_copy(state: MoveState, handle: str) -> Decision:
     match state.phase:
-        case MovePhase.COPYING:
+        case MovePhase.COPYING | MovePhase.REFRESHING:
             after = replace(state, phase=MovePhase.COPIED, handle=handle)
             return after, (AwaitQuiet(),)
         case MovePhase.STOPPING | MovePhase.RESCUING:
@@ -116,8 +120,14 @@
     return replace(state, phase=MovePhase.STOPPING), (Copy(last=True),)
 
 
+def _refresh(state: MoveState) -> Decision:
+    if state.phase is not MovePhase.COPIED:
+        return state, ()
+    return replace(state, phase=MovePhase.REFRESHING), (Copy(last=False),)
+
+
 def _reject_copy(state: MoveState, rejected: CopyRejected) -> Decision:
-    if state.phase not in _UNDER_WAY:
+    if state.phase not in _ENDING | _COPYING:
         return state, ()
     stopping = state.phase in _ENDING
     if stopping and rejected.handle:
@@ -133,6 +143,10 @@
     match rejected.fault:
         case CopyFault.UNREACHABLE:
             return _give_up(state), ()
+        case CopyFault.BUSY | CopyFault.NO_ANSWER if (
+            state.phase is MovePhase.REFRESHING
+        ):
+            return replace(tried, phase=MovePhase.COPIED), (AwaitQuiet(),)
         case CopyFault.BUSY | CopyFault.NO_ANSWER:
             return tried, (Copy(last=stopping, pause=True),)
         case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
@@ -145,7 +159,7 @@
 
 
 def _end_link(state: MoveState) -> Decision:
-    if state.phase in _UNDER_WAY:
+    if state.phase in _ENDING or state.phase is MovePhase.COPYING:
         return state, (AwaitCopy(),)
     if state.phase in _STOPPED:
         return state, (Resume(_holder(state)),)
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -16,6 +16,8 @@
     COPYING = 'copying'
     #: It runs at its source; a copy that is a little old lies at the target.
     COPIED = 'copied'
+    #: It runs at its source; a copy lies at the target and is renewed.
+    REFRESHING = 'refreshing'
     #: It was told to stop, and the rest of its memory is copied.
     STOPPING = 'stopping'
     #: It stopped; a copy lies at the target.
@@ -66,6 +68,11 @@
     """The source's link is free, so that the rest is copied at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class LinkBusy:
+    """Others copy over the source's link, so that a stop would last."""
+
+
 @dataclass(frozen=True, slots=True)
 class CopyRejected:
     """A copy was not made, or its answer was lost.
@@ -126,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitQuiet:
-    """Wait until the source's link is free."""
+    """Find out whether the source's link is free."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +167,7 @@
     TargetChosen
     | CopyEnded
     | LinkQuiet
+    | LinkBusy
     | CopyRejected
     | LinkEnded
     | RescueTarget
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -24,6 +24,7 @@
     CopyEnded,
     CopyRejected,
     Cut,
+    LinkBusy,
     LinkEnded,
     LinkQuiet,
     Message,
@@ -49,6 +50,11 @@
 
 #: Pause before a copy that was refused as busy is asked for again.
 _COPY_PAUSE: Millis = 30
+#: A renewed copy that took no longer shows that the link is free: what was
+#: made since the copy before takes 10 to 20 ms, another's copy 190 and more.
+_QUICK_COPY: Millis = 80
+#: Pause before a copy is renewed over a link that others use.
+_REFRESH_PAUSE: Millis = 40
 #: Between looks for an engine with room for a generation that must leave.
 _LOOK_EVERY: Millis = 40
 #: Longest wait for an engine whose link broke to answer a copy.
@@ -73,6 +79,8 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
+        #: How long the newest copy took; ``None`` when it failed.
+        self._copy_took: Millis | None = None
         #: Times that it went on at another engine.
         self.moves = 0
 
@@ -223,10 +231,11 @@
     ) -> Action | None:
         if isinstance(action, Copy):
             return await self._copy(action)
-        while self._ports.clock.now() < departure.stop_at:
-            left = departure.stop_at - self._ports.clock.now()
-            await trio.sleep(seconds(min(left, _LOOK_EVERY)))
-        return self._tell(LinkQuiet())
+        left = departure.stop_at - self._ports.clock.now()
+        if left <= 0 or _was_alone(self._copy_took):
+            return self._tell(LinkQuiet())
+        await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
+        return self._tell(LinkBusy())
 
     async def _copy(
         self, action: Copy, patience: Millis = COPY_PATIENCE
@@ -243,8 +252,11 @@
             action.last,
             patience,
         )
+        asked_at = self._ports.clock.now()
+        self._copy_took = None
         match await self._ports.upstreams.copy(copy):
             case Success(Copied(handle=handle)):
+                self._copy_took = self._ports.clock.now() - asked_at
                 return self._tell(CopyEnded(handle))
             case Failure(CopyFailed(fault=fault, handle=kept)):
                 return self._tell(CopyRejected(fault, kept))
@@ -288,3 +300,11 @@
             events=self.events,
         )
         return actions[0] if actions else None
+
+
+def _was_alone(took: Millis | None) -> bool:
+    """Tell whether a copy that took so long had the link for itself.
+
+    :param took: ``None`` for a copy that failed.
+    """
+    return took is not None and took <= _QUICK_COPY
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -27,6 +27,7 @@
     CopyEnded,
     CopyRejected,
     Cut,
+    LinkBusy,
     LinkEnded,
     LinkQuiet,
     MovePhase,
@@ -87,6 +88,44 @@
     assert play(state, LinkQuiet())[1] is None
 
 
+def test_copy_is_renewed_while_others_use_the_link() -> None:
+    state, action = play(
+        begin(SOURCE), TargetChosen(TARGET), CopyEnded('h'), LinkBusy()
+    )
+    assert action == Copy(last=False)
+    state, action = play(state, CopyEnded('h2'))
+    assert action == AwaitQuiet()
+    state, action = play(state, LinkQuiet())
+    assert action == Copy(last=True)
+    assert state.handle == 'h2'
+
+
+def test_source_that_ends_while_a_copy_is_renewed_leaves_the_older() -> None:
+    state, action = play(
+        begin(SOURCE),
+        TargetChosen(TARGET),
+        CopyEnded('h'),
+        LinkBusy(),
+        LinkEnded(),
+    )
+    assert action == Resume(TARGET)
+    late, action = play(state, CopyRejected(CopyFault.NO_ANSWER))
+    assert (late, action) == (state, None)
+
+
+@pytest.mark.parametrize('fault', [CopyFault.BUSY, CopyFault.NO_ANSWER])
+def test_renewed_copy_that_fails_leaves_the_older(fault: CopyFault) -> None:
+    state, action = play(
+        begin(SOURCE),
+        TargetChosen(TARGET),
+        CopyEnded('h'),
+        LinkBusy(),
+        CopyRejected(fault),
+    )
+    assert action == AwaitQuiet()
+    assert play(state, LinkEnded())[1] == Resume(TARGET)
+
+
 def test_refused_target_is_replaced() -> None:
     refused = CopyRejected(CopyFault.NO_ROOM)
     state, action = play(begin(SOURCE), TargetChosen(TARGET), refused)
@@ -175,6 +214,7 @@
         st.just(TargetChosen(TARGET)),
         st.just(CopyEnded('h')),
         st.just(LinkQuiet()),
+        st.just(LinkBusy()),
         st.builds(
             CopyRejected,
             st.sampled_from(CopyFault),
