--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -23,8 +23,6 @@
 #: Longest that an engine takes for a token; on the days in the journal it
 #: was 8 to 12 ms.
 _TOKEN_LONGEST: Millis = 15
-#: Between looks at whether a generation's turn has come.
-_LOOK_EVERY: Millis = 10
 #: Between the copies that are asked for, so that they come into the engine's
 #: queue in their order.
 _COPY_EVERY: Millis = 4
@@ -137,21 +135,15 @@
     async def _move(
         self, generation: MovableGeneration, turn: Turn, departure: Departure
     ) -> None:
-        """Move a generation, unless its copy would only hold up others.
-
-        The link may be free earlier than it seems; so who could end in time
-        over a free link tries at last.
-        """
+        """Move a generation, unless its copy would only hold up others."""
         began = self._clock.now()
         if began + generation.most_left * _TOKEN_LONGEST <= departure.until:
             return
         begins = began + turn.waits
-        if begins <= departure.begin_by(turn):
+        if departure.leaves_time(begins, turn):
             begins = began + turn.rank * _COPY_EVERY
-        while self._clock.now() < min(begins, departure.begin_by(turn)):
-            await trio.sleep(seconds(_LOOK_EVERY))
-        left = departure.begin_by(turn) - self._clock.now()
-        if left >= -_LOOK_EVERY:
+        await trio.sleep(seconds(begins - began))
+        if departure.leaves_time(self._clock.now(), turn):
             await generation.leave(departure)
             return
         logger.info(
@@ -159,7 +151,7 @@
             request=generation.request_id,
             waits=turn.waits,
             takes=turn.takes,
-            late=-left,
+            left=departure.until - self._clock.now(),
         )
 
 
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -75,9 +75,9 @@
 
     until: Millis
 
-    def begin_by(self, turn: Turn) -> Millis:
-        """Return when a copy must begin to be done before the end."""
-        return self.stop_at - turn.takes
+    def leaves_time(self, begins: Millis, turn: Turn) -> bool:
+        """Tell whether a copy that begins at a time is done before the end."""
+        return begins + turn.takes <= self.stop_at
 
     @property
     def stop_at(self) -> Millis:
