Free copies of generations that ended before they went on from them

Change: such copies are freed at their target by a task beside the requests. A test over sockets failed before.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -33,6 +33,7 @@
 from cartdale.platform.translate import PlatformWire, make_translator
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay.admission import Admission
+from cartdale.relay.discards import Discards
 from cartdale.relay.ports import RelayPorts
 from cartdale.retries.window import RepeatBudget
 from cartdale.routes.types import RoutingTable
@@ -88,6 +89,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self._upstreams = PlatformUpstreams()
+        self._discards = Discards(self._upstreams)
         self.metrics = GatewayMetrics(self._read_version, store.calls_by_path)
         self.mover = Mover(
             self.fleet,
@@ -134,6 +136,7 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.mover.run)
+            nursery.start_soon(self._discards.run)
             nursery.start_soon(self.peers.run, self.follower, self._stopping)
             nursery.start_soon(self._follow_bounds)
             nursery.start_soon(self._watch_settings)
@@ -180,6 +183,7 @@
             admission=Admission(self.fleet, self._clock),
             upstreams=self._upstreams,
             budget=self._budget,
+            discards=self._discards,
         )
         return GatewayApp(
             GatewayPorts(
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -140,6 +140,8 @@
         """
         self._ended = over
         self._occupancy.release()
+        if self._state is not None:
+            _discard(self._ports, self._state, self._state.handle)
         self._state = None
 
     def advance(self) -> None:
@@ -264,6 +266,8 @@
         match await self._ports.upstreams.copy(copy):
             case Success(Copied(handle=handle)):
                 self._copy_took = self._ports.clock.now() - asked_at
+                if self._state is None:
+                    _discard(self._ports, state, handle)
                 return self._tell(CopyEnded(handle))
             case Failure(CopyFailed(fault=fault, handle=kept)):
                 return self._tell(CopyRejected(fault, kept))
@@ -303,6 +307,12 @@
         return actions[0] if actions else None
 
 
+def _discard(ports: RelayPorts, state: MoveState, handle: str) -> None:
+    """Free a copy at the target that nobody will go on from."""
+    if state.target is not None and handle:
+        ports.discards.add(state.target.address, handle)
+
+
 def _was_alone(took: Millis | None) -> bool:
     """Tell whether a copy that took so long had the link for itself.
 
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -5,6 +5,7 @@
 from cartdale.clock import Clock
 from cartdale.fleet.driver import Fleet
 from cartdale.relay.admission import Admission
+from cartdale.relay.discards import Discards
 from cartdale.relay.types import UpstreamPort
 from cartdale.retries.window import RepeatBudget
 
@@ -14,6 +15,7 @@
     """Hold what every relayed request needs.
 
     :param upstreams: reaches upstreams.
+    :param discards: frees copies that nobody goes on from.
     """
 
     clock: Clock
@@ -21,3 +23,4 @@
     admission: Admission
     upstreams: UpstreamPort
     budget: RepeatBudget
+    discards: Discards
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -12,6 +12,7 @@
 
 import httpx
 import msgspec
+import trio
 from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -58,6 +59,10 @@
         self.dead = False
         self.leaves_ms: float | None = None
         self.copies_asked = 0
+        self.copies_taken = 0
+        self.copies_freed = 0
+        #: Seconds that a copy takes, as if others used the link.
+        self.copy_takes: float = 0
         self.reports_asked = 0
         self._stopped: set[str] = set()
 
@@ -165,6 +170,7 @@
             self.driver.model.cancel(request_id)
             record.wake()
         events = record.produced // STRIDE
+        await trio.sleep(self.copy_takes)
         await _tell(
             order['targetVersion'], {'handle': handle, 'events': events}
         )
@@ -176,11 +182,13 @@
         if backed_up:
             self.memory.backed_up.add(backed_up)
         else:
+            self.copies_taken += 1
             self.memory.events_by_handle[copy['handle']] = copy['events']
         return _answer({})
 
     async def _free(self, handle: str) -> Response:
-        self.memory.events_by_handle.pop(handle, None)
+        if self.memory.events_by_handle.pop(handle, None) is not None:
+            self.copies_freed += 1
         return _answer({})
 
     async def _report(self) -> Response:
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -75,6 +75,20 @@
         assert count_runs(stage, 'r1') == 1
 
 
+async def test_copy_of_a_generation_that_ended_is_freed() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            # Copies of others keep the link busy until the draft has ended.
+            source.copy_takes = 0.1
+            stage.drain(source)
+        assert answers[0].content == whole('r1')
+        await until(lambda: target.copies_taken and target.copies_freed)
+        assert not target.memory.events_by_handle
+
+
 async def test_engine_that_drains_is_not_asked_over_and_over() -> None:
     async with open_platform(engines=2) as stage:
         async with trio.open_nursery() as nursery:
