Keep backups up to 80% of memory for engines too full to be emptied in time

Change: where an engine holds more without a backup than its link carries away in 1.45 s, a new generation there gets a backup at an engine filled up to 80%, else 60%.

--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -9,6 +9,7 @@
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.fleet.types import EngineReport, RunReport, UpstreamEntry
 from cartdale.moves.schedule import (
+    SERVES_ON,
     Departure,
     SourceLink,
     Turn,
@@ -17,9 +18,6 @@
 )
 from cartdale.relay.types import UpstreamPort
 
-#: How long an engine is taken to serve on until its reports tell. Reclaimed
-#: ones got 1.5 to 2.1 s on the days in the journal.
-_SERVES_ON: Millis = 1600
 #: Longest that an engine takes for a token; on the days in the journal it
 #: was 8 to 12 ms.
 _TOKEN_LONGEST: Millis = 15
@@ -106,7 +104,7 @@
             copied_share=round(self._link.copied_share, 2),
             factor=self._link.factor,
         )
-        serves_on = _SERVES_ON
+        serves_on = SERVES_ON
         if held.leaves_in is not None:
             serves_on = held.leaves_in - _REPORT_LAG
         departure = Departure(until=noticed_at + serves_on)
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -14,6 +14,9 @@
 from cartdale.fleet.types import RunReport
 from cartdale.routes.types import EngineTraits
 
+#: How long an engine is taken to serve on until its reports tell. Reclaimed
+#: ones got 1.5 to 2.1 s on the days in the journal.
+SERVES_ON: Millis = 1600
 #: Copies between failure domains take twice as long, but those to different
 #: targets overlap: four in a row took 290 ms each instead of 360 (journal).
 NEAR = 1
@@ -65,6 +68,10 @@
         through_link = bits / (self.engine.link_mbps * _BITS_PER_MEGABIT_MS)
         return int(self.factor * through_link) + _SETUP_MS
 
+    def carries_all(self, tokens: int) -> bool:
+        """Tell whether so much memory leaves an engine that gives notice."""
+        return self.estimate(tokens) <= SERVES_ON - _LAST_CALL
+
 
 @dataclass(slots=True)
 class Departure:
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -7,6 +7,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.moves.schedule import SourceLink
 from cartdale.relay.needs import make_need
 from cartdale.relay.types import RoutedRequest
 
@@ -16,6 +17,9 @@
 #: Part of an engine's memory that may be filled when a backup is sent there;
 #: backups beyond it displace running generations (trial in the journal).
 _BACKUP_FILLED = 0.6
+#: The same for an engine that holds more without a backup than its link
+#: carries away once it leaves: what can't be moved is lost for sure.
+_CROWDED_FILLED = 0.8
 #: Tokens to make from which on a backup is worth its memory.
 _BACKUP_WORTH = 100
 
@@ -54,9 +58,12 @@
     spec = fleet.table.services_by_name.get(source.service)
     if spec is None or spec.engine is None or not spec.engine.backups:
         return None
+    load = fleet.load_at(source.upstream)
+    link = SourceLink(spec.engine)
+    movable = link.carries_all(load.tokens - load.backed)
     need = replace(
         make_need(routed, frozenset((source.upstream,))),
-        filled=_BACKUP_FILLED,
+        filled=_BACKUP_FILLED if movable else _CROWDED_FILLED,
     )
     if need.expected < _BACKUP_WORTH:
         return None
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,77 @@
+"""Targets: which engine keeps the backup of a generation."""
+
+import pytest
+
+from cartdale.clock import VirtualClock
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
+from cartdale.fleet.types import EntryWritten, UpstreamEntry
+from cartdale.relay.targets import choose_backup
+from cartdale.relay.types import CallerRequest, RoutedRequest
+from cartdale.routes.types import (
+    EngineTraits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceSpec,
+)
+
+MEMORY = 34000
+ENGINE = EngineTraits(64, MEMORY, 18432, 2700, moves=True, backups=True)
+SOURCE, OTHER = (
+    UpstreamEntry(name, 's', f'{name}:80', 'west', 64) for name in ('a', 'b')
+)
+
+
+def make_fleet(at_source: Load, at_other: Load) -> Fleet:
+    fleet = Fleet(VirtualClock(), 'west', 1)
+    spec = ServiceSpec('s', '', 0, ENGINE)
+    fleet.table = RoutingTable(version=1, services_by_name={'s': spec})
+    for entry in (SOURCE, OTHER):
+        fleet.tell(EntryWritten(entry))
+    loads = {'a': at_source, 'b': at_other}
+    fleet.loads.hear('peer', loads, 0)
+    return fleet
+
+
+def make_routed(expected: int) -> RoutedRequest:
+    request = CallerRequest(
+        'r',
+        'POST',
+        'h',
+        b'/',
+        '',
+        0,
+        (),
+        prompt_tokens=3000,
+        most_tokens=2000,
+        expected_tokens=expected,
+    )
+    route = Route('d', 'h', '/', RouteKind.STREAM, 9000, 2000, ())
+    return RoutedRequest(request, route, 's', '', 0, 0, 9000)
+
+
+@pytest.mark.parametrize(
+    ('at_source', 'at_other', 'kept'),
+    [
+        (Load(1, 3000), Load(3, 12000), True),
+        (Load(1, 3000), Load(6, 20000), False),
+        # More than the link carries away in time: memory is worth less.
+        (Load(7, 25000), Load(6, 20000), True),
+        (Load(7, 25000), Load(8, 26000), False),
+        # What has a backup need not be carried away.
+        (Load(7, 25000, backed=16000), Load(6, 20000), False),
+    ],
+)
+def test_backup_is_kept_where_memory_is_to_spare(
+    at_source: Load, at_other: Load, kept: bool
+) -> None:
+    fleet = make_fleet(at_source, at_other)
+    chosen = choose_backup(fleet, make_routed(900), SOURCE)
+    assert (chosen == OTHER) == kept
+    assert kept or chosen is None
+
+
+def test_short_generation_has_no_backup() -> None:
+    fleet = make_fleet(Load(), Load())
+    assert choose_backup(fleet, make_routed(50), SOURCE) is None
