Let generations leave an engine one after another, each stopped once copied

Cause: all copies were asked for at once and stops waited for a free link. Change: instances tell in their loads how many of their generations at an engine have a copy or a backup elsewhere; a generation begins once as many as come before it are safe, or when their estimates have passed, and stops at once after a copy that had the link for itself.

--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -84,8 +84,7 @@
 
     def load_at(self, upstream: str) -> Load:
         """Return everybody's load at an upstream, as far as it is known."""
-        totals = self.loads.totals(self._clock.now())
-        return totals.get(upstream, Load())
+        return self.loads.at(upstream, self._clock.now())
 
     def choose(
         self, need: Need, failure_domain: str | None = None
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -19,14 +19,19 @@
     :param tokens: memory that they hold now.
     :param growth: tokens that they are still expected to make.
     :param reading: prompt tokens of those that have not begun to answer.
-    :param backed: memory of those that have a backup elsewhere.
+    :param safe: how many of them have a copy or a backup elsewhere.
     """
 
     runs: int = 0
     tokens: int = 0
     growth: int = 0
     reading: int = 0
-    backed: int = 0
+    safe: int = 0
+
+    @property
+    def exposed(self) -> int:
+        """Return how many requests are lost if the upstream ends now."""
+        return max(self.runs - self.safe, 0)
 
     def add(self, other: 'Load') -> 'Load':
         """Return the sum."""
@@ -35,7 +40,7 @@
             self.tokens + other.tokens,
             self.growth + other.growth,
             self.reading + other.reading,
-            self.backed + other.backed,
+            self.safe + other.safe,
         )
 
 
@@ -50,6 +55,7 @@
     __slots__ = (
         'backup',
         'began',
+        'copied',
         'expected',
         'made',
         'prompt',
@@ -60,6 +66,8 @@
         self, upstream: str, prompt: int, expected: int, made: int = 0
     ) -> None:
         self.backup = ''
+        #: Whether a copy lies at the engine that it moves to.
+        self.copied = False
         self.upstream = upstream
         self.prompt = prompt
         self.expected = expected
@@ -83,7 +91,7 @@
             tokens=self.prompt + self.made,
             growth=left if self.prompt else 0,
             reading=0 if self.began else self.prompt,
-            backed=self.prompt + self.made if self.backup else 0,
+            safe=int(self.copied or bool(self.backup)),
         )
 
 
@@ -146,6 +154,25 @@
                 _add(totals_by_upstream, upstream, load)
         return totals_by_upstream
 
+    def at(self, upstream: str, now: Millis) -> Load:
+        """Return everybody's load at one upstream, as far as it is known."""
+        load = Load()
+        for assignment in self._assignments:
+            if assignment.upstream == upstream:
+                load = load.add(assignment.load())
+            if assignment.backup == upstream:
+                load = load.add(assignment.backup_load())
+        for peer in self._peers_by_name.values():
+            if now - peer.heard_at <= PEER_LOAD_KEPT_MS:
+                told = peer.loads_by_upstream.get(upstream, Load())
+                load = load.add(told)
+        return load
+
+    def note_copy(self, assignment: Assignment) -> None:
+        """Note that a copy of a request lies at another upstream."""
+        assignment.copied = True
+        self._count(assignment)
+
     def _count(self, assignment: Assignment) -> None:
         if assignment.prompt:
             self.version += 1
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -90,7 +90,7 @@
         for each in own:
             self._told_by_generation[each].add(name)
         leaving = LeavingEngine(
-            self._upstreams, self._clock, upstream.entry, link
+            self._fleet, self._upstreams, self._clock, upstream.entry, link
         )
         await leaving.move_all(own)
 
@@ -129,11 +129,7 @@
             and each.entry.failure_domain == entry.failure_domain
             for each in self._fleet.state.upstreams_by_id.values()
         )
-        load = self._fleet.load_at(entry.upstream)
-        backed_share = min(load.backed / max(load.tokens, 1), 1)
-        return SourceLink(
-            engine, _MIXED if near else FAR, copied_share=1 - backed_share
-        )
+        return SourceLink(engine, _MIXED if near else FAR)
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -7,6 +7,8 @@
 from returns.result import Failure, Success
 
 from cartdale.clock import Clock, Millis, seconds
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
 from cartdale.fleet.types import EngineReport, RunReport, UpstreamEntry
 from cartdale.moves.schedule import (
     SERVES_ON,
@@ -21,9 +23,8 @@
 #: Longest that an engine takes for a token; on the days in the journal it
 #: was 8 to 12 ms.
 _TOKEN_LONGEST: Millis = 15
-#: Between the copies that are asked for, so that they come into the engine's
-#: queue in their order.
-_COPY_EVERY: Millis = 4
+#: Between looks at whether those before have their copies.
+_LOOK_EVERY: Millis = 20
 #: Reports show an engine as it was about half a second ago.
 _REPORT_LAG: Millis = 500
 #: Reports that are read to learn when an engine ends.
@@ -70,17 +71,20 @@
 class LeavingEngine:
     """Move generations away from an engine before it ends.
 
+    :param fleet: knows from peers who has left already.
     :param entry: what the engine wrote of itself.
     :param link: what carries the copies.
     """
 
     def __init__(
         self,
+        fleet: Fleet,
         upstreams: UpstreamPort,
         clock: Clock,
         entry: UpstreamEntry,
         link: SourceLink,
     ) -> None:
+        self._fleet = fleet
         self._upstreams = upstreams
         self._clock = clock
         self._entry = entry
@@ -93,6 +97,7 @@
         """
         noticed_at = self._clock.now()
         held = await read_report(self._upstreams, self._entry)
+        load = self._fleet.load_at(self._entry.upstream)
         queue = line_up(held.runs, [_describe(each) for each in own])
         logger.info(
             'emptying upstream',
@@ -101,7 +106,8 @@
             own=len(own),
             reported=len(held.runs),
             takes=sum(self._link.estimate(run.tokens) for run in queue),
-            copied_share=round(self._link.copied_share, 2),
+            exposed=load.exposed,
+            safe=load.safe,
             factor=self._link.factor,
         )
         serves_on = SERVES_ON
@@ -111,8 +117,15 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._learn_end, departure)
             for generation in own:
-                turn = find_turn(generation.request_id, queue, self._link)
-                nursery.start_soon(self._move, generation, turn, departure)
+                turn = find_turn(
+                    generation.request_id,
+                    queue,
+                    self._link,
+                    load.exposed / max(load.runs, 1),
+                )
+                nursery.start_soon(
+                    self._move, generation, turn, departure, load
+                )
 
     async def _learn_end(self, departure: Departure) -> None:
         """Read when the engine is gone, once its reports can tell."""
@@ -131,22 +144,31 @@
             return
 
     async def _move(
-        self, generation: MovableGeneration, turn: Turn, departure: Departure
+        self,
+        generation: MovableGeneration,
+        turn: Turn,
+        departure: Departure,
+        load: Load,
     ) -> None:
-        """Move a generation, unless its copy would only hold up others."""
+        """Move a generation, unless its copy would only hold up others.
+
+        :param load: of the engine when it began to leave.
+        """
         began = self._clock.now()
         if began + generation.most_left * _TOKEN_LONGEST <= departure.until:
             return
-        begins = began + turn.waits
-        if departure.leaves_time(begins, turn):
-            begins = began + turn.rank * _COPY_EVERY
-        await trio.sleep(seconds(begins - began))
+        while self._clock.now() < began + turn.waits:
+            now_load = self._fleet.load_at(self._entry.upstream)
+            if load.exposed - now_load.exposed >= turn.ahead:
+                break
+            await trio.sleep(seconds(_LOOK_EVERY))
         if departure.leaves_time(self._clock.now(), turn):
             await generation.leave(departure)
             return
         logger.info(
             'not moved',
             request=generation.request_id,
+            ahead=turn.ahead,
             waits=turn.waits,
             takes=turn.takes,
             left=departure.until - self._clock.now(),
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -2,9 +2,10 @@
 
 Every instance copies only its own generations, yet all copies leave by the
 same link, one after another. All instances order them alike, from the same
-report, so that each knows how long the link is taken before its turn. A copy
-that could not end before the engine does is not begun: it would only hold up
-the others.
+report, so that each knows who copies before it, and hears from their loads
+when they have. A generation stops as soon as it is copied, before the next
+begins: where not all leave in time, only the last are lost. A copy that could
+not end before the engine does is not begun: it would only hold up the others.
 """
 
 from collections.abc import Iterable, Sequence
@@ -29,6 +30,8 @@
 _LAST_CALL: Millis = 150
 #: What every copy adds: its call, and the engine's own preparation.
 _SETUP_MS = 5
+#: Between the end of a copy and the begin of the next: its news, and a call.
+_HANDOVER: Millis = 40
 #: Events that a generation is still expected to make, whatever it has made;
 #: about half of a draft's mean length at both users'.
 _EVENTS_TO_COME = 125
@@ -38,12 +41,12 @@
 class Turn:
     """Say when a generation's copy has the link.
 
-    :param rank: how many come before.
-    :param waits: time that the copies before it take.
+    :param ahead: how many copies come before.
+    :param waits: time that they take at the most.
     :param takes: time that its own copy takes.
     """
 
-    rank: int
+    ahead: int
     waits: Millis
     takes: Millis
 
@@ -54,13 +57,10 @@
 
     :param factor: ``NEAR`` for targets in its failure domain, ``FAR`` for
         others, or between.
-    :param copied_share: part of the engine's memory that has to be copied;
-        the rest has a backup elsewhere.
     """
 
     engine: EngineTraits
     factor: float = FAR
-    copied_share: float = 1
 
     def estimate(self, tokens: int) -> Millis:
         """Return how long the copy of a generation takes."""
@@ -111,16 +111,25 @@
 
 
 def find_turn(
-    request_id: str, queue: Sequence[RunReport], link: SourceLink
+    request_id: str,
+    queue: Sequence[RunReport],
+    link: SourceLink,
+    exposed_share: float,
 ) -> Turn:
     """Return a generation's turn.
 
     :param queue: all that leave the engine, in order.
+    :param exposed_share: part of them that has to be copied; the rest has a
+        backup elsewhere.
     """
     rank = [run.request_id for run in queue].index(request_id)
     before = sum(link.estimate(run.tokens) for run in queue[:rank])
-    waits = int(link.copied_share * before)
-    return Turn(rank, waits, link.estimate(queue[rank].tokens))
+    before += rank * _HANDOVER
+    return Turn(
+        round(exposed_share * rank),
+        int(exposed_share * before),
+        link.estimate(queue[rank].tokens),
+    )
 
 
 def _rank(run: RunReport) -> tuple[float, str]:
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -12,7 +12,7 @@
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves import decide as moves
-from cartdale.moves.schedule import Departure
+from cartdale.moves.schedule import Departure, SourceLink
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
@@ -53,6 +53,9 @@
 #: A renewed copy that took no longer shows that the link is free: what was
 #: made since the copy before takes 10 to 20 ms, another's copy 190 and more.
 _QUICK_COPY: Millis = 80
+#: The same for the first copy, in parts of its estimate: with another one on
+#: the link it takes twice as long.
+_ALONE_SHARE = 1.4
 #: Pause before a copy is renewed over a link that others use.
 _REFRESH_PAUSE: Millis = 40
 #: Between looks for an engine with room for a generation that must leave.
@@ -80,8 +83,8 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
-        #: How long the newest copy took; ``None`` when it failed.
-        self._copy_took: Millis | None = None
+        #: Whether the newest copy had the source's link for itself.
+        self._link_free = False
         #: Times that it went on at another engine.
         self.moves = 0
 
@@ -241,7 +244,7 @@
         if isinstance(action, Copy):
             return await self._copy(action)
         left = departure.stop_at - self._ports.clock.now()
-        if left <= 0 or _was_alone(self._copy_took):
+        if left <= 0 or self._link_free:
             return self._tell(LinkQuiet())
         await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
         return self._tell(LinkBusy())
@@ -262,10 +265,13 @@
             patience,
         )
         asked_at = self._ports.clock.now()
-        self._copy_took = None
+        longest = _expect_copy(self._ports, state, self.tokens)
+        self._link_free = False
         match await self._ports.upstreams.copy(copy):
             case Success(Copied(handle=handle)):
-                self._copy_took = self._ports.clock.now() - asked_at
+                took = self._ports.clock.now() - asked_at
+                self._link_free = took <= longest
+                self._occupancy.note_copy()
                 if self._state is None:
                     _discard(self._ports, state, handle)
                 return self._tell(CopyEnded(handle))
@@ -313,9 +319,11 @@
         ports.discards.add(state.target.address, handle)
 
 
-def _was_alone(took: Millis | None) -> bool:
-    """Tell whether a copy that took so long had the link for itself.
-
-    :param took: ``None`` for a copy that failed.
-    """
-    return took is not None and took <= _QUICK_COPY
+def _expect_copy(ports: RelayPorts, state: MoveState, tokens: int) -> Millis:
+    """Return how long a copy takes at most over a link without others."""
+    spec = ports.fleet.table.services_by_name.get(state.source.service)
+    first = state.phase is MovePhase.COPYING
+    if spec is None or spec.engine is None or not first:
+        return _QUICK_COPY
+    estimate = SourceLink(spec.engine).estimate(tokens)
+    return max(_QUICK_COPY, int(_ALONE_SHARE * estimate))
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -52,6 +52,12 @@
             self._assignment.backup = chosen.upstream
         return chosen
 
+    def note_copy(self) -> None:
+        """Tell that a copy of it lies at another engine."""
+        if self._assignment is not None:
+            self._fleet.loads.note_copy(self._assignment)
+            self._fleet.notify()
+
     def lose_backup(self) -> None:
         """Count its backup nowhere."""
         if self._assignment is not None:
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -60,7 +60,8 @@
         return None
     load = fleet.load_at(source.upstream)
     link = SourceLink(spec.engine)
-    movable = link.carries_all(load.tokens - load.backed)
+    exposed_share = load.exposed / max(load.runs, 1)
+    movable = link.carries_all(int(exposed_share * load.tokens))
     need = replace(
         make_need(routed, frozenset((source.upstream,))),
         filled=_BACKUP_FILLED if movable else _CROWDED_FILLED,
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -273,17 +273,19 @@
 
 
 def test_turn_waits_for_those_before_that_have_no_backup() -> None:
-    reported = [RunReport(str(rank), 3000, 9 - rank, 0) for rank in range(3)]
+    reported = [RunReport(str(rank), 3000, 9 - rank, 0) for rank in range(5)]
     link = SourceLink(ENGINE, FAR)
-    turn = find_turn('2', line_up(reported, ()), link)
-    assert turn.rank == 2
-    assert turn.waits == 2 * turn.takes
-    half = SourceLink(ENGINE, FAR, copied_share=0.5)
-    assert find_turn('2', line_up(reported, ()), half).waits == turn.takes
+    turn = find_turn('4', line_up(reported, ()), link, 1)
+    assert turn.ahead == 4
+    assert turn.waits > 4 * turn.takes
+    half = find_turn('4', line_up(reported, ()), link, 0.5)
+    assert half.ahead == 2
+    assert half.waits == turn.waits // 2
 
 
 def test_copy_that_can_not_end_before_its_engine_is_told() -> None:
-    turn = find_turn('a', (RunReport('a', 3000, 1, 0),), SourceLink(ENGINE))
+    alone = (RunReport('a', 3000, 1, 0),)
+    turn = find_turn('a', alone, SourceLink(ENGINE), 1)
     departure = Departure(until=1000)
     assert departure.leaves_time(0, turn)
     assert not departure.leaves_time(700, turn)
