Wait for whole copies of those before, not for the exposed part of one

Change: the time-out of a turn is that of as many whole copies as are expected, and a quarter more, as others' news decide in the usual case.

--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -32,6 +32,9 @@
 _SETUP_MS = 5
 #: Between the end of a copy and the begin of the next: its news, and a call.
 _HANDOVER: Millis = 40
+#: How long those before are waited for, in parts of their estimate: some find
+#: no target, and copies to engines that get others' too take longer.
+_PATIENCE = 1.25
 #: Events that a generation is still expected to make, whatever it has made;
 #: about half of a draft's mean length at both users'.
 _EVENTS_TO_COME = 125
@@ -123,11 +126,12 @@
         backup elsewhere.
     """
     rank = [run.request_id for run in queue].index(request_id)
-    before = sum(link.estimate(run.tokens) for run in queue[:rank])
-    before += rank * _HANDOVER
+    ahead = round(exposed_share * rank)
+    before = [link.estimate(run.tokens) + _HANDOVER for run in queue[:rank]]
+    waits = ahead * sum(before) // max(rank, 1)
     return Turn(
-        round(exposed_share * rank),
-        int(exposed_share * before),
+        ahead,
+        int(_PATIENCE * waits),
         link.estimate(queue[rank].tokens),
     )
 
