Tell news by failure domains in large systems

Ruled out: a leader that is set aside; the speaker is the last of a fixed order among those heard, and another follows when it falls silent. Change: with more than 16 instances in two failure domains or more, an instance tells those around it; the speaker tells one instance of each other domain the sums, which passes the message on. Each domain has a watcher of the store. Tests of each duty, and one over sockets with 18 instances.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -71,6 +71,7 @@
         )
         self.peers = Peers(
             settings.name,
+            settings.failure_domain,
             Listener(settings.address, settings.peer_ports[0]),
             store,
             self.fleet,
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -53,6 +53,7 @@
     def __init__(
         self,
         name: str,
+        failure_domain: str,
         listener: Listener,
         store: LeasedStore,
         fleet: Fleet,
@@ -60,7 +61,9 @@
     ) -> None:
         both = _bind_both(listener)
         self._listener = both.connections
-        own = PeerEntry(name, listener.address, self._listener.port)
+        own = PeerEntry(
+            name, listener.address, self._listener.port, failure_domain
+        )
         self.news = NewsExchange(
             own,
             fleet,
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -1,5 +1,6 @@
 """Loads: what this instance and its peers have running at each upstream."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from cartdale.clock import SECOND_MS, Millis
@@ -144,6 +145,17 @@
                 _add(loads_by_upstream, assignment.backup, copied)
         return loads_by_upstream
 
+    def sum_up(self, peers: Iterable[str], now: Millis) -> dict[str, Load]:
+        """Return what this instance and some peers told, by upstream."""
+        summed_by_upstream = self.own(shared=True)
+        for name in peers:
+            peer = self._peers_by_name.get(name)
+            if peer is None or now - peer.heard_at > PEER_LOAD_KEPT_MS:
+                continue
+            for upstream, load in peer.loads_by_upstream.items():
+                _add(summed_by_upstream, upstream, load)
+        return summed_by_upstream
+
     def totals(self, now: Millis) -> dict[str, Load]:
         """Return everybody's load by upstream, as far as it is known."""
         totals_by_upstream = self.own()
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -12,27 +12,33 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EntryRemoved, EntryWritten
 from cartdale.news.decide import (
+    ALIVE_MS,
+    choose_recipients,
     count_alive,
     decide,
     hears_of_loss,
+    is_relay,
     is_silent,
     is_watcher,
-    list_reachable,
+    list_audience,
     stretch,
 )
 from cartdale.news.types import (
+    DomainNews,
+    DomainNewsArrived,
     FetchTable,
     LoadNews,
     Message,
     NewsArrived,
     NewsState,
+    PassOn,
     PeerEntry,
     TakeEntry,
     TakeLeaving,
     TakeLoads,
 )
-from cartdale.news.writing import NEWS_KIND, NewsWriter
-from cartdale.peers.seal import Seal
+from cartdale.news.writing import DOMAIN_KIND, NEWS_KIND, NewsWriter
+from cartdale.peers.seal import Envelope, Seal
 
 #: Between two messages when there is something new, in a small system:
 #: changes that come together travel together.
@@ -40,6 +46,9 @@
 #: Between two messages when nothing is new but the tokens made meanwhile, in
 #: a small system; a large one is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
+#: The same for what an instance says for its failure domain: each message
+#: goes to one instance of each other domain, which passes it on.
+_DOMAIN_EVERY: Millis = 100
 _LARGEST_DATAGRAM = 65507
 
 Fetch = Callable[[PeerEntry], None]
@@ -74,8 +83,11 @@
         self.state = NewsState()
         self.seal: Seal | None = None
 
-    def tell(self, message: Message) -> None:
-        """Take one message and act on what follows from it."""
+    def tell(self, message: Message, raw: bytes = b'') -> None:
+        """Take one message and act on what follows from it.
+
+        :param raw: the message as it came, to be passed on.
+        """
         now = self._clock.now()
         version = self._fleet.table.version
         after, actions = decide(self.state, message, now, version)
@@ -90,10 +102,12 @@
                     self._fleet.tell(EntryRemoved(upstream, heard=True))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
+                case PassOn():
+                    self._pass_on(raw)
 
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
-        return is_watcher(self.state, self._own.name, self._clock.now())
+        return is_watcher(self.state, self._own, self._clock.now())
 
     def hears_of_loss(self) -> bool:
         """Tell whether a peer says that the store does not answer."""
@@ -113,6 +127,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, bound)
             nursery.start_soon(self._send, bound)
+            nursery.start_soon(self._speak, bound)
 
     async def _receive(self, bound: trio.socket.SocketType) -> None:
         while True:
@@ -127,26 +142,67 @@
         if self.seal is None:
             return
         envelope = self.seal.open(raw, self._clock.wall())
-        if envelope is None or envelope.kind != NEWS_KIND:
+        if envelope is None:
             return
         try:
-            news = decode_binary(bytes(envelope.body), LoadNews)
+            message = _read(envelope, self._own.name)
         except msgspec.MsgspecError as error:
             logger.warning('news not understood', detail=repr(error))
             return
-        self.tell(NewsArrived(envelope.sender, news))
+        if message is not None:
+            self.tell(message, raw)
+
+    def _pass_on(self, raw: bytes) -> None:
+        """Send a message as it came to the instances around."""
+        for peer in self._list_audience():
+            try:
+                self._bound.sendto(raw, (peer.address, peer.port))
+            except OSError as error:
+                # A full buffer included: the next message is not far.
+                logger.info('news not sent', peer=peer.name, detail=repr(error))
 
     async def _send(self, bound: trio.socket.SocketType) -> None:
         while True:
-            factor = stretch(len(self.state.peers_by_name))
+            factor = stretch(len(self._list_audience()))
             await trio.sleep(seconds(_CHANGED_EVERY * factor))
             await self._wait_for_news(_UNCHANGED_EVERY * factor)
             if self.seal is None:
                 continue
             sealed = self._writer.write(self.seal)
-            for peer in list_reachable(self.state, self._clock.now()):
-                if peer.name != self._own.name:
-                    await self._send_to(bound, sealed, peer)
+            for peer in self._list_audience():
+                await self._send_to(bound, sealed, peer)
+
+    async def _speak(self, bound: trio.socket.SocketType) -> None:
+        """Tell other failure domains of this one, while it is this one's."""
+        told = None
+        told_at: Millis = 0
+        turn = 0
+        while True:
+            await trio.sleep(seconds(_DOMAIN_EVERY))
+            now = self._clock.now()
+            if self.seal is None or not is_relay(self.state, self._own, now):
+                continue
+            news = self._describe_domain(now)
+            if news == told and now - told_at < _UNCHANGED_EVERY:
+                continue
+            told, told_at = news, now
+            turn += 1
+            for peer in choose_recipients(self.state, self._own, now, turn):
+                sealed = self._writer.close_domain(self.seal, news, peer.name)
+                await self._send_to(bound, sealed, peer)
+
+    def _describe_domain(self, now: Millis) -> DomainNews:
+        names = [peer.name for peer in self._list_audience()]
+        alive = 1 + sum(
+            name in self.state.heard_by_name
+            and now - self.state.heard_by_name[name].at <= ALIVE_MS
+            for name in names
+        )
+        loads_by_upstream = self._fleet.loads.sum_up(names, now)
+        return self._writer.describe_domain(alive, loads_by_upstream)
+
+    def _list_audience(self) -> list[PeerEntry]:
+        return list_audience(self.state, self._own, self._clock.now())
 
     async def _wait_for_news(self, longest: Millis) -> None:
         with trio.move_on_after(seconds(longest)):
@@ -160,3 +216,19 @@
             await bound.sendto(sealed, (peer.address, peer.port))
         except OSError as error:
             logger.warning('news not sent', peer=peer.name, detail=repr(error))
+
+
+def _read(envelope: Envelope, own: str) -> Message | None:
+    """Decode a message; ``None`` for one of another kind.
+
+    :raises msgspec.MsgspecError: when it can't be decoded.
+    """
+    body = bytes(envelope.body)
+    match envelope.kind:
+        case kind if kind == NEWS_KIND:
+            return NewsArrived(envelope.sender, decode_binary(body, LoadNews))
+        case kind if kind == DOMAIN_KIND:
+            direct = envelope.recipient == own
+            return DomainNewsArrived(decode_binary(body, DomainNews), direct)
+        case _:
+            return None
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -18,6 +18,7 @@
     name: str
     address: str
     port: int
+    failure_domain: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,33 @@
     store_lost: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DomainNews:
+    """Tell another failure domain what the instances of one have and know.
+
+    :param boot: wall time of the sender's start, in milliseconds.
+    :param number: counts the sender's messages of this kind.
+    :param version: configuration in force at the sender.
+    :param peer: how the sender is reached.
+    :param alive: instances of its failure domain that it heard of late,
+        itself included.
+    :param loads_by_upstream: what all of them have running.
+    :param leaving: upstreams that take no new work.
+    :param entries: upstreams whose entries changed of late.
+    :param store_lost: whether the store does not answer the sender.
+    """
+
+    boot: Millis
+    number: int
+    version: int
+    peer: PeerEntry
+    alive: int
+    loads_by_upstream: dict[str, Load]
+    leaving: tuple[str, ...] = ()
+    entries: tuple[UpstreamEntry, ...] = ()
+    store_lost: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Heard:
     """Hold the last message of a peer."""
@@ -52,12 +80,24 @@
     at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class HeardDomain:
+    """Hold the last message about a failure domain."""
+
+    news: DomainNews
+    at: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class NewsState:
-    """Hold the peers and what they said last."""
+    """Hold the peers and what they said last.
+
+    :param domains_by_name: the other failure domains, in a large system.
+    """
 
     peers_by_name: dict[str, PeerEntry] = field(default_factory=dict)
     heard_by_name: dict[str, Heard] = field(default_factory=dict)
+    domains_by_name: dict[str, HeardDomain] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,9 +122,21 @@
     news: LoadNews
 
 
+@dataclass(frozen=True, slots=True)
+class DomainNewsArrived:
+    """A genuine message about another failure domain came.
+
+    :param direct: whether its sender chose this instance; it is passed on
+        to the instances around then.
+    """
+
+    news: DomainNews
+    direct: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TakeLoads:
-    """Replace what a peer has running."""
+    """Replace what a peer, or all of a failure domain, has running."""
 
     peer: str
     loads_by_upstream: dict[str, Load]
@@ -111,6 +163,11 @@
     peer: PeerEntry
 
 
-Message = PeerListed | PeerRemoved | NewsArrived
-Action = TakeLoads | TakeLeaving | TakeEntry | FetchTable
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Pass the message on to the instances of this failure domain."""
+
+
+Message = PeerListed | PeerRemoved | NewsArrived | DomainNewsArrived
+Action = TakeLoads | TakeLeaving | TakeEntry | FetchTable | PassOn
 Decision = tuple[NewsState, tuple[Action, ...]]
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -1,18 +1,20 @@
-"""Write this instance's news: what it has running and what it knows."""
+"""Write this instance's news, and those of its failure domain."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
 from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.codec import encode_binary
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
 from cartdale.fleet.types import Lifecycle, UpstreamEntry
-from cartdale.news.types import LoadNews, PeerEntry
+from cartdale.news.types import DomainNews, LoadNews, PeerEntry
 from cartdale.peers.seal import Envelope, Seal
 
 NEWS_KIND = LoadNews.__name__
+DOMAIN_KIND = DomainNews.__name__
 _EVERYBODY = '*'
 #: Upstreams that left, and those that changed, are told about for so long.
 _LEAVING_TOLD: Millis = 3 * SECOND_MS
@@ -70,15 +72,53 @@
             peer=self._own,
             loads_by_upstream=self._fleet.loads.own(shared=True),
             leaving=self._list_leaving(),
+            entries=self._list_changed() if self._is_watcher() else (),
+            store_lost=self._store_lost(),
+        )
+        return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
+
+    def describe_domain(
+        self, alive: int, loads_by_upstream: dict[str, Load]
+    ) -> DomainNews:
+        """Return what this instance tells of its failure domain.
+
+        It gets its number when it is closed, so that two are equal that
+        tell the same.
+
+        :param alive: instances there, this one included.
+        :param loads_by_upstream: what all of them have running.
+        """
+        return DomainNews(
+            boot=self._boot,
+            number=0,
+            version=self._fleet.table.version,
+            peer=self._own,
+            alive=alive,
+            loads_by_upstream=loads_by_upstream,
+            leaving=self._list_leaving(),
             entries=self._list_changed(),
             store_lost=self._store_lost(),
         )
+
+    def close_domain(
+        self, seal: Seal, news: DomainNews, recipient: str
+    ) -> bytes:
+        """Return news of this failure domain, sealed for an instance."""
+        self._number += 1
+        numbered = replace(news, number=self._number)
+        return self._close(
+            seal, recipient, DOMAIN_KIND, encode_binary(numbered)
+        )
+
+    def _close(
+        self, seal: Seal, recipient: str, kind: str, body: bytes
+    ) -> bytes:
         envelope = Envelope(
             sender=self._own.name,
-            recipient=_EVERYBODY,
-            kind=NEWS_KIND,
+            recipient=recipient,
+            kind=kind,
             wall_ms=self._clock.wall(),
-            body=msgspec.Raw(encode_binary(news)),
+            body=msgspec.Raw(body),
         )
         return seal.close(envelope)
 
@@ -100,9 +140,7 @@
         )
 
     def _list_changed(self) -> tuple[UpstreamEntry, ...]:
-        """Return new entries, if this instance tells them to the others."""
-        if not self._is_watcher():
-            return ()
+        """Return new entries."""
         now = self._clock.now()
         return tuple(
             upstream.entry
--- /dev/null
+++ b/tests/test_domain_news.py
@@ -0,0 +1,221 @@
+"""Domain news: large systems tell each other by failure domains."""
+
+import socket
+from collections import Counter
+from dataclasses import dataclass, replace
+
+import trio
+
+from cartdale.clock import SystemClock
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Assignment, Load, LoadBook
+from cartdale.news.decide import (
+    DOMAIN_PREFIX,
+    MOST_FLAT_PEERS,
+    SILENT_MS,
+    choose_recipients,
+    count_alive,
+    decide,
+    hears_of_loss,
+    is_relay,
+    is_silent,
+    is_watcher,
+    is_wide,
+    list_audience,
+)
+from cartdale.news.driver import NewsExchange
+from cartdale.news.types import (
+    DomainNews,
+    DomainNewsArrived,
+    FetchTable,
+    LoadNews,
+    NewsArrived,
+    NewsState,
+    PassOn,
+    PeerEntry,
+    PeerListed,
+    TakeLeaving,
+    TakeLoads,
+)
+from cartdale.peers.seal import Seal
+
+DOMAINS = ('east', 'north', 'west')
+PEERS = tuple(
+    PeerEntry(f'{domain}-{number}', '10.0.0.1', 7200, domain)
+    for domain in DOMAINS
+    for number in range(8)
+)
+NORTH = PEERS[8]
+OWN = PEERS[0]
+
+
+def make_state(peers=PEERS, own=OWN, now: int = 0) -> NewsState:
+    """Return what an instance knows that heard all around it."""
+    state = NewsState()
+    for peer in peers:
+        state, _ = decide(state, PeerListed(peer), now, 0)
+        if peer.failure_domain == own.failure_domain and peer != own:
+            news = LoadNews(1, 1, 0, peer, {})
+            state, _ = decide(state, NewsArrived(peer.name, news), now, 0)
+    return state
+
+
+def make_news(peer=NORTH, number: int = 1, **changes) -> DomainNews:
+    return DomainNews(1, number, 0, peer, 8, {'u': Load(runs=5)}, **changes)
+
+
+def test_small_systems_tell_everybody() -> None:
+    few = PEERS[:MOST_FLAT_PEERS]
+    state = make_state(few)
+    assert not is_wide(state)
+    assert len(list_audience(state, OWN, 0)) == len(few) - 1
+    assert not is_relay(state, OWN, 0)
+
+
+def test_large_systems_tell_their_failure_domain() -> None:
+    state = make_state()
+    audience = list_audience(state, OWN, 0)
+    assert {peer.failure_domain for peer in audience} == {'east'}
+    assert len(audience) == 7
+
+
+def test_one_speaks_and_another_watches_in_each_failure_domain() -> None:
+    for domain in DOMAINS:
+        around = [peer for peer in PEERS if peer.failure_domain == domain]
+        relays = [
+            peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+        ]
+        watchers = [
+            peer for peer in around if is_watcher(make_state(own=peer), peer, 0)
+        ]
+        assert len(relays) == 1
+        assert len(watchers) == 1
+        assert relays != watchers
+
+
+def test_another_speaks_once_the_first_is_silent() -> None:
+    around = [peer for peer in PEERS if peer.failure_domain == 'east']
+    first = next(
+        peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+    )
+    later = 10 * SILENT_MS
+    heard = [peer for peer in PEERS if peer != first]
+    others = [
+        peer
+        for peer in around
+        if peer != first
+        and is_relay(make_state(heard, own=peer, now=later), peer, later)
+    ]
+    assert len(others) == 1
+
+
+def test_news_of_a_domain_are_passed_on_once() -> None:
+    arrived = DomainNewsArrived(make_news(leaving=('x',)), direct=True)
+    state, actions = decide(make_state(), arrived, 0, 0)
+    assert actions == (
+        PassOn(),
+        TakeLoads(f'{DOMAIN_PREFIX}north', {'u': Load(runs=5)}),
+        TakeLeaving('x'),
+    )
+    assert decide(state, arrived, 0, 0) == (state, ())
+    again = replace(arrived, news=make_news(number=2), direct=False)
+    _, actions = decide(state, again, 0, 0)
+    assert PassOn() not in actions
+
+
+def test_newer_configuration_is_fetched_from_the_speaker() -> None:
+    newer = replace(make_news(), version=4)
+    _, actions = decide(make_state(), DomainNewsArrived(newer, True), 0, 3)
+    assert actions[-1] == FetchTable(NORTH)
+
+
+def test_domains_are_spoken_to_by_their_speaker_or_by_turns() -> None:
+    state = make_state()
+    by_turns = {
+        peer.name
+        for turn in range(8)
+        for peer in choose_recipients(state, OWN, 0, turn)
+    }
+    assert len(by_turns) == 16
+    state, _ = decide(state, DomainNewsArrived(make_news(), True), 0, 0)
+    for turn in range(8):
+        chosen = choose_recipients(state, OWN, SILENT_MS, turn)
+        assert NORTH in chosen
+        assert len(chosen) == 2
+    late = choose_recipients(state, OWN, SILENT_MS + 1, 1)
+    assert NORTH not in late
+
+
+def test_what_a_domain_tells_counts() -> None:
+    state, _ = decide(
+        make_state(),
+        DomainNewsArrived(make_news(store_lost=True), True),
+        0,
+        0,
+    )
+    assert count_alive(state, 0) == 7 + 8
+    assert hears_of_loss(state, 0)
+    assert not is_silent(state, SILENT_MS)
+    assert is_silent(state, SILENT_MS + 1)
+
+
+def test_loads_of_a_domain_are_those_around_and_no_others() -> None:
+    book = LoadBook()
+    book.hear('east-1', {'u': Load(runs=2)}, 0)
+    book.hear('east-2', {'u': Load(runs=3)}, 0)
+    book.hear(f'{DOMAIN_PREFIX}west', {'u': Load(runs=7)}, 0)
+    assert book.sum_up(('east-1', 'east-2'), 0) == {'u': Load(runs=5)}
+    assert book.totals(0) == {'u': Load(runs=12)}
+
+
+@dataclass
+class Instance:
+    """Hold one instance's exchange of news."""
+
+    own: PeerEntry
+    fleet: Fleet
+    exchange: NewsExchange
+
+    def knows(self, upstream: str) -> bool:
+        return upstream in self.fleet.loads.totals(SystemClock().now())
+
+
+def make_instance(domain: str, number: int) -> Instance:
+    bound = socket.socket(type=socket.SOCK_DGRAM)
+    bound.bind(('127.0.0.1', 0))
+    name = f'{domain}-{number}'
+    own = PeerEntry(name, '127.0.0.1', bound.getsockname()[1], domain)
+    clock = SystemClock()
+    fleet = Fleet(clock, domain, number)
+    exchange = NewsExchange(own, fleet, clock, print, bool, bound)
+    exchange.seal = Seal((b'k' * 32,))
+    return Instance(own, fleet, exchange)
+
+
+async def test_loads_reach_every_instance_of_a_large_system() -> None:
+    instances = [
+        make_instance(domain, number)
+        for domain in ('east', 'west')
+        for number in range(MOST_FLAT_PEERS // 2 + 1)
+    ]
+    sent: Counter[str] = Counter()
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            for each in instances:
+                for other in instances:
+                    each.exchange.tell(PeerListed(other.own))
+                nursery.start_soon(each.exchange.run)
+            work = Assignment('u', 100, 10)
+            instances[0].fleet.loads.assign(work)
+            instances[0].fleet.notify()
+            while not all(each.knows('u') for each in instances):
+                await trio.sleep(0.01)
+            sent.update(
+                name
+                for each in instances
+                for name in each.exchange.state.heard_by_name
+                if not name.startswith(each.own.failure_domain)
+            )
+            nursery.cancel_scope.cancel()
+    # Nobody told another failure domain but by the one who speaks for it.
+    assert not sent
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -14,7 +14,7 @@
     hears_of_loss,
     is_silent,
     is_watcher,
-    list_reachable,
+    list_audience,
 )
 from cartdale.news.types import (
     FetchTable,
@@ -30,6 +30,7 @@
 )
 
 PEER = PeerEntry('p', '10.0.0.1', 7200)
+OWN = PeerEntry('own', '10.0.0.2', 7200)
 
 
 def make_news(number: int, boot: int = 1, **changes) -> NewsArrived:
@@ -83,8 +84,8 @@
     state, _ = hear(NewsState(), make_news(1), now=0)
     assert count_alive(state, ALIVE_MS) == 1
     assert count_alive(state, ALIVE_MS + 1) == 0
-    assert list_reachable(state, FORGET_MS) == [PEER]
-    assert not list_reachable(state, FORGET_MS + 1)
+    assert list_audience(state, OWN, FORGET_MS) == [PEER]
+    assert not list_audience(state, OWN, FORGET_MS + 1)
     state, _ = hear(state, PeerRemoved('p'))
     assert not state.peers_by_name
 
@@ -94,14 +95,17 @@
     news = LoadNews(1, 1, 3, PEER, {})
     state = NewsState()
     for name in names:
-        state, _ = hear(state, NewsArrived(name, news), now=0)
+        own = replace(news, peer=replace(PEER, name=name))
+        state, _ = hear(state, NewsArrived(name, own), now=0)
 
     def watchers(now: int) -> list[str]:
-        return [name for name in names if is_watcher(state, name, now)]
+        peers = [replace(PEER, name=name) for name in names]
+        return [peer.name for peer in peers if is_watcher(state, peer, now)]
 
     first = watchers(0)
     assert len(first) == WATCHERS
-    lost = replace(news, number=2, store_lost=True)
+    told = state.heard_by_name[first[0]].news
+    lost = replace(told, number=2, store_lost=True)
     state, _ = hear(state, NewsArrived(first[0], lost), now=10)
     assert len(set(watchers(10)) - {first[0]}) == WATCHERS
     assert watchers(SILENT_MS + 11) == names
