Read the store in one call, and seldom where news come

Change: one read covers all keys; an instance that does not watch reads again after a minute, or half a second after it heard nobody for over a second, as what it missed may not be told any more. Ruled out: stale reads, which could bring back upstreams that left.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -84,6 +84,7 @@
             make_translator(),
             self.peers.take_own_key,
             self.peers.news.is_watcher,
+            self.peers.news.is_silent,
         )
         bounds = settings.bounds
         self._budget = RepeatBudget(
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -45,10 +45,14 @@
 WATCH_FOR: Millis = 5 * SECOND_MS
 #: An entry that goes within this time after an outage may come back.
 _OUTAGE_RECENT: Millis = 3 * SECOND_MS
+#: The prefix of all keys.
+_EVERYTHING = ''
 #: Between reads of an instance that does not watch, and between its looks
 #: at whether it has to.
-_READ_EVERY: Millis = MINUTE_MS // 3
+_READ_EVERY: Millis = MINUTE_MS
 _LOOK_EVERY: Millis = 250
+#: The same once it hears nobody: what was told meanwhile is told for 3 s.
+_SILENT_READ_EVERY: Millis = SECOND_MS // 2
 #: First and longest pause between calls while the store fails.
 _PAUSE_SECONDS = 0.1
 _WATCHER_PAUSE = wait_random_exponential(_PAUSE_SECONDS, max=0.5)
@@ -62,6 +66,7 @@
     :param take_own: takes what instances wrote for each other.
     :param watches: tells whether this instance is one of those that watch;
         the others hear of changes in news, and read all once in a while.
+    :param hears_nobody: tells whether no news came of late.
     """
 
     def __init__(
@@ -72,8 +77,10 @@
         translator: Translator,
         take_own: Callable[[OwnKey], None],
         watches: Callable[[], bool],
+        hears_nobody: Callable[[], bool],
     ) -> None:
         self._watches = watches
+        self._hears_nobody = hears_nobody
         self._take_own = take_own
         self._store = store
         self._fleet = fleet
@@ -109,35 +116,30 @@
         logger.info('configuration in force', version=version)
 
     async def _rest(self) -> None:
-        """Wait until this instance has to watch, or has not read for long."""
+        """Wait until this instance has to watch or may have missed news."""
         rested: Millis = 0
-        while rested < _READ_EVERY and not self._watches():
+        until = _READ_EVERY
+        while rested < until and not self._watches():
             await trio.sleep(seconds(_LOOK_EVERY))
             rested += _LOOK_EVERY
+            if self._hears_nobody():
+                until = min(until, rested + _SILENT_READ_EVERY)
 
     async def _read_all(self) -> int:
-        """Read every prefix; return the revision to watch from."""
-        entries: list[Entry] = []
-        revision = 0
-        for prefix in self._translator.prefixes:
-            listing = await self._read_until_answered(prefix)
-            entries.extend(listing.entries)
-            oldest = listing.store_revision
-            revision = min(revision, oldest) if revision else oldest
-        self._take_all(entries)
+        """Read everything; return the revision to watch from."""
+        listing = await self._read_until_answered()
+        self._take_all(listing.entries)
         self.failing = False
-        return revision
+        return listing.store_revision
 
-    async def _read_until_answered(self, prefix: str) -> Listing:
-        """Read a prefix until the store answers."""
+    async def _read_until_answered(self) -> Listing:
+        """Read everything until the store answers."""
         retrying = AsyncRetrying(
             sleep=trio.sleep,
             retry=retry_if_result(_is_failure),
             wait=self._choose_pause,
         )
-        answer: Result[Listing, StoreFailure] = await retrying(
-            self._read_prefix, prefix
-        )
+        answer: Result[Listing, StoreFailure] = await retrying(self._read_pages)
         return answer.unwrap()
 
     def _choose_pause(self, attempts: RetryCallState) -> float:
@@ -149,12 +151,12 @@
             return _TOLD_PAUSE_SECONDS
         return _WATCHER_PAUSE(attempts)
 
-    async def _read_prefix(self, prefix: str) -> Result[Listing, StoreFailure]:
+    async def _read_pages(self) -> Result[Listing, StoreFailure]:
         entries: list[Entry] = []
         start = ''
         revision = 0
         while True:
-            answer = await self._store.fetch(prefix, start)
+            answer = await self._store.fetch(_EVERYTHING, start)
             if not isinstance(answer, Success):
                 self._note_failure(repr(answer.failure()))
                 return answer
@@ -180,7 +182,7 @@
     async def _watch(self, revision: int) -> None:
         """Follow changes until the store fails or has forgotten some."""
         while self._watches():
-            answer = await self._store.watch('', revision, WATCH_FOR)
+            answer = await self._store.watch(_EVERYTHING, revision, WATCH_FOR)
             match answer:
                 case Success(changes):
                     revision = self._take_changes(changes, revision)
--- a/src/cartdale/fleet/stored.py
+++ b/src/cartdale/fleet/stored.py
@@ -44,9 +44,7 @@
 class Translator:
     """Translate what is stored into changes that matter here.
 
-    :param prefixes: what to read; the whole store is watched.
     :param translate: returns ``None`` for keys of no interest.
     """
 
-    prefixes: tuple[str, ...]
     translate: Callable[[Entry | Removed], StoredChange | None]
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -34,8 +34,7 @@
 
 def make_translator() -> Translator:
     """Return what reads the platform's keys."""
-    prefixes = (CONFIGURATION_KEY, UPSTREAM_PREFIX, _OWN_PREFIX)
-    return Translator(prefixes, _translate)
+    return Translator(_translate)
 
 
 class PlatformWire:
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store: keys, watches and leases over HTTP."""
 
 import base64
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
@@ -213,8 +214,14 @@
             return
 
 
+#: A key after all others.
+_AFTER_ALL = chr(sys.maxunicode)
+
+
 def _end(prefix: str) -> str:
     """Return the first key after all that have the prefix."""
+    if not prefix:
+        return _AFTER_ALL
     last = chr(ord(prefix[-1]) + 1)
     return f'{prefix[:-1]}{last}'
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -32,8 +32,7 @@
         self, prefix: str, start: str = '', limit: int = 0
     ) -> Result[Listing, StoreFailure]:
         await trio.sleep(0.05)
-        if prefix != 'servers/':
-            return Success(Listing((), 1))
+        assert not prefix
         self.asked.append(prefix)
         if len(self.answers) > 1:
             return self.answers.pop(0)
@@ -53,7 +52,9 @@
     store = ScriptedStore([listed, away, missing])
     clock = SystemClock()
     fleet = Fleet(clock, 'west', 1)
-    follower = Follower(store, fleet, clock, make_translator(), print, bool)
+    follower = Follower(
+        store, fleet, clock, make_translator(), print, bool, bool
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         while len(store.asked) < 3:
@@ -61,3 +62,37 @@
         await trio.sleep(0.1)
         assert fleet.find('i').lifecycle is Lifecycle.LAPSED
         nursery.cancel_scope.cancel()
+
+
+async def read_by_a_listener(hears_nobody, seconds: float) -> int:
+    """Return how often an instance that does not watch reads the store."""
+    store = ScriptedStore([Success(Listing((ENTRY,), 1))])
+    clock = SystemClock()
+    follower = Follower(
+        store,
+        Fleet(clock, 'west', 1),
+        clock,
+        make_translator(),
+        print,
+        bool,
+        hears_nobody,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    return len(store.asked)
+
+
+async def test_who_hears_of_changes_seldom_reads(autojump_clock) -> None:
+    assert await read_by_a_listener(bool, 59) == 1
+    assert await read_by_a_listener(bool, 119) == 2
+
+
+async def test_who_heard_nobody_reads_soon_again(autojump_clock) -> None:
+    began = trio.current_time()
+
+    def cut_off_for_a_second() -> bool:
+        return 10 <= trio.current_time() - began <= 11
+
+    assert 2 <= await read_by_a_listener(cut_off_for_a_second, 12) <= 3
