Let changes in the store gather for 50 ms

Change: a watcher pauses 50 ms after changes before it watches on. The first change of several is still told at once. A test failed before.

--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -43,6 +43,9 @@
 #: How long the store holds a watch without a change. A lost watch is noticed
 #: after so long at the latest.
 WATCH_FOR: Millis = 5 * SECOND_MS
+#: Pause after changes: many come together, such as the entries of engines
+#: that are taken away at once, and each answer to a watch is a priced call.
+_GATHER: Millis = 50
 #: An entry that goes within this time after an outage may come back.
 _OUTAGE_RECENT: Millis = 3 * SECOND_MS
 #: The prefix of all keys.
@@ -185,7 +188,7 @@
             answer = await self._store.watch(_EVERYTHING, revision, WATCH_FOR)
             match answer:
                 case Success(changes):
-                    revision = self._take_changes(changes, revision)
+                    revision = await self._take_changes(changes, revision)
                 case Failure(HistoryLost()):
                     logger.info('store forgot history', revision=revision)
                     return
@@ -194,7 +197,7 @@
                     await trio.sleep(_PAUSE_SECONDS)
                     return
 
-    def _take_changes(self, changes: Changes, revision: int) -> int:
+    async def _take_changes(self, changes: Changes, revision: int) -> int:
         """Take what changed; return the revision to watch from.
 
         An answer without changes does not move it on: whatever the store
@@ -206,6 +209,7 @@
             change = self._translator.translate(stored)
             if change is not None:
                 self._take(change)
+        await trio.sleep(seconds(_GATHER))
         return max(revision, changes.store_revision)
 
     def _take(self, change: StoredChange) -> None:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -27,6 +27,9 @@
 
     answers: list[Result[Listing, StoreFailure]]
     asked: list[str] = field(default_factory=list)
+    #: Changes by the time in seconds at which the store makes them.
+    changes: list[tuple[float, Entry]] = field(default_factory=list)
+    watched: int = 0
 
     async def fetch(
         self, prefix: str, start: str = '', limit: int = 0
@@ -41,8 +44,16 @@
     async def watch(
         self, prefix: str, after: int, timeout: int
     ) -> Result[Changes, StoreFailure]:
-        await trio.sleep_forever()
-        raise AssertionError
+        self.watched += 1
+        while True:
+            due = [
+                entry
+                for at, entry in self.changes
+                if entry.mod_revision > after and at <= trio.current_time()
+            ]
+            if due:
+                return Success(Changes(tuple(due), due[-1].mod_revision))
+            await trio.sleep(0.001)
 
 
 async def test_entry_missing_after_an_outage_lapses(autojump_clock) -> None:
@@ -64,6 +75,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_changes_that_come_together_cost_one_more_call(
+    autojump_clock,
+) -> None:
+    began = trio.current_time()
+    changes = [
+        (began + 1 + number / 100, Entry(ENTRY.key, ENTRY.value, 2 + number, 1))
+        for number in range(5)
+    ]
+    store = ScriptedStore([Success(Listing((ENTRY,), 1))], changes=changes)
+    clock = SystemClock()
+    follower = Follower(
+        store,
+        Fleet(clock, 'west', 1),
+        clock,
+        make_translator(),
+        print,
+        lambda: True,
+        bool,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(3)
+        nursery.cancel_scope.cancel()
+    # The first change, the other four, and the watch that waits.
+    assert store.watched == 3
+
+
 async def read_by_a_listener(hears_nobody, seconds: float) -> int:
     """Return how often an instance that does not watch reads the store."""
     store = ScriptedStore([Success(Listing((ENTRY,), 1))])
