Have one instance ask each engine whether it leaves, for all

Ruled out: shorter watches (a trial: the entry was not marked in the store at all), the revision of empty watches (it never ran ahead of the changes). Change: rendezvous hashing names one instance for each engine, in large systems of the engine's failure domain; it asks each 0.6 s and tells the others in news. Who hears neither store nor peers asks about its own generations as before. A test over sockets failed before.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -98,6 +98,7 @@
             self._upstreams,
             self._clock,
             self.peers.is_cut_off,
+            self.peers.asks,
         )
         self._app = InFlight(self._make_app())
         self._callers = _bind(settings.callers)
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -19,6 +19,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.fleet.stored import OwnKey, TableWritten
+from cartdale.fleet.types import UpstreamEntry
 from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
@@ -123,9 +124,16 @@
         self.news.tell(PeerListed(peer))
 
     def is_cut_off(self) -> bool:
-        """Tell whether nobody would say that an upstream leaves."""
-        lost = self.lost_store() or self.news.hears_of_loss()
-        return lost or self.news.is_silent()
+        """Tell whether neither the store nor any peer is heard."""
+        return self.lost_store() and self.news.is_silent()
+
+    def asks(self, entry: UpstreamEntry) -> bool:
+        """Tell whether this instance asks an engine whether it leaves.
+
+        The store may hide that or tell it late; the others hear of it in
+        news.
+        """
+        return self.news.is_keeper(entry.upstream, entry.failure_domain)
 
     def lost_store(self) -> bool:
         """Tell whether the store does not answer this instance."""
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import trio
+from loguru import logger
 
 from cartdale.clock import Clock, seconds
 from cartdale.fleet.driver import Fleet
@@ -17,6 +18,9 @@
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
+#: An engine is asked by the one who does so for all at each second look: its
+#: report is half a second old, and it leaves 1.5 s and more after its notice.
+_LOOKS_PER_QUESTION = 2
 #: Some targets are near and some far where an engine has a neighbour.
 _MIXED = (NEAR + FAR) / 2
 
@@ -25,6 +29,7 @@
     """Move this instance's generations away from engines that leave.
 
     :param cut_off: tells whether neither the store nor peers can be heard.
+    :param asks: tells whether this instance asks an engine for all others.
     """
 
     def __init__(
@@ -33,8 +38,10 @@
         upstreams: UpstreamPort,
         clock: Clock,
         cut_off: Callable[[], bool],
+        asks: Callable[[UpstreamEntry], bool],
     ) -> None:
         self._cut_off = cut_off
+        self._asks = asks
         self._fleet = fleet
         self._upstreams = upstreams
         self._clock = clock
@@ -48,11 +55,12 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._fleet.on_leaving = self.begin
+            looks = 0
             while True:
                 await trio.sleep(seconds(ASK_EVERY))
                 self._move_late_arrivals()
-                if self._cut_off():
-                    await self._ask_engines()
+                looks += 1
+                await self._ask_engines(looks)
 
     def add(self, generation: MovableGeneration) -> None:
         """Watch over a generation."""
@@ -100,16 +108,36 @@
             if known.lifecycle is Lifecycle.LEAVING and self._untold_at(name):
                 self.begin(name)
 
-    async def _ask_engines(self) -> None:
-        """Ask engines themselves while nobody tells that they leave."""
-        names = {each.upstream for each in self._told_by_generation}
-        for name in names:
-            known = self._fleet.find(name)
-            if known is None or known.lifecycle is Lifecycle.LEAVING:
-                continue
-            report = await read_report(self._upstreams, known.entry)
-            if report.leaving or report.leaves_in is not None:
-                self._fleet.tell(EntryRemoved(name))
+    async def _ask_engines(self, looks: int) -> None:
+        """Ask engines themselves, as nobody may tell that they leave.
+
+        :param looks: times that this was considered.
+        """
+        if self._cut_off():
+            names = {each.upstream for each in self._told_by_generation}
+        elif looks % _LOOKS_PER_QUESTION == 0:
+            names = set(self._fleet.state.upstreams_by_id)
+            names = {name for name in names if self._keeps(name)}
+        else:
+            return
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(self._ask, name)
+
+    async def _ask(self, name: str) -> None:
+        known = self._fleet.find(name)
+        if known is None or known.lifecycle is Lifecycle.LEAVING:
+            return
+        report = await read_report(self._upstreams, known.entry)
+        if report.leaving or report.leaves_in is not None:
+            logger.info('engine says it leaves', upstream=name)
+            self._fleet.tell(EntryRemoved(name))
+
+    def _keeps(self, name: str) -> bool:
+        known = self._fleet.find(name)
+        if known is None or self._engine_of(known.entry) is None:
+            return False
+        return self._asks(known.entry)
 
     def _untold_at(self, upstream: str) -> list[MovableGeneration]:
         """Return the generations there that were not told to leave yet."""
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -123,6 +123,27 @@
     )
 
 
+def is_keeper(
+    state: NewsState,
+    own: PeerEntry,
+    upstream: str,
+    failure_domain: str,
+    now: Millis,
+) -> bool:
+    """Tell whether this instance asks an upstream for all how it is.
+
+    Rendezvous hashing over the instances that were heard of late, in a
+    large system over those of the upstream's failure domain.
+    """
+    if is_wide(state) and own.failure_domain != failure_domain:
+        return False
+    weight = _order(f'{own.name} {upstream}')
+    return all(
+        _order(f'{heard.news.peer.name} {upstream}') < weight
+        for heard in _list_alive(state, own, now)
+    )
+
+
 def choose_recipients(
     state: NewsState, own: PeerEntry, now: Millis, turn: int
 ) -> list[PeerEntry]:
@@ -152,15 +173,6 @@
     return bool(heard_at) and now - max(heard_at) > SILENT_MS
 
 
-def hears_of_loss(state: NewsState, now: Millis) -> bool:
-    """Tell whether a peer said of late that the store does not answer."""
-    told: list[Heard | HeardDomain] = list(state.domains_by_name.values())
-    told.extend(state.heard_by_name.values())
-    return any(
-        heard.news.store_lost and now - heard.at <= SILENT_MS for heard in told
-    )
-
-
 def count_alive(state: NewsState, now: Millis) -> int:
     """Return how many peers were heard of late, or told about."""
     near = sum(
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -16,7 +16,7 @@
     choose_recipients,
     count_alive,
     decide,
-    hears_of_loss,
+    is_keeper,
     is_relay,
     is_silent,
     is_watcher,
@@ -109,9 +109,11 @@
         """Tell whether this instance follows the store for the others."""
         return is_watcher(self.state, self._own, self._clock.now())
 
-    def hears_of_loss(self) -> bool:
-        """Tell whether a peer says that the store does not answer."""
-        return hears_of_loss(self.state, self._clock.now())
+    def is_keeper(self, upstream: str, failure_domain: str) -> bool:
+        """Tell whether this instance asks an upstream for all how it is."""
+        return is_keeper(
+            self.state, self._own, upstream, failure_domain, self._clock.now()
+        )
 
     def is_silent(self) -> bool:
         """Tell whether no peer was heard of late."""
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -58,7 +58,6 @@
     :param loads_by_upstream: what all of them have running.
     :param leaving: upstreams that take no new work.
     :param entries: upstreams whose entries changed of late.
-    :param store_lost: whether the store does not answer the sender.
     """
 
     boot: Millis
@@ -69,7 +68,6 @@
     loads_by_upstream: dict[str, Load]
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
-    store_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -97,7 +97,6 @@
             loads_by_upstream=loads_by_upstream,
             leaving=self._list_leaving(),
             entries=self._list_changed(),
-            store_lost=self._store_lost(),
         )
 
     def close_domain(
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -28,6 +28,19 @@
         assert not target.memory.events_by_handle
 
 
+async def test_engine_whose_entry_does_not_tell_is_asked() -> None:
+    async with open_platform(engines=1) as stage:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draft, stage, 'r1', 4000)
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.leaves_ms = 1500
+            await until(lambda: target.resumed_by_request['r1'])
+            nursery.cancel_scope.cancel()
+    assert source.reports_asked
+
+
 async def test_generation_that_is_told_twice_to_move_moves_once() -> None:
     async with open_platform(engines=1) as stage:
         async with (
