Test that a generation moves once without counting its copies

The number of copies says nothing; what must hold is that no two are under way at once, that the last one alone stops the generation, and that it is resumed once.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -58,7 +58,11 @@
         self.resumed_by_request: Counter[str] = Counter()
         self.dead = False
         self.leaves_ms: float | None = None
-        self.copies_asked = 0
+        #: Copies that were asked for while one of the same was under way.
+        self.conflicts = 0
+        self._copying: set[str] = set()
+        #: For each generation, whether each copy that was asked for stops it.
+        self.stops_by_request: dict[str, list[bool]] = {}
         self.copies_taken = 0
         self.copies_freed = 0
         #: Seconds that a copy takes, as if others used the link.
@@ -160,17 +164,30 @@
     async def _move(self) -> Response:
         order = msgspec.json.decode(await request.get_data())
         request_id: str = order['id']
-        self.copies_asked += 1
         record = self.driver.records_by_generation.get(request_id)
         if record is None:
             return Response(status=HTTPStatus.NOT_FOUND.value)
-        handle = f'{self.name}-{request_id}'
+        if request_id in self._copying:
+            self.conflicts += 1
+            return Response(status=HTTPStatus.CONFLICT.value)
+        self._copying.add(request_id)
+        try:
+            return await self._copy(order, request_id, record)
+        finally:
+            self._copying.discard(request_id)
+
+    async def _copy(
+        self, order: dict[str, Any], request_id: str, record: Record
+    ) -> Response:
+        stops = self.stops_by_request.setdefault(request_id, [])
+        stops.append(order.get('last', False))
         if order.get('last'):
             self._stopped.add(request_id)
             self.driver.model.cancel(request_id)
             record.wake()
         events = record.produced // STRIDE
         await trio.sleep(self.copy_takes)
+        handle = f'{self.name}-{request_id}'
         await _tell(
             order['targetVersion'], {'handle': handle, 'events': events}
         )
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -51,13 +51,19 @@
             target = stage.add_engine()
             await stage.settle()
             generation = stage.runtimes[0].mover.list_generations()[0]
+            source.copy_takes = 0.02
             soon = Departure(until=10**9)
             for _ in range(3):
                 nursery.start_soon(generation.leave, soon)
             stage.drain(source)
         assert answers[0].content == whole('r1')
         assert target.resumed_by_request['r1'] == 1
-        assert source.copies_asked == 2
+        # One copy or a few while the link is busy, and one that stops it;
+        # no two at a time.
+        assert not source.conflicts
+        stops = source.stops_by_request['r1']
+        assert len(stops) >= 2
+        assert stops.index(True) == len(stops) - 1
 
 
 async def test_generation_goes_on_from_its_backup() -> None:
