Choose among a few upstreams where there are many

Ruled out: full engines (23 engines held three drafts each in the mean). Change: the best of seven picked at random (power of two choices), of all where none has room. With up to seven upstreams nothing changes. Tests: twenty instances with the same news choose apart; the only one with room is found.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -24,6 +24,8 @@
 _FAR_COST = 0.05
 _READING_COST = 0.5
 _JITTER = 0.02
+#: Upstreams among which the best is chosen: all of a small system's.
+_CONSIDERED = 7
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +80,30 @@
     around: Surroundings,
     generator: random.Random,
 ) -> Upstream | None:
-    """Return the best upstream that has room, or ``None``."""
+    """Return an upstream that has room, or ``None``.
+
+    The best of a few picked at random, or of all where none of these has
+    room: many instances decide from the same news, some 0.1 s old, and
+    would all take the best of all (Mitzenmacher, The Power of Two Choices
+    in Randomized Load Balancing, 2001).
+    """
+    listed = _prefer_answering(candidates, around.now)
+    few = generator.sample(listed, min(len(listed), _CONSIDERED))
+    best = _choose_best(few, need, around, generator)
+    if best is None and len(few) < len(listed):
+        return _choose_best(listed, need, around, generator)
+    return best
+
+
+def _choose_best(
+    listed: Iterable[Upstream],
+    need: Need,
+    around: Surroundings,
+    generator: random.Random,
+) -> Upstream | None:
     best: Upstream | None = None
     least = float('inf')
-    for upstream in _prefer_answering(candidates, around.now):
+    for upstream in listed:
         load = around.loads_by_upstream.get(upstream.entry.upstream, Load())
         if not _has_room(upstream, load, need, around.spec):
             continue
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -231,3 +231,28 @@
     book.assign(Assignment('a', prompt=10, expected=0))
     assert book.version == 1
     assert book.own(shared=True)['a'].runs == 1
+
+
+def test_instances_with_the_same_news_choose_apart() -> None:
+    names = [f'u{number}' for number in range(23)]
+    state = make_fleet(*names)
+    loads = {
+        name: Load(runs=1, tokens=1000 + 10 * number)
+        for number, name in enumerate(names)
+    }
+    need = Need('s', prompt=100)
+    around = Surroundings(SPEC, loads, 'west', 0)
+    chosen = {
+        choose(list_candidates(state, need), need, around, Random(seed))
+        for seed in range(20)
+    }
+    assert len(chosen) > 5
+
+
+def test_the_only_one_with_room_is_found_among_many() -> None:
+    names = [f'u{number}' for number in range(23)]
+    state = make_fleet(*names)
+    full = Load(runs=4, tokens=10)
+    loads = dict.fromkeys(names, full)
+    loads['u22'] = Load()
+    assert pick(state, Need('s', prompt=100), loads) == 'u22'
