Add a fault soak: the real program as processes, faults from outside

Cause: the promises were proved in virtual time and over sockets in one process, not for the program as it runs, under signals and broken links that overlap. Change: tests/fault_soak starts entry instances as processes and disturbs them: a loopback proxy delays, holds, cuts one way and resets the paths to the store and to engines; processes are killed, paused, stopped and reloaded; the store is silent, busy or forgets; engines die or leave; answers are lost or swapped; configurations change. Checked while it runs: whole or prefix, own answer, at most once, refusals that are true, nothing cut by a planned stop, leaving upstreams left alone, configurations in force in time and never back, no generation at two engines.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
-.PHONY: install test lint format demo soak bench bench-policy bench-scale
+.PHONY: install test lint format demo soak fault-soak bench bench-policy bench-scale
 install: $(VENV)/installed
 
 test: install
@@ -33,6 +33,9 @@
 soak: install
 	$(BIN)/python -m tests.soak
 
+fault-soak: install
+	$(BIN)/python -m tests.fault_soak.run --seeds 50
+
 demo: install
 	scripts/demo
 
--- /dev/null
+++ b/tests/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real program as processes, with faults from outside."""
--- /dev/null
+++ b/tests/fault_soak/checks.py
@@ -0,0 +1,122 @@
+"""What must hold, from what callers and upstreams see."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from cartdale_standins.platform_engine import STRIDE, format_event
+
+#: An instance is held to its bounds once it was undisturbed for so long.
+CONTACT_SECONDS = 3.0
+#: A leaving upstream gets no new work so long after the store has taken it.
+DRAIN_SECONDS = 2.0
+#: A configuration is in force so long after the store has taken it.
+CONFIGURE_SECONDS = 2.0
+#: A generation may run at two engines for no longer.
+TWICE_SECONDS = 1.0
+_REFUSED = frozenset((429, 503))
+_SUCCESS = 200
+_NOT_FOUND = 404
+
+
+@dataclass
+class Asked:
+    """Hold one request and what became of it.
+
+    :param kind: ``draft``, ``cut`` or ``look``.
+    :param status: 0 when no head came.
+    :param whole: whether the answer ended as its framing says.
+    """
+
+    name: str
+    kind: str
+    instance: str
+    at: float
+    tokens: int = 0
+    status: int = 0
+    body: bytes = b''
+    whole: bool = False
+    ended_at: float = 0
+
+
+@dataclass
+class Checks:
+    """Collect requests and violations."""
+
+    asked: list[Asked] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+    ends: Counter[str] = field(default_factory=Counter)
+    #: Newest version that each life of an instance was seen to have.
+    version_by_life: dict[tuple[str, int], int] = field(default_factory=dict)
+    _twice_since: dict[str, float] = field(default_factory=dict)
+
+    def check_answer(self, asked: Asked) -> None:
+        """Check one answer by itself."""
+        end = 'whole' if asked.whole else 'cut'
+        self.ends[f'{asked.kind} {asked.status} {end}'] += 1
+        if asked.status != _SUCCESS:
+            return
+        wanted = self._expect(asked)
+        if asked.whole and asked.body != wanted:
+            self._add(f'{asked.name}: not the whole answer, but ended as one')
+        if not wanted.startswith(asked.body):
+            self._add(f'{asked.name}: another or a broken answer')
+
+    def check_runs(self, runs_by_request: Counter[str]) -> None:
+        """Check at the end how often each request ran."""
+        for asked in self.asked:
+            runs = runs_by_request[asked.name]
+            if asked.kind != 'look' and runs > 1:
+                self._add(f'{asked.name}: ran {runs} times')
+            if asked.status in _REFUSED and runs:
+                self._add(f'{asked.name}: told not run, ran {runs} times')
+
+    def check_twice(self, running: Counter[str], now: float) -> None:
+        """Check that no generation runs at two engines for long."""
+        for name in tuple(self._twice_since):
+            if running[name] < 2:
+                self._twice_since.pop(name)
+        for name, engines in running.items():
+            if engines < 2:
+                continue
+            since = self._twice_since.setdefault(name, now)
+            if now - since > TWICE_SECONDS:
+                self._add(f'{name}: runs at {engines} engines')
+
+    def check_version(
+        self, life: tuple[str, int], status: int, version: int, due: bool
+    ) -> None:
+        """Check which configuration a life of an instance has in force.
+
+        :param status: of a request on a route that ``version`` added.
+        :param due: whether the version must be in force there by now.
+        """
+        seen = self.version_by_life.get(life, 0)
+        if status in _REFUSED or not status:
+            return
+        if status != _NOT_FOUND:
+            self.version_by_life[life] = max(seen, version)
+            return
+        if seen >= version:
+            self._add(f'{life}: went back behind version {version}')
+        if due:
+            self._add(f'{life}: version {version} is not in force in time')
+
+    def check_stop(self, asked: Asked, excused: bool) -> None:
+        """Check a request that ran while its instance was told to stop."""
+        if not asked.whole and not excused:
+            self._add(f'{asked.name}: cut by a planned stop')
+
+    def check_drain(self, name: str, upstream: str, excused: bool) -> None:
+        """Check a request that reached an upstream after its bound."""
+        if not excused:
+            self._add(f'{name}: reached {upstream}, which leaves')
+
+    def _expect(self, asked: Asked) -> bytes:
+        if asked.kind != 'draft':
+            return f'{asked.kind}/ of {asked.name}'.encode()
+        events = range(1, asked.tokens // STRIDE + 1)
+        return b''.join(format_event(asked.name, event) for event in events)
+
+    def _add(self, violation: str) -> None:
+        if violation not in self.violations:
+            self.violations.append(violation)
--- /dev/null
+++ b/tests/fault_soak/instances.py
@@ -0,0 +1,154 @@
+"""Entry instances as processes, and the signals that disturb them."""
+
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from tests.fault_soak.proxy import LOCAL, FaultProxy
+
+ROOT = Path(__file__).resolve().parents[2]
+_DAEMON = ROOT / 'deploy' / 'cartdaled.py'
+_MUTANT = Path(__file__).with_name('mutants.py')
+_GRACE = 8
+#: A process that is killed is started again after so long, in seconds.
+_RESTART_AFTER = 0.3
+_PORTS = 4
+_SETTINGS = """
+node={name}
+ip=127.0.0.1
+zone=west
+region=here
+listen.front=127.0.0.1:{ports[0]}
+listen.ready=127.0.0.1:{ports[1]}
+internalPorts={ports[2]},{ports[3]}
+bounds.graceS={grace}
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetSlack=50
+platform.address={store}
+"""
+
+
+@dataclass
+class Instance:
+    """Run one entry instance as a process.
+
+    :param store: its own way to the store.
+    :param mutant: fault of the program that the soak has to find; empty for
+        none.
+    """
+
+    name: str
+    folder: Path
+    store: FaultProxy
+    mutant: str = ''
+    ports: list[int] = field(default_factory=lambda: pick_ports(_PORTS))
+    process: trio.Process | None = None
+    #: Counts its starts: nothing is remembered from one to the next.
+    life: int = 0
+    #: When something was last wrong with it or its way to the store.
+    disturbed_at: float = 0
+    #: Whether it was told to stop, and when it was.
+    stopped_at: float | None = None
+    killed: bool = False
+    leaving_for_good: bool = False
+
+    @property
+    def caller_url(self) -> str:
+        return f'http://{LOCAL}:{self.ports[0]}'
+
+    @property
+    def ready_url(self) -> str:
+        return f'http://{LOCAL}:{self.ports[1]}/cartdale/ready'
+
+    @property
+    def log_path(self) -> Path:
+        return self.folder / f'{self.name}.log'
+
+    def disturb(self, seconds: float = 0) -> None:
+        """Note that it is disturbed for some time from now."""
+        until = trio.current_time() + seconds
+        self.disturbed_at = max(self.disturbed_at, until)
+
+    async def run(self, unexpected: list[str]) -> None:
+        """Start it again whenever it ends, until it is ended for good."""
+        settings = self.folder / f'{self.name}.conf'
+        settings.write_text(
+            _SETTINGS.format(
+                name=self.name,
+                ports=self.ports,
+                store=self.store.address,
+                grace=_GRACE,
+            )
+        )
+        command = [sys.executable, str(_MUTANT if self.mutant else _DAEMON)]
+        if self.mutant:
+            command.append(self.mutant)
+        env = {**os.environ, 'CARTDALE_BOOT': str(settings)}
+        with self.log_path.open('ab') as log:
+            while not self.leaving_for_good:
+                self.life += 1
+                self.killed = False
+                self.stopped_at = None
+                self.disturb()
+                self.process = await trio.lowlevel.open_process(
+                    command, env=env, cwd=ROOT, stdout=log, stderr=log
+                )
+                code = await self.process.wait()
+                if not self.killed and not self._is_expected(code):
+                    unexpected.append(f'{self.name} ended by itself: {code}')
+                self.disturb()
+                await trio.sleep(_RESTART_AFTER)
+
+    def signal(self, number: signal.Signals) -> bool:
+        """Send a signal to the process that this object started."""
+        if self.process is None or self.process.returncode is not None:
+            return False
+        if number is signal.SIGKILL:
+            self.killed = True
+        if number is signal.SIGTERM:
+            self.stopped_at = trio.current_time()
+        self.disturb()
+        self.process.send_signal(number)
+        return True
+
+    def end(self) -> None:
+        """Kill it for good."""
+        self.leaving_for_good = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+
+    def _is_expected(self, code: int) -> bool:
+        """Tell whether an exit is that of a program that was told to stop.
+
+        One that was told while it still started ends by the signal itself.
+        """
+        return code == 0 or (
+            self.stopped_at is not None and code == -signal.SIGTERM
+        )
+
+
+def pick_ports(count: int) -> list[int]:
+    """Return ports that are free for connections and datagrams."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    while len(ports) < count:
+        bound = socket.socket()
+        held.append(bound)
+        bound.bind((LOCAL, 0))
+        port: int = bound.getsockname()[1]
+        datagrams = socket.socket(type=socket.SOCK_DGRAM)
+        held.append(datagrams)
+        try:
+            datagrams.bind((LOCAL, port))
+        except OSError:
+            continue
+        ports.append(port)
+    for each in held:
+        each.close()
+    return ports
--- /dev/null
+++ b/tests/fault_soak/mutants.py
@@ -0,0 +1,98 @@
+"""Start the program with one fault that the soak has to find.
+
+``python mutants.py NAME``: run by the soak, as the program itself is.
+"""
+
+import sys
+from dataclasses import replace
+from pathlib import Path
+from types import MappingProxyType
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'src'))
+
+from cartdale.fleet import choose, driver  # noqa: E402
+from cartdale.fleet.follow import Follower  # noqa: E402
+from cartdale.platform.main import main  # noqa: E402
+from cartdale.relay import attempts, frames, stream  # noqa: E402
+from cartdale.relay.decide import Broken, TryAgain  # noqa: E402
+
+
+def repeat_unsafe() -> None:
+    """Send a request again that may have run."""
+    honest = attempts.decide
+
+    def decide(state, ended, *, affordable):
+        if isinstance(ended, Broken):
+            return replace(state, sends=state.sends + 1), TryAgain()
+        return honest(state, ended, affordable=affordable)
+
+    attempts.decide = decide
+
+
+def go_back() -> None:
+    """Put every second configuration out of force again."""
+    honest = Follower.adopt
+
+    def adopt(self, written):
+        before = self._fleet.table
+        honest(self, written)
+        if written.table.version % 2 == 0 and before.version:
+            self._fleet.table = replace(before, version=written.table.version)
+
+    Follower.adopt = adopt
+
+
+def ignore_drain() -> None:
+    """Send new work to upstreams that leave."""
+
+    def list_candidates(state, need):
+        return [
+            upstream
+            for name, upstream in state.upstreams_by_id.items()
+            if upstream.entry.service == need.service
+            and name not in need.excluded
+        ]
+
+    choose.list_candidates = list_candidates
+    driver.list_candidates = list_candidates
+
+
+def pass_twice() -> None:
+    """Pass some events on twice."""
+    honest = frames.EventFrames.feed
+
+    def feed(self, received):
+        events = honest(self, received)
+        return [*events, *events[-1:]] if len(events) > 1 else events
+
+    stream.EventFrames.feed = feed
+    stream.check = print
+
+
+def end_as_whole() -> None:
+    """End a stream as whole though its engine broke it off."""
+    honest = stream.StreamCarrier._lose_link
+
+    async def lose_link(self, detail):
+        ended = await honest(self, detail)
+        if ended is stream.StreamEnd.CUT:
+            await self._sink.finish()
+            return stream.StreamEnd.WHOLE
+        return ended
+
+    stream.StreamCarrier._lose_link = lose_link
+
+
+MUTANTS = MappingProxyType(
+    {
+        'repeat-unsafe': repeat_unsafe,
+        'go-back': go_back,
+        'ignore-drain': ignore_drain,
+        'pass-twice': pass_twice,
+        'end-as-whole': end_as_whole,
+    }
+)
+
+if __name__ == '__main__':
+    MUTANTS[sys.argv[1]]()
+    main()
