Judge by its target whether a copy had the link for itself

Ruled out: news that were late (the next one had waited as told). Change: a near copy is held against a near estimate, with 0.3 of slack instead of 0.4; those before are waited for 1.5 times their estimate.

--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -33,8 +33,8 @@
 #: Between the end of a copy and the begin of the next: its news, and a call.
 _HANDOVER: Millis = 40
 #: How long those before are waited for, in parts of their estimate: some find
-#: no target, and copies to engines that get others' too take longer.
-_PATIENCE = 1.25
+#: no target, and copies that meet backups on their way take half as long again.
+_PATIENCE = 1.5
 #: Events that a generation is still expected to make, whatever it has made;
 #: about half of a draft's mean length at both users'.
 _EVENTS_TO_COME = 125
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -12,7 +12,7 @@
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves import decide as moves
-from cartdale.moves.schedule import Departure, SourceLink
+from cartdale.moves.schedule import FAR, NEAR, Departure, SourceLink
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
@@ -55,7 +55,7 @@
 _QUICK_COPY: Millis = 80
 #: The same for the first copy, in parts of its estimate: with another one on
 #: the link it takes twice as long.
-_ALONE_SHARE = 1.4
+_ALONE_SHARE = 1.3
 #: Pause before a copy is renewed over a link that others use.
 _REFRESH_PAUSE: Millis = 40
 #: Between looks for an engine with room for a generation that must leave.
@@ -325,5 +325,8 @@
     first = state.phase is MovePhase.COPYING
     if spec is None or spec.engine is None or not first:
         return _QUICK_COPY
-    estimate = SourceLink(spec.engine).estimate(tokens)
+    target = state.target or state.source
+    near = target.failure_domain == state.source.failure_domain
+    link = SourceLink(spec.engine, NEAR if near else FAR)
+    estimate = link.estimate(tokens)
     return max(_QUICK_COPY, int(_ALONE_SHARE * estimate))
