Survive a reload that comes before the program can take it

Change: the program ignores SIGHUP from its first line until it can take it; the settings are read at the start anyway. A test failed before.

--- a/deploy/cartdaled.py
+++ b/deploy/cartdaled.py
@@ -1,8 +1,13 @@
 """Start an entry instance from a checkout, without installing it."""
 
+import signal
 import sys
 from pathlib import Path
 
+# The settings are read at the start anyway; a request to read them again that
+# comes before the program can take it must not end it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'src'))
 
 from cartdale.platform.main import main  # noqa: E402
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,10 +1,18 @@
 """A short fault soak with the real program, and seeds that once failed."""
 
+import signal
+from pathlib import Path
+
+import trio
+
 from tests.fault_soak.checks import Asked, Checks
+from tests.fault_soak.instances import Instance
+from tests.fault_soak.proxy import FaultProxy
 from tests.fault_soak.run import run_seed
 
 SECONDS = 6
 SEED = 7
+_HUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
 def test_short_soak_breaks_no_promise() -> None:
@@ -35,3 +43,37 @@
     assert not checks.violations
     checks.check_version(life, 404, 2, due=False)
     assert checks.violations
+
+
+async def test_reload_during_the_start_does_not_end_the_program(
+    tmp_path: Path,
+) -> None:
+    """Seed 104: SIGHUP came before the program could take it."""
+    unexpected: list[str] = []
+    instance = Instance('entry-0', tmp_path, FaultProxy(9))
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(instance.run, unexpected)
+            log = instance.log_path
+            while instance.process is None or not ignores_reload(instance):
+                assert b'"started"' not in log.read_bytes()
+                await trio.sleep(0.001)
+            instance.signal(signal.SIGHUP)
+            while b'"started"' not in log.read_bytes():
+                await trio.sleep(0.01)
+            instance.end()
+            await instance.process.wait()
+            nursery.cancel_scope.cancel()
+    assert not unexpected
+    assert instance.life == 1
+
+
+def ignores_reload(instance: Instance) -> bool:
+    """Tell whether the process ignores SIGHUP already."""
+    status = Path(f'/proc/{instance.process.pid}/status').read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith('SigIgn')
+    ]
+    return bool(masks[0] & _HUP_BIT)
