--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -55,7 +55,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(instance.run, unexpected)
             log = instance.log_path
-            while instance.process is None or not ignores_reload(instance):
+            while instance.process is None:
+                await trio.sleep(0.001)
+            while not ignores_reload(instance):
                 assert b'"started"' not in log.read_bytes()
                 await trio.sleep(0.001)
             instance.signal(signal.SIGHUP)
