Let a turn come early where backups are not known one by one

Ruled out: room at the targets, and the news (both moves were told at once). Change: the expected number is rounded down: a copy too many shares the link, one too few leaves it idle.

--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -126,7 +126,9 @@
         backup elsewhere.
     """
     rank = [run.request_id for run in queue].index(request_id)
-    ahead = round(exposed_share * rank)
+    # Who has a backup is not known one by one; a copy too many at a time only
+    # shares the link, one too few leaves it idle.
+    ahead = int(exposed_share * rank)
     before = [link.estimate(run.tokens) + _HANDOVER for run in queue[:rank]]
     waits = ahead * sum(before) // max(rank, 1)
     return Turn(
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -283,6 +283,16 @@
     assert abs(half.waits - turn.waits // 2) <= 1
 
 
+def test_turn_comes_early_rather_than_late() -> None:
+    reported = [RunReport(str(rank), 3000, 9 - rank, 0) for rank in range(9)]
+    queue = line_up(reported, ())
+    ahead = [
+        find_turn(run.request_id, queue, SourceLink(ENGINE), 2 / 3).ahead
+        for run in queue
+    ]
+    assert ahead == [0, 0, 1, 2, 2, 3, 4, 4, 5]
+
+
 def test_copy_that_can_not_end_before_its_engine_is_told() -> None:
     alone = (RunReport('a', 3000, 1, 0),)
     turn = find_turn('a', alone, SourceLink(ENGINE), 1)
