Avoid what several instances can't reach, and split the duties of news

Ruled out: telling that they did not run (nothing says so). Change: a stream that broke before its head counts as if its engine was not reached; instances tell whom they can't reach, and what two or more tell is avoided for a second. One alone may be cut off itself. Who does what is in news/duties.py now.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -17,6 +17,7 @@
     Replaced,
     RequestEnded,
     TimePassed,
+    ToldFailing,
     Upstream,
     UpstreamEntry,
     Vanished,
@@ -33,6 +34,8 @@
 LEAVING_KEPT_MS: Millis = MINUTE_MS // 2
 #: Weight of one request in the share of failed requests.
 _FAILING_WEIGHT = 0.2
+#: An upstream that others can't reach is avoided for so long after they told.
+TOLD_AVOIDED_MS: Millis = SECOND_MS
 #: First and longest time that an upstream which does not answer is avoided.
 _AVOID_MS: Millis = 500
 _AVOID_LONGEST_MS: Millis = 4 * SECOND_MS
@@ -53,6 +56,8 @@
             return _remove(state, message, now)
         case RequestEnded():
             return _count(state, message, now), ()
+        case ToldFailing(upstream=name):
+            return _avoid(state, name, now), ()
         case Replaced(upstream=name):
             return _drop(state, (name,))
         case TimePassed():
@@ -149,18 +154,33 @@
     failed = 0 if message.good else 1
     failing = known.failing + _FAILING_WEIGHT * (failed - known.failing)
     if message.reached:
-        counted = replace(known, failing=failing, strikes=0, avoided_until=0)
+        counted = replace(
+            known,
+            failing=failing,
+            strikes=0,
+            struck_until=0,
+            avoided_until=0,
+        )
         return _put(state, counted)
     pause = min(_AVOID_MS * 2**known.strikes, _AVOID_LONGEST_MS)
     struck = replace(
         known,
         failing=failing,
         strikes=known.strikes + 1,
-        avoided_until=now + pause,
+        struck_until=now + pause,
+        avoided_until=max(known.avoided_until, now + pause),
     )
     return _put(state, struck)
 
 
+def _avoid(state: FleetState, name: str, now: Millis) -> FleetState:
+    known = state.upstreams_by_id.get(name)
+    if known is None:
+        return state
+    until = max(known.avoided_until, now + TOLD_AVOIDED_MS)
+    return _put(state, replace(known, avoided_until=until))
+
+
 def _expire(state: FleetState, now: Millis) -> Decision:
     actions: list[Action] = []
     vanished: list[str] = []
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -74,7 +74,9 @@
     :param warm_at: when it stops being slow after its start.
     :param failing: share of recent requests that failed, 0 to 1.
     :param strikes: failures in a row that show it unreachable.
-    :param avoided_until: no new work before this time, if others can.
+    :param struck_until: avoided for failures that this instance saw.
+    :param avoided_until: no new work before this time, if others can; for
+        failures seen here or told by others.
     """
 
     entry: UpstreamEntry
@@ -84,6 +86,7 @@
     warm_at: Millis = 0
     failing: float = 0
     strikes: int = 0
+    struck_until: Millis = 0
     avoided_until: Millis = 0
 
     @property
@@ -147,6 +150,13 @@
     reached: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ToldFailing:
+    """Several others can't reach an upstream."""
+
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class Replaced:
     """Another upstream answered at this one's address."""
@@ -178,6 +188,7 @@
     | EntryWritten
     | EntryRemoved
     | RequestEnded
+    | ToldFailing
     | Replaced
     | TimePassed
 )
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -10,20 +10,24 @@
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import EntryRemoved, EntryWritten
+from cartdale.fleet.types import EntryRemoved, EntryWritten, ToldFailing
 from cartdale.news.decide import (
     ALIVE_MS,
-    choose_recipients,
     count_alive,
+    count_strikers,
     decide,
+    is_silent,
+)
+from cartdale.news.duties import (
+    choose_recipients,
     is_keeper,
     is_relay,
-    is_silent,
     is_watcher,
     list_audience,
     stretch,
 )
 from cartdale.news.types import (
+    AvoidUpstream,
     DomainNews,
     DomainNewsArrived,
     FetchTable,
@@ -100,6 +104,8 @@
                     self._fleet.tell(EntryWritten(entry, heard=True))
                 case TakeLeaving(upstream=upstream):
                     self._fleet.tell(EntryRemoved(upstream, heard=True))
+                case AvoidUpstream(upstream=upstream):
+                    self._fleet.tell(ToldFailing(upstream))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
                 case PassOn():
@@ -201,7 +207,23 @@
             for name in names
         )
         loads_by_upstream = self._fleet.loads.sum_up(names, now)
-        return self._writer.describe_domain(alive, loads_by_upstream)
+        return self._writer.describe_domain(
+            alive, loads_by_upstream, self._count_strikers(now)
+        )
+
+    def _count_strikers(self, now: Millis) -> dict[str, int]:
+        """Count the instances around that can't reach an upstream."""
+        own = self._writer.list_struck()
+        strikers_by_upstream = {
+            upstream: count_strikers(self.state, upstream, now, around=True)
+            + (upstream in own)
+            for upstream in self._fleet.state.upstreams_by_id
+        }
+        return {
+            upstream: count
+            for upstream, count in strikers_by_upstream.items()
+            if count
+        }
 
     def _list_audience(self) -> list[PeerEntry]:
         return list_audience(self.state, self._own, self._clock.now())
--- /dev/null
+++ b/src/cartdale/news/duties.py
@@ -0,0 +1,160 @@
+"""Decide who tells whom, who watches the store and who asks upstreams.
+
+Each instance decides by itself, from whom it heard of late. While they
+disagree, for a second or two, a duty is done twice or waits for the next.
+"""
+
+import zlib
+
+from cartdale.clock import MINUTE_MS, Millis
+from cartdale.news.types import Heard, NewsState, PeerEntry
+
+#: No message from anyone for so long shows that this instance is cut off;
+#: each of the others sends at least every 400 ms in a small system.
+SILENT_MS: Millis = 1200
+#: A peer that was silent for so long gets no more messages.
+FORGET_MS: Millis = MINUTE_MS // 2
+#: Instances that wait for changes at the store; the others hear of them in
+#: news. All of them are lost at once only with most of the system.
+WATCHERS = 4
+#: With more peers than this, instances tell their news only to those of their
+#: failure domain, and one of them speaks for it to the other domains.
+MOST_FLAT_PEERS = 16
+#: Intervals grow by their first length for each so many peers, so that what
+#: an instance sends to all of them stays bounded.
+PEERS_PER_INTERVAL = 16
+
+
+def is_wide(state: NewsState) -> bool:
+    """Tell whether news go by failure domains, since there are many peers."""
+    domains = {peer.failure_domain for peer in state.peers_by_name.values()}
+    return len(state.peers_by_name) > MOST_FLAT_PEERS and len(domains) > 1
+
+
+def list_audience(
+    state: NewsState, own: PeerEntry, now: Millis
+) -> list[PeerEntry]:
+    """Return the peers to which this instance tells its news."""
+    reachable = [
+        peer for peer in _list_reachable(state, now) if peer.name != own.name
+    ]
+    if not is_wide(state):
+        return reachable
+    return [
+        peer for peer in reachable if peer.failure_domain == own.failure_domain
+    ]
+
+
+def is_watcher(state: NewsState, own: PeerEntry, now: Millis) -> bool:
+    """Tell whether this instance follows the store for the others.
+
+    The first of a fixed order among those that were heard of late and that
+    the store answers; each instance decides by itself, and while they
+    disagree a few more than needed watch. In a large system each failure
+    domain has watchers of its own.
+    """
+    watching = [
+        heard.news.peer
+        for heard in _list_alive(state, own, now)
+        if not heard.news.store_lost
+    ]
+    earlier = [
+        peer for peer in watching if _order(peer.name) < _order(own.name)
+    ]
+    return len(earlier) < _count_watchers(state)
+
+
+def is_relay(state: NewsState, own: PeerEntry, now: Millis) -> bool:
+    """Tell whether this instance speaks for its failure domain.
+
+    The last of the order by which watchers are the first, so that no
+    instance has both duties.
+    """
+    if not is_wide(state):
+        return False
+    return all(
+        _order(heard.news.peer.name) < _order(own.name)
+        for heard in _list_alive(state, own, now)
+    )
+
+
+def is_keeper(
+    state: NewsState,
+    own: PeerEntry,
+    upstream: str,
+    failure_domain: str,
+    now: Millis,
+) -> bool:
+    """Tell whether this instance asks an upstream for all how it is.
+
+    Rendezvous hashing over the instances that were heard of late, in a
+    large system over those of the upstream's failure domain.
+    """
+    if is_wide(state) and own.failure_domain != failure_domain:
+        return False
+    weight = _order(f'{own.name} {upstream}')
+    return all(
+        _order(f'{heard.news.peer.name} {upstream}') < weight
+        for heard in _list_alive(state, own, now)
+    )
+
+
+def choose_recipients(
+    state: NewsState, own: PeerEntry, now: Millis, turn: int
+) -> list[PeerEntry]:
+    """Return one instance in each other failure domain to speak to.
+
+    Who spoke for it last, or while nobody does each of its instances in
+    turn: whoever gets the news passes them on.
+    """
+    peers_by_domain: dict[str, list[PeerEntry]] = {}
+    for peer in state.peers_by_name.values():
+        if peer.failure_domain != own.failure_domain:
+            peers_by_domain.setdefault(peer.failure_domain, []).append(peer)
+    recipients: list[PeerEntry] = []
+    for domain, peers in peers_by_domain.items():
+        heard = state.domains_by_name.get(domain)
+        if heard is not None and now - heard.at <= SILENT_MS:
+            recipients.append(heard.news.peer)
+            continue
+        recipients.append(peers[turn % len(peers)])
+    return recipients
+
+
+def stretch(peers: int) -> int:
+    """Return how many times longer intervals are than in a small system."""
+    return 1 + peers // PEERS_PER_INTERVAL
+
+
+def _order(name: str) -> int:
+    return zlib.crc32(name.encode())
+
+
+def _list_reachable(state: NewsState, now: Millis) -> list[PeerEntry]:
+    """Return the peers that are worth a message."""
+    reachable: list[PeerEntry] = []
+    for name, peer in state.peers_by_name.items():
+        heard = state.heard_by_name.get(name)
+        if heard is None or now - heard.at <= FORGET_MS:
+            reachable.append(peer)
+    return reachable
+
+
+def _list_alive(state: NewsState, own: PeerEntry, now: Millis) -> list[Heard]:
+    """Return what peers told of late; in a large system those around."""
+    audience = len(list_audience(state, own, now))
+    patience = SILENT_MS * stretch(audience)
+    wide = is_wide(state)
+    return [
+        heard
+        for heard in state.heard_by_name.values()
+        if now - heard.at <= patience
+        and (not wide or heard.news.peer.failure_domain == own.failure_domain)
+    ]
+
+
+def _count_watchers(state: NewsState) -> int:
+    if not is_wide(state):
+        return WATCHERS
+    domains = {peer.failure_domain for peer in state.peers_by_name.values()}
+    return max(WATCHERS // len(domains), 1)
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -9,7 +9,9 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
-from cartdale.news.decide import stretch
+from cartdale.news.duties import (
+    stretch,
+)
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
     Compare,
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -33,6 +33,7 @@
     :param leaving: upstreams that take no new work.
     :param entries: upstreams whose entries changed of late.
     :param store_lost: whether the store does not answer the sender.
+    :param struck: upstreams that the sender could not reach of late.
     """
 
     boot: Millis
@@ -43,6 +44,7 @@
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
     store_lost: bool = False
+    struck: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +60,8 @@
     :param loads_by_upstream: what all of them have running.
     :param leaving: upstreams that take no new work.
     :param entries: upstreams whose entries changed of late.
+    :param strikers_by_upstream: how many instances of the failure domain
+        could not reach an upstream of late.
     """
 
     boot: Millis
@@ -68,6 +72,7 @@
     loads_by_upstream: dict[str, Load]
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
+    strikers_by_upstream: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +159,13 @@
     entry: UpstreamEntry
 
 
+@dataclass(frozen=True, slots=True)
+class AvoidUpstream:
+    """Take over that an upstream can't be reached, as several tell."""
+
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class FetchTable:
     """Ask a peer for its configuration, which is newer."""
@@ -167,5 +179,7 @@
 
 
 Message = PeerListed | PeerRemoved | NewsArrived | DomainNewsArrived
-Action = TakeLoads | TakeLeaving | TakeEntry | FetchTable | PassOn
+Action = (
+    TakeLoads | TakeLeaving | TakeEntry | AvoidUpstream | FetchTable | PassOn
+)
 Decision = tuple[NewsState, tuple[Action, ...]]
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -28,6 +28,7 @@
     loads: int
     version: int
     lifecycles: int
+    struck: tuple[str, ...]
     lost: bool
 
 
@@ -55,7 +56,7 @@
         self._store_lost = store_lost
         self._boot = clock.wall()
         self._number = 0
-        self._told = _Content(-1, -1, -1, lost=False)
+        self._told = _Content(-1, -1, -1, (), lost=False)
 
     def has_new(self) -> bool:
         """Tell whether there is something that was not written yet."""
@@ -74,11 +75,24 @@
             leaving=self._list_leaving(),
             entries=self._list_changed() if self._is_watcher() else (),
             store_lost=self._store_lost(),
+            struck=self.list_struck(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
+    def list_struck(self) -> tuple[str, ...]:
+        """Return the upstreams that this instance could not reach of late."""
+        now = self._clock.now()
+        return tuple(
+            name
+            for name, upstream in self._fleet.state.upstreams_by_id.items()
+            if upstream.struck_until > now
+        )
+
     def describe_domain(
-        self, alive: int, loads_by_upstream: dict[str, Load]
+        self,
+        alive: int,
+        loads_by_upstream: dict[str, Load],
+        strikers_by_upstream: dict[str, int],
     ) -> DomainNews:
         """Return what this instance tells of its failure domain.
 
@@ -87,6 +101,7 @@
 
         :param alive: instances there, this one included.
         :param loads_by_upstream: what all of them have running.
+        :param strikers_by_upstream: how many of them can't reach it.
         """
         return DomainNews(
             boot=self._boot,
@@ -97,6 +112,7 @@
             loads_by_upstream=loads_by_upstream,
             leaving=self._list_leaving(),
             entries=self._list_changed(),
+            strikers_by_upstream=strikers_by_upstream,
         )
 
     def close_domain(
@@ -126,6 +142,7 @@
             self._fleet.loads.version,
             self._fleet.table.version,
             self._fleet.lifecycles if self._is_watcher() else 0,
+            self.list_struck(),
             lost=self._store_lost(),
         )
 
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -31,6 +31,7 @@
     Standing,
     UpstreamCall,
 )
+from cartdale.routes.types import RouteKind
 
 #: Part of the target latency that a request may wait for room. Refused
 #: within a quarter of it, with what the way here took, the caller's next
@@ -98,7 +99,8 @@
     upstream: str,
 ) -> tuple[AttemptState, Step]:
     """Count the end of an attempt, decide what follows and log it."""
-    _tell_fleet(ports.fleet, ended, upstream)
+    streams = routed.route.kind is RouteKind.STREAM
+    _tell_fleet(ports.fleet, ended, upstream, streams=streams)
     after, step = decide(state, ended, affordable=True)
     if isinstance(step, TryAgain):
         paid = ports.budget.withdraw(routed.service, ports.clock.now())
@@ -139,10 +141,21 @@
     return routed.arrived_at + min(max(longest, patient), whole)
 
 
-def _tell_fleet(fleet: Fleet, ended: AttemptEnd, upstream: str) -> None:
+def _tell_fleet(
+    fleet: Fleet, ended: AttemptEnd, upstream: str, *, streams: bool
+) -> None:
+    """Count an end for the choice of upstreams.
+
+    A stream that broke before its head is lost, and the engine with it in all
+    likelihood; it looks idle, and would take each next one.
+
+    :param streams: whether the request was to be streamed.
+    """
     match ended:
         case Unsent():
             fleet.tell(RequestEnded(upstream, good=False, reached=False))
+        case Broken() if streams:
+            fleet.tell(RequestEnded(upstream, good=False, reached=False))
         case Declined() | Broken():
             fleet.tell(RequestEnded(upstream, good=False))
         case Answered(good=good):
--- a/tests/test_domain_news.py
+++ b/tests/test_domain_news.py
@@ -11,20 +11,23 @@
 from cartdale.fleet.loads import Assignment, Load, LoadBook
 from cartdale.news.decide import (
     DOMAIN_PREFIX,
+    count_alive,
+    decide,
+    is_silent,
+)
+from cartdale.news.driver import NewsExchange
+from cartdale.news.duties import (
     MOST_FLAT_PEERS,
     SILENT_MS,
     choose_recipients,
-    count_alive,
-    decide,
     is_keeper,
     is_relay,
-    is_silent,
     is_watcher,
     is_wide,
     list_audience,
 )
-from cartdale.news.driver import NewsExchange
 from cartdale.news.types import (
+    AvoidUpstream,
     DomainNews,
     DomainNewsArrived,
     FetchTable,
@@ -153,6 +156,16 @@
     assert is_silent(state, SILENT_MS + 1)
 
 
+def test_strikers_of_other_domains_count() -> None:
+    told = make_news(strikers_by_upstream={'x': 1, 'y': 2})
+    state, actions = decide(make_state(), DomainNewsArrived(told, False), 0, 0)
+    assert AvoidUpstream('x') not in actions
+    assert AvoidUpstream('y') in actions
+    near = LoadNews(1, 2, 0, PEERS[1], {}, struck=('x',))
+    _, actions = decide(state, NewsArrived(PEERS[1].name, near), 0, 0)
+    assert AvoidUpstream('x') in actions
+
+
 def test_upstreams_are_asked_from_their_failure_domain() -> None:
     keepers = [
         peer
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,7 @@
     HEARD_AFTER_MS,
     LAPSED_KEPT_MS,
     LEAVING_KEPT_MS,
+    TOLD_AVOIDED_MS,
     decide,
 )
 from cartdale.fleet.loads import (
@@ -32,6 +33,7 @@
     Replaced,
     RequestEnded,
     TimePassed,
+    ToldFailing,
     UpstreamEntry,
     Vanished,
 )
@@ -256,3 +258,20 @@
     loads = dict.fromkeys(names, full)
     loads['u22'] = Load()
     assert pick(state, Need('s', prompt=100), loads) == 'u22'
+
+
+def test_upstream_that_others_can_not_reach_is_avoided_for_a_while() -> None:
+    state = make_fleet('a', 'b')
+    need = Need('s')
+    loads = {'b': Load(runs=3)}
+    assert pick(state, need, loads) == 'a'
+    state, _ = decide(state, ToldFailing('a'), 0)
+    assert pick(state, need, loads) == 'b'
+    assert pick(state, need, loads, now=TOLD_AVOIDED_MS) == 'a'
+    assert state.upstreams_by_id['a'].struck_until == 0
+
+
+def test_success_ends_the_avoidance_that_others_told() -> None:
+    state, _ = decide(make_fleet('a'), ToldFailing('a'), 0)
+    state, _ = decide(state, RequestEnded('a', good=True), 10)
+    assert state.upstreams_by_id['a'].avoided_until == 0
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -6,17 +6,20 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.news.decide import (
     ALIVE_MS,
+    count_alive,
+    decide,
+    is_silent,
+)
+from cartdale.news.duties import (
     FORGET_MS,
     SILENT_MS,
     WATCHERS,
-    count_alive,
-    decide,
     is_keeper,
-    is_silent,
     is_watcher,
     list_audience,
 )
 from cartdale.news.types import (
+    AvoidUpstream,
     FetchTable,
     LoadNews,
     NewsArrived,
@@ -132,3 +135,16 @@
     entry = UpstreamEntry('i', 's', 'a:1', 'west', 4)
     _, actions = hear(NewsState(), make_news(1, entries=(entry,)))
     assert actions[1] == TakeEntry(entry)
+
+
+def test_what_several_can_not_reach_is_avoided() -> None:
+    state, actions = hear(NewsState(), make_news(1, struck=('x',)))
+    assert AvoidUpstream('x') not in actions
+    second = replace(make_news(1, struck=('x', 'y')), sender='q')
+    state, actions = hear(state, second)
+    assert AvoidUpstream('x') in actions
+    assert AvoidUpstream('y') not in actions
+    # What was told long ago counts no more.
+    third = replace(make_news(1, struck=('x',)), sender='r')
+    _, actions = hear(state, third, now=SILENT_MS + 1)
+    assert AvoidUpstream('x') not in actions
