Count neither ended nor short generations before a turn

Ruled out: late news (the notice came at once), room at the targets. Change: what the report names beyond what instances' loads count has ended; short generations count as safe from the start.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -20,7 +20,8 @@
     :param tokens: memory that they hold now.
     :param growth: tokens that they are still expected to make.
     :param reading: prompt tokens of those that have not begun to answer.
-    :param safe: how many of them have a copy or a backup elsewhere.
+    :param safe: how many of them have a copy or a backup elsewhere, or are
+        so short that they end while a leaving upstream serves on.
     """
 
     runs: int = 0
@@ -51,6 +52,7 @@
     :param prompt: tokens to read, 0 for a plain request.
     :param expected: tokens that it is expected to make, at the median.
     :param made: tokens made before it came here.
+    :param short: whether it ends while a leaving upstream serves on.
     """
 
     __slots__ = (
@@ -60,12 +62,20 @@
         'expected',
         'made',
         'prompt',
+        'short',
         'upstream',
     )
 
     def __init__(
-        self, upstream: str, prompt: int, expected: int, made: int = 0
+        self,
+        upstream: str,
+        prompt: int,
+        expected: int,
+        made: int = 0,
+        *,
+        short: bool = False,
     ) -> None:
+        self.short = short
         self.backup = ''
         #: Whether a copy lies at the engine that it moves to.
         self.copied = False
@@ -92,7 +102,7 @@
             tokens=self.prompt + self.made,
             growth=left if self.prompt else 0,
             reading=0 if self.began else self.prompt,
-            safe=int(self.copied or bool(self.backup)),
+            safe=int(self.short or self.copied or bool(self.backup)),
         )
 
 
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -12,6 +12,7 @@
 from cartdale.fleet.types import EngineReport, RunReport, UpstreamEntry
 from cartdale.moves.schedule import (
     SERVES_ON,
+    TOKEN_LONGEST,
     Departure,
     SourceLink,
     Turn,
@@ -20,9 +21,6 @@
 )
 from cartdale.relay.types import UpstreamPort
 
-#: Longest that an engine takes for a token; on the days in the journal it
-#: was 8 to 12 ms.
-_TOKEN_LONGEST: Millis = 15
 #: Between looks at whether those before have their copies.
 _LOOK_EVERY: Millis = 20
 #: Reports show an engine as it was about half a second ago.
@@ -117,12 +115,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._learn_end, departure)
             for generation in own:
-                turn = find_turn(
-                    generation.request_id,
-                    queue,
-                    self._link,
-                    load.exposed / max(load.runs, 1),
-                )
+                turn = find_turn(generation.request_id, queue, self._link, load)
                 nursery.start_soon(
                     self._move, generation, turn, departure, load
                 )
@@ -155,7 +148,7 @@
         :param load: of the engine when it began to leave.
         """
         began = self._clock.now()
-        if began + generation.most_left * _TOKEN_LONGEST <= departure.until:
+        if began + generation.most_left * TOKEN_LONGEST <= departure.until:
             return
         while self._clock.now() < began + turn.waits:
             now_load = self._fleet.load_at(self._entry.upstream)
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -12,12 +12,16 @@
 from dataclasses import dataclass
 
 from cartdale.clock import Millis
+from cartdale.fleet.loads import Load
 from cartdale.fleet.types import RunReport
 from cartdale.routes.types import EngineTraits
 
 #: How long an engine is taken to serve on until its reports tell. Reclaimed
 #: ones got 1.5 to 2.1 s on the days in the journal.
 SERVES_ON: Millis = 1600
+#: Longest that an engine takes for a token; on the days in the journal it
+#: was 8 to 12 ms.
+TOKEN_LONGEST: Millis = 15
 #: Copies between failure domains take twice as long, but those to different
 #: targets overlap: four in a row took 290 ms each instead of 360 (journal).
 NEAR = 1
@@ -113,22 +117,26 @@
     return (*known, *sorted(young, key=_rank))
 
 
+def ends_in_time(tokens: int) -> bool:
+    """Tell whether so many tokens are surely made before an engine is gone."""
+    return tokens * TOKEN_LONGEST <= SERVES_ON
+
+
 def find_turn(
-    request_id: str,
-    queue: Sequence[RunReport],
-    link: SourceLink,
-    exposed_share: float,
+    request_id: str, queue: Sequence[RunReport], link: SourceLink, load: Load
 ) -> Turn:
     """Return a generation's turn.
 
     :param queue: all that leave the engine, in order.
-    :param exposed_share: part of them that has to be copied; the rest has a
-        backup elsewhere.
+    :param load: of the engine, from all instances: it tells how many of
+        the reported have ended, and how many need no copy.
     """
     rank = [run.request_id for run in queue].index(request_id)
     # Who has a backup is not known one by one; a copy too many at a time only
     # shares the link, one too few leaves it idle.
-    ahead = int(exposed_share * rank)
+    exposed_share = load.exposed / max(load.runs, 1)
+    ended = max(len(queue) - load.runs, 0)
+    ahead = int(exposed_share * max(rank - ended, 0))
     before = [link.estimate(run.tokens) + _HANDOVER for run in queue[:rank]]
     waits = ahead * sum(before) // max(rank, 1)
     return Turn(
--- a/src/cartdale/relay/needs.py
+++ b/src/cartdale/relay/needs.py
@@ -3,6 +3,7 @@
 from cartdale.fleet.choose import Need
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.moves.schedule import ends_in_time
 from cartdale.relay.types import RoutedRequest
 
 _NOTHING: frozenset[str] = frozenset()
@@ -32,4 +33,11 @@
     :param made: tokens made before it came there.
     """
     need = make_need(routed)
-    return Assignment(upstream.upstream, need.prompt, need.expected, made)
+    most = routed.request.most_tokens
+    return Assignment(
+        upstream.upstream,
+        need.prompt,
+        need.expected,
+        made,
+        short=bool(most) and ends_in_time(most),
+    )
