Renew each copy once before the stop, and tell others at the stop

Ruled out: a slow resume (20 ms), slow targets. Change: only a renewed copy shows whether the link is free; it is asked for at once after the first. Others hear of it when the generation stops. The estimate of a lone copy is gone.

--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -12,7 +12,7 @@
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves import decide as moves
-from cartdale.moves.schedule import FAR, NEAR, Departure, SourceLink
+from cartdale.moves.schedule import Departure
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
@@ -53,9 +53,6 @@
 #: A renewed copy that took no longer shows that the link is free: what was
 #: made since the copy before takes 10 to 20 ms, another's copy 190 and more.
 _QUICK_COPY: Millis = 80
-#: The same for the first copy, in parts of its estimate: with another one on
-#: the link it takes twice as long.
-_ALONE_SHARE = 1.3
 #: Pause before a copy is renewed over a link that others use.
 _REFRESH_PAUSE: Millis = 40
 #: Between looks for an engine with room for a generation that must leave.
@@ -83,7 +80,8 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
-        #: Whether the newest copy had the source's link for itself.
+        #: Whether the newest copy renewed another; and if it was quick.
+        self._renewed = False
         self._link_free = False
         #: Times that it went on at another engine.
         self.moves = 0
@@ -245,8 +243,10 @@
             return await self._copy(action)
         left = departure.stop_at - self._ports.clock.now()
         if left <= 0 or self._link_free:
+            self._occupancy.note_copy()
             return self._tell(LinkQuiet())
-        await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
+        if self._renewed:
+            await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
         return self._tell(LinkBusy())
 
     async def _copy(
@@ -265,13 +265,12 @@
             patience,
         )
         asked_at = self._ports.clock.now()
-        longest = _expect_copy(self._ports, state, self.tokens)
+        self._renewed = state.phase is MovePhase.REFRESHING
         self._link_free = False
         match await self._ports.upstreams.copy(copy):
             case Success(Copied(handle=handle)):
                 took = self._ports.clock.now() - asked_at
-                self._link_free = took <= longest
-                self._occupancy.note_copy()
+                self._link_free = self._renewed and took <= _QUICK_COPY
                 if self._state is None:
                     _discard(self._ports, state, handle)
                 return self._tell(CopyEnded(handle))
@@ -317,16 +316,3 @@
     """Free a copy at the target that nobody will go on from."""
     if state.target is not None and handle:
         ports.discards.add(state.target.address, handle)
-
-
-def _expect_copy(ports: RelayPorts, state: MoveState, tokens: int) -> Millis:
-    """Return how long a copy takes at most over a link without others."""
-    spec = ports.fleet.table.services_by_name.get(state.source.service)
-    first = state.phase is MovePhase.COPYING
-    if spec is None or spec.engine is None or not first:
-        return _QUICK_COPY
-    target = state.target or state.source
-    near = target.failure_domain == state.source.failure_domain
-    link = SourceLink(spec.engine, NEAR if near else FAR)
-    estimate = link.estimate(tokens)
-    return max(_QUICK_COPY, int(_ALONE_SHARE * estimate))
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -53,7 +53,7 @@
         return chosen
 
     def note_copy(self) -> None:
-        """Tell that a copy of it lies at another engine."""
+        """Tell that it stops, as a copy of it lies at another engine."""
         if self._assignment is not None:
             self._fleet.loads.note_copy(self._assignment)
             self._fleet.notify()
