Tell others of generations that stay as they end before their engine

Ruled out: runs that had ended (six reported, six counted). Change: who stays counts as safe in its instance's loads, so that the next begins. A test failed before.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -58,11 +58,10 @@
     __slots__ = (
         'backup',
         'began',
-        'copied',
         'expected',
         'made',
         'prompt',
-        'short',
+        'safe',
         'upstream',
     )
 
@@ -75,10 +74,9 @@
         *,
         short: bool = False,
     ) -> None:
-        self.short = short
         self.backup = ''
-        #: Whether a copy lies at the engine that it moves to.
-        self.copied = False
+        #: Whether it is copied elsewhere, or ends before its upstream.
+        self.safe = short
         self.upstream = upstream
         self.prompt = prompt
         self.expected = expected
@@ -102,7 +100,7 @@
             tokens=self.prompt + self.made,
             growth=left if self.prompt else 0,
             reading=0 if self.began else self.prompt,
-            safe=int(self.short or self.copied or bool(self.backup)),
+            safe=int(self.safe or bool(self.backup)),
         )
 
 
@@ -190,9 +188,9 @@
                 load = load.add(told)
         return load
 
-    def note_copy(self, assignment: Assignment) -> None:
-        """Note that a copy of a request lies at another upstream."""
-        assignment.copied = True
+    def note_safe(self, assignment: Assignment) -> None:
+        """Note that the end of a request's upstream does it no harm."""
+        assignment.safe = True
         self._count(assignment)
 
     def _count(self, assignment: Assignment) -> None:
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -62,6 +62,9 @@
     def lose_backup(self) -> None:
         """Count on its backup no more: the backup's engine leaves."""
 
+    def stay(self) -> None:
+        """Tell others that it needs no copy: it ends before the engine."""
+
     async def leave(self, departure: Departure) -> None:
         """Move away from the engine."""
 
@@ -149,6 +152,7 @@
         """
         began = self._clock.now()
         if began + generation.most_left * TOKEN_LONGEST <= departure.until:
+            generation.stay()
             return
         while self._clock.now() < began + turn.waits:
             now_load = self._fleet.load_at(self._entry.upstream)
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -160,11 +160,24 @@
         if self.backup or self._moving:
             return
         self._moving = True
+        refused: set[str] = set()
         try:
-            await self._try_targets(departure)
+            while not self._ended and self._ports.clock.now() < departure.until:
+                target = self._choose_target(refused)
+                if target is None:
+                    refused.clear()
+                    await trio.sleep(seconds(_LOOK_EVERY))
+                elif await self._copy_to(target, departure):
+                    break
+                else:
+                    refused.add(target.upstream)
         finally:
             self._moving = False
 
+    def stay(self) -> None:
+        """Tell others that it needs no copy: it ends before the engine."""
+        self._occupancy.note_safe()
+
     def lose_backup(self) -> None:
         """Count on its backup no more: the backup's engine leaves."""
         self._tell(BackupLost())
@@ -210,18 +223,6 @@
 
     # Copying.
 
-    async def _try_targets(self, departure: Departure) -> None:
-        refused: set[str] = set()
-        while not self._ended and self._ports.clock.now() < departure.until:
-            target = self._choose_target(refused)
-            if target is None:
-                refused.clear()
-                await trio.sleep(seconds(_LOOK_EVERY))
-                continue
-            if await self._copy_to(target, departure):
-                return
-            refused.add(target.upstream)
-
     async def _copy_to(
         self, target: UpstreamEntry, departure: Departure
     ) -> bool:
@@ -243,7 +244,7 @@
             return await self._copy(action)
         left = departure.stop_at - self._ports.clock.now()
         if left <= 0 or self._link_free:
-            self._occupancy.note_copy()
+            self._occupancy.note_safe()
             return self._tell(LinkQuiet())
         if self._renewed:
             await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -52,10 +52,10 @@
             self._assignment.backup = chosen.upstream
         return chosen
 
-    def note_copy(self) -> None:
-        """Tell that it stops, as a copy of it lies at another engine."""
+    def note_safe(self) -> None:
+        """Tell that its engine's end does it no harm."""
         if self._assignment is not None:
-            self._fleet.loads.note_copy(self._assignment)
+            self._fleet.loads.note_safe(self._assignment)
             self._fleet.notify()
 
     def lose_backup(self) -> None:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -5,13 +5,15 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Failure
 
-from cartdale.clock import VirtualClock
+from cartdale.clock import SystemClock, VirtualClock
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Assignment, Load
 from cartdale.fleet.types import RunReport, UpstreamEntry
 from cartdale.moves.decide import MOST_TRIES, begin, decide
 from cartdale.moves.driver import Mover
+from cartdale.moves.leaving import LeavingEngine
 from cartdale.moves.schedule import (
     FAR,
     NEAR,
@@ -41,7 +43,7 @@
     ResumeRejected,
     TargetChosen,
 )
-from cartdale.relay.types import CopyFault
+from cartdale.relay.types import CopyFault, LinkBroke
 from cartdale.routes.types import EngineTraits
 
 
@@ -335,9 +337,14 @@
     most_left: int = 1000
     backup: str = ''
 
+    stayed: bool = False
+
     def lose_backup(self) -> None:
         self.backup = ''
 
+    def stay(self) -> None:
+        self.stayed = True
+
     async def leave(self, departure: Departure) -> None:
         """Stay."""
 
@@ -350,3 +357,28 @@
     mover.add(second)
     mover.remove(first)
     assert mover.list_generations() == [second]
+
+
+class SilentUpstreams:
+    """Answer no report."""
+
+    async def report(self, address: str):
+        return Failure(LinkBroke('silent'))
+
+
+async def test_who_ends_before_the_engine_tells_that_it_stays(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    leaving = LeavingEngine(
+        Fleet(clock, 'west', 1),
+        SilentUpstreams(),
+        clock,
+        SOURCE,
+        SourceLink(ENGINE),
+    )
+    ending = Running('a', 'ending', 3000, 500, most_left=40)
+    running = Running('a', 'running', 3000, 50, most_left=1000)
+    await leaving.move_all([ending, running])
+    assert ending.stayed
+    assert not running.stayed
