--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -20,8 +20,8 @@
     :param tokens: memory that they hold now.
     :param growth: tokens that they are still expected to make.
     :param reading: prompt tokens of those that have not begun to answer.
-    :param safe: how many of them have a copy or a backup elsewhere, or are
-        so short that they end while a leaving upstream serves on.
+    :param safe: how many of them need no copy when their upstream leaves:
+        they have one or a backup elsewhere, end before, or find no room.
     """
 
     runs: int = 0
@@ -75,7 +75,7 @@
         short: bool = False,
     ) -> None:
         self.backup = ''
-        #: Whether it is copied elsewhere, or ends before its upstream.
+        #: Whether it needs no copy when its upstream leaves.
         self.safe = short
         self.upstream = upstream
         self.prompt = prompt
@@ -189,7 +189,7 @@
         return load
 
     def note_safe(self, assignment: Assignment) -> None:
-        """Note that the end of a request's upstream does it no harm."""
+        """Note that a request needs no copy when its upstream leaves."""
         assignment.safe = True
         self._count(assignment)
 
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -165,6 +165,8 @@
             while not self._ended and self._ports.clock.now() < departure.until:
                 target = self._choose_target(refused)
                 if target is None:
+                    # Others need not wait until there is room for this one.
+                    self._occupancy.note_safe()
                     refused.clear()
                     await trio.sleep(seconds(_LOOK_EVERY))
                 elif await self._copy_to(target, departure):
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -53,8 +53,11 @@
         return chosen
 
     def note_safe(self) -> None:
-        """Tell that its engine's end does it no harm."""
-        if self._assignment is not None:
+        """Tell that others need not wait for its copy.
+
+        It stops now, ends before its engine, or finds no room elsewhere.
+        """
+        if self._assignment is not None and not self._assignment.safe:
             self._fleet.loads.note_safe(self._assignment)
             self._fleet.notify()
 
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -94,6 +94,18 @@
         assert count_runs(stage, 'r1') == 1
 
 
+async def test_generation_without_room_elsewhere_is_not_waited_for() -> None:
+    async with open_platform(engines=1) as stage:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draft, stage, 'r1', 4000)
+            source = await find_runner(stage, 'r1')
+            fleet = stage.runtimes[0].fleet
+            assert fleet.load_at(source.name).exposed == 1
+            stage.drain(source)
+            await until(lambda: not fleet.load_at(source.name).exposed)
+            nursery.cancel_scope.cancel()
+
+
 async def test_copy_of_a_generation_that_ended_is_freed() -> None:
     async with open_platform(engines=1) as stage:
         async with draft_meanwhile(stage, 'r1') as answers:
