--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -119,6 +119,15 @@
             nursery.start_soon(self._learn_end, departure)
             for generation in own:
                 turn = find_turn(generation.request_id, queue, self._link, load)
+                logger.info(
+                    'turn',
+                    request=generation.request_id,
+                    upstream=self._entry.upstream,
+                    ahead=turn.ahead,
+                    waits=turn.waits,
+                    takes=turn.takes,
+                    most_left=generation.most_left,
+                )
                 nursery.start_soon(
                     self._move, generation, turn, departure, load
                 )
