Refuse a plan that is larger than a value of the store

Cause: a plan of 5,000 customers (1,277,419 bytes as a delta) was answered 'unknown: the write may still arrive' for ever: the store refuses the value, and nothing tells that from a lost answer. No instance logged anything. Every confirmation and refusal is logged. A scenario fails without the check (outcome unknown, as reported) and passes with it.

--- a/src/cartdale/configuration/storage.py
+++ b/src/cartdale/configuration/storage.py
@@ -1,8 +1,8 @@
 """Keep the configuration in the store: a head, a log and snapshots.
 
 The log holds one delta a revision; a snapshot every ``SNAPSHOT_EVERY``
-revisions bounds what a new instance reads. Both stay under the store's
-value limit by being cut into parts.
+revisions bounds what a new instance reads. Snapshots stay under the store's
+value limit by being cut into parts; a delta beyond it is not confirmed.
 """
 
 from dataclasses import dataclass, replace
@@ -34,6 +34,8 @@
 SNAPSHOT_EVERY = 32
 KEPT_LOG = 256
 PART_BYTES = 524288
+#: The platform's key-value service holds values of up to a megabyte.
+VALUE_LIMIT = 1_000_000
 _READ_AT_ONCE = 64
 
 
@@ -75,6 +77,11 @@
     return listing.map(_join_parts)
 
 
+def measure(delta: Delta) -> int:
+    """Return how many bytes a delta takes in the store."""
+    return len(encode_json(delta))
+
+
 async def append(
     store: Store, seen: StoredHead, delta: Delta
 ) -> Result[TransactionOutcome, StoreFailure]:
--- a/src/cartdale/operators/app.py
+++ b/src/cartdale/operators/app.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 import msgspec
+from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
 from returns.result import Failure, Success
@@ -28,6 +29,7 @@
     PlanConflict,
     PlanInvalid,
     PlanTampered,
+    PlanTooLarge,
 )
 from cartdale.reports.types import Report
 from cartdale.store.types import Store
@@ -107,7 +109,16 @@
         )
         await configurator.catch_up()
         await self._ports.confirmer.keep_snapshots(configurator.state)
-        return answer_json(_describe_verdict(verdict))
+        answer = _describe_verdict(verdict)
+        logger.info(
+            'plan confirmed or refused',
+            plan=asked.plan.plan_id,
+            author=asked.author,
+            outcome=answer.outcome,
+            revision=answer.revision,
+            detail=answer.detail,
+        )
+        return answer_json(answer)
 
     async def _status(self) -> Response:
         return answer_json(self._ports.status())
@@ -173,6 +184,12 @@
         case PlanInvalid(faults=faults):
             detail = '; '.join(str(fault) for fault in faults)
             return types.ConfirmAnswer('invalid', 0, detail)
+        case PlanTooLarge(size=size, limit=limit):
+            detail = (
+                f'the change takes {size} bytes, one value of the store holds '
+                f'{limit}; declare and confirm it in parts'
+            )
+            return types.ConfirmAnswer('too_large', 0, detail)
 
 
 def _describe_delta(delta: Delta) -> types.HistoryEntry:
--- a/src/cartdale/operators/types.py
+++ b/src/cartdale/operators/types.py
@@ -34,7 +34,8 @@
     """Report how a confirmation ended.
 
     :param outcome: ``confirmed``, ``already_confirmed``, ``conflict``,
-        ``tampered``, ``unknown``, ``unavailable`` or ``invalid``.
+        ``tampered``, ``unknown``, ``unavailable``, ``invalid`` or
+        ``too_large``.
     :param revision: the revision it refers to; 0 for none.
     """
 
--- a/src/cartdale/plans/confirm.py
+++ b/src/cartdale/plans/confirm.py
@@ -8,8 +8,10 @@
 from cartdale.configuration.bodies import decode_bodies
 from cartdale.configuration.decide import apply_changes
 from cartdale.configuration.storage import (
+    VALUE_LIMIT,
     StoredHead,
     append,
+    measure,
     read_head,
     read_log,
     snapshot_due,
@@ -33,6 +35,7 @@
     PlanConflict,
     PlanInvalid,
     PlanTampered,
+    PlanTooLarge,
     list_changes,
 )
 from cartdale.store.types import Committed, Store, StoreFailure, WriteUnknown
@@ -109,6 +112,9 @@
             wall_ms=self._clock.wall(),
             changes=changes,
         )
+        size = measure(delta)
+        if size > VALUE_LIMIT:
+            return Failure(PlanTooLarge(size, VALUE_LIMIT))
         outcome = await append(self._store, head, delta)
         match outcome:
             case Success(Committed()):
--- a/src/cartdale/plans/types.py
+++ b/src/cartdale/plans/types.py
@@ -107,12 +107,25 @@
     faults: tuple[InputFault, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PlanTooLarge:
+    """The change does not fit into one value of the store.
+
+    :param size: of the change as it would be stored, in bytes.
+    :param limit: what one value holds, in bytes.
+    """
+
+    size: int
+    limit: int
+
+
 ConfirmFailure = (
     PlanConflict
     | PlanTampered
     | ConfirmUnknown
     | ConfirmUnavailable
     | PlanInvalid
+    | PlanTooLarge
 )
 ConfirmOutcome = Confirmed | AlreadyConfirmed
 
--- a/tests/features/plans.feature
+++ b/tests/features/plans.feature
@@ -47,3 +47,9 @@
   Scenario: A plan that was edited is refused
     When an operator edits a plan and confirms it
     Then the outcome is "tampered"
+
+  Scenario: A plan is larger than a value of the store
+    When an operator confirms 5000 customers at once
+    Then the outcome is "too_large"
+    And the detail names the size and the limit
+    And every instance is at revision 0
--- a/tests/test_plans_feature.py
+++ b/tests/test_plans_feature.py
@@ -2,8 +2,10 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from cartdale.configuration.storage import VALUE_LIMIT
 from cartdale.operators.types import PATH_CONFIRM, PATH_PLAN, Intent
 from tests.conftest import World
+from tests.stage import CALLER_KEY, hash_key
 
 scenarios('features/plans.feature')
 
@@ -84,3 +86,27 @@
 @then(parsers.parse('the outcome is "{outcome}"'))
 def check_outcome(world: World, outcome: str) -> None:
     assert world.found['answer']['outcome'] == outcome
+
+
+@when(parsers.parse('an operator confirms {count:d} customers at once'))
+def confirm_many(world: World, count: int) -> None:
+    bodies = world.stage.declare()
+    template = next(
+        body for key, body in bodies.items() if key.startswith('customers.')
+    )
+    for number in range(count):
+        name = f'mill-{number:05d}'
+        key_hash = hash_key(name)
+        bodies[f'customers.{name}'] = template.replace(
+            hash_key(CALLER_KEY), key_hash
+        )
+    plan = world.run(world.stage.post, 0, PATH_PLAN, Intent(bodies))
+    world.found['answer'] = confirm(world, plan)
+
+
+@then('the detail names the size and the limit')
+def check_detail(world: World) -> None:
+    words = world.found['answer']['detail'].replace(';', '').split()
+    numbers = [int(word) for word in words if word.isdigit()]
+    assert numbers[1:] == [VALUE_LIMIT]
+    assert numbers[0] > VALUE_LIMIT
