Name loads by whether they need a copy

`safe` and `exposed` said the opposite of what some runs are: one that finds no room anywhere counted as safe. Both only say whether others wait for its copy, so: `exempt` and `awaiting_copy`.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -20,7 +20,7 @@
     :param tokens: memory that they hold now.
     :param growth: tokens that they are still expected to make.
     :param reading: prompt tokens of those that have not begun to answer.
-    :param safe: how many of them need no copy when their upstream leaves:
+    :param exempt: how many of them need no copy when their upstream leaves:
         they have one or a backup elsewhere, end before, or find no room.
     """
 
@@ -28,12 +28,12 @@
     tokens: int = 0
     growth: int = 0
     reading: int = 0
-    safe: int = 0
+    exempt: int = 0
 
     @property
-    def exposed(self) -> int:
-        """Return how many requests are lost if the upstream ends now."""
-        return max(self.runs - self.safe, 0)
+    def awaiting_copy(self) -> int:
+        """Return how many requests still need a copy if the upstream leaves."""
+        return max(self.runs - self.exempt, 0)
 
     def add(self, other: 'Load') -> 'Load':
         """Return the sum."""
@@ -42,7 +42,7 @@
             self.tokens + other.tokens,
             self.growth + other.growth,
             self.reading + other.reading,
-            self.safe + other.safe,
+            self.exempt + other.exempt,
         )
 
 
@@ -61,7 +61,7 @@
         'expected',
         'made',
         'prompt',
-        'safe',
+        'exempt',
         'upstream',
     )
 
@@ -76,7 +76,7 @@
     ) -> None:
         self.backup = ''
         #: Whether it needs no copy when its upstream leaves.
-        self.safe = short
+        self.exempt = short
         self.upstream = upstream
         self.prompt = prompt
         self.expected = expected
@@ -100,7 +100,7 @@
             tokens=self.prompt + self.made,
             growth=left if self.prompt else 0,
             reading=0 if self.began else self.prompt,
-            safe=int(self.safe or bool(self.backup)),
+            exempt=int(self.exempt or bool(self.backup)),
         )
 
 
@@ -188,9 +188,9 @@
                 load = load.add(told)
         return load
 
-    def note_safe(self, assignment: Assignment) -> None:
+    def exempt(self, assignment: Assignment) -> None:
         """Note that a request needs no copy when its upstream leaves."""
-        assignment.safe = True
+        assignment.exempt = True
         self._count(assignment)
 
     def _count(self, assignment: Assignment) -> None:
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -107,8 +107,8 @@
             own=len(own),
             reported=len(held.runs),
             takes=sum(self._link.estimate(run.tokens) for run in queue),
-            exposed=load.exposed,
-            safe=load.safe,
+            awaiting_copy=load.awaiting_copy,
+            exempt=load.exempt,
             factor=self._link.factor,
         )
         serves_on = SERVES_ON
@@ -165,7 +165,7 @@
             return
         while self._clock.now() < began + turn.waits:
             now_load = self._fleet.load_at(self._entry.upstream)
-            if load.exposed - now_load.exposed >= turn.ahead:
+            if load.awaiting_copy - now_load.awaiting_copy >= turn.ahead:
                 break
             await trio.sleep(seconds(_LOOK_EVERY))
         if departure.leaves_time(self._clock.now(), turn):
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -166,7 +166,7 @@
                 target = self._choose_target(refused)
                 if target is None:
                     # Others need not wait until there is room for this one.
-                    self._occupancy.note_safe()
+                    self._occupancy.exempt()
                     refused.clear()
                     await trio.sleep(seconds(_LOOK_EVERY))
                 elif await self._copy_to(target, departure):
@@ -178,7 +178,7 @@
 
     def stay(self) -> None:
         """Tell others that it needs no copy: it ends before the engine."""
-        self._occupancy.note_safe()
+        self._occupancy.exempt()
 
     def lose_backup(self) -> None:
         """Count on its backup no more: the backup's engine leaves."""
@@ -246,7 +246,7 @@
             return await self._copy(action)
         left = departure.stop_at - self._ports.clock.now()
         if left <= 0 or self._link_free:
-            self._occupancy.note_safe()
+            self._occupancy.exempt()
             return self._tell(LinkQuiet())
         if self._renewed:
             await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -52,13 +52,13 @@
             self._assignment.backup = chosen.upstream
         return chosen
 
-    def note_safe(self) -> None:
+    def exempt(self) -> None:
         """Tell that others need not wait for its copy.
 
         It stops now, ends before its engine, or finds no room elsewhere.
         """
-        if self._assignment is not None and not self._assignment.safe:
-            self._fleet.loads.note_safe(self._assignment)
+        if self._assignment is not None and not self._assignment.exempt:
+            self._fleet.loads.exempt(self._assignment)
             self._fleet.notify()
 
     def lose_backup(self) -> None:
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -60,8 +60,8 @@
         return None
     load = fleet.load_at(source.upstream)
     link = SourceLink(spec.engine)
-    exposed_share = load.exposed / max(load.runs, 1)
-    movable = link.carries_all(int(exposed_share * load.tokens))
+    share_awaiting_copy = load.awaiting_copy / max(load.runs, 1)
+    movable = link.carries_all(int(share_awaiting_copy * load.tokens))
     need = replace(
         make_need(routed, frozenset((source.upstream,))),
         filled=_BACKUP_FILLED if movable else _CROWDED_FILLED,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -206,7 +206,7 @@
     book.assign(run)
     book.hear('peer', {'a': Load(runs=2, tokens=30)}, 1000)
     totals = book.totals(1000)
-    assert totals['a'] == Load(3, 130, 0, 100, safe=1)
+    assert totals['a'] == Load(3, 130, 0, 100, exempt=1)
     assert totals['b'] == Load(tokens=100)
     assert book.at('a', 1000) == totals['a']
     assert book.at('b', 1000) == totals['b']
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -295,14 +295,14 @@
     turn = find_turn('4', queue, link, Load(runs=5))
     assert turn.ahead == 4
     assert turn.waits > 4 * turn.takes
-    half = find_turn('4', queue, link, Load(runs=4, safe=2))
+    half = find_turn('4', queue, link, Load(runs=4, exempt=2))
     assert half.ahead == 1
     assert half.waits < turn.waits // 2
 
 
 def test_turn_comes_early_rather_than_late() -> None:
-    safe = Load(runs=9, safe=3)
-    assert list_ahead(safe) == [0, 0, 1, 2, 2, 3, 4, 4, 5]
+    some_exempt = Load(runs=9, exempt=3)
+    assert list_ahead(some_exempt) == [0, 0, 1, 2, 2, 3, 4, 4, 5]
 
 
 def test_turn_does_not_wait_for_those_that_have_ended() -> None:
@@ -314,8 +314,8 @@
     assert ends_in_time(60)
     assert not ends_in_time(600)
     short = Assignment('a', 100, 10, short=True)
-    assert short.load().exposed == 0
-    assert Assignment('a', 100, 10).load().exposed == 1
+    assert short.load().awaiting_copy == 0
+    assert Assignment('a', 100, 10).load().awaiting_copy == 1
 
 
 def test_copy_that_can_not_end_before_its_engine_is_told() -> None:
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -100,9 +100,9 @@
             nursery.start_soon(draft, stage, 'r1', 4000)
             source = await find_runner(stage, 'r1')
             fleet = stage.runtimes[0].fleet
-            assert fleet.load_at(source.name).exposed == 1
+            assert fleet.load_at(source.name).awaiting_copy == 1
             stage.drain(source)
-            await until(lambda: not fleet.load_at(source.name).exposed)
+            await until(lambda: not fleet.load_at(source.name).awaiting_copy)
             nursery.cancel_scope.cancel()
 
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -60,7 +60,7 @@
         (Load(7, 25000), Load(6, 20000), True),
         (Load(7, 25000), Load(8, 26000), False),
         # What has a backup need not be carried away.
-        (Load(7, 25000, safe=5), Load(6, 20000), False),
+        (Load(7, 25000, exempt=5), Load(6, 20000), False),
     ],
 )
 def test_backup_is_kept_where_memory_is_to_spare(
