Split the estimates of a departure from its schedule

The relay chooses backups and counts short generations by how long an engine serves on and how fast its link is; for that it imported the module that orders the copies. Both now use `moves/estimates`, and only the mover uses `moves/schedule`.

--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -8,21 +8,26 @@
 from cartdale.clock import Clock, seconds
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EntryRemoved, Lifecycle, UpstreamEntry
+from cartdale.moves.estimates import (
+    OTHER_DOMAIN_FACTOR,
+    SAME_DOMAIN_FACTOR,
+    SourceLink,
+)
 from cartdale.moves.leaving import (
     ASK_EVERY,
     LeavingEngine,
     MovableGeneration,
     read_report,
 )
-from cartdale.moves.schedule import FAR, NEAR, SourceLink
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
 #: An engine is asked by the one who does so for all at each second look: its
 #: report is half a second old, and it leaves 1.5 s and more after its notice.
 _LOOKS_PER_QUESTION = 2
-#: Some targets are near and some far where an engine has a neighbour.
-_MIXED = (NEAR + FAR) / 2
+#: Where an engine has others in its failure domain, some targets are among
+#: them and some elsewhere.
+_MIXED_FACTOR = (SAME_DOMAIN_FACTOR + OTHER_DOMAIN_FACTOR) / 2
 
 
 class Mover:
@@ -151,13 +156,15 @@
         self, entry: UpstreamEntry, engine: EngineTraits
     ) -> SourceLink:
         """Return what is known of the link that copies leave by."""
-        near = any(
+        has_neighbor = any(
             each.lifecycle is Lifecycle.LIVE
             and each.entry.service == entry.service
             and each.entry.failure_domain == entry.failure_domain
             for each in self._fleet.state.upstreams_by_id.values()
         )
-        return SourceLink(engine, _MIXED if near else FAR)
+        return SourceLink(
+            engine, _MIXED_FACTOR if has_neighbor else OTHER_DOMAIN_FACTOR
+        )
 
     def _engine_of(self, entry: UpstreamEntry) -> EngineTraits | None:
         spec = self._fleet.table.services_by_name.get(entry.service)
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -10,15 +10,13 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import EngineReport, RunReport, UpstreamEntry
-from cartdale.moves.schedule import (
+from cartdale.moves.estimates import (
     SERVES_ON,
     TOKEN_LONGEST,
     Departure,
     SourceLink,
-    Turn,
-    find_turn,
-    line_up,
 )
+from cartdale.moves.schedule import Turn, find_turn, line_up
 from cartdale.relay.types import UpstreamPort
 
 #: Between looks at whether those before have their copies.
@@ -168,7 +166,7 @@
             if load.awaiting_copy - now_load.awaiting_copy >= turn.ahead:
                 break
             await trio.sleep(seconds(_LOOK_EVERY))
-        if departure.leaves_time(self._clock.now(), turn):
+        if departure.leaves_time(self._clock.now(), turn.takes):
             await generation.leave(departure)
             return
         logger.info(
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -14,26 +14,8 @@
 from cartdale.clock import Millis
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import RunReport
-from cartdale.routes.types import EngineTraits
-
-#: How long an engine is taken to serve on until its reports tell. Reclaimed
-#: ones got 1.5 to 2.1 s on the days in the journal.
-SERVES_ON: Millis = 1600
-#: Longest that an engine takes for a token; on the days in the journal it
-#: was 8 to 12 ms.
-TOKEN_LONGEST: Millis = 15
-#: Copies between failure domains take twice as long, but those to different
-#: targets overlap: four in a row took 290 ms each instead of 360 (journal).
-NEAR = 1
-FAR = 1.6
-_BITS = 8
-_BITS_PER_MEGABIT_MS = 1000
-#: Before an engine's end, what was copied is stopped even if its link is in
-#: use: the rest of the memory is small, and must be read anew otherwise. Over
-#: a free link the stop and the rest took 20 to 40 ms (journal).
-_LAST_CALL: Millis = 150
-#: What every copy adds: its call, and the engine's own preparation.
-_SETUP_MS = 5
+from cartdale.moves.estimates import SourceLink
+
 #: Between the end of a copy and the begin of the next: its news, and a call.
 _HANDOVER: Millis = 40
 #: How long those before are waited for, in parts of their estimate: some find
@@ -58,47 +40,6 @@
     takes: Millis
 
 
-@dataclass(frozen=True, slots=True)
-class SourceLink:
-    """Describe the link over which an engine is emptied.
-
-    :param factor: ``NEAR`` for targets in its failure domain, ``FAR`` for
-        others, or between.
-    """
-
-    engine: EngineTraits
-    factor: float = FAR
-
-    def estimate(self, tokens: int) -> Millis:
-        """Return how long the copy of a generation takes."""
-        bits = tokens * self.engine.token_bytes * _BITS
-        through_link = bits / (self.engine.link_mbps * _BITS_PER_MEGABIT_MS)
-        return int(self.factor * through_link) + _SETUP_MS
-
-    def carries_all(self, tokens: int) -> bool:
-        """Tell whether so much memory leaves an engine that gives notice."""
-        return self.estimate(tokens) <= SERVES_ON - _LAST_CALL
-
-
-@dataclass(slots=True)
-class Departure:
-    """Hold what is known of an engine's end; it becomes known in steps.
-
-    :param until: when the engine is gone.
-    """
-
-    until: Millis
-
-    def leaves_time(self, begins: Millis, turn: Turn) -> bool:
-        """Tell whether a copy that begins at a time is done before the end."""
-        return begins + turn.takes <= self.stop_at
-
-    @property
-    def stop_at(self) -> Millis:
-        """Return when a generation whose memory was copied is stopped."""
-        return self.until - _LAST_CALL
-
-
 def line_up(
     reported: Iterable[RunReport], own: Iterable[RunReport]
 ) -> tuple[RunReport, ...]:
@@ -117,11 +58,6 @@
     return (*known, *sorted(young, key=_rank))
 
 
-def ends_in_time(tokens: int) -> bool:
-    """Tell whether so many tokens are surely made before an engine is gone."""
-    return tokens * TOKEN_LONGEST <= SERVES_ON
-
-
 def find_turn(
     request_id: str, queue: Sequence[RunReport], link: SourceLink, load: Load
 ) -> Turn:
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -12,7 +12,7 @@
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves import decide as moves
-from cartdale.moves.schedule import Departure
+from cartdale.moves.estimates import Departure
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
--- a/src/cartdale/relay/needs.py
+++ b/src/cartdale/relay/needs.py
@@ -3,7 +3,7 @@
 from cartdale.fleet.choose import Need
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.moves.schedule import ends_in_time
+from cartdale.moves.estimates import ends_in_time
 from cartdale.relay.types import RoutedRequest
 
 _NOTHING: frozenset[str] = frozenset()
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -7,7 +7,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.moves.schedule import SourceLink
+from cartdale.moves.estimates import SourceLink
 from cartdale.relay.needs import make_need
 from cartdale.relay.types import RoutedRequest
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -13,16 +13,15 @@
 from cartdale.fleet.types import RunReport, UpstreamEntry
 from cartdale.moves.decide import MOST_TRIES, begin, decide
 from cartdale.moves.driver import Mover
-from cartdale.moves.leaving import LeavingEngine
-from cartdale.moves.schedule import (
-    FAR,
-    NEAR,
+from cartdale.moves.estimates import (
+    OTHER_DOMAIN_FACTOR,
+    SAME_DOMAIN_FACTOR,
     Departure,
     SourceLink,
     ends_in_time,
-    find_turn,
-    line_up,
 )
+from cartdale.moves.leaving import LeavingEngine
+from cartdale.moves.schedule import find_turn, line_up
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
@@ -251,10 +250,11 @@
 
 
 def test_copies_between_failure_domains_take_longer() -> None:
-    near = SourceLink(ENGINE, NEAR).estimate(4000)
-    far = SourceLink(ENGINE, FAR).estimate(4000)
-    assert 200 < near < 250
-    assert near * (FAR - 0.1) < far < near * FAR
+    same = SourceLink(ENGINE, SAME_DOMAIN_FACTOR).estimate(4000)
+    other = SourceLink(ENGINE, OTHER_DOMAIN_FACTOR).estimate(4000)
+    assert 200 < same < 250
+    factor = OTHER_DOMAIN_FACTOR
+    assert same * (factor - 0.1) < other < same * factor
 
 
 def test_stop_comes_before_the_end_of_the_engine() -> None:
@@ -291,7 +291,7 @@
 
 def test_turn_waits_for_those_before_that_have_no_backup() -> None:
     queue = make_queue(5)
-    link = SourceLink(ENGINE, FAR)
+    link = SourceLink(ENGINE, OTHER_DOMAIN_FACTOR)
     turn = find_turn('4', queue, link, Load(runs=5))
     assert turn.ahead == 4
     assert turn.waits > 4 * turn.takes
@@ -322,8 +322,8 @@
     alone = (RunReport('a', 3000, 1, 0),)
     turn = find_turn('a', alone, SourceLink(ENGINE), Load(runs=1))
     departure = Departure(until=1000)
-    assert departure.leaves_time(0, turn)
-    assert not departure.leaves_time(700, turn)
+    assert departure.leaves_time(0, turn.takes)
+    assert not departure.leaves_time(700, turn.takes)
 
 
 @dataclass(eq=False)
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -3,7 +3,7 @@
 import httpx
 import trio
 
-from cartdale.moves.schedule import Departure
+from cartdale.moves.estimates import Departure
 from tests.platform_stage import (
     count_runs,
     draft,
