Sum peers' loads and compare news in one place each

The totals of all peers and those of one failure domain were added up by two copies of a loop, the age of a message was compared in two places, and the failure domains were listed twice. `sum_up` did not say what it sums: `shared_totals`, what instances tell each other.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -153,25 +153,21 @@
                 _add(loads_by_upstream, assignment.backup, copied)
         return loads_by_upstream
 
-    def sum_up(self, peers: Iterable[str], now: Millis) -> dict[str, Load]:
-        """Return what this instance and some peers told, by upstream."""
-        summed_by_upstream = self.own(shared=True)
-        for name in peers:
-            peer = self._peers_by_name.get(name)
-            if peer is None or now - peer.heard_at > PEER_LOAD_KEPT_MS:
-                continue
-            for upstream, load in peer.loads_by_upstream.items():
-                _add(summed_by_upstream, upstream, load)
-        return summed_by_upstream
+    def shared_totals(
+        self, peers: Iterable[str], now: Millis
+    ) -> dict[str, Load]:
+        """Return what this instance and some peers told, by upstream.
+
+        :param peers: names of those that count.
+        """
+        totals_by_upstream = self.own(shared=True)
+        self._add_peers(totals_by_upstream, peers, now)
+        return totals_by_upstream
 
     def totals(self, now: Millis) -> dict[str, Load]:
         """Return everybody's load by upstream, as far as it is known."""
         totals_by_upstream = self.own()
-        for peer in self._peers_by_name.values():
-            if now - peer.heard_at > PEER_LOAD_KEPT_MS:
-                continue
-            for upstream, load in peer.loads_by_upstream.items():
-                _add(totals_by_upstream, upstream, load)
+        self._add_peers(totals_by_upstream, self._peers_by_name, now)
         return totals_by_upstream
 
     def at(self, upstream: str, now: Millis) -> Load:
@@ -193,6 +189,20 @@
         assignment.exempt = True
         self._count(assignment)
 
+    def _add_peers(
+        self,
+        totals_by_upstream: dict[str, Load],
+        peers: Iterable[str],
+        now: Millis,
+    ) -> None:
+        """Add what some peers said last, unless it is too old."""
+        for name in peers:
+            peer = self._peers_by_name.get(name)
+            if peer is None or now - peer.heard_at > PEER_LOAD_KEPT_MS:
+                continue
+            for upstream, load in peer.loads_by_upstream.items():
+                _add(totals_by_upstream, upstream, load)
+
     def _count(self, assignment: Assignment) -> None:
         if assignment.prompt:
             self.version += 1
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -111,10 +111,8 @@
 ) -> Decision:
     known = state.heard_by_name.get(message.sender)
     news = message.news
-    if known is not None:
-        newest = (known.news.boot, known.news.number)
-        if (news.boot, news.number) <= newest:
-            return state, ()
+    if known is not None and not _is_newer(news, known.news):
+        return state, ()
     heard_by_name = dict(state.heard_by_name)
     heard_by_name[message.sender] = Heard(news, now)
     peers_by_name = dict(state.peers_by_name)
@@ -133,10 +131,12 @@
     news = message.news
     domain = news.peer.failure_domain
     known = state.domains_by_name.get(domain)
-    if known is not None and known.news.peer.name == news.peer.name:
-        newest = (known.news.boot, known.news.number)
-        if (news.boot, news.number) <= newest:
-            return state, ()
+    if (
+        known is not None
+        and known.news.peer.name == news.peer.name
+        and not _is_newer(news, known.news)
+    ):
+        return state, ()
     domains_by_name = dict(state.domains_by_name)
     domains_by_name[domain] = HeardDomain(news, now)
     after = replace(state, domains_by_name=domains_by_name)
@@ -146,6 +146,13 @@
     return after, (*actions, *_avoid(after, news.strikers_by_upstream, now))
 
 
+def _is_newer(
+    news: LoadNews | DomainNews, known: LoadNews | DomainNews
+) -> bool:
+    """Tell whether a message was sent after another of the same sender."""
+    return (news.boot, news.number) > (known.boot, known.number)
+
+
 def _avoid(
     state: NewsState, told: Iterable[str], now: Millis
 ) -> tuple[Action, ...]:
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -206,7 +206,7 @@
             and now - self.state.heard_by_name[name].at <= ALIVE_MS
             for name in names
         )
-        loads_by_upstream = self._fleet.loads.sum_up(names, now)
+        loads_by_upstream = self._fleet.loads.shared_totals(names, now)
         return self._writer.describe_domain(
             alive, loads_by_upstream, self._count_strikers(now)
         )
--- a/src/cartdale/news/duties.py
+++ b/src/cartdale/news/duties.py
@@ -27,8 +27,8 @@
 
 def is_wide(state: NewsState) -> bool:
     """Tell whether news go by failure domains, since there are many peers."""
-    domains = {peer.failure_domain for peer in state.peers_by_name.values()}
-    return len(state.peers_by_name) > MOST_FLAT_PEERS and len(domains) > 1
+    many = len(state.peers_by_name) > MOST_FLAT_PEERS
+    return many and len(_list_domains(state)) > 1
 
 
 def list_audience(
@@ -156,5 +156,8 @@
 def _count_watchers(state: NewsState) -> int:
     if not is_wide(state):
         return WATCHERS
-    domains = {peer.failure_domain for peer in state.peers_by_name.values()}
-    return max(WATCHERS // len(domains), 1)
+    return max(WATCHERS // len(_list_domains(state)), 1)
+
+
+def _list_domains(state: NewsState) -> set[str]:
+    return {peer.failure_domain for peer in state.peers_by_name.values()}
--- a/tests/test_domain_news.py
+++ b/tests/test_domain_news.py
@@ -180,7 +180,7 @@
     book.hear('east-1', {'u': Load(runs=2)}, 0)
     book.hear('east-2', {'u': Load(runs=3)}, 0)
     book.hear(f'{DOMAIN_PREFIX}west', {'u': Load(runs=7)}, 0)
-    assert book.sum_up(('east-1', 'east-2'), 0) == {'u': Load(runs=5)}
+    assert book.shared_totals(('east-1', 'east-2'), 0) == {'u': Load(runs=5)}
     assert book.totals(0) == {'u': Load(runs=12)}
 
 
