Name upstreams that can't be reached as such in the news

`struck` and `strikers` were words of our own, read as if the upstream or the instance had been hit: `unreachable`, and `reporters` for the instances that told so. The news' `PassOn` shared its name with the relay's step that hands an answer to the caller: `ForwardNews`.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -158,19 +158,19 @@
             known,
             failing=failing,
             strikes=0,
-            struck_until=0,
+            unreachable_until=0,
             avoided_until=0,
         )
         return _put(state, counted)
     pause = min(_AVOID_MS * 2**known.strikes, _AVOID_LONGEST_MS)
-    struck = replace(
+    unreachable = replace(
         known,
         failing=failing,
         strikes=known.strikes + 1,
-        struck_until=now + pause,
+        unreachable_until=now + pause,
         avoided_until=max(known.avoided_until, now + pause),
     )
-    return _put(state, struck)
+    return _put(state, unreachable)
 
 
 def _avoid(state: FleetState, name: str, now: Millis) -> FleetState:
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -74,7 +74,7 @@
     :param warm_at: when it stops being slow after its start.
     :param failing: share of recent requests that failed, 0 to 1.
     :param strikes: failures in a row that show it unreachable.
-    :param struck_until: avoided for failures that this instance saw.
+    :param unreachable_until: avoided for failures that this instance saw.
     :param avoided_until: no new work before this time, if others can; for
         failures seen here or told by others.
     """
@@ -86,7 +86,7 @@
     warm_at: Millis = 0
     failing: float = 0
     strikes: int = 0
-    struck_until: Millis = 0
+    unreachable_until: Millis = 0
     avoided_until: Millis = 0
 
     @property
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -13,13 +13,13 @@
     DomainNews,
     DomainNewsArrived,
     FetchTable,
+    ForwardNews,
     Heard,
     HeardDomain,
     LoadNews,
     Message,
     NewsArrived,
     NewsState,
-    PassOn,
     PeerListed,
     PeerRemoved,
     TakeEntry,
@@ -32,7 +32,7 @@
 #: Under which name the loads of a whole failure domain are kept.
 DOMAIN_PREFIX = 'domain/'
 #: So many instances must fail to reach an upstream before the others avoid it.
-STRIKERS = 2
+MIN_REPORTERS = 2
 
 
 def decide(
@@ -68,36 +68,40 @@
 
 def count_alive(state: NewsState, now: Millis) -> int:
     """Return how many peers were heard of late, or told about."""
-    near = sum(
+    direct = sum(
         now - heard.at <= ALIVE_MS for heard in state.heard_by_name.values()
     )
-    far = sum(
+    by_domain = sum(
         heard.news.alive
         for heard in state.domains_by_name.values()
         if now - heard.at <= ALIVE_MS
     )
-    return near + far
+    return direct + by_domain
 
 
-def count_strikers(
-    state: NewsState, upstream: str, now: Millis, *, around: bool = False
+def count_reporters(
+    state: NewsState,
+    upstream: str,
+    now: Millis,
+    *,
+    own_domain_only: bool = False,
 ) -> int:
-    """Return how many instances told of late that they can't reach it.
+    """Return how many instances reported of late that they can't reach it.
 
-    :param around: leave other failure domains out.
+    :param own_domain_only: leave other failure domains out.
     """
-    near = sum(
-        upstream in heard.news.struck and now - heard.at <= SILENT_MS
+    direct = sum(
+        upstream in heard.news.unreachable and now - heard.at <= SILENT_MS
         for heard in state.heard_by_name.values()
     )
-    if around:
-        return near
-    far = sum(
-        heard.news.strikers_by_upstream.get(upstream, 0)
+    if own_domain_only:
+        return direct
+    by_domain = sum(
+        heard.news.reporters_by_upstream.get(upstream, 0)
         for heard in state.domains_by_name.values()
         if now - heard.at <= SILENT_MS
     )
-    return near + far
+    return direct + by_domain
 
 
 def _remove(state: NewsState, name: str) -> NewsState:
@@ -121,7 +125,7 @@
         state, peers_by_name=peers_by_name, heard_by_name=heard_by_name
     )
     actions = _take_over(message.sender, news, version)
-    return after, (*actions, *_avoid(after, news.struck, now))
+    return after, (*actions, *_avoid(after, news.unreachable, now))
 
 
 def _hear_domain(
@@ -142,8 +146,8 @@
     after = replace(state, domains_by_name=domains_by_name)
     actions = _take_over(f'{DOMAIN_PREFIX}{domain}', news, version)
     if message.direct:
-        actions = (PassOn(), *actions)
-    return after, (*actions, *_avoid(after, news.strikers_by_upstream, now))
+        actions = (ForwardNews(), *actions)
+    return after, (*actions, *_avoid(after, news.reporters_by_upstream, now))
 
 
 def _is_newer(
@@ -160,7 +164,7 @@
     return tuple(
         AvoidUpstream(upstream)
         for upstream in told
-        if count_strikers(state, upstream, now) >= STRIKERS
+        if count_reporters(state, upstream, now) >= MIN_REPORTERS
     )
 
 
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -14,7 +14,7 @@
 from cartdale.news.decide import (
     ALIVE_MS,
     count_alive,
-    count_strikers,
+    count_reporters,
     decide,
     is_silent,
 )
@@ -31,11 +31,11 @@
     DomainNews,
     DomainNewsArrived,
     FetchTable,
+    ForwardNews,
     LoadNews,
     Message,
     NewsArrived,
     NewsState,
-    PassOn,
     PeerEntry,
     TakeEntry,
     TakeLeaving,
@@ -108,8 +108,8 @@
                     self._fleet.tell(ToldFailing(upstream))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
-                case PassOn():
-                    self._pass_on(raw)
+                case ForwardNews():
+                    self._forward(raw)
 
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
@@ -160,7 +160,7 @@
         if message is not None:
             self.tell(message, raw)
 
-    def _pass_on(self, raw: bytes) -> None:
+    def _forward(self, raw: bytes) -> None:
         """Send a message as it came to the instances around."""
         for peer in self._list_audience():
             try:
@@ -208,20 +208,22 @@
         )
         loads_by_upstream = self._fleet.loads.shared_totals(names, now)
         return self._writer.describe_domain(
-            alive, loads_by_upstream, self._count_strikers(now)
+            alive, loads_by_upstream, self._count_reporters(now)
         )
 
-    def _count_strikers(self, now: Millis) -> dict[str, int]:
+    def _count_reporters(self, now: Millis) -> dict[str, int]:
         """Count the instances around that can't reach an upstream."""
-        own = self._writer.list_struck()
-        strikers_by_upstream = {
-            upstream: count_strikers(self.state, upstream, now, around=True)
+        own = self._writer.list_unreachable()
+        reporters_by_upstream = {
+            upstream: count_reporters(
+                self.state, upstream, now, own_domain_only=True
+            )
             + (upstream in own)
             for upstream in self._fleet.state.upstreams_by_id
         }
         return {
             upstream: count
-            for upstream, count in strikers_by_upstream.items()
+            for upstream, count in reporters_by_upstream.items()
             if count
         }
 
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -33,7 +33,7 @@
     :param leaving: upstreams that take no new work.
     :param entries: upstreams whose entries changed of late.
     :param store_lost: whether the store does not answer the sender.
-    :param struck: upstreams that the sender could not reach of late.
+    :param unreachable: upstreams that the sender could not reach of late.
     """
 
     boot: Millis
@@ -44,7 +44,7 @@
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
     store_lost: bool = False
-    struck: tuple[str, ...] = ()
+    unreachable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     :param loads_by_upstream: what all of them have running.
     :param leaving: upstreams that take no new work.
     :param entries: upstreams whose entries changed of late.
-    :param strikers_by_upstream: how many instances of the failure domain
+    :param reporters_by_upstream: how many instances of the failure domain
         could not reach an upstream of late.
     """
 
@@ -72,7 +72,7 @@
     loads_by_upstream: dict[str, Load]
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
-    strikers_by_upstream: dict[str, int] = field(default_factory=dict)
+    reporters_by_upstream: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,12 +174,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PassOn:
+class ForwardNews:
     """Pass the message on to the instances of this failure domain."""
 
 
 Message = PeerListed | PeerRemoved | NewsArrived | DomainNewsArrived
 Action = (
-    TakeLoads | TakeLeaving | TakeEntry | AvoidUpstream | FetchTable | PassOn
+    TakeLoads
+    | TakeLeaving
+    | TakeEntry
+    | AvoidUpstream
+    | FetchTable
+    | ForwardNews
 )
 Decision = tuple[NewsState, tuple[Action, ...]]
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -28,7 +28,7 @@
     loads: int
     version: int
     lifecycles: int
-    struck: tuple[str, ...]
+    unreachable: tuple[str, ...]
     lost: bool
 
 
@@ -75,24 +75,24 @@
             leaving=self._list_leaving(),
             entries=self._list_changed() if self._is_watcher() else (),
             store_lost=self._store_lost(),
-            struck=self.list_struck(),
+            unreachable=self.list_unreachable(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
-    def list_struck(self) -> tuple[str, ...]:
+    def list_unreachable(self) -> tuple[str, ...]:
         """Return the upstreams that this instance could not reach of late."""
         now = self._clock.now()
         return tuple(
             name
             for name, upstream in self._fleet.state.upstreams_by_id.items()
-            if upstream.struck_until > now
+            if upstream.unreachable_until > now
         )
 
     def describe_domain(
         self,
         alive: int,
         loads_by_upstream: dict[str, Load],
-        strikers_by_upstream: dict[str, int],
+        reporters_by_upstream: dict[str, int],
     ) -> DomainNews:
         """Return what this instance tells of its failure domain.
 
@@ -101,7 +101,7 @@
 
         :param alive: instances there, this one included.
         :param loads_by_upstream: what all of them have running.
-        :param strikers_by_upstream: how many of them can't reach it.
+        :param reporters_by_upstream: how many of them can't reach it.
         """
         return DomainNews(
             boot=self._boot,
@@ -112,7 +112,7 @@
             loads_by_upstream=loads_by_upstream,
             leaving=self._list_leaving(),
             entries=self._list_changed(),
-            strikers_by_upstream=strikers_by_upstream,
+            reporters_by_upstream=reporters_by_upstream,
         )
 
     def close_domain(
@@ -142,7 +142,7 @@
             self._fleet.loads.version,
             self._fleet.table.version,
             self._fleet.lifecycles if self._is_watcher() else 0,
-            self.list_struck(),
+            self.list_unreachable(),
             lost=self._store_lost(),
         )
 
--- a/tests/test_domain_news.py
+++ b/tests/test_domain_news.py
@@ -31,10 +31,10 @@
     DomainNews,
     DomainNewsArrived,
     FetchTable,
+    ForwardNews,
     LoadNews,
     NewsArrived,
     NewsState,
-    PassOn,
     PeerEntry,
     PeerListed,
     TakeLeaving,
@@ -116,14 +116,14 @@
     arrived = DomainNewsArrived(make_news(leaving=('x',)), direct=True)
     state, actions = decide(make_state(), arrived, 0, 0)
     assert actions == (
-        PassOn(),
+        ForwardNews(),
         TakeLoads(f'{DOMAIN_PREFIX}north', {'u': Load(runs=5)}),
         TakeLeaving('x'),
     )
     assert decide(state, arrived, 0, 0) == (state, ())
     again = replace(arrived, news=make_news(number=2), direct=False)
     _, actions = decide(state, again, 0, 0)
-    assert PassOn() not in actions
+    assert ForwardNews() not in actions
 
 
 def test_newer_configuration_is_fetched_from_the_speaker() -> None:
@@ -156,12 +156,12 @@
     assert is_silent(state, SILENT_MS + 1)
 
 
-def test_strikers_of_other_domains_count() -> None:
-    told = make_news(strikers_by_upstream={'x': 1, 'y': 2})
+def test_reporters_of_other_domains_count() -> None:
+    told = make_news(reporters_by_upstream={'x': 1, 'y': 2})
     state, actions = decide(make_state(), DomainNewsArrived(told, False), 0, 0)
     assert AvoidUpstream('x') not in actions
     assert AvoidUpstream('y') in actions
-    near = LoadNews(1, 2, 0, PEERS[1], {}, struck=('x',))
+    near = LoadNews(1, 2, 0, PEERS[1], {}, unreachable=('x',))
     _, actions = decide(state, NewsArrived(PEERS[1].name, near), 0, 0)
     assert AvoidUpstream('x') in actions
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -268,7 +268,7 @@
     state, _ = decide(state, ToldFailing('a'), 0)
     assert pick(state, need, loads) == 'b'
     assert pick(state, need, loads, now=TOLD_AVOIDED_MS) == 'a'
-    assert state.upstreams_by_id['a'].struck_until == 0
+    assert state.upstreams_by_id['a'].unreachable_until == 0
 
 
 def test_success_ends_the_avoidance_that_others_told() -> None:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -138,13 +138,13 @@
 
 
 def test_what_several_can_not_reach_is_avoided() -> None:
-    state, actions = hear(NewsState(), make_news(1, struck=('x',)))
+    state, actions = hear(NewsState(), make_news(1, unreachable=('x',)))
     assert AvoidUpstream('x') not in actions
-    second = replace(make_news(1, struck=('x', 'y')), sender='q')
+    second = replace(make_news(1, unreachable=('x', 'y')), sender='q')
     state, actions = hear(state, second)
     assert AvoidUpstream('x') in actions
     assert AvoidUpstream('y') not in actions
     # What was told long ago counts no more.
-    third = replace(make_news(1, struck=('x',)), sender='r')
+    third = replace(make_news(1, unreachable=('x',)), sender='r')
     _, actions = hear(state, third, now=SILENT_MS + 1)
     assert AvoidUpstream('x') not in actions
