Split asking for copies from holding a generation

`relay/generation` was over 300 lines: the state of a generation and the calls that copy its memory, with two flags that only these set. The calls and the flags are in `relay/copying` now.

--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -2,12 +2,12 @@
 
 A generation moves when its engine leaves, and goes on from a copy or its
 backup when its link breaks. What follows from each event is decided in
-``moves.decide``; this module acts on it.
+``moves.decide``; this module acts on it, and ``relay.copying`` asks for the
+copies.
 """
 
 import trio
 from loguru import logger
-from returns.result import Failure, Success
 
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
@@ -22,7 +22,6 @@
     ChooseRescue,
     Copy,
     CopyEnded,
-    CopyRejected,
     Cut,
     LinkBusy,
     LinkEnded,
@@ -36,23 +35,14 @@
     ResumeRejected,
     TargetChosen,
 )
+from cartdale.relay.copying import Copier
 from cartdale.relay.occupancy import Occupancy
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.targets import choose_target
-from cartdale.relay.types import (
-    COPY_PATIENCE,
-    Copied,
-    CopyFailed,
-    MemoryCopy,
-    ResumePoint,
-    RoutedRequest,
-)
+from cartdale.relay.types import COPY_PATIENCE, ResumePoint, RoutedRequest
 
 #: Pause before a copy that was refused as busy is asked for again.
 _COPY_PAUSE: Millis = 30
-#: A renewed copy that took no longer shows that the link is free: what was
-#: made since the copy before takes 10 to 20 ms, another's copy 190 and more.
-_QUICK_COPY: Millis = 80
 #: Pause before a copy is renewed over a link that others use.
 _REFRESH_PAUSE: Millis = 40
 #: Between looks for an engine with room for a generation that must leave.
@@ -80,9 +70,7 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
-        #: Whether the newest copy renewed another; and if it was quick.
-        self._renewed = False
-        self._link_free = False
+        self._copier = Copier(ports.upstreams, ports.clock, self.request_id)
         #: Times that it went on at another engine.
         self.moves = 0
 
@@ -245,10 +233,10 @@
         if isinstance(action, Copy):
             return await self._copy(action)
         left = departure.stop_at - self._ports.clock.now()
-        if left <= 0 or self._link_free:
+        if left <= 0 or self._copier.link_free:
             self._occupancy.exempt()
             return self._tell(LinkQuiet())
-        if self._renewed:
+        if self._copier.renewed:
             await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
         return self._tell(LinkBusy())
 
@@ -260,26 +248,14 @@
         state = self._state
         if state is None or state.target is None or self._ended:
             return None
-        copy = MemoryCopy(
-            self.request_id,
-            state.source.address,
-            state.target.address,
-            action.last,
-            patience,
+        outcome = await self._copier.copy(
+            state, state.target, last=action.last, patience=patience
         )
-        asked_at = self._ports.clock.now()
-        self._renewed = state.phase is MovePhase.REFRESHING
-        self._link_free = False
-        match await self._ports.upstreams.copy(copy):
-            case Success(Copied(handle=handle)):
-                took = self._ports.clock.now() - asked_at
-                self._link_free = self._renewed and took <= _QUICK_COPY
-                if self._state is None:
-                    _discard(self._ports, state, handle)
-                return self._tell(CopyEnded(handle))
-            case Failure(CopyFailed(fault=fault, handle=kept)):
-                return self._tell(CopyRejected(fault, kept))
-        return None
+        if outcome is None:
+            return None
+        if self._state is None and isinstance(outcome, CopyEnded):
+            _discard(self._ports, state, outcome.handle)
+        return self._tell(outcome)
 
     async def _rescue(self) -> Action | None:
         """Stop it at its source, if it runs on there behind the link."""
