Shorten the move of an engine's generations

`LeavingEngine.move_all` mixed its steps with two long log lines, and waiting for a turn stood within the decision whether to move. What the mover needs of a generation is in `moves/ports`, as in the relay.

--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -13,12 +13,8 @@
     SAME_DOMAIN_FACTOR,
     SourceLink,
 )
-from cartdale.moves.leaving import (
-    ASK_EVERY,
-    LeavingEngine,
-    MovableGeneration,
-    read_report,
-)
+from cartdale.moves.leaving import ASK_EVERY, LeavingEngine, read_report
+from cartdale.moves.ports import MovableGeneration
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
 
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -1,6 +1,6 @@
 """Move generations away from one engine that leaves, while it serves on."""
 
-from typing import Protocol
+from collections.abc import Sequence
 
 import trio
 from loguru import logger
@@ -16,6 +16,7 @@
     Departure,
     SourceLink,
 )
+from cartdale.moves.ports import MovableGeneration
 from cartdale.moves.schedule import Turn, find_turn, line_up
 from cartdale.relay.types import UpstreamPort
 
@@ -30,43 +31,6 @@
 ASK_EVERY: Millis = 300
 
 
-class MovableGeneration(Protocol):
-    """Move one generation away from its engine."""
-
-    @property
-    def request_id(self) -> str:
-        """Return the caller's id of the request."""
-
-    @property
-    def upstream(self) -> str:
-        """Return the id of the engine that runs it; empty for none."""
-
-    @property
-    def tokens(self) -> int:
-        """Return the memory that it holds, in tokens."""
-
-    @property
-    def events(self) -> int:
-        """Return how many events the caller got."""
-
-    @property
-    def most_left(self) -> int:
-        """Return how many tokens it makes at the most from here."""
-
-    @property
-    def backup(self) -> str:
-        """Return the id of the engine that keeps its backup; empty for none."""
-
-    def lose_backup(self) -> None:
-        """Count on its backup no more: the backup's engine leaves."""
-
-    def stay(self) -> None:
-        """Tell others that it needs no copy: it ends before the engine."""
-
-    async def leave(self, departure: Departure) -> None:
-        """Move away from the engine."""
-
-
 class LeavingEngine:
     """Move generations away from an engine before it ends.
 
@@ -98,37 +62,46 @@
         held = await read_report(self._upstreams, self._entry)
         load = self._fleet.load_at(self._entry.upstream)
         queue = line_up(held.runs, [_describe(each) for each in own])
+        self._log_begin(held, load, queue, len(own))
+        departure = Departure(until=noticed_at + _estimate_rest(held))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._learn_end, departure)
+            for generation in own:
+                turn = find_turn(generation.request_id, queue, self._link, load)
+                self._log_turn(generation, turn)
+                nursery.start_soon(
+                    self._move, generation, turn, departure, load
+                )
+
+    def _log_begin(
+        self,
+        held: EngineReport,
+        load: Load,
+        queue: Sequence[RunReport],
+        own: int,
+    ) -> None:
         logger.info(
             'emptying upstream',
             upstream=self._entry.upstream,
             leaves_in=held.leaves_in,
-            own=len(own),
+            own=own,
             reported=len(held.runs),
             takes=sum(self._link.estimate(run.tokens) for run in queue),
             awaiting_copy=load.awaiting_copy,
             exempt=load.exempt,
             factor=self._link.factor,
         )
-        serves_on = SERVES_ON
-        if held.leaves_in is not None:
-            serves_on = held.leaves_in - _REPORT_LAG
-        departure = Departure(until=noticed_at + serves_on)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._learn_end, departure)
-            for generation in own:
-                turn = find_turn(generation.request_id, queue, self._link, load)
-                logger.info(
-                    'turn',
-                    request=generation.request_id,
-                    upstream=self._entry.upstream,
-                    ahead=turn.ahead,
-                    waits=turn.waits,
-                    takes=turn.takes,
-                    most_left=generation.most_left,
-                )
-                nursery.start_soon(
-                    self._move, generation, turn, departure, load
-                )
+
+    def _log_turn(self, generation: MovableGeneration, turn: Turn) -> None:
+        logger.info(
+            'turn',
+            request=generation.request_id,
+            upstream=self._entry.upstream,
+            ahead=turn.ahead,
+            waits=turn.waits,
+            takes=turn.takes,
+            most_left=generation.most_left,
+        )
 
     async def _learn_end(self, departure: Departure) -> None:
         """Read when the engine is gone, once its reports can tell."""
@@ -161,11 +134,7 @@
         if began + generation.most_left * TOKEN_LONGEST <= departure.until:
             generation.stay()
             return
-        while self._clock.now() < began + turn.waits:
-            now_load = self._fleet.load_at(self._entry.upstream)
-            if load.awaiting_copy - now_load.awaiting_copy >= turn.ahead:
-                break
-            await trio.sleep(seconds(_LOOK_EVERY))
+        await self._wait_for_turn(turn, began + turn.waits, load)
         if departure.leaves_time(self._clock.now(), turn.takes):
             await generation.leave(departure)
             return
@@ -178,6 +147,19 @@
             left=departure.until - self._clock.now(),
         )
 
+    async def _wait_for_turn(
+        self, turn: Turn, until: Millis, load: Load
+    ) -> None:
+        """Wait until those before have their copies, or no longer.
+
+        :param load: of the engine when it began to leave.
+        """
+        while self._clock.now() < until:
+            now_load = self._fleet.load_at(self._entry.upstream)
+            if load.awaiting_copy - now_load.awaiting_copy >= turn.ahead:
+                break
+            await trio.sleep(seconds(_LOOK_EVERY))
+
 
 async def read_report(
     upstreams: UpstreamPort, entry: UpstreamEntry
@@ -200,3 +182,10 @@
     return RunReport(
         generation.request_id, generation.tokens, generation.events, 0
     )
+
+
+def _estimate_rest(held: EngineReport) -> Millis:
+    """Return how long an engine serves on, from its report if it tells."""
+    if held.leaves_in is None:
+        return SERVES_ON
+    return held.leaves_in - _REPORT_LAG
