Split the fault soak into callers, faults and the run

Callers and faults have modules of their own; the order in which a seed's random numbers are drawn stays, so that a seed still plays the same faults.

--- /dev/null
+++ b/tests/fault_soak/callers.py
@@ -0,0 +1,77 @@
+"""Callers of a soak: they ask, and have the checks judge the answers."""
+
+from typing import Any
+
+import httpx
+import trio
+
+from tests.fault_soak.checks import CONTACT_SECONDS, Asked
+from tests.fault_soak.instances import Instance
+from tests.platform_stage import make_headers
+
+
+class Callers:
+    """Ask the instances of a soak that are ready.
+
+    :param soak: the run that they belong to.
+    """
+
+    def __init__(self, soak: Any, client: httpx.AsyncClient) -> None:
+        self._soak = soak
+        self._client = client
+
+    async def call(self, stopping: trio.Event) -> None:
+        """Ask one request after another until told to stop."""
+        soak = self._soak
+        while not stopping.is_set():
+            await trio.sleep(soak.random.uniform(0.02, 0.3))
+            ready = [each for each in soak.instances if each.name in soak.ready]
+            if not ready:
+                continue
+            instance = soak.random.choice(ready)
+            kind = soak.random.choices(('draft', 'cut', 'look'), (3, 2, 1))[0]
+            asked = Asked(
+                f'{kind}-{soak.next_number()}',
+                kind,
+                instance.name,
+                trio.current_time(),
+                tokens=4 * soak.random.randrange(10, 300),
+            )
+            soak.checks.asked.append(asked)
+            await self._ask(asked, instance)
+            asked.ended_at = trio.current_time()
+            soak.checks.check_answer(asked)
+            self._check_stop(asked, instance)
+
+    async def _ask(self, asked: Asked, instance: Instance) -> None:
+        headers = make_headers(asked.name)
+        if asked.kind == 'draft':
+            headers['Token-Count'] = f'40,{asked.tokens}'
+            headers['Length-Hint'] = str(asked.tokens)
+        method = 'GET' if asked.kind == 'look' else 'POST'
+        url = f'{instance.caller_url}/{asked.kind}/'
+        try:
+            async with self._client.stream(
+                method, url, headers=headers
+            ) as answer:
+                asked.status = answer.status_code
+                async for chunk in answer.aiter_raw():
+                    asked.body += chunk
+                asked.whole = True
+        except httpx.TransportError:
+            # The caller sees a broken link; the checks judge what came.
+            return
+
+    def _check_stop(self, asked: Asked, instance: Instance) -> None:
+        stopped_at = instance.stopped_at
+        if stopped_at is None or not asked.at < stopped_at < asked.ended_at:
+            return
+        since = asked.at - CONTACT_SECONDS
+        hurt = any(each.disturbed_at > since for each in self._soak.upstreams)
+        store = self._soak.store_disturbed_at > since
+        # Its own disturbance is the signal itself, unless another came.
+        other = instance.killed or instance.disturbed_at > stopped_at
+        refused = asked.status and asked.status != httpx.codes.OK
+        self._soak.checks.check_stop(
+            asked, bool(hurt or store or other or refused)
+        )
--- /dev/null
+++ b/tests/fault_soak/faults.py
@@ -0,0 +1,167 @@
+"""Faults of a soak: what is done to its instances, store and upstreams."""
+
+import signal
+from types import MappingProxyType
+from typing import Any
+
+import trio
+
+from cartdale_standins.platform_engine import PlatformEngine
+from cartdale_standins.platform_store import PlatformStoreFaults
+from tests.fault_soak.instances import Instance
+from tests.fault_soak.proxy import FaultProxy, Weather
+from tests.fault_soak.watch import Upstream
+from tests.platform_stage import make_configuration
+
+#: What is done to the system, and how often relative to each other.
+FAULTS = MappingProxyType(
+    {
+        'store path': 3,
+        'store': 2,
+        'store forgets': 1,
+        'engine path': 2,
+        'engine dies': 2,
+        'engine drains': 4,
+        'lost answers': 2,
+        'kill': 2,
+        'pause': 2,
+        'stop': 2,
+        'reload': 1,
+        'configure': 3,
+    }
+)
+#: An engine ends so long after it began to leave.
+_NOTICE_SECONDS = 2.6
+
+
+class Faults:
+    """Disturb a soak at random.
+
+    :param soak: the run that is disturbed.
+    """
+
+    def __init__(self, soak: Any) -> None:
+        self._soak = soak
+
+    async def disturb(self) -> None:
+        """Do one thing after another; what lasts overlaps the next."""
+        while True:
+            await trio.sleep(self._soak.random.uniform(0.3, 1.2))
+            fault = self._soak.random.choices(
+                tuple(FAULTS), tuple(FAULTS.values())
+            )[0]
+            self._soak.faults[fault] += 1
+            self._do(fault)
+
+    def _do(self, fault: str) -> None:
+        instance = self._soak.random.choice(self._soak.instances)
+        lasts = self._soak.random.uniform(0.3, 3)
+        match fault:
+            case 'store path':
+                instance.disturb(lasts)
+                self._soak.nursery.start_soon(
+                    self._weather, instance.store, self._pick(), lasts
+                )
+            case 'store':
+                self._soak.store_disturbed_at = trio.current_time() + lasts
+                self._soak.nursery.start_soon(self._store_faults, lasts)
+            case 'store forgets':
+                self._soak.store_disturbed_at = trio.current_time()
+                self._soak.store.forget()
+            case 'engine path':
+                upstream = self._soak.random.choice(self._list_up())
+                upstream.disturbed_at = trio.current_time() + lasts
+                self._soak.nursery.start_soon(
+                    self._weather, upstream.proxy, self._pick(), lasts
+                )
+            case 'engine dies':
+                self._replace(drains=False)
+            case 'engine drains':
+                self._replace(drains=True)
+            case 'lost answers':
+                plain = self._soak.random.choice(self._list_up('portal')).worker
+                plain.faults.cuts += self._soak.random.randrange(1, 4)
+                plain.faults.strangers += self._soak.random.randrange(2)
+            case 'kill':
+                instance.signal(signal.SIGKILL)
+            case 'pause':
+                instance.disturb(lasts)
+                self._soak.nursery.start_soon(self._pause, instance, lasts)
+            case 'stop':
+                instance.signal(signal.SIGTERM)
+            case 'reload':
+                instance.signal(signal.SIGHUP)
+            case 'configure':
+                self._configure()
+
+    def _pick(self) -> Weather:
+        return self._soak.random.choice(
+            [each for each in Weather if each is not Weather.CALM]
+        )
+
+    def _list_up(self, service: str = 'writers') -> list[Upstream]:
+        return [
+            each
+            for each in self._soak.upstreams
+            if each.service == service
+            and each.is_up
+            and each.drained_at is None
+        ]
+
+    async def _weather(
+        self, proxy: FaultProxy, weather: Weather, lasts: float
+    ) -> None:
+        proxy.set(weather)
+        await trio.sleep(lasts)
+        proxy.set(Weather.CALM)
+
+    async def _store_faults(self, lasts: float) -> None:
+        silent = self._soak.random.random() < 0.5
+        self._soak.store.faults = PlatformStoreFaults(
+            busy=not silent, silent=silent
+        )
+        await trio.sleep(lasts)
+        self._soak.store.faults = PlatformStoreFaults()
+        self._soak.store_disturbed_at = trio.current_time()
+
+    async def _pause(self, instance: Instance, lasts: float) -> None:
+        if instance.signal(signal.SIGSTOP):
+            await trio.sleep(lasts)
+            instance.signal(signal.SIGCONT)
+
+    def _replace(self, *, drains: bool) -> None:
+        """Take an engine away and add another."""
+        upstream = self._soak.random.choice(self._list_up())
+        self._soak.add(PlatformEngine, 'writers')
+        if drains:
+            upstream.drained_at = trio.current_time()
+            self._soak.list_upstream(upstream, 'draining')
+            self._soak.nursery.start_soon(self._die, upstream, _NOTICE_SECONDS)
+            return
+        upstream.disturbed_at = trio.current_time()
+        self._soak.nursery.start_soon(self._die, upstream, 0)
+
+    async def _die(self, upstream: Upstream, after: float) -> None:
+        # A drained engine serves on for longer than it must, so that late
+        # work would show.
+        await trio.sleep(2 * after)
+        assert isinstance(upstream.worker, PlatformEngine)
+        upstream.disturbed_at = trio.current_time()
+        upstream.worker.die()
+        upstream.proxy.set(Weather.RESET)
+        self._soak.store.remove(f'servers/{upstream.worker.name}')
+
+    def _configure(self) -> None:
+        """Confirm a configuration with one more route."""
+        document = make_configuration(self._soak.version + 1)
+        template = document['routes'][-1]
+        for version in range(2, self._soak.version + 2):
+            route = {
+                **template,
+                'name': f'v{version}',
+                'pathPrefix': f'/v{version}/',
+            }
+            document['routes'].append(route)
+        self._soak.store.put('op/config', document)
+        self._soak.version += 1
+        self._soak.confirmed_at = trio.current_time()
