--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -9,7 +9,7 @@
 from cartdale_standins.platform_engine import PlatformEngine
 from cartdale_standins.platform_store import PlatformStoreFaults
 from tests.fault_soak.instances import Instance
-from tests.fault_soak.proxy import FaultProxy, Weather
+from tests.fault_soak.proxy import FaultProxy, LinkState
 from tests.fault_soak.watch import Upstream
 from tests.platform_stage import make_configuration
 
@@ -60,7 +60,7 @@
             case 'store path':
                 instance.disturb(lasts)
                 self._soak.nursery.start_soon(
-                    self._weather, instance.store, self._pick(), lasts
+                    self._disturb_link, instance.store, self._pick(), lasts
                 )
             case 'store':
                 self._soak.store_disturbed_at = trio.current_time() + lasts
@@ -72,7 +72,7 @@
                 upstream = self._soak.random.choice(self._list_up())
                 upstream.disturbed_at = trio.current_time() + lasts
                 self._soak.nursery.start_soon(
-                    self._weather, upstream.proxy, self._pick(), lasts
+                    self._disturb_link, upstream.proxy, self._pick(), lasts
                 )
             case 'engine dies':
                 self._replace(drains=False)
@@ -94,9 +94,9 @@
             case 'configure':
                 self._configure()
 
-    def _pick(self) -> Weather:
+    def _pick(self) -> LinkState:
         return self._soak.random.choice(
-            [each for each in Weather if each is not Weather.CALM]
+            [each for each in LinkState if each is not LinkState.NORMAL]
         )
 
     def _list_up(self, service: str = 'writers') -> list[Upstream]:
@@ -108,12 +108,12 @@
             and each.drained_at is None
         ]
 
-    async def _weather(
-        self, proxy: FaultProxy, weather: Weather, lasts: float
+    async def _disturb_link(
+        self, proxy: FaultProxy, state: LinkState, lasts: float
     ) -> None:
-        proxy.set(weather)
+        proxy.set(state)
         await trio.sleep(lasts)
-        proxy.set(Weather.CALM)
+        proxy.set(LinkState.NORMAL)
 
     async def _store_faults(self, lasts: float) -> None:
         silent = self._soak.random.random() < 0.5
@@ -148,7 +148,7 @@
         assert isinstance(upstream.worker, PlatformEngine)
         upstream.disturbed_at = trio.current_time()
         upstream.worker.die()
-        upstream.proxy.set(Weather.RESET)
+        upstream.proxy.set(LinkState.RESET)
         self._soak.store.remove(f'servers/{upstream.worker.name}')
 
     def _configure(self) -> None:
--- a/tests/fault_soak/proxy.py
+++ b/tests/fault_soak/proxy.py
@@ -13,10 +13,10 @@
 _RESET = struct.pack('ii', 1, 0)
 
 
-class Weather(StrEnum):
+class LinkState(StrEnum):
     """Say what happens to a proxy's connections."""
 
-    CALM = 'calm'
+    NORMAL = 'normal'
     DELAY = 'delay'
     #: Nothing passes either way, and nothing closes.
     SILENCE = 'silence'
@@ -27,7 +27,7 @@
 
 
 class FaultProxy:
-    """Pass connections on to one port, as the weather lets them."""
+    """Pass connections on to one port, as its state lets them."""
 
     def __init__(self, target: int) -> None:
         self._target = target
@@ -35,7 +35,7 @@
         self._bound.bind((LOCAL, 0))
         self._bound.listen()
         self.port: int = self._bound.getsockname()[1]
-        self._weather = Weather.CALM
+        self._state = LinkState.NORMAL
         self._changed = trio.Event()
         self._open: set[trio.SocketStream] = set()
 
@@ -44,12 +44,12 @@
         """Return where the proxy listens."""
         return f'{LOCAL}:{self.port}'
 
-    def set(self, weather: Weather) -> None:
-        """Change the weather."""
-        self._weather = weather
+    def set(self, state: LinkState) -> None:
+        """Change what happens to connections."""
+        self._state = state
         self._changed.set()
         self._changed = trio.Event()
-        if weather is Weather.RESET:
+        if state is LinkState.RESET:
             for stream in tuple(self._open):
                 _abort(stream)
 
@@ -63,7 +63,7 @@
     async def _serve(self, caller: trio.SocketStream) -> None:
         self._open.add(caller)
         try:
-            if self._weather is Weather.RESET:
+            if self._state is LinkState.RESET:
                 _abort(caller)
                 return
             await self._join(caller)
@@ -90,17 +90,17 @@
         self, source: trio.SocketStream, sink: trio.SocketStream, answers: bool
     ) -> None:
         async for chunk in source:
-            await self._weather_allows(answers)
+            await self._wait_until_passable(answers)
             await sink.send_all(chunk)
-        await self._weather_allows(answers)
+        await self._wait_until_passable(answers)
         await sink.send_eof()
 
-    async def _weather_allows(self, answers: bool) -> None:
-        while self._weather is Weather.SILENCE or (
-            answers and self._weather is Weather.ONE_WAY
+    async def _wait_until_passable(self, answers: bool) -> None:
+        while self._state is LinkState.SILENCE or (
+            answers and self._state is LinkState.ONE_WAY
         ):
             await self._changed.wait()
-        if self._weather is Weather.DELAY:
+        if self._state is LinkState.DELAY:
             await trio.sleep(_DELAY)
 
 
