Name the two duties in the news by what they do

`is_relay` shared its name with the slice that relays requests, and `is_keeper` with the keeper of an account's bucket in the glossary: the one speaks for its failure domain, the other probes an engine for all.

--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -133,7 +133,7 @@
         The store may hide that or tell it late; the others hear of it in
         news.
         """
-        return self.news.is_keeper(entry.upstream, entry.failure_domain)
+        return self.news.is_prober(entry.upstream, entry.failure_domain)
 
     def lost_store(self) -> bool:
         """Tell whether the store does not answer this instance."""
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -118,7 +118,7 @@
             names = {each.upstream for each in self._told_by_generation}
         elif looks % _LOOKS_PER_QUESTION == 0:
             names = set(self._fleet.state.upstreams_by_id)
-            names = {name for name in names if self._keeps(name)}
+            names = {name for name in names if self._probes(name)}
         else:
             return
         async with trio.open_nursery() as nursery:
@@ -134,7 +134,7 @@
             logger.info('engine says it leaves', upstream=name)
             self._fleet.tell(EntryRemoved(name))
 
-    def _keeps(self, name: str) -> bool:
+    def _probes(self, name: str) -> bool:
         known = self._fleet.find(name)
         if known is None or self._engine_of(known.entry) is None:
             return False
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -20,8 +20,8 @@
 )
 from cartdale.news.duties import (
     choose_recipients,
-    is_keeper,
-    is_relay,
+    is_domain_speaker,
+    is_prober,
     is_watcher,
     list_audience,
     stretch,
@@ -115,9 +115,9 @@
         """Tell whether this instance follows the store for the others."""
         return is_watcher(self.state, self._own, self._clock.now())
 
-    def is_keeper(self, upstream: str, failure_domain: str) -> bool:
+    def is_prober(self, upstream: str, failure_domain: str) -> bool:
         """Tell whether this instance asks an upstream for all how it is."""
-        return is_keeper(
+        return is_prober(
             self.state, self._own, upstream, failure_domain, self._clock.now()
         )
 
@@ -135,7 +135,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, bound)
             nursery.start_soon(self._send, bound)
-            nursery.start_soon(self._speak, bound)
+            nursery.start_soon(self._send_domain_news, bound)
 
     async def _receive(self, bound: trio.socket.SocketType) -> None:
         while True:
@@ -180,7 +180,7 @@
             for peer in self._list_audience():
                 await self._send_to(bound, sealed, peer)
 
-    async def _speak(self, bound: trio.socket.SocketType) -> None:
+    async def _send_domain_news(self, bound: trio.socket.SocketType) -> None:
         """Tell other failure domains of this one, while it is this one's."""
         told = None
         told_at: Millis = 0
@@ -188,7 +188,9 @@
         while True:
             await trio.sleep(seconds(_DOMAIN_EVERY))
             now = self._clock.now()
-            if self.seal is None or not is_relay(self.state, self._own, now):
+            if self.seal is None or not is_domain_speaker(
+                self.state, self._own, now
+            ):
                 continue
             news = self._describe_domain(now)
             if news == told and now - told_at < _UNCHANGED_EVERY:
--- a/src/cartdale/news/duties.py
+++ b/src/cartdale/news/duties.py
@@ -64,7 +64,7 @@
     return len(earlier) < _count_watchers(state)
 
 
-def is_relay(state: NewsState, own: PeerEntry, now: Millis) -> bool:
+def is_domain_speaker(state: NewsState, own: PeerEntry, now: Millis) -> bool:
     """Tell whether this instance speaks for its failure domain.
 
     The last of the order by which watchers are the first, so that no
@@ -78,7 +78,7 @@
     )
 
 
-def is_keeper(
+def is_prober(
     state: NewsState,
     own: PeerEntry,
     upstream: str,
--- a/tests/test_domain_news.py
+++ b/tests/test_domain_news.py
@@ -20,8 +20,8 @@
     MOST_FLAT_PEERS,
     SILENT_MS,
     choose_recipients,
-    is_keeper,
-    is_relay,
+    is_domain_speaker,
+    is_prober,
     is_watcher,
     is_wide,
     list_audience,
@@ -72,7 +72,7 @@
     state = make_state(few)
     assert not is_wide(state)
     assert len(list_audience(state, OWN, 0)) == len(few) - 1
-    assert not is_relay(state, OWN, 0)
+    assert not is_domain_speaker(state, OWN, 0)
 
 
 def test_large_systems_tell_their_failure_domain() -> None:
@@ -86,7 +86,9 @@
     for domain in DOMAINS:
         around = [peer for peer in PEERS if peer.failure_domain == domain]
         relays = [
-            peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+            peer
+            for peer in around
+            if is_domain_speaker(make_state(own=peer), peer, 0)
         ]
         watchers = [
             peer for peer in around if is_watcher(make_state(own=peer), peer, 0)
@@ -99,7 +101,9 @@
 def test_another_speaks_once_the_first_is_silent() -> None:
     around = [peer for peer in PEERS if peer.failure_domain == 'east']
     first = next(
-        peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+        peer
+        for peer in around
+        if is_domain_speaker(make_state(own=peer), peer, 0)
     )
     later = 10 * SILENT_MS
     heard = [peer for peer in PEERS if peer != first]
@@ -107,7 +111,9 @@
         peer
         for peer in around
         if peer != first
-        and is_relay(make_state(heard, own=peer, now=later), peer, later)
+        and is_domain_speaker(
+            make_state(heard, own=peer, now=later), peer, later
+        )
     ]
     assert len(others) == 1
 
@@ -167,12 +173,12 @@
 
 
 def test_upstreams_are_asked_from_their_failure_domain() -> None:
-    keepers = [
+    probers = [
         peer
         for peer in PEERS
-        if is_keeper(make_state(own=peer), peer, 'u', 'west', 0)
+        if is_prober(make_state(own=peer), peer, 'u', 'west', 0)
     ]
-    assert [peer.failure_domain for peer in keepers] == ['west']
+    assert [peer.failure_domain for peer in probers] == ['west']
 
 
 def test_loads_of_a_domain_are_those_around_and_no_others() -> None:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -14,7 +14,7 @@
     FORGET_MS,
     SILENT_MS,
     WATCHERS,
-    is_keeper,
+    is_prober,
     is_watcher,
     list_audience,
 )
@@ -86,18 +86,18 @@
                 arrived = NewsArrived(other.name, news)
                 states[peer.name] = hear(states[peer.name], arrived)[0]
 
-    def keepers(upstream: str, now: int) -> list[str]:
+    def probers(upstream: str, now: int) -> list[str]:
         return [
             peer.name
             for peer in peers
-            if is_keeper(states[peer.name], peer, upstream, 'west', now)
+            if is_prober(states[peer.name], peer, upstream, 'west', now)
         ]
 
-    kept = {upstream: keepers(upstream, 0) for upstream in 'abcdefgh'}
+    kept = {upstream: probers(upstream, 0) for upstream in 'abcdefgh'}
     assert all(len(names) == 1 for names in kept.values())
     assert len({names[0] for names in kept.values()}) > 2
     # Who hears nobody asks everybody.
-    assert len(keepers('a', SILENT_MS + 1)) == len(peers)
+    assert len(probers('a', SILENT_MS + 1)) == len(peers)
 
 
 def test_alive_peers_are_counted_until_they_fall_silent() -> None:
