--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -185,7 +185,7 @@
         return load
 
     def exempt(self, assignment: Assignment) -> None:
-        """Note that a request needs no copy when its upstream leaves."""
+        """Note that others need not wait for a request's copy any more."""
         assignment.exempt = True
         self._count(assignment)
 
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -74,7 +74,8 @@
     :param warm_at: when it stops being slow after its start.
     :param failing: share of recent requests that failed, 0 to 1.
     :param strikes: failures in a row that show it unreachable.
-    :param unreachable_until: avoided for failures that this instance saw.
+    :param unreachable_until: until when it counts as unreachable, from
+        failures that this instance saw itself.
     :param avoided_until: no new work before this time, if others can; for
         failures seen here or told by others.
     """
--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -3,9 +3,9 @@
 The source runs on while most of the memory is copied, and what it made since
 is copied again until that is quick: its link is free. Then it stops, the rest
 follows at once, and the same request goes on at the target after the last
-event that the caller has. Should the source end
-before, the older copy serves: the target reads again what it lacks. At any
-moment at most one engine works on the generation.
+event that the caller has. If the source ends before, the older copy serves:
+the target reads again what it lacks. At any moment at most one engine works
+on the generation.
 """
 
 from dataclasses import replace
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -31,7 +31,8 @@
 ALIVE_MS: Millis = 3 * SECOND_MS
 #: Under which name the loads of a whole failure domain are kept.
 DOMAIN_PREFIX = 'domain/'
-#: So many instances must fail to reach an upstream before the others avoid it.
+#: At least so many instances must fail to reach an upstream before the others
+#: avoid it.
 MIN_REPORTERS = 2
 
 
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -181,7 +181,7 @@
                 await self._send_to(bound, sealed, peer)
 
     async def _send_domain_news(self, bound: trio.socket.SocketType) -> None:
-        """Tell other failure domains of this one, while it is this one's."""
+        """Tell other failure domains of this one, while this speaks for it."""
         told = None
         told_at: Millis = 0
         turn = 0
@@ -214,7 +214,7 @@
         )
 
     def _count_reporters(self, now: Millis) -> dict[str, int]:
-        """Count the instances around that can't reach an upstream."""
+        """Count the instances of this domain that can't reach an upstream."""
         own = self._writer.list_unreachable()
         reporters_by_upstream = {
             upstream: count_reporters(
