--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -14,14 +14,14 @@
 from cartdale.news.decide import (
     ALIVE_MS,
     count_alive,
-    count_strikers,
+    count_reporters,
     decide,
     is_silent,
 )
 from cartdale.news.duties import (
     choose_recipients,
-    is_keeper,
-    is_relay,
+    is_domain_speaker,
+    is_prober,
     is_watcher,
     list_audience,
     stretch,
@@ -31,11 +31,11 @@
     DomainNews,
     DomainNewsArrived,
     FetchTable,
+    ForwardNews,
     LoadNews,
     Message,
     NewsArrived,
     NewsState,
-    PassOn,
     PeerEntry,
     TakeEntry,
     TakeLeaving,
@@ -108,16 +108,16 @@
                     self._fleet.tell(ToldFailing(upstream))
                 case FetchTable(peer=newer):
                     self._fetch_table(newer)
-                case PassOn():
-                    self._pass_on(raw)
+                case ForwardNews():
+                    self._forward(raw)
 
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
         return is_watcher(self.state, self._own, self._clock.now())
 
-    def is_keeper(self, upstream: str, failure_domain: str) -> bool:
+    def is_prober(self, upstream: str, failure_domain: str) -> bool:
         """Tell whether this instance asks an upstream for all how it is."""
-        return is_keeper(
+        return is_prober(
             self.state, self._own, upstream, failure_domain, self._clock.now()
         )
 
@@ -135,7 +135,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, bound)
             nursery.start_soon(self._send, bound)
-            nursery.start_soon(self._speak, bound)
+            nursery.start_soon(self._send_domain_news, bound)
 
     async def _receive(self, bound: trio.socket.SocketType) -> None:
         while True:
@@ -160,7 +160,7 @@
         if message is not None:
             self.tell(message, raw)
 
-    def _pass_on(self, raw: bytes) -> None:
+    def _forward(self, raw: bytes) -> None:
         """Send a message as it came to the instances around."""
         for peer in self._list_audience():
             try:
@@ -180,15 +180,17 @@
             for peer in self._list_audience():
                 await self._send_to(bound, sealed, peer)
 
-    async def _speak(self, bound: trio.socket.SocketType) -> None:
-        """Tell other failure domains of this one, while it is this one's."""
+    async def _send_domain_news(self, bound: trio.socket.SocketType) -> None:
+        """Tell other failure domains of this one, while this speaks for it."""
         told = None
         told_at: Millis = 0
         turn = 0
         while True:
             await trio.sleep(seconds(_DOMAIN_EVERY))
             now = self._clock.now()
-            if self.seal is None or not is_relay(self.state, self._own, now):
+            if self.seal is None or not is_domain_speaker(
+                self.state, self._own, now
+            ):
                 continue
             news = self._describe_domain(now)
             if news == told and now - told_at < _UNCHANGED_EVERY:
@@ -206,22 +208,24 @@
             and now - self.state.heard_by_name[name].at <= ALIVE_MS
             for name in names
         )
-        loads_by_upstream = self._fleet.loads.sum_up(names, now)
+        loads_by_upstream = self._fleet.loads.shared_totals(names, now)
         return self._writer.describe_domain(
-            alive, loads_by_upstream, self._count_strikers(now)
+            alive, loads_by_upstream, self._count_reporters(now)
         )
 
-    def _count_strikers(self, now: Millis) -> dict[str, int]:
-        """Count the instances around that can't reach an upstream."""
-        own = self._writer.list_struck()
-        strikers_by_upstream = {
-            upstream: count_strikers(self.state, upstream, now, around=True)
+    def _count_reporters(self, now: Millis) -> dict[str, int]:
+        """Count the instances of this domain that can't reach an upstream."""
+        own = self._writer.list_unreachable()
+        reporters_by_upstream = {
+            upstream: count_reporters(
+                self.state, upstream, now, own_domain_only=True
+            )
             + (upstream in own)
             for upstream in self._fleet.state.upstreams_by_id
         }
         return {
             upstream: count
-            for upstream, count in strikers_by_upstream.items()
+            for upstream, count in reporters_by_upstream.items()
             if count
         }
 
--- a/tests/test_domain_news.py
+++ b/tests/test_domain_news.py
@@ -20,8 +20,8 @@
     MOST_FLAT_PEERS,
     SILENT_MS,
     choose_recipients,
-    is_keeper,
-    is_relay,
+    is_domain_speaker,
+    is_prober,
     is_watcher,
     is_wide,
     list_audience,
@@ -31,10 +31,10 @@
     DomainNews,
     DomainNewsArrived,
     FetchTable,
+    ForwardNews,
     LoadNews,
     NewsArrived,
     NewsState,
-    PassOn,
     PeerEntry,
     PeerListed,
     TakeLeaving,
@@ -72,7 +72,7 @@
     state = make_state(few)
     assert not is_wide(state)
     assert len(list_audience(state, OWN, 0)) == len(few) - 1
-    assert not is_relay(state, OWN, 0)
+    assert not is_domain_speaker(state, OWN, 0)
 
 
 def test_large_systems_tell_their_failure_domain() -> None:
@@ -86,7 +86,9 @@
     for domain in DOMAINS:
         around = [peer for peer in PEERS if peer.failure_domain == domain]
         relays = [
-            peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+            peer
+            for peer in around
+            if is_domain_speaker(make_state(own=peer), peer, 0)
         ]
         watchers = [
             peer for peer in around if is_watcher(make_state(own=peer), peer, 0)
@@ -99,7 +101,9 @@
 def test_another_speaks_once_the_first_is_silent() -> None:
     around = [peer for peer in PEERS if peer.failure_domain == 'east']
     first = next(
-        peer for peer in around if is_relay(make_state(own=peer), peer, 0)
+        peer
+        for peer in around
+        if is_domain_speaker(make_state(own=peer), peer, 0)
     )
     later = 10 * SILENT_MS
     heard = [peer for peer in PEERS if peer != first]
@@ -107,7 +111,9 @@
         peer
         for peer in around
         if peer != first
-        and is_relay(make_state(heard, own=peer, now=later), peer, later)
+        and is_domain_speaker(
+            make_state(heard, own=peer, now=later), peer, later
+        )
     ]
     assert len(others) == 1
 
@@ -116,14 +122,14 @@
     arrived = DomainNewsArrived(make_news(leaving=('x',)), direct=True)
     state, actions = decide(make_state(), arrived, 0, 0)
     assert actions == (
-        PassOn(),
+        ForwardNews(),
         TakeLoads(f'{DOMAIN_PREFIX}north', {'u': Load(runs=5)}),
         TakeLeaving('x'),
     )
     assert decide(state, arrived, 0, 0) == (state, ())
     again = replace(arrived, news=make_news(number=2), direct=False)
     _, actions = decide(state, again, 0, 0)
-    assert PassOn() not in actions
+    assert ForwardNews() not in actions
 
 
 def test_newer_configuration_is_fetched_from_the_speaker() -> None:
@@ -156,23 +162,23 @@
     assert is_silent(state, SILENT_MS + 1)
 
 
-def test_strikers_of_other_domains_count() -> None:
-    told = make_news(strikers_by_upstream={'x': 1, 'y': 2})
+def test_reporters_of_other_domains_count() -> None:
+    told = make_news(reporters_by_upstream={'x': 1, 'y': 2})
     state, actions = decide(make_state(), DomainNewsArrived(told, False), 0, 0)
     assert AvoidUpstream('x') not in actions
     assert AvoidUpstream('y') in actions
-    near = LoadNews(1, 2, 0, PEERS[1], {}, struck=('x',))
+    near = LoadNews(1, 2, 0, PEERS[1], {}, unreachable=('x',))
     _, actions = decide(state, NewsArrived(PEERS[1].name, near), 0, 0)
     assert AvoidUpstream('x') in actions
 
 
 def test_upstreams_are_asked_from_their_failure_domain() -> None:
-    keepers = [
+    probers = [
         peer
         for peer in PEERS
-        if is_keeper(make_state(own=peer), peer, 'u', 'west', 0)
+        if is_prober(make_state(own=peer), peer, 'u', 'west', 0)
     ]
-    assert [peer.failure_domain for peer in keepers] == ['west']
+    assert [peer.failure_domain for peer in probers] == ['west']
 
 
 def test_loads_of_a_domain_are_those_around_and_no_others() -> None:
@@ -180,7 +186,7 @@
     book.hear('east-1', {'u': Load(runs=2)}, 0)
     book.hear('east-2', {'u': Load(runs=3)}, 0)
     book.hear(f'{DOMAIN_PREFIX}west', {'u': Load(runs=7)}, 0)
-    assert book.sum_up(('east-1', 'east-2'), 0) == {'u': Load(runs=5)}
+    assert book.shared_totals(('east-1', 'east-2'), 0) == {'u': Load(runs=5)}
     assert book.totals(0) == {'u': Load(runs=12)}
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -206,7 +206,7 @@
     book.assign(run)
     book.hear('peer', {'a': Load(runs=2, tokens=30)}, 1000)
     totals = book.totals(1000)
-    assert totals['a'] == Load(3, 130, 0, 100, safe=1)
+    assert totals['a'] == Load(3, 130, 0, 100, exempt=1)
     assert totals['b'] == Load(tokens=100)
     assert book.at('a', 1000) == totals['a']
     assert book.at('b', 1000) == totals['b']
@@ -268,7 +268,7 @@
     state, _ = decide(state, ToldFailing('a'), 0)
     assert pick(state, need, loads) == 'b'
     assert pick(state, need, loads, now=TOLD_AVOIDED_MS) == 'a'
-    assert state.upstreams_by_id['a'].struck_until == 0
+    assert state.upstreams_by_id['a'].unreachable_until == 0
 
 
 def test_success_ends_the_avoidance_that_others_told() -> None:
