--- /dev/null
+++ b/tests/test_leaving_engines.py
@@ -0,0 +1,160 @@
+"""Leaving: generations leave an engine in turn, and who is in time."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from cartdale.clock import SystemClock, VirtualClock
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Assignment, Load
+from cartdale.fleet.types import RunReport, UpstreamEntry
+from cartdale.moves.driver import Mover
+from cartdale.moves.estimates import (
+    OTHER_DOMAIN_FACTOR,
+    SAME_DOMAIN_FACTOR,
+    Departure,
+    SourceLink,
+    ends_in_time,
+)
+from cartdale.moves.leaving import LeavingEngine
+from cartdale.moves.schedule import find_turn, line_up
+from cartdale.relay.types import LinkBroke
+from cartdale.routes.types import EngineTraits
+
+SOURCE = UpstreamEntry('a', 's', 'a:80', 'west', 64)
+ENGINE = EngineTraits(64, 30000, 18432, 2700, moves=True)
+
+
+def test_copies_between_failure_domains_take_longer() -> None:
+    same = SourceLink(ENGINE, SAME_DOMAIN_FACTOR).estimate(4000)
+    other = SourceLink(ENGINE, OTHER_DOMAIN_FACTOR).estimate(4000)
+    assert 200 < same < 250
+    factor = OTHER_DOMAIN_FACTOR
+    assert same * (factor - 0.1) < other < same * factor
+
+
+def test_stop_comes_before_the_end_of_the_engine() -> None:
+    assert Departure(until=1000).stop_at < 1000
+
+
+def test_all_instances_order_what_is_reported_alike() -> None:
+    reported = (
+        RunReport('young', 3000, 1, 0),
+        RunReport('old', 3800, 200, 0),
+        RunReport('large', 6000, 1, 0),
+        RunReport('small', 1000, 1, 0),
+    )
+    queue = line_up(reported, ())
+    names = [run.request_id for run in queue]
+    assert names == ['small', 'old', 'young', 'large']
+    unreported = RunReport('new', 500, 0, 0)
+    longer = line_up(reversed(reported), (reported[1], unreported))
+    assert longer == (*queue, unreported)
+
+
+def make_queue(count: int) -> tuple[RunReport, ...]:
+    reported = [
+        RunReport(str(rank), 3000, count - rank, 0) for rank in range(count)
+    ]
+    return line_up(reported, ())
+
+
+def list_ahead(load: Load) -> list[int]:
+    queue = make_queue(9)
+    link = SourceLink(ENGINE)
+    return [find_turn(run.request_id, queue, link, load).ahead for run in queue]
+
+
+def test_turn_waits_for_those_before_that_have_no_backup() -> None:
+    queue = make_queue(5)
+    link = SourceLink(ENGINE, OTHER_DOMAIN_FACTOR)
+    turn = find_turn('4', queue, link, Load(runs=5))
+    assert turn.ahead == 4
+    assert turn.waits > 4 * turn.takes
+    half = find_turn('4', queue, link, Load(runs=4, exempt=2))
+    assert half.ahead == 1
+    assert half.waits < turn.waits // 2
+
+
+def test_turn_comes_early_rather_than_late() -> None:
+    some_exempt = Load(runs=9, exempt=3)
+    assert list_ahead(some_exempt) == [0, 0, 1, 2, 2, 3, 4, 4, 5]
+
+
+def test_turn_does_not_wait_for_those_that_have_ended() -> None:
+    # Two of nine ended since the report; whoever they were, someone begins.
+    assert list_ahead(Load(runs=7)) == [0, 0, 0, 1, 2, 3, 4, 5, 6]
+
+
+def test_short_generations_need_no_copy() -> None:
+    assert ends_in_time(60)
+    assert not ends_in_time(600)
+    short = Assignment('a', 100, 10, short=True)
+    assert short.load().awaiting_copy == 0
+    assert Assignment('a', 100, 10).load().awaiting_copy == 1
+
+
+def test_copy_that_can_not_end_before_its_engine_is_told() -> None:
+    alone = (RunReport('a', 3000, 1, 0),)
+    turn = find_turn('a', alone, SourceLink(ENGINE), Load(runs=1))
+    departure = Departure(until=1000)
+    assert departure.leaves_time(0, turn.takes)
+    assert not departure.leaves_time(700, turn.takes)
+
+
+@dataclass(eq=False)
+class Running:
+    """Stay where it is."""
+
+    upstream: str
+    request_id: str = ''
+    tokens: int = 0
+    events: int = 0
+    most_left: int = 1000
+    backup: str = ''
+
+    stayed: bool = False
+
+    def lose_backup(self) -> None:
+        self.backup = ''
+
+    def stay(self) -> None:
+        self.stayed = True
+
+    async def leave(self, departure: Departure) -> None:
+        """Stay."""
+
+
+def test_generations_with_one_id_are_told_apart() -> None:
+    clock = VirtualClock()
+    mover = Mover(Fleet(clock, 'west', 1), None, clock, bool, bool)
+    first, second = Running('a'), Running('b')
+    mover.add(first)
+    mover.add(second)
+    mover.remove(first)
+    assert mover.list_generations() == [second]
+
+
+class SilentUpstreams:
+    """Answer no report."""
+
+    async def report(self, address: str):
+        return Failure(LinkBroke('silent'))
+
+
+async def test_who_ends_before_the_engine_tells_that_it_stays(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    leaving = LeavingEngine(
+        Fleet(clock, 'west', 1),
+        SilentUpstreams(),
+        clock,
+        SOURCE,
+        SourceLink(ENGINE),
+    )
+    ending = Running('a', 'ending', 3000, 500, most_left=40)
+    running = Running('a', 'running', 3000, 50, most_left=1000)
+    await leaving.move_all([ending, running])
+    assert ending.stayed
+    assert not running.stayed
