--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -56,6 +56,15 @@
             await trio.sleep(0.001)
 
 
+def make_follower(store: ScriptedStore, watches, hears_nobody) -> Follower:
+    clock = SystemClock()
+    fleet = Fleet(clock, 'west', 1)
+    translator = make_translator()
+    return Follower(
+        store, fleet, clock, translator, print, watches, hears_nobody
+    )
+
+
 async def test_entry_missing_after_an_outage_lapses(autojump_clock) -> None:
     listed = Success(Listing((ENTRY,), 1))
     missing = Success(Listing((), 2))
@@ -84,16 +93,7 @@
         for number in range(5)
     ]
     store = ScriptedStore([Success(Listing((ENTRY,), 1))], changes=changes)
-    clock = SystemClock()
-    follower = Follower(
-        store,
-        Fleet(clock, 'west', 1),
-        clock,
-        make_translator(),
-        print,
-        lambda: True,
-        bool,
-    )
+    follower = make_follower(store, lambda: True, bool)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         await trio.sleep(3)
@@ -105,16 +105,7 @@
 async def read_by_a_listener(hears_nobody, seconds: float) -> int:
     """Return how often an instance that does not watch reads the store."""
     store = ScriptedStore([Success(Listing((ENTRY,), 1))])
-    clock = SystemClock()
-    follower = Follower(
-        store,
-        Fleet(clock, 'west', 1),
-        clock,
-        make_translator(),
-        print,
-        bool,
-        hears_nobody,
-    )
+    follower = make_follower(store, bool, hears_nobody)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         await trio.sleep(seconds)
