Derive the share that awaits a copy, and what peers told, in one place each

The share of an engine's requests that still need a copy was worked out in two modules, and whether a peer's loads still count in two methods. Short generations summed everybody's load before they were found to need no backup; that comes after the check now. Behaviour is the same; the tests of loads, targets and turns pass unchanged.

--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -35,6 +35,11 @@
         """Return how many requests still need a copy if the upstream leaves."""
         return max(self.runs - self.exempt, 0)
 
+    @property
+    def share_awaiting_copy(self) -> float:
+        """Return which part of the requests still needs one, 0 to 1."""
+        return self.awaiting_copy / max(self.runs, 1)
+
     def add(self, other: 'Load') -> 'Load':
         """Return the sum."""
         return Load(
@@ -178,10 +183,8 @@
                 load = load.add(assignment.load())
             if assignment.backup == upstream:
                 load = load.add(assignment.backup_load())
-        for peer in self._peers_by_name.values():
-            if now - peer.heard_at <= PEER_LOAD_KEPT_MS:
-                told = peer.loads_by_upstream.get(upstream, Load())
-                load = load.add(told)
+        for told in self._list_told(self._peers_by_name, now):
+            load = load.add(told.get(upstream, Load()))
         return load
 
     def exempt(self, assignment: Assignment) -> None:
@@ -196,13 +199,21 @@
         now: Millis,
     ) -> None:
         """Add what some peers said last, unless it is too old."""
-        for name in peers:
-            peer = self._peers_by_name.get(name)
-            if peer is None or now - peer.heard_at > PEER_LOAD_KEPT_MS:
-                continue
-            for upstream, load in peer.loads_by_upstream.items():
+        for told in self._list_told(peers, now):
+            for upstream, load in told.items():
                 _add(totals_by_upstream, upstream, load)
 
+    def _list_told(
+        self, peers: Iterable[str], now: Millis
+    ) -> list[dict[str, Load]]:
+        """Return the loads by upstream that peers told and that still count."""
+        known = [self._peers_by_name.get(name) for name in peers]
+        return [
+            peer.loads_by_upstream
+            for peer in known
+            if peer is not None and now - peer.heard_at <= PEER_LOAD_KEPT_MS
+        ]
+
     def _count(self, assignment: Assignment) -> None:
         if assignment.prompt:
             self.version += 1
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -117,8 +117,8 @@
         if self._cut_off():
             names = {each.upstream for each in self._told_by_generation}
         elif looks % _LOOKS_PER_QUESTION == 0:
-            names = set(self._fleet.state.upstreams_by_id)
-            names = {name for name in names if self._probes(name)}
+            known = self._fleet.state.upstreams_by_id
+            names = {name for name in known if self._probes(name)}
         else:
             return
         async with trio.open_nursery() as nursery:
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -70,9 +70,8 @@
     rank = [run.request_id for run in queue].index(request_id)
     # Who has a backup is not known one by one; a copy too many at a time only
     # shares the link, one too few leaves it idle.
-    share_awaiting_copy = load.awaiting_copy / max(load.runs, 1)
     ended = max(len(queue) - load.runs, 0)
-    ahead = int(share_awaiting_copy * max(rank - ended, 0))
+    ahead = int(load.share_awaiting_copy * max(rank - ended, 0))
     before = [link.estimate(run.tokens) + _HANDOVER for run in queue[:rank]]
     waits = ahead * sum(before) // max(rank, 1)
     return Turn(
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -58,15 +58,12 @@
     spec = fleet.table.services_by_name.get(source.service)
     if spec is None or spec.engine is None or not spec.engine.backups:
         return None
-    load = fleet.load_at(source.upstream)
-    link = SourceLink(spec.engine)
-    share_awaiting_copy = load.awaiting_copy / max(load.runs, 1)
-    movable = link.carries_all(int(share_awaiting_copy * load.tokens))
-    need = replace(
-        make_need(routed, frozenset((source.upstream,))),
-        filled=_BACKUP_FILLED if movable else _CROWDED_FILLED,
-    )
+    need = make_need(routed, frozenset((source.upstream,)))
     if need.expected < _BACKUP_WORTH:
         return None
-    chosen = fleet.choose(need)
+    load = fleet.load_at(source.upstream)
+    awaiting_copy = int(load.share_awaiting_copy * load.tokens)
+    movable = SourceLink(spec.engine).carries_all(awaiting_copy)
+    filled = _BACKUP_FILLED if movable else _CROWDED_FILLED
+    chosen = fleet.choose(replace(need, filled=filled))
     return chosen.entry if chosen else None
