--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -30,7 +30,7 @@
     read_stamp,
 )
 from cartdale.platform.store import PlatformStore
-from cartdale.platform.translate import PlatformWire, make_translator
+from cartdale.platform.translate import PlatformWire, translate
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay.admission import Admission
 from cartdale.relay.discards import Discards
@@ -81,7 +81,7 @@
             store,
             self.fleet,
             self._clock,
-            make_translator(),
+            translate,
             self.peers.take_own_key,
             self.peers.news.is_watcher,
             self.peers.news.is_silent,
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -22,7 +22,7 @@
     OwnKey,
     StoredChange,
     TableWritten,
-    Translator,
+    Translate,
     Unreadable,
 )
 from cartdale.fleet.types import (
@@ -66,6 +66,7 @@
 class Follower:
     """Follow the store.
 
+    :param translate: reads what is stored.
     :param take_own: takes what instances wrote for each other.
     :param watches: tells whether this instance is one of those that watch;
         the others hear of changes in news, and read all once in a while.
@@ -77,7 +78,7 @@
         store: WatchedStore,
         fleet: Fleet,
         clock: Clock,
-        translator: Translator,
+        translate: Translate,
         take_own: Callable[[OwnKey], None],
         watches: Callable[[], bool],
         hears_nobody: Callable[[], bool],
@@ -88,7 +89,7 @@
         self._store = store
         self._fleet = fleet
         self._clock = clock
-        self._translator = translator
+        self._translate = translate
         self._failed_at: Millis | None = None
         #: The configuration in force, as it is stored.
         self.raw_table = b''
@@ -173,7 +174,7 @@
     def _take_all(self, entries: Iterable[Entry]) -> None:
         listed: list[UpstreamEntry] = []
         for entry in entries:
-            change = self._translator.translate(entry)
+            change = self._translate(entry)
             if isinstance(change, EntryWritten):
                 listed.append(change.entry)
             elif change is not None:
@@ -206,7 +207,7 @@
         if not changes.changes:
             return revision
         for stored in changes.changes:
-            change = self._translator.translate(stored)
+            change = self._translate(stored)
             if change is not None:
                 self._take(change)
         await trio.sleep(seconds(_GATHER))
--- a/src/cartdale/fleet/stored.py
+++ b/src/cartdale/fleet/stored.py
@@ -39,12 +39,5 @@
 
 StoredChange = TableWritten | EntryWritten | EntryRemoved | Unreadable | OwnKey
 
-
-@dataclass(frozen=True, slots=True)
-class Translator:
-    """Translate what is stored into changes that matter here.
-
-    :param translate: returns ``None`` for keys of no interest.
-    """
-
-    translate: Callable[[Entry | Removed], StoredChange | None]
+#: Translates what is stored; returns ``None`` for keys of no interest.
+Translate = Callable[[Entry | Removed], StoredChange | None]
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -5,7 +5,6 @@
     OwnKey,
     StoredChange,
     TableWritten,
-    Translator,
     Unreadable,
 )
 from cartdale.fleet.types import EntryRemoved, EntryWritten
@@ -32,11 +31,6 @@
         return Unreadable(error.format_message())
 
 
-def make_translator() -> Translator:
-    """Return what reads the platform's keys."""
-    return Translator(_translate)
-
-
 class PlatformWire:
     """Translate callers' headers."""
 
@@ -51,7 +45,8 @@
         return write_refusal(status, retry_after)
 
 
-def _translate(change: Entry | Removed) -> StoredChange | None:
+def translate(change: Entry | Removed) -> StoredChange | None:
+    """Decode what is stored under one of the platform's keys."""
     if change.key.startswith(_OWN_PREFIX):
         stored = b'' if isinstance(change, Removed) else change.value
         return OwnKey(change.key, stored)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -9,7 +9,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.fleet.types import Lifecycle
-from cartdale.platform.translate import make_translator
+from cartdale.platform.translate import translate
 from cartdale.store.types import (
     Changes,
     Entry,
@@ -59,9 +59,8 @@
 def make_follower(store: ScriptedStore, watches, hears_nobody) -> Follower:
     clock = SystemClock()
     fleet = Fleet(clock, 'west', 1)
-    translator = make_translator()
     return Follower(
-        store, fleet, clock, translator, print, watches, hears_nobody
+        store, fleet, clock, translate, print, watches, hears_nobody
     )
 
 
@@ -72,9 +71,7 @@
     store = ScriptedStore([listed, away, missing])
     clock = SystemClock()
     fleet = Fleet(clock, 'west', 1)
-    follower = Follower(
-        store, fleet, clock, make_translator(), print, bool, bool
-    )
+    follower = Follower(store, fleet, clock, translate, print, bool, bool)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         while len(store.asked) < 3:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -19,7 +19,7 @@
     parse_platform_settings,
 )
 from cartdale.platform.store import PlatformStore
-from cartdale.platform.translate import make_translator
+from cartdale.platform.translate import translate
 from cartdale.routes.types import RouteKind
 from cartdale.store.types import Entry, Removed
 from tests.platform_stage import SETTINGS, make_configuration
@@ -107,7 +107,6 @@
 
 
 def test_keys_become_news() -> None:
-    translate = make_translator().translate
     good = encode({'service': 's', 'address': 'a:1'})
     assert isinstance(translate(Entry('servers/i', good, 1, 1)), EntryWritten)
     assert translate(Removed('servers/i', 2)) == EntryRemoved('i')
