Take up resumable streams where the caller has them

Cause: resumable of a route was read nowhere, and Last-Event-Id of a caller was dropped as a header that only cartdale sets. Ruled out: a move that passes an event twice (the check of each event's id holds there; that request ran at one engine only). By the same gap a resumable stream was never run again after a broken link or a failure of its engine, though its route allows several attempts.

Change: a stream on a resumable route is repeatable. The caller's last event goes to the engine, which goes on after it; a stream whose engine is lost goes on at another one without any copy of its memory, within the attempts of its route and the budget, under the first head. A 5xx before the first event is tried elsewhere, and passed on as it is if nobody else can be asked. An answer that ends inside an event counts as broken, and ids have to rise.

--- a/src/cartdale/platform/callers.py
+++ b/src/cartdale/platform/callers.py
@@ -86,6 +86,7 @@
         prompt_tokens=prompt,
         most_tokens=most,
         expected_tokens=_read_number(named.get(HEADER_HINT, '')),
+        last_event=named.get(HEADER_LAST_EVENT, '').encode('latin-1'),
     )
 
 
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -71,6 +71,8 @@
     traffic_split: tuple[_Split, ...] = ()
     max_attempts: int = 1
     allow_anonymous: bool = False
+    #: Whether a stream may be taken up again at any engine.
+    resumable: bool = False
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -218,6 +220,7 @@
         priority=stored.priority,
         max_attempts=stored.max_attempts,
         anonymous=stored.allow_anonymous,
+        resumable=stored.resumable,
     )
 
 
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -96,7 +96,8 @@
     if call.resume is not None:
         resume = call.resume
         own[HEADER_RESUME_FROM] = f'{resume.address}/{resume.handle}'
-        own[HEADER_LAST_EVENT] = resume.last_event.decode('latin-1')
+    if call.last_event or call.resume is not None:
+        own[HEADER_LAST_EVENT] = call.last_event.decode('latin-1')
     written = [(name.encode(), text.encode()) for name, text in own.items()]
     return [*request.headers, *written]
 
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -70,10 +70,12 @@
     routed: RoutedRequest,
     upstream: Upstream,
     backup: str = '',
+    last_event: bytes = b'',
 ) -> UpstreamCall:
     """Make the call of an attempt, with the time that is left.
 
     :param backup: address of the engine to keep up to date; empty for none.
+    :param last_event: where the upstream goes on; empty for the start.
     """
     now = ports.clock.now()
     left = routed.ends_at - now
@@ -88,7 +90,9 @@
         left=left,
         failing=round(upstream.failing, 2),
     )
-    return UpstreamCall(routed, upstream.entry, left, backup=backup)
+    return UpstreamCall(
+        routed, upstream.entry, left, last_event=last_event, backup=backup
+    )
 
 
 def conclude(
@@ -154,7 +158,7 @@
     match ended:
         case Unsent():
             fleet.tell(RequestEnded(upstream, good=False, reached=False))
-        case Broken() if streams:
+        case Broken(begun=False) if streams:
             fleet.tell(RequestEnded(upstream, good=False, reached=False))
         case Declined() | Broken():
             fleet.tell(RequestEnded(upstream, good=False))
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -11,7 +11,7 @@
     OutcomeUnknown,
     Problem,
 )
-from cartdale.routes.types import RouteKind
+from cartdale.routes.types import Route
 
 #: Sends of one request, with those that certainly did not run.
 MOST_SENDS = 4
@@ -24,12 +24,13 @@
 class AttemptState:
     """Count the attempts of one request.
 
+    :param repeatable: whether a request that may have run may run again.
     :param may_run: upstreams that it may run on.
     :param sends: times that it was sent or tried to be sent.
     :param runs: upstreams that may have run it.
     """
 
-    kind: RouteKind
+    repeatable: bool
     may_run: int
     sends: int = 0
     runs: int = 0
@@ -47,9 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """The request may have run; no whole answer came."""
+    """The request may have run; no whole answer came.
+
+    :param begun: whether the caller has a part of the answer.
+    """
 
     detail: str
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,10 +88,10 @@
 Step = TryAgain | PassOn | GiveUp
 
 
-def begin(kind: RouteKind, max_attempts: int) -> AttemptState:
+def begin(route: Route) -> AttemptState:
     """Make the state of a request that was not sent yet."""
-    may_run = max(max_attempts, 1) if kind is RouteKind.SAFE else 1
-    return AttemptState(kind, may_run)
+    may_run = max(route.max_attempts, 1) if route.repeatable else 1
+    return AttemptState(route.repeatable, may_run)
 
 
 def decide(
@@ -141,5 +146,4 @@
 
 
 def _may_repeat(state: AttemptState) -> bool:
-    repeatable = state.kind is RouteKind.SAFE
-    return repeatable and state.runs < state.may_run
+    return state.repeatable and state.runs < state.may_run
--- a/src/cartdale/relay/frames.py
+++ b/src/cartdale/relay/frames.py
@@ -39,6 +39,16 @@
     return b''
 
 
+def follows(name: bytes, last: bytes) -> bool:
+    """Tell whether an event may come after the last one.
+
+    Ids rise; ids that are no numbers can only be told to differ.
+    """
+    if name.isdigit() and last.isdigit():
+        return int(name) > int(last)
+    return name != last
+
+
 def _find_end(raw: bytes) -> int:
     ends = [
         found + len(mark) for mark in _ENDS if (found := raw.find(mark)) >= 0
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -186,18 +186,16 @@
         return action.upstream if isinstance(action, Resume) else None
 
     def prepare_resume(
-        self, upstream: UpstreamEntry, last_event: bytes
+        self, upstream: UpstreamEntry
     ) -> tuple[ResumePoint, str]:
         """Return what to send along, and the address of the next backup."""
         state = self._state or moves.begin(upstream)
         self._occupancy.assign(upstream)
         self._next_backup = self._occupancy.choose_backup(upstream)
         if state.phase is MovePhase.AT_BACKUP and state.backup is not None:
-            point = ResumePoint(
-                state.backup.address, self.request_id, last_event
-            )
+            point = ResumePoint(state.backup.address, self.request_id)
         else:
-            point = ResumePoint(state.source.address, state.handle, last_event)
+            point = ResumePoint(state.source.address, state.handle)
         backup = self._next_backup
         return point, backup.address if backup else ''
 
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -1,6 +1,5 @@
 """Carry a request whose answer is passed on once it is whole."""
 
-from dataclasses import dataclass
 from math import inf
 
 import trio
@@ -30,13 +29,13 @@
 )
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
-    Headers,
     LinkBroke,
     LinkBrokeError,
     NotSent,
     OpenedAnswer,
     RoutedRequest,
     UpstreamCall,
+    WholeAnswer,
 )
 
 #: Part of the target latency after which a request that may repeat is sent
@@ -46,15 +45,6 @@
 _FIRST_SERVER_ERROR = 500
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """Hold an upstream's answer that is whole."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 Ended = tuple[AttemptEnd, WholeAnswer | None]
 
 
@@ -68,8 +58,7 @@
         self._ports = ports
         self._routed = routed
         self._tried: set[str] = set()
-        route = routed.route
-        self._state: AttemptState = begin(route.kind, route.max_attempts)
+        self._state: AttemptState = begin(routed.route)
 
     async def carry(self) -> Result[WholeAnswer, Problem]:
         """Return an upstream's answer, or why there is none."""
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -20,16 +20,18 @@
     time_left,
 )
 from cartdale.relay.decide import (
+    Answered,
     AttemptEnd,
     AttemptState,
     Broken,
     Declined,
     GiveUp,
+    PassOn,
     Unsent,
     begin,
     refuse,
 )
-from cartdale.relay.frames import EventFrames, read_id
+from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
@@ -39,11 +41,13 @@
     OpenedAnswer,
     RoutedRequest,
     UpstreamCall,
+    WholeAnswer,
 )
 
 _SUCCESS = 200
-#: A stream that is silent for so long goes on from its backup. Its engine has
-#: stalled for longer than any pause that is in time.
+_FIRST_SERVER_ERROR = 500
+#: A stream that is silent for so long goes on elsewhere if it can: its engine
+#: has stalled for longer than any pause that is in time.
 _SILENCE: Millis = SECOND_MS
 
 
@@ -53,6 +57,8 @@
     WHOLE = 'whole'
     #: The caller has a true part of the answer and no end.
     CUT = 'cut'
+    #: The upstream's own failure was passed on instead.
+    FAILED = 'failed'
 
 
 #: How a link to an engine ended: the stream's end, the attempt's end when
@@ -78,10 +84,12 @@
         self._routed = routed
         self._sink = sink
         self._generation = generation
-        route = routed.route
-        self._attempts: AttemptState = begin(route.kind, route.max_attempts)
+        self._attempts: AttemptState = begin(routed.route)
         self._frames = EventFrames()
-        self._last_event = b''
+        resumable = routed.route.resumable
+        self._last_event = routed.request.last_event if resumable else b''
+        #: An upstream's own failure, passed on if nobody else is asked.
+        self._failure: WholeAnswer | None = None
         self._started = False
         self._sent = False
         self._last_at: Millis = 0
@@ -103,8 +111,9 @@
         while True:
             upstream = await place(self._ports, self._routed, tried)
             if upstream is None:
-                problem = refuse(self._attempts, NotRunReason.NO_UPSTREAM)
-                return Failure(problem)
+                return self._give_up(
+                    refuse(self._attempts, NotRunReason.NO_UPSTREAM)
+                )
             tried.add(upstream.entry.upstream)
             ended = await self._attempt(upstream)
             if isinstance(ended, StreamEnd):
@@ -118,28 +127,43 @@
                 upstream.entry.upstream,
             )
             self._attempts = after
-            if isinstance(step, GiveUp):
-                return Failure(step.problem)
+            match step:
+                case GiveUp(problem=problem):
+                    return self._give_up(problem)
+                case PassOn():
+                    return await self._pass_failure()
+
+    def _give_up(self, problem: Problem) -> Result[StreamEnd, Problem]:
+        """Cut what was begun, or return why nothing was streamed."""
+        return Success(StreamEnd.CUT) if self._started else Failure(problem)
+
+    async def _pass_failure(self) -> Result[StreamEnd, Problem]:
+        failure = self._failure
+        if failure is None or self._started:
+            return Success(StreamEnd.CUT)
+        await self._sink.answer(failure.status, failure.headers, failure.body)
+        return Success(StreamEnd.FAILED)
 
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
         backup = self._generation.begin(upstream.entry)
-        call = make_call(self._ports, self._routed, upstream, backup)
+        call = make_call(
+            self._ports, self._routed, upstream, backup, self._last_event
+        )
         ended = await self._open(call)
         while isinstance(ended, UpstreamEntry):
             ended = await self._resume(ended)
         return ended
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
-        point, backup = self._generation.prepare_resume(
-            upstream, self._last_event
-        )
+        """Go on at an engine that holds the generation's memory."""
+        point, backup = self._generation.prepare_resume(upstream)
         left = time_left(self._ports, self._routed)
-        call = UpstreamCall(self._routed, upstream, left, point, backup)
+        call = UpstreamCall(
+            self._routed, upstream, left, self._last_event, point, backup
+        )
         ended = await self._open(call)
         if isinstance(ended, Unsent | Declined):
-            return self._generation.resume_rejected() or StreamEnd.CUT
-        if isinstance(ended, Broken):
-            return StreamEnd.CUT
+            return self._generation.resume_rejected() or self._break('refused')
         return ended
 
     async def _open(self, call: UpstreamCall) -> LinkEnd:
@@ -149,7 +173,7 @@
                 case Success(answer):
                     return await self._read(answer, call)
                 case Failure(LinkBroke(detail=detail)):
-                    return Broken(detail)
+                    return self._break(detail)
         return Unsent()
 
     async def _read(self, answer: OpenedAnswer, call: UpstreamCall) -> LinkEnd:
@@ -158,6 +182,8 @@
         declined = find_decline(fleet, answer, upstream)
         if declined is not None:
             return declined
+        if answer.status >= _FIRST_SERVER_ERROR:
+            return await self._read_failure(answer)
         if not self._started:
             await self._sink.start(answer.status, answer.headers)
             self._started = True
@@ -166,6 +192,17 @@
         fleet.tell(RequestEnded(upstream, good=answer.status == _SUCCESS))
         return await self._pass_events(answer)
 
+    async def _read_failure(self, answer: OpenedAnswer) -> LinkEnd:
+        """Keep an upstream's own failure; another may be asked instead."""
+        if self._started:
+            return self._break(f'status {answer.status}')
+        try:
+            body = b''.join([chunk async for chunk in answer.chunks])
+        except LinkBrokeError as error:
+            return self._break(error.detail)
+        self._failure = WholeAnswer(answer.status, answer.headers, body)
+        return Answered(good=False)
+
     async def _pass_events(self, answer: OpenedAnswer) -> LinkEnd:
         self._frames = EventFrames()
         try:
@@ -175,17 +212,16 @@
         if self._generation.is_stopped:
             return await self._lose_link('stopped')
         if self._frames.pending:
+            if answer.status == _SUCCESS:
+                return await self._lose_link('ended inside an event')
             await self._sink.write(self._frames.pending)
         await self._sink.finish()
         return StreamEnd.WHOLE
 
     async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> None:
         while True:
-            patience = inf
-            if self._generation.backup and self._generation.events:
-                patience = seconds(_SILENCE)
             try:
-                with trio.fail_after(patience):
+                with trio.fail_after(self._patience()):
                     chunk = await anext(chunks, None)
             except trio.TooSlowError as error:
                 raise LinkBrokeError('silence') from error
@@ -193,13 +229,22 @@
                 return
             await self._pass(chunk)
 
+    def _patience(self) -> float:
+        """Return how many seconds the stream may be silent."""
+        movable = self._generation.backup or self._may_repeat()
+        return seconds(_SILENCE) if movable and self._generation.events else inf
+
+    def _may_repeat(self) -> bool:
+        """Tell whether another engine may go on without any memory."""
+        return self._attempts.runs + 1 < self._attempts.may_run
+
     async def _pass(self, chunk: bytes) -> None:
         for event in self._frames.feed(chunk):
             name = read_id(event)
             check(
                 ONCE_IN_ORDER,
-                holds=not name or name != self._last_event,
-                detail=f'event {name!r} came twice',
+                holds=not name or follows(name, self._last_event),
+                detail=f'event {name!r} after {self._last_event!r}',
             )
             self._last_event = name or self._last_event
             self._generation.advance()
@@ -213,17 +258,20 @@
         self._last_at = now
 
     async def _lose_link(self, detail: str) -> LinkEnd:
-        """Return where the generation goes on, or how it ended."""
+        """Return where the generation goes on, or how the attempt ended."""
         upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
         logger.warning(
-            'stream cut',
+            'stream lost',
             request=self._routed.request.request_id,
             events=self._generation.events,
             detail=detail,
         )
-        return StreamEnd.CUT if self._started else Broken(detail)
+        return self._break(detail)
+
+    def _break(self, detail: str) -> Broken:
+        return Broken(detail, begun=self._started)
 
     def _time_out(self) -> Result[StreamEnd, Problem]:
         logger.warning('time limit', request=self._routed.request.request_id)
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -30,6 +30,8 @@
     :param most_tokens: the most tokens to make.
     :param expected_tokens: the caller's estimate of the tokens to make,
         right at the median; 0 when it gave none.
+    :param last_event: id of the last event that the caller has from a stream
+        that broke; empty for a request from the start.
     :param headers: those that an upstream gets as they are.
     """
 
@@ -44,6 +46,7 @@
     prompt_tokens: int = 0
     most_tokens: int = 0
     expected_tokens: int = 0
+    last_event: bytes = b''
 
     @property
     def path(self) -> str:
@@ -75,12 +78,10 @@
 
     :param address: engine that names the copy.
     :param handle: the copy's name there.
-    :param last_event: id of the last event that the caller has.
     """
 
     address: str
     handle: str
-    last_event: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +89,17 @@
     """Send a request to one upstream.
 
     :param left: time that remains, in milliseconds.
-    :param resume: where a moved generation goes on.
+    :param last_event: id of the last event that the caller has; the upstream
+        goes on after it. Empty for a request from the start.
+    :param resume: where the memory of a moved generation lies; without it
+        the upstream reads everything anew.
     :param backup: address of the engine to keep up to date; empty for none.
     """
 
     routed: RoutedRequest
     upstream: UpstreamEntry
     left: Millis
+    last_event: bytes = b''
     resume: ResumePoint | None = None
     backup: str = ''
 
@@ -124,6 +129,15 @@
     chunks: AsyncIterator[bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold an upstream's answer that is whole."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """Nothing of the request was sent."""
@@ -233,3 +247,6 @@
 
     async def finish(self) -> None:
         """Mark the body as whole."""
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write an answer that is known as a whole."""
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -13,7 +13,7 @@
     SAFE = 'safe'
     #: Runs at most once for each request.
     UNSAFE = 'unsafe'
-    #: Answers in events; runs at most once.
+    #: Answers in events; runs at most once unless its route is resumable.
     STREAM = 'stream'
 
 
@@ -39,6 +39,8 @@
     :param priority: 0 is the most urgent.
     :param max_attempts: upstreams that one request may run on.
     :param anonymous: whether requests need no key.
+    :param resumable: whether any engine may go on with a stream of it after
+        the last event that the caller has.
     """
 
     name: str
@@ -52,6 +54,13 @@
     priority: int = 0
     max_attempts: int = 1
     anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run again at another upstream."""
+        resumable = self.kind is RouteKind.STREAM and self.resumable
+        return resumable or self.kind is RouteKind.SAFE
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -21,6 +21,7 @@
 from cartdale.model.types import Hardware, Job
 from cartdale_standins.driver import EngineDriver, Record
 from cartdale_standins.platform_worker import (
+    FAILED,
     METHODS,
     LinkCutError,
     PlatformWorker,
@@ -57,6 +58,8 @@
         self.memory = EngineMemory()
         self.resumed_by_request: Counter[str] = Counter()
         self.dead = False
+        #: Whether a stream that is cut ends inside an event.
+        self.tears = False
         self.leaves_ms: float | None = None
         #: Copies that were asked for while one of the same was under way.
         self.conflicts = 0
@@ -105,6 +108,11 @@
         if refusal:
             return refusal
         request_id = request.headers['Request-Id']
+        if self._spend('errors'):
+            self.runs_by_request[request_id] += 1
+            return Response(
+                'failed', status=FAILED, headers=self._sign(request_id)
+            )
         made = int(request.headers.get('Last-Event-Id', '0'))
         if not self._has_memory(request_id):
             return decline()
@@ -154,6 +162,7 @@
         try:
             while sent * STRIDE < record.length:
                 if self.dead or request_id in self._stopped:
+                    yield self._tear(request_id, made + sent + 1)
                     raise LinkCutError
                 if record.produced < min((sent + 1) * STRIDE, record.length):
                     await record.changed.wait()
@@ -164,6 +173,11 @@
             self.driver.model.cancel(request_id)
             self.driver.records_by_generation.pop(request_id, None)
 
+    def _tear(self, request_id: str, number: int) -> bytes:
+        """Return the part of an event that is sent before the cut."""
+        event = format_event(request_id, number)
+        return event[: len(event) // 2] if self.tears else b''
+
     async def _move(self) -> Response:
         order = msgspec.json.decode(await request.get_data())
         request_id: str = order['id']
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -8,7 +8,7 @@
 from quart_trio import QuartTrio
 
 METHODS = ('GET', 'POST', 'PUT')
-_FAILED = HTTPStatus.INTERNAL_SERVER_ERROR.value
+FAILED = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
 
 class LinkCutError(Exception):
@@ -73,7 +73,7 @@
         failed = self._spend('errors')
         return Response(
             f'{path} of {request_id}',
-            status=_FAILED if failed else HTTPStatus.OK.value,
+            status=FAILED if failed else HTTPStatus.OK.value,
             headers=self._sign(request_id),
         )
 
--- /dev/null
+++ b/tests/test_resumable.py
@@ -0,0 +1,93 @@
+"""Streams that any engine may take up again after the last event."""
+
+import httpx
+import trio
+
+from cartdale_standins.platform_engine import STRIDE
+from tests.platform_stage import (
+    EVENTS,
+    count_runs,
+    draft,
+    draft_meanwhile,
+    find_runner,
+    open_platform,
+    until,
+    whole,
+)
+
+TAG = '/tag/a'
+#: About three seconds, so that an engine can be cut in the middle.
+LONG = 800
+
+
+async def test_caller_goes_on_after_its_last_event() -> None:
+    async with open_platform() as stage:
+        answer = await draft(stage, 'r1', path=TAG, last_event='20')
+        assert answer.content == whole('r1', EVENTS, after=20)
+        assert stage.engines[0].heads[0]['Last-Event-Id'] == '20'
+
+
+async def test_id_on_a_route_that_is_not_resumable_is_not_passed() -> None:
+    async with open_platform() as stage:
+        answer = await draft(stage, 'r1', last_event='20')
+        assert answer.content == whole('r1')
+        assert 'Last-Event-Id' not in stage.engines[0].heads[0]
+
+
+async def test_stream_goes_on_elsewhere_without_a_copy() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1', LONG, TAG) as answers:
+            source = await find_runner(stage, 'r1')
+            stage.add_engine()
+            await stage.settle()
+            source.tears = True
+            source.die()
+        answer = answers[0]
+        assert answer.content == whole('r1', LONG // STRIDE)
+        assert answer.headers['Response-Seal'] == f'{source.name}.r1'
+        assert count_runs(stage, 'r1') == 2
+
+
+async def test_stream_is_cut_once_its_attempts_are_spent() -> None:
+    async with open_platform(engines=1) as stage:
+        cut: list[str] = []
+
+        async def ask() -> None:
+            try:
+                await draft(stage, 'r1', LONG, TAG)
+            except httpx.RemoteProtocolError as error:
+                cut.append(type(error).__name__)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            first = await find_runner(stage, 'r1')
+            stage.add_engine()
+            await stage.settle()
+            first.die()
+            await until(lambda: count_runs(stage, 'r1') == 2)
+            stage.add_engine()
+            await stage.settle()
+            stage.engines[1].die()
+        assert cut
+        assert count_runs(stage, 'r1') == 2
+
+
+async def test_failed_stream_runs_again_elsewhere() -> None:
+    async with open_platform(engines=2) as stage:
+        for engine in stage.engines:
+            engine.faults.errors = 1
+        stage.engines[1].faults.errors = 0
+        for number in range(4):
+            name = f'r{number}'
+            answer = await draft(stage, name, path=TAG)
+            assert answer.content == whole(name)
+
+
+async def test_failure_of_an_engine_is_passed_on_as_it_is() -> None:
+    async with open_platform(engines=2) as stage:
+        for engine in stage.engines:
+            engine.faults.errors = 1
+        answer = await draft(stage, 'r1')
+        assert answer.status_code == 500
+        assert answer.text == 'failed'
+        assert count_runs(stage, 'r1') == 1
