Load only what the platform needs at the start of an instance

Cause: the start of the daemon took 0.55 s of the platform's time, nearly all of it imports. The messages of the product's own interface came along with the peers' client (placement, membership, ledger, limits, configuration, declarations, routing), httpx with the store's adapter, and the certificates of a TLS context for connections without TLS.

--- a/bench/platform_cost.py
+++ b/bench/platform_cost.py
@@ -16,7 +16,8 @@
 import trio
 
 from bench.processes import read_usage, running, wait_for
-from cartdale.platform.settings import PATH_VARIABLE
+from cartdale.platform.pools import make_pool
+from cartdale.platform.settings import PATH_VARIABLE, Endpoint
 from cartdale.platform.store import PlatformStore
 from cartdale.store.types import Put
 from cartdale_standins.platform_engine import STRIDE
@@ -70,9 +71,8 @@
 
 async def configure() -> None:
     """Write the operator's document."""
-    async with httpx.AsyncClient(base_url=f'http://{LOCAL}:{STORE}') as client:
-        store = PlatformStore(client, 1000)
-        await store.transact((), (Put('op/config', DOCUMENT.read_bytes()),))
+    store = PlatformStore(make_pool(), Endpoint(LOCAL, STORE), 1000)
+    await store.transact((), (Put('op/config', DOCUMENT.read_bytes()),))
     await trio.sleep(1)
 
 
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -51,7 +51,11 @@
 from cartdale.model.types import LoadReport
 from cartdale.peers.app import PeerApp
 from cartdale.peers.client import PeerClient
-from cartdale.peers.messages import Exchange, PeerMessage
+from cartdale.peers.messages import (
+    SHAPES_BY_KIND,
+    Exchange,
+    PeerMessage,
+)
 from cartdale.peers.seal import Seal
 from cartdale.placement.types import PlaceAnswer, PlaceRequest
 from cartdale.routing.decide import decide as decide_routing
@@ -284,7 +288,7 @@
         seal = Seal((b'k' * 32,))
         asking = PeerClient(client, 'entry-0000', seal, clock, 2000)
         serving = PeerClient(client, 'entry-0001', seal, clock, 2000)
-        app = PeerApp('entry-0001', serving, clock, serve)
+        app = PeerApp('entry-0001', serving, clock, serve, SHAPES_BY_KIND)
         bound = BoundListener(Listener('127.0.0.1', 0))
         address = f'http://127.0.0.1:{bound.port}'
         async with trio.open_nursery() as nursery:
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -9,7 +9,6 @@
 from loguru import logger
 
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
-from cartdale.daemon.clients import make_client
 from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import BoundListener
@@ -22,6 +21,7 @@
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
 from cartdale.platform.names import PATH_READY
+from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import (
     Bounds,
     Endpoint,
@@ -66,9 +66,7 @@
         self._clock = SystemClock()
         self._seed = zlib.crc32(settings.name.encode())
         self.fleet = Fleet(self._clock, settings.failure_domain, self._seed)
-        store = PlatformStore(
-            make_client(_base_url(settings.store)), _STORE_TIMEOUT
-        )
+        store = PlatformStore(make_pool(), settings.store, _STORE_TIMEOUT)
         self.peers = Peers(
             settings.name,
             settings.failure_domain,
@@ -237,9 +235,5 @@
         return bool(self.fleet.table.version) and not self._leaving
 
 
-def _base_url(endpoint: Endpoint) -> str:
-    return f'http://{endpoint.address}:{endpoint.port}'
-
-
 def _bind(endpoint: Endpoint) -> BoundListener:
     return BoundListener(Listener(endpoint.address, endpoint.port))
--- a/src/cartdale/daemon/group.py
+++ b/src/cartdale/daemon/group.py
@@ -6,7 +6,7 @@
 
 from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.configuration.driver import Configurator
-from cartdale.daemon.clients import make_client, make_peer_pool
+from cartdale.daemon.clients import make_client
 from cartdale.daemon.links import PeerLinks, SharedSlices
 from cartdale.daemon.upstreams import EnginePool
 from cartdale.ledger.claims import Claimer
@@ -16,6 +16,8 @@
 from cartdale.membership.types import MemberNews, MemberStatus
 from cartdale.peers.app import PeerApp
 from cartdale.peers.client import PeerClient
+from cartdale.peers.messages import SHAPES_BY_KIND
+from cartdale.peers.pool import make_peer_pool
 from cartdale.peers.seal import Seal
 from cartdale.placement.driver import PlacementPorts, Placer
 from cartdale.reports.recorder import Recorder
@@ -98,7 +100,9 @@
                 self.membership, self.limiter, self.owner, self.placer
             ),
         )
-        self._app = PeerApp(settings.name, self.peers, clock, links.serve)
+        self._app = PeerApp(
+            settings.name, self.peers, clock, links.serve, SHAPES_BY_KIND
+        )
 
     async def run(self) -> None:
         """Follow the others for ever."""
--- a/src/cartdale/daemon/links.py
+++ b/src/cartdale/daemon/links.py
@@ -19,6 +19,7 @@
 from cartdale.membership.driver import Membership
 from cartdale.membership.types import MemberNews
 from cartdale.peers.client import PeerClient
+from cartdale.peers.documents import Unserved
 from cartdale.peers.messages import (
     Acknowledged,
     Exchange,
@@ -26,7 +27,6 @@
     FetchReport,
     HandOn,
     PeerMessage,
-    Unserved,
 )
 from cartdale.placement.driver import Placer
 from cartdale.placement.types import EndReport, PlaceRequest
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -6,6 +6,7 @@
 import secrets
 import socket
 from dataclasses import dataclass
+from types import MappingProxyType
 
 import msgspec
 import trio
@@ -14,7 +15,6 @@
 
 from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.codec import decode_json
-from cartdale.daemon.clients import make_peer_pool
 from cartdale.daemon.serve import BoundListener
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
@@ -25,12 +25,8 @@
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
 from cartdale.peers.app import PeerApp
 from cartdale.peers.client import PeerClient
-from cartdale.peers.messages import (
-    Document,
-    FetchDocument,
-    PeerMessage,
-    Unserved,
-)
+from cartdale.peers.documents import Document, FetchDocument, Unserved
+from cartdale.peers.pool import make_peer_pool
 from cartdale.peers.seal import Seal
 from cartdale.platform.translate import read_table
 from cartdale.settings.types import Listener
@@ -39,6 +35,10 @@
 _PEER_TIMEOUT: Millis = SECOND_MS
 #: Longest wait for the store when this instance takes itself off the list.
 _WITHDRAW_TIMEOUT: Millis = 150
+#: What instances ask each other besides news.
+_SHAPES_BY_KIND = MappingProxyType(
+    {shape.__name__: shape for shape in (FetchDocument, Document)}
+)
 #: Length of the key that seals nothing that anyone opens, until the
 #: cluster's own is known.
 _KEY_BYTES = 32
@@ -81,7 +81,9 @@
             clock,
             _PEER_TIMEOUT,
         )
-        self._app = PeerApp(name, self._client, clock, self._serve)
+        self._app = PeerApp(
+            name, self._client, clock, self._serve, _SHAPES_BY_KIND
+        )
         self._nursery: trio.Nursery | None = None
         self._fetching = False
         self._follower: Follower | None = None
@@ -173,7 +175,7 @@
             return
         logger.error('document of a peer unreadable', detail=repr(change))
 
-    async def _serve(self, message: PeerMessage) -> PeerMessage:
+    async def _serve(self, message: object) -> object:
         if isinstance(message, FetchDocument) and self._follower is not None:
             return Document(self._follower.raw_table)
         return Unserved()
--- a/src/cartdale/engines/http.py
+++ b/src/cartdale/engines/http.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 from sseclient import SSEClient
 
+from cartdale.client_transport import NOT_SENT
 from cartdale.clock import Millis, seconds
 from cartdale.codec import decode_json, encode_json
 from cartdale.engines.types import (
@@ -26,7 +27,6 @@
     StreamStatus,
 )
 from cartdale.model.types import LoadReport
-from cartdale.transport import NOT_SENT
 
 HEADER_GENERATION = 'X-Request-Id'
 HEADER_PRIORITY = 'X-Priority'
--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -7,6 +7,7 @@
 import httpx
 from returns.result import Failure, Result, Success
 
+from cartdale.client_transport import NOT_SENT
 from cartdale.clock import Millis, seconds
 from cartdale.engines.types import (
     EngineFailure,
@@ -14,7 +15,6 @@
     EngineUnreachable,
     LinkLost,
 )
-from cartdale.transport import NOT_SENT
 
 HEADER_FENCE = 'X-Fence'
 HEADER_KEY = 'Idempotency-Key'
--- a/src/cartdale/membership/driver.py
+++ b/src/cartdale/membership/driver.py
@@ -146,7 +146,11 @@
 
     async def _exchange(self, tell: Tell) -> None:
         answer = await self._ports.peers.ask(
-            tell.name, tell.address, Exchange(tell.news), Exchange
+            tell.name,
+            tell.address,
+            Exchange(tell.news),
+            Exchange,
+            times_clock=True,
         )
         match answer:
             case Success(Exchange(news=news)) if news:
--- a/src/cartdale/peers/app.py
+++ b/src/cartdale/peers/app.py
@@ -4,8 +4,9 @@
 cost more for each call than the call itself (docs/design/peers.md).
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
+from typing import Any
 
 import msgspec
 
@@ -19,28 +20,35 @@
 from cartdale.clock import Clock
 from cartdale.codec import decode_binary
 from cartdale.peers.client import PATH, PeerClient
-from cartdale.peers.messages import SHAPES_BY_KIND, PeerMessage
 from cartdale.peers.seal import Envelope
 
 BODY_LIMIT = 4194304
 _BINARY = ((b'content-type', b'application/octet-stream'),)
 
-Serve = Callable[[PeerMessage], Awaitable[PeerMessage]]
+Serve = Callable[[Any], Awaitable[object]]
+Shapes = Mapping[str, type[Any]]
 
 
 class PeerApp:
     """Answer sealed messages.
 
     :param serve: answers one message.
+    :param shapes_by_kind: the messages that are understood.
     """
 
     def __init__(
-        self, name: str, client: PeerClient, clock: Clock, serve: Serve
+        self,
+        name: str,
+        client: PeerClient,
+        clock: Clock,
+        serve: Serve,
+        shapes_by_kind: Shapes,
     ) -> None:
         self._name = name
         self._client = client
         self._clock = clock
         self._serve = serve
+        self._shapes_by_kind = shapes_by_kind
         self.refused = 0
 
     async def __call__(
@@ -64,7 +72,7 @@
             self.refused += 1
             await answer_at_once(send, HTTPStatus.FORBIDDEN)
             return
-        message = _decode(envelope)
+        message = self._decode(envelope)
         if message is None:
             await answer_at_once(send, HTTPStatus.BAD_REQUEST)
             return
@@ -72,16 +80,15 @@
         answer = self._client.close(envelope.sender, reply)
         await answer_at_once(send, HTTPStatus.OK, _BINARY, answer)
 
-
-def _decode(envelope: Envelope) -> PeerMessage | None:
-    shape = SHAPES_BY_KIND.get(envelope.kind)
-    if shape is None:
-        return None
-    try:
-        decoded: PeerMessage = decode_binary(bytes(envelope.body), shape)
-    except msgspec.MsgspecError:
-        return None
-    return decoded
+    def _decode(self, envelope: Envelope) -> object | None:
+        shape = self._shapes_by_kind.get(envelope.kind)
+        if shape is None:
+            return None
+        try:
+            decoded: object = decode_binary(bytes(envelope.body), shape)
+        except msgspec.MsgspecError:
+            return None
+        return decoded
 
 
 async def _read_body(receive: Receive) -> bytes | None:
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -10,7 +10,6 @@
 
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
-from cartdale.peers.messages import Exchange, PeerMessage
 from cartdale.peers.seal import Envelope, Seal
 from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
@@ -66,13 +65,17 @@
         self,
         peer: str,
         address: str,
-        message: PeerMessage,
+        message: object,
         shape: type[Reply],
         timeout: Millis = 0,
+        *,
+        times_clock: bool = False,
     ) -> Result[Reply, PeerFailure]:
         """Send a message and wait for its answer.
 
         :param timeout: longest wait; 0 for the client's own.
+        :param times_clock: whether the answer comes at once, so that it shows
+            the peer's clock.
         """
         sealed = self.close(peer, message)
         sent_at = self._clock.wall()
@@ -89,9 +92,17 @@
         except CORE_BROKEN as late_error:
             return Failure(PeerUncertain(repr(late_error)))
         self.received_bytes += len(response.content)
-        return self._open(response.content, peer, shape, sent_at)
+        opened = self._unseal(response.content, peer, shape)
+        if opened is None:
+            return Failure(PeerUncertain('the answer is not genuine'))
+        if times_clock:
+            self._note_offset(peer, opened.wall_ms, sent_at)
+        try:
+            return Success(decode_binary(bytes(opened.body), shape))
+        except msgspec.MsgspecError as error:
+            return Failure(PeerUncertain(repr(error)))
 
-    def close(self, recipient: str, message: PeerMessage) -> bytes:
+    def close(self, recipient: str, message: object) -> bytes:
         """Seal a message to a peer."""
         envelope = Envelope(
             sender=self._name,
@@ -105,8 +116,7 @@
     def clock_error(self) -> Millis:
         """Return how far this wall clock is from the peers', by the median.
 
-        Taken from exchanges of news, which are answered at once; 0 while
-        fewer than two peers answered.
+        0 while fewer than two peers answered.
         """
         if len(self.offsets_by_peer) < _FEWEST_OFFSETS:
             return 0
@@ -116,24 +126,16 @@
         middle = (sent_at + self._clock.wall()) // 2
         self.offsets_by_peer[peer] = theirs - middle
 
-    def _open(
-        self,
-        sealed: bytes,
-        peer: str,
-        shape: type[Reply],
-        sent_at: Millis,
-    ) -> Result[Reply, PeerFailure]:
+    def _unseal(
+        self, sealed: bytes, peer: str, shape: type[Reply]
+    ) -> Envelope | None:
+        """Return the envelope of a genuine answer of the right kind."""
         envelope = self.seal.open(sealed, self._clock.wall())
         if envelope is None or envelope.recipient != self._name:
-            return Failure(PeerUncertain('the answer is not genuine'))
+            return None
         if envelope.sender != peer or envelope.kind != shape.__name__:
-            return Failure(PeerUncertain(f'unexpected {envelope.kind}'))
-        if shape is Exchange:
-            self._note_offset(peer, envelope.wall_ms, sent_at)
-        try:
-            return Success(decode_binary(bytes(envelope.body), shape))
-        except msgspec.MsgspecError as error:
-            return Failure(PeerUncertain(repr(error)))
+            return None
+        return envelope
 
 
 def _make_extensions(timeout: Millis) -> dict[str, object]:
--- a/src/cartdale/peers/messages.py
+++ b/src/cartdale/peers/messages.py
@@ -9,6 +9,7 @@
 from cartdale.ledger.types import Claim, ClaimAnswer, Release, Settle
 from cartdale.limits.types import Borrow, Loan
 from cartdale.membership.types import MemberNews
+from cartdale.peers.documents import Document, FetchDocument, Unserved
 from cartdale.placement.types import EndReport, PlaceAnswer, PlaceRequest
 from cartdale.reports.types import ReportPart
 
@@ -35,21 +36,6 @@
     snapshot: Snapshot | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class FetchDocument:
-    """Ask for the operator's document that is in force."""
-
-
-@dataclass(frozen=True, slots=True)
-class Document:
-    """Hand on the operator's document as it is stored.
-
-    :param raw: empty when there is none yet.
-    """
-
-    raw: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class FetchReport:
     """Ask for the measures of an instance."""
@@ -60,11 +46,6 @@
     """The message was taken."""
 
 
-@dataclass(frozen=True, slots=True)
-class Unserved:
-    """The message was not understood here."""
-
-
 _ConfigurationMessage = FetchDeltas | HandOn | FetchDocument | Document
 _LedgerMessage = Claim | ClaimAnswer | Settle | Release
 _PlacementMessage = PlaceRequest | PlaceAnswer | EndReport
--- /dev/null
+++ b/src/cartdale/peers/pool.py
@@ -0,0 +1,20 @@
+"""Make connections to other instances."""
+
+import httpcore
+
+from cartdale.settings.types import Tls
+
+
+def make_peer_pool(tls: Tls | None) -> httpcore.AsyncConnectionPool:
+    """Make connections to peers that show this instance's certificate.
+
+    Without TLS no certificates are read, which costs more than all else at
+    the start of an instance.
+    """
+    if tls is None:
+        return httpcore.AsyncConnectionPool(max_connections=None)
+    from ssl import create_default_context  # noqa: PLC0415
+
+    context = create_default_context(cafile=tls.authority or None)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return httpcore.AsyncConnectionPool(context, max_connections=None)
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -6,13 +6,16 @@
 from http import HTTPStatus
 from string import digits
 from typing import TypeVar
+from urllib.parse import urlencode
 
-import httpx
+import httpcore
 import msgspec
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.platform.pools import limit_time
+from cartdale.platform.settings import Endpoint
 from cartdale.store.types import (
     Changes,
     Committed,
@@ -30,7 +33,7 @@
     Write,
     WriteUnknown,
 )
-from cartdale.transport import NOT_SENT
+from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
 _PATH_RANGE = '/cartdale/kv-range'
 _PATH_WATCH = '/cartdale/kv-watch'
@@ -118,14 +121,21 @@
 
 
 class PlatformStore:
-    """Reach the platform's store over a shared HTTP client.
+    """Reach the platform's store.
 
-    :param client: client whose base URL is the store.
+    :param pool: connections that are kept.
+    :param address: where the store is.
     :param timeout: longest wait for an answer, in milliseconds.
     """
 
-    def __init__(self, client: httpx.AsyncClient, timeout: Millis) -> None:
-        self._client = client
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        address: Endpoint,
+        timeout: Millis,
+    ) -> None:
+        self._pool = pool
+        self._address = address
         self._timeout = timeout
         self.calls_by_path: Counter[str] = Counter()
 
@@ -204,27 +214,37 @@
         request: object = None,
         params: dict[str, str] | None = None,
         timeout: Millis = 0,
-    ) -> Result[httpx.Response, StoreFailure]:
+    ) -> Result[httpcore.Response, StoreFailure]:
         # Calls about a lease end with its number.
         self.calls_by_path[path.rstrip(digits)] += 1
         body = b'' if request is None else msgspec.json.encode(request)
         try:
-            response = await self._client.request(
+            response = await self._pool.request(
                 method,
-                path,
-                params=params,
+                self._make_url(path, params),
                 content=body,
                 headers={'content-type': 'application/json'},
-                timeout=seconds(timeout or self._timeout),
+                extensions=limit_time(timeout or self._timeout),
             )
-        except NOT_SENT as error:
+        except CORE_NOT_SENT as error:
             return Failure(StoreUnavailable(repr(error)))
-        except httpx.HTTPError as late_error:
+        except CORE_BROKEN as late_error:
             return Failure(WriteUnknown(repr(late_error)))
-        if response.status_code in _REFUSED:
-            return Failure(StoreUnavailable(str(response.status_code)))
+        if response.status in _REFUSED:
+            return Failure(StoreUnavailable(str(response.status)))
         return Success(response)
 
+    def _make_url(
+        self, path: str, params: dict[str, str] | None
+    ) -> httpcore.URL:
+        target = f'{path}?{urlencode(params)}' if params else path
+        return httpcore.URL(
+            scheme='http',
+            host=self._address.address,
+            port=self._address.port,
+            target=target,
+        )
+
 
 def _harmless(failure: StoreFailure) -> StoreFailure:
     """Say that a read without an answer certainly changed nothing."""
@@ -234,17 +254,17 @@
 
 
 def _decode(
-    response: httpx.Response, shape: type[Answer]
+    response: httpcore.Response, shape: type[Answer]
 ) -> Result[Answer, StoreFailure]:
-    if response.is_error:
-        return Failure(WriteUnknown(f'status {response.status_code}'))
+    if response.status >= HTTPStatus.BAD_REQUEST:
+        return Failure(WriteUnknown(f'status {response.status}'))
     try:
         return Success(msgspec.json.decode(response.content, type=shape))
     except msgspec.MsgspecError as error:
         return Failure(WriteUnknown(str(error)))
 
 
-def _read_page(response: httpx.Response) -> Result[Listing, StoreFailure]:
+def _read_page(response: httpcore.Response) -> Result[Listing, StoreFailure]:
     return _decode(response, _Page).map(
         lambda page: Listing(
             tuple(_to_entry(stored) for stored in page.rows),
@@ -254,8 +274,8 @@
     )
 
 
-def _read_events(response: httpx.Response) -> Result[Changes, StoreFailure]:
-    if response.status_code == HTTPStatus.GONE:
+def _read_events(response: httpcore.Response) -> Result[Changes, StoreFailure]:
+    if response.status == HTTPStatus.GONE:
         return Failure(HistoryLost())
     return _decode(response, _Events).map(
         lambda answer: Changes(
@@ -265,11 +285,11 @@
 
 
 def _read_written(
-    response: httpx.Response, leases: list[int]
+    response: httpcore.Response, leases: list[int]
 ) -> Result[TransactionOutcome, StoreFailure]:
-    if response.status_code == HTTPStatus.PRECONDITION_FAILED:
+    if response.status == HTTPStatus.PRECONDITION_FAILED:
         return Success(CompareFailed(0))
-    if response.status_code == HTTPStatus.NOT_FOUND:
+    if response.status == HTTPStatus.NOT_FOUND:
         return Failure(LeaseLost(leases[0] if leases else 0))
     return _decode(response, _Written).map(
         lambda written: Committed(written.revision)
@@ -277,9 +297,9 @@
 
 
 def _read_lease(
-    response: httpx.Response, lease: int
+    response: httpcore.Response, lease: int
 ) -> Result[_Lease, StoreFailure]:
-    if response.status_code == HTTPStatus.NOT_FOUND:
+    if response.status == HTTPStatus.NOT_FOUND:
         return Failure(LeaseLost(lease))
     return _decode(response, _Lease)
 
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -5,16 +5,14 @@
 costs less than telling these apart.
 """
 
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
 
 import httpcore
 import msgspec
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.clock import Millis
 from cartdale.fleet.types import EngineReport
 from cartdale.platform.exchanges import (
     CopyRequest,
@@ -24,6 +22,7 @@
     write_headers,
 )
 from cartdale.platform.names import PATH_HANDLE, PATH_MOVE, PATH_REPORT
+from cartdale.platform.pools import limit_time, make_pool
 from cartdale.relay.types import (
     Copied,
     CopyFailed,
@@ -37,35 +36,15 @@
 )
 from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
-#: A connection comes up in a few milliseconds, or its opening packet was
-#: dropped and is sent again after a second.
-_CONNECT_TIMEOUT: Millis = 1500
 #: Longest wait for a report.
 _REPORT_TIMEOUT: Millis = 500
-#: Unacknowledged bytes and unanswered probes end a connection after so long.
-_DEAD_LINK: Millis = 2 * SECOND_MS
-_PROBE_SECONDS = 1
-_PROBES = 2
-
-_SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _DEAD_LINK),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
-)
 
 
 class PlatformUpstreams:
     """Reach upstreams over HTTP."""
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None,
-            max_keepalive_connections=0,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self._pool = make_pool(most_kept=0)
 
     @asynccontextmanager
     async def open(
@@ -78,7 +57,7 @@
             _make_url(call.upstream.address, request.target),
             headers=write_headers(call),
             content=request.body,
-            extensions=_limit(None),
+            extensions=limit_time(None),
         )
         try:
             response = await self._pool.handle_async_request(outgoing)
@@ -141,7 +120,7 @@
                 _make_url(address, path.encode()),
                 headers=headers,
                 content=body,
-                extensions=_limit(timeout),
+                extensions=limit_time(timeout),
             )
         except CORE_NOT_SENT as error:
             return Failure(NotSent(repr(error)))
@@ -150,12 +129,6 @@
         return Success(response)
 
 
-def _limit(timeout: Millis | None) -> dict[str, Any]:
-    longest = None if timeout is None else seconds(timeout)
-    connect = seconds(min(timeout or _CONNECT_TIMEOUT, _CONNECT_TIMEOUT))
-    return {'timeout': {'connect': connect, 'read': longest, 'write': longest}}
-
-
 def _make_url(address: str, target: bytes) -> httpcore.URL:
     host, _, port = address.rpartition(':')
     return httpcore.URL(
--- a/src/cartdale/store/etcd.py
+++ b/src/cartdale/store/etcd.py
@@ -9,6 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from cartdale.client_transport import NOT_SENT
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.codec import decode_json, encode_json
 from cartdale.store import wire
@@ -27,7 +28,6 @@
     Write,
     WriteUnknown,
 )
-from cartdale.transport import NOT_SENT
 
 Answer = TypeVar('Answer')
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,6 @@
 """The platform's wire: settings, documents and headers."""
 
-import httpx
+import httpcore
 import msgspec
 import pytest
 
@@ -194,15 +194,11 @@
 
 
 async def test_broken_base64_in_the_store_is_an_empty_value() -> None:
-    page = {'items': [{'key': 'servers/i', 'value': 'A'}], 'asOf': 3}
-
-    def answer(request: httpx.Request) -> httpx.Response:
-        return httpx.Response(200, json=page)
-
-    transport = httpx.MockTransport(answer)
-    async with httpx.AsyncClient(
-        transport=transport, base_url='http://store'
-    ) as client:
-        listing = await PlatformStore(client, 100).fetch('servers/')
+    page = encode({'items': [{'key': 'servers/i', 'value': 'A'}], 'asOf': 3})
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(page)
+    backend = httpcore.AsyncMockBackend([head, page])
+    pool = httpcore.AsyncConnectionPool(network_backend=backend)
+    store = PlatformStore(pool, Endpoint('10.200.1.7', 8742), 100)
+    listing = await store.fetch('servers/')
     entries = listing.unwrap().entries
     assert [(each.key, each.value) for each in entries] == [('servers/i', b'')]
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -9,7 +9,6 @@
 import trustme
 
 from cartdale.clock import SystemClock
-from cartdale.daemon.clients import make_peer_pool
 from cartdale.daemon.serve import BoundListener
 from cartdale.ledger.owner import OwnerPorts, SlotOwner
 from cartdale.ledger.types import (
@@ -21,7 +20,12 @@
 from cartdale.limits.types import Borrow, Loan
 from cartdale.peers.app import BODY_LIMIT, PeerApp
 from cartdale.peers.client import PATH, PeerClient, PeerNotReached
-from cartdale.peers.messages import Exchange, PeerMessage
+from cartdale.peers.messages import (
+    SHAPES_BY_KIND,
+    Exchange,
+    PeerMessage,
+)
+from cartdale.peers.pool import make_peer_pool
 from cartdale.peers.seal import Seal
 from cartdale.settings.types import Listener, Tls
 from tests.stage import open_stage
@@ -50,7 +54,7 @@
         serving = PeerClient(
             make_peer_pool(None), 'b', Seal((NEW, OLD)), clock, 1
         )
-        self.app = PeerApp('b', serving, clock, serve)
+        self.app = PeerApp('b', serving, clock, serve, SHAPES_BY_KIND)
         bound = BoundListener(Listener('127.0.0.1', 0, tls))
         scheme = 'https' if tls else 'http'
         self.address = f'{scheme}://127.0.0.1:{bound.port}'
