Take a framed stream that ends by itself as whole while it is stopped

Cause: a generation whose last event came while its stop was on the way was taken as stopped. Ruled out: an event lost on the way (122 of 122 had come).

Change: a stopped stream is closed without its end, so that one whose body has a frame and ends by it is whole. A request that a check ends is logged with what the check saw; the server dropped that before.

Test: an engine whose generation ends just before the stop; fails on the code before.

--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -4,7 +4,10 @@
 than passing it on does.
 """
 
+from loguru import logger
+
 from cartdale.asgi import AsgiEvent, Receive, Send, takes_request
+from cartdale.exceptions import CartdaleError
 from cartdale.gateway.exchange import Exchange
 from cartdale.gateway.ports import GatewayPorts
 
@@ -20,4 +23,14 @@
     ) -> None:
         """Answer one ASGI connection."""
         if await takes_request(scope, receive, send):
-            await Exchange(self._ports, scope, receive, send).answer()
+            exchange = Exchange(self._ports, scope, receive, send)
+            try:
+                await exchange.answer()
+            except CartdaleError as error:
+                logger.error(
+                    'request failed',
+                    request=exchange.request_id,
+                    error=type(error).__name__,
+                    detail=error.format_message(),
+                )
+                raise
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -64,6 +64,11 @@
             scope['method'], target, tuple(scope['headers'])
         )
 
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self._request.request_id
+
     async def answer(self) -> None:
         """Read the request, carry it and write the answer."""
         body = await self._read_body()
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -42,6 +42,8 @@
     HEADER_LOAD.encode(),
     HEADER_NOT_RUN.encode(),
 }
+#: Headers of which one says where a body ends.
+_FRAMES = frozenset((b'content-length', b'transfer-encoding'))
 _MOST_URGENT = 1
 _URGENCY_STEP = 2
 _LEAST_URGENT = 9
@@ -125,6 +127,7 @@
             headers=_pass_headers(response.headers),
             standing=standing,
             chunks=_read_chunks(response),
+            framed=not _FRAMES.isdisjoint(named),
         )
     )
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -209,7 +209,9 @@
             await self._pass_chunks(answer.chunks)
         except LinkBrokeError as error:
             return await self._lose_link(error.detail)
-        if self._generation.is_stopped:
+        if self._generation.is_stopped and not answer.framed:
+            # A stopped stream is closed without its end, and so is a whole
+            # one whose body has no frame.
             return await self._lose_link('stopped')
         if self._frames.pending:
             if answer.status == _SUCCESS:
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -120,6 +120,8 @@
     """Hold the head of an answer and read its body.
 
     :param headers: those that the caller gets as they are.
+    :param framed: whether the body says by itself where it ends; else it ends
+        with its connection.
     :param chunks: raises ``LinkBrokeError`` unless the body ends whole.
     """
 
@@ -127,6 +129,7 @@
     headers: Headers
     standing: Standing
     chunks: AsyncIterator[bytes]
+    framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -30,6 +30,8 @@
 
 #: Tokens that an event holds.
 STRIDE = 4
+#: Between looks at whether a generation has ended.
+_POLL_SECONDS = 0.005
 _SSE_TYPE = 'text/event-stream'
 
 
@@ -45,6 +47,19 @@
     backed_up: set[str] = field(default_factory=set)
 
 
+@dataclass
+class StreamFaults:
+    """Switch what goes wrong with streams.
+
+    :param tear: whether a stream that is cut ends inside an event.
+    :param end_before_stop: whether generations end by themselves just before
+        they are stopped.
+    """
+
+    tear: bool = False
+    end_before_stop: bool = False
+
+
 class PlatformEngine(PlatformWorker):
     """Run generations that can be moved.
 
@@ -58,8 +73,7 @@
         self.memory = EngineMemory()
         self.resumed_by_request: Counter[str] = Counter()
         self.dead = False
-        #: Whether a stream that is cut ends inside an event.
-        self.tears = False
+        self.streams = StreamFaults()
         self.leaves_ms: float | None = None
         #: Copies that were asked for while one of the same was under way.
         self.conflicts = 0
@@ -176,7 +190,7 @@
     def _tear(self, request_id: str, number: int) -> bytes:
         """Return the part of an event that is sent before the cut."""
         event = format_event(request_id, number)
-        return event[: len(event) // 2] if self.tears else b''
+        return event[: len(event) // 2] if self.streams.tear else b''
 
     async def _move(self) -> Response:
         order = msgspec.json.decode(await request.get_data())
@@ -198,6 +212,10 @@
     ) -> Response:
         stops = self.stops_by_request.setdefault(request_id, [])
         stops.append(order.get('last', False))
+        if order.get('last') and self.streams.end_before_stop:
+            while request_id in self.driver.records_by_generation:
+                await trio.sleep(_POLL_SECONDS)
+            return Response(status=HTTPStatus.NOT_FOUND.value)
         if order.get('last'):
             self._stopped.add(request_id)
             self.driver.model.cancel(request_id)
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -115,6 +115,20 @@
             nursery.cancel_scope.cancel()
 
 
+async def test_generation_that_ends_as_it_is_stopped_is_whole() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.streams.end_before_stop = True
+            source.leaves_ms = LEAVES_MS
+            stage.drain(source)
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert True in source.stops_by_request['r1']
+        assert not target.resumed_by_request['r1']
+
+
 async def test_copy_of_a_generation_that_ended_is_freed() -> None:
     async with open_platform(engines=1) as stage:
         async with trio.open_nursery() as nursery:
