Start without the store, and read callers once there is a configuration

Cause: an instance knew nothing until the store had answered it. One that was restarted while the store was busy refused 12 requests over two seconds though five others had the configuration; at every start requests were refused in the 15 ms between listening and the first configuration.

Change: instances give briefings on the control listener (the cluster's key, the document in force, peers, upstreams that take work). Callers' connections are left unread for up to 250 ms until there is a configuration.

Tests: seven over sockets; the one on the first configuration fails on the code before, the ones without the store have no code before. The fault soak kills instances whose path to the store is gone as they start again.

--- a/src/cartdale/asgi.py
+++ b/src/cartdale/asgi.py
@@ -24,6 +24,22 @@
     return bool(scope[TYPE] == 'http')
 
 
+async def read_body(receive: Receive, limit: int) -> bytes | None:
+    """Return the body of a request; ``None`` when it is longer than a limit.
+
+    :param limit: in bytes.
+    """
+    body = b''
+    more = True
+    while more:
+        event = await receive()
+        body += event.get('body', b'')
+        more = event.get('more_body', False)
+        if len(body) > limit:
+            return None
+    return body
+
+
 async def answer_at_once(
     send: Send, status: int, headers: Iterable[Header] = (), body: bytes = b''
 ) -> None:
--- /dev/null
+++ b/src/cartdale/briefing/app.py
@@ -0,0 +1,84 @@
+"""Brief instances that have just started.
+
+A plain ASGI application on a listener that nobody outside the system reaches.
+A new instance has no key yet: it sends one that it made up, and the answer is
+sealed with that. Whoever reaches this listener could read the same from the
+store, which asks for no credentials either.
+"""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+
+from cartdale.asgi import (
+    AsgiEvent,
+    Receive,
+    Send,
+    answer_at_once,
+    read_body,
+    takes_request,
+)
+from cartdale.briefing.types import Briefing
+from cartdale.clock import Clock
+from cartdale.codec import decode_binary, encode_binary
+from cartdale.peers.seal import Envelope, Seal
+
+PATH: Final = '/briefing/v1'
+#: Shortest key that an answer is sealed with.
+KEY_BYTES: Final = 32
+_BODY_LIMIT = 1024
+_BINARY = ((b'content-type', b'application/octet-stream'),)
+
+
+class BriefingApp:
+    """Answer with what this instance knows.
+
+    :param name: this instance's name.
+    :param describe: makes the briefing.
+    """
+
+    def __init__(
+        self, name: str, clock: Clock, describe: Callable[[], Briefing]
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._describe = describe
+
+    async def __call__(
+        self, scope: AsgiEvent, receive: Receive, send: Send
+    ) -> None:
+        """Answer one ASGI connection."""
+        if not await takes_request(scope, receive, send):
+            return
+        if scope['path'] != PATH:
+            await answer_at_once(send, HTTPStatus.NOT_FOUND)
+            return
+        key = await read_body(receive, _BODY_LIMIT)
+        if key is None or len(key) < KEY_BYTES:
+            await answer_at_once(send, HTTPStatus.BAD_REQUEST)
+            return
+        envelope = Envelope(
+            sender=self._name,
+            recipient='',
+            kind=Briefing.__name__,
+            wall_ms=self._clock.wall(),
+            body=msgspec.Raw(encode_binary(self._describe())),
+        )
+        sealed = Seal((key,)).close(envelope)
+        await answer_at_once(send, HTTPStatus.OK, _BINARY, sealed)
+
+
+def open_briefing(raw: bytes, key: bytes, now_wall: int) -> Briefing | None:
+    """Return a briefing, or ``None`` unless it is the answer to a question.
+
+    :param key: what the question carried.
+    """
+    envelope = Seal((key,)).open(raw, now_wall)
+    if envelope is None or envelope.kind != Briefing.__name__:
+        return None
+    try:
+        return decode_binary(bytes(envelope.body), Briefing)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/src/cartdale/briefing/types.py
@@ -0,0 +1,26 @@
+"""What one instance tells another that has just started."""
+
+from dataclasses import dataclass
+
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.news.types import PeerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Briefing:
+    """Hold what an instance needs to serve.
+
+    :param key: the cluster's key, which seals news; empty if not known.
+    :param document: the operator's document in force, as it is stored;
+        empty if there is none yet.
+    :param peers: instances that were listed or heard of, the sender included.
+    :param entries: upstreams that take new work.
+    :param lapsed: ids of those among them whose entries went with an outage
+        of the store, and may come back.
+    """
+
+    key: bytes
+    document: bytes
+    peers: tuple[PeerEntry, ...] = ()
+    entries: tuple[UpstreamEntry, ...] = ()
+    lapsed: tuple[str, ...] = ()
--- /dev/null
+++ b/src/cartdale/daemon/briefing.py
@@ -0,0 +1,65 @@
+"""Give briefings to new instances, and take them over as a new one."""
+
+from cartdale.briefing.types import Briefing
+from cartdale.daemon.peers import Peers
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.follow import Follower
+from cartdale.fleet.types import EntryRemoved, EntryWritten, Lifecycle
+from cartdale.news.types import PeerListed
+
+
+class Briefings:
+    """Translate between a briefing and what this instance holds.
+
+    :param follower: follows the store, whose word goes before a briefing.
+    """
+
+    def __init__(self, peers: Peers, fleet: Fleet, follower: Follower) -> None:
+        self._peers = peers
+        self._fleet = fleet
+        self._follower = follower
+
+    def knows_enough(self) -> bool:
+        """Tell whether a new instance needs no briefing any more."""
+        briefed = self._follower.configured.is_set() and bool(self._peers.key)
+        return briefed or self._follower.in_step.is_set()
+
+    def describe(self) -> Briefing:
+        """Return what a new instance needs."""
+        upstreams = self._fleet.state.upstreams_by_id.values()
+        return Briefing(
+            key=self._peers.key,
+            document=self._follower.raw_table,
+            peers=self._peers.list_known(),
+            entries=tuple(
+                each.entry
+                for each in upstreams
+                if each.lifecycle is not Lifecycle.LEAVING
+            ),
+            lapsed=tuple(
+                each.entry.upstream
+                for each in upstreams
+                if each.lifecycle is Lifecycle.LAPSED
+            ),
+        )
+
+    def take(self, briefing: Briefing) -> None:
+        """Take over what is not known yet, unless the store has answered.
+
+        The configuration goes forward only, by its version.
+        """
+        if self._follower.in_step.is_set():
+            return
+        if briefing.key:
+            self._peers.take_key(briefing.key)
+        for peer in briefing.peers:
+            self._peers.news.tell(PeerListed(peer))
+        for entry in briefing.entries:
+            if self._fleet.find(entry.upstream) is not None:
+                continue
+            self._fleet.tell(EntryWritten(entry, heard=True))
+            if entry.upstream in briefing.lapsed:
+                removed = EntryRemoved(entry.upstream, after_outage=True)
+                self._fleet.tell(removed)
+        if briefing.document:
+            self._peers.adopt(briefing.document)
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -8,10 +8,13 @@
 import trio
 from loguru import logger
 
+from cartdale.briefing.app import BriefingApp
+from cartdale.briefing.driver import BriefingAsker
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
+from cartdale.daemon.briefing import Briefings
 from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.peers import Peers
-from cartdale.daemon.serve import BoundListener
+from cartdale.daemon.serve import Application, BoundListener
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
@@ -20,6 +23,7 @@
 from cartdale.gateway.ports import GatewayPorts
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
+from cartdale.peers.pool import make_peer_pool
 from cartdale.platform.names import PATH_READY
 from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import (
@@ -46,6 +50,10 @@
 #: Before the platform's SIGKILL, what still runs is cut and logged.
 _STOP_MARGIN: Millis = 300
 _STOP_POLL: Millis = 50
+#: How long a new instance leaves connections unread while its first
+#: configuration is on the way: a caller who is refused instead must come back,
+#: and one whose request is not read within a second goes elsewhere.
+_FIRST_CONFIGURATION: Millis = 250
 #: Between looks at what the configuration and the peers bound.
 _FOLLOW_EVERY: Millis = SECOND_MS
 #: Between looks at whether the settings file has changed without a signal.
@@ -98,12 +106,21 @@
             self.peers.is_cut_off,
             self.peers.asks,
         )
+        self._briefings = Briefings(self.peers, self.fleet, self.follower)
+        self._asker = BriefingAsker(
+            make_peer_pool(None),
+            _list_others(settings),
+            self._clock,
+            self._briefings.take,
+            self._briefings.knows_enough,
+        )
         self._app = InFlight(self._make_app())
         self._callers = _bind(settings.callers)
         self._ready = _bind(settings.ready)
         self._metrics_listener = _bind(
             Endpoint(settings.address, settings.peer_ports[1])
         )
+        self._control = _bind(settings.control) if settings.control else None
         self._leaving = False
         self._stopping = trio.Event()
         self._left = trio.Event()
@@ -119,6 +136,11 @@
         """Return the port of the callers' interface."""
         return self._callers.port
 
+    @property
+    def control_port(self) -> int:
+        """Return the port where new instances ask; 0 for none."""
+        return self._control.port if self._control else 0
+
     @property
     def ready_port(self) -> int:
         """Return the port where the balancer asks."""
@@ -127,22 +149,9 @@
     async def run(self) -> None:
         """Serve until the instance was told to leave and all work ended."""
         logger.info('started', instance=self._settings.name)
-        apps = (
-            (self._callers, self._app),
-            (self._ready, ReadyApp(PATH_READY, self._is_ready)),
-            (self._metrics_listener, MetricsApp(self.metrics)),
-        )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.fleet.run)
-            nursery.start_soon(self.mover.run)
-            nursery.start_soon(self._discards.run)
-            nursery.start_soon(self.peers.run, self.follower, self._stopping)
-            nursery.start_soon(self._follow_bounds)
-            nursery.start_soon(self._watch_settings)
-            for listener, app in apps:
-                nursery.start_soon(listener.serve, app, self._stopping)
+            self._start(nursery)
             await self._left.wait()
             nursery.cancel_scope.cancel()
         logger.info('stopped', instance=self._settings.name)
@@ -168,6 +177,39 @@
         )
         logger.info('settings reloaded', bounds=repr(settings.bounds))
 
+    def _start(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.fleet.run)
+        nursery.start_soon(self.mover.run)
+        nursery.start_soon(self._discards.run)
+        nursery.start_soon(self.peers.run, self.follower, self._stopping)
+        nursery.start_soon(self._follow_bounds)
+        nursery.start_soon(self._watch_settings)
+        nursery.start_soon(self._asker.run)
+        for listener, app in self._list_interfaces():
+            nursery.start_soon(listener.serve, app, self._stopping)
+        nursery.start_soon(self._serve_callers)
+
+    def _list_interfaces(self) -> list[tuple[BoundListener, Application]]:
+        """Return what is served besides callers."""
+        apps: list[tuple[BoundListener, Application]] = [
+            (self._ready, ReadyApp(PATH_READY, self._is_ready)),
+            (self._metrics_listener, MetricsApp(self.metrics)),
+        ]
+        if self._control is not None:
+            briefing = BriefingApp(
+                self._settings.name, self._clock, self._briefings.describe
+            )
+            apps.append((self._control, briefing))
+        return apps
+
+    async def _serve_callers(self) -> None:
+        """Read connections once there is a configuration, or soon anyway."""
+        with trio.move_on_after(seconds(_FIRST_CONFIGURATION)):
+            await self.follower.configured.wait()
+        logger.info('serving', version=self.fleet.table.version)
+        await self._callers.serve(self._app, self._stopping)
+
     async def _watch_settings(self) -> None:
         """Read the settings again when the file changes without a signal."""
         while True:
@@ -235,5 +277,14 @@
         return bool(self.fleet.table.version) and not self._leaving
 
 
+def _list_others(settings: PlatformSettings) -> list[str]:
+    """Return where other instances give briefings."""
+    return [
+        f'{seed.address}:{seed.port}'
+        for seed in settings.seeds
+        if seed != settings.control
+    ]
+
+
 def _bind(endpoint: Endpoint) -> BoundListener:
     return BoundListener(Listener(endpoint.address, endpoint.port))
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -65,6 +65,9 @@
         own = PeerEntry(
             name, listener.address, self._listener.port, failure_domain
         )
+        self._own = own
+        #: The cluster's key; empty until it is known.
+        self.key = b''
         self.news = NewsExchange(
             own,
             fleet,
@@ -111,8 +114,7 @@
     def take_own_key(self, change: OwnKey) -> None:
         """Take what instances wrote for each other in the store."""
         if change.key == KEY_NAME and change.stored:
-            self.news.seal = Seal((change.stored,))
-            self._client.seal = self.news.seal
+            self.take_key(change.stored)
         if not change.key.startswith(PEER_PREFIX):
             return
         if not change.stored:
@@ -125,6 +127,27 @@
             return
         self.news.tell(PeerListed(peer))
 
+    def take_key(self, key: bytes) -> None:
+        """Seal news with the cluster's key, and open those of others."""
+        self.key = key
+        self.news.seal = Seal((key,))
+        self._client.seal = self.news.seal
+
+    def list_known(self) -> tuple[PeerEntry, ...]:
+        """Return the instances that are listed or were heard of, and this."""
+        known = dict(self.news.state.peers_by_name)
+        for name, heard in self.news.state.heard_by_name.items():
+            known[name] = heard.news.peer
+        return (*known.values(), self._own)
+
+    def adopt(self, raw: bytes) -> None:
+        """Put a peer's document in force unless it is older than ours."""
+        change = read_table(raw)
+        if isinstance(change, TableWritten) and self._follower is not None:
+            self._follower.adopt(change)
+            return
+        logger.error('document of a peer unreadable', detail=repr(change))
+
     def is_cut_off(self) -> bool:
         """Tell whether neither the store nor any peer is heard."""
         return self.lost_store() and self.news.is_silent()
@@ -160,7 +183,7 @@
         self._fetching = False
         match answer:
             case Success(document):
-                self._adopt(document)
+                self.adopt(document.raw)
             case Failure(failure):
                 logger.info(
                     'configuration not fetched',
@@ -168,13 +191,6 @@
                     detail=repr(failure),
                 )
 
-    def _adopt(self, document: Document) -> None:
-        change = read_table(document.raw)
-        if isinstance(change, TableWritten) and self._follower is not None:
-            self._follower.adopt(change)
-            return
-        logger.error('document of a peer unreadable', detail=repr(change))
-
     async def _serve(self, message: object) -> object:
         if isinstance(message, FetchDocument) and self._follower is not None:
             return Document(self._follower.raw_table)
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -95,6 +95,8 @@
         self.raw_table = b''
         #: Whether the last call to the store failed.
         self.failing = False
+        #: Set once a configuration is in force.
+        self.configured = trio.Event()
         #: Set once everything was read for the first time.
         self.in_step = trio.Event()
 
@@ -116,6 +118,7 @@
             return
         self._fleet.table = written.table
         self.raw_table = written.raw
+        self.configured.set()
         self._fleet.notify()
         logger.info('configuration in force', version=version)
 
--- a/src/cartdale/peers/app.py
+++ b/src/cartdale/peers/app.py
@@ -15,6 +15,7 @@
     Receive,
     Send,
     answer_at_once,
+    read_body,
     takes_request,
 )
 from cartdale.clock import Clock
@@ -60,7 +61,7 @@
         if scope['path'] != PATH:
             await answer_at_once(send, HTTPStatus.NOT_FOUND)
             return
-        sealed = await _read_body(receive)
+        sealed = await read_body(receive, BODY_LIMIT)
         if sealed is None:
             await answer_at_once(send, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
@@ -89,15 +90,3 @@
         except msgspec.MsgspecError:
             return None
         return decoded
-
-
-async def _read_body(receive: Receive) -> bytes | None:
-    body = b''
-    more = True
-    while more:
-        event = await receive()
-        body += event.get('body', b'')
-        more = event.get('more_body', False)
-        if len(body) > BODY_LIMIT:
-            return None
-    return body
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -54,6 +54,9 @@
     :param ready: where the balancer asks whether to send connections here.
     :param peer_ports: first and last port that is free between instances.
     :param store: the platform's store.
+    :param control: where other instances of the system ask; ``None`` where
+        the role does not serve that.
+    :param seeds: the same of up to three machines, which may be down.
     """
 
     name: str
@@ -65,6 +68,8 @@
     peer_ports: tuple[int, int]
     store: Endpoint
     bounds: Bounds
+    control: Endpoint | None = None
+    seeds: tuple[Endpoint, ...] = ()
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -111,6 +116,8 @@
             retry_window=reader.take('bounds.budgetWindowS', _parse_seconds, 0),
             retry_slack=reader.take('bounds.budgetSlack', float, float()),
         ),
+        control=reader.take_optional('listen.control', _parse_endpoint, None),
+        seeds=reader.take_optional('seeds', _parse_endpoints, ()),
     )
     reader.finish()
     return settings
@@ -137,6 +144,18 @@
         if not raw:
             self._blame(number, name, 'a value is required')
             return missing
+        return self.take_optional(name, parse, missing)
+
+    def take_optional(
+        self, name: str, parse: Callable[[str], Parsed], missing: Parsed
+    ) -> Parsed:
+        """Return a field's value, or ``missing`` where there is none.
+
+        A value that can't be read is a fault here too.
+        """
+        number, raw = self._rows_by_field.get(name, (_MISSING_LINE, ''))
+        if not raw:
+            return missing
         try:
             return parse(raw)
         except ValueError as error:
@@ -180,6 +199,10 @@
     return Endpoint(address, _parse_port(port))
 
 
+def _parse_endpoints(raw: str) -> tuple[Endpoint, ...]:
+    return tuple(_parse_endpoint(part.strip()) for part in raw.split(','))
+
+
 def _parse_port(raw: str) -> int:
     port = int(raw)
     if not 0 < port <= _HIGHEST_PORT:
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -35,10 +35,12 @@
 
     :param busy: answer 503 to every call.
     :param silent: answer nothing.
+    :param delay: before each call is looked at.
     """
 
     busy: bool = False
     silent: bool = False
+    delay: Millis = 0
 
 
 class PlatformStoreStandIn:
@@ -175,6 +177,7 @@
 
     async def _admit(self, meter: RateMeter) -> Response | None:
         """Return a refusal, or nothing when the call is admitted."""
+        await trio.sleep(seconds(self.faults.delay))
         if self.faults.silent:
             await trio.sleep_forever()
         if self.faults.busy:
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -24,14 +24,24 @@
         'engine drains': 4,
         'lost answers': 2,
         'kill': 2,
+        'start without store': 2,
         'pause': 2,
         'stop': 2,
         'reload': 1,
         'configure': 3,
     }
 )
+_SIGNALS = MappingProxyType(
+    {
+        'kill': signal.SIGKILL,
+        'stop': signal.SIGTERM,
+        'reload': signal.SIGHUP,
+    }
+)
 #: An engine ends so long after it began to leave.
 _NOTICE_SECONDS = 2.6
+#: Time in which an instance that was killed runs again.
+_START_SECONDS = 1.0
 
 
 class Faults:
@@ -82,15 +92,20 @@
                 plain = self._soak.random.choice(self._list_up('portal')).worker
                 plain.faults.cuts += self._soak.random.randrange(1, 4)
                 plain.faults.strangers += self._soak.random.randrange(2)
-            case 'kill':
+            case 'kill' | 'stop' | 'reload':
+                instance.signal(_SIGNALS[fault])
+            case 'start without store':
                 instance.signal(signal.SIGKILL)
+                instance.disturb(lasts + _START_SECONDS)
+                self._soak.nursery.start_soon(
+                    self._disturb_link,
+                    instance.store,
+                    self._pick(),
+                    lasts + _START_SECONDS,
+                )
             case 'pause':
                 instance.disturb(lasts)
                 self._soak.nursery.start_soon(self._pause, instance, lasts)
-            case 'stop':
-                instance.signal(signal.SIGTERM)
-            case 'reload':
-                instance.signal(signal.SIGHUP)
             case 'configure':
                 self._configure()
 
--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -17,7 +17,7 @@
 _GRACE = 8
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
-_PORTS = 4
+_PORTS = 5
 _SETTINGS = """
 node={name}
 ip=127.0.0.1
@@ -25,6 +25,8 @@
 region=here
 listen.front=127.0.0.1:{ports[0]}
 listen.ready=127.0.0.1:{ports[1]}
+listen.control=127.0.0.1:{ports[4]}
+seeds={seeds}
 internalPorts={ports[2]},{ports[3]}
 bounds.graceS={grace}
 bounds.retryBudgetRatio=0.2
@@ -39,6 +41,7 @@
     """Run one entry instance as a process.
 
     :param store: its own way to the store.
+    :param seeds: where instances give briefings, this one included.
     :param mutant: fault of the program that the soak has to find; empty for
         none.
     """
@@ -47,6 +50,7 @@
     folder: Path
     store: FaultProxy
     mutant: str = ''
+    seeds: list[str] = field(default_factory=list)
     ports: list[int] = field(default_factory=lambda: pick_ports(_PORTS))
     process: trio.Process | None = None
     #: Counts its starts: nothing is remembered from one to the next.
@@ -62,6 +66,10 @@
     def caller_url(self) -> str:
         return f'http://{LOCAL}:{self.ports[0]}'
 
+    @property
+    def control_address(self) -> str:
+        return f'{LOCAL}:{self.ports[4]}'
+
     @property
     def ready_url(self) -> str:
         return f'http://{LOCAL}:{self.ports[1]}/cartdale/ready'
@@ -83,6 +91,7 @@
                 name=self.name,
                 ports=self.ports,
                 store=self.store.address,
+                seeds=','.join(self.seeds),
                 grace=_GRACE,
             )
         )
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -151,6 +151,8 @@
                 f'entry-{number}', self._folder, path, self._mutant
             )
             self.instances.append(instance)
+        for instance in self.instances:
+            instance.seeds = [each.control_address for each in self.instances]
             self.nursery.start_soon(instance.run, self.checks.violations)
 
 
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -178,6 +178,10 @@
             peer_ports=(0, 0),
             store=Endpoint(LOCAL, self.store_port),
             bounds=Bounds(8 * SECOND_MS, 0.2, 10 * SECOND_MS, 50),
+            control=Endpoint(LOCAL, 0),
+            seeds=tuple(
+                Endpoint(LOCAL, each.control_port) for each in self.runtimes
+            ),
         )
         runtime = GatewayRuntime(settings, path)
         self.runtimes.append(runtime)
--- /dev/null
+++ b/tests/test_briefing.py
@@ -0,0 +1,101 @@
+"""Instances that start while the store does not answer them."""
+
+from cartdale.briefing.app import KEY_BYTES, PATH, open_briefing
+from cartdale.clock import SystemClock
+from cartdale_standins.platform_store import PlatformStoreFaults
+from tests.platform_stage import (
+    LOCAL,
+    PlatformStage,
+    draft,
+    make_configuration,
+    make_headers,
+    open_platform,
+    until,
+    whole,
+)
+
+SILENT = PlatformStoreFaults(silent=True)
+BUSY = PlatformStoreFaults(busy=True)
+
+
+async def add_without_store(
+    stage: PlatformStage, faults: PlatformStoreFaults
+) -> None:
+    stage.store.faults = faults
+    stage.add_instance()
+    await stage.settle()
+
+
+async def test_instance_serves_without_the_store() -> None:
+    for faults in (SILENT, BUSY):
+        async with open_platform() as stage:
+            await add_without_store(stage, faults)
+            answer = await stage.client.post(
+                stage.url('/cut/one', 1), headers=make_headers('r1')
+            )
+            assert answer.status_code == 200
+
+
+async def test_new_instance_and_others_hear_of_each_other() -> None:
+    async with open_platform() as stage:
+        await until(lambda: stage.runtimes[0].peers.key)
+        await add_without_store(stage, SILENT)
+        old, new = (runtime.peers.news for runtime in stage.runtimes)
+        await until(lambda: 'entry-1' in old.state.heard_by_name)
+        await until(lambda: 'entry-0' in new.state.heard_by_name)
+
+
+async def test_store_goes_on_where_the_briefing_ended() -> None:
+    async with open_platform() as stage:
+        await add_without_store(stage, SILENT)
+        stage.store.put('op/config', make_configuration(2))
+        stage.store.faults = PlatformStoreFaults()
+        await stage.settle(version=2)
+
+
+async def test_briefing_does_not_go_before_the_store() -> None:
+    async with open_platform(instances=2) as stage:
+        old, new = stage.runtimes
+        briefing = old._briefings.describe()
+        stage.store.remove('servers/engine-0')
+        await until(lambda: new.fleet.state.upstreams_by_id.get('engine-0'))
+        stage.store.put('op/config', make_configuration(2))
+        await stage.settle(version=2)
+        new._briefings.take(briefing)
+        assert new.fleet.table.version == 2
+
+
+async def test_upstream_that_leaves_is_not_in_a_briefing() -> None:
+    async with open_platform(engines=2) as stage:
+        runtime = stage.runtimes[0]
+        stage.drain(stage.engines[0])
+        await until(
+            lambda: runtime.fleet.find('engine-0').said_leaving,
+        )
+        listed = runtime._briefings.describe().entries
+        assert {each.upstream for each in listed} == {'engine-1', 'plain-0'}
+
+
+async def test_briefing_is_sealed_with_the_key_of_its_question() -> None:
+    async with open_platform() as stage:
+        port = stage.runtimes[0].control_port
+        url = f'http://{LOCAL}:{port}{PATH}'
+        key = b'k' * KEY_BYTES
+        answer = await stage.client.post(url, content=key)
+        now = SystemClock().wall()
+        briefing = open_briefing(answer.content, key, now)
+        assert briefing is not None
+        assert briefing.document
+        assert open_briefing(answer.content, b'o' * KEY_BYTES, now) is None
+        short = await stage.client.post(url, content=b'k')
+        assert short.status_code == 400
+        other = await stage.client.post(f'{url}/other', content=key)
+        assert other.status_code == 404
+
+
+async def test_request_waits_for_the_first_configuration() -> None:
+    async with open_platform(instances=0) as stage:
+        stage.store.faults = PlatformStoreFaults(delay=100)
+        stage.add_instance()
+        answer = await draft(stage, 'r1')
+        assert answer.content == whole('r1')
