Place prompts and generations by what they do to each other

Cause: an event takes 33 to 36 ms where 29 would do; whenever a prompt is read beside a generation, a step takes twice as long (longest gaps 62 ms). A tenth to a third of the engines' time is reading, and requests were placed by memory.

Hypothesis: prompts should gather where little is generated, and long generations where little is read. Change: the cost of a choice counts, in prompt tokens, the waiting for prompts before, what a prompt does to the long generations there, and what the engine's reading does to a long generation. How fast engines read and generate is learnt from the generations' own events. A request also needs room only for what the others grow while it stays: short ones were refused for growth that came after their end.

Fixed figures become told or learnt: tokens in an event (the service says), the 8,000 prompt tokens that could wait (now a part of the target latency at the learnt rate).

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -1,11 +1,19 @@
-"""Choose an upstream for a request, by memory, reading and health."""
+"""Choose an upstream for a request, by memory, reading and health.
+
+A prompt is read between the tokens of the generations that run beside it, and
+about doubles the time of each meanwhile. So a choice costs what it does to all
+who are there: a prompt holds up those that generate, and a generation is held
+up by the prompts that its engine reads. Prompts so gather where little is
+generated, and long generations where little is read. All of it is counted in
+prompt tokens, as the time of reading them."""
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cartdale.clock import Millis
 from cartdale.fleet.loads import Load
+from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import FleetState, Lifecycle, Upstream
 from cartdale.routes.types import ServiceSpec
 
@@ -14,15 +22,21 @@
 GROWTH_RESERVED = 0.6
 #: Part of an engine's memory that placement fills at most.
 MEMORY_FILLED = 0.95
-#: Prompt tokens that may wait to be read at an engine before a request; at
-#: about 7 tokens a millisecond this is a second.
-READING_LIMIT = 8000
+#: Part of its target latency in which a request's prompt must be read, after
+#: those that wait before it: the rest is for the way, and for the estimate.
+READING_SHARE = 0.6
+#: Part of a prompt's reading by which each generation beside it is held up: a
+#: step takes about twice as long while it reads.
+_HELD_UP = 0.5
+#: What the reading of an engine's whole memory counts for against a memory that
+#: is full. A full one costs its newest generations their memory, and so the
+#: reading of a part of it; an emptier one costs nothing.
+_DELAY_WEIGHT = 2
 #: What counts against an upstream, in shares of its capacity.
 _FAILING_COST = 2
 _COLD_COST = 0.5
 _LAPSED_COST = 0.5
 _FAR_COST = 0.05
-_READING_COST = 0.5
 _JITTER = 0.02
 #: Upstreams among which the best is chosen: all of a small system's.
 _CONSIDERED = 7
@@ -32,8 +46,11 @@
 class Need:
     """Describe what a request takes.
 
-    :param prompt: tokens to read, 0 for a plain request.
+    :param prompt: memory that it takes at once, in tokens; 0 for a plain
+        request.
     :param expected: tokens that it is expected to make.
+    :param reads: tokens of its prompt that are read there, none of a copy.
+    :param read_within: longest time until its prompt is read; 0 for any.
     :param excluded: upstreams that must not be chosen.
     :param far_cost: what another failure domain counts, in capacity.
     :param filled: part of an engine's memory that may be filled.
@@ -43,6 +60,8 @@
     service: str
     prompt: int = 0
     expected: int = 0
+    reads: int = 0
+    read_within: Millis = 0
     excluded: frozenset[str] = frozenset()
     far_cost: float = _FAR_COST
     filled: float = MEMORY_FILLED
@@ -55,12 +74,17 @@
 
     :param failure_domain: where the chooser runs, or the engine that a
         generation is moved from.
+    :param pace: how fast the engines of the service are.
+    :param reading_shares: for each engine the part of the time that it read
+        prompts of late.
     """
 
     spec: ServiceSpec
     loads_by_upstream: Mapping[str, Load]
     failure_domain: str
     now: Millis
+    pace: Pace = Pace()
+    reading_shares: Mapping[str, float] = field(default_factory=dict)
 
 
 def list_candidates(state: FleetState, need: Need) -> list[Upstream]:
@@ -105,7 +129,7 @@
     least = float('inf')
     for upstream in listed:
         load = around.loads_by_upstream.get(upstream.entry.upstream, Load())
-        if not _has_room(upstream, load, need, around.spec):
+        if not _has_room(upstream, load, need, around):
             continue
         cost = _cost(upstream, load, need, around)
         cost += generator.random() * _JITTER
@@ -123,23 +147,35 @@
 
 
 def _has_room(
-    upstream: Upstream, load: Load, need: Need, spec: ServiceSpec
+    upstream: Upstream, load: Load, need: Need, around: Surroundings
 ) -> bool:
+    engine = around.spec.engine
     if load.runs >= upstream.entry.slots:
         return False
-    if spec.engine is None:
+    if engine is None:
         return True
     if not load.runs and need.filled >= MEMORY_FILLED:
         return True
-    if (
-        need.reserved
-        and load.reading
-        and load.reading + need.prompt > READING_LIMIT
-    ):
+    if not _reads_in_time(load, need, around.pace):
         return False
-    wanted = need.prompt + need.reserved * (need.expected + load.growth)
-    room = need.filled * spec.engine.memory_tokens
-    return load.tokens + wanted <= room
+    wanted = need.prompt + _forecast_growth(load, need, around.pace)
+    return load.tokens + wanted <= need.filled * engine.memory_tokens
+
+
+def _reads_in_time(load: Load, need: Need, pace: Pace) -> bool:
+    if not (need.read_within and load.reading):
+        return True
+    return pace.read_time(load.reading + need.reads) <= need.read_within
+
+
+def _forecast_growth(load: Load, need: Need, pace: Pace) -> float:
+    """Return the memory that is needed beyond the present, in tokens.
+
+    What runs there grows by a token a step for as long as the request stays.
+    """
+    steps = need.expected + need.reads / pace.read_in_step
+    others = min(need.reserved * load.growth, load.runs * steps)
+    return need.reserved * need.expected + others
 
 
 def _cost(
@@ -149,9 +185,10 @@
     if engine is None:
         cost = (load.runs + 1) / upstream.entry.slots
     else:
-        held = load.tokens + GROWTH_RESERVED * load.growth
-        cost = held / engine.memory_tokens
-        cost += _READING_COST * load.reading / READING_LIMIT
+        held = load.tokens + GROWTH_RESERVED * load.growth + need.prompt
+        cost = (held / engine.memory_tokens) ** 2
+        delay = _count_delay(upstream, load, need, around)
+        cost += _DELAY_WEIGHT * delay / engine.memory_tokens
     cost += _FAILING_COST * upstream.failing
     if upstream.warm_at > around.now:
         cost += _COLD_COST
@@ -160,3 +197,15 @@
     if upstream.entry.failure_domain != around.failure_domain:
         cost += need.far_cost
     return cost
+
+
+def _count_delay(
+    upstream: Upstream, load: Load, need: Need, around: Surroundings
+) -> float:
+    """Return the time that a choice costs all, in prompt tokens."""
+    share = around.reading_shares.get(upstream.entry.upstream, 0)
+    beside_others = share * need.expected * around.pace.read_in_step
+    if not need.reads:
+        return beside_others
+    holds_up = _HELD_UP * load.long * need.reads
+    return load.reading + holds_up + beside_others
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -15,6 +15,8 @@
 )
 from cartdale.fleet.decide import decide
 from cartdale.fleet.loads import Load, LoadBook
+from cartdale.fleet.pace import Pace, Progress, learn
+from cartdale.fleet.reading import ReadingShares
 from cartdale.fleet.types import (
     BeganLeaving,
     FleetState,
@@ -47,6 +49,8 @@
         #: Counts what changed in the upstreams' lifecycles, for news.
         self.lifecycles = 0
         self._changed = trio.Event()
+        self._reading = ReadingShares()
+        self._paces_by_service: dict[str, Pace] = {}
 
     def tell(self, message: Message) -> None:
         """Take one message and act on what follows from it."""
@@ -77,6 +81,8 @@
         while True:
             await trio.sleep(seconds(_TICK))
             self.tell(TimePassed())
+            totals = self.loads.totals(self._clock.now())
+            self._reading.look(self.state.upstreams_by_id, totals)
 
     def find(self, upstream: str) -> Upstream | None:
         """Return what is known of an upstream."""
@@ -86,6 +92,15 @@
         """Return everybody's load at an upstream, as far as it is known."""
         return self.loads.at(upstream, self._clock.now())
 
+    def pace(self, service: str) -> Pace:
+        """Return how fast the engines of a service are."""
+        return self._paces_by_service.get(service, Pace())
+
+    def note_progress(self, service: str, progress: Progress) -> None:
+        """Learn from how one generation went at one engine."""
+        learnt = learn(self.pace(service), progress)
+        self._paces_by_service[service] = learnt
+
     def choose(
         self, need: Need, failure_domain: str | None = None
     ) -> Upstream | None:
@@ -103,6 +118,8 @@
             loads_by_upstream=self.loads.totals(now),
             failure_domain=failure_domain or self._failure_domain,
             now=now,
+            pace=self.pace(need.service),
+            reading_shares=self._reading.by_upstream,
         )
         candidates = list_candidates(self.state, need)
         return choose(candidates, need, around, self._generator)
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -22,6 +22,8 @@
     :param reading: prompt tokens of those that have not begun to answer.
     :param exempt: how many of them need no copy when their upstream leaves:
         they have one or a backup elsewhere, end before, or find no room.
+    :param long: how many of them generate for long, so that each prompt that
+        is read beside them holds them up.
     """
 
     runs: int = 0
@@ -29,6 +31,7 @@
     growth: int = 0
     reading: int = 0
     exempt: int = 0
+    long: int = 0
 
     @property
     def awaiting_copy(self) -> int:
@@ -48,6 +51,7 @@
             self.growth + other.growth,
             self.reading + other.reading,
             self.exempt + other.exempt,
+            self.long + other.long,
         )
 
 
@@ -67,6 +71,7 @@
         'made',
         'prompt',
         'exempt',
+        'short',
         'upstream',
     )
 
@@ -80,6 +85,7 @@
         short: bool = False,
     ) -> None:
         self.backup = ''
+        self.short = short
         #: Whether it needs no copy when its upstream leaves.
         self.exempt = short
         self.upstream = upstream
@@ -106,6 +112,7 @@
             growth=left if self.prompt else 0,
             reading=0 if self.began else self.prompt,
             exempt=int(self.exempt or bool(self.backup)),
+            long=int(self.prompt and not self.short),
         )
 
 
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -27,8 +27,6 @@
 
 #: When a caller should come back to an instance that is not ready yet.
 _NOT_READY_WAIT: Millis = 500
-#: Tokens in an event where the engine does not say.
-_EVENT_TOKENS = 4
 
 
 class _Refused(Exception):
@@ -161,7 +159,10 @@
 
     async def _carry_stream(self, routed: RoutedRequest) -> None:
         relay = self._ports.relay
-        generation = RunningGeneration(relay, routed, _EVENT_TOKENS)
+        spec = self._ports.table().services_by_name.get(routed.service)
+        engine = spec.engine if spec else None
+        event_tokens = engine.event_tokens if engine else 1
+        generation = RunningGeneration(relay, routed, event_tokens)
         carrier = StreamCarrier(relay, routed, self._sink, generation)
         self._ports.mover.add(generation)
         try:
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -81,6 +81,8 @@
     kv_capacity: int
     kv_bytes: float
     link_mbps: float
+    #: Tokens that one event of a stream holds.
+    stride: int = 1
     moves: bool = False
     backups: bool = False
 
@@ -239,6 +241,7 @@
         memory_tokens=stored.kv_capacity,
         token_bytes=int(stored.kv_bytes),
         link_mbps=stored.link_mbps,
+        event_tokens=max(stored.stride, 1),
         moves=stored.moves,
         backups=stored.backups,
     )
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -37,6 +37,7 @@
 )
 from cartdale.relay.copying import Copier
 from cartdale.relay.occupancy import Occupancy
+from cartdale.relay.pacing import PaceMeter
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.targets import choose_target
 from cartdale.relay.types import COPY_PATIENCE, ResumePoint, RoutedRequest
@@ -64,6 +65,9 @@
         self._routed = routed
         self._event_tokens = event_tokens
         self._occupancy = Occupancy(ports.fleet, routed, event_tokens)
+        self._meter = PaceMeter(
+            ports.fleet, ports.clock, routed.service, event_tokens
+        )
         #: Set once the copy that is under way has ended.
         self._settled = trio.Event()
         self._next_backup: UpstreamEntry | None = None
@@ -117,6 +121,8 @@
 
         :returns: address of the engine to keep up to date; empty for none.
         """
+        before = self._ports.fleet.load_at(upstream.upstream)
+        self._meter.begin(before.reading + self._routed.request.prompt_tokens)
         self._occupancy.assign(upstream)
         backup = self._occupancy.choose_backup(upstream)
         self._state = moves.begin(upstream, backup)
@@ -128,6 +134,7 @@
         :param over: whether no other engine follows.
         """
         self._ended = over
+        self._meter.end()
         self._occupancy.release()
         if self._state is not None:
             _discard(self._ports, self._state, self._state.handle)
@@ -136,6 +143,8 @@
     def advance(self) -> None:
         """Count an event that the caller got."""
         self._occupancy.advance()
+        if not self.moves:
+            self._meter.advance()
 
     # Leaving while the engine still serves.
 
--- a/src/cartdale/relay/needs.py
+++ b/src/cartdale/relay/needs.py
@@ -1,6 +1,6 @@
 """What a request takes at an upstream."""
 
-from cartdale.fleet.choose import Need
+from cartdale.fleet.choose import READING_SHARE, Need
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves.estimates import ends_in_time
@@ -20,7 +20,9 @@
     return Need(
         service=routed.service,
         prompt=request.prompt_tokens,
+        reads=request.prompt_tokens,
         expected=expected,
+        read_within=int(READING_SHARE * routed.route.target_latency),
         excluded=excluded,
     )
 
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -65,5 +65,6 @@
     awaiting_copy = int(load.share_awaiting_copy * load.tokens)
     movable = SourceLink(spec.engine).carries_all(awaiting_copy)
     filled = _BACKUP_FILLED if movable else _CROWDED_FILLED
-    chosen = fleet.choose(replace(need, filled=filled))
+    copied = replace(need, reads=0, read_within=0, filled=filled)
+    chosen = fleet.choose(copied)
     return chosen.entry if chosen else None
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -70,6 +70,7 @@
     :param memory_tokens: tokens that one engine holds, running and cached.
     :param token_bytes: memory of a token, in bytes, when it is copied.
     :param link_mbps: bandwidth of an engine's link in megabits per second.
+    :param event_tokens: tokens that one event of a stream holds.
     :param moves: whether a running generation can be moved.
     :param backups: whether an engine can keep another up to date.
     """
@@ -78,6 +79,7 @@
     memory_tokens: int
     token_bytes: int
     link_mbps: float
+    event_tokens: int = 1
     moves: bool = False
     backups: bool = False
 
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -69,6 +69,7 @@
         'kvCapacity': 20000,
         'kvBytes': 1000,
         'linkMbps': 2700.0,
+        'stride': STRIDE,
         'moves': True,
         'backups': True,
     }
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -168,10 +168,12 @@
         (Load(runs=1, tokens=8000, growth=1000), False),
         (Load(runs=4, tokens=10), False),
         (Load(runs=2, tokens=10, reading=7500), False),
+        (Load(runs=2, tokens=10, reading=5000), True),
     ],
 )
 def test_room_is_memory_slots_and_reading(load: Load, fits: bool) -> None:
-    chosen = pick(make_fleet('a'), Need('s', 1000, 500), {'a': load})
+    need = Need('s', 1000, 500, reads=1000, read_within=1000)
+    chosen = pick(make_fleet('a'), need, {'a': load})
     assert (chosen == 'a') is fits
 
 
@@ -192,11 +194,11 @@
 
 def test_assignment_expects_more_the_longer_it_runs() -> None:
     run = Assignment('a', prompt=100, expected=50)
-    assert run.load() == Load(1, 100, 50, 100)
+    assert run.load() == Load(1, 100, 50, 100, long=1)
     run.advance(40)
-    assert run.load() == Load(1, 140, 12, 0)
+    assert run.load() == Load(1, 140, 12, 0, long=1)
     run.advance(60)
-    assert run.load() == Load(1, 200, 30, 0)
+    assert run.load() == Load(1, 200, 30, 0, long=1)
 
 
 def test_loads_of_peers_count_until_they_are_old() -> None:
@@ -206,7 +208,7 @@
     book.assign(run)
     book.hear('peer', {'a': Load(runs=2, tokens=30)}, 1000)
     totals = book.totals(1000)
-    assert totals['a'] == Load(3, 130, 0, 100, exempt=1)
+    assert totals['a'] == Load(3, 130, 0, 100, exempt=1, long=1)
     assert totals['b'] == Load(tokens=100)
     assert book.at('a', 1000) == totals['a']
     assert book.at('b', 1000) == totals['b']
@@ -217,7 +219,7 @@
 
 def test_move_asks_only_for_the_memory_held_now() -> None:
     loads = {'a': Load(runs=1, tokens=6000, growth=3000, reading=9000)}
-    need = Need('s', 3500, 500)
+    need = Need('s', 3500, 500, reads=3500, read_within=1000)
     assert pick(make_fleet('a'), need, loads) is None
     moving = Need('s', 3500, 500, filled=1, reserved=0)
     assert pick(make_fleet('a'), moving, loads) == 'a'
