Test that work ends with its caller, in each state of a request

Queued, running, copied, being stopped, gone on elsewhere, run again: in each the upstream stops within half a second after the caller has left, and nothing is held for it any more.

--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,112 @@
+"""Callers that leave: what was begun for them ends, whatever its state."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from cartdale_standins.platform_engine import PlatformEngine
+from tests.platform_stage import (
+    PlatformStage,
+    count_runs,
+    draft,
+    find_runner,
+    open_platform,
+    until,
+)
+
+#: An upstream may work on for so long after the caller has left, in seconds.
+BOUND = 0.5
+LONG = 4000
+LEAVES_MS = 9000
+
+
+@asynccontextmanager
+async def draft_and_leave(
+    stage: PlatformStage, path: str = '/draft/a'
+) -> AsyncIterator[None]:
+    """Ask for a long draft; the caller leaves at the context's end."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(draft, stage, 'r1', LONG, path)
+        yield
+        nursery.cancel_scope.cancel()
+
+
+async def within_bound(holds: Callable[[], object]) -> None:
+    with trio.fail_after(BOUND):
+        await until(holds)
+
+
+def is_running(engine: PlatformEngine) -> bool:
+    return 'r1' in engine.driver.records_by_generation
+
+
+def is_forgotten(stage: PlatformStage) -> bool:
+    """Tell whether the instance holds nothing of the request any more."""
+    runtime = stage.runtimes[0]
+    return (
+        not runtime.mover.list_generations() and not runtime.fleet.loads.own()
+    )
+
+
+async def test_caller_of_a_request_that_waits_for_room() -> None:
+    async with open_platform(engines=0) as stage:
+        async with draft_and_leave(stage):
+            await until(lambda: stage.runtimes[0].mover.list_generations())
+        await within_bound(lambda: is_forgotten(stage))
+        stage.add_engine()
+        await stage.settle()
+        await trio.sleep(0.1)
+        assert not count_runs(stage, 'r1')
+
+
+async def test_caller_of_a_running_generation() -> None:
+    async with open_platform() as stage:
+        async with draft_and_leave(stage):
+            engine = await find_runner(stage, 'r1')
+        await within_bound(lambda: not is_running(engine))
+        await within_bound(lambda: is_forgotten(stage))
+
+
+@pytest.mark.parametrize('stops', [False, True])
+async def test_caller_of_a_generation_that_is_copied(stops: bool) -> None:
+    async with open_platform() as stage:
+        async with draft_and_leave(stage):
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.copy_takes = 0 if stops else 0.3
+            source.leaves_ms = LEAVES_MS
+            stage.drain(source)
+            await until(lambda: source.stops_by_request)
+            if stops:
+                await until(lambda: True in source.stops_by_request['r1'])
+        await within_bound(lambda: not is_running(source))
+        await within_bound(lambda: not is_running(target))
+        await within_bound(lambda: is_forgotten(stage))
+
+
+async def test_caller_of_a_generation_that_went_on_elsewhere() -> None:
+    async with open_platform() as stage:
+        async with draft_and_leave(stage):
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.leaves_ms = LEAVES_MS
+            stage.drain(source)
+            await until(lambda: is_running(target))
+        await within_bound(lambda: not is_running(target))
+        await within_bound(lambda: is_forgotten(stage))
+
+
+async def test_caller_of_a_stream_that_runs_again() -> None:
+    async with open_platform() as stage:
+        async with draft_and_leave(stage, '/tag/a'):
+            first = await find_runner(stage, 'r1')
+            second = stage.add_engine()
+            await stage.settle()
+            first.die()
+            await until(lambda: is_running(second))
+        await within_bound(lambda: not is_running(second))
+        await within_bound(lambda: is_forgotten(stage))
