Leave a silent link while its engine works on

Cause: a connection may fall silent for good while new ones come up. A stream without a backup noticed that by probes of the socket after two to three seconds only, and one with a backup took its engine for stalled.

Change: half a second after its last event a stream asks its engine, over a new connection, how far it is. If the engine made more than came here, the generation is stopped there and goes on by the moves that exist; the silent connection stays open until then, since an engine drops what it runs once its connection closes. An engine that is silent itself is waited for as before. A stream that may run again, or has a backup, leaves after a second.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator
 from enum import StrEnum
-from math import inf
 
 import trio
 from loguru import logger
@@ -34,6 +33,7 @@
 from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.silence import is_engine_ahead
 from cartdale.relay.types import (
     AnswerSink,
     LinkBroke,
@@ -49,6 +49,10 @@
 #: A stream that is silent for so long goes on elsewhere if it can: its engine
 #: has stalled for longer than any pause that is in time.
 _SILENCE: Millis = SECOND_MS
+#: After so long its engine is asked whether it has made more than came here:
+#: a connection may fall silent for good while its engine works on. Longer than
+#: the reading of a prompt beside it, which is the longest usual pause.
+_ASK_AFTER: Millis = SECOND_MS // 2
 
 
 class StreamEnd(StrEnum):
@@ -90,6 +94,9 @@
         self._last_event = routed.request.last_event if resumable else b''
         #: An upstream's own failure, passed on if nobody else is asked.
         self._failure: WholeAnswer | None = None
+        #: Whether the generation is on its way from a silent link to another.
+        self._leaving_link = False
+        self._next: UpstreamEntry | None = None
         self._started = False
         self._sent = False
         self._last_at: Millis = 0
@@ -205,10 +212,11 @@
 
     async def _pass_events(self, answer: OpenedAnswer) -> LinkEnd:
         self._frames = EventFrames()
-        try:
-            await self._pass_chunks(answer.chunks)
-        except LinkBrokeError as error:
-            return await self._lose_link(error.detail)
+        broken = await self._pass_until_end(answer.chunks)
+        if broken and self._next is not None:
+            return self._next
+        if broken:
+            return await self._lose_link(broken)
         if self._generation.is_stopped and not answer.framed:
             # A stopped stream is closed without its end, and so is a whole
             # one whose body has no frame.
@@ -220,21 +228,43 @@
         await self._sink.finish()
         return StreamEnd.WHOLE
 
-    async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> None:
-        while True:
+    async def _pass_until_end(self, chunks: AsyncIterator[bytes]) -> str:
+        """Pass events on; return how the link broke, empty for its end."""
+        broken = 'silence'
+        self._next = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_silence, nursery.cancel_scope)
             try:
-                with trio.fail_after(self._patience()):
-                    chunk = await anext(chunks, None)
-            except trio.TooSlowError as error:
-                raise LinkBrokeError('silence') from error
-            if chunk is None:
-                return
-            await self._pass(chunk)
-
-    def _patience(self) -> float:
-        """Return how many seconds the stream may be silent."""
+                async for chunk in chunks:
+                    await self._pass(chunk)
+                broken = ''
+            except LinkBrokeError as error:
+                broken = error.detail
+            if not self._leaving_link:
+                nursery.cancel_scope.cancel()
+        return broken
+
+    async def _watch_silence(self, reading: trio.CancelScope) -> None:
+        """Leave the link once it is silent though more could come.
+
+        It stays open until the generation has stopped: an engine whose
+        connection closes drops what it runs.
+        """
+        self._leaving_link = False
+        while not await self._is_silent():
+            await trio.sleep(seconds(_ASK_AFTER))
+        self._leaving_link = True
+        self._next = await self._generation.lose_link()
+        reading.cancel()
+
+    async def _is_silent(self) -> bool:
+        since = self._ports.clock.now() - self._last_at
+        if not self._last_at or since < _ASK_AFTER:
+            return False
         movable = self._generation.backup or self._may_repeat()
-        return seconds(_SILENCE) if movable and self._generation.events else inf
+        if movable and since >= _SILENCE:
+            return True
+        return await is_engine_ahead(self._ports, self._generation)
 
     def _may_repeat(self) -> bool:
         """Tell whether another engine may go on without any memory."""
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -52,11 +52,13 @@
     """Switch what goes wrong with streams.
 
     :param tear: whether a stream that is cut ends inside an event.
+    :param mute: whether streams send nothing more while they are made.
     :param end_before_stop: whether generations end by themselves just before
         they are stopped.
     """
 
     tear: bool = False
+    mute: bool = False
     end_before_stop: bool = False
 
 
@@ -182,11 +184,19 @@
                     await record.changed.wait()
                     continue
                 sent += 1
+                if self.streams.mute:
+                    await self._wait_for_stop(request_id)
                 yield format_event(request_id, made + sent)
         finally:
             self.driver.model.cancel(request_id)
             self.driver.records_by_generation.pop(request_id, None)
 
+    async def _wait_for_stop(self, request_id: str) -> None:
+        while request_id not in self._stopped:
+            await trio.sleep(_POLL_SECONDS)
+        # Not even the end is seen behind a connection that is silent.
+        await trio.sleep_forever()
+
     def _tear(self, request_id: str, number: int) -> bytes:
         """Return the part of an event that is sent before the cut."""
         event = format_event(request_id, number)
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -129,6 +129,31 @@
         assert not target.resumed_by_request['r1']
 
 
+async def test_generation_goes_on_by_another_link_when_one_is_silent() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.streams.mute = True
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert count_runs(stage, 'r1') == 1
+        assert target.resumed_by_request['r1'] == 1
+
+
+async def test_engine_that_is_silent_itself_is_waited_for() -> None:
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            stage.add_engine()
+            await stage.settle()
+            source.driver.frozen = True
+            await trio.sleep(1.5)
+            source.driver.frozen = False
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert not any(each.resumed_by_request for each in stage.engines)
+
+
 async def test_copy_of_a_generation_that_ended_is_freed() -> None:
     async with open_platform(engines=1) as stage:
         async with trio.open_nursery() as nursery:
