Wait for room only while it is likely to come in time

Cause: requests waited for a fifth of their target or a tenth of their time, whatever the chance of room was: some were held in vain, others were refused though an engine was about to have room.

Change: a forecast from the loads that instances tell each other. The rate at which generations end follows from what they are still expected to make and the learnt time of a token; how many must end, from the memory that is missing at the best engine and from those who are served before. A request waits while it is more likely than not to be sent early enough for its caller (time limit, and the time after which callers give a stream up); else it is refused at once, and told to come back when the forecast expects room, spread over half as much again.

Both windows are gone.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -223,7 +223,7 @@
         relay = RelayPorts(
             clock=self._clock,
             fleet=self.fleet,
-            admission=Admission(self.fleet, self._clock),
+            admission=Admission(self.fleet, self._clock, self._seed),
             upstreams=self._upstreams,
             budget=self._budget,
             discards=self._discards,
--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -156,16 +156,26 @@
         return True
     if not load.runs and need.filled >= MEMORY_FILLED:
         return True
-    if not _reads_in_time(load, need, around.pace):
+    if reads_after(load, need, around.pace):
         return False
-    wanted = need.prompt + _forecast_growth(load, need, around.pace)
-    return load.tokens + wanted <= need.filled * engine.memory_tokens
+    return count_missing(load, need, around) <= 0
 
 
-def _reads_in_time(load: Load, need: Need, pace: Pace) -> bool:
+def reads_after(load: Load, need: Need, pace: Pace) -> Millis:
+    """Return how long after its time a prompt would be read; 0 for in time."""
     if not (need.read_within and load.reading):
-        return True
-    return pace.read_time(load.reading + need.reads) <= need.read_within
+        return 0
+    takes = pace.read_time(load.reading + need.reads)
+    return max(int(takes) - need.read_within, 0)
+
+
+def count_missing(load: Load, need: Need, around: Surroundings) -> float:
+    """Return the memory that an engine lacks for a request, in tokens."""
+    engine = around.spec.engine
+    if engine is None:
+        return 0
+    wanted = need.prompt + _forecast_growth(load, need, around.pace)
+    return load.tokens + wanted - need.filled * engine.memory_tokens
 
 
 def _forecast_growth(load: Load, need: Need, pace: Pace) -> float:
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -15,7 +15,8 @@
 )
 from cartdale.fleet.decide import decide
 from cartdale.fleet.loads import Load, LoadBook
-from cartdale.fleet.pace import Pace, Progress, learn
+from cartdale.fleet.outlook import Outlook, foresee
+from cartdale.fleet.pace import Pace, Progress, learn, learn_answer
 from cartdale.fleet.reading import ReadingShares
 from cartdale.fleet.types import (
     BeganLeaving,
@@ -101,6 +102,11 @@
         learnt = learn(self.pace(service), progress)
         self._paces_by_service[service] = learnt
 
+    def note_answer(self, service: str, took: Millis) -> None:
+        """Learn from one plain answer that was good."""
+        learnt = learn_answer(self.pace(service), took)
+        self._paces_by_service[service] = learnt
+
     def choose(
         self, need: Need, failure_domain: str | None = None
     ) -> Upstream | None:
@@ -109,11 +115,27 @@
         :param failure_domain: where the work comes from; this instance's
             own when left out.
         """
+        around = self._look_around(need, failure_domain)
+        candidates = list_candidates(self.state, need)
+        return choose(candidates, need, around, self._generator)
+
+    def foresee(self, need: Need, ahead: int) -> Outlook:
+        """Return when a request finds room.
+
+        :param ahead: requests that are served before it.
+        """
+        around = self._look_around(need, None)
+        candidates = list_candidates(self.state, need)
+        return foresee(candidates, need, around, ahead)
+
+    def _look_around(
+        self, need: Need, failure_domain: str | None
+    ) -> Surroundings:
         spec = self.table.services_by_name.get(need.service)
         if spec is None:
             spec = ServiceSpec(need.service, '', 0)
         now = self._clock.now()
-        around = Surroundings(
+        return Surroundings(
             spec=spec,
             loads_by_upstream=self.loads.totals(now),
             failure_domain=failure_domain or self._failure_domain,
@@ -121,5 +143,3 @@
             pace=self.pace(need.service),
             reading_shares=self._reading.by_upstream,
         )
-        candidates = list_candidates(self.state, need)
-        return choose(candidates, need, around, self._generator)
--- a/src/cartdale/fleet/pace.py
+++ b/src/cartdale/fleet/pace.py
@@ -22,10 +22,12 @@
     :param reading: prompt tokens that are read in a millisecond, those of
         others that were read before included.
     :param token_time: milliseconds that a token takes.
+    :param answer_time: milliseconds that a plain answer takes.
     """
 
     reading: float = 7
     token_time: float = 9
+    answer_time: float = 60
 
     @property
     def read_in_step(self) -> float:
@@ -66,5 +68,10 @@
     return pace
 
 
+def learn_answer(pace: Pace, took: Millis) -> Pace:
+    """Return the averages with one more plain answer in them."""
+    return replace(pace, answer_time=_mix(pace.answer_time, max(took, 1)))
+
+
 def _mix(average: float, seen: float) -> float:
     return average + _WEIGHT * (seen - average)
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cartdale.clock import Millis
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import Lifecycle, UpstreamEntry
 from cartdale.platform.names import WORD_DRAINING
@@ -24,6 +24,12 @@
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
 
+#: Callers give a stream up, before its first event too, after the longest of
+#: these: two seconds, and some times its target latency or its longest pause.
+_SHORTEST_PATIENCE: Millis = 2 * SECOND_MS
+_PATIENCE_IN_TARGETS = 4
+_PATIENCE_IN_GAPS = 8
+
 _KINDS_BY_WORD: Mapping[str, RouteKind] = MappingProxyType(
     {
         'safe': RouteKind.SAFE,
@@ -219,6 +225,7 @@
         target_latency=stored.target_latency_ms,
         shares=shares or (ServiceShare(stored.service),),
         target_gap=stored.target_gap_ms,
+        patience=_find_patience(stored) if kind is RouteKind.STREAM else 0,
         priority=stored.priority,
         max_attempts=stored.max_attempts,
         anonymous=stored.allow_anonymous,
@@ -247,5 +254,14 @@
     )
 
 
+def _find_patience(stored: _Route) -> Millis:
+    """Return after how long without an event callers give a stream up."""
+    return max(
+        _SHORTEST_PATIENCE,
+        _PATIENCE_IN_TARGETS * stored.target_latency_ms,
+        _PATIENCE_IN_GAPS * stored.target_gap_ms,
+    )
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -1,17 +1,40 @@
-"""Admission: who goes next when the upstreams of a service are full."""
+"""Admission: who goes next when the upstreams of a service are full.
 
+A request waits only while the forecast says that it will be served in its
+time; else it is refused at once and told when to come back.
+"""
+
+import random
 from bisect import insort
 from dataclasses import dataclass
 
 import trio
+from loguru import logger
 
-from cartdale.clock import Clock, Millis, seconds
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.choose import Need
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.outlook import Outlook
 from cartdale.fleet.types import Upstream
 
 #: Between looks for room that no message announced.
 _LOOK_EVERY: Millis = 40
+#: A request waits if it is more likely to be served than not.
+_LEAST_CHANCE = 0.5
+#: One that waits already is refused once so little chance is left: every look
+#: sees other loads, and a refusal after a wait is dearer than one at once.
+_LEAST_CHANCE_LEFT = 0.2
+#: Without any upstream nothing can be forecast: lists of upstreams change
+#: within so long, when all of them were replaced at once.
+_UNKNOWN_WAIT: Millis = SECOND_MS // 4
+#: When to come back where nothing can be forecast.
+_UNKNOWN_RETRY: Millis = SECOND_MS
+#: Shortest and longest time after which a refused caller is told to return.
+_RETRY_SHORTEST: Millis = 100
+_RETRY_LONGEST: Millis = 10 * SECOND_MS
+#: Callers who are refused together return spread over this part of the time,
+#: or they would be refused together again.
+_RETRY_SPREAD = 0.5
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -26,47 +49,101 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """A request finds no room in its time.
+
+    :param retry_after: when there may be some.
+    """
+
+    retry_after: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Describe a request that may have to wait.
+
+    :param until: when it must be on its way at the latest, in monotonic
+        milliseconds.
+    """
+
+    request_id: str
+    need: Need
+    priority: int
+    arrived_at: Millis
+    until: Millis
+
+
 class Admission:
     """Let requests choose an upstream in the order of their rank.
 
     :param fleet: where room is looked for.
+    :param seed: makes the spread of returning callers repeatable.
     """
 
-    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+    def __init__(self, fleet: Fleet, clock: Clock, seed: int) -> None:
         self._fleet = fleet
         self._clock = clock
+        self._generator = random.Random(seed)
         #: The tickets of the requests that wait, the next one first.
         self._queues_by_service: dict[str, list[Ticket]] = {}
         self._arrivals = 0
 
-    async def place(
-        self, need: Need, priority: int, arrived_at: Millis, until: Millis
-    ) -> Upstream | None:
-        """Wait for room until a time; ``None`` when there was none.
-
-        :param until: monotonic milliseconds.
-        """
-        queue = self._queues_by_service.setdefault(need.service, [])
+    async def place(self, waiting: Waiting) -> Upstream | NoRoom:
+        """Wait for room as long as it is likely to come in time."""
+        service = waiting.need.service
+        queue = self._queues_by_service.setdefault(service, [])
         self._arrivals += 1
-        ticket = Ticket(priority, arrived_at, self._arrivals)
+        ticket = Ticket(waiting.priority, waiting.arrived_at, self._arrivals)
         insort(queue, ticket)
         try:
-            return await self._wait(queue, ticket, need, until)
+            return await self._wait(queue, ticket, waiting)
         finally:
             queue.remove(ticket)
             if queue:
                 self._fleet.notify()
 
     async def _wait(
-        self, queue: list[Ticket], ticket: Ticket, need: Need, until: Millis
-    ) -> Upstream | None:
+        self, queue: list[Ticket], ticket: Ticket, waiting: Waiting
+    ) -> Upstream | NoRoom:
+        least_chance = _LEAST_CHANCE
+        began = self._clock.now()
         while True:
-            if queue[0] == ticket:
-                chosen = self._fleet.choose(need)
+            ahead = queue.index(ticket)
+            if not ahead:
+                chosen = self._fleet.choose(waiting.need)
                 if chosen is not None:
                     return chosen
-            left = until - self._clock.now()
-            if left <= 0:
-                return None
-            with trio.move_on_after(seconds(min(left, _LOOK_EVERY))):
+            now = self._clock.now()
+            outlook = self._fleet.foresee(waiting.need, ahead)
+            until = waiting.until
+            if outlook.expected_wait() is None:
+                until = min(until, began + _UNKNOWN_WAIT)
+                chance = float(now < until)
+            else:
+                chance = outlook.chance(until - now)
+            if now >= until or chance < least_chance:
+                return self._refuse(waiting, outlook, chance)
+            least_chance = _LEAST_CHANCE_LEFT
+            with trio.move_on_after(seconds(min(until - now, _LOOK_EVERY))):
                 await self._fleet.changed()
+
+    def _refuse(
+        self, waiting: Waiting, outlook: Outlook, chance: float
+    ) -> NoRoom:
+        expected = outlook.expected_wait()
+        wait = _UNKNOWN_RETRY if expected is None else expected
+        wait += int(wait * _RETRY_SPREAD * self._generator.random())
+        retry_after = min(max(wait, _RETRY_SHORTEST), _RETRY_LONGEST)
+        logger.info(
+            'no room',
+            request=waiting.request_id,
+            service=waiting.need.service,
+            waited=self._clock.now() - waiting.arrived_at,
+            chance=round(chance, 2),
+            ends=outlook.ends,
+            reading=outlook.reading,
+            expected_wait=expected,
+            retry_after=retry_after,
+        )
+        return NoRoom(retry_after)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -8,8 +8,11 @@
 from loguru import logger
 
 from cartdale.clock import Millis
+from cartdale.fleet.choose import Need
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Replaced, RequestEnded, Upstream
+from cartdale.relay.admission import NoRoom, Waiting
 from cartdale.relay.decide import (
     Answered,
     AttemptEnd,
@@ -33,30 +36,23 @@
 )
 from cartdale.routes.types import RouteKind
 
-#: Part of the target latency that a request may wait for room. Refused
-#: within a quarter of it, with what the way here took, the caller's next
-#: attempt can still be in time.
-_WAIT_SHARE = 0.2
-#: Part of its whole time that a request may wait. Room for a long generation
-#: comes within seconds, and a caller who has that time is served better by a
-#: late start than by a second refusal (journal, an incident of caroni-looms).
-_PATIENT_SHARE = 0.1
-#: Longest wait where the route names no target.
-_WAIT_LONGEST: Millis = 1000
-
 
 async def place(
     ports: RelayPorts, routed: RoutedRequest, tried: Iterable[str]
-) -> Upstream | None:
-    """Wait for an upstream with room; ``None`` when there was none in time.
+) -> Upstream | NoRoom:
+    """Wait for an upstream with room, while it is likely to come in time.
 
     :param tried: upstreams that are not chosen again.
     """
+    need = make_need(routed, frozenset(tried))
     return await ports.admission.place(
-        make_need(routed, frozenset(tried)),
-        routed.priority,
-        routed.arrived_at,
-        _wait_until(routed),
+        Waiting(
+            request_id=routed.request.request_id,
+            need=need,
+            priority=routed.priority,
+            arrived_at=routed.arrived_at,
+            until=_latest_start(routed, need, ports.fleet.pace(need.service)),
+        )
     )
 
 
@@ -136,13 +132,20 @@
     return Declined()
 
 
-def _wait_until(routed: RoutedRequest) -> Millis:
-    """Return until when a request may wait for room."""
-    target = routed.route.target_latency
-    longest = int(target * _WAIT_SHARE) if target else _WAIT_LONGEST
-    whole = routed.ends_at - routed.arrived_at
-    patient = int(whole * _PATIENT_SHARE)
-    return routed.arrived_at + min(max(longest, patient), whole)
+def _latest_start(routed: RoutedRequest, need: Need, pace: Pace) -> Millis:
+    """Return when a request must be sent so that its caller is served.
+
+    The answer must end before the time limit, and a stream must begin before
+    its caller gives it up.
+    """
+    if routed.route.kind is not RouteKind.STREAM:
+        return routed.ends_at - int(pace.answer_time)
+    read = pace.read_time(need.reads)
+    ends = routed.ends_at - read - need.expected * pace.token_time
+    patience = routed.route.patience
+    if not patience:
+        return int(ends)
+    return int(min(ends, routed.arrived_at + patience - read))
 
 
 def _tell_fleet(
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -15,8 +15,8 @@
 
 #: Sends of one request, with those that certainly did not run.
 MOST_SENDS = 4
-#: When a refused caller should come back: about the time in which a short
-#: request of a crowded engine ends.
+#: When a caller whom upstreams turned away should come back: about the time in
+#: which a short request of a crowded engine ends.
 RETRY_AFTER: Millis = SECOND_MS
 
 
@@ -122,11 +122,18 @@
             assert_never(ended)
 
 
-def refuse(state: AttemptState, reason: NotRunReason) -> Problem:
-    """Return what may truthfully be said when no upstream is left."""
+def refuse(
+    state: AttemptState,
+    reason: NotRunReason,
+    retry_after: Millis = RETRY_AFTER,
+) -> Problem:
+    """Return what may truthfully be said when no upstream is left.
+
+    :param retry_after: when the caller should come back.
+    """
     if state.runs:
         return OutcomeUnknown('an earlier attempt may have run')
-    return NotRun(reason, RETRY_AFTER)
+    return NotRun(reason, retry_after)
 
 
 def check_refusal(state: AttemptState, problem: Problem) -> None:
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -9,6 +9,7 @@
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.admission import NoRoom
 from cartdale.relay.attempts import (
     conclude,
     find_decline,
@@ -71,9 +72,10 @@
     async def _try_upstreams(self) -> Result[WholeAnswer, Problem]:
         while True:
             upstream = await place(self._ports, self._routed, self._tried)
-            if upstream is None:
-                problem = refuse(self._state, NotRunReason.NO_UPSTREAM)
-                return Failure(problem)
+            if isinstance(upstream, NoRoom):
+                reason = NotRunReason.NO_UPSTREAM
+                wait = upstream.retry_after
+                return Failure(refuse(self._state, reason, wait))
             name = upstream.entry.upstream
             self._tried.add(name)
             ended, whole = await self._attempt(upstream)
@@ -92,9 +94,14 @@
         fleet = self._ports.fleet
         fleet.loads.assign(assignment)
         call = make_call(self._ports, self._routed, upstream)
+        sent_at = self._ports.clock.now()
         try:
             with trio.move_on_after(self._patience()):
-                return await self._send(call)
+                ended = await self._send(call)
+                if isinstance(ended[0], Answered):
+                    took = self._ports.clock.now() - sent_at
+                    fleet.note_answer(self._routed.service, took)
+                return ended
             return Broken('no answer in time'), None
         finally:
             fleet.loads.release(assignment)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -11,6 +11,7 @@
 from cartdale.fleet.types import RequestEnded, Upstream, UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.relay.admission import NoRoom
 from cartdale.relay.attempts import (
     conclude,
     find_decline,
@@ -117,10 +118,10 @@
         tried: set[str] = set()
         while True:
             upstream = await place(self._ports, self._routed, tried)
-            if upstream is None:
-                return self._give_up(
-                    refuse(self._attempts, NotRunReason.NO_UPSTREAM)
-                )
+            if isinstance(upstream, NoRoom):
+                reason = NotRunReason.NO_UPSTREAM
+                wait = upstream.retry_after
+                return self._give_up(refuse(self._attempts, reason, wait))
             tried.add(upstream.entry.upstream)
             ended = await self._attempt(upstream)
             if isinstance(ended, StreamEnd):
--- /dev/null
+++ b/tests/test_outlook.py
@@ -0,0 +1,160 @@
+"""When a full service has room, and who waits for it."""
+
+import pytest
+import trio
+
+from cartdale.clock import SystemClock
+from cartdale.fleet.choose import Need, Surroundings, list_candidates
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
+from cartdale.fleet.outlook import Outlook, foresee
+from cartdale.fleet.types import EntriesListed
+from cartdale.relay.admission import Admission, NoRoom, Waiting
+from cartdale.routes.types import RoutingTable
+from tests.test_fleet import SPEC, make_entry, make_fleet
+
+NEED = Need('s', prompt=900, expected=100, reads=900)
+#: Four runs of 2,400 tokens fill an engine of 10,000.
+FULL = Load(runs=4, tokens=9600, growth=400, long=4)
+
+
+def look(loads: dict[str, Load], need: Need = NEED, ahead: int = 0) -> Outlook:
+    state = make_fleet(*sorted(loads), slots=64)
+    around = Surroundings(SPEC, loads, 'west', 0)
+    return foresee(list_candidates(state, need), need, around, ahead)
+
+
+def test_room_that_is_there_needs_no_end() -> None:
+    outlook = look({'a': FULL, 'b': Load(runs=1, tokens=900, growth=100)})
+    assert outlook.ends == 0
+    assert outlook.chance(0) == 1
+    assert outlook.expected_wait() == 0
+
+
+def test_ends_come_at_the_rate_of_what_is_left_to_make() -> None:
+    # Each of four makes 100 tokens more, at 9 ms a token.
+    outlook = look({'a': FULL})
+    assert outlook.ends == 1
+    assert outlook.rate == pytest.approx(4 / 900)
+    assert outlook.expected_wait() == 225
+    assert outlook.chance(225) == pytest.approx(0.632, abs=0.01)
+
+
+def test_those_ahead_are_served_before() -> None:
+    waits = [look({'a': FULL}, ahead=ahead).ends for ahead in range(4)]
+    assert waits == [1, 2, 3, 4]
+
+
+def test_more_engines_bring_room_sooner() -> None:
+    one, two = look({'a': FULL}), look({'a': FULL, 'b': FULL})
+    assert two.chance(100) > one.chance(100)
+
+
+def test_nothing_is_foreseen_without_upstreams() -> None:
+    outlook = look({})
+    assert outlook.expected_wait() is None
+    assert outlook.chance(10**6) == 0
+
+
+def test_prompts_that_wait_are_read_for_sure() -> None:
+    need = Need('s', 900, 100, reads=900, read_within=1000)
+    outlook = look({'a': Load(runs=2, tokens=9, reading=9100)}, need)
+    assert outlook.ends == 0
+    assert outlook.chance(outlook.reading - 1) == 0
+    assert outlook.chance(outlook.reading) == 1
+
+
+@pytest.mark.parametrize('ends', range(1, 6))
+def test_chance_grows_with_time(ends: int) -> None:
+    outlook = Outlook(ends, rate=0.002)
+    chances = [outlook.chance(within) for within in range(0, 20000, 500)]
+    assert chances == sorted(chances)
+    assert chances[0] == pytest.approx(0)
+    assert chances[-1] > 0.99
+
+
+def make_full_fleet(clock: SystemClock) -> Fleet:
+    fleet = Fleet(clock, 'west', 1)
+    fleet.table = RoutingTable(1, services_by_name={'s': SPEC})
+    fleet.tell(EntriesListed((make_entry('a', slots=64),)))
+    fleet.loads.hear('peer', {'a': FULL}, clock.now())
+    return fleet
+
+
+def make_waiting(clock: SystemClock, longest: int, priority=0) -> Waiting:
+    now = clock.now()
+    return Waiting('r', NEED, priority, now, now + longest)
+
+
+async def test_request_that_will_not_be_served_is_refused_at_once(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    admission = Admission(make_full_fleet(clock), clock, 1)
+    before = clock.now()
+    refused = await admission.place(make_waiting(clock, 100))
+    assert isinstance(refused, NoRoom)
+    assert clock.now() == before
+    assert 225 <= refused.retry_after <= 338
+
+
+async def test_request_that_will_be_served_waits_for_room(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    fleet = make_full_fleet(clock)
+    admission = Admission(fleet, clock, 1)
+    placed = []
+    async with trio.open_nursery() as nursery:
+
+        async def place() -> None:
+            placed.append(await admission.place(make_waiting(clock, 2000)))
+
+        nursery.start_soon(place)
+        await trio.sleep(0.3)
+        assert not placed
+        fleet.loads.hear('peer', {}, clock.now())
+        fleet.notify()
+    assert placed[0].entry.upstream == 'a'
+
+
+async def test_urgent_request_goes_before_one_that_waits(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    fleet = make_full_fleet(clock)
+    admission = Admission(fleet, clock, 1)
+    order = []
+
+    async def place(priority: int) -> None:
+        await admission.place(make_waiting(clock, 3000, priority))
+        order.append(priority)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(place, 1)
+        await trio.sleep(0.1)
+        nursery.start_soon(place, 0)
+        await trio.sleep(0.1)
+        fleet.loads.hear('peer', {}, clock.now())
+        fleet.notify()
+    assert order == [0, 1]
+
+
+async def test_request_is_refused_once_its_chance_is_gone(
+    autojump_clock,
+) -> None:
+    clock = SystemClock()
+    fleet = make_full_fleet(clock)
+    admission = Admission(fleet, clock, 1)
+    began = clock.now()
+    async with trio.open_nursery() as nursery:
+
+        async def grow() -> None:
+            await trio.sleep(0.2)
+            stuck = Load(runs=4, tokens=9900, growth=9000, long=4)
+            fleet.loads.hear('peer', {'a': stuck}, clock.now())
+
+        nursery.start_soon(grow)
+        refused = await admission.place(make_waiting(clock, 1500))
+    assert isinstance(refused, NoRoom)
+    assert clock.now() - began < 500
