Log plain fields, and let those go first who can still be in time

Logs: lines carried the texts of objects. A message is told by its type's name and its own plain fields now, an error by type and text, and each line has a readable time beside the number. A test reads the fields of moves, failures, refusals and outages.

Among equally urgent ones those who can still be answered in time go first now.

--- a/src/cartdale/command/client.py
+++ b/src/cartdale/command/client.py
@@ -8,6 +8,7 @@
 
 from cartdale.codec import decode_json, encode_json
 from cartdale.exceptions import CartdaleError
+from cartdale.formatting import format_error
 
 Shape = TypeVar('Shape')
 
@@ -80,7 +81,7 @@
             response = self._client.request(method, path, content=body)
         except httpx.HTTPError as error:
             raise InstanceUnreachableError(
-                self._address, repr(error)
+                self._address, format_error(error)
             ) from error
         if response.status_code != HTTPStatus.OK:
             raise InstanceRefusedError(
--- a/src/cartdale/command/explaining.py
+++ b/src/cartdale/command/explaining.py
@@ -11,7 +11,9 @@
 from cleo.helpers import argument
 
 #: What every line carries; it is not repeated in each line of a timeline.
-_COMMON = frozenset(('at', 'level', 'event', 'node', 'instance', 'request'))
+_COMMON = frozenset(
+    ('at', 'time', 'level', 'event', 'node', 'instance', 'request')
+)
 #: Events without a request that bear on all of them.
 _SURROUNDINGS = frozenset(
     (
@@ -48,9 +50,8 @@
 
     def mentions(self, upstreams: set[str]) -> bool:
         """Tell whether it bears on upstreams, or names none at all."""
-        named = (self.details.get('upstream'), self.details.get('change'))
-        text = ' '.join(str(part) for part in named if part)
-        return not text or any(name in text for name in upstreams)
+        named = self.details.get('upstream')
+        return not named or named in upstreams
 
 
 class ExplainCommand(Command):
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -18,6 +18,7 @@
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
+from cartdale.formatting import list_plain_fields
 from cartdale.gateway.app import GatewayApp
 from cartdale.gateway.metrics import GatewayMetrics, MetricsApp
 from cartdale.gateway.ports import GatewayPorts
@@ -175,7 +176,10 @@
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
         )
-        logger.info('settings reloaded', bounds=repr(settings.bounds))
+        logger.info(
+            'settings reloaded',
+            **list_plain_fields('settings', settings.bounds),
+        )
 
     def _start(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self.follower.run)
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -20,6 +20,7 @@
 from cartdale.fleet.follow import Follower
 from cartdale.fleet.stored import OwnKey, TableWritten
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.formatting import list_plain_fields
 from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
@@ -146,7 +147,10 @@
         if isinstance(change, TableWritten) and self._follower is not None:
             self._follower.adopt(change)
             return
-        logger.error('document of a peer unreadable', detail=repr(change))
+        logger.error(
+            'document of a peer unreadable',
+            **list_plain_fields('change', change),
+        )
 
     def is_cut_off(self) -> bool:
         """Tell whether neither the store nor any peer is heard."""
@@ -188,7 +192,7 @@
                 logger.info(
                     'configuration not fetched',
                     peer=peer.name,
-                    detail=repr(failure),
+                    **list_plain_fields('failure', failure),
                 )
 
     async def _serve(self, message: object) -> object:
--- a/src/cartdale/engines/http.py
+++ b/src/cartdale/engines/http.py
@@ -26,6 +26,7 @@
     Order,
     StreamStatus,
 )
+from cartdale.formatting import format_error
 from cartdale.model.types import LoadReport
 
 HEADER_GENERATION = 'X-Request-Id'
@@ -146,10 +147,10 @@
         try:
             response = await self._client.send(outgoing, stream=True)
         except NOT_SENT as error:
-            yield Failure(EngineUnreachable(repr(error)))
+            yield Failure(EngineUnreachable(format_error(error)))
             return
         except httpx.HTTPError as late_error:
-            yield Failure(LinkLost(repr(late_error)))
+            yield Failure(LinkLost(format_error(late_error)))
             return
         try:
             yield _judge(response).map(_read_events)
@@ -171,9 +172,9 @@
                 timeout=timeout or self._timeout,
             )
         except NOT_SENT as error:
-            return Failure(EngineUnreachable(repr(error)))
+            return Failure(EngineUnreachable(format_error(error)))
         except httpx.HTTPError as late_error:
-            return Failure(LinkLost(repr(late_error)))
+            return Failure(LinkLost(format_error(late_error)))
         return _judge(response)
 
 
--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -15,6 +15,7 @@
     EngineUnreachable,
     LinkLost,
 )
+from cartdale.formatting import format_error
 
 HEADER_FENCE = 'X-Fence'
 HEADER_KEY = 'Idempotency-Key'
@@ -81,9 +82,9 @@
                 timeout=self._timeout,
             )
         except NOT_SENT as error:
-            return Failure(EngineUnreachable(repr(error)))
+            return Failure(EngineUnreachable(format_error(error)))
         except httpx.HTTPError as late_error:
-            return Failure(LinkLost(repr(late_error)))
+            return Failure(LinkLost(format_error(late_error)))
         if response.status_code in _REFUSALS:
             return Failure(EngineRefused(response.status_code))
         return Success(
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -25,6 +25,7 @@
     TimePassed,
     Upstream,
 )
+from cartdale.formatting import list_plain_fields
 from cartdale.routes.types import RoutingTable, ServiceSpec
 
 _TICK: Millis = 200
@@ -62,7 +63,9 @@
             self.lifecycles += 1
         for action in actions:
             self.lifecycles += 1
-            logger.info('upstream changed', change=repr(action))
+            logger.info(
+                'upstream changed', **list_plain_fields('change', action)
+            )
             if isinstance(action, BeganLeaving) and self.on_leaving:
                 self.on_leaving(action.upstream)
         if self.state is not before:
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -31,6 +31,7 @@
     EntryWritten,
     UpstreamEntry,
 )
+from cartdale.formatting import list_plain_fields
 from cartdale.store.types import (
     Changes,
     Entry,
@@ -165,7 +166,7 @@
         while True:
             answer = await self._store.fetch(_EVERYTHING, start)
             if not isinstance(answer, Success):
-                self._note_failure(repr(answer.failure()))
+                self._note_failure(answer.failure())
                 return answer
             page = answer.unwrap()
             entries.extend(page.entries)
@@ -197,7 +198,7 @@
                     logger.info('store forgot history', revision=revision)
                     return
                 case Failure(failure):
-                    self._note_failure(repr(failure))
+                    self._note_failure(failure)
                     await trio.sleep(_PAUSE_SECONDS)
                     return
 
@@ -230,9 +231,11 @@
             case Unreadable(detail=detail):
                 logger.error('stored value unreadable', detail=detail)
 
-    def _note_failure(self, detail: str) -> None:
+    def _note_failure(self, failure: StoreFailure) -> None:
         if not self.failing:
-            logger.warning('store lost', detail=detail)
+            logger.warning(
+                'store lost', **list_plain_fields('failure', failure)
+            )
         self._failed_at = self._clock.now()
         self.failing = True
 
--- a/src/cartdale/logs.py
+++ b/src/cartdale/logs.py
@@ -90,8 +90,14 @@
 def _format_line(record: Any) -> bytes:
     line = {
         'at': record['time'].timestamp(),
+        'time': record['time'].isoformat(timespec='milliseconds'),
         'level': record['level'].name,
         'event': record['message'],
         **record['extra'],
     }
-    return b'%s\n' % msgspec.json.encode(line, enc_hook=repr)
+    return b'%s\n' % msgspec.json.encode(line, enc_hook=_name_type)
+
+
+def _name_type(value: object) -> str:
+    """Stand for a value that is not plain, so that no line is lost."""
+    return type(value).__name__
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -10,6 +10,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import EngineReport, RunReport, UpstreamEntry
+from cartdale.formatting import list_plain_fields
 from cartdale.moves.estimates import (
     SERVES_ON,
     TOKEN_LONGEST,
@@ -173,7 +174,7 @@
             logger.info(
                 'report missing',
                 upstream=entry.upstream,
-                detail=repr(failure),
+                **list_plain_fields('failure', failure),
             )
     return EngineReport(0, 0, 0, 0)
 
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -11,6 +11,7 @@
 from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import EntryRemoved, EntryWritten, ToldFailing
+from cartdale.formatting import format_error
 from cartdale.news.decide import (
     ALIVE_MS,
     count_alive,
@@ -142,7 +143,7 @@
             try:
                 raw, _ = await bound.recvfrom(_LARGEST_DATAGRAM)
             except OSError as error:
-                logger.warning('news not received', detail=repr(error))
+                logger.warning('news not received', detail=format_error(error))
                 continue
             self._take(raw)
 
@@ -155,7 +156,7 @@
         try:
             message = _read(envelope, self._own.name)
         except msgspec.MsgspecError as error:
-            logger.warning('news not understood', detail=repr(error))
+            logger.warning('news not understood', detail=format_error(error))
             return
         if message is not None:
             self.tell(message, raw)
@@ -167,7 +168,9 @@
                 self._bound.sendto(raw, (peer.address, peer.port))
             except OSError as error:
                 # A full buffer included: the next message is not far.
-                logger.info('news not sent', peer=peer.name, detail=repr(error))
+                logger.info(
+                    'news not sent', peer=peer.name, detail=format_error(error)
+                )
 
     async def _send(self, bound: trio.socket.SocketType) -> None:
         while True:
@@ -243,7 +246,9 @@
         try:
             await bound.sendto(sealed, (peer.address, peer.port))
         except OSError as error:
-            logger.warning('news not sent', peer=peer.name, detail=repr(error))
+            logger.warning(
+                'news not sent', peer=peer.name, detail=format_error(error)
+            )
 
 
 def _read(envelope: Envelope, own: str) -> Message | None:
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -9,6 +9,7 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
+from cartdale.formatting import list_plain_fields
 from cartdale.news.duties import (
     stretch,
 )
@@ -81,7 +82,9 @@
         granted = await self._store.grant(_LEASE)
         self.failing = not isinstance(granted, Success)
         if not isinstance(granted, Success):
-            logger.info('not listed', detail=repr(granted))
+            logger.info(
+                'not listed', **list_plain_fields('failure', granted.failure())
+            )
             return
         self._lease = granted.unwrap()
         key = f'{PEER_PREFIX}{self._own.name}'
@@ -101,4 +104,7 @@
                 logger.info('listing lapsed', lease=self._lease)
             case Failure(failure):
                 self.failing = True
-                logger.info('listing not renewed', detail=repr(failure))
+                logger.info(
+                    'listing not renewed',
+                    **list_plain_fields('failure', failure),
+                )
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -10,6 +10,7 @@
 
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
+from cartdale.formatting import format_error
 from cartdale.peers.seal import Envelope, Seal
 from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
@@ -88,9 +89,9 @@
                 extensions=_make_extensions(timeout or self._timeout),
             )
         except CORE_NOT_SENT as error:
-            return Failure(PeerNotReached(repr(error)))
+            return Failure(PeerNotReached(format_error(error)))
         except CORE_BROKEN as late_error:
-            return Failure(PeerUncertain(repr(late_error)))
+            return Failure(PeerUncertain(format_error(late_error)))
         self.received_bytes += len(response.content)
         opened = self._unseal(response.content, peer, shape)
         if opened is None:
@@ -100,7 +101,7 @@
         try:
             return Success(decode_binary(bytes(opened.body), shape))
         except msgspec.MsgspecError as error:
-            return Failure(PeerUncertain(repr(error)))
+            return Failure(PeerUncertain(format_error(error)))
 
     def close(self, recipient: str, message: object) -> bytes:
         """Seal a message to a peer."""
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.fleet.types import EngineReport, RunReport
+from cartdale.formatting import format_error
 from cartdale.platform.callers import CONNECTION_HEADERS
 from cartdale.platform.names import (
     HEADER_BACKUP,
@@ -194,4 +195,4 @@
         async for chunk in response.aiter_stream():
             yield chunk
     except CORE_BROKEN as error:
-        raise LinkBrokeError(repr(error)) from error
+        raise LinkBrokeError(format_error(error)) from error
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import SECOND_MS, Millis
+from cartdale.formatting import format_error
 from cartdale.platform.pools import limit_time
 from cartdale.platform.settings import Endpoint
 from cartdale.store.types import (
@@ -227,9 +228,9 @@
                 extensions=limit_time(timeout or self._timeout),
             )
         except CORE_NOT_SENT as error:
-            return Failure(StoreUnavailable(repr(error)))
+            return Failure(StoreUnavailable(format_error(error)))
         except CORE_BROKEN as late_error:
-            return Failure(WriteUnknown(repr(late_error)))
+            return Failure(WriteUnknown(format_error(late_error)))
         if response.status in _REFUSED:
             return Failure(StoreUnavailable(str(response.status)))
         return Success(response)
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -14,6 +14,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.types import EngineReport
+from cartdale.formatting import format_error
 from cartdale.platform.exchanges import (
     CopyRequest,
     read_copy,
@@ -62,10 +63,10 @@
         try:
             response = await self._pool.handle_async_request(outgoing)
         except CORE_NOT_SENT as error:
-            yield Failure(NotSent(repr(error)))
+            yield Failure(NotSent(format_error(error)))
             return
         except CORE_BROKEN as late_error:
-            yield Failure(LinkBroke(repr(late_error)))
+            yield Failure(LinkBroke(format_error(late_error)))
             return
         try:
             yield read_head(call, response)
@@ -123,9 +124,9 @@
                 extensions=limit_time(timeout),
             )
         except CORE_NOT_SENT as error:
-            return Failure(NotSent(repr(error)))
+            return Failure(NotSent(format_error(error)))
         except CORE_BROKEN as late_error:
-            return Failure(LinkBroke(repr(late_error)))
+            return Failure(LinkBroke(format_error(late_error)))
         return Success(response)
 
 
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -12,6 +12,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Replaced, RequestEnded, Upstream
+from cartdale.formatting import list_plain_fields
 from cartdale.relay.admission import NoRoom, Waiting
 from cartdale.relay.decide import (
     Answered,
@@ -45,15 +46,8 @@
     :param tried: upstreams that are not chosen again.
     """
     need = make_need(routed, frozenset(tried))
-    return await ports.admission.place(
-        Waiting(
-            request_id=routed.request.request_id,
-            need=need,
-            priority=routed.priority,
-            arrived_at=routed.arrived_at,
-            until=_latest_start(routed, need, ports.fleet.pace(need.service)),
-        )
-    )
+    pace = ports.fleet.pace(routed.service)
+    return await ports.admission.place(_describe_wait(routed, need, pace))
 
 
 def time_left(ports: RelayPorts, routed: RoutedRequest) -> Millis:
@@ -111,8 +105,8 @@
         'attempt ended',
         request=routed.request.request_id,
         upstream=upstream,
-        ended=repr(ended),
         step=type(step).__name__,
+        **list_plain_fields('ended', ended),
     )
     return after, step
 
@@ -132,20 +126,29 @@
     return Declined()
 
 
-def _latest_start(routed: RoutedRequest, need: Need, pace: Pace) -> Millis:
-    """Return when a request must be sent so that its caller is served.
+def _describe_wait(routed: RoutedRequest, need: Need, pace: Pace) -> Waiting:
+    """Return until when a request may wait, so that its caller is served.
 
     The answer must end before the time limit, and a stream must begin before
     its caller gives it up.
     """
-    if routed.route.kind is not RouteKind.STREAM:
-        return routed.ends_at - int(pace.answer_time)
-    read = pace.read_time(need.reads)
-    ends = routed.ends_at - read - need.expected * pace.token_time
-    patience = routed.route.patience
-    if not patience:
-        return int(ends)
-    return int(min(ends, routed.arrived_at + patience - read))
+    route = routed.route
+    begins, ends = pace.answer_time, pace.answer_time
+    if route.kind is RouteKind.STREAM:
+        begins = pace.read_time(need.reads)
+        ends = begins + need.expected * pace.token_time
+    until = routed.ends_at - int(ends)
+    if route.patience:
+        until = min(until, routed.arrived_at + route.patience - int(begins))
+    in_time = route.target_latency or routed.ends_at - routed.arrived_at
+    return Waiting(
+        request_id=routed.request.request_id,
+        need=need,
+        priority=routed.priority,
+        arrived_at=routed.arrived_at,
+        in_time_until=routed.arrived_at + in_time - int(begins),
+        until=until,
+    )
 
 
 def _tell_fleet(
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -11,6 +11,7 @@
 
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.formatting import list_plain_fields
 from cartdale.moves import decide as moves
 from cartdale.moves.estimates import Departure
 from cartdale.moves.types import (
@@ -290,10 +291,10 @@
         logger.info(
             'move',
             request=self.request_id,
-            message=repr(message),
             before=before.phase,
             after=after.phase,
             events=self.events,
+            **list_plain_fields('message', message),
         )
         return actions[0] if actions else None
 
--- a/src/cartdale/store/etcd.py
+++ b/src/cartdale/store/etcd.py
@@ -12,6 +12,7 @@
 from cartdale.client_transport import NOT_SENT
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.codec import decode_json, encode_json
+from cartdale.formatting import format_error
 from cartdale.store import wire
 from cartdale.store.types import (
     Committed,
@@ -116,7 +117,7 @@
         try:
             return await self._read_watch(body)
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
-            return Failure(StoreUnavailable(repr(error)))
+            return Failure(StoreUnavailable(format_error(error)))
 
     async def _read_watch(self, body: bytes) -> Result[bool, StoreFailure]:
         stream = self._client.stream(
@@ -145,9 +146,9 @@
                 path, content=encode_json(request), timeout=self._timeout
             )
         except NOT_SENT as error:
-            return Failure(StoreUnavailable(repr(error)))
+            return Failure(StoreUnavailable(format_error(error)))
         except httpx.HTTPError as late_error:
-            return Failure(WriteUnknown(repr(late_error)))
+            return Failure(WriteUnknown(format_error(late_error)))
         return _decode(response, shape)
 
 
@@ -161,7 +162,7 @@
     try:
         return Success(decode_json(response.content, shape))
     except msgspec.MsgspecError as error:
-        return Failure(WriteUnknown(repr(error)))
+        return Failure(WriteUnknown(format_error(error)))
 
 
 def _to_listing(response: wire.RangeResponse) -> Listing:
--- a/src/cartdale/structuring.py
+++ b/src/cartdale/structuring.py
@@ -17,6 +17,7 @@
 
 from cartdale.documents import Document
 from cartdale.exceptions import BadInputError, InputFault
+from cartdale.formatting import format_error
 
 Shape = TypeVar('Shape')
 
@@ -100,7 +101,7 @@
         case StructureHandlerNotFoundError() | ValueError() | TypeError():
             yield InputFault(document.locate(at), f'expected {error}')
         case _:
-            yield InputFault(document.locate(at), repr(error))
+            yield InputFault(document.locate(at), format_error(error))
 
 
 def _unfold(
--- /dev/null
+++ b/tests/test_log_fields.py
@@ -0,0 +1,109 @@
+"""Log lines: every field is a plain value that a program can read."""
+
+import re
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+from loguru import logger
+
+from cartdale.fleet.types import BeganLeaving, Lifecycle, UpstreamEntry
+from cartdale.formatting import format_error, list_plain_fields
+from cartdale.moves.types import CopyRejected, TargetChosen
+from cartdale.relay.types import CopyFault
+from cartdale_standins.platform_store import PlatformStoreFaults
+from tests.platform_stage import (
+    draft,
+    draft_meanwhile,
+    find_runner,
+    make_headers,
+    open_platform,
+    until,
+)
+
+#: What the text of an object looks like: a call with named arguments, or a
+#: name between angle brackets.
+_OBJECT = re.compile(r'\w+\(\w+=|<\w+[.:\s]')
+Line = dict[str, Any]
+ENTRY = UpstreamEntry('i-1', 's', 'a:1', 'west', 4)
+
+
+@contextmanager
+def recorded() -> Iterator[list[Line]]:
+    """Gather the fields of all log lines."""
+    lines: list[Line] = []
+
+    def note(message: Any) -> None:
+        lines.append(
+            {**message.record['extra'], 'event': message.record['message']}
+        )
+
+    sink = logger.add(note, level='DEBUG')
+    try:
+        yield lines
+    finally:
+        logger.remove(sink)
+
+
+async def test_no_field_is_the_text_of_an_object() -> None:
+    with recorded() as lines:
+        async with open_platform(engines=1, plains=2) as stage:
+            for plain in stage.plains:
+                plain.faults.cuts = 1
+                plain.faults.errors = 1
+            for number in range(4):
+                await stage.client.get(
+                    stage.url('/look/one'), headers=make_headers(f'l{number}')
+                )
+            async with draft_meanwhile(stage, 'r1', 800):
+                source = await find_runner(stage, 'r1')
+                stage.add_engine()
+                await stage.settle()
+                source.leaves_ms = 9000
+                stage.drain(source)
+            stage.engines[1].die()
+            await draft(stage, 'r2')
+            stage.store.faults = PlatformStoreFaults(busy=True)
+            new = stage.add_instance()
+            await until(lambda: new.fleet.table.version)
+            await until(lambda: stage.runtimes[0].follower.failing)
+    events = {line['event'] for line in lines}
+    assert {'move', 'attempt ended', 'refused', 'store lost'} <= events
+    for line in lines:
+        for name, value in line.items():
+            assert isinstance(value, str | int | float | bool), (name, line)
+            assert not _OBJECT.search(str(value)), (name, line)
+
+
+@pytest.mark.parametrize(
+    ('message', 'told'),
+    [
+        (BeganLeaving('i-1'), {'is': 'BeganLeaving', 'upstream': 'i-1'}),
+        (TargetChosen(ENTRY), {'is': 'TargetChosen', 'target': 'i-1'}),
+        (
+            CopyRejected(CopyFault.NO_ROOM, 'h'),
+            {'is': 'CopyRejected', 'fault': 'no_room', 'handle': 'h'},
+        ),
+        (
+            ENTRY,
+            {
+                'is': 'UpstreamEntry',
+                'upstream': 'i-1',
+                'service': 's',
+                'address': 'a:1',
+                'failure_domain': 'west',
+                'slots': 4,
+                'lifecycle': Lifecycle.LIVE.value,
+                'cold_for': 0,
+            },
+        ),
+    ],
+)
+def test_messages_are_told_by_name_and_plain_fields(message, told) -> None:
+    assert list_plain_fields('is', message) == told
+
+
+def test_errors_are_told_by_type_and_text() -> None:
+    assert format_error(ValueError('x')) == 'ValueError: x'
+    assert format_error(TimeoutError()) == 'TimeoutError'
