Add a switch for each mechanism

CARTDALE_OFF lists, by name, what is off; an unknown name ends the start with all names that are known. The fleet carries the switches, since all that decides asks it.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -43,6 +43,7 @@
 from cartdale.retries.window import RepeatBudget
 from cartdale.routes.types import RoutingTable
 from cartdale.settings.types import Listener
+from cartdale.switches import Mechanism, Switches
 
 _STORE_TIMEOUT: Millis = SECOND_MS
 #: After SIGTERM the balancer asks twice, a second apart, until it sends no
@@ -66,15 +67,23 @@
 
     :param settings: checked settings.
     :param path: the file that they came from.
+    :param switches: mechanisms that are off.
     """
 
-    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        path: Path,
+        switches: Switches | None = None,
+    ) -> None:
         self._settings = settings
         self._path = path
         self._stamp = read_stamp(path)
         self._clock = SystemClock()
         self._seed = zlib.crc32(settings.name.encode())
-        self.fleet = Fleet(self._clock, settings.failure_domain, self._seed)
+        self.fleet = Fleet(
+            self._clock, settings.failure_domain, self._seed, switches
+        )
         store = PlatformStore(make_pool(), settings.store, _STORE_TIMEOUT)
         self.peers = Peers(
             settings.name,
@@ -189,7 +198,8 @@
         nursery.start_soon(self.peers.run, self.follower, self._stopping)
         nursery.start_soon(self._follow_bounds)
         nursery.start_soon(self._watch_settings)
-        nursery.start_soon(self._asker.run)
+        if self.fleet.switches.has(Mechanism.BRIEFINGS):
+            nursery.start_soon(self._asker.run)
         for listener, app in self._list_interfaces():
             nursery.start_soon(listener.serve, app, self._stopping)
         nursery.start_soon(self._serve_callers)
--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -16,6 +16,7 @@
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import FleetState, Lifecycle, Upstream
 from cartdale.routes.types import ServiceSpec
+from cartdale.switches import Mechanism, Switches
 
 #: Part of the expected growth of running generations that is kept free: they
 #: are at different ages, so their peaks don't fall together.
@@ -85,6 +86,7 @@
     now: Millis
     pace: Pace = Pace()
     reading_shares: Mapping[str, float] = field(default_factory=dict)
+    switches: Switches = Switches()
 
 
 def list_candidates(state: FleetState, need: Need) -> list[Upstream]:
@@ -111,8 +113,13 @@
     would all take the best of all (Mitzenmacher, The Power of Two Choices
     in Randomized Load Balancing, 2001).
     """
-    listed = _prefer_answering(candidates, around.now)
-    few = generator.sample(listed, min(len(listed), _CONSIDERED))
+    listed = list(candidates)
+    if around.switches.has(Mechanism.AVOIDANCE):
+        listed = _prefer_answering(listed, around.now)
+    considered = len(listed)
+    if around.switches.has(Mechanism.FEW_CHOICES):
+        considered = min(considered, _CONSIDERED)
+    few = generator.sample(listed, considered)
     best = _choose_best(few, need, around, generator)
     if best is None and len(few) < len(listed):
         return _choose_best(listed, need, around, generator)
@@ -138,10 +145,7 @@
     return best
 
 
-def _prefer_answering(
-    candidates: Iterable[Upstream], now: Millis
-) -> list[Upstream]:
-    listed = list(candidates)
+def _prefer_answering(listed: list[Upstream], now: Millis) -> list[Upstream]:
     answering = [each for each in listed if each.avoided_until <= now]
     return answering or listed
 
@@ -197,15 +201,23 @@
     else:
         held = load.tokens + GROWTH_RESERVED * load.growth + need.prompt
         cost = (held / engine.memory_tokens) ** 2
-        delay = _count_delay(upstream, load, need, around)
-        cost += _DELAY_WEIGHT * delay / engine.memory_tokens
-    cost += _FAILING_COST * upstream.failing
-    if upstream.warm_at > around.now:
+        if around.switches.has(Mechanism.INTERFERENCE):
+            delay = _count_delay(upstream, load, need, around)
+            cost += _DELAY_WEIGHT * delay / engine.memory_tokens
+    if around.switches.has(Mechanism.AVOIDANCE):
+        cost += _count_risk(upstream, around.now)
+    if upstream.entry.failure_domain != around.failure_domain:
+        cost += need.far_cost
+    return cost
+
+
+def _count_risk(upstream: Upstream, now: Millis) -> float:
+    """Return what counts against an upstream that may not do its work."""
+    cost = _FAILING_COST * upstream.failing
+    if upstream.warm_at > now:
         cost += _COLD_COST
     if upstream.lifecycle is Lifecycle.LAPSED:
         cost += _LAPSED_COST
-    if upstream.entry.failure_domain != around.failure_domain:
-        cost += need.far_cost
     return cost
 
 
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -27,6 +27,7 @@
 )
 from cartdale.formatting import list_plain_fields
 from cartdale.routes.types import RoutingTable, ServiceSpec
+from cartdale.switches import Switches
 
 _TICK: Millis = 200
 
@@ -38,9 +39,18 @@
 
     :param failure_domain: where this instance runs.
     :param seed: makes the choices repeatable.
+    :param switches: mechanisms that are off, here and wherever this fleet is
+        asked.
     """
 
-    def __init__(self, clock: Clock, failure_domain: str, seed: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        failure_domain: str,
+        seed: int,
+        switches: Switches | None = None,
+    ) -> None:
+        self.switches = switches or Switches()
         self._clock = clock
         self._failure_domain = failure_domain
         self._generator = random.Random(seed)
@@ -145,4 +155,5 @@
             now=now,
             pace=self.pace(need.service),
             reading_shares=self._reading.by_upstream,
+            switches=self.switches,
         )
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -25,6 +25,7 @@
     rank_request,
 )
 from cartdale.routes.types import Customer, Route, RouteKind
+from cartdale.switches import Mechanism
 
 #: When a caller should come back to an instance that is not ready yet.
 _NOT_READY_WAIT: Millis = 500
@@ -130,11 +131,17 @@
             route=route,
             service=pick_service(route, self._ports.generator),
             customer=customer.name if customer else '',
-            priority=rank_request(route, customer),
+            priority=self._rank(route, customer),
             arrived_at=self._arrived_at,
             ends_at=self._arrived_at + longest,
         )
 
+    def _rank(self, route: Route, customer: Customer | None) -> int:
+        switches = self._ports.relay.fleet.switches
+        if not switches.has(Mechanism.URGENCY):
+            return 0
+        return rank_request(route, customer)
+
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Stop the work once the caller has left."""
         while True:
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -17,6 +17,7 @@
 from cartdale.moves.ports import MovableGeneration
 from cartdale.relay.types import UpstreamPort
 from cartdale.routes.types import EngineTraits
+from cartdale.switches import Mechanism
 
 #: An engine is asked by the one who does so for all at each second look: its
 #: report is half a second old, and it leaves 1.5 s and more after its notice.
@@ -90,6 +91,8 @@
 
     async def _empty(self, name: str) -> None:
         """Move this instance's generations away from an engine."""
+        if not self._fleet.switches.has(Mechanism.MOVES):
+            return
         upstream = self._fleet.find(name)
         own = self._untold_at(name)
         engine = self._engine_of(upstream.entry) if upstream else None
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -20,6 +20,7 @@
 from cartdale.moves.ports import MovableGeneration
 from cartdale.moves.schedule import Turn, find_turn, line_up
 from cartdale.relay.types import UpstreamPort
+from cartdale.switches import Mechanism
 
 #: Between looks at whether those before have their copies.
 _LOOK_EVERY: Millis = 20
@@ -135,7 +136,8 @@
         if began + generation.most_left * TOKEN_LONGEST <= departure.until:
             generation.stay()
             return
-        await self._wait_for_turn(turn, began + turn.waits, load)
+        if self._fleet.switches.has(Mechanism.TURNS):
+            await self._wait_for_turn(turn, began + turn.waits, load)
         if departure.leaves_time(self._clock.now(), turn.takes):
             await generation.leave(departure)
             return
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -10,6 +10,7 @@
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.loads import Load
 from cartdale.fleet.types import EntryRemoved, EntryWritten, ToldFailing
 from cartdale.formatting import format_error
 from cartdale.news.decide import (
@@ -44,6 +45,7 @@
 )
 from cartdale.news.writing import DOMAIN_KIND, NEWS_KIND, NewsWriter
 from cartdale.peers.seal import Envelope, Seal
+from cartdale.switches import Mechanism
 
 #: Between two messages when there is something new, in a small system:
 #: changes that come together travel together.
@@ -100,7 +102,7 @@
         for action in actions:
             match action:
                 case TakeLoads(peer=peer, loads_by_upstream=loads_by_upstream):
-                    self._fleet.loads.hear(peer, loads_by_upstream, now)
+                    self._take_loads(peer, loads_by_upstream)
                 case TakeEntry(entry=entry):
                     self._fleet.tell(EntryWritten(entry, heard=True))
                 case TakeLeaving(upstream=upstream):
@@ -138,6 +140,13 @@
             nursery.start_soon(self._send, bound)
             nursery.start_soon(self._send_domain_news, bound)
 
+    def _take_loads(
+        self, peer: str, loads_by_upstream: dict[str, Load]
+    ) -> None:
+        if self._fleet.switches.has(Mechanism.LOAD_NEWS):
+            now = self._clock.now()
+            self._fleet.loads.hear(peer, loads_by_upstream, now)
+
     async def _receive(self, bound: trio.socket.SocketType) -> None:
         while True:
             try:
--- a/src/cartdale/platform/main.py
+++ b/src/cartdale/platform/main.py
@@ -11,6 +11,7 @@
 from cartdale.exceptions import CartdaleError
 from cartdale.logs import configure_json_logs
 from cartdale.platform.settings import PATH_VARIABLE, load_platform_settings
+from cartdale.switches import OFF_VARIABLE, parse_switches
 
 _DEFAULT_PATH = '/etc/cartdale/local.conf'
 
@@ -20,11 +21,12 @@
     path = Path(os.environ.get(PATH_VARIABLE, _DEFAULT_PATH))
     try:
         settings = load_platform_settings(path)
+        switches = parse_switches(os.environ.get(OFF_VARIABLE, ''))
     except CartdaleError as error:
         sys.stderr.write(f'{error.format_message()}\n')
         sys.exit(error.exit_code)
     configure_json_logs(settings.name)
-    trio.run(_run, GatewayRuntime(settings, path))
+    trio.run(_run, GatewayRuntime(settings, path, switches))
 
 
 async def _run(runtime: GatewayRuntime) -> None:
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -15,6 +15,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.outlook import Outlook
 from cartdale.fleet.types import Upstream
+from cartdale.switches import Mechanism
 
 #: Between looks for room that no message announced.
 _LOOK_EVERY: Millis = 40
@@ -133,6 +134,8 @@
                 chance = float(now < until)
             else:
                 chance = outlook.chance(until - now)
+            if not self._fleet.switches.has(Mechanism.FORECAST):
+                chance = 1
             if now >= until or chance < least_chance:
                 return self._refuse(waiting, outlook, chance)
             least_chance = _LEAST_CHANCE_LEFT
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -36,6 +36,7 @@
     UpstreamCall,
 )
 from cartdale.routes.types import RouteKind
+from cartdale.switches import Mechanism
 
 
 async def place(
@@ -97,7 +98,9 @@
     _tell_fleet(ports.fleet, ended, upstream, streams=streams)
     after, step = decide(state, ended, affordable=True)
     if isinstance(step, TryAgain):
-        paid = ports.budget.withdraw(routed.service, ports.clock.now())
+        paid = ports.fleet.switches.has(
+            Mechanism.RETRIES
+        ) and ports.budget.withdraw(routed.service, ports.clock.now())
         after, step = decide(state, ended, affordable=paid)
     if isinstance(step, GiveUp):
         check_refusal(after, step.problem)
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -42,6 +42,7 @@
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.targets import choose_target
 from cartdale.relay.types import COPY_PATIENCE, ResumePoint, RoutedRequest
+from cartdale.switches import Mechanism
 
 #: Pause before a copy that was refused as busy is asked for again.
 _COPY_PAUSE: Millis = 30
@@ -269,6 +270,8 @@
         """Stop it at its source, if it runs on there behind the link."""
         backup = self._state.backup if self._state else None
         target = backup or self._choose_target(set())
+        if not self._ports.fleet.switches.has(Mechanism.RESCUE):
+            target = None
         action = self._tell(RescueTarget(target))
         if isinstance(action, Copy):
             action = await self._copy(action, _RESCUE_PATIENCE)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -1,6 +1,7 @@
 """Carry a streamed generation, over as many engines as it moves through."""
 
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from enum import StrEnum
 
 import trio
@@ -44,6 +45,7 @@
     UpstreamCall,
     WholeAnswer,
 )
+from cartdale.switches import Mechanism
 
 _SUCCESS = 200
 _FIRST_SERVER_ERROR = 500
@@ -89,7 +91,12 @@
         self._routed = routed
         self._sink = sink
         self._generation = generation
-        self._attempts: AttemptState = begin(routed.route)
+        resumption = ports.fleet.switches.has(Mechanism.RESUMPTION)
+        self._attempts: AttemptState = begin(
+            routed.route
+            if resumption
+            else replace(routed.route, resumable=False)
+        )
         self._frames = EventFrames()
         resumable = routed.route.resumable
         self._last_event = routed.request.last_event if resumable else b''
@@ -262,6 +269,8 @@
         since = self._ports.clock.now() - self._last_at
         if not self._last_at or since < _ASK_AFTER:
             return False
+        if not self._ports.fleet.switches.has(Mechanism.SILENCE):
+            return False
         movable = self._generation.backup or self._may_repeat()
         if movable and since >= _SILENCE:
             return True
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -10,6 +10,7 @@
 from cartdale.moves.estimates import SourceLink
 from cartdale.relay.needs import make_need
 from cartdale.relay.types import RoutedRequest
+from cartdale.switches import Mechanism
 
 #: What another failure domain counts when a target is chosen: the copy takes
 #: twice as long, and the others of the engine wait behind it.
@@ -58,6 +59,8 @@
     spec = fleet.table.services_by_name.get(source.service)
     if spec is None or spec.engine is None or not spec.engine.backups:
         return None
+    if not fleet.switches.has(Mechanism.BACKUPS):
+        return None
     need = make_need(routed, frozenset((source.upstream,)))
     if need.expected < _BACKUP_WORTH:
         return None
--- /dev/null
+++ b/tests/test_switches.py
@@ -0,0 +1,60 @@
+"""Mechanisms that are switched off."""
+
+from random import Random
+
+import pytest
+
+from cartdale.exceptions import BadInputError
+from cartdale.fleet.choose import Surroundings, choose, list_candidates
+from cartdale.fleet.decide import decide
+from cartdale.fleet.loads import Load
+from cartdale.fleet.types import RequestEnded
+from cartdale.switches import Mechanism, Switches, parse_switches
+from tests.test_fleet import SPEC, make_fleet
+from tests.test_pace import TAG
+
+
+def test_names_are_read_and_all_is_on_without_any() -> None:
+    assert parse_switches('') == Switches()
+    off = parse_switches(' moves, forecast,')
+    assert off.off == {Mechanism.MOVES, Mechanism.FORECAST}
+    assert not off.has(Mechanism.MOVES)
+    assert off.has(Mechanism.BACKUPS)
+
+
+def test_unknown_names_are_all_told() -> None:
+    with pytest.raises(BadInputError) as caught:
+        parse_switches('moves,movs,x')
+    told = caught.value.format_message()
+    assert "CARTDALE_OFF:0: off: 'movs' is none of" in told
+    assert "'x' is none of" in told
+
+
+def pick(state, loads, off: str) -> str:
+    around = Surroundings(
+        SPEC, loads, 'west', 1000, switches=parse_switches(off)
+    )
+    chosen = choose(list_candidates(state, TAG), TAG, around, Random(1))
+    assert chosen is not None
+    return chosen.entry.upstream
+
+
+def test_choice_without_interference_goes_by_memory() -> None:
+    loads = {
+        'a': Load(runs=3, tokens=2000, long=3),
+        'b': Load(runs=3, tokens=4000, long=0),
+    }
+    state = make_fleet('a', 'b')
+    assert pick(state, loads, '') == 'b'
+    assert pick(state, loads, 'interference') == 'a'
+
+
+def test_choice_without_avoidance_takes_what_fails() -> None:
+    state = make_fleet('a', 'b')
+    for _ in range(5):
+        state, _ = decide(
+            state, RequestEnded('a', good=False, reached=False), 900
+        )
+    loads = {'b': Load(runs=1, tokens=900, long=1)}
+    assert pick(state, loads, '') == 'b'
+    assert pick(state, loads, 'avoidance') == 'a'
