--- /dev/null
+++ b/src/cartdale/command/causes.py
@@ -0,0 +1,134 @@
+"""Name the cause of what became of a request, from its log lines."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from cartdale.command.timeline import LogLine
+
+
+class Cause(StrEnum):
+    """Say in words what became of a request."""
+
+    ANSWERED = 'answered'
+    UPSTREAM_FAILED = 'the upstream answered with a failure'
+    NO_ROOM = 'refused: no room was likely to come in its time'
+    NOT_READY = 'refused: the instance had no configuration yet'
+    TURNED_AWAY = 'refused: every upstream that was asked turned it away'
+    NOT_ALLOWED = 'refused: the configuration does not allow it'
+    TIME_LIMIT = 'no answer came within its time limit'
+    ENGINE_GONE = 'its engine left before its memory was copied'
+    ENGINE_LOST = 'its engine was lost without a copy of its memory'
+    LINK_BROKE = 'the link to its upstream broke; it may have run'
+    CALLER_LEFT = 'the caller left'
+    CHECK_FAILED = 'a check of the program ended it'
+    INSTANCE_LOST = 'its instance was killed or lost its machine'
+    UNKNOWN = 'its end is not in these logs'
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Hold a cause, and what the lines say of it.
+
+    :param detail: figures and names; empty for none.
+    """
+
+    cause: Cause
+    detail: str = ''
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell whether the caller was not served."""
+        return self.cause not in {Cause.ANSWERED, Cause.CALLER_LEFT}
+
+
+def name_cause(own: Sequence[LogLine], restarts: Iterable[float]) -> Verdict:
+    """Return what became of a request.
+
+    :param own: its lines, in the order of their times.
+    :param restarts: when its instance started, in wall time.
+    """
+    by_event = {line.event: line for line in own}
+    for event, judge in _JUDGES:
+        if event in by_event:
+            verdict = judge(by_event)
+            if verdict is not None:
+                return verdict
+    last = own[-1].at
+    started = [at for at in restarts if at > last]
+    if started:
+        detail = f'it started again {min(started) - last:.1f} s later'
+        return Verdict(Cause.INSTANCE_LOST, detail)
+    return Verdict(Cause.UNKNOWN)
+
+
+def _judge_check(by_event: dict[str, LogLine]) -> Verdict:
+    detail = str(by_event['request failed'].details.get('detail', ''))
+    return Verdict(Cause.CHECK_FAILED, detail)
+
+
+def _judge_caller(by_event: dict[str, LogLine]) -> Verdict:
+    return Verdict(Cause.CALLER_LEFT)
+
+
+def _judge_stream(by_event: dict[str, LogLine]) -> Verdict:
+    details = by_event['stream ended'].details
+    events = f'after {details.get("events", 0)} events'
+    match details.get('end'):
+        case 'whole':
+            return Verdict(Cause.ANSWERED)
+        case 'failed':
+            return Verdict(Cause.UPSTREAM_FAILED)
+        case _:
+            return _judge_cut(by_event, events)
+
+
+def _judge_cut(by_event: dict[str, LogLine], events: str) -> Verdict:
+    if 'time limit' in by_event:
+        return Verdict(Cause.TIME_LIMIT, events)
+    left = by_event.get('not moved') or by_event.get('turn')
+    if left is None:
+        return Verdict(Cause.ENGINE_LOST, events)
+    ahead = left.details.get('ahead', 0)
+    upstream = left.details.get('upstream', '')
+    detail = f'{upstream} {events}, {ahead} copies before it'.strip()
+    return Verdict(Cause.ENGINE_GONE, detail)
+
+
+def _judge_refusal(by_event: dict[str, LogLine]) -> Verdict:
+    details = by_event['refused'].details
+    held = f'after {details.get("held", 0)} ms'
+    if 'status' in details:
+        return Verdict(Cause.NOT_ALLOWED, f'status {details["status"]}')
+    match details.get('problem'), details.get('reason'):
+        case 'NotRun', _ if 'no room' in by_event:
+            said = by_event['no room'].details
+            chance = f'chance {said.get("chance")}'
+            return Verdict(Cause.NO_ROOM, f'{held}, {chance}')
+        case 'NotRun', str(reason) if 'configuration' in reason:
+            return Verdict(Cause.NOT_READY)
+        case 'NotRun', _:
+            return Verdict(Cause.TURNED_AWAY, held)
+        case 'OutcomeUnknown', _ if 'time limit' in str(details.get('detail')):
+            return Verdict(Cause.TIME_LIMIT, held)
+        case _:
+            return Verdict(Cause.LINK_BROKE, str(details.get('detail', '')))
+
+
+def _judge_attempt(by_event: dict[str, LogLine]) -> Verdict | None:
+    details = by_event['attempt ended'].details
+    if details.get('step') != 'PassOn':
+        return None
+    if details.get('good'):
+        return Verdict(Cause.ANSWERED)
+    return Verdict(Cause.UPSTREAM_FAILED, str(details.get('upstream', '')))
+
+
+#: What decides goes first: a request may have lines of several kinds.
+_JUDGES = (
+    ('request failed', _judge_check),
+    ('caller left', _judge_caller),
+    ('stream ended', _judge_stream),
+    ('refused', _judge_refusal),
+    ('attempt ended', _judge_attempt),
+)
--- a/src/cartdale/command/main.py
+++ b/src/cartdale/command/main.py
@@ -12,6 +12,7 @@
     ValidateCommand,
 )
 from cartdale.command.reporting import ReportCommand
+from cartdale.command.summarizing import SummarizeCommand
 from cartdale.command.watching import (
     DrainCommand,
     HistoryCommand,
@@ -33,6 +34,7 @@
         GenerateCommand(),
         CallCommand(),
         ExplainCommand(),
+        SummarizeCommand(),
     ):
         application.add(command)
     return application
--- /dev/null
+++ b/src/cartdale/command/timeline.py
@@ -0,0 +1,171 @@
+"""Read instances' logs, and select what bears on one request."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+#: What every line carries; it is not repeated in each line of a timeline.
+_COMMON = frozenset(
+    ('at', 'time', 'level', 'event', 'node', 'instance', 'request')
+)
+#: Events of an instance that bear on all requests there.
+_OF_INSTANCE = frozenset(
+    ('leaving', 'lines dropped', 'serving', 'started', 'store lost')
+)
+#: Events of an upstream; those of all instances bear on its requests.
+_OF_UPSTREAM = frozenset(
+    (
+        'emptying upstream',
+        'engine says it leaves',
+        'upstream changed',
+        'upstream ends',
+    )
+)
+_CONFIGURED = 'configuration in force'
+#: Around a request's first and last line, what happened so many seconds
+#: before and after is shown as well.
+_MARGIN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold one line of an instance's log.
+
+    :param at: wall time in seconds.
+    :param request: empty when the line names none.
+    :param details: everything else that it says, by name.
+    """
+
+    at: float
+    event: str
+    node: str
+    request: str
+    details: dict[str, Any]
+
+    def names_route(self, route: str) -> bool:
+        """Tell whether a change of the configuration may concern a route."""
+        changed = str(self.details.get('routes', ''))
+        return not changed or route in changed.split(' ')
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """Hold what a request's own lines name.
+
+    :param first: time of its first line.
+    :param last: time of its last line.
+    """
+
+    first: float
+    last: float
+    nodes: frozenset[str]
+    upstreams: frozenset[str]
+    route: str
+
+    def concerns(self, line: LogLine) -> bool:
+        """Tell whether a line without a request bears on this one."""
+        if not self.first - _MARGIN <= line.at <= self.last + _MARGIN:
+            return False
+        if line.event in _OF_UPSTREAM:
+            return line.details.get('upstream') in self.upstreams
+        if line.node not in self.nodes:
+            return False
+        if line.event == _CONFIGURED:
+            return line.names_route(self.route)
+        return line.event in _OF_INSTANCE
+
+
+def parse_lines(texts: Iterable[str]) -> list[LogLine]:
+    """Return the log lines of several files in the order of their times.
+
+    What stands before a line's JSON, such as another program's stamp, and
+    lines of other forms are passed over.
+    """
+    lines: list[LogLine] = []
+    for text in texts:
+        for raw in text.splitlines():
+            line = _parse(raw)
+            if line is not None:
+                lines.append(line)
+    lines.sort(key=_time_of)
+    return lines
+
+
+def select_lines(
+    lines: Iterable[LogLine], request: str, *, everything: bool = False
+) -> list[LogLine]:
+    """Return a request's lines, and what happened around them.
+
+    :param everything: keep all lines of its instances and of that time.
+    """
+    listed = list(lines)
+    own = [line for line in listed if line.request == request]
+    if not own:
+        return []
+    scene = describe_scene(own)
+    around = [
+        line
+        for line in listed
+        if not line.request and (_is_near(line, scene, everything))
+    ]
+    return sorted((*own, *around), key=_time_of)
+
+
+def describe_scene(own: list[LogLine]) -> Scene:
+    """Return what a request's lines name.
+
+    :param own: its lines, in the order of their times.
+    """
+    named = [line.details for line in own]
+    routes = [details['route'] for details in named if 'route' in details]
+    return Scene(
+        first=own[0].at,
+        last=own[-1].at,
+        nodes=frozenset(line.node for line in own),
+        upstreams=frozenset(
+            details['upstream'] for details in named if 'upstream' in details
+        ),
+        route=routes[-1] if routes else '',
+    )
+
+
+def format_line(line: LogLine, origin: float) -> str:
+    """Return a line for people; its time counts from ``origin``."""
+    told = ' '.join(f'{name}={what}' for name, what in line.details.items())
+    mark = ' ' if line.request else '~'
+    passed = line.at - origin
+    return f'{passed:8.3f} s {mark} {line.node} {line.event} {told}'
+
+
+def _is_near(line: LogLine, scene: Scene, everything: bool) -> bool:
+    if everything:
+        near = scene.first - _MARGIN <= line.at <= scene.last + _MARGIN
+        return near and line.node in scene.nodes
+    return scene.concerns(line)
+
+
+def _parse(raw: str) -> LogLine | None:
+    begins = raw.find('{')
+    if begins < 0:
+        return None
+    try:
+        fields = msgspec.json.decode(raw[begins:], type=dict[str, Any])
+    except msgspec.MsgspecError:
+        return None
+    if not {'event', 'at'} <= fields.keys():
+        return None
+    return LogLine(
+        at=float(fields['at']),
+        event=fields['event'],
+        node=fields.get('node', ''),
+        request=fields.get('request', ''),
+        details={
+            name: inner for name, inner in fields.items() if name not in _COMMON
+        },
+    )
+
+
+def _time_of(line: LogLine) -> float:
+    return line.at
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -32,6 +32,7 @@
     UpstreamEntry,
 )
 from cartdale.formatting import list_plain_fields
+from cartdale.routes.match import list_changed_routes
 from cartdale.store.types import (
     Changes,
     Entry,
@@ -49,6 +50,8 @@
 _GATHER: Millis = 50
 #: An entry that goes within this time after an outage may come back.
 _OUTAGE_RECENT: Millis = 3 * SECOND_MS
+#: Routes that one log line names; a large change names none of the rest.
+_MOST_NAMED = 12
 #: The prefix of all keys.
 _EVERYTHING = ''
 #: Between reads of an instance that does not watch, and between its looks
@@ -115,13 +118,20 @@
         :param written: from the store or from a peer.
         """
         version = written.table.version
-        if version <= self._fleet.table.version:
+        before = self._fleet.table
+        if version <= before.version:
             return
+        changed = list_changed_routes(before, written.table)
         self._fleet.table = written.table
         self.raw_table = written.raw
         self.configured.set()
         self._fleet.notify()
-        logger.info('configuration in force', version=version)
+        logger.info(
+            'configuration in force',
+            version=version,
+            changed=len(changed),
+            routes=' '.join(changed[:_MOST_NAMED]),
+        )
 
     async def _rest(self) -> None:
         """Wait until this instance has to watch or may have missed news."""
--- a/src/cartdale/routes/match.py
+++ b/src/cartdale/routes/match.py
@@ -16,6 +16,16 @@
     return None
 
 
+def list_changed_routes(before: RoutingTable, after: RoutingTable) -> list[str]:
+    """Return the names of routes that came, went or are not as they were."""
+    old, new = _name_routes(before), _name_routes(after)
+    return sorted(
+        name
+        for name in old.keys() | new.keys()
+        if old.get(name) != new.get(name)
+    )
+
+
 def needs_key(table: RoutingTable, route: Route) -> bool:
     """Tell whether a request on the route has to carry a known key."""
     return bool(table.customers_by_key) and not route.anonymous
@@ -35,3 +45,11 @@
     services = [share.service for share in route.shares]
     weights = [share.weight for share in route.shares]
     return generator.choices(services, weights)[0]
+
+
+def _name_routes(table: RoutingTable) -> dict[str, Route]:
+    return {
+        route.name: route
+        for routes in table.routes_by_host.values()
+        for route in routes
+    }
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,11 +5,8 @@
 
 from cleo.testers.command_tester import CommandTester
 
-from cartdale.command.explaining import (
-    ExplainCommand,
-    parse_lines,
-    select_lines,
-)
+from cartdale.command.explaining import ExplainCommand
+from cartdale.command.timeline import parse_lines, select_lines
 
 
 def make_line(at: float, event: str, node: str = 'front-1', **more) -> str:
