--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -86,9 +86,9 @@
 def _judge_cut(by_event: dict[str, LogLine], events: str) -> Verdict:
     if 'time limit' in by_event:
         return Verdict(Cause.TIME_LIMIT, events)
-    left = by_event.get('not moved') or by_event.get('turn')
-    if left is None:
+    if 'not moved' not in by_event and 'turn' not in by_event:
         return Verdict(Cause.ENGINE_LOST, events)
+    left = by_event['not moved' if 'not moved' in by_event else 'turn']
     ahead = left.details.get('ahead', 0)
     upstream = left.details.get('upstream', '')
     detail = f'{upstream} {events}, {ahead} copies before it'.strip()
