Refuse at once what can't be answered in time

Kept is the last: who can't be in time is told so at once, and when to come back, and does not stand in the way of those who can. The order by lateness goes with it.

--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -7,6 +7,10 @@
 from cartdale.command.timeline import LogLine
 
 
+#: Lines on a departure; the first in the order of letters says more.
+_DEPARTURES = frozenset(('not moved', 'turn'))
+
+
 class Cause(StrEnum):
     """Say in words what became of a request."""
 
@@ -86,12 +90,10 @@
 def _judge_cut(by_event: dict[str, LogLine], events: str) -> Verdict:
     if 'time limit' in by_event:
         return Verdict(Cause.TIME_LIMIT, events)
-    departures = [
-        by_event[event] for event in ('not moved', 'turn') if event in by_event
-    ]
+    departures = _DEPARTURES & by_event.keys()
     if not departures:
         return Verdict(Cause.ENGINE_LOST, events)
-    left = departures[0]
+    left = by_event[min(departures)]
     ahead = left.details.get('ahead', 0)
     upstream = left.details.get('upstream', '')
     detail = f'{upstream} {events}, {ahead} copies before it'.strip()
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from bisect import insort
 from dataclasses import dataclass
 
 import trio
@@ -37,26 +38,17 @@
 _RETRY_SPREAD = 0.5
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Ticket:
-    """Hold a request's place among those that wait.
+    """Rank a waiting request: the urgent first, then the oldest.
 
     :param number: tells apart what arrived in the same millisecond.
     """
 
-    waiting: 'Waiting'
+    priority: int
+    arrived_at: Millis
     number: int
 
-    def rank(self, now: Millis) -> tuple[int, bool, Millis, int]:
-        """Return what the order goes by.
-
-        The urgent first; then those who can still be answered in time, for
-        whom room is worth most; then the oldest.
-        """
-        waiting = self.waiting
-        late = now > waiting.in_time_until
-        return waiting.priority, late, waiting.arrived_at, self.number
-
 
 @dataclass(frozen=True, slots=True)
 class NoRoom:
@@ -72,16 +64,14 @@
 class Waiting:
     """Describe a request that may have to wait.
 
-    :param in_time_until: when it must be on its way to be answered within its
-        target latency, in monotonic milliseconds.
-    :param until: the same for an answer that its caller still takes.
+    :param until: when it must be on its way to be answered within its target
+        latency, in monotonic milliseconds.
     """
 
     request_id: str
     need: Need
     priority: int
     arrived_at: Millis
-    in_time_until: Millis
     until: Millis
 
 
@@ -96,37 +86,36 @@
         self._fleet = fleet
         self._clock = clock
         self._generator = random.Random(seed)
-        #: The tickets of the requests that wait.
-        self._queues_by_service: dict[str, set[Ticket]] = {}
+        #: The tickets of the requests that wait, the next one first.
+        self._queues_by_service: dict[str, list[Ticket]] = {}
         self._arrivals = 0
 
     async def place(self, waiting: Waiting) -> Upstream | NoRoom:
         """Wait for room as long as it is likely to come in time."""
         service = waiting.need.service
-        queue = self._queues_by_service.setdefault(service, set())
+        queue = self._queues_by_service.setdefault(service, [])
         self._arrivals += 1
-        ticket = Ticket(waiting, self._arrivals)
-        queue.add(ticket)
+        ticket = Ticket(waiting.priority, waiting.arrived_at, self._arrivals)
+        insort(queue, ticket)
         try:
             return await self._wait(queue, ticket, waiting)
         finally:
-            queue.discard(ticket)
+            queue.remove(ticket)
             if queue:
                 self._fleet.notify()
 
     async def _wait(
-        self, queue: set[Ticket], ticket: Ticket, waiting: Waiting
+        self, queue: list[Ticket], ticket: Ticket, waiting: Waiting
     ) -> Upstream | NoRoom:
         least_chance = _LEAST_CHANCE
         began = self._clock.now()
         while True:
-            now = self._clock.now()
-            rank = ticket.rank(now)
-            ahead = sum(other.rank(now) < rank for other in queue)
+            ahead = queue.index(ticket)
             if not ahead:
                 chosen = self._fleet.choose(waiting.need)
                 if chosen is not None:
                     return chosen
+            now = self._clock.now()
             outlook = self._fleet.foresee(waiting.need, ahead)
             until = waiting.until
             if outlook.expected_wait() is None:
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -130,10 +130,10 @@
 
 
 def _describe_wait(routed: RoutedRequest, need: Need, pace: Pace) -> Waiting:
-    """Return until when a request may wait, so that its caller is served.
+    """Return until when a request may wait to be answered in time.
 
-    The answer must end before the time limit, and a stream must begin before
-    its caller gives it up.
+    The answer must also end before the time limit, and a stream must begin
+    before its caller gives it up.
     """
     route = routed.route
     begins, ends = pace.answer_time, pace.answer_time
@@ -141,15 +141,14 @@
         begins = pace.read_time(need.reads)
         ends = begins + need.expected * pace.token_time
     until = routed.ends_at - int(ends)
-    if route.patience:
-        until = min(until, routed.arrived_at + route.patience - int(begins))
-    in_time = route.target_latency or routed.ends_at - routed.arrived_at
+    for bound in (route.target_latency, route.patience):
+        if bound:
+            until = min(until, routed.arrived_at + bound - int(begins))
     return Waiting(
         request_id=routed.request.request_id,
         need=need,
         priority=routed.priority,
         arrived_at=routed.arrived_at,
-        in_time_until=routed.arrived_at + in_time - int(begins),
         until=until,
     )
 
