--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -6,7 +6,6 @@
 
 from cartdale.command.timeline import LogLine
 
-
 #: Lines on a departure; the first in the order of letters says more.
 _DEPARTURES = frozenset(('not moved', 'turn'))
 
