--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -104,19 +104,26 @@
     held = f'after {details.get("held", 0)} ms'
     if 'status' in details:
         return Verdict(Cause.NOT_ALLOWED, f'status {details["status"]}')
-    match details.get('problem'), details.get('reason'):
-        case 'NotRun', _ if 'no room' in by_event:
-            said = by_event['no room'].details
-            chance = f'chance {said.get("chance")}'
-            return Verdict(Cause.NO_ROOM, f'{held}, {chance}')
-        case 'NotRun', str(reason) if 'configuration' in reason:
-            return Verdict(Cause.NOT_READY)
-        case 'NotRun', _:
-            return Verdict(Cause.TURNED_AWAY, held)
-        case 'OutcomeUnknown', _ if 'time limit' in str(details.get('detail')):
+    detail = str(details.get('detail', ''))
+    match details.get('problem'):
+        case 'NotRun':
+            return _judge_not_run(by_event, str(details.get('reason')), held)
+        case 'OutcomeUnknown' if 'time limit' in detail:
             return Verdict(Cause.TIME_LIMIT, held)
         case _:
-            return Verdict(Cause.LINK_BROKE, str(details.get('detail', '')))
+            return Verdict(Cause.LINK_BROKE, detail)
+
+
+def _judge_not_run(
+    by_event: dict[str, LogLine], reason: str, held: str
+) -> Verdict:
+    room = by_event.get('no room')
+    if room is not None:
+        chance = room.details.get('chance')
+        return Verdict(Cause.NO_ROOM, f'{held}, chance {chance}')
+    if 'configuration' in reason:
+        return Verdict(Cause.NOT_READY)
+    return Verdict(Cause.TURNED_AWAY, held)
 
 
 def _judge_attempt(by_event: dict[str, LogLine]) -> Verdict | None:
