--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -102,8 +102,9 @@
 def _judge_refusal(by_event: dict[str, LogLine]) -> Verdict:
     details = by_event['refused'].details
     held = f'after {details.get("held", 0)} ms'
-    if 'status' in details:
-        return Verdict(Cause.NOT_ALLOWED, f'status {details["status"]}')
+    status = details.get('status', 0)
+    if status:
+        return Verdict(Cause.NOT_ALLOWED, f'status {status}')
     detail = str(details.get('detail', ''))
     match details.get('problem'):
         case 'NotRun':
