Never cancel the write of an event when a silent link is left

Cause: leaving a silent link cancelled whatever the stream did, also the write of an event that had come meanwhile and was counted already; it went on after an event that the caller never got. And the new link was held to the time of the old one's last event, so that it was left at once. Ruled out: the backup (it went on where it was told).

Change: only the wait for bytes is cancelled, and each link has its own time. Two tests, both fail on the code before.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -102,8 +102,13 @@
         self._last_event = routed.request.last_event if resumable else b''
         #: An upstream's own failure, passed on if nobody else is asked.
         self._failure: WholeAnswer | None = None
-        #: Whether the generation is on its way from a silent link to another.
+        #: Around each wait for bytes of the present link.
+        self._reading = trio.CancelScope()
+        self._link_since: Millis = 0
+        #: Whether the generation is on its way from a silent link to another,
+        #: and whether it is gone.
         self._leaving_link = False
+        self._link_left = False
         self._next: UpstreamEntry | None = None
         self._started = False
         self._sent = False
@@ -238,35 +243,53 @@
 
     async def _pass_until_end(self, chunks: AsyncIterator[bytes]) -> str:
         """Pass events on; return how the link broke, empty for its end."""
-        broken = 'silence'
+        self._link_since = self._ports.clock.now()
+        self._leaving_link = False
+        self._link_left = False
         self._next = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_silence, nursery.cancel_scope)
-            try:
-                async for chunk in chunks:
-                    await self._pass(chunk)
-                broken = ''
-            except LinkBrokeError as error:
-                broken = error.detail
+            nursery.start_soon(self._watch_silence)
+            broken = await self._pass_chunks(chunks)
             if not self._leaving_link:
                 nursery.cancel_scope.cancel()
         return broken
 
-    async def _watch_silence(self, reading: trio.CancelScope) -> None:
+    async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> str:
+        """Pass events on until the link ends, breaks or was left.
+
+        Only the reading is ever cancelled: an event that is being written
+        counts as passed on already.
+        """
+        while not self._link_left:
+            self._reading = trio.CancelScope()
+            try:
+                with self._reading:
+                    chunk = await anext(chunks, None)
+            except LinkBrokeError as error:
+                return error.detail
+            if self._reading.cancelled_caught:
+                break
+            if chunk is None:
+                return ''
+            await self._pass(chunk)
+        return 'silence'
+
+    async def _watch_silence(self) -> None:
         """Leave the link once it is silent though more could come.
 
         It stays open until the generation has stopped: an engine whose
         connection closes drops what it runs.
         """
-        self._leaving_link = False
         while not await self._is_silent():
             await trio.sleep(seconds(_ASK_AFTER))
         self._leaving_link = True
         self._next = await self._generation.lose_link()
-        reading.cancel()
+        self._link_left = True
+        self._reading.cancel()
 
     async def _is_silent(self) -> bool:
-        since = self._ports.clock.now() - self._last_at
+        last_at = max(self._last_at, self._link_since)
+        since = self._ports.clock.now() - last_at
         if not self._last_at or since < _ASK_AFTER:
             return False
         if not self._ports.fleet.switches.has(Mechanism.SILENCE):
--- /dev/null
+++ b/tests/test_silent_links.py
@@ -0,0 +1,126 @@
+"""A link that is left while events still come counts none that is not sent."""
+
+from collections.abc import AsyncIterator
+
+import trio
+
+from cartdale.clock import SystemClock
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay.admission import Admission
+from cartdale.relay.discards import Discards
+from cartdale.relay.ports import RelayPorts
+from cartdale.relay.stream import StreamCarrier
+from cartdale.relay.types import (
+    CallerRequest,
+    OpenedAnswer,
+    RoutedRequest,
+    Standing,
+)
+from cartdale.retries.window import RepeatBudget
+from cartdale.routes.types import Route, RouteKind
+
+ELSEWHERE = UpstreamEntry('b', 's', 'b:80', 'west', 4)
+
+
+class SlowSink:
+    """Take some time for each write, as a caller that reads slowly."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+
+    async def start(self, status: int, headers: object) -> None:
+        """Take the head."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        await trio.sleep(0.8)
+        self.written.append(chunk)
+
+    async def finish(self) -> None:
+        """Take the end."""
+
+
+class BackedUp:
+    """A generation with a backup, which takes a while to leave its engine."""
+
+    backup = 'b'
+    is_stopped = False
+    request_id = 'r'
+    upstream = 'a'
+
+    def __init__(self) -> None:
+        self.events = 0
+        self.left = 0
+
+    def advance(self) -> None:
+        """Count an event."""
+        self.events += 1
+
+    async def lose_link(self) -> UpstreamEntry:
+        """Leave the engine."""
+        self.left += 1
+        await trio.sleep(0.3)
+        return ELSEWHERE
+
+
+def make_carrier(sink: SlowSink, generation: BackedUp) -> StreamCarrier:
+    clock = SystemClock()
+    fleet = Fleet(clock, 'west', 1)
+    ports = RelayPorts(
+        clock=clock,
+        fleet=fleet,
+        admission=Admission(fleet, clock, 1),
+        upstreams=None,
+        budget=RepeatBudget(0.2, 50, 10000),
+        discards=Discards(None),
+    )
+    request = CallerRequest('r', 'POST', 'h', b'/', '', 0, ())
+    route = Route('d', 'h', '/', RouteKind.STREAM, 9000, 2000, ())
+    routed = RoutedRequest(request, route, 's', '', 0, 0, 9000)
+    return StreamCarrier(ports, routed, sink, generation)
+
+
+def make_answer(chunks: AsyncIterator[bytes]) -> OpenedAnswer:
+    return OpenedAnswer(200, (), Standing.RAN, chunks)
+
+
+async def test_event_that_is_written_as_the_link_is_left_arrives(
+    autojump_clock,
+) -> None:
+    async def come_late() -> AsyncIterator[bytes]:
+        yield b'id: 1\n\n'
+        # The silence is noticed after 1 s, and the engine left 0.3 s later:
+        # in the middle of the write.
+        await trio.sleep(0.4)
+        yield b'id: 2\n\n'
+        await trio.sleep_forever()
+
+    # The clock of tests begins at 0, which stands for never.
+    await trio.sleep(1)
+    sink, generation = SlowSink(), BackedUp()
+    carrier = make_carrier(sink, generation)
+    ended = await carrier._pass_events(make_answer(come_late()))
+    assert ended == ELSEWHERE
+    assert sink.written == [b'id: 1\n\n', b'id: 2\n\n']
+    assert generation.events == 2
+
+
+async def test_new_link_has_its_own_time(autojump_clock) -> None:
+    async def come(delay: float) -> AsyncIterator[bytes]:
+        yield b'id: 1\n\n'
+        await trio.sleep(delay)
+
+    async def follow() -> AsyncIterator[bytes]:
+        await trio.sleep(0.8)
+        yield b'id: 2\n\n'
+
+    # The clock of tests begins at 0, which stands for never.
+    await trio.sleep(1)
+    sink, generation = SlowSink(), BackedUp()
+    carrier = make_carrier(sink, generation)
+    await carrier._pass_events(make_answer(come(5)))
+    assert generation.left == 1
+    await carrier._pass_events(make_answer(follow()))
+    assert generation.left == 1
+    assert len(sink.written) == 2
