Let an instance that stood still read before it leaves a link

A frozen instance that wakes finds each stream silent for longer than a link may be, though what its engines made meanwhile lies there. It waits once more now. A test with a clock that jumps, which fails on the code before.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -280,8 +280,13 @@
         It stays open until the generation has stopped: an engine whose
         connection closes drops what it runs.
         """
-        while not await self._is_silent():
+        ran_on = False
+        while not ran_on or not await self._is_silent():
+            slept_at = self._ports.clock.now()
             await trio.sleep(seconds(_ASK_AFTER))
+            # An instance that stood still itself first reads what has come.
+            slept = self._ports.clock.now() - slept_at
+            ran_on = slept < 2 * _ASK_AFTER
         self._leaving_link = True
         self._next = await self._generation.lose_link()
         self._link_left = True
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -124,3 +124,22 @@
     await carrier._pass_events(make_answer(follow()))
     assert generation.left == 1
     assert len(sink.written) == 2
+
+
+async def test_instance_that_stood_still_reads_what_came(
+    autojump_clock,
+) -> None:
+    async def come() -> AsyncIterator[bytes]:
+        yield b'id: 1\n\n'
+        await trio.sleep(0.3)
+        yield b'id: 2\n\n'
+
+    await trio.sleep(1)
+    sink, generation = SlowSink(), BackedUp()
+    carrier = make_carrier(sink, generation)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(carrier._pass_events, make_answer(come()))
+        await trio.sleep(0.2)
+        autojump_clock.jump(3)
+    assert not generation.left
+    assert len(sink.written) == 2
