Notice a lost watch before the bounds hold again

Cause: a watch that the store never answers, since it was silent for a moment, was missed only after its 5 s and one more, and the watches of all watchers were lost in the same silence; instances are held to their bounds again after 3 s. Ruled out: news (both other instances had lost theirs too) and the load (the log shows the read time-outs of both watches at the same moment).

Change: a watch is held for the time in contact less a second (2 s of 3), and missed half a second later. A watcher calls the store some 18 times more a minute. A test with a virtual clock fails on the code before.

--- a/scripts/demo_platform_traffic.py
+++ b/scripts/demo_platform_traffic.py
@@ -8,11 +8,13 @@
 import httpx
 import trio
 
-from cartdale.store.types import Put
+from cartdale.platform.pools import make_pool
+from cartdale.platform.settings import Endpoint
 from cartdale.platform.store import PlatformStore
+from cartdale.store.types import Put
 from cartdale_standins.platform_engine import STRIDE, format_event
 
-STORE = 'http://127.0.0.1:7501'
+STORE = Endpoint('127.0.0.1', 7501)
 HOST = 'mill.example'
 KEY = 'demo-key-of-the-mill'
 DRAFTS = 12
@@ -42,12 +44,11 @@
 
 async def configure() -> None:
     """Write the operator's configuration, once the store is up."""
-    async with httpx.AsyncClient(base_url=STORE) as client:
-        store = PlatformStore(client, 1000)
-        document = Put('op/config', CONFIGURATION.read_bytes())
-        with trio.fail_after(TIMEOUT):
-            while not is_done(await store.transact((), (document,))):
-                await trio.sleep(0.1)
+    store = PlatformStore(make_pool(), STORE, 1000)
+    document = Put('op/config', CONFIGURATION.read_bytes())
+    with trio.fail_after(TIMEOUT):
+        while not is_done(await store.transact((), (document,))):
+            await trio.sleep(0.1)
 
 
 def is_done(outcome: object) -> bool:
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -101,6 +101,7 @@
             self.peers.take_own_key,
             self.peers.news.is_watcher,
             self.peers.news.is_silent,
+            max(settings.bounds.contact - SECOND_MS, SECOND_MS),
         )
         bounds = settings.bounds
         self._budget = RepeatBudget(
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -42,9 +42,10 @@
     WatchedStore,
 )
 
-#: How long the store holds a watch without a change. A lost watch is noticed
-#: after so long at the latest.
-WATCH_FOR: Millis = 5 * SECOND_MS
+#: How long the store holds a watch without a change, where nothing else is
+#: said. One that was lost is noticed soon after, and must be before this
+#: instance is held to its bounds again, three seconds after the trouble.
+WATCH_FOR: Millis = 2 * SECOND_MS
 #: Pause after changes: many come together, such as the entries of engines
 #: that are taken away at once, and each answer to a watch is a priced call.
 _GATHER: Millis = 50
@@ -75,6 +76,7 @@
     :param watches: tells whether this instance is one of those that watch;
         the others hear of changes in news, and read all once in a while.
     :param hears_nobody: tells whether no news came of late.
+    :param watch_for: how long the store holds a watch without a change.
     """
 
     def __init__(
@@ -86,7 +88,9 @@
         take_own: Callable[[OwnKey], None],
         watches: Callable[[], bool],
         hears_nobody: Callable[[], bool],
+        watch_for: Millis = WATCH_FOR,
     ) -> None:
+        self._watch_for = watch_for
         self._watches = watches
         self._hears_nobody = hears_nobody
         self._take_own = take_own
@@ -200,7 +204,9 @@
     async def _watch(self, revision: int) -> None:
         """Follow changes until the store fails or has forgotten some."""
         while self._watches():
-            answer = await self._store.watch(_EVERYTHING, revision, WATCH_FOR)
+            answer = await self._store.watch(
+                _EVERYTHING, revision, self._watch_for
+            )
             match answer:
                 case Success(changes):
                     revision = await self._take_changes(changes, revision)
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -37,12 +37,14 @@
     :param retry_ratio: repeats allowed for each request of a service.
     :param retry_window: span over which repeats are counted.
     :param retry_slack: repeats allowed on top, in all instances together.
+    :param contact: an instance is held to its bounds so long after a trouble.
     """
 
     grace: Millis
     retry_ratio: float
     retry_window: Millis
     retry_slack: float
+    contact: Millis = 3 * SECOND_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,9 @@
             retry_ratio=reader.take('bounds.retryBudgetRatio', float, float()),
             retry_window=reader.take('bounds.budgetWindowS', _parse_seconds, 0),
             retry_slack=reader.take('bounds.budgetSlack', float, float()),
+            contact=reader.take_optional(
+                'bounds.contactMs', int, 3 * SECOND_MS
+            ),
         ),
         control=reader.take_optional('listen.control', _parse_endpoint, None),
         seeds=reader.take_optional('seeds', _parse_endpoints, ()),
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -44,7 +44,7 @@
 _PATH_REVOKE = '/cartdale/kv-lease-end/'
 
 #: How long a held watch may answer late before it is taken for lost.
-_WATCH_SLACK: Millis = SECOND_MS
+_WATCH_SLACK: Millis = SECOND_MS // 2
 
 #: Statuses that say that the call had no effect.
 _REFUSED = frozenset(
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import SystemClock
+from cartdale.codec import encode_json
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.fleet.types import Lifecycle
@@ -17,6 +18,7 @@
     StoreFailure,
     StoreUnavailable,
 )
+from tests.platform_stage import make_configuration
 
 ENTRY = Entry('servers/i', b'{"service":"s","address":"a:1"}', 1, 1)
 
@@ -122,3 +124,41 @@
         return 10 <= trio.current_time() - began <= 11
 
     assert 2 <= await read_by_a_listener(cut_off_for_a_second, 12) <= 3
+
+
+@dataclass
+class SilencedStore(ScriptedStore):
+    """Lose each watch that begins before a time; its answer never comes."""
+
+    silent_until: float = 0
+    #: What the adapter waits beyond the time for which a watch is held.
+    slack: float = 0.5
+
+    async def watch(
+        self, prefix: str, after: int, timeout: int
+    ) -> Result[Changes, StoreFailure]:
+        if trio.current_time() < self.silent_until:
+            await trio.sleep(timeout / 1000 + self.slack)
+            return Failure(StoreUnavailable('silence'))
+        return await super().watch(prefix, after, timeout)
+
+
+async def test_lost_watch_is_noticed_before_the_bounds_hold_again(
+    autojump_clock,
+) -> None:
+    began = trio.current_time()
+    later = Entry('op/config', encode_json(make_configuration(2)), 2, 1)
+    store = SilencedStore(
+        [Success(Listing((ENTRY,), 1))], silent_until=began + 1
+    )
+    # Three seconds after the silence the operator writes; two more are the
+    # bound of a configuration.
+    store.changes = [(began + 4, later)]
+    follower = make_follower(store, lambda: True, bool)
+    # The watch begins at the end of the silence.
+    await trio.sleep(0.9)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(5.1)
+        assert follower.configured.is_set()
+        nursery.cancel_scope.cancel()
