Say in one place whether another attempt may follow, and how a message is wrapped

Plain requests and streams each worked out whether a run may follow the attempt under way; the attempts' state tells it now. Briefings put their message into an envelope as calls between instances do, by lines of their own; one function serves both, and the head of a sealed answer stands once.

Left: a request without room looks at all loads twice, once to choose and once to forecast; the news wrap a message that is encoded already, so that they keep their own lines.

--- a/src/cartdale/asgi.py
+++ b/src/cartdale/asgi.py
@@ -10,6 +10,9 @@
 #: Names the kind of a scope or event.
 TYPE: Final = 'type'
 
+#: Heads an answer whose body is a sealed message.
+BINARY_HEADERS: Final = ((b'content-type', b'application/octet-stream'),)
+
 #: Events and scopes have the shapes that the ASGI specification gives.
 AsgiEvent = dict[str, Any]
 Receive = Callable[[], Awaitable[AsgiEvent]]
--- a/src/cartdale/briefing/app.py
+++ b/src/cartdale/briefing/app.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from cartdale.asgi import (
+    BINARY_HEADERS,
     AsgiEvent,
     Receive,
     Send,
@@ -22,14 +23,13 @@
 )
 from cartdale.briefing.types import Briefing
 from cartdale.clock import Clock
-from cartdale.codec import decode_binary, encode_binary
-from cartdale.peers.seal import Envelope, Seal
+from cartdale.codec import decode_binary
+from cartdale.peers.seal import Seal, wrap
 
 PATH: Final = '/briefing/v1'
 #: Shortest key that an answer is sealed with.
 KEY_BYTES: Final = 32
 _BODY_LIMIT = 1024
-_BINARY = ((b'content-type', b'application/octet-stream'),)
 
 
 class BriefingApp:
@@ -59,15 +59,11 @@
         if key is None or len(key) < KEY_BYTES:
             await answer_at_once(send, HTTPStatus.BAD_REQUEST)
             return
-        envelope = Envelope(
-            sender=self._name,
-            recipient='',
-            kind=Briefing.__name__,
-            wall_ms=self._clock.wall(),
-            body=msgspec.Raw(encode_binary(self._describe())),
-        )
+        wall = self._clock.wall()
+        # Whoever has the key is meant: the asker has no name here yet.
+        envelope = wrap(self._name, '', self._describe(), wall)
         sealed = Seal((key,)).close(envelope)
-        await answer_at_once(send, HTTPStatus.OK, _BINARY, sealed)
+        await answer_at_once(send, HTTPStatus.OK, BINARY_HEADERS, sealed)
 
 
 def open_briefing(raw: bytes, key: bytes, now_wall: int) -> Briefing | None:
--- a/src/cartdale/peers/app.py
+++ b/src/cartdale/peers/app.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cartdale.asgi import (
+    BINARY_HEADERS,
     AsgiEvent,
     Receive,
     Send,
@@ -24,7 +25,6 @@
 from cartdale.peers.seal import Envelope
 
 BODY_LIMIT = 4194304
-_BINARY = ((b'content-type', b'application/octet-stream'),)
 
 Serve = Callable[[Any], Awaitable[object]]
 Shapes = Mapping[str, type[Any]]
@@ -79,7 +79,7 @@
             return
         reply = await self._serve(message)
         answer = self._client.close(envelope.sender, reply)
-        await answer_at_once(send, HTTPStatus.OK, _BINARY, answer)
+        await answer_at_once(send, HTTPStatus.OK, BINARY_HEADERS, answer)
 
     def _decode(self, envelope: Envelope) -> object | None:
         shape = self._shapes_by_kind.get(envelope.kind)
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -9,9 +9,9 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Clock, Millis, seconds
-from cartdale.codec import decode_binary, encode_binary
+from cartdale.codec import decode_binary
 from cartdale.formatting import format_error
-from cartdale.peers.seal import Envelope, Seal
+from cartdale.peers.seal import Envelope, Seal, wrap
 from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
 PATH = '/peer/v1/messages'
@@ -105,14 +105,8 @@
 
     def close(self, recipient: str, message: object) -> bytes:
         """Seal a message to a peer."""
-        envelope = Envelope(
-            sender=self._name,
-            recipient=recipient,
-            kind=type(message).__name__,
-            wall_ms=self._clock.wall(),
-            body=msgspec.Raw(encode_binary(message)),
-        )
-        return self.seal.close(envelope)
+        wall = self._clock.wall()
+        return self.seal.close(wrap(self._name, recipient, message, wall))
 
     def clock_error(self) -> Millis:
         """Return how far this wall clock is from the peers', by the median.
--- a/src/cartdale/peers/seal.py
+++ b/src/cartdale/peers/seal.py
@@ -30,6 +30,19 @@
     body: msgspec.Raw
 
 
+def wrap(
+    sender: str, recipient: str, message: object, wall_ms: Millis
+) -> Envelope:
+    """Put a message into an envelope, under the name of its type."""
+    return Envelope(
+        sender=sender,
+        recipient=recipient,
+        kind=type(message).__name__,
+        wall_ms=wall_ms,
+        body=msgspec.Raw(encode_binary(message)),
+    )
+
+
 class Seal:
     """Seal and open envelopes.
 
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -35,6 +35,11 @@
     sends: int = 0
     runs: int = 0
 
+    @property
+    def allows_another(self) -> bool:
+        """Tell whether a run may follow the attempt that is under way."""
+        return self.runs + 1 < self.may_run
+
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -132,9 +132,8 @@
 
     def _patience(self) -> float:
         """Return how many seconds an attempt may stay silent."""
-        may_repeat = self._state.runs + 1 < self._state.may_run
         target = self._routed.route.target_latency
-        if may_repeat and target:
+        if self._state.allows_another and target:
             return seconds(int(_PATIENCE_SHARE * target))
         return inf
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -210,7 +210,7 @@
 
     async def _pass_events(self, answer: OpenedAnswer) -> LinkEnd:
         broken = await self._passer.pass_until_end(
-            answer.chunks, repeatable=self._may_repeat()
+            answer.chunks, repeatable=self._attempts.allows_another
         )
         if broken and self._passer.left_for is not None:
             return self._passer.left_for
@@ -227,10 +227,6 @@
         await self._sink.finish()
         return StreamEnd.WHOLE
 
-    def _may_repeat(self) -> bool:
-        """Tell whether another engine may go on without any memory."""
-        return self._attempts.runs + 1 < self._attempts.may_run
-
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how the attempt ended."""
         upstream = await self._generation.lose_link()
