Log a pause of a stream that is longer than its route allows

Cause: an answer that is late for a pause left no trace of when and where it paused; only the longest pause was logged at the end. Now a pause that is over the route's targetGapMs, and longer than any before in that stream, gives one line with the engine, the events so far, the moves and the age of the link, so that a late draft leads to its engine. Bounded: each line's pause is longer than the last one of its stream.

--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 
 import trio
+from loguru import logger
 
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
@@ -27,6 +28,8 @@
     """Pass events on, each once and in order, whatever link they come by.
 
     :param last_event: id of the last event that the caller has.
+    :param target_gap: longest pause between two events that is in time; 0 for
+        any.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         sink: AnswerSink,
         generation: RunningGeneration,
         last_event: bytes,
+        target_gap: Millis = 0,
     ) -> None:
+        self._target_gap = target_gap
         self._ports = ports
         self._sink = sink
         self._generation = generation
@@ -146,6 +151,21 @@
 
     def _note_gap(self) -> None:
         now = self._ports.clock.now()
-        if self._last_at:
-            self.longest_gap = max(self.longest_gap, now - self._last_at)
+        gap = now - self._last_at if self._last_at else 0
         self._last_at = now
+        if self._target_gap and gap > max(self._target_gap, self.longest_gap):
+            self._log_gap(gap)
+        self.longest_gap = max(self.longest_gap, gap)
+
+    def _log_gap(self, gap: Millis) -> None:
+        """Tell of a pause that is too long, and longer than any before."""
+        logger.info(
+            'pause too long',
+            request=self._generation.request_id,
+            upstream=self._generation.upstream,
+            took=gap,
+            target=self._target_gap,
+            events=self._generation.events,
+            moves=self._generation.moves,
+            link_age=self._last_at - self._link_since,
+        )
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -89,7 +89,9 @@
         )
         resumable = routed.route.resumable
         last_event = routed.request.last_event if resumable else b''
-        self._passer = EventPasser(ports, sink, generation, last_event)
+        self._passer = EventPasser(
+            ports, sink, generation, last_event, routed.route.target_gap
+        )
         #: An upstream's own failure, passed on if nobody else is asked.
         self._failure: WholeAnswer | None = None
         self._started = False
