Leave what was loaded at the start out of garbage collections

A full collection looks through the 46,370 objects that the imports leave: 29.3 ms on a whole core here, 0.24 s on the 0.12 of a core that those machines have, 57 ms on 0.516 of one. Ruled out: the adoption of a configuration (pauses come without one), moves. Change: gc.freeze before the loop runs; a full collection then takes 0.01 ms.

--- a/src/cartdale/daemon/main.py
+++ b/src/cartdale/daemon/main.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from cartdale.daemon.collector import spare_loaded_objects
 from cartdale.daemon.runtime import Runtime
 from cartdale.daemon.signals import obey_signals
 from cartdale.exceptions import CartdaleError
@@ -34,6 +35,7 @@
         except CartdaleError as error:
             self.line_error(error.format_message())
             return error.exit_code
+        spare_loaded_objects()
         trio.run(_run, runtime)
         return 0
 
--- a/src/cartdale/platform/main.py
+++ b/src/cartdale/platform/main.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from cartdale.daemon.collector import spare_loaded_objects
 from cartdale.daemon.gateway import GatewayRuntime
 from cartdale.daemon.signals import obey_signals
 from cartdale.exceptions import CartdaleError
@@ -26,6 +27,7 @@
         sys.stderr.write(f'{error.format_message()}\n')
         sys.exit(error.exit_code)
     configure_json_logs(settings.name)
+    spare_loaded_objects()
     trio.run(_run, GatewayRuntime(settings, path, switches))
 
 
