Follow the store for others from two failure domains, and list before reading

At the start all believed themselves alone and watched: 108 answers in 2 s for the listings of 19. Each of five domains had a watcher of its own, so that a change cost five calls. Instances that the store turned away asked again several times a second. Change: an instance is listed before it reads, so that of two that start together one reads of the other and tells it; for its first seconds it takes the listed ones for alive; two domains watch for all, and what is urgent goes to the other domains at once; whom the store does not answer leaves it to those whom it does. A configuration crosses to each domain once and is then asked for one after another. A refused proposal of the key brings the key along. Datagrams are a port, so that many instances run in virtual time.

--- a/bench/news.py
+++ b/bench/news.py
@@ -13,6 +13,7 @@
 from cartdale.codec import encode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
+from cartdale.news.datagrams import SocketDatagrams
 from cartdale.news.driver import NewsExchange
 from cartdale.news.types import LoadNews, PeerEntry
 from cartdale.peers.seal import Envelope, Seal
@@ -40,9 +41,8 @@
     seal = Seal((b'k' * 32,))
     fleet = Fleet(clock, 'west', 1)
     own = PeerEntry('front-westlands-1', '127.0.0.1', 1)
-    exchange = NewsExchange(
-        own, fleet, clock, print, bool, socket.socket(type=socket.SOCK_DGRAM)
-    )
+    datagrams = SocketDatagrams(socket.socket(type=socket.SOCK_DGRAM))
+    exchange = NewsExchange(own, fleet, clock, print, bool, datagrams)
     exchange.seal = seal
     began = time.process_time()
     sealed = [
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -192,7 +192,6 @@
         )
 
     def _start(self, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self.follower.run)
         nursery.start_soon(self.fleet.run)
         nursery.start_soon(self.mover.run)
         nursery.start_soon(self._discards.run)
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -3,8 +3,10 @@
 News travel in datagrams; a configuration that is newer is fetched by a call.
 """
 
+import random
 import secrets
 import socket
+import zlib
 from dataclasses import dataclass
 from types import MappingProxyType
 
@@ -21,6 +23,8 @@
 from cartdale.fleet.stored import OwnKey, TableWritten
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.formatting import list_plain_fields
+from cartdale.news.datagrams import SocketDatagrams
+from cartdale.news.decide import list_holders
 from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
@@ -36,6 +40,15 @@
 _PEER_TIMEOUT: Millis = SECOND_MS
 #: Longest wait for the store when this instance takes itself off the list.
 _WITHDRAW_TIMEOUT: Millis = 150
+#: How long the first read waits for this instance to be listed, which takes a
+#: healthy store two answers of a few milliseconds each. Callers wait for the
+#: first configuration, so that a slow one is read beside; then once more.
+_REGISTRATION_WAIT: Millis = 40
+#: Between proposals of a key that the store did not answer.
+_PROPOSE_EVERY: Millis = SECOND_MS
+#: In a large system a document is asked for in the course of so much time for
+#: each instance around: about twice what an answer costs its holder.
+_FETCH_SPREAD: Millis = 8
 #: What instances ask each other besides news.
 _SHAPES_BY_KIND = MappingProxyType(
     {shape.__name__: shape for shape in (FetchDocument, Document)}
@@ -75,9 +88,14 @@
             clock,
             self._fetch_table,
             self.lost_store,
-            both.datagrams,
+            SocketDatagrams(both.datagrams),
         )
-        self._roster = Roster(store, own, self.count_listed)
+        self._roster = Roster(
+            store, own, self.count_listed, self._read_after_listing
+        )
+        self._generator = random.Random(zlib.crc32(name.encode()))
+        self._clock = clock
+        self._fleet = fleet
         self._client = PeerClient(
             make_peer_pool(None),
             name,
@@ -91,6 +109,7 @@
         self._nursery: trio.Nursery | None = None
         self._fetching = False
         self._follower: Follower | None = None
+        self._tried_to_register = trio.Event()
 
     async def run(self, follower: Follower, stopping: trio.Event) -> None:
         """Join the others and keep in touch, for ever.
@@ -102,9 +121,11 @@
             self._nursery = nursery
             nursery.start_soon(self.news.run)
             nursery.start_soon(self._listener.serve, self._app, stopping)
+            nursery.start_soon(self._follow, follower)
+            await self._roster.register()
+            self._tried_to_register.set()
             await follower.in_step.wait()
-            if self.news.seal is None:
-                await self._roster.propose_key()
+            nursery.start_soon(self._agree_on_key)
             await self._roster.run()
 
     async def withdraw(self) -> None:
@@ -173,13 +194,41 @@
         """Return how many instances the store lists."""
         return len(self.news.state.peers_by_name)
 
+    async def _follow(self, follower: Follower) -> None:
+        """Follow the store, once this instance is listed there.
+
+        Of two that start together at least one then reads of the other, and
+        tells it news; nobody needs to watch the list.
+        """
+        with trio.move_on_after(seconds(_REGISTRATION_WAIT)):
+            await self._tried_to_register.wait()
+        await follower.run()
+
+    async def _agree_on_key(self) -> None:
+        """Propose a key for the cluster until one is known."""
+        while self.news.seal is None:
+            key = await self._roster.propose_key()
+            if key:
+                self.take_key(key)
+                return
+            await trio.sleep(seconds(_PROPOSE_EVERY))
+
+    def _read_after_listing(self) -> None:
+        """Read who is there, if the first read came before the listing."""
+        if self._follower is not None:
+            self._follower.read_again()
+
     def _fetch_table(self, peer: PeerEntry) -> None:
         """Fetch a newer configuration from a peer, unless one is fetched."""
         if self._nursery is not None and not self._fetching:
             self._fetching = True
             self._nursery.start_soon(self._ask_for_table, peer)
 
-    async def _ask_for_table(self, peer: PeerEntry) -> None:
+    async def _ask_for_table(self, told: PeerEntry) -> None:
+        peer = await self._choose_holder(told)
+        if peer is None:
+            self._fetching = False
+            return
         address = f'http://{peer.address}:{peer.port}'
         answer = await self._client.ask(
             peer.name, address, FetchDocument(), Document
@@ -195,6 +244,26 @@
                     **list_plain_fields('failure', failure),
                 )
 
+    async def _choose_holder(self, told: PeerEntry) -> PeerEntry | None:
+        """Return whom to ask; ``None`` when the newer one is here by now.
+
+        In a large system all hear of a version in the same moment. They ask
+        one after another, whoever has it by then.
+        """
+        if not self.news.fetches_at_once(told):
+            around = self.news.count_audience()
+            spread = int(_FETCH_SPREAD * around * self._generator.random())
+            await trio.sleep(seconds(spread))
+        version = self._fleet.table.version
+        now = self._clock.now()
+        holders = list_holders(self.news.state, version, now)
+        if holders:
+            return self._generator.choice(holders)
+        known = self.news.state.heard_by_name.get(told.name)
+        if known is not None and known.news.version <= version:
+            return None
+        return told
+
     async def _serve(self, message: object) -> object:
         if isinstance(message, FetchDocument) and self._follower is not None:
             return Document(self._follower.raw_table)
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -107,6 +107,8 @@
         self.configured = trio.Event()
         #: Set once everything was read for the first time.
         self.in_step = trio.Event()
+        #: Whether everything is to be read again soon.
+        self._outdated = False
 
     async def run(self) -> None:
         """Follow the store, for ever."""
@@ -116,6 +118,13 @@
             if not self._watches():
                 await self._rest()
 
+    def read_again(self) -> None:
+        """Read everything soon, as something may have been missed.
+
+        Before the first read there is nothing that could have been.
+        """
+        self._outdated = self.in_step.is_set()
+
     def adopt(self, written: TableWritten) -> None:
         """Put a configuration in force unless it is older than the present.
 
@@ -141,7 +150,7 @@
         """Wait until this instance has to watch or may have missed news."""
         rested: Millis = 0
         until = _READ_EVERY
-        while rested < until and not self._watches():
+        while rested < until and not self._watches() and not self._outdated:
             await trio.sleep(seconds(_LOOK_EVERY))
             rested += _LOOK_EVERY
             if self._hears_nobody():
@@ -149,6 +158,7 @@
 
     async def _read_all(self) -> int:
         """Read everything; return the revision to watch from."""
+        self._outdated = False
         listing = await self._read_until_answered()
         self._take_all(listing.entries)
         self.failing = False
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -20,6 +20,7 @@
     Message,
     NewsArrived,
     NewsState,
+    PeerEntry,
     PeerListed,
     PeerRemoved,
     TakeEntry,
@@ -105,6 +106,17 @@
     return direct + by_domain
 
 
+def list_holders(
+    state: NewsState, version: int, now: Millis
+) -> list[PeerEntry]:
+    """Return the peers heard of late that have a newer configuration."""
+    return [
+        heard.news.peer
+        for heard in state.heard_by_name.values()
+        if now - heard.at <= ALIVE_MS and heard.news.version > version
+    ]
+
+
 def _remove(state: NewsState, name: str) -> NewsState:
     peers_by_name = dict(state.peers_by_name)
     peers_by_name.pop(name, None)
@@ -125,7 +137,7 @@
     after = replace(
         state, peers_by_name=peers_by_name, heard_by_name=heard_by_name
     )
-    actions = _take_over(message.sender, news, version)
+    actions = (*_take_over(message.sender, news), *_fetch(news, version))
     return after, (*actions, *_avoid(after, news.unreachable, now))
 
 
@@ -145,9 +157,11 @@
     domains_by_name = dict(state.domains_by_name)
     domains_by_name[domain] = HeardDomain(news, now)
     after = replace(state, domains_by_name=domains_by_name)
-    actions = _take_over(f'{DOMAIN_PREFIX}{domain}', news, version)
+    actions = _take_over(f'{DOMAIN_PREFIX}{domain}', news)
     if message.direct:
-        actions = (ForwardNews(), *actions)
+        # The others fetch a newer configuration from this one, once it is in
+        # force here: a document crosses to each failure domain once.
+        actions = (ForwardNews(), *actions, *_fetch(news, version))
     return after, (*actions, *_avoid(after, news.reporters_by_upstream, now))
 
 
@@ -169,12 +183,13 @@
     )
 
 
-def _take_over(
-    teller: str, news: LoadNews | DomainNews, version: int
-) -> tuple[Action, ...]:
+def _take_over(teller: str, news: LoadNews | DomainNews) -> tuple[Action, ...]:
     actions: list[Action] = [TakeLoads(teller, news.loads_by_upstream)]
     actions.extend(TakeEntry(entry) for entry in news.entries)
     actions.extend(TakeLeaving(upstream) for upstream in news.leaving)
-    if news.version > version:
-        actions.append(FetchTable(news.peer))
     return tuple(actions)
+
+
+def _fetch(news: LoadNews | DomainNews, version: int) -> tuple[Action, ...]:
+    """Fetch a configuration that is newer than the one in force here."""
+    return (FetchTable(news.peer),) if news.version > version else ()
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -1,6 +1,5 @@
 """Exchange news with the peers, in datagrams that the cluster's key seals."""
 
-import socket
 from collections.abc import Callable
 
 import msgspec
@@ -21,13 +20,17 @@
     is_silent,
 )
 from cartdale.news.duties import (
+    SILENT_MS,
+    StoreView,
     choose_recipients,
     is_domain_speaker,
     is_prober,
     is_watcher,
+    is_wide,
     list_audience,
     stretch,
 )
+from cartdale.news.ports import Datagrams
 from cartdale.news.types import (
     AvoidUpstream,
     DomainNews,
@@ -56,7 +59,6 @@
 #: The same for what an instance says for its failure domain: each message
 #: goes to one instance of each other domain, which passes it on.
 _DOMAIN_EVERY: Millis = 100
-_LARGEST_DATAGRAM = 65507
 
 Fetch = Callable[[PeerEntry], None]
 
@@ -67,7 +69,7 @@
     :param own: how this instance is reached.
     :param fetch_table: asks a peer for its newer configuration.
     :param store_lost: tells whether the store does not answer here.
-    :param bound: datagram socket that peers send to.
+    :param datagrams: carries the messages.
     """
 
     def __init__(
@@ -77,13 +79,18 @@
         clock: Clock,
         fetch_table: Fetch,
         store_lost: Callable[[], bool],
-        bound: socket.socket,
+        datagrams: Datagrams,
     ) -> None:
-        self._bound = bound
+        self._datagrams = datagrams
         self._own = own
         self._fleet = fleet
         self._clock = clock
         self._fetch_table = fetch_table
+        self._store_lost = store_lost
+        #: When this exchange began; ``None`` before.
+        self._started_at: Millis | None = None
+        #: What was urgent when this instance last considered to speak.
+        self._spoken_of = (0, 0)
         self._writer = NewsWriter(
             own, fleet, clock, self.is_watcher, store_lost
         )
@@ -116,7 +123,12 @@
 
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
-        return is_watcher(self.state, self._own, self._clock.now())
+        now = self._clock.now()
+        patience = SILENT_MS * stretch(len(self._list_audience()))
+        began = self._started_at
+        young = began is None or now - began <= patience
+        view = StoreView(lost=self._store_lost(), young=young)
+        return is_watcher(self.state, self._own, now, view)
 
     def is_prober(self, upstream: str, failure_domain: str) -> bool:
         """Tell whether this instance asks an upstream for all how it is."""
@@ -128,17 +140,33 @@
         """Tell whether no peer was heard of late."""
         return is_silent(self.state, self._clock.now())
 
+    def fetches_at_once(self, teller: PeerEntry) -> bool:
+        """Tell whether this instance fetches a newer configuration first.
+
+        Everybody does in a small system; in a large one whoever speaks for
+        its failure domain, or was told by the speaker of another.
+        """
+        if not is_wide(self.state):
+            return True
+        if teller.failure_domain != self._own.failure_domain:
+            return True
+        return is_domain_speaker(self.state, self._own, self._clock.now())
+
+    def count_audience(self) -> int:
+        """Return how many peers this instance tells its news."""
+        return len(self._list_audience())
+
     def count_alive(self) -> int:
         """Return how many instances are alive, this one included."""
         return 1 + count_alive(self.state, self._clock.now())
 
     async def run(self) -> None:
         """Send and receive, for ever."""
-        bound = trio.socket.from_stdlib_socket(self._bound)
+        self._started_at = self._clock.now()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive, bound)
-            nursery.start_soon(self._send, bound)
-            nursery.start_soon(self._send_domain_news, bound)
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._send)
+            nursery.start_soon(self._send_domain_news)
 
     def _take_loads(
         self, peer: str, loads_by_upstream: dict[str, Load]
@@ -147,10 +175,10 @@
             now = self._clock.now()
             self._fleet.loads.hear(peer, loads_by_upstream, now)
 
-    async def _receive(self, bound: trio.socket.SocketType) -> None:
+    async def _receive(self) -> None:
         while True:
             try:
-                raw, _ = await bound.recvfrom(_LARGEST_DATAGRAM)
+                raw = await self._datagrams.receive()
             except OSError as error:
                 logger.warning('news not received', detail=format_error(error))
                 continue
@@ -173,15 +201,9 @@
     def _forward(self, raw: bytes) -> None:
         """Send a message as it came to the instances around."""
         for peer in self._list_audience():
-            try:
-                self._bound.sendto(raw, (peer.address, peer.port))
-            except OSError as error:
-                # A full buffer included: the next message is not far.
-                logger.info(
-                    'news not sent', peer=peer.name, detail=format_error(error)
-                )
+            self._send_to(raw, peer)
 
-    async def _send(self, bound: trio.socket.SocketType) -> None:
+    async def _send(self) -> None:
         while True:
             factor = stretch(len(self._list_audience()))
             await trio.sleep(seconds(_CHANGED_EVERY * factor))
@@ -190,15 +212,15 @@
                 continue
             sealed = self._writer.write(self.seal)
             for peer in self._list_audience():
-                await self._send_to(bound, sealed, peer)
+                self._send_to(sealed, peer)
 
-    async def _send_domain_news(self, bound: trio.socket.SocketType) -> None:
+    async def _send_domain_news(self) -> None:
         """Tell other failure domains of this one, while this speaks for it."""
         told = None
         told_at: Millis = 0
         turn = 0
         while True:
-            await trio.sleep(seconds(_DOMAIN_EVERY))
+            await self._pause_domain_news()
             now = self._clock.now()
             if self.seal is None or not is_domain_speaker(
                 self.state, self._own, now
@@ -211,7 +233,23 @@
             turn += 1
             for peer in choose_recipients(self.state, self._own, now, turn):
                 sealed = self._writer.close_domain(self.seal, news, peer.name)
-                await self._send_to(bound, sealed, peer)
+                self._send_to(sealed, peer)
+
+    async def _pause_domain_news(self) -> None:
+        """Wait for the next time to speak, or until something is urgent.
+
+        An upstream that leaves gives a second or two of notice; who watches
+        the store may be in another failure domain.
+        """
+        await trio.sleep(seconds(_CHANGED_EVERY))
+        with trio.move_on_after(seconds(_DOMAIN_EVERY - _CHANGED_EVERY)):
+            while self._spoken_of == self._list_urgent():
+                await self._fleet.changed()
+        self._spoken_of = self._list_urgent()
+
+    def _list_urgent(self) -> tuple[int, int]:
+        """Return what changes with whatever other domains must hear soon."""
+        return self._fleet.lifecycles, self._fleet.table.version
 
     def _describe_domain(self, now: Millis) -> DomainNews:
         names = [peer.name for peer in self._list_audience()]
@@ -221,8 +259,16 @@
             for name in names
         )
         loads_by_upstream = self._fleet.loads.shared_totals(names, now)
+        lost = self._store_lost() and all(
+            heard.news.store_lost
+            for name, heard in self.state.heard_by_name.items()
+            if name in names and now - heard.at <= ALIVE_MS
+        )
         return self._writer.describe_domain(
-            alive, loads_by_upstream, self._count_reporters(now)
+            alive,
+            loads_by_upstream,
+            self._count_reporters(now),
+            store_lost=lost,
         )
 
     def _count_reporters(self, now: Millis) -> dict[str, int]:
@@ -249,13 +295,12 @@
             while not self._writer.has_new():
                 await self._fleet.changed()
 
-    async def _send_to(
-        self, bound: trio.socket.SocketType, sealed: bytes, peer: PeerEntry
-    ) -> None:
+    def _send_to(self, sealed: bytes, peer: PeerEntry) -> None:
         try:
-            await bound.sendto(sealed, (peer.address, peer.port))
+            self._datagrams.send(sealed, peer)
         except OSError as error:
-            logger.warning(
+            # A full buffer included: the next message is not far.
+            logger.info(
                 'news not sent', peer=peer.name, detail=format_error(error)
             )
 
--- a/src/cartdale/news/duties.py
+++ b/src/cartdale/news/duties.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from dataclasses import dataclass
 
 from cartdale.clock import MINUTE_MS, Millis
 from cartdale.news.types import Heard, NewsState, PeerEntry
@@ -14,9 +15,13 @@
 SILENT_MS: Millis = 1200
 #: A peer that was silent for so long gets no more messages.
 FORGET_MS: Millis = MINUTE_MS // 2
-#: Instances that wait for changes at the store; the others hear of them in
-#: news. All of them are lost at once only with most of the system.
+#: Instances that wait for changes at the store in a small system; the others
+#: hear of them in news. All of them are lost at once only with most of it.
 WATCHERS = 4
+#: Failure domains of a large system in which one instance does so. Each
+#: change at the store is one priced call for each of them, whatever the
+#: number of instances; two, so that the loss of one costs no time.
+WATCHING_DOMAINS = 2
 #: With more peers than this, instances tell their news only to those of their
 #: failure domain, and one of them speaks for it to the other domains.
 MOST_FLAT_PEERS = 16
@@ -25,6 +30,20 @@
 PEERS_PER_INTERVAL = 16
 
 
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """Say how this instance stands with the store.
+
+    :param lost: whether the store does not answer it.
+    :param young: whether it started so lately that it can't have heard
+        everybody yet; those that are listed count as alive then, or all that
+        start together would follow the store.
+    """
+
+    lost: bool = False
+    young: bool = False
+
+
 def is_wide(state: NewsState) -> bool:
     """Tell whether news go by failure domains, since there are many peers."""
     many = len(state.peers_by_name) > MOST_FLAT_PEERS
@@ -45,23 +64,32 @@
     ]
 
 
-def is_watcher(state: NewsState, own: PeerEntry, now: Millis) -> bool:
+def is_watcher(
+    state: NewsState, own: PeerEntry, now: Millis, view: StoreView
+) -> bool:
     """Tell whether this instance follows the store for the others.
 
-    The first of a fixed order among those that were heard of late and that
-    the store answers; each instance decides by itself, and while they
-    disagree a few more than needed watch. In a large system each failure
-    domain has watchers of its own.
+    The first of a fixed order among those that are alive and that the store
+    answers; each instance decides by itself, and while they disagree a few
+    more than needed watch. While the store answers nobody the same few keep
+    asking. In a large system a few failure domains have one watcher each.
+
+    :param view: how this instance stands with the store.
     """
-    watching = [
-        heard.news.peer
-        for heard in _list_alive(state, own, now)
-        if not heard.news.store_lost
-    ]
-    earlier = [
-        peer for peer in watching if _order(peer.name) < _order(own.name)
-    ]
-    return len(earlier) < _count_watchers(state)
+    alive = [heard.news for heard in _list_alive(state, own, now)]
+    around = [news.peer for news in alive if not news.store_lost]
+    if view.lost and around:
+        return False
+    if view.lost:
+        around = [news.peer for news in alive]
+    if view.young:
+        around.extend(_list_unheard(state, own))
+    if not is_wide(state):
+        return _count_earlier(own, around) < WATCHERS
+    if _count_earlier(own, around):
+        return False
+    domains = sorted(_list_watching_domains(state, own, now, view), key=_order)
+    return own.failure_domain in domains[:WATCHING_DOMAINS]
 
 
 def is_domain_speaker(state: NewsState, own: PeerEntry, now: Millis) -> bool:
@@ -153,10 +181,43 @@
     ]
 
 
-def _count_watchers(state: NewsState) -> int:
-    if not is_wide(state):
-        return WATCHERS
-    return max(WATCHERS // len(_list_domains(state)), 1)
+def _count_earlier(own: PeerEntry, peers: list[PeerEntry]) -> int:
+    """Return how many come before this instance in the fixed order."""
+    return sum(_order(peer.name) < _order(own.name) for peer in peers)
+
+
+def _list_unheard(state: NewsState, own: PeerEntry) -> list[PeerEntry]:
+    """Return the listed peers around that were never heard of."""
+    wide = is_wide(state)
+    return [
+        peer
+        for name, peer in state.peers_by_name.items()
+        if name not in state.heard_by_name
+        and name != own.name
+        and (not wide or peer.failure_domain == own.failure_domain)
+    ]
+
+
+def _list_watching_domains(
+    state: NewsState, own: PeerEntry, now: Millis, view: StoreView
+) -> set[str]:
+    """Return the failure domains that can follow the store for the others.
+
+    Those with instances that the store answers; while it answers nobody, all
+    that were heard of late.
+    """
+    patience = SILENT_MS * stretch(len(list_audience(state, own, now)))
+    heard = {
+        domain: told.news.store_lost
+        for domain, told in state.domains_by_name.items()
+        if now - told.at <= patience
+    }
+    answered = {domain for domain, lost in heard.items() if not lost}
+    if not view.lost:
+        answered.add(own.failure_domain)
+    if view.young:
+        answered.update(_list_domains(state) - heard.keys())
+    return answered or {own.failure_domain, *heard}
 
 
 def _list_domains(state: NewsState) -> set[str]:
--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -10,12 +10,12 @@
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import encode_json
 from cartdale.formatting import list_plain_fields
-from cartdale.news.duties import (
-    stretch,
-)
+from cartdale.news.duties import stretch
 from cartdale.news.types import PeerEntry
 from cartdale.store.types import (
+    Committed,
     Compare,
+    CompareFailed,
     LeasedStore,
     LeaseLost,
     Put,
@@ -39,6 +39,7 @@
 
     :param own: what the others need to reach it.
     :param count_peers: counts the instances that are listed.
+    :param on_listed: called once this instance is listed for the first time.
     """
 
     def __init__(
@@ -46,7 +47,9 @@
         store: LeasedStore,
         own: PeerEntry,
         count_peers: Callable[[], int],
+        on_listed: Callable[[], None],
     ) -> None:
+        self._on_listed: Callable[[], None] | None = on_listed
         self._count_peers = count_peers
         self._store = store
         self._own = own
@@ -55,6 +58,11 @@
         #: Whether the store did not answer the last call.
         self.failing = False
 
+    async def register(self) -> None:
+        """List this instance, unless it is listed; once, good or bad."""
+        if not self._listed:
+            await self._register()
+
     async def run(self) -> None:
         """List this instance and renew its lease, for ever."""
         while True:
@@ -71,12 +79,21 @@
         if self._listed:
             await self._store.revoke(self._lease)
 
-    async def propose_key(self) -> None:
-        """Write a new cluster key unless there is one."""
+    async def propose_key(self) -> bytes:
+        """Write a new cluster key unless there is one.
+
+        :returns: the key that is stored; empty when that is not known.
+        """
         raw = secrets.token_bytes(_KEY_BYTES)
-        await self._store.transact(
+        outcome = await self._store.transact(
             (Compare(KEY_NAME, 0),), (Put(KEY_NAME, raw),)
         )
+        match outcome:
+            case Success(Committed()):
+                return raw
+            case Success(CompareFailed(entries=(found, *_))):
+                return found.value
+        return b''
 
     async def _register(self) -> None:
         granted = await self._store.grant(_LEASE)
@@ -94,6 +111,9 @@
         ] = await self._store.transact((), (entry,))
         self._listed = isinstance(written, Success)
         self.failing = not self._listed
+        if self._listed and self._on_listed is not None:
+            self._on_listed()
+            self._on_listed = None
 
     async def _renew(self) -> None:
         renewed = await self._store.keep_alive(self._lease)
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -62,6 +62,7 @@
     :param entries: upstreams whose entries changed of late.
     :param reporters_by_upstream: how many instances of the failure domain
         could not reach an upstream of late.
+    :param store_lost: whether the store answers none of them.
     """
 
     boot: Millis
@@ -73,6 +74,7 @@
     leaving: tuple[str, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
     reporters_by_upstream: dict[str, int] = field(default_factory=dict)
+    store_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -93,6 +93,8 @@
         alive: int,
         loads_by_upstream: dict[str, Load],
         reporters_by_upstream: dict[str, int],
+        *,
+        store_lost: bool,
     ) -> DomainNews:
         """Return what this instance tells of its failure domain.
 
@@ -102,6 +104,7 @@
         :param alive: instances there, this one included.
         :param loads_by_upstream: what all of them have running.
         :param reporters_by_upstream: how many of them can't reach it.
+        :param store_lost: whether the store answers none of them.
         """
         return DomainNews(
             boot=self._boot,
@@ -113,6 +116,7 @@
             leaving=self._list_leaving(),
             entries=self._list_changed(),
             reporters_by_upstream=reporters_by_upstream,
+            store_lost=store_lost,
         )
 
     def close_domain(
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -1,7 +1,6 @@
 """Adapter to the platform's key-value store, which speaks JSON over HTTP."""
 
 import base64
-import binascii
 from collections import Counter
 from http import HTTPStatus
 from string import digits
@@ -10,13 +9,23 @@
 
 import httpcore
 import msgspec
-from loguru import logger
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.formatting import format_error
 from cartdale.platform.pools import limit_time
 from cartdale.platform.settings import Endpoint
+from cartdale.platform.store_shapes import (
+    Events,
+    Expectation,
+    LeaseAnswer,
+    LeaseRequest,
+    Page,
+    StoredItem,
+    StoredPut,
+    TransactionRequest,
+    Written,
+)
 from cartdale.store.types import (
     Changes,
     Committed,
@@ -54,73 +63,6 @@
 Answer = TypeVar('Answer')
 
 
-class _Stored(msgspec.Struct):
-    key: str
-    #: Base64; empty in an event that tells of a removal.
-    value: str = ''
-    #: Store revision of the last write.
-    revision: int = 0
-    #: Store revision of the creation.
-    created: int = 0
-    lease: int = 0
-    deleted: bool = False
-
-    def decode(self) -> bytes:
-        """Return the value; empty when its base64 is broken."""
-        try:
-            return base64.b64decode(self.value)
-        except binascii.Error as error:
-            logger.error(
-                'stored value unreadable', key=self.key, detail=str(error)
-            )
-            return b''
-
-
-class _Page(msgspec.Struct, rename='camel'):
-    rows: tuple[_Stored, ...] = msgspec.field(name='items')
-    truncated: bool = False
-    #: Revision of the whole store when it was read.
-    as_of: int = 0
-
-
-class _Events(msgspec.Struct, rename='camel'):
-    events: tuple[_Stored, ...] = ()
-    #: Where the next watch continues.
-    as_of: int = 0
-
-
-class _Expectation(msgspec.Struct):
-    key: str
-    #: Store revision of the key's last write; 0 when it must be absent.
-    revision: int
-
-
-class _Put(msgspec.Struct):
-    key: str
-    value: str
-    lease: int
-
-
-class _Transaction(msgspec.Struct, rename='camel'):
-    #: What must hold for the call to do anything.
-    expected_revision: tuple[_Expectation, ...]
-    writes: tuple[_Put, ...]
-    remove: tuple[str, ...]
-
-
-class _Written(msgspec.Struct):
-    revision: int = 0
-
-
-class _Lease(msgspec.Struct, rename='camel'):
-    lease: int = 0
-    ttl_ms: float = 0
-
-
-class _LeaseRequest(msgspec.Struct, rename='camel'):
-    ttl_ms: Millis
-
-
 class PlatformStore:
     """Reach the platform's store.
 
@@ -172,13 +114,15 @@
     ) -> Result[TransactionOutcome, StoreFailure]:
         """Apply all writes if all comparisons hold."""
         puts = [write for write in writes if isinstance(write, Put)]
-        request = _Transaction(
+        request = TransactionRequest(
             expected_revision=tuple(
-                _Expectation(compare.key, compare.mod_revision)
+                Expectation(compare.key, compare.mod_revision)
                 for compare in compares
             ),
             writes=tuple(
-                _Put(put.key, base64.b64encode(put.value).decode(), put.lease)
+                StoredPut(
+                    put.key, base64.b64encode(put.value).decode(), put.lease
+                )
                 for put in puts
             ),
             remove=tuple(
@@ -191,7 +135,7 @@
 
     async def grant(self, ttl: Millis) -> Result[int, StoreFailure]:
         """Create a lease and return its id."""
-        answer = await self._call('POST', _PATH_GRANT, _LeaseRequest(ttl))
+        answer = await self._call('POST', _PATH_GRANT, LeaseRequest(ttl))
         return answer.bind(lambda response: _read_lease(response, 0)).map(
             lambda lease: lease.lease
         )
@@ -266,7 +210,7 @@
 
 
 def _read_page(response: httpcore.Response) -> Result[Listing, StoreFailure]:
-    return _decode(response, _Page).map(
+    return _decode(response, Page).map(
         lambda page: Listing(
             tuple(_to_entry(stored) for stored in page.rows),
             page.as_of,
@@ -278,7 +222,7 @@
 def _read_events(response: httpcore.Response) -> Result[Changes, StoreFailure]:
     if response.status == HTTPStatus.GONE:
         return Failure(HistoryLost())
-    return _decode(response, _Events).map(
+    return _decode(response, Events).map(
         lambda answer: Changes(
             tuple(_to_change(event) for event in answer.events), answer.as_of
         )
@@ -289,23 +233,35 @@
     response: httpcore.Response, leases: list[int]
 ) -> Result[TransactionOutcome, StoreFailure]:
     if response.status == HTTPStatus.PRECONDITION_FAILED:
-        return Success(CompareFailed(0))
+        return _decode_conflict(response)
     if response.status == HTTPStatus.NOT_FOUND:
         return Failure(LeaseLost(leases[0] if leases else 0))
-    return _decode(response, _Written).map(
+    return _decode(response, Written).map(
         lambda written: Committed(written.revision)
     )
 
 
+def _decode_conflict(
+    response: httpcore.Response,
+) -> Result[TransactionOutcome, StoreFailure]:
+    """Read a conflict, which has a status of its own and a body as pages."""
+    try:
+        found = msgspec.json.decode(response.content, type=Page)
+    except msgspec.MsgspecError as error:
+        return Failure(WriteUnknown(str(error)))
+    entries = tuple(_to_entry(stored) for stored in found.rows if stored.value)
+    return Success(CompareFailed(found.as_of, entries))
+
+
 def _read_lease(
     response: httpcore.Response, lease: int
-) -> Result[_Lease, StoreFailure]:
+) -> Result[LeaseAnswer, StoreFailure]:
     if response.status == HTTPStatus.NOT_FOUND:
         return Failure(LeaseLost(lease))
-    return _decode(response, _Lease)
+    return _decode(response, LeaseAnswer)
 
 
-def _to_entry(stored: _Stored) -> Entry:
+def _to_entry(stored: StoredItem) -> Entry:
     return Entry(
         stored.key,
         stored.decode(),
@@ -314,7 +270,7 @@
     )
 
 
-def _to_change(event: _Stored) -> Entry | Removed:
+def _to_change(event: StoredItem) -> Entry | Removed:
     if event.deleted:
         return Removed(event.key, event.revision)
     return _to_entry(event)
--- a/src/cartdale/store/types.py
+++ b/src/cartdale/store/types.py
@@ -68,9 +68,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CompareFailed:
-    """Answer a transaction that changed nothing."""
+    """Answer a transaction that changed nothing.
+
+    :param entries: the compared keys as they are, where the service tells.
+    """
 
     store_revision: int
+    entries: tuple[Entry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -151,7 +151,9 @@
             writes.append(Put(row['key'], stored, row['lease']))
         outcome = self.state.transact(compares, tuple(writes))
         if not isinstance(outcome, Committed):
-            return _answer({'items': []}, HTTPStatus.PRECONDITION_FAILED)
+            found = [self.state.find(each.key) for each in compares]
+            rows = [_describe(entry) for entry in found if entry]
+            return _answer({'items': rows}, HTTPStatus.PRECONDITION_FAILED)
         return _answer({'revision': outcome.store_revision})
 
     async def _grant(self) -> Response:
--- a/src/cartdale_standins/state.py
+++ b/src/cartdale_standins/state.py
@@ -105,6 +105,11 @@
         self._expire()
         return self._mod_revision(key)
 
+    def find(self, key: str) -> Entry | None:
+        """Return what is stored under a key; ``None`` when it is absent."""
+        self._expire()
+        return self._entries_by_key.get(key)
+
     def _mod_revision(self, key: str) -> int:
         entry = self._entries_by_key.get(key)
         return entry.mod_revision if entry else 0
