Bound the copies of a move, and judge silence before the first event by reports

Cause of copies without end: a copy over a busy link was renewed every 40 ms until the engine's end, and for ever where that is far; on a busy machine no renewal is quick. Now five renewals at doubling pauses, then the generation stops; refused copies are asked for 12 times at doubling pauses instead of 40 at one; a generation that was refused so often stays. A property test over random sequences of answers bounds the copies of a generation at one engine.

Cause of tags left to their deadline: silence was looked at only after the first event. Now an engine is asked about a request without a head from one second on; two reports in a row that neither run nor queue it end the wait: run again where that is allowed, else 502 at once.

An engine that goes on empty-handed and does not begin with the first event is not passed on.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from typing import assert_never
 
+from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves.types import (
     AwaitCopy,
@@ -37,8 +38,19 @@
 )
 from cartdale.relay.types import CopyFault
 
-#: Copies asked for in one move before it is given up.
-MOST_TRIES = 40
+#: Copies that may be refused or unanswered at one engine before its generation
+#: stays: at the pauses below they span four seconds, twice what an engine that
+#: is reclaimed gives notice.
+MOST_TRIES = 12
+#: Renewals of a copy over a busy link before the generation stops all the same.
+#: Each is due for what was made since the one before, so that waiting gains
+#: less each time; at the pauses below five span the notice of an engine.
+MOST_RENEWALS = 5
+#: First and longest pause before a refused copy is asked for again, and before
+#: the copy is renewed; each next one is twice as long.
+_RETRY_PAUSE: Millis = 30
+_RENEWAL_PAUSE: Millis = 40
+_LONGEST_PAUSE: Millis = 480
 
 _ENDING = frozenset((MovePhase.STOPPING, MovePhase.RESCUING))
 _COPYING = frozenset((MovePhase.COPYING, MovePhase.REFRESHING))
@@ -67,7 +79,7 @@
         case LinkQuiet():
             return _stop(state)
         case LinkBusy():
-            return _refresh(state)
+            return _renew(state)
         case CopyRejected():
             return _reject_copy(state, message)
         case LinkEnded():
@@ -84,20 +96,25 @@
             assert_never(message)
 
 
+def choose_pause(state: MoveState) -> Millis:
+    """Return how long to wait before the copy is renewed."""
+    return _double(_RENEWAL_PAUSE, state.renewals)
+
+
 def is_stopped(state: MoveState) -> bool:
     """Tell whether the generation was told to stop where it ran."""
     return state.phase in _STOPPED or state.phase in _ENDING
 
 
 def _choose(state: MoveState, target: UpstreamEntry) -> Decision:
-    if state.phase is not MovePhase.SETTLED:
+    if state.phase is not MovePhase.SETTLED or state.tries >= MOST_TRIES:
         return state, ()
     after = replace(
         state,
         phase=MovePhase.COPYING,
         target=target,
         handle='',
-        tries=state.tries + 1,
+        renewals=0,
     )
     return after, (Copy(last=False),)
 
@@ -120,10 +137,19 @@
     return replace(state, phase=MovePhase.STOPPING), (Copy(last=True),)
 
 
-def _refresh(state: MoveState) -> Decision:
+def _renew(state: MoveState) -> Decision:
     if state.phase is not MovePhase.COPIED:
         return state, ()
-    return replace(state, phase=MovePhase.REFRESHING), (Copy(last=False),)
+    if state.renewals >= MOST_RENEWALS:
+        return _stop(state)
+    after = replace(
+        state, phase=MovePhase.REFRESHING, renewals=state.renewals + 1
+    )
+    return after, (Copy(last=False),)
+
+
+def _double(first: Millis, times: int) -> Millis:
+    return min(first << times, _LONGEST_PAUSE)
 
 
 def _reject_copy(state: MoveState, rejected: CopyRejected) -> Decision:
@@ -148,7 +174,8 @@
         ):
             return replace(tried, phase=MovePhase.COPIED), (AwaitQuiet(),)
         case CopyFault.BUSY | CopyFault.NO_ANSWER:
-            return tried, (Copy(last=stopping, pause=True),)
+            pause = _double(_RETRY_PAUSE, state.tries)
+            return tried, (Copy(last=stopping, pause=pause),)
         case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
             if stopping:
                 return _give_up(state), ()
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.relay.types import CopyFault
 
@@ -37,7 +38,8 @@
     """Hold where a generation runs and where it goes.
 
     :param handle: the newest copy's name; empty for none.
-    :param tries: copies asked for since it settled.
+    :param tries: copies that were refused or unanswered at this engine.
+    :param renewals: times that its copy was renewed over a busy link.
     :param backup: engine that is kept up to date with its memory.
     """
 
@@ -46,6 +48,7 @@
     target: UpstreamEntry | None = None
     handle: str = ''
     tries: int = 0
+    renewals: int = 0
     backup: UpstreamEntry | None = None
 
 
@@ -119,11 +122,11 @@
     """Copy the memory to the target.
 
     :param last: whether the generation stops first.
-    :param pause: whether to wait a little before.
+    :param pause: how long to wait before.
     """
 
     last: bool
-    pause: bool = False
+    pause: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -44,12 +44,10 @@
 from cartdale.relay.types import COPY_PATIENCE, ResumePoint, RoutedRequest
 from cartdale.switches import Mechanism
 
-#: Pause before a copy that was refused as busy is asked for again.
-_COPY_PAUSE: Millis = 30
-#: Pause before a copy is renewed over a link that others use.
-_REFRESH_PAUSE: Millis = 40
-#: Between looks for an engine with room for a generation that must leave.
-_LOOK_EVERY: Millis = 40
+#: First pause before another look for an engine with room for a generation that
+#: must leave; each next one is twice as long, so that engines which refuse are
+#: asked a few times only in their neighbor's notice.
+_LOOK_AGAIN: Millis = 40
 #: Longest wait for an engine whose link broke to answer a copy.
 _RESCUE_PATIENCE: Millis = 400
 
@@ -160,6 +158,7 @@
             return
         self._moving = True
         refused: set[str] = set()
+        pause = _LOOK_AGAIN
         try:
             while not self._ended and self._ports.clock.now() < departure.until:
                 target = self._choose_target(refused)
@@ -167,7 +166,8 @@
                     # Others need not wait until there is room for this one.
                     self._occupancy.exempt()
                     refused.clear()
-                    await trio.sleep(seconds(_LOOK_EVERY))
+                    await trio.sleep(seconds(pause))
+                    pause *= 2
                 elif await self._copy_to(target, departure):
                     break
                 else:
@@ -245,15 +245,16 @@
         if left <= 0 or self._copier.link_free:
             self._occupancy.exempt()
             return self._tell(LinkQuiet())
-        if self._copier.renewed:
-            await trio.sleep(seconds(min(left, _REFRESH_PAUSE)))
+        if self._copier.renewed and self._state is not None:
+            pause = moves.choose_pause(self._state)
+            await trio.sleep(seconds(min(left, pause)))
         return self._tell(LinkBusy())
 
     async def _copy(
         self, action: Copy, patience: Millis = COPY_PATIENCE
     ) -> Action | None:
         if action.pause:
-            await trio.sleep(seconds(_COPY_PAUSE))
+            await trio.sleep(seconds(action.pause))
         state = self._state
         if state is None or state.target is None or self._ended:
             return None
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -11,7 +11,7 @@
 from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.silence import is_engine_ahead
+from cartdale.relay.silence import LOOK_AFTER, RunState, look_up
 from cartdale.relay.types import AnswerSink, LinkBrokeError
 from cartdale.switches import Mechanism
 
@@ -46,6 +46,7 @@
         self._generation = generation
         self._frames = EventFrames()
         self._repeatable = False
+        self._resumed = False
         #: Id of the last event that the caller has.
         self.last_event = last_event
         #: Longest pause between two events.
@@ -56,6 +57,8 @@
         #: Around each wait for bytes of the present link.
         self._reading = trio.CancelScope()
         self._link_since: Millis = 0
+        #: Reports of the engine in a row that did not know the generation.
+        self._reports_without = 0
         #: Whether the generation is on its way from a silent link to another,
         #: and whether it is gone.
         self._leaving_link = False
@@ -67,15 +70,22 @@
         return self._frames.pending
 
     async def pass_until_end(
-        self, chunks: AsyncIterator[bytes], *, repeatable: bool
+        self,
+        chunks: AsyncIterator[bytes],
+        *,
+        repeatable: bool,
+        resumed: bool = False,
     ) -> str:
         """Pass a link's events on; return how it broke, empty for its end.
 
         :param repeatable: whether another engine may go on without a copy.
+        :param resumed: whether the engine goes on from a copy.
         """
+        self._resumed = resumed
         self._frames = EventFrames()
         self._repeatable = repeatable
         self._link_since = self._ports.clock.now()
+        self._reports_without = 0
         self._leaving_link = False
         self._link_left = False
         self.left_for = None
@@ -103,9 +113,22 @@
                 break
             if chunk is None:
                 return ''
-            await self._pass(chunk)
+            for event in self._frames.feed(chunk):
+                if self._begins_late(event):
+                    return 'its first event is not the first'
+                await self._pass(event)
         return 'silence'
 
+    def _begins_late(self, event: bytes) -> bool:
+        """Tell whether an engine goes on after events that never came here.
+
+        One that goes on from a copy is told the last event that the caller
+        has; of a caller without any it can't know where to begin.
+        """
+        name = read_id(event)
+        empty_handed = self._resumed and not self.last_event
+        return empty_handed and name.isdigit() and int(name) > 1
+
     async def _watch_silence(self) -> None:
         """Leave the link once it is silent though more could come.
 
@@ -127,27 +150,31 @@
     async def _is_silent(self) -> bool:
         last_at = max(self._last_at, self._link_since)
         since = self._ports.clock.now() - last_at
-        if not self._last_at or since < _ASK_AFTER:
+        if since < _ASK_AFTER:
             return False
         if not self._ports.fleet.switches.has(Mechanism.SILENCE):
             return False
         movable = self._generation.backup or self._repeatable
-        if movable and since >= _SILENCE:
+        if self._last_at and movable and since >= _SILENCE:
             return True
-        return await is_engine_ahead(self._ports, self._generation)
-
-    async def _pass(self, chunk: bytes) -> None:
-        for event in self._frames.feed(chunk):
-            name = read_id(event)
-            check(
-                ONCE_IN_ORDER,
-                holds=not name or follows(name, self.last_event),
-                detail=f'event {name!r} after {self.last_event!r}',
-            )
-            self.last_event = name or self.last_event
-            self._generation.advance()
-            self._note_gap()
-            await self._sink.write(event)
+        state = await look_up(self._ports, self._generation)
+        if state is RunState.GONE and since >= LOOK_AFTER:
+            self._reports_without += 1
+            return self._reports_without > 1
+        self._reports_without = 0
+        return bool(self._last_at) and state is RunState.AHEAD
+
+    async def _pass(self, event: bytes) -> None:
+        name = read_id(event)
+        check(
+            ONCE_IN_ORDER,
+            holds=not name or follows(name, self.last_event),
+            detail=f'event {name!r} after {self.last_event!r}',
+        )
+        self.last_event = name or self.last_event
+        self._generation.advance()
+        self._note_gap()
+        await self._sink.write(event)
 
     def _note_gap(self) -> None:
         now = self._ports.clock.now()
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -33,12 +33,14 @@
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.silence import await_loss
 from cartdale.relay.types import (
     AnswerSink,
     LinkBroke,
     LinkBrokeError,
     OpenedAnswer,
     RoutedRequest,
+    SendFailure,
     UpstreamCall,
     WholeAnswer,
 )
@@ -174,13 +176,40 @@
         return ended
 
     async def _open(self, call: UpstreamCall) -> LinkEnd:
+        """Send a request, and read its answer unless none will come."""
         self._sent = True
-        async with self._ports.upstreams.open(call) as opened:
-            match opened:
-                case Success(answer):
-                    return await self._read(answer, call)
-                case Failure(LinkBroke(detail=detail)):
-                    return self._break(detail)
+        watching, waiting = trio.CancelScope(), trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_for_head, watching, waiting)
+            with waiting:
+                async with self._ports.upstreams.open(call) as opened:
+                    watching.cancel()
+                    return await self._take_opened(opened, call)
+        return await self._lose_link('nothing of it at its engine')
+
+    async def _watch_for_head(
+        self, watching: trio.CancelScope, waiting: trio.CancelScope
+    ) -> None:
+        """End the wait for an answer once its engine has nothing of it.
+
+        :param watching: cancelled when the answer begins.
+        :param waiting: to be cancelled.
+        """
+        with watching:
+            if self._ports.fleet.switches.has(Mechanism.SILENCE):
+                await await_loss(self._ports, self._generation)
+                waiting.cancel()
+
+    async def _take_opened(
+        self, opened: Result[OpenedAnswer, SendFailure], call: UpstreamCall
+    ) -> LinkEnd:
+        match opened:
+            case Success(answer):
+                return await self._read(answer, call)
+            case Failure(LinkBroke(detail=detail)) if call.resume is None:
+                return await self._lose_link(detail)
+            case Failure(LinkBroke(detail=detail)):
+                return self._break(detail)
         return Unsent()
 
     async def _read(self, answer: OpenedAnswer, call: UpstreamCall) -> LinkEnd:
@@ -197,7 +226,8 @@
         if call.resume is not None:
             self._generation.resumed()
         fleet.tell(RequestEnded(upstream, good=answer.status == _SUCCESS))
-        return await self._pass_events(answer)
+        resumed = call.resume is not None
+        return await self._pass_events(answer, resumed=resumed)
 
     async def _read_failure(self, answer: OpenedAnswer) -> LinkEnd:
         """Keep an upstream's own failure; another may be asked instead."""
@@ -210,9 +240,13 @@
         self._failure = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=False)
 
-    async def _pass_events(self, answer: OpenedAnswer) -> LinkEnd:
+    async def _pass_events(
+        self, answer: OpenedAnswer, *, resumed: bool = False
+    ) -> LinkEnd:
         broken = await self._passer.pass_until_end(
-            answer.chunks, repeatable=self._attempts.allows_another
+            answer.chunks,
+            repeatable=self._attempts.allows_another,
+            resumed=resumed,
         )
         if broken and self._passer.left_for is not None:
             return self._passer.left_for
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -53,12 +53,16 @@
 
     :param tear: whether a stream that is cut ends inside an event.
     :param mute: whether streams send nothing more while they are made.
+    :param vanish: whether requests end at once, and nobody is told.
+    :param headless: whether answers don't begin while they are made.
     :param end_before_stop: whether generations end by themselves just before
         they are stopped.
     """
 
     tear: bool = False
     mute: bool = False
+    vanish: bool = False
+    headless: bool = False
     end_before_stop: bool = False
 
 
@@ -129,14 +133,22 @@
             return Response(
                 'failed', status=FAILED, headers=self._sign(request_id)
             )
-        made = int(request.headers.get('Last-Event-Id', '0'))
+        made = int(request.headers.get('Last-Event-Id') or '0')
         if not self._has_memory(request_id):
             return decline()
         resumed = 'Kv-From' in request.headers
         counter = self.resumed_by_request if resumed else self.runs_by_request
         counter[request_id] += 1
+        vanishes = self.streams.vanish
         await self._back_up(request_id)
-        return self._begin(request_id, made)
+        if vanishes:
+            await trio.sleep_forever()
+        response = self._begin(request_id, made)
+        while self.streams.headless and not self.dead:
+            await trio.sleep(_POLL_SECONDS)
+        if self.dead:
+            raise LinkCutError
+        return response
 
     def _has_memory(self, request_id: str) -> bool:
         source = request.headers.get('Kv-From')
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -5,7 +5,13 @@
 from hypothesis import strategies as st
 
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.moves.decide import MOST_TRIES, begin, decide
+from cartdale.moves.decide import (
+    MOST_RENEWALS,
+    MOST_TRIES,
+    begin,
+    choose_pause,
+    decide,
+)
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
@@ -153,7 +159,7 @@
     state, _ = play(begin(SOURCE), TargetChosen(TARGET))
     lost = CopyRejected(CopyFault.NO_ANSWER)
     state, action = play(state, lost)
-    assert action == Copy(last=False, pause=True)
+    assert action == Copy(last=False, pause=30)
     state, action = play(state, *[lost] * MOST_TRIES)
     assert action is None
     assert state.phase is MovePhase.SETTLED
@@ -227,3 +233,62 @@
         link_ended = isinstance(message, LinkEnded)
         assert link_ended or before.phase in STOPPED
         assert state.phase in STOPPED
+
+
+def test_copy_over_a_link_that_stays_busy_is_renewed_a_few_times() -> None:
+    state, action = play(begin(SOURCE), TargetChosen(TARGET), CopyEnded('h'))
+    pauses = []
+    renewals = 0
+    while action == AwaitQuiet():
+        pauses.append(choose_pause(state))
+        state, action = play(state, LinkBusy())
+        if action == Copy(last=False):
+            renewals += 1
+            state, action = play(state, CopyEnded(f'h{renewals}'))
+    assert renewals == MOST_RENEWALS
+    # Then it stops, and only the rest is left to be copied.
+    assert action == Copy(last=True)
+    assert state.phase is MovePhase.STOPPING
+    assert pauses == [40, 80, 160, 320, 480, 480]
+
+
+def test_generation_whose_copies_were_refused_stays() -> None:
+    refused = CopyRejected(CopyFault.NO_ROOM)
+    state = begin(SOURCE)
+    for _ in range(MOST_TRIES):
+        state, action = play(state, TargetChosen(TARGET), refused)
+        assert action == ChooseAgain()
+    assert play(state, TargetChosen(TARGET)) == (state, None)
+
+
+ANSWERS = st.sampled_from(
+    [
+        TargetChosen(TARGET),
+        TargetChosen(SPARE),
+        CopyEnded('h'),
+        LinkBusy(),
+        LinkQuiet(),
+        BackupLost(),
+        RescueTarget(TARGET),
+        RescueTarget(None),
+        LinkEnded(),
+        ResumeRejected(),
+        *(CopyRejected(fault) for fault in CopyFault),
+        *(CopyRejected(fault, 'kept') for fault in CopyFault),
+    ]
+)
+#: A first copy and its renewals for each target, and a stop; twice for a
+#: rescue after it.
+MOST_COPIES = 2 * (MOST_TRIES + 1) * (MOST_RENEWALS + 2)
+
+
+@given(st.lists(ANSWERS, max_size=600), st.booleans())
+def test_copies_of_a_generation_at_one_engine_are_bounded(
+    answers, backed_up: bool
+) -> None:
+    state = begin(SOURCE, SPARE if backed_up else None)
+    copies = 0
+    for answer in answers:
+        state, actions = decide(state, answer)
+        copies += sum(isinstance(action, Copy) for action in actions)
+    assert copies <= MOST_COPIES
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -18,6 +18,9 @@
 #: Tokens of drafts that move: about three seconds, so that a busy machine
 #: does not end them before they do.
 LONG = 800
+#: Longest until a caller hears of a request that its engine has forgotten: far
+#: less than the 15 s that it would wait, also on a busy machine.
+NOTICED_SECONDS = 10
 #: An engine that tells so much is not gone before anything can move.
 LEAVES_MS = 9000
 
@@ -154,6 +157,51 @@
         assert not any(each.resumed_by_request for each in stage.engines)
 
 
+async def test_generation_whose_engine_dies_before_its_head_goes_on() -> None:
+    async with open_platform(engines=2) as stage:
+        for each in stage.engines:
+            each.streams.headless = True
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            for each in stage.engines:
+                each.streams.headless = False
+            source.die()
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert count_runs(stage, 'r1') == 1
+
+
+async def test_request_that_its_engine_forgot_is_not_waited_for() -> None:
+    async with open_platform(engines=1) as stage:
+        stage.engines[0].streams.vanish = True
+        with trio.fail_after(NOTICED_SECONDS):
+            answer = await draft(stage, 'r1')
+        # It may have run: nothing is promised, and nobody runs it again.
+        assert answer.status_code == httpx.codes.BAD_GATEWAY
+        assert count_runs(stage, 'r1') == 1
+
+
+async def test_request_that_may_repeat_runs_where_it_is_not_forgotten() -> None:
+    async with open_platform(engines=2) as stage:
+        for each in stage.engines:
+            each.streams.vanish = True
+        async with draft_meanwhile(stage, 'r1', LONG, '/tag/a') as answers:
+            await until(lambda: count_runs(stage, 'r1'))
+            for each in stage.engines:
+                each.streams.vanish = False
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert count_runs(stage, 'r1') == 2
+
+
+async def test_request_that_runs_without_a_head_is_waited_for() -> None:
+    async with open_platform(engines=1) as stage:
+        engine = stage.engines[0]
+        engine.streams.headless = True
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            await until(lambda: engine.reports_asked > 3)
+            engine.streams.headless = False
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+
+
 async def test_copy_of_a_generation_that_ended_is_freed() -> None:
     async with open_platform(engines=1) as stage:
         async with trio.open_nursery() as nursery:
