--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -18,6 +18,8 @@
 #: Tokens of drafts that move: about three seconds, so that a busy machine
 #: does not end them before they do.
 LONG = 800
+#: Tokens of a draft that is too short for a backup.
+SHORT = 80
 #: Longest until a caller hears of a request that its engine has forgotten: far
 #: less than the 15 s that it would wait, also on a busy machine.
 NOTICED_SECONDS = 10
@@ -184,11 +186,11 @@
     async with open_platform(engines=2) as stage:
         for each in stage.engines:
             each.streams.vanish = True
-        async with draft_meanwhile(stage, 'r1', LONG, '/tag/a') as answers:
+        async with draft_meanwhile(stage, 'r1', SHORT, '/tag/a') as answers:
             await until(lambda: count_runs(stage, 'r1'))
             for each in stage.engines:
                 each.streams.vanish = False
-        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert answers[0].content == whole('r1', SHORT // STRIDE)
         assert count_runs(stage, 'r1') == 2
 
 
