Let the next generation leave when its engine's link stays idle

Change: instances tell each other that a copy is under way, and a generation begins once nobody was heard to copy for 0.12 s for each that should come before.

--- a/scripts/demo_platform_traffic.py
+++ b/scripts/demo_platform_traffic.py
@@ -30,10 +30,13 @@
         await wait_ready(client)
         wrong: list[str] = []
         async with trio.open_nursery() as nursery:
-            for number in range(DRAFTS):
-                nursery.start_soon(draft, client, number, wrong)
+            begun = [trio.Event() for _ in range(DRAFTS)]
+            for number, event in enumerate(begun):
+                nursery.start_soon(draft, client, number, event, wrong)
             nursery.start_soon(look_up, client, wrong)
-            await trio.sleep(1)
+            # A draft that runs is kept by a backup, one that waits is not.
+            for event in begun:
+                await event.wait()
             print('an engine is taken away without notice')
             stop(work / 'engine-1.pid')
     for line in wrong:
@@ -75,9 +78,15 @@
 
 
 async def draft(
-    client: httpx.AsyncClient, number: int, wrong: list[str]
+    client: httpx.AsyncClient,
+    number: int,
+    begun: trio.Event,
+    wrong: list[str],
 ) -> None:
-    """Stream one draft and compare it with what the engine makes."""
+    """Stream one draft and compare it with what the engine makes.
+
+    :param begun: to be set once its first event has come.
+    """
     name = f'draft-{number}'
     headers = {
         'Token-Count': f'40,{TOKENS}',
@@ -88,12 +97,20 @@
     wanted = b''.join(
         format_event(name, event) for event in range(1, TOKENS // STRIDE + 1)
     )
+    came = b''
     try:
-        answer = await client.post(url, headers=headers, content=b'brief')
+        async with client.stream(
+            'POST', url, headers=headers, content=b'brief'
+        ) as answer:
+            async for chunk in answer.aiter_bytes():
+                came += chunk
+                begun.set()
     except httpx.TransportError as error:
         wrong.append(f'{name}: {error!r}')
         return
-    if answer.content != wanted:
+    finally:
+        begun.set()
+    if came != wanted:
         wrong.append(f'{name}: {answer.status_code}, not the whole draft')
 
 
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -116,6 +116,7 @@
             self._clock,
             self.peers.is_cut_off,
             self.peers.asks,
+            self.peers.lost_store,
         )
         self._briefings = Briefings(self.peers, self.fleet, self.follower)
         self._asker = BriefingAsker(
--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -24,6 +24,7 @@
         they have one or a backup elsewhere, end before, or find no room.
     :param long: how many of them generate for long, so that each prompt that
         is read beside them holds them up.
+    :param copying: how many of them are being copied to another upstream.
     """
 
     runs: int = 0
@@ -32,6 +33,7 @@
     reading: int = 0
     exempt: int = 0
     long: int = 0
+    copying: int = 0
 
     @property
     def awaiting_copy(self) -> int:
@@ -52,6 +54,7 @@
             self.reading + other.reading,
             self.exempt + other.exempt,
             self.long + other.long,
+            self.copying + other.copying,
         )
 
 
@@ -67,6 +70,7 @@
     __slots__ = (
         'backup',
         'began',
+        'copying',
         'expected',
         'made',
         'prompt',
@@ -85,6 +89,8 @@
         short: bool = False,
     ) -> None:
         self.backup = ''
+        #: Whether it is being copied to another upstream.
+        self.copying = False
         self.short = short
         #: Whether it needs no copy when its upstream leaves.
         self.exempt = short
@@ -113,6 +119,7 @@
             reading=0 if self.began else self.prompt,
             exempt=int(self.exempt or bool(self.backup)),
             long=int(self.prompt and not self.short),
+            copying=int(self.copying),
         )
 
 
@@ -199,6 +206,11 @@
         assignment.exempt = True
         self._count(assignment)
 
+    def copy(self, assignment: Assignment, *, begins: bool) -> None:
+        """Note that a request's copy begins to use a link, or has ended."""
+        assignment.copying = begins
+        self._count(assignment)
+
     def _add_peers(
         self,
         totals_by_upstream: dict[str, Load],
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -21,6 +21,7 @@
 
 #: An engine is asked by the one who does so for all at each second look: its
 #: report is half a second old, and it leaves 1.5 s and more after its notice.
+#: At each look while the store is lost, where the notice would be seen else.
 _LOOKS_PER_QUESTION = 2
 #: Where an engine has others in its failure domain, some targets are among
 #: them and some elsewhere.
@@ -32,6 +33,7 @@
 
     :param cut_off: tells whether neither the store nor peers can be heard.
     :param asks: tells whether this instance asks an engine for all others.
+    :param store_lost: tells whether the store does not answer here.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         clock: Clock,
         cut_off: Callable[[], bool],
         asks: Callable[[UpstreamEntry], bool],
+        store_lost: Callable[[], bool],
     ) -> None:
+        self._store_lost = store_lost
         self._cut_off = cut_off
         self._asks = asks
         self._fleet = fleet
@@ -124,7 +128,7 @@
         """
         if self._cut_off():
             names = {each.upstream for each in self._told_by_generation}
-        elif looks % _LOOKS_PER_QUESTION == 0:
+        elif self._store_lost() or looks % _LOOKS_PER_QUESTION == 0:
             known = self._fleet.state.upstreams_by_id
             names = {name for name in known if self._probes(name)}
         else:
--- a/src/cartdale/moves/leaving.py
+++ b/src/cartdale/moves/leaving.py
@@ -18,7 +18,7 @@
     SourceLink,
 )
 from cartdale.moves.ports import MovableGeneration
-from cartdale.moves.schedule import Turn, find_turn, line_up
+from cartdale.moves.schedule import Turn, find_turn, line_up, may_begin
 from cartdale.relay.types import UpstreamPort
 from cartdale.switches import Mechanism
 
@@ -157,11 +157,17 @@
 
         :param load: of the engine when it began to leave.
         """
-        while self._clock.now() < until:
+        now = self._clock.now()
+        busy_at = now
+        while now < until:
             now_load = self._fleet.load_at(self._entry.upstream)
-            if load.awaiting_copy - now_load.awaiting_copy >= turn.ahead:
+            if now_load.copying:
+                busy_at = now
+            ended = load.awaiting_copy - now_load.awaiting_copy
+            if may_begin(turn, ended, now - busy_at):
                 break
             await trio.sleep(seconds(_LOOK_EVERY))
+            now = self._clock.now()
 
 
 async def read_report(
--- a/src/cartdale/moves/schedule.py
+++ b/src/cartdale/moves/schedule.py
@@ -26,6 +26,12 @@
 _EVENTS_TO_COME = 125
 
 
+#: How long a link must have been idle for each copy that should come before.
+#: That a copy began is heard after 20 to 180 ms; whoever comes next in the
+#: order so begins before those behind it.
+_IDLE_BEFORE: Millis = 120
+
+
 @dataclass(frozen=True, slots=True)
 class Turn:
     """Say when a generation's copy has the link.
@@ -81,6 +87,22 @@
     )
 
 
+def may_begin(turn: Turn, ended: int, idle: Millis) -> bool:
+    """Tell whether a generation's copy may have the link now.
+
+    The order is estimated from a report that is half a second old: some of
+    those before may need no copy, and then nobody would use the link. Where it
+    stays idle, the next begins, as stations that share a medium do
+    (Kleinrock and Tobagi, Packet Switching in Radio Channels, 1975).
+
+    :param ended: copies that were needed when the engine began to leave and
+        are needed no more.
+    :param idle: how long nobody was heard to copy.
+    """
+    left = turn.ahead - ended
+    return left <= 0 or idle >= left * _IDLE_BEFORE
+
+
 def _rank(run: RunReport) -> tuple[float, str]:
     """Order by what is made for the memory held; ids settle the rest."""
     made = run.events + _EVENTS_TO_COME
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -74,13 +74,22 @@
 
     @contextmanager
     def reserve(self, target: UpstreamEntry) -> Iterator[None]:
-        """Count it at its target too while it is copied there."""
+        """Count it at its target too while it is copied there.
+
+        Those who wait to leave the same engine hear that its link is in use.
+        """
         reserved = self._make_assignment(target)
+        source = self._assignment
         self._fleet.loads.assign(reserved)
+        if source is not None:
+            self._fleet.loads.copy(source, begins=True)
+        self._fleet.notify()
         try:
             yield
         finally:
             self._fleet.loads.release(reserved)
+            if source is not None:
+                self._fleet.loads.copy(source, begins=False)
 
     def _make_assignment(self, upstream: UpstreamEntry) -> Assignment:
         made = self.events * self._event_tokens
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Patterns of load, in virtual time and without a network."""
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -134,7 +134,7 @@
 
 def test_generations_with_one_id_are_told_apart() -> None:
     clock = VirtualClock()
-    mover = Mover(Fleet(clock, 'west', 1), None, clock, bool, bool)
+    mover = Mover(Fleet(clock, 'west', 1), None, clock, bool, bool, bool)
     first, second = Running('a'), Running('b')
     mover.add(first)
     mover.add(second)
@@ -176,7 +176,7 @@
     fleet = Fleet(clock, 'west', 1)
     fleet.table = RoutingTable(1, services_by_name={'s': SPEC})
     upstreams = SilentUpstreams()
-    mover = Mover(fleet, upstreams, clock, bool, lambda _: False)
+    mover = Mover(fleet, upstreams, clock, bool, lambda _: False, bool)
     for name in ('a', 'b'):
         entry = UpstreamEntry(name, 's', f'{name}:1', 'west', 4)
         fleet.tell(EntryWritten(entry))
