--- a/scripts/demo_platform_traffic.py
+++ b/scripts/demo_platform_traffic.py
@@ -18,7 +18,7 @@
 HOST = 'mill.example'
 KEY = 'demo-key-of-the-mill'
 DRAFTS = 12
-TOKENS = 400
+TOKENS = 800
 TIMEOUT = 30
 CONFIGURATION = Path('deploy/demo-configuration.json')
 
