--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -13,6 +13,7 @@
 from cartdale.clock import SECOND_MS, Millis, SystemClock, seconds
 from cartdale.daemon.briefing import Briefings
 from cartdale.daemon.inflight import InFlight
+from cartdale.daemon.peer_links import SocketLinks
 from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import Application, BoundListener
 from cartdale.exceptions import BadInputError
@@ -85,10 +86,14 @@
             self._clock, settings.failure_domain, self._seed, switches
         )
         store = PlatformStore(make_pool(), settings.store, _STORE_TIMEOUT)
-        self.peers = Peers(
+        links = SocketLinks(
             settings.name,
             settings.failure_domain,
             Listener(settings.address, settings.peer_ports[0]),
+            self._clock,
+        )
+        self.peers = Peers(
+            links,
             store,
             self.fleet,
             self._clock,
--- /dev/null
+++ b/src/cartdale/daemon/peer_links.py
@@ -0,0 +1,134 @@
+"""How an instance on the platform reaches the other instances."""
+
+import secrets
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Protocol
+
+import trio
+from returns.result import Result
+
+from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.daemon.serve import BoundListener
+from cartdale.news.datagrams import SocketDatagrams
+from cartdale.news.ports import Datagrams
+from cartdale.news.types import PeerEntry
+from cartdale.peers.app import PeerApp
+from cartdale.peers.client import PeerClient, PeerFailure
+from cartdale.peers.documents import Document, FetchDocument
+from cartdale.peers.pool import make_peer_pool
+from cartdale.peers.seal import Seal
+from cartdale.settings.types import Listener
+
+_PEER_TIMEOUT: Millis = SECOND_MS
+#: What instances ask each other besides news.
+_SHAPES_BY_KIND = MappingProxyType(
+    {shape.__name__: shape for shape in (FetchDocument, Document)}
+)
+#: Length of the key that seals nothing that anyone opens, until the
+#: cluster's own is known.
+_KEY_BYTES = 32
+
+Serve = Callable[[object], Awaitable[object]]
+
+
+class PeerLinks(Protocol):
+    """Carry news and documents between instances."""
+
+    @property
+    def own(self) -> PeerEntry:
+        """Return how this instance is reached."""
+
+    @property
+    def datagrams(self) -> Datagrams:
+        """Return what carries news."""
+
+    def seal_with(self, seal: Seal) -> None:
+        """Seal calls from now on."""
+
+    async def serve(self, answer: Serve, stopping: trio.Event) -> None:
+        """Answer the calls of others until told to stop."""
+
+    async def fetch_document(
+        self, peer: PeerEntry
+    ) -> Result[Document, PeerFailure]:
+        """Ask a peer for the configuration that it has in force."""
+
+
+class SocketLinks:
+    """Reach the others by datagrams and by calls on the same port.
+
+    :param name: this instance's name.
+    :param listener: where datagrams and calls arrive.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        listener: Listener,
+        clock: Clock,
+    ) -> None:
+        both = _bind_both(listener)
+        self._listener = both.connections
+        self._clock = clock
+        self.own = PeerEntry(
+            name, listener.address, self._listener.port, failure_domain
+        )
+        self.datagrams = SocketDatagrams(both.datagrams)
+        self._client = PeerClient(
+            make_peer_pool(None),
+            name,
+            Seal((secrets.token_bytes(_KEY_BYTES),)),
+            clock,
+            _PEER_TIMEOUT,
+        )
+
+    def seal_with(self, seal: Seal) -> None:
+        """Seal calls from now on."""
+        self._client.seal = seal
+
+    async def serve(self, answer: Serve, stopping: trio.Event) -> None:
+        """Answer the calls of others until told to stop."""
+        app = PeerApp(
+            self.own.name, self._client, self._clock, answer, _SHAPES_BY_KIND
+        )
+        await self._listener.serve(app, stopping)
+
+    async def fetch_document(
+        self, peer: PeerEntry
+    ) -> Result[Document, PeerFailure]:
+        """Ask a peer for the configuration that it has in force."""
+        address = f'http://{peer.address}:{peer.port}'
+        return await self._client.ask(
+            peer.name, address, FetchDocument(), Document
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _BothKinds:
+    """Hold one port bound for connections and for datagrams."""
+
+    connections: BoundListener
+    datagrams: socket.socket
+
+
+def _bind_both(listener: Listener) -> _BothKinds:
+    """Bind a port for connections and the same one for datagrams.
+
+    With port 0 the system picks one that is free for connections only, so
+    that another has to be tried when it is taken for datagrams.
+    """
+    while True:
+        bound = BoundListener(listener)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            datagrams.bind((listener.address, bound.port))
+        except OSError:
+            datagrams.close()
+            if listener.port:
+                raise
+            continue
+        return _BothKinds(bound, datagrams)
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -4,11 +4,7 @@
 """
 
 import random
-import secrets
-import socket
 import zlib
-from dataclasses import dataclass
-from types import MappingProxyType
 
 import msgspec
 import trio
@@ -17,27 +13,21 @@
 
 from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.codec import decode_json
-from cartdale.daemon.serve import BoundListener
+from cartdale.daemon.peer_links import PeerLinks
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.fleet.stored import OwnKey, TableWritten
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.formatting import list_plain_fields
-from cartdale.news.datagrams import SocketDatagrams
 from cartdale.news.decide import list_holders
 from cartdale.news.driver import NewsExchange
 from cartdale.news.roster import KEY_NAME, PEER_PREFIX, Roster
 from cartdale.news.types import PeerEntry, PeerListed, PeerRemoved
-from cartdale.peers.app import PeerApp
-from cartdale.peers.client import PeerClient
 from cartdale.peers.documents import Document, FetchDocument, Unserved
-from cartdale.peers.pool import make_peer_pool
 from cartdale.peers.seal import Seal
 from cartdale.platform.translate import read_table
-from cartdale.settings.types import Listener
 from cartdale.store.types import LeasedStore
 
-_PEER_TIMEOUT: Millis = SECOND_MS
 #: Longest wait for the store when this instance takes itself off the list.
 _WITHDRAW_TIMEOUT: Millis = 150
 #: How long the first read waits for this instance to be listed, which takes a
@@ -49,36 +39,23 @@
 #: In a large system a document is asked for in the course of so much time for
 #: each instance around: about twice what an answer costs its holder.
 _FETCH_SPREAD: Millis = 8
-#: What instances ask each other besides news.
-_SHAPES_BY_KIND = MappingProxyType(
-    {shape.__name__: shape for shape in (FetchDocument, Document)}
-)
-#: Length of the key that seals nothing that anyone opens, until the
-#: cluster's own is known.
-_KEY_BYTES = 32
 
 
 class Peers:
     """Keep in touch with the other instances.
 
-    :param name: this instance's name.
-    :param listener: where datagrams and peers' calls arrive.
+    :param links: carry news and documents between them.
     """
 
     def __init__(
         self,
-        name: str,
-        failure_domain: str,
-        listener: Listener,
+        links: PeerLinks,
         store: LeasedStore,
         fleet: Fleet,
         clock: Clock,
     ) -> None:
-        both = _bind_both(listener)
-        self._listener = both.connections
-        own = PeerEntry(
-            name, listener.address, self._listener.port, failure_domain
-        )
+        self._links = links
+        own = links.own
         self._own = own
         #: The cluster's key; empty until it is known.
         self.key = b''
@@ -88,24 +65,14 @@
             clock,
             self._fetch_table,
             self.lost_store,
-            SocketDatagrams(both.datagrams),
+            links.datagrams,
         )
         self._roster = Roster(
             store, own, self.count_listed, self._read_after_listing
         )
-        self._generator = random.Random(zlib.crc32(name.encode()))
+        self._generator = random.Random(zlib.crc32(own.name.encode()))
         self._clock = clock
         self._fleet = fleet
-        self._client = PeerClient(
-            make_peer_pool(None),
-            name,
-            Seal((secrets.token_bytes(_KEY_BYTES),)),
-            clock,
-            _PEER_TIMEOUT,
-        )
-        self._app = PeerApp(
-            name, self._client, clock, self._serve, _SHAPES_BY_KIND
-        )
         self._nursery: trio.Nursery | None = None
         self._fetching = False
         self._follower: Follower | None = None
@@ -120,7 +87,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.news.run)
-            nursery.start_soon(self._listener.serve, self._app, stopping)
+            nursery.start_soon(self._links.serve, self._serve, stopping)
             nursery.start_soon(self._follow, follower)
             await self._roster.register()
             self._tried_to_register.set()
@@ -153,7 +120,7 @@
         """Seal news with the cluster's key, and open those of others."""
         self.key = key
         self.news.seal = Seal((key,))
-        self._client.seal = self.news.seal
+        self._links.seal_with(self.news.seal)
 
     def list_known(self) -> tuple[PeerEntry, ...]:
         """Return the instances that are listed or were heard of, and this."""
@@ -229,10 +196,7 @@
         if peer is None:
             self._fetching = False
             return
-        address = f'http://{peer.address}:{peer.port}'
-        answer = await self._client.ask(
-            peer.name, address, FetchDocument(), Document
-        )
+        answer = await self._links.fetch_document(peer)
         self._fetching = False
         match answer:
             case Success(document):
@@ -268,30 +232,3 @@
         if isinstance(message, FetchDocument) and self._follower is not None:
             return Document(self._follower.raw_table)
         return Unserved()
-
-
-@dataclass(frozen=True, slots=True)
-class _BothKinds:
-    """Hold one port bound for connections and for datagrams."""
-
-    connections: BoundListener
-    datagrams: socket.socket
-
-
-def _bind_both(listener: Listener) -> _BothKinds:
-    """Bind a port for connections and the same one for datagrams.
-
-    With port 0 the system picks one that is free for connections only, so
-    that another has to be tried when it is taken for datagrams.
-    """
-    while True:
-        bound = BoundListener(listener)
-        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            datagrams.bind((listener.address, bound.port))
-        except OSError:
-            datagrams.close()
-            if listener.port:
-                raise
-            continue
-        return _BothKinds(bound, datagrams)
--- /dev/null
+++ b/tests/load/fleet.py
@@ -0,0 +1,245 @@
+"""A whole fleet of instances in virtual time, on a store in memory.
+
+Each instance runs the real exchange of news, list, follower and agreement on
+a key; only the network and the store are replaced.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import trio
+from returns.result import Failure, Result, Success
+
+from cartdale.clock import Millis, SystemClock, seconds
+from cartdale.codec import encode_json
+from cartdale.daemon.peer_links import Serve
+from cartdale.daemon.peers import Peers
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.follow import Follower
+from cartdale.news.types import PeerEntry
+from cartdale.peers.client import PeerNotReached
+from cartdale.peers.documents import Document, FetchDocument
+from cartdale.platform.translate import translate
+from cartdale.store.types import (
+    Changes,
+    Compare,
+    LeaseLost,
+    Listing,
+    Put,
+    StoreFailure,
+    StoreUnavailable,
+    Write,
+)
+from cartdale_standins.state import KeyValueState
+from tests.platform_stage import make_configuration
+
+#: An answer of the store, there and back.
+STORE_TAKES: Millis = 4
+#: One way between two instances.
+WAY_TAKES: Millis = 2
+DOMAINS = ('karen', 'kilimani', 'parklands', 'upperhill', 'westlands')
+
+
+@dataclass
+class CountingStore:
+    """Answer one instance's calls, and count them for the whole fleet."""
+
+    state: KeyValueState
+    calls: Counter[str]
+    #: Whether calls of this instance are turned away.
+    refuses: bool = False
+
+    async def fetch(
+        self, prefix: str, start: str = '', limit: int = 0
+    ) -> Result[Listing, StoreFailure]:
+        if await self._refuse('read'):
+            return Failure(StoreUnavailable('busy'))
+        return Success(self.state.fetch(prefix, '~', 0))
+
+    async def watch(
+        self, prefix: str, after: int, timeout: Millis
+    ) -> Result[Changes, StoreFailure]:
+        if await self._refuse('watch'):
+            return Failure(StoreUnavailable('busy'))
+        with trio.move_on_after(seconds(timeout)):
+            while not self._list_changes(after):
+                await trio.sleep(seconds(STORE_TAKES))
+        changes = self._list_changes(after)
+        return Success(Changes(changes, self.state.revision))
+
+    async def transact(
+        self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
+    ):
+        if await self._refuse('write'):
+            return Failure(StoreUnavailable('busy'))
+        return Success(self.state.transact(compares, writes))
+
+    async def grant(self, ttl: Millis) -> Result[int, StoreFailure]:
+        if await self._refuse('grant'):
+            return Failure(StoreUnavailable('busy'))
+        return Success(self.state.grant(ttl))
+
+    async def keep_alive(self, lease: int) -> Result[Millis, StoreFailure]:
+        if await self._refuse('renew'):
+            return Failure(StoreUnavailable('busy'))
+        ttl = self.state.keep_alive(lease)
+        return Success(ttl) if ttl else Failure(LeaseLost(lease))
+
+    async def revoke(self, lease: int) -> Result[None, StoreFailure]:
+        await self._refuse('revoke')
+        self.state.revoke(lease)
+        return Success(None)
+
+    async def _refuse(self, kind: str) -> bool:
+        self.calls[kind] += 1
+        await trio.sleep(seconds(STORE_TAKES))
+        return self.refuses
+
+    def _list_changes(self, after: int):
+        return tuple(
+            change
+            for change in self.state.history
+            if change.mod_revision > after
+        )
+
+
+@dataclass
+class MemoryNetwork:
+    """Carry datagrams and documents between the instances by their names."""
+
+    inboxes: dict[str, trio.MemorySendChannel] = field(default_factory=dict)
+    servers: dict[str, Serve] = field(default_factory=dict)
+    messages: Counter[str] = field(default_factory=Counter)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass
+class MemoryLinks:
+    """Reach the others over a network in memory."""
+
+    own: PeerEntry
+    network: MemoryNetwork
+
+    def __post_init__(self) -> None:
+        put, self._take = trio.open_memory_channel[bytes](1000)
+        self.network.inboxes[self.own.name] = put
+
+    @property
+    def datagrams(self) -> 'MemoryLinks':
+        return self
+
+    def send(self, raw: bytes, peer: PeerEntry) -> None:
+        self.network.messages[self.own.name] += 1
+        self.network.sent_bytes[self.own.name] += len(raw)
+        inbox = self.network.inboxes.get(peer.name)
+        if inbox is not None:
+            inbox.send_nowait(raw)
+
+    async def receive(self) -> bytes:
+        return await self._take.receive()
+
+    def seal_with(self, seal: object) -> None:
+        """Documents need no seal here."""
+
+    async def serve(self, answer: Serve, stopping: trio.Event) -> None:
+        self.network.servers[self.own.name] = answer
+        await stopping.wait()
+
+    async def fetch_document(self, peer: PeerEntry):
+        await trio.sleep(seconds(2 * WAY_TAKES))
+        self.network.messages['documents'] += 1
+        serve = self.network.servers.get(peer.name)
+        if serve is None:
+            return Failure(PeerNotReached('gone'))
+        answer = await serve(FetchDocument())
+        assert isinstance(answer, Document)
+        return Success(answer)
+
+
+@dataclass
+class FleetInstance:
+    """Hold one instance."""
+
+    fleet: Fleet
+    peers: Peers
+    follower: Follower
+    store: CountingStore
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def run(self, delay: float) -> None:
+        with self.scope:
+            await trio.sleep(delay)
+            await self.peers.run(self.follower, trio.Event())
+
+
+class SimulatedFleet:
+    """Hold a store and all instances.
+
+    :param count: instances, spread over five failure domains.
+    """
+
+    def __init__(self, count: int, nursery: trio.Nursery) -> None:
+        self.clock = SystemClock()
+        self.state = KeyValueState(self.clock)
+        self.calls: Counter[str] = Counter()
+        self.network = MemoryNetwork()
+        self.instances: list[FleetInstance] = []
+        self._nursery = nursery
+        self._count = count
+        self.configure(1)
+
+    def configure(self, version: int) -> None:
+        document = encode_json(make_configuration(version))
+        self.state.transact((), (Put('op/config', document),))
+
+    def list_engine(self, name: str, state: str = 'ready') -> None:
+        entry = {
+            'service': 'writers',
+            'address': f'{name}:1',
+            'zone': DOMAINS[0],
+            'slots': 24,
+            'state': state,
+        }
+        self.state.transact((), (Put(f'servers/{name}', encode_json(entry)),))
+
+    def start_all(self) -> None:
+        """Start every instance within 0.3 s, as after a loss of power."""
+        self.network.inboxes.clear()
+        self.network.servers.clear()
+        self.instances = [self._make(number) for number in range(self._count)]
+        for number, each in enumerate(self.instances):
+            delay = 0.3 * number / self._count
+            self._nursery.start_soon(each.run, delay)
+
+    def stop_all(self) -> None:
+        for each in self.instances:
+            each.scope.cancel()
+
+    def list_versions(self) -> Iterator[int]:
+        for each in self.instances:
+            yield each.fleet.table.version
+
+    def take_calls(self) -> Counter[str]:
+        """Return the calls since the last time."""
+        taken = Counter(self.calls)
+        self.calls.clear()
+        return taken
+
+    def _make(self, number: int) -> FleetInstance:
+        domain = DOMAINS[number % len(DOMAINS)]
+        own = PeerEntry(f'front-{domain}-{number}', domain, number, domain)
+        store = CountingStore(self.state, self.calls)
+        fleet = Fleet(self.clock, domain, number)
+        links = MemoryLinks(own, self.network)
+        peers = Peers(links, store, fleet, self.clock)
+        follower = Follower(
+            store,
+            fleet,
+            self.clock,
+            translate,
+            peers.take_own_key,
+            peers.news.is_watcher,
+            peers.news.is_silent,
+        )
+        return FleetInstance(fleet, peers, follower, store)
