Name a late answer's pause, and an engine that forgot a request, as causes

explain told a whole answer as answered, without where it paused. Two faults of the soak: an engine that drops what it is sent, and one that begins no answer.

--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -22,6 +22,7 @@
     TIME_LIMIT = 'no answer came within its time limit'
     ENGINE_GONE = 'its engine left before its memory was copied'
     ENGINE_LOST = 'its engine was lost without a copy of its memory'
+    FORGOTTEN = 'its engine had nothing of it any more; it may have run'
     LINK_BROKE = 'the link to its upstream broke; it may have run'
     CALLER_LEFT = 'the caller left'
     CHECK_FAILED = 'a check of the program ended it'
@@ -79,13 +80,23 @@
     events = f'after {details.get("events", 0)} events'
     match details.get('end'):
         case 'whole':
-            return Verdict(Cause.ANSWERED)
+            return Verdict(Cause.ANSWERED, _describe_pause(by_event))
         case 'failed':
             return Verdict(Cause.UPSTREAM_FAILED)
         case _:
             return _judge_cut(by_event, events)
 
 
+def _describe_pause(by_event: dict[str, LogLine]) -> str:
+    """Return where a whole answer paused for too long; empty for nowhere."""
+    pause = by_event.get('pause too long')
+    if pause is None:
+        return ''
+    took, events = pause.details.get('took'), pause.details.get('events')
+    upstream = pause.details.get('upstream', '')
+    return f'late: paused {took} ms at {upstream} after {events} events'
+
+
 def _judge_cut(by_event: dict[str, LogLine], events: str) -> Verdict:
     if 'time limit' in by_event:
         return Verdict(Cause.TIME_LIMIT, events)
@@ -111,6 +122,8 @@
             return _judge_not_run(by_event, str(details.get('reason')), held)
         case 'OutcomeUnknown' if 'time limit' in detail:
             return Verdict(Cause.TIME_LIMIT, held)
+        case 'OutcomeUnknown' if 'nothing of it' in detail:
+            return Verdict(Cause.FORGOTTEN, held)
         case _:
             return Verdict(Cause.LINK_BROKE, detail)
 
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -22,6 +22,8 @@
         'engine path': 2,
         'engine dies': 2,
         'engine drains': 4,
+        'engine forgets': 1,
+        'engine without heads': 2,
         'lost answers': 2,
         'kill': 2,
         'start without store': 2,
@@ -88,6 +90,8 @@
                 self._replace(drains=False)
             case 'engine drains':
                 self._replace(drains=True)
+            case 'engine forgets' | 'engine without heads':
+                self._soak.nursery.start_soon(self._silence, fault, lasts)
             case 'lost answers':
                 plain = self._soak.random.choice(self._list_up('portal')).worker
                 plain.faults.cuts += self._soak.random.randrange(1, 4)
@@ -139,6 +143,16 @@
         self._soak.store.faults = PlatformStoreFaults()
         self._soak.store_disturbed_at = trio.current_time()
 
+    async def _silence(self, fault: str, lasts: float) -> None:
+        """Let an engine drop what it is sent, or begin no answer."""
+        engine = self._soak.random.choice(self._list_up()).worker
+        assert isinstance(engine, PlatformEngine)
+        engine.streams.vanish = fault == 'engine forgets'
+        engine.streams.headless = fault == 'engine without heads'
+        await trio.sleep(lasts)
+        engine.streams.vanish = False
+        engine.streams.headless = False
+
     async def _pause(self, instance: Instance, lasts: float) -> None:
         if instance.signal(signal.SIGSTOP):
             await trio.sleep(lasts)
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -95,6 +95,12 @@
 )
 
 
+FORGOTTEN = (
+    Cause.FORGOTTEN,
+    (PLACED, {**UNKNOWN, 'detail': 'nothing of it at its engine'}),
+)
+
+
 def write_lines(lines) -> str:
     return '\n'.join(
         json.dumps(
@@ -104,12 +110,26 @@
     )
 
 
-@pytest.mark.parametrize(('cause', 'lines'), RECORDED)
+@pytest.mark.parametrize(('cause', 'lines'), (*RECORDED, FORGOTTEN))
 def test_cause_is_named(cause: Cause, lines) -> None:
     parsed = parse_lines((write_lines(lines),))
     assert judge_request(parsed, 'r1').cause is cause
 
 
+def test_whole_answer_that_paused_is_late() -> None:
+    pause = {
+        'event': 'pause too long',
+        'upstream': 'i-a',
+        'took': 240,
+        'events': 31,
+    }
+    whole = {'event': 'stream ended', 'end': 'whole'}
+    lines = parse_lines((write_lines((PLACED, pause, whole)),))
+    verdict = judge_request(lines, 'r1')
+    assert verdict.cause is Cause.ANSWERED
+    assert verdict.detail == 'late: paused 240 ms at i-a after 31 events'
+
+
 def test_explain_closes_with_the_cause(tmp_path: Path) -> None:
     log = tmp_path / 'log'
     log.write_text(write_lines(RECORDED[8][1]))
