--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -12,17 +12,10 @@
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import EntryRemoved, EntryWritten, ToldFailing
 from cartdale.formatting import format_error
-from cartdale.news.decide import (
-    ALIVE_MS,
-    count_alive,
-    count_reporters,
-    decide,
-    is_silent,
-)
+from cartdale.news.decide import count_alive, decide, is_silent
 from cartdale.news.duties import (
     SILENT_MS,
     StoreView,
-    choose_recipients,
     is_domain_speaker,
     is_prober,
     is_watcher,
@@ -31,6 +24,7 @@
     stretch,
 )
 from cartdale.news.ports import Datagrams
+from cartdale.news.speaking import DomainSpeaker
 from cartdale.news.types import (
     AvoidUpstream,
     DomainNews,
@@ -56,9 +50,6 @@
 #: Between two messages when nothing is new but the tokens made meanwhile, in
 #: a small system; a large one is told more seldom.
 _UNCHANGED_EVERY: Millis = 400
-#: The same for what an instance says for its failure domain: each message
-#: goes to one instance of each other domain, which passes it on.
-_DOMAIN_EVERY: Millis = 100
 
 Fetch = Callable[[PeerEntry], None]
 
@@ -89,14 +80,20 @@
         self._store_lost = store_lost
         #: When this exchange began; ``None`` before.
         self._started_at: Millis | None = None
-        #: What was urgent when this instance last considered to speak.
-        self._spoken_of = (0, 0)
         self._writer = NewsWriter(
             own, fleet, clock, self.is_watcher, store_lost
         )
+        self._speaker = DomainSpeaker(
+            self, self._writer, fleet, clock, store_lost
+        )
         self.state = NewsState()
         self.seal: Seal | None = None
 
+    @property
+    def own(self) -> PeerEntry:
+        """Return how this instance is reached."""
+        return self._own
+
     def tell(self, message: Message, raw: bytes = b'') -> None:
         """Take one message and act on what follows from it.
 
@@ -124,7 +121,7 @@
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
         now = self._clock.now()
-        patience = SILENT_MS * stretch(len(self._list_audience()))
+        patience = SILENT_MS * stretch(len(self.list_audience()))
         began = self._started_at
         young = began is None or now - began <= patience
         view = StoreView(lost=self._store_lost(), young=young)
@@ -158,19 +155,33 @@
 
     def count_audience(self) -> int:
         """Return how many peers this instance tells its news."""
-        return len(self._list_audience())
+        return len(self.list_audience())
 
     def count_alive(self) -> int:
         """Return how many instances are alive, this one included."""
         return 1 + count_alive(self.state, self._clock.now())
 
+    def list_audience(self) -> list[PeerEntry]:
+        """Return the peers to which this instance tells its news."""
+        return list_audience(self.state, self._own, self._clock.now())
+
+    def send_to(self, sealed: bytes, peer: PeerEntry) -> None:
+        """Send a message to a peer; it may be lost."""
+        try:
+            self._datagrams.send(sealed, peer)
+        except OSError as error:
+            # A full buffer included: the next message is not far.
+            logger.info(
+                'news not sent', peer=peer.name, detail=format_error(error)
+            )
+
     async def run(self) -> None:
         """Send and receive, for ever."""
         self._started_at = self._clock.now()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
             nursery.start_soon(self._send)
-            nursery.start_soon(self._send_domain_news)
+            nursery.start_soon(self._speaker.run)
 
     def _take_loads(
         self, peer: str, loads_by_upstream: dict[str, Load]
@@ -204,110 +215,25 @@
 
     def _forward(self, raw: bytes) -> None:
         """Send a message as it came to the instances around."""
-        for peer in self._list_audience():
-            self._send_to(raw, peer)
+        for peer in self.list_audience():
+            self.send_to(raw, peer)
 
     async def _send(self) -> None:
         while True:
-            factor = stretch(len(self._list_audience()))
+            factor = stretch(len(self.list_audience()))
             await trio.sleep(seconds(_CHANGED_EVERY * factor))
             await self._wait_for_news(_UNCHANGED_EVERY * factor)
             if self.seal is None:
                 continue
             sealed = self._writer.write(self.seal)
-            for peer in self._list_audience():
-                self._send_to(sealed, peer)
-
-    async def _send_domain_news(self) -> None:
-        """Tell other failure domains of this one, while this speaks for it."""
-        told = None
-        told_at: Millis = 0
-        turn = 0
-        while True:
-            await self._pause_domain_news()
-            now = self._clock.now()
-            if self.seal is None or not is_domain_speaker(
-                self.state, self._own, now
-            ):
-                continue
-            news = self._describe_domain(now)
-            if news == told and now - told_at < _UNCHANGED_EVERY:
-                continue
-            told, told_at = news, now
-            turn += 1
-            for peer in choose_recipients(self.state, self._own, now, turn):
-                sealed = self._writer.close_domain(self.seal, news, peer.name)
-                self._send_to(sealed, peer)
-
-    async def _pause_domain_news(self) -> None:
-        """Wait for the next time to speak, or until something is urgent.
-
-        An upstream that leaves gives a second or two of notice; who watches
-        the store may be in another failure domain.
-        """
-        await trio.sleep(seconds(_CHANGED_EVERY))
-        with trio.move_on_after(seconds(_DOMAIN_EVERY - _CHANGED_EVERY)):
-            while self._spoken_of == self._list_urgent():
-                await self._fleet.changed()
-        self._spoken_of = self._list_urgent()
-
-    def _list_urgent(self) -> tuple[int, int]:
-        """Return what changes with whatever other domains must hear soon."""
-        return self._fleet.lifecycles, self._fleet.table.version
-
-    def _describe_domain(self, now: Millis) -> DomainNews:
-        names = [peer.name for peer in self._list_audience()]
-        alive = 1 + sum(
-            name in self.state.heard_by_name
-            and now - self.state.heard_by_name[name].at <= ALIVE_MS
-            for name in names
-        )
-        loads_by_upstream = self._fleet.loads.shared_totals(names, now)
-        lost = self._store_lost() and all(
-            heard.news.store_lost
-            for name, heard in self.state.heard_by_name.items()
-            if name in names and now - heard.at <= ALIVE_MS
-        )
-        return self._writer.describe_domain(
-            alive,
-            loads_by_upstream,
-            self._count_reporters(now),
-            store_lost=lost,
-        )
-
-    def _count_reporters(self, now: Millis) -> dict[str, int]:
-        """Count the instances of this domain that can't reach an upstream."""
-        own = self._writer.list_unreachable()
-        reporters_by_upstream = {
-            upstream: count_reporters(
-                self.state, upstream, now, own_domain_only=True
-            )
-            + (upstream in own)
-            for upstream in self._fleet.state.upstreams_by_id
-        }
-        return {
-            upstream: count
-            for upstream, count in reporters_by_upstream.items()
-            if count
-        }
-
-    def _list_audience(self) -> list[PeerEntry]:
-        return list_audience(self.state, self._own, self._clock.now())
+            for peer in self.list_audience():
+                self.send_to(sealed, peer)
 
     async def _wait_for_news(self, longest: Millis) -> None:
         with trio.move_on_after(seconds(longest)):
             while not self._writer.has_new():
                 await self._fleet.changed()
 
-    def _send_to(self, sealed: bytes, peer: PeerEntry) -> None:
-        try:
-            self._datagrams.send(sealed, peer)
-        except OSError as error:
-            # A full buffer included: the next message is not far.
-            logger.info(
-                'news not sent', peer=peer.name, detail=format_error(error)
-            )
-
 
 def _read(envelope: Envelope, own: str) -> Message | None:
     """Decode a message; ``None`` for one of another kind.
--- /dev/null
+++ b/src/cartdale/news/speaking.py
@@ -0,0 +1,139 @@
+"""Tell other failure domains what the instances of this one have and know."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from cartdale.clock import Clock, Millis, seconds
+from cartdale.fleet.driver import Fleet
+from cartdale.news.decide import ALIVE_MS, count_reporters
+from cartdale.news.duties import choose_recipients, is_domain_speaker
+from cartdale.news.types import DomainNews, NewsState, PeerEntry
+from cartdale.news.writing import NewsWriter
+from cartdale.peers.seal import Seal
+
+#: Between two messages at the least, however urgent.
+_URGENT_EVERY: Millis = 20
+#: Between two messages when something changed: each goes to one instance of
+#: each other domain, which passes it on.
+_CHANGED_EVERY: Millis = 100
+#: Between two messages when nothing is new.
+_UNCHANGED_EVERY: Millis = 400
+
+
+class HeardNews(Protocol):
+    """Tell what was heard, and send."""
+
+    state: NewsState
+    seal: Seal | None
+
+    @property
+    def own(self) -> PeerEntry:
+        """Return how this instance is reached."""
+
+    def list_audience(self) -> list[PeerEntry]:
+        """Return the peers to which this instance tells its news."""
+
+    def send_to(self, sealed: bytes, peer: PeerEntry) -> None:
+        """Send a message to a peer; it may be lost."""
+
+
+class DomainSpeaker:
+    """Speak for a failure domain, while that is this instance's duty.
+
+    :param news: what this instance heard.
+    :param writer: writes messages from what this instance's fleet holds.
+    :param store_lost: tells whether the store does not answer here.
+    """
+
+    def __init__(
+        self,
+        news: HeardNews,
+        writer: NewsWriter,
+        fleet: Fleet,
+        clock: Clock,
+        store_lost: Callable[[], bool],
+    ) -> None:
+        self._news = news
+        self._writer = writer
+        self._fleet = fleet
+        self._clock = clock
+        self._store_lost = store_lost
+        #: What was urgent when this instance last considered to speak.
+        self._spoken_of = (0, 0)
+
+    async def run(self) -> None:
+        """Speak while that is the duty here, for ever."""
+        told = None
+        told_at: Millis = 0
+        turn = 0
+        while True:
+            await self._pause()
+            now = self._clock.now()
+            if self._news.seal is None or not is_domain_speaker(
+                self._news.state, self._news.own, now
+            ):
+                continue
+            news = self._describe(now)
+            if news == told and now - told_at < _UNCHANGED_EVERY:
+                continue
+            told, told_at = news, now
+            turn += 1
+            for peer in choose_recipients(
+                self._news.state, self._news.own, now, turn
+            ):
+                sealed = self._writer.close_domain(
+                    self._news.seal, news, peer.name
+                )
+                self._news.send_to(sealed, peer)
+
+    async def _pause(self) -> None:
+        """Wait for the next time to speak, or until something is urgent.
+
+        An upstream that leaves gives a second or two of notice; who watches
+        the store may be in another failure domain.
+        """
+        await trio.sleep(seconds(_URGENT_EVERY))
+        with trio.move_on_after(seconds(_CHANGED_EVERY - _URGENT_EVERY)):
+            while self._spoken_of == self._list_urgent():
+                await self._fleet.changed()
+        self._spoken_of = self._list_urgent()
+
+    def _list_urgent(self) -> tuple[int, int]:
+        """Return what changes with whatever other domains must hear soon."""
+        return self._fleet.lifecycles, self._fleet.table.version
+
+    def _describe(self, now: Millis) -> DomainNews:
+        names = [peer.name for peer in self._news.list_audience()]
+        heard_by_name = self._news.state.heard_by_name
+        alive = [
+            heard_by_name[name].news
+            for name in names
+            if name in heard_by_name
+            and now - heard_by_name[name].at <= ALIVE_MS
+        ]
+        loads_by_upstream = self._fleet.loads.shared_totals(names, now)
+        lost = self._store_lost() and all(news.store_lost for news in alive)
+        return self._writer.describe_domain(
+            1 + len(alive),
+            loads_by_upstream,
+            self._count_reporters(now),
+            store_lost=lost,
+        )
+
+    def _count_reporters(self, now: Millis) -> dict[str, int]:
+        """Count the instances of this domain that can't reach an upstream."""
+        own = self._writer.list_unreachable()
+        reporters_by_upstream = {
+            upstream: count_reporters(
+                self._news.state, upstream, now, own_domain_only=True
+            )
+            + (upstream in own)
+            for upstream in self._fleet.state.upstreams_by_id
+        }
+        return {
+            upstream: count
+            for upstream, count in reporters_by_upstream.items()
+            if count
+        }
