--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -54,6 +54,9 @@
         #: Where the generation goes on since its link fell silent, if it does.
         self.left_for: UpstreamEntry | None = None
         self._last_at: Millis = 0
+        #: When the present wait for bytes began; ``None`` while some are
+        #: passed on: a caller who reads slowly is not an engine that is silent.
+        self._reading_since: Millis | None = None
         #: Around each wait for bytes of the present link.
         self._reading = trio.CancelScope()
         self._link_since: Millis = 0
@@ -104,11 +107,13 @@
         """
         while not self._link_left:
             self._reading = trio.CancelScope()
+            self._reading_since = self._ports.clock.now()
             try:
                 with self._reading:
                     chunk = await anext(chunks, None)
             except LinkBrokeError as error:
                 return error.detail
+            self._reading_since = None
             if self._reading.cancelled_caught:
                 break
             if chunk is None:
@@ -158,12 +163,17 @@
         if self._last_at and movable and since >= _SILENCE:
             return True
         state = await look_up(self._ports, self._generation)
-        if state is RunState.GONE and since >= LOOK_AFTER:
+        if state is RunState.GONE and self._has_waited(LOOK_AFTER):
             self._reports_without += 1
             return self._reports_without > 1
         self._reports_without = 0
         return bool(self._last_at) and state is RunState.AHEAD
 
+    def _has_waited(self, longest: Millis) -> bool:
+        """Tell whether bytes of the present link were waited for so long."""
+        began = self._reading_since
+        return began is not None and self._ports.clock.now() - began >= longest
+
     async def _pass(self, event: bytes) -> None:
         name = read_id(event)
         check(
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -1,16 +1,19 @@
 """A link that is left while events still come counts none that is not sent."""
 
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import trio
+from returns.result import Success
 
 from cartdale.clock import SystemClock
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import UpstreamEntry
+from cartdale.fleet.types import EngineReport, EntryWritten, UpstreamEntry
 from cartdale.relay.admission import Admission
+from cartdale.relay.decide import Broken
 from cartdale.relay.discards import Discards
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.stream import StreamCarrier
+from cartdale.relay.stream import StreamCarrier, StreamEnd
 from cartdale.relay.types import (
     CallerRequest,
     OpenedAnswer,
@@ -143,3 +146,61 @@
         autojump_clock.jump(3)
     assert not generation.left
     assert len(sink.written) == 2
+
+
+class Forgetful:
+    """An engine that has ended what it was asked, and answers reports."""
+
+    async def report(self, address: str):
+        return Success(EngineReport(0, 0, 0, 0))
+
+
+class Ended(BackedUp):
+    """A generation that its engine has ended, without a backup."""
+
+    backup = ''
+
+    async def lose_link(self) -> None:
+        """Find nothing to go on from."""
+        self.left += 1
+
+
+def make_forgotten(sink: SlowSink, generation: Ended) -> StreamCarrier:
+    carrier = make_carrier(sink, generation)
+    carrier._ports.fleet.tell(EntryWritten(replace(ELSEWHERE, upstream='a')))
+    ports = replace(carrier._ports, upstreams=Forgetful())
+    carrier._ports = ports
+    carrier._passer._ports = ports
+    return carrier
+
+
+async def test_caller_who_reads_slowly_gets_what_the_engine_has_ended(
+    autojump_clock,
+) -> None:
+    async def come() -> AsyncIterator[bytes]:
+        for number in range(1, 9):
+            yield b'id: %d\n\n' % number
+
+    await trio.sleep(1)
+    sink, generation = SlowSink(), Ended()
+    carrier = make_forgotten(sink, generation)
+    ended = await carrier._pass_events(make_answer(come()))
+    assert ended == StreamEnd.WHOLE
+    assert len(sink.written) == 8
+    assert not generation.left
+
+
+async def test_link_of_a_generation_that_has_ended_is_left(
+    autojump_clock,
+) -> None:
+    async def come() -> AsyncIterator[bytes]:
+        yield b'id: 1\n\n'
+        await trio.sleep_forever()
+
+    await trio.sleep(1)
+    sink, generation = SlowSink(), Ended()
+    carrier = make_forgotten(sink, generation)
+    with trio.fail_after(5):
+        ended = await carrier._pass_events(make_answer(come()))
+    assert isinstance(ended, Broken)
+    assert generation.left
