--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -29,7 +29,8 @@
 class SlowSink:
     """Take some time for each write, as a caller that reads slowly."""
 
-    def __init__(self) -> None:
+    def __init__(self, takes: float = 0.8) -> None:
+        self.takes = takes
         self.written: list[bytes] = []
 
     async def start(self, status: int, headers: object) -> None:
@@ -37,7 +38,7 @@
 
     async def write(self, chunk: bytes) -> None:
         """Take a part of the body."""
-        await trio.sleep(0.8)
+        await trio.sleep(self.takes)
         self.written.append(chunk)
 
     async def finish(self) -> None:
@@ -182,7 +183,8 @@
             yield b'id: %d\n\n' % number
 
     await trio.sleep(1)
-    sink, generation = SlowSink(), Ended()
+    # Longer than two reports that don't know the generation.
+    sink, generation = SlowSink(takes=2.5), Ended()
     carrier = make_forgotten(sink, generation)
     ended = await carrier._pass_events(make_answer(come()))
     assert ended == StreamEnd.WHOLE
