Renew a listing at least each third of its lease

Cause, found while working out the target size: renewals came each second for every 16 listed instances, 13 s at 195 and 24 s at 370, of a lease of 20 s. One lost answer took an instance off the list, and from 304 on all would have left it between two renewals.

--- a/src/cartdale/news/roster.py
+++ b/src/cartdale/news/roster.py
@@ -30,6 +30,8 @@
 #: Between renewals in a small system. They also show within about a
 #: second that the store is away, which a held watch does not.
 _RENEW_EVERY: Millis = SECOND_MS
+#: The same in the largest: two answers may be lost before the lease runs out.
+_RENEW_AT_LEAST_EVERY: Millis = _LEASE // 3
 _RETRY_EVERY: Millis = SECOND_MS
 _KEY_BYTES = 32
 
@@ -70,8 +72,7 @@
                 await self._renew()
             else:
                 await self._register()
-            renew_every = _RENEW_EVERY * stretch(self._count_peers())
-            pause = renew_every if self._listed else _RETRY_EVERY
+            pause = self._choose_pause() if self._listed else _RETRY_EVERY
             await trio.sleep(seconds(pause))
 
     async def withdraw(self) -> None:
@@ -95,6 +96,11 @@
                 return found.value
         return b''
 
+    def _choose_pause(self) -> Millis:
+        """Return how long to wait before the lease is renewed."""
+        renew_every = _RENEW_EVERY * stretch(self._count_peers())
+        return min(renew_every, _RENEW_AT_LEAST_EVERY)
+
     async def _register(self) -> None:
         granted = await self._store.grant(_LEASE)
         self.failing = not isinstance(granted, Success)
