--- a/src/cartdale/fleet/loads.py
+++ b/src/cartdale/fleet/loads.py
@@ -206,9 +206,9 @@
         assignment.exempt = True
         self._count(assignment)
 
-    def copy(self, assignment: Assignment, *, begins: bool) -> None:
+    def mark_copying(self, assignment: Assignment, *, copying: bool) -> None:
         """Note that a request's copy begins to use a link, or has ended."""
-        assignment.copying = begins
+        assignment.copying = copying
         self._count(assignment)
 
     def _add_peers(
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -82,14 +82,14 @@
         source = self._assignment
         self._fleet.loads.assign(reserved)
         if source is not None:
-            self._fleet.loads.copy(source, begins=True)
+            self._fleet.loads.mark_copying(source, copying=True)
         self._fleet.notify()
         try:
             yield
         finally:
             self._fleet.loads.release(reserved)
             if source is not None:
-                self._fleet.loads.copy(source, begins=False)
+                self._fleet.loads.mark_copying(source, copying=False)
 
     def _make_assignment(self, upstream: UpstreamEntry) -> Assignment:
         made = self.events * self._event_tokens
--- a/tests/load/test_leaving_wave.py
+++ b/tests/load/test_leaving_wave.py
@@ -52,9 +52,9 @@
         """It never ends before its engine."""
 
     async def leave(self, departure) -> None:
-        self.fleet.loads.copy(self.assignment, begins=True)
+        self.fleet.loads.mark_copying(self.assignment, copying=True)
         await trio.sleep(0.27)
-        self.fleet.loads.copy(self.assignment, begins=False)
+        self.fleet.loads.mark_copying(self.assignment, copying=False)
         self.fleet.loads.exempt(self.assignment)
         self.saved = SystemClock().now() <= departure.until
 
