Say once how long silence lasts, and how many reports decide

Found on reading the change once more: the patience with the instances around was worked out in three places, the number of reports without a run stood as a constant in one module and as a bare figure in another, and a count of the audience doubled its list, which others may read by now. No behavior changes.

--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -14,8 +14,8 @@
 from cartdale.formatting import format_error
 from cartdale.news.decide import count_alive, decide, is_silent
 from cartdale.news.duties import (
-    SILENT_MS,
     StoreView,
+    find_patience,
     is_domain_speaker,
     is_prober,
     is_watcher,
@@ -121,7 +121,7 @@
     def is_watcher(self) -> bool:
         """Tell whether this instance follows the store for the others."""
         now = self._clock.now()
-        patience = SILENT_MS * stretch(len(self.list_audience()))
+        patience = find_patience(self.state, self._own, now)
         began = self._started_at
         young = began is None or now - began <= patience
         view = StoreView(lost=self._store_lost(), young=young)
@@ -153,10 +153,6 @@
             return True
         return is_domain_speaker(self.state, self._own, self._clock.now())
 
-    def count_audience(self) -> int:
-        """Return how many peers this instance tells its news."""
-        return len(self.list_audience())
-
     def count_alive(self) -> int:
         """Return how many instances are alive, this one included."""
         return 1 + count_alive(self.state, self._clock.now())
--- a/src/cartdale/news/duties.py
+++ b/src/cartdale/news/duties.py
@@ -64,6 +64,11 @@
     ]
 
 
+def find_patience(state: NewsState, own: PeerEntry, now: Millis) -> Millis:
+    """Return how long those around may be silent until they are missed."""
+    return SILENT_MS * stretch(len(list_audience(state, own, now)))
+
+
 def is_watcher(
     state: NewsState, own: PeerEntry, now: Millis, view: StoreView
 ) -> bool:
@@ -170,8 +175,7 @@
 
 def _list_alive(state: NewsState, own: PeerEntry, now: Millis) -> list[Heard]:
     """Return what peers told of late; in a large system those around."""
-    audience = len(list_audience(state, own, now))
-    patience = SILENT_MS * stretch(audience)
+    patience = find_patience(state, own, now)
     wide = is_wide(state)
     return [
         heard
@@ -206,7 +210,7 @@
     Those with instances that the store answers; while it answers nobody, all
     that were heard of late.
     """
-    patience = SILENT_MS * stretch(len(list_audience(state, own, now)))
+    patience = find_patience(state, own, now)
     heard = {
         domain: told.news.store_lost
         for domain, told in state.domains_by_name.items()
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -11,7 +11,12 @@
 from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.silence import LOOK_AFTER, RunState, look_up
+from cartdale.relay.silence import (
+    LOOK_AFTER,
+    REPORTS_WITHOUT,
+    RunState,
+    look_up,
+)
 from cartdale.relay.types import AnswerSink, LinkBrokeError
 from cartdale.switches import Mechanism
 
@@ -165,7 +170,7 @@
         state = await look_up(self._ports, self._generation)
         if state is RunState.GONE and self._has_waited(LOOK_AFTER):
             self._reports_without += 1
-            return self._reports_without > 1
+            return self._reports_without >= REPORTS_WITHOUT
         self._reports_without = 0
         return bool(self._last_at) and state is RunState.AHEAD
 
--- a/src/cartdale/relay/silence.py
+++ b/src/cartdale/relay/silence.py
@@ -21,7 +21,7 @@
 #: Between two looks at what became of a request.
 _LOOK_EVERY: Millis = SECOND_MS // 2
 #: Reports in a row that must not know a request before it is given up.
-_REPORTS_WITHOUT = 2
+REPORTS_WITHOUT = 2
 
 
 class RunState(StrEnum):
@@ -80,8 +80,8 @@
     """
     await trio.sleep(seconds(LOOK_AFTER))
     without = 0
-    while without < _REPORTS_WITHOUT:
+    while without < REPORTS_WITHOUT:
         state = await look_up(ports, generation)
         without = without + 1 if state is RunState.GONE else 0
-        if without < _REPORTS_WITHOUT:
+        if without < REPORTS_WITHOUT:
             await trio.sleep(seconds(_LOOK_EVERY))
