Keep evacuations, what cold upstreams bear, and the regions of requests

Evacuation is state by failure domain with the store's revision at which it changed, merged by the later one, told in every news message, in briefings and by a listing's absence; candidates, move targets and backups exclude it, a stopped generation may go on there for one second, and a service that is all evacuated refuses at once. What runs there ends there.

Cold upstreams: the bound is divided beforehand, by failure domains and then by listed instances, with rendezvous hashing and a window of a second.

Regions bind as the meet of route's and customer's, as failure domains of the settings; moves and backups too.

Bounds and imports of the runtime moved into daemon/shares.py.

--- a/src/cartdale/briefing/types.py
+++ b/src/cartdale/briefing/types.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.news.types import PeerEntry
 
@@ -17,6 +18,7 @@
     :param entries: upstreams that take new work.
     :param lapsed: ids of those among them whose entries went with an outage
         of the store, and may come back.
+    :param evacuations: of failure domains, present and past.
     """
 
     key: bytes
@@ -24,3 +26,4 @@
     peers: tuple[PeerEntry, ...] = ()
     entries: tuple[UpstreamEntry, ...] = ()
     lapsed: tuple[str, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
--- a/src/cartdale/daemon/briefing.py
+++ b/src/cartdale/daemon/briefing.py
@@ -4,7 +4,12 @@
 from cartdale.daemon.peers import Peers
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
-from cartdale.fleet.types import EntryRemoved, EntryWritten, Lifecycle
+from cartdale.fleet.types import (
+    EntryRemoved,
+    EntryWritten,
+    EvacuationsTold,
+    Lifecycle,
+)
 from cartdale.news.types import PeerListed
 
 
@@ -41,6 +46,7 @@
                 for each in upstreams
                 if each.lifecycle is Lifecycle.LAPSED
             ),
+            evacuations=self._fleet.list_evacuations(),
         )
 
     def take(self, briefing: Briefing) -> None:
@@ -52,6 +58,7 @@
             return
         if briefing.key:
             self._peers.take_key(briefing.key)
+        self._fleet.tell(EvacuationsTold(briefing.evacuations))
         for peer in briefing.peers:
             self._peers.news.tell(PeerListed(peer))
         for entry in briefing.entries:
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -16,8 +16,8 @@
 from cartdale.daemon.peer_links import SocketLinks
 from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import Application, BoundListener
+from cartdale.daemon.shares import Shares
 from cartdale.exceptions import BadInputError
-from cartdale.fleet.choose import CHOICES, CHOICES_BY_OLD_NEWS
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.formatting import list_plain_fields
@@ -28,7 +28,6 @@
 from cartdale.moves.driver import Mover
 from cartdale.peers.pool import make_peer_pool
 from cartdale.platform.names import PATH_READY
-from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import (
     Bounds,
     Endpoint,
@@ -36,13 +35,14 @@
     load_platform_settings,
     read_stamp,
 )
-from cartdale.platform.store import PlatformStore
+from cartdale.platform.store import make_store
 from cartdale.platform.translate import PlatformWire, translate
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay.admission import Admission
 from cartdale.relay.discards import Discards
 from cartdale.relay.ports import RelayPorts
 from cartdale.retries.window import RepeatBudget
+from cartdale.routes.places import Places
 from cartdale.routes.types import RoutingTable
 from cartdale.settings.types import Listener
 from cartdale.switches import Mechanism, Switches
@@ -58,8 +58,6 @@
 #: configuration is on the way: a caller who is refused instead must come back,
 #: and one whose request is not read within a second goes elsewhere.
 _FIRST_CONFIGURATION: Millis = 250
-#: Between looks at what the configuration and the peers bound.
-_FOLLOW_EVERY: Millis = SECOND_MS
 #: Between looks at whether the settings file has changed without a signal.
 _SETTINGS_EVERY: Millis = 2 * SECOND_MS
 
@@ -86,7 +84,8 @@
         self.fleet = Fleet(
             self._clock, settings.failure_domain, self._seed, switches
         )
-        store = PlatformStore(make_pool(), settings.store, _STORE_TIMEOUT)
+        self.fleet.cold_gate.bound = settings.bounds.cold
+        store = make_store(settings.store, _STORE_TIMEOUT)
         links = SocketLinks(
             settings.name,
             settings.failure_domain,
@@ -134,6 +133,14 @@
         )
         self._app = InFlight(self._make_app())
         self._callers = _bind(settings.callers)
+        self._shares = Shares(
+            settings,
+            self.fleet,
+            self.follower,
+            self.peers,
+            self._budget,
+            self._callers,
+        )
         self._ready = _bind(settings.ready)
         self._metrics_listener = _bind(
             Endpoint(settings.address, settings.peer_ports[1])
@@ -188,6 +195,7 @@
             logger.error('settings refused', detail=error.format_message())
             return
         self._settings = replace(self._settings, bounds=settings.bounds)
+        self.fleet.cold_gate.bound = settings.bounds.cold
         self._budget.bound(
             settings.bounds.retry_ratio,
             settings.bounds.retry_slack,
@@ -203,7 +211,7 @@
         nursery.start_soon(self.mover.run)
         nursery.start_soon(self._discards.run)
         nursery.start_soon(self.peers.run, self.follower, self._stopping)
-        nursery.start_soon(self._follow_bounds)
+        nursery.start_soon(self._shares.run)
         nursery.start_soon(self._watch_settings)
         if self.fleet.switches.has(Mechanism.BRIEFINGS):
             nursery.start_soon(self._asker.run)
@@ -259,6 +267,7 @@
                 leaving=self._is_leaving,
                 metrics=self.metrics,
                 generator=random.Random(self._seed),
+                places=Places(self._settings.regions_by_domain),
             ),
         )
 
@@ -274,19 +283,6 @@
         await self.peers.withdraw()
         self._left.set()
 
-    async def _follow_bounds(self) -> None:
-        """Keep to the limits in force and to the number of instances."""
-        while True:
-            limits = self.fleet.table.limits
-            self._callers.limit(limits.header_bytes, limits.idle_timeout)
-            self._budget.sharers = max(
-                self.peers.news.count_alive(),
-                self.peers.count_listed(),
-            )
-            old_news = self.peers.news.tells_by_domains()
-            self.fleet.choices = CHOICES_BY_OLD_NEWS if old_news else CHOICES
-            await trio.sleep(seconds(_FOLLOW_EVERY))
-
     def _read_version(self) -> int:
         return self.fleet.table.version
 
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -157,6 +157,14 @@
         following = self._follower is not None and self._follower.failing
         return following or self._roster.failing
 
+    def list_names_in(self, failure_domain: str) -> tuple[str, ...]:
+        """Return the names of the instances listed in a failure domain."""
+        known = (*self.news.state.peers_by_name.values(), self._own)
+        names = {
+            peer.name for peer in known if peer.failure_domain == failure_domain
+        }
+        return tuple(sorted(names))
+
     def count_listed(self) -> int:
         """Return how many instances the store lists."""
         return len(self.news.state.peers_by_name)
--- /dev/null
+++ b/src/cartdale/daemon/shares.py
@@ -0,0 +1,68 @@
+"""Keep this instance's part of what all instances share up to date."""
+
+import trio
+
+from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.daemon.peers import Peers
+from cartdale.daemon.serve import BoundListener
+from cartdale.fleet.choose import CHOICES, CHOICES_BY_OLD_NEWS
+from cartdale.fleet.cold import Sharers
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.follow import Follower
+from cartdale.platform.settings import PlatformSettings
+from cartdale.retries.window import RepeatBudget
+
+#: Between looks at what the configuration and the peers bound.
+_LOOK_EVERY: Millis = SECOND_MS
+
+
+class Shares:
+    """Follow the limits in force and the instances that share them.
+
+    :param callers: where the limits on callers hold.
+    """
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        fleet: Fleet,
+        follower: Follower,
+        peers: Peers,
+        budget: RepeatBudget,
+        callers: BoundListener,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._follower = follower
+        self._peers = peers
+        self._budget = budget
+        self._callers = callers
+
+    async def run(self) -> None:
+        """Look once a second, for ever."""
+        while True:
+            self._look()
+            await trio.sleep(seconds(_LOOK_EVERY))
+
+    def _look(self) -> None:
+        limits = self._fleet.table.limits
+        self._callers.limit(limits.header_bytes, limits.idle_timeout)
+        self._budget.sharers = max(
+            self._peers.news.count_alive(), self._peers.count_listed()
+        )
+        old_news = self._peers.news.tells_by_domains()
+        self._fleet.choices = CHOICES_BY_OLD_NEWS if old_news else CHOICES
+        # Before the first read nobody is known who shares, and what an
+        # instance sent before it started again is forgotten for a second.
+        if self._follower.in_step.is_set():
+            self._fleet.cold_gate.divide_among(self._find_sharers())
+
+    def _find_sharers(self) -> Sharers:
+        domain = self._settings.failure_domain
+        domains = {domain, *self._settings.regions_by_domain}
+        return Sharers(
+            self._settings.name,
+            domain,
+            tuple(sorted(domains)),
+            self._peers.list_names_in(domain),
+        )
--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -14,7 +14,7 @@
 from cartdale.clock import Millis
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace
-from cartdale.fleet.types import FleetState, Lifecycle, Upstream
+from cartdale.fleet.types import Lifecycle, Upstream
 from cartdale.routes.types import ServiceSpec
 from cartdale.switches import Mechanism, Switches
 
@@ -61,6 +61,8 @@
     :param reads: tokens of its prompt that are read there, none of a copy.
     :param read_within: longest time until its prompt is read; 0 for any.
     :param excluded: upstreams that must not be chosen.
+    :param domains: failure domains that the request may enter; ``None`` for
+        all of them.
     :param far_cost: what another failure domain counts, in capacity.
     :param filled: part of an engine's memory that may be filled.
     :param reserved: part of the expected growth that must fit as well.
@@ -72,6 +74,7 @@
     reads: int = 0
     read_within: Millis = 0
     excluded: frozenset[str] = frozenset()
+    domains: frozenset[str] | None = None
     far_cost: float = _FAR_COST
     filled: float = MEMORY_FILLED
     reserved: float = GROWTH_RESERVED
@@ -99,17 +102,6 @@
     choices: int = CHOICES
 
 
-def list_candidates(state: FleetState, need: Need) -> list[Upstream]:
-    """Return the upstreams of the service that take new work."""
-    return [
-        upstream
-        for name, upstream in state.upstreams_by_id.items()
-        if upstream.entry.service == need.service
-        and upstream.lifecycle is not Lifecycle.LEAVING
-        and name not in need.excluded
-    ]
-
-
 def choose(
     candidates: Iterable[Upstream],
     need: Need,
--- /dev/null
+++ b/src/cartdale/fleet/cold.py
@@ -0,0 +1,137 @@
+"""Bound what all instances together send to an upstream that is cold.
+
+A cold upstream bears a few requests a second and falls over well above that.
+Nobody counts for all: a counter on the wire is late, and wrong during a
+partition. Instead the bound is divided beforehand, first among the failure
+domains that the settings name, then among the instances that are listed in
+each, by rendezvous hashing of their names with the upstream's (Thaler and
+Ravishankar, Using Name-Based Mappings to Increase Hit Rates, 1998). Each
+sends no more than its part in any second; who has none sends nothing there
+until it is warm. Neither list changes when instances are cut off from each
+other or start again, so that both sides of a partition divide alike.
+"""
+
+import zlib
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cartdale.clock import SECOND_MS, Millis
+
+#: Part of the bound that is divided. The rest is for instances whose lists of
+#: each other differ while some join or go, and for requests that were chosen
+#: a moment before they are sent.
+DIVIDED_SHARE = 0.6
+#: Over this window sends are counted.
+WINDOW: Millis = SECOND_MS
+
+
+@dataclass(frozen=True, slots=True)
+class ColdBound:
+    """Bound the requests that a cold upstream gets in any second.
+
+    :param overage: multiplies what the upstream bears.
+    :param slack: requests on top.
+    """
+
+    overage: float = 1
+    slack: float = 0
+
+    def count(self, rate: float) -> int:
+        """Return the most requests a second, from all instances."""
+        return int(rate * self.overage + self.slack)
+
+
+@dataclass(frozen=True, slots=True)
+class Sharers:
+    """Name those among whom a bound is divided.
+
+    :param own: this instance's name.
+    :param domain: this instance's failure domain.
+    :param domains: all failure domains.
+    :param around: the instances of this one's domain, itself included.
+    """
+
+    own: str
+    domain: str
+    domains: tuple[str, ...]
+    around: tuple[str, ...]
+
+
+def find_quota(sharers: Sharers, upstream: str, most: int) -> int:
+    """Return how many requests a second an instance may send.
+
+    :param most: requests a second that all of them may send together.
+    """
+    divided = int(DIVIDED_SHARE * most)
+    of_domain = _divide(sharers.domain, sharers.domains, upstream, divided)
+    return _divide(sharers.own, sharers.around, upstream, of_domain)
+
+
+def _divide(own: str, sharers: Sequence[str], upstream: str, total: int) -> int:
+    """Return one sharer's part of a whole number; the parts add up to it.
+
+    Who gets one more than others differs from upstream to upstream.
+    """
+    if own not in sharers:
+        return 0
+    ranked = sorted(sharers, key=lambda name: _weigh(name, upstream))
+    share, rest = divmod(total, len(ranked))
+    return share + (ranked.index(own) < rest)
+
+
+class ColdGate:
+    """Count what this instance sends to cold upstreams.
+
+    Until the sharers are known it lets nothing pass.
+    """
+
+    def __init__(self) -> None:
+        self.bound = ColdBound()
+        self._sharers: Sharers | None = None
+        self._quotas: dict[tuple[str, int], int] = {}
+        self._sent_by_upstream: dict[str, deque[Millis]] = {}
+
+    def divide_among(self, sharers: Sharers) -> None:
+        """Take the names of those among whom the bound is divided."""
+        if sharers != self._sharers:
+            self._sharers = sharers
+            self._quotas.clear()
+
+    def allows(self, upstream: str, rate: float, now: Millis) -> bool:
+        """Tell whether this instance may send a request to a cold upstream.
+
+        :param rate: requests a second that it bears; 0 for no bound.
+        """
+        if not rate:
+            return True
+        if self._sharers is None:
+            return False
+        most = self.bound.count(rate)
+        quota = self._quotas.get((upstream, most))
+        if quota is None:
+            quota = find_quota(self._sharers, upstream, most)
+            self._quotas[(upstream, most)] = quota
+        return self._count_sent(upstream, now) < quota
+
+    def note(self, upstream: str, now: Millis) -> None:
+        """Count a request that is sent to a cold upstream."""
+        self._sent_by_upstream.setdefault(upstream, deque()).append(now)
+
+    def forget(self, now: Millis) -> None:
+        """Drop what is too old to count."""
+        for upstream in list(self._sent_by_upstream):
+            if not self._count_sent(upstream, now):
+                self._sent_by_upstream.pop(upstream)
+
+    def _count_sent(self, upstream: str, now: Millis) -> int:
+        sent = self._sent_by_upstream.get(upstream)
+        if sent is None:
+            return 0
+        while sent and now - sent[0] >= WINDOW:
+            sent.popleft()
+        return len(sent)
+
+
+def _weigh(name: str, upstream: str) -> tuple[int, str]:
+    return zlib.crc32(f'{name} {upstream}'.encode()), name
--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -4,13 +4,18 @@
 from typing import assert_never
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
+from cartdale.fleet.evacuation import Evacuation, end_unlisted, merge
 from cartdale.fleet.types import (
     Action,
+    BeganEvacuating,
     BeganLeaving,
     Decision,
+    EndedEvacuating,
     EntriesListed,
     EntryRemoved,
     EntryWritten,
+    EvacuationsListed,
+    EvacuationsTold,
     FleetState,
     Lifecycle,
     Message,
@@ -60,6 +65,12 @@
             return _avoid(state, name, now), ()
         case Replaced(upstream=name):
             return _drop(state, (name,))
+        case EvacuationsTold(evacuations=told):
+            return _evacuate(state, told, now)
+        case EvacuationsListed(evacuations=listed, revision=revision):
+            standings = state.standings_by_domain
+            ended = end_unlisted(standings, listed, revision)
+            return _evacuate(state, (*listed, *ended), now)
         case TimePassed():
             return _expire(state, now)
         case _:
@@ -96,12 +107,31 @@
         return _put(state, found), _announce(found)
     if known.lifecycle is Lifecycle.LEAVING:
         return _return(state, known, entry, now, heard=heard), ()
-    changed = replace(known, entry=entry, lifecycle=entry.lifecycle)
+    changed = replace(
+        known,
+        entry=entry,
+        lifecycle=entry.lifecycle,
+        warm_at=_find_warm_at(known, entry, now, heard=heard),
+    )
     if changed.lifecycle is not known.lifecycle:
         changed = replace(changed, changed_at=now)
     return _put(state, changed), _announce(changed)
 
 
+def _find_warm_at(
+    known: Upstream, entry: UpstreamEntry, now: Millis, *, heard: bool
+) -> Millis:
+    """Return when an upstream is warm; it may turn cold at any moment.
+
+    What a peer tells may be older than what the store showed here, and never
+    makes it warm earlier.
+    """
+    if entry == known.entry:
+        return known.warm_at
+    told = now + entry.cold_for
+    return max(known.warm_at, told) if heard else told
+
+
 def _return(
     state: FleetState,
     known: Upstream,
@@ -121,6 +151,7 @@
         lifecycle=entry.lifecycle,
         changed_at=now,
         returned=True,
+        warm_at=_find_warm_at(known, entry, now, heard=heard),
     )
     return _put(state, back)
 
@@ -204,10 +235,30 @@
         for name, upstream in state.upstreams_by_id.items()
         if name not in names
     }
-    return FleetState(remaining), tuple(Vanished(name) for name in names)
+    after = replace(state, upstreams_by_id=remaining)
+    return after, tuple(Vanished(name) for name in names)
+
+
+def _evacuate(
+    state: FleetState, told: tuple[Evacuation, ...], now: Millis
+) -> Decision:
+    """Take over what is newer than what is known of failure domains."""
+    before = state.standings_by_domain
+    after = merge(before, told, now)
+    if after == before:
+        return state, ()
+    actions: list[Action] = []
+    for domain, standing in after.items():
+        known = before.get(domain)
+        was_active = known is not None and known.active
+        if standing.active == was_active:
+            continue
+        change = BeganEvacuating if standing.active else EndedEvacuating
+        actions.append(change(domain, standing.evacuation.revision))
+    return replace(state, standings_by_domain=after), tuple(actions)
 
 
 def _put(state: FleetState, upstream: Upstream) -> FleetState:
     upstreams_by_id = dict(state.upstreams_by_id)
     upstreams_by_id[upstream.entry.upstream] = upstream
-    return FleetState(upstreams_by_id)
+    return replace(state, upstreams_by_id=upstreams_by_id)
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -7,24 +7,25 @@
 from loguru import logger
 
 from cartdale.clock import Clock, Millis, seconds
-from cartdale.fleet.choose import (
-    CHOICES,
-    Need,
-    Surroundings,
-    choose,
-    list_candidates,
-)
+from cartdale.fleet.candidates import is_closed, is_cold, list_candidates
+from cartdale.fleet.choose import CHOICES, Need, Surroundings, choose
+from cartdale.fleet.cold import ColdGate
 from cartdale.fleet.decide import decide
+from cartdale.fleet.evacuation import Evacuation, may_finish_move
 from cartdale.fleet.loads import Load, LoadBook
 from cartdale.fleet.outlook import Outlook, foresee
 from cartdale.fleet.pace import Pace, Progress, learn, learn_answer
 from cartdale.fleet.reading import ReadingShares
 from cartdale.fleet.types import (
+    Action,
+    BeganEvacuating,
     BeganLeaving,
+    EndedEvacuating,
     FleetState,
     Message,
     TimePassed,
     Upstream,
+    UpstreamEntry,
 )
 from cartdale.formatting import list_plain_fields
 from cartdale.routes.types import RoutingTable, ServiceSpec
@@ -59,6 +60,8 @@
         self.loads = LoadBook()
         self.table = RoutingTable()
         self.on_leaving: Left | None = None
+        self.on_evacuating: Left | None = None
+        self.cold_gate = ColdGate()
         #: Counts what changed in the upstreams' lifecycles, for news.
         self.lifecycles = 0
         #: Upstreams among which the best is chosen.
@@ -76,11 +79,14 @@
             self.lifecycles += 1
         for action in actions:
             self.lifecycles += 1
+            subject = _name_subject(action)
             logger.info(
-                'upstream changed', **list_plain_fields('change', action)
+                f'{subject} changed', **list_plain_fields('change', action)
             )
             if isinstance(action, BeganLeaving) and self.on_leaving:
                 self.on_leaving(action.upstream)
+            if isinstance(action, BeganEvacuating) and self.on_evacuating:
+                self.on_evacuating(action.failure_domain)
         if self.state is not before:
             self.notify()
 
@@ -98,6 +104,7 @@
         while True:
             await trio.sleep(seconds(_TICK))
             self.tell(TimePassed())
+            self.cold_gate.forget(self._clock.now())
             totals = self.loads.totals(self._clock.now())
             self._reading.look(self.state.upstreams_by_id, totals)
 
@@ -132,8 +139,11 @@
             own when left out.
         """
         around = self._look_around(need, failure_domain)
-        candidates = list_candidates(self.state, need)
-        return choose(candidates, need, around, self._generator)
+        candidates = self._list_allowed(need, around)
+        chosen = choose(candidates, need, around, self._generator)
+        if chosen and is_cold(self.state, chosen, around.spec, around.now):
+            self.cold_gate.note(chosen.entry.upstream, around.now)
+        return chosen
 
     def foresee(self, need: Need, ahead: int) -> Outlook:
         """Return when a request finds room.
@@ -141,9 +151,47 @@
         :param ahead: requests that are served before it.
         """
         around = self._look_around(need, None)
-        candidates = list_candidates(self.state, need)
+        candidates = self._list_allowed(need, around)
         return foresee(candidates, need, around, ahead)
 
+    def is_closed(self, need: Need) -> bool:
+        """Tell whether all that could serve a request is evacuated."""
+        return is_closed(self.state, need)
+
+    def may_finish_move(self, entry: UpstreamEntry) -> bool:
+        """Tell whether a stopped generation may go on at an upstream."""
+        return may_finish_move(
+            self.state.standings_by_domain,
+            entry.failure_domain,
+            self._clock.now(),
+        )
+
+    def list_evacuations(self) -> tuple[Evacuation, ...]:
+        """Return what is known of evacuations, present and past."""
+        return tuple(
+            standing.evacuation
+            for standing in self.state.standings_by_domain.values()
+        )
+
+    def list_evacuated(self) -> tuple[str, ...]:
+        """Return the failure domains where nothing new may go."""
+        return tuple(
+            domain
+            for domain, standing in self.state.standings_by_domain.items()
+            if standing.active
+        )
+
+    def _list_allowed(self, need: Need, around: Surroundings) -> list[Upstream]:
+        """Return the candidates, without cold ones that have their part."""
+        return [
+            upstream
+            for upstream in list_candidates(self.state, need)
+            if not is_cold(self.state, upstream, around.spec, around.now)
+            or self.cold_gate.allows(
+                upstream.entry.upstream, around.spec.cold_rate, around.now
+            )
+        ]
+
     def _look_around(
         self, need: Need, failure_domain: str | None
     ) -> Surroundings:
@@ -161,3 +209,12 @@
             switches=self.switches,
             choices=self.choices,
         )
+
+
+def _name_subject(action: Action) -> str:
+    """Return what an action is about, for its log line."""
+    match action:
+        case BeganEvacuating() | EndedEvacuating():
+            return 'failure domain'
+        case _:
+            return 'upstream'
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -4,7 +4,7 @@
 forgotten what happened since, everything is read anew.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import trio
 from loguru import logger
@@ -18,7 +18,9 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Clock, Millis, seconds
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.stored import (
+    EvacuationWritten,
     OwnKey,
     StoredChange,
     TableWritten,
@@ -29,6 +31,8 @@
     EntriesListed,
     EntryRemoved,
     EntryWritten,
+    EvacuationsListed,
+    EvacuationsTold,
     UpstreamEntry,
 )
 from cartdale.formatting import list_plain_fields
@@ -160,7 +164,7 @@
         """Read everything; return the revision to watch from."""
         self._outdated = False
         listing = await self._read_until_answered()
-        self._take_all(listing.entries)
+        self._take_all(listing)
         self.failing = False
         return listing.store_revision
 
@@ -199,15 +203,24 @@
                 return Success(Listing(tuple(entries), revision))
             start = page.entries[-1].key
 
-    def _take_all(self, entries: Iterable[Entry]) -> None:
+    def _take_all(self, listing: Listing) -> None:
         listed: list[UpstreamEntry] = []
-        for entry in entries:
-            change = self._translate(entry)
-            if isinstance(change, EntryWritten):
-                listed.append(change.entry)
-            elif change is not None:
-                self._take(change)
+        evacuations: list[Evacuation] = []
+        for entry in listing.entries:
+            match self._translate(entry):
+                case EntryWritten(entry=written):
+                    listed.append(written)
+                case EvacuationWritten(evacuation=evacuation):
+                    evacuations.append(evacuation)
+                case None:
+                    continue
+                case change:
+                    self._take(change)
         after_outage = self._had_outage()
+        # Evacuations first: what else is told may wake those who wait.
+        self._fleet.tell(
+            EvacuationsListed(tuple(evacuations), listing.store_revision)
+        )
         self._fleet.tell(EntriesListed(tuple(listed), after_outage))
         self.in_step.set()
 
@@ -252,6 +265,8 @@
             case EntryRemoved(upstream=upstream):
                 after_outage = self._had_outage()
                 self._fleet.tell(EntryRemoved(upstream, after_outage))
+            case EvacuationWritten(evacuation=evacuation):
+                self._fleet.tell(EvacuationsTold((evacuation,)))
             case OwnKey():
                 self._take_own(change)
             case Unreadable(detail=detail):
--- a/src/cartdale/fleet/stored.py
+++ b/src/cartdale/fleet/stored.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.types import EntryRemoved, EntryWritten
 from cartdale.routes.types import RoutingTable
 from cartdale.store.types import Entry, Removed
@@ -37,7 +38,21 @@
     stored: bytes
 
 
-StoredChange = TableWritten | EntryWritten | EntryRemoved | Unreadable | OwnKey
+@dataclass(frozen=True, slots=True)
+class EvacuationWritten:
+    """The operator evacuates a failure domain, or has ended that."""
+
+    evacuation: Evacuation
+
+
+StoredChange = (
+    TableWritten
+    | EntryWritten
+    | EntryRemoved
+    | EvacuationWritten
+    | Unreadable
+    | OwnKey
+)
 
 #: Translates what is stored; returns ``None`` for keys of no interest.
 Translate = Callable[[Entry | Removed], StoredChange | None]
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from cartdale.clock import Millis
+from cartdale.fleet.evacuation import DomainStanding, Evacuation
 
 
 class Lifecycle(StrEnum):
@@ -98,9 +99,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetState:
-    """Hold all upstreams by their ids."""
+    """Hold all upstreams by their ids, and what is evacuated.
+
+    :param standings_by_domain: of the failure domains that are evacuated or
+        were.
+    """
 
     upstreams_by_id: dict[str, Upstream] = field(default_factory=dict)
+    standings_by_domain: dict[str, DomainStanding] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +171,24 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationsTold:
+    """The store or a peer told of evacuations, present and past."""
+
+    evacuations: tuple[Evacuation, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationsListed:
+    """The store listed all evacuations.
+
+    :param revision: of the store when it listed.
+    """
+
+    evacuations: tuple[Evacuation, ...]
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimePassed:
     """Drop what lapsed and did not come back."""
@@ -184,6 +208,22 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class BeganEvacuating:
+    """Tell that nothing new may go to a failure domain."""
+
+    failure_domain: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedEvacuating:
+    """Tell that a failure domain takes new work again."""
+
+    failure_domain: str
+    revision: int
+
+
 Message = (
     EntriesListed
     | EntryWritten
@@ -191,7 +231,9 @@
     | RequestEnded
     | ToldFailing
     | Replaced
+    | EvacuationsTold
+    | EvacuationsListed
     | TimePassed
 )
-Action = BeganLeaving | Vanished
+Action = BeganLeaving | Vanished | BeganEvacuating | EndedEvacuating
 Decision = tuple[FleetState, tuple[Action, ...]]
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -19,6 +19,7 @@
 from cartdale.relay.stream import StreamCarrier, StreamEnd
 from cartdale.relay.types import RoutedRequest
 from cartdale.routes.match import (
+    find_regions,
     find_route,
     needs_key,
     pick_service,
@@ -134,6 +135,9 @@
             priority=self._rank(route, customer),
             arrived_at=self._arrived_at,
             ends_at=self._arrived_at + longest,
+            domains=self._ports.places.find_domains(
+                find_regions(route, customer)
+            ),
         )
 
     def _rank(self, route: Route, customer: Customer | None) -> int:
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -61,6 +61,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._fleet.on_leaving = self.begin
+            self._fleet.on_evacuating = self.give_up_backups
             looks = 0
             while True:
                 await trio.sleep(seconds(ASK_EVERY))
@@ -87,16 +88,31 @@
         backup, is told again at once: engines are often reclaimed together,
         and each tenth of a second is a third of a copy.
         """
-        left = {upstream}
+        left = {upstream} | self._lose_backups_at(upstream)
+        if self._nursery is not None:
+            for name in left:
+                self._nursery.start_soon(self._empty, name)
+
+    def give_up_backups(self, failure_domain: str) -> None:
+        """Count on no backup in a failure domain that is evacuated.
+
+        What runs there goes on to its end: it is no new work, and copies of
+        all of it would fill the engines that are left.
+        """
+        for name, upstream in self._fleet.state.upstreams_by_id.items():
+            if upstream.entry.failure_domain == failure_domain:
+                self._lose_backups_at(name)
+
+    def _lose_backups_at(self, upstream: str) -> set[str]:
+        """Give up backups; return the leaving engines that so are left."""
+        left: set[str] = set()
         for each, told in self._told_by_generation.items():
             if each.backup == upstream:
                 each.lose_backup()
                 told.discard(each.upstream)
                 if self._is_leaving(each.upstream):
                     left.add(each.upstream)
-        if self._nursery is not None:
-            for name in left:
-                self._nursery.start_soon(self._empty, name)
+        return left
 
     async def _empty(self, name: str) -> None:
         """Move this instance's generations away from an engine."""
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -24,6 +24,7 @@
     PeerListed,
     PeerRemoved,
     TakeEntry,
+    TakeEvacuations,
     TakeLeaving,
     TakeLoads,
 )
@@ -187,6 +188,8 @@
     actions: list[Action] = [TakeLoads(teller, news.loads_by_upstream)]
     actions.extend(TakeEntry(entry) for entry in news.entries)
     actions.extend(TakeLeaving(upstream) for upstream in news.leaving)
+    if news.evacuations:
+        actions.append(TakeEvacuations(news.evacuations))
     return tuple(actions)
 
 
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -10,7 +10,12 @@
 from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
-from cartdale.fleet.types import EntryRemoved, EntryWritten, ToldFailing
+from cartdale.fleet.types import (
+    EntryRemoved,
+    EntryWritten,
+    EvacuationsTold,
+    ToldFailing,
+)
 from cartdale.formatting import format_error
 from cartdale.news.decide import count_alive, decide, is_silent
 from cartdale.news.duties import (
@@ -37,6 +42,7 @@
     NewsState,
     PeerEntry,
     TakeEntry,
+    TakeEvacuations,
     TakeLeaving,
     TakeLoads,
 )
@@ -111,6 +117,8 @@
                     self._fleet.tell(EntryWritten(entry, heard=True))
                 case TakeLeaving(upstream=upstream):
                     self._fleet.tell(EntryRemoved(upstream, heard=True))
+                case TakeEvacuations(evacuations=evacuations):
+                    self._fleet.tell(EvacuationsTold(evacuations))
                 case AvoidUpstream(upstream=upstream):
                     self._fleet.tell(ToldFailing(upstream))
                 case FetchTable(peer=newer):
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cartdale.clock import Millis
+from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import UpstreamEntry
 
@@ -34,6 +35,8 @@
     :param entries: upstreams whose entries changed of late.
     :param store_lost: whether the store does not answer the sender.
     :param unreachable: upstreams that the sender could not reach of late.
+    :param evacuations: of failure domains, present and past; in each message,
+        so that one which was missed is made up for by the next.
     """
 
     boot: Millis
@@ -45,6 +48,7 @@
     entries: tuple[UpstreamEntry, ...] = ()
     store_lost: bool = False
     unreachable: tuple[str, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,7 @@
     :param reporters_by_upstream: how many instances of the failure domain
         could not reach an upstream of late.
     :param store_lost: whether the store answers none of them.
+    :param evacuations: of failure domains, present and past.
     """
 
     boot: Millis
@@ -75,6 +80,7 @@
     entries: tuple[UpstreamEntry, ...] = ()
     reporters_by_upstream: dict[str, int] = field(default_factory=dict)
     store_lost: bool = False
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +167,13 @@
     entry: UpstreamEntry
 
 
+@dataclass(frozen=True, slots=True)
+class TakeEvacuations:
+    """Take over what is newer of the evacuations that a peer knows."""
+
+    evacuations: tuple[Evacuation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AvoidUpstream:
     """Take over that an upstream can't be reached, as several tell."""
@@ -185,6 +198,7 @@
     TakeLoads
     | TakeLeaving
     | TakeEntry
+    | TakeEvacuations
     | AvoidUpstream
     | FetchTable
     | ForwardNews
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -76,6 +76,7 @@
             entries=self._list_changed() if self._is_watcher() else (),
             store_lost=self._store_lost(),
             unreachable=self.list_unreachable(),
+            evacuations=self._fleet.list_evacuations(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
@@ -117,6 +118,7 @@
             entries=self._list_changed(),
             reporters_by_upstream=reporters_by_upstream,
             store_lost=store_lost,
+            evacuations=self._fleet.list_evacuations(),
         )
 
     def close_domain(
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -23,6 +23,7 @@
 
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
+EVACUATION_PREFIX = 'op/evacuate/'
 
 #: Callers give a stream up, before its first event too, after the longest of
 #: these: two seconds, and some times its target latency or its longest pause.
@@ -79,6 +80,7 @@
     allow_anonymous: bool = False
     #: Whether a stream may be taken up again at any engine.
     resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -98,6 +100,9 @@
     health_path: str = '/health'
     max_connections: int = 0
     engine: _Engine | None = None
+    cold_start_s: float = 0
+    #: Requests a second that an upstream bears while it is cold.
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -111,6 +116,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class _Configuration(msgspec.Struct):
@@ -153,7 +159,7 @@
             service.name: _to_service(service) for service in stored.services
         },
         customers_by_key={
-            key: Customer(tenant.name, tenant.priority)
+            key: Customer(tenant.name, tenant.priority, tenant.allowed_regions)
             for tenant in stored.tenants
             for key in tenant.api_keys
         },
@@ -230,6 +236,7 @@
         max_attempts=stored.max_attempts,
         anonymous=stored.allow_anonymous,
         resumable=stored.resumable,
+        regions=stored.allowed_regions,
     )
 
 
@@ -239,6 +246,8 @@
         health_path=stored.health_path,
         max_connections=stored.max_connections,
         engine=_to_engine(stored.engine) if stored.engine else None,
+        cold_start=int(stored.cold_start_s * SECOND_MS),
+        cold_rate=stored.cold_per_s,
     )
 
 
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -5,12 +5,13 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final, TypeVar
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import BadInputError, InputFault, Place
+from cartdale.fleet.cold import ColdBound
 
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE: Final = 'CARTDALE_BOOT'
@@ -38,6 +39,7 @@
     :param retry_window: span over which repeats are counted.
     :param retry_slack: repeats allowed on top, in all instances together.
     :param contact: an instance is held to its bounds so long after a trouble.
+    :param cold: what a cold upstream may get from all instances together.
     """
 
     grace: Millis
@@ -45,6 +47,7 @@
     retry_window: Millis
     retry_slack: float
     contact: Millis = 3 * SECOND_MS
+    cold: ColdBound = ColdBound()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +62,7 @@
     :param control: where other instances of the system ask; ``None`` where
         the role does not serve that.
     :param seeds: the same of up to three machines, which may be down.
+    :param regions_by_domain: the region in which each failure domain lies.
     """
 
     name: str
@@ -72,6 +76,7 @@
     bounds: Bounds
     control: Endpoint | None = None
     seeds: tuple[Endpoint, ...] = ()
+    regions_by_domain: dict[str, str] = field(default_factory=dict)
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -120,9 +125,14 @@
             contact=reader.take_optional(
                 'bounds.contactMs', int, 3 * SECOND_MS
             ),
+            cold=ColdBound(
+                reader.take_optional('bounds.coldOverage', float, 1.0),
+                reader.take_optional('bounds.coldSlack', float, float()),
+            ),
         ),
         control=reader.take_optional('listen.control', _parse_endpoint, None),
         seeds=reader.take_optional('seeds', _parse_endpoints, ()),
+        regions_by_domain=reader.take_table('zones.'),
     )
     reader.finish()
     return settings
@@ -167,6 +177,14 @@
             self._blame(number, name, str(error))
             return missing
 
+    def take_table(self, prefix: str) -> dict[str, str]:
+        """Return the values of all fields with a prefix by what follows it."""
+        return {
+            name.removeprefix(prefix): raw
+            for name, (_, raw) in self._rows_by_field.items()
+            if name.startswith(prefix)
+        }
+
     def finish(self) -> None:
         """Raise what was found.
 
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -13,7 +13,7 @@
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.formatting import format_error
-from cartdale.platform.pools import limit_time
+from cartdale.platform.pools import limit_time, make_pool
 from cartdale.platform.settings import Endpoint
 from cartdale.platform.store_shapes import (
     Events,
@@ -191,6 +191,14 @@
         )
 
 
+def make_store(address: Endpoint, timeout: Millis) -> PlatformStore:
+    """Return the platform's store over connections of its own.
+
+    :param timeout: longest wait for an answer.
+    """
+    return PlatformStore(make_pool(), address, timeout)
+
+
 def _harmless(failure: StoreFailure) -> StoreFailure:
     """Say that a read without an answer certainly changed nothing."""
     if isinstance(failure, WriteUnknown):
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -1,7 +1,9 @@
 """Bind the platform's wire to the product's interfaces."""
 
 from cartdale.clock import Millis
+from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.stored import (
+    EvacuationWritten,
     OwnKey,
     StoredChange,
     TableWritten,
@@ -11,6 +13,7 @@
 from cartdale.platform.callers import read_request, write_refusal
 from cartdale.platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     UPSTREAM_PREFIX,
     BadDocumentError,
     decode_table,
@@ -50,6 +53,8 @@
     if change.key.startswith(_OWN_PREFIX):
         stored = b'' if isinstance(change, Removed) else change.value
         return OwnKey(change.key, stored)
+    if change.key.startswith(EVACUATION_PREFIX):
+        return _read_evacuation(change)
     if isinstance(change, Removed):
         if not change.key.startswith(UPSTREAM_PREFIX):
             return None
@@ -62,3 +67,11 @@
     except BadDocumentError as error:
         return Unreadable(error.format_message())
     return None
+
+
+def _read_evacuation(change: Entry | Removed) -> EvacuationWritten:
+    """Read that a failure domain is evacuated; only the key says which."""
+    domain = change.key.removeprefix(EVACUATION_PREFIX)
+    revision = change.mod_revision
+    active = not isinstance(change, Removed)
+    return EvacuationWritten(Evacuation(domain, revision, active=active))
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -117,6 +117,9 @@
                     return chosen
             now = self._clock.now()
             outlook = self._fleet.foresee(waiting.need, ahead)
+            if self._fleet.is_closed(waiting.need):
+                # Only the operator can end that; nothing is waited for.
+                return self._refuse(waiting, outlook, 0)
             until = waiting.until
             if outlook.expected_wait() is None:
                 until = min(until, began + _UNKNOWN_WAIT)
@@ -148,5 +151,6 @@
             reading=outlook.reading,
             expected_wait=expected,
             retry_after=retry_after,
+            evacuated=' '.join(self._fleet.list_evacuated()),
         )
         return NoRoom(retry_after)
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -284,7 +284,9 @@
         state, load = self._state, self._occupancy.load
         if state is None or load is None or not self.events:
             return None
-        return choose_target(self._ports.fleet, load, state.source, refused)
+        return choose_target(
+            self._ports.fleet, self._routed, load, state.source, refused
+        )
 
     def _tell(self, message: Message) -> Action | None:
         before = self._state
--- a/src/cartdale/relay/needs.py
+++ b/src/cartdale/relay/needs.py
@@ -24,6 +24,7 @@
         expected=expected,
         read_within=int(READING_SHARE * routed.route.target_latency),
         excluded=excluded,
+        domains=routed.domains,
     )
 
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -165,6 +165,10 @@
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
         """Go on at an engine that holds the generation's memory."""
+        if not self._ports.fleet.may_finish_move(upstream):
+            return self._generation.resume_rejected() or self._break(
+                'evacuated'
+            )
         point, backup = self._generation.prepare_resume(upstream)
         left = time_left(self._ports, self._routed)
         call = UpstreamCall(
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -26,7 +26,11 @@
 
 
 def choose_target(
-    fleet: Fleet, load: Load, source: UpstreamEntry, refused: Iterable[str]
+    fleet: Fleet,
+    routed: RoutedRequest,
+    load: Load,
+    source: UpstreamEntry,
+    refused: Iterable[str],
 ) -> UpstreamEntry | None:
     """Return an engine that can hold a generation now.
 
@@ -41,6 +45,7 @@
         prompt=load.tokens,
         expected=load.growth,
         excluded=frozenset((source.upstream, *refused)),
+        domains=routed.domains,
         far_cost=_FAR_MOVE_COST,
         filled=1,
         reserved=0,
@@ -67,6 +72,8 @@
     load = fleet.load_at(source.upstream)
     awaiting_copy = int(load.share_awaiting_copy * load.tokens)
     movable = SourceLink(spec.engine).carries_all(awaiting_copy)
+    if movable and not fleet.switches.has(Mechanism.SPARE_BACKUPS):
+        return None
     filled = _BACKUP_FILLED if movable else _CROWDED_FILLED
     copied = replace(need, reads=0, read_within=0, filled=filled)
     chosen = fleet.choose(copied)
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -61,6 +61,7 @@
     :param customer: who sent it; empty on routes without keys.
     :param priority: 0 is the most urgent.
     :param ends_at: when the caller or the route gives it up.
+    :param domains: failure domains that it may enter; ``None`` for all.
     """
 
     request: CallerRequest
@@ -70,6 +71,7 @@
     priority: int
     arrived_at: Millis
     ends_at: Millis
+    domains: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/routes/match.py
+++ b/src/cartdale/routes/match.py
@@ -38,6 +38,20 @@
     return customer.priority
 
 
+def find_regions(
+    route: Route, customer: Customer | None
+) -> frozenset[str] | None:
+    """Return where a request may go; ``None`` for everywhere.
+
+    Where the route and the customer each name regions, both bind.
+    """
+    bounds = [route.regions]
+    if customer is not None:
+        bounds.append(customer.regions)
+    given = [regions for regions in bounds if regions]
+    return frozenset.intersection(*given) if given else None
+
+
 def pick_service(route: Route, generator: random.Random) -> str:
     """Return a service of the route, by the weights of its shares."""
     if len(route.shares) == 1:
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -43,6 +43,8 @@
     :param anonymous: whether requests need no key.
     :param resumable: whether any engine may go on with a stream of it after
         the last event that the caller has.
+    :param regions: where its requests and their bodies may go; empty for
+        everywhere.
     """
 
     name: str
@@ -58,6 +60,7 @@
     max_attempts: int = 1
     anonymous: bool = False
     resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -92,12 +95,17 @@
     """Describe one service.
 
     :param max_connections: that one upstream takes from all instances.
+    :param cold_start: how long an upstream is cold after its start.
+    :param cold_rate: requests a second that a cold upstream bears from all
+        instances together; 0 for no bound.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    cold_start: Millis = 0
+    cold_rate: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,10 +113,12 @@
     """Name who holds a key.
 
     :param priority: goes before the route's; ``None`` leaves it.
+    :param regions: where its requests may go; empty for everywhere.
     """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from cartdale.fleet.candidates import list_candidates
 from cartdale.fleet.choose import (
     Need,
     Surroundings,
     choose,
-    list_candidates,
 )
 from cartdale.fleet.decide import (
     HEARD_AFTER_MS,
--- a/tests/test_outlook.py
+++ b/tests/test_outlook.py
@@ -4,7 +4,8 @@
 import trio
 
 from cartdale.clock import SystemClock
-from cartdale.fleet.choose import Need, Surroundings, list_candidates
+from cartdale.fleet.candidates import list_candidates
+from cartdale.fleet.choose import Need, Surroundings
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.outlook import Outlook, foresee
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cartdale.fleet.choose import Need, Surroundings, choose, list_candidates
+from cartdale.fleet.candidates import list_candidates
+from cartdale.fleet.choose import Need, Surroundings, choose
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace, Progress, learn
 from cartdale.fleet.reading import ReadingShares
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -5,7 +5,8 @@
 import pytest
 
 from cartdale.exceptions import BadInputError
-from cartdale.fleet.choose import Surroundings, choose, list_candidates
+from cartdale.fleet.candidates import list_candidates
+from cartdale.fleet.choose import Surroundings, choose
 from cartdale.fleet.decide import decide
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import RequestEnded
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -34,7 +34,7 @@
     return fleet
 
 
-def make_routed(expected: int) -> RoutedRequest:
+def make_routed(expected: int, **more) -> RoutedRequest:
     request = CallerRequest(
         'r',
         'POST',
@@ -48,7 +48,7 @@
         expected_tokens=expected,
     )
     route = Route('d', 'h', '/', RouteKind.STREAM, 9000, 2000, ())
-    return RoutedRequest(request, route, 's', '', 0, 0, 9000)
+    return RoutedRequest(request, route, 's', '', 0, 0, 9000, **more)
 
 
 @pytest.mark.parametrize(
