Name evacuated, cold and foreign upstreams as causes; metrics of each

A refusal's line says what was short (full, cold, evacuated, region, missing); explain and summarize name it. What only the operator can end is refused at once. Gauges: evacuated domains, cold upstreams, requests sent to cold ones.

--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from types import MappingProxyType
 
 from cartdale.command.timeline import LogLine
 
@@ -16,6 +17,9 @@
     ANSWERED = 'answered'
     UPSTREAM_FAILED = 'the upstream answered with a failure'
     NO_ROOM = 'refused: no room was likely to come in its time'
+    EVACUATED = 'refused: all that could serve it is evacuated'
+    COLD = 'refused: all that could serve it had just started'
+    REGION = 'refused: nothing serves it in the regions that it may enter'
     NOT_READY = 'refused: the instance had no configuration yet'
     TURNED_AWAY = 'refused: every upstream that was asked turned it away'
     NOT_ALLOWED = 'refused: the configuration does not allow it'
@@ -30,6 +34,16 @@
     UNKNOWN = 'its end is not in these logs'
 
 
+#: By what an instance found missing; all others are for want of room.
+_CAUSES_BY_SHORTAGE = MappingProxyType(
+    {
+        'evacuated': Cause.EVACUATED,
+        'cold': Cause.COLD,
+        'region': Cause.REGION,
+    },
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """Hold a cause, and what the lines say of it.
@@ -133,8 +147,10 @@
 ) -> Verdict:
     room = by_event.get('no room')
     if room is not None:
+        shortage = str(room.details.get('shortage', ''))
+        cause = _CAUSES_BY_SHORTAGE.get(shortage, Cause.NO_ROOM)
         chance = room.details.get('chance')
-        return Verdict(Cause.NO_ROOM, f'{held}, chance {chance}')
+        return Verdict(cause, f'{held}, chance {chance}')
     if 'configuration' in reason:
         return Verdict(Cause.NOT_READY)
     return Verdict(Cause.TURNED_AWAY, held)
--- a/src/cartdale/command/timeline.py
+++ b/src/cartdale/command/timeline.py
@@ -12,7 +12,14 @@
 )
 #: Events of an instance that bear on all requests there.
 _OF_INSTANCE = frozenset(
-    ('leaving', 'lines dropped', 'serving', 'started', 'store lost')
+    (
+        'failure domain changed',
+        'leaving',
+        'lines dropped',
+        'serving',
+        'started',
+        'store lost',
+    )
 )
 #: Events of an upstream; those of all instances bear on its requests.
 _OF_UPSTREAM = frozenset(
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -22,7 +22,11 @@
 from cartdale.fleet.follow import Follower
 from cartdale.formatting import list_plain_fields
 from cartdale.gateway.app import GatewayApp
-from cartdale.gateway.metrics import GatewayMetrics, MetricsApp
+from cartdale.gateway.metrics import (
+    Constraints,
+    GatewayMetrics,
+    MetricsApp,
+)
 from cartdale.gateway.ports import GatewayPorts
 from cartdale.gateway.ready import ReadyApp
 from cartdale.moves.driver import Mover
@@ -114,7 +118,9 @@
         )
         self._upstreams = PlatformUpstreams()
         self._discards = Discards(self._upstreams)
-        self.metrics = GatewayMetrics(self._read_version, store.calls_by_path)
+        self.metrics = GatewayMetrics(
+            self._read_version, store.calls_by_path, self._read_constraints
+        )
         self.mover = Mover(
             self.fleet,
             self._upstreams,
@@ -286,6 +292,13 @@
     def _read_version(self) -> int:
         return self.fleet.table.version
 
+    def _read_constraints(self) -> Constraints:
+        return Constraints(
+            len(self.fleet.list_evacuated()),
+            self.fleet.count_cold(),
+            self.fleet.cold_gate.sent,
+        )
+
     def _read_table(self) -> RoutingTable:
         return self.fleet.table
 
--- a/src/cartdale/fleet/candidates.py
+++ b/src/cartdale/fleet/candidates.py
@@ -1,4 +1,7 @@
-"""List the upstreams that a request may go to at all."""
+"""List the upstreams that a request may go to at all, and why there is none."""
+
+from dataclasses import replace
+from enum import StrEnum
 
 from cartdale.clock import Millis
 from cartdale.fleet.choose import Need
@@ -7,6 +10,21 @@
 from cartdale.routes.types import ServiceSpec
 
 
+class Shortage(StrEnum):
+    """Say why a request found no upstream."""
+
+    #: Some take new work, but have no room.
+    FULL = 'full'
+    #: All of them have had what a cold upstream bears.
+    COLD = 'cold'
+    #: All of them lie in failure domains that are evacuated.
+    EVACUATED = 'evacuated'
+    #: None lies where the request may go.
+    REGION = 'region'
+    #: The service has none.
+    MISSING = 'missing'
+
+
 def list_candidates(state: FleetState, need: Need) -> list[Upstream]:
     """Return the upstreams of the service that take new work."""
     return [
@@ -18,6 +36,17 @@
     ]
 
 
+def find_shortage(
+    state: FleetState, need: Need, spec: ServiceSpec, now: Millis
+) -> Shortage:
+    """Return why a request found no upstream."""
+    candidates = list_candidates(state, need)
+    if not candidates:
+        return _find_absence(state, need)
+    cold = all(is_cold(state, each, spec, now) for each in candidates)
+    return Shortage.COLD if cold and spec.cold_rate else Shortage.FULL
+
+
 def is_closed(state: FleetState, need: Need) -> bool:
     """Tell whether all upstreams that could serve a request are evacuated."""
     live = _list_live(state, need)
@@ -38,6 +67,14 @@
     )
 
 
+def _find_absence(state: FleetState, need: Need) -> Shortage:
+    """Return why a request has not even candidates."""
+    if is_closed(state, need):
+        return Shortage.EVACUATED
+    anywhere = replace(need, domains=None)
+    return Shortage.REGION if _list_live(state, anywhere) else Shortage.MISSING
+
+
 def _list_live(state: FleetState, need: Need) -> list[Upstream]:
     """Return the upstreams that serve and lie where a request may go."""
     return [
--- a/src/cartdale/fleet/cold.py
+++ b/src/cartdale/fleet/cold.py
@@ -91,6 +91,8 @@
         self._sharers: Sharers | None = None
         self._quotas: dict[tuple[str, int], int] = {}
         self._sent_by_upstream: dict[str, deque[Millis]] = {}
+        #: Requests sent to cold upstreams since the start.
+        self.sent = 0
 
     def divide_among(self, sharers: Sharers) -> None:
         """Take the names of those among whom the bound is divided."""
@@ -117,6 +119,7 @@
     def note(self, upstream: str, now: Millis) -> None:
         """Count a request that is sent to a cold upstream."""
         self._sent_by_upstream.setdefault(upstream, deque()).append(now)
+        self.sent += 1
 
     def forget(self, now: Millis) -> None:
         """Drop what is too old to count."""
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -7,7 +7,12 @@
 from loguru import logger
 
 from cartdale.clock import Clock, Millis, seconds
-from cartdale.fleet.candidates import is_closed, is_cold, list_candidates
+from cartdale.fleet.candidates import (
+    Shortage,
+    find_shortage,
+    is_cold,
+    list_candidates,
+)
 from cartdale.fleet.choose import CHOICES, Need, Surroundings, choose
 from cartdale.fleet.cold import ColdGate
 from cartdale.fleet.decide import decide
@@ -154,9 +159,10 @@
         candidates = self._list_allowed(need, around)
         return foresee(candidates, need, around, ahead)
 
-    def is_closed(self, need: Need) -> bool:
-        """Tell whether all that could serve a request is evacuated."""
-        return is_closed(self.state, need)
+    def find_shortage(self, need: Need) -> Shortage:
+        """Return why a request found no upstream."""
+        around = self._look_around(need, None)
+        return find_shortage(self.state, need, around.spec, around.now)
 
     def may_finish_move(self, entry: UpstreamEntry) -> bool:
         """Tell whether a stopped generation may go on at an upstream."""
@@ -173,6 +179,14 @@
             for standing in self.state.standings_by_domain.values()
         )
 
+    def count_cold(self) -> int:
+        """Return how many upstreams are cold, as far as it is told."""
+        now = self._clock.now()
+        return sum(
+            upstream.warm_at > now
+            for upstream in self.state.upstreams_by_id.values()
+        )
+
     def list_evacuated(self) -> tuple[str, ...]:
         """Return the failure domains where nothing new may go."""
         return tuple(
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of the gateway, by aioprometheus."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
 
@@ -22,17 +23,36 @@
 _GAP_BOUNDS = (0.05, 0.1, 0.18, 0.25, 0.5, 1, 2, 5, inf)
 
 
+@dataclass(frozen=True, slots=True)
+class Constraints:
+    """Say what bounds the choice of upstreams now.
+
+    :param evacuated: failure domains that get nothing new.
+    :param cold: upstreams that are cold.
+    :param sent_cold: requests sent to cold upstreams since the start.
+    """
+
+    evacuated: int
+    cold: int
+    sent_cold: int
+
+
 class GatewayMetrics:
     """Own the registry of one instance on the platform.
 
     :param read_version: returns the configuration in force.
     :param calls_by_path: counts the calls to the store.
+    :param read_constraints: returns what bounds the choice of upstreams.
     """
 
     def __init__(
-        self, read_version: Callable[[], int], calls_by_path: dict[str, int]
+        self,
+        read_version: Callable[[], int],
+        calls_by_path: dict[str, int],
+        read_constraints: Callable[[], Constraints],
     ) -> None:
         self._read_version = read_version
+        self._read_constraints = read_constraints
         self._calls_by_path = calls_by_path
         registry = MetricRegistry('cartdale_gateway')
         self._registry = registry
@@ -47,6 +67,15 @@
             'longest_gap_seconds', 'Longest pause of a stream.', _GAP_BOUNDS
         )
         self._version = registry.measure('configuration_version', 'In force.')
+        self._evacuated = registry.measure(
+            'evacuated_domains', 'Failure domains that get nothing new.'
+        )
+        self._cold = registry.measure(
+            'cold_upstreams', 'Upstreams that get only a bounded rate.'
+        )
+        self._sent_cold = registry.measure(
+            'requests_to_cold_upstreams', 'Sent since the start.'
+        )
 
     def note_answer(self, route: Route, status: int) -> None:
         """Count an upstream's answer that was passed on."""
@@ -77,6 +106,10 @@
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text form."""
         self._version.set({}, self._read_version())
+        constraints = self._read_constraints()
+        self._evacuated.set({}, constraints.evacuated)
+        self._cold.set({}, constraints.cold)
+        self._sent_cold.set({}, constraints.sent_cold)
         return self._registry.render(self._calls_by_path)
 
 
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from cartdale.clock import SECOND_MS, Clock, Millis, seconds
+from cartdale.fleet.candidates import Shortage
 from cartdale.fleet.choose import Need
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.outlook import Outlook
@@ -36,6 +37,8 @@
 #: Callers who are refused together return spread over this part of the time,
 #: or they would be refused together again.
 _RETRY_SPREAD = 0.5
+#: What only the operator can end, so that nobody waits for it.
+_NOT_WAITED_FOR = frozenset((Shortage.EVACUATED, Shortage.REGION))
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -117,8 +120,8 @@
                     return chosen
             now = self._clock.now()
             outlook = self._fleet.foresee(waiting.need, ahead)
-            if self._fleet.is_closed(waiting.need):
-                # Only the operator can end that; nothing is waited for.
+            shortage = self._fleet.find_shortage(waiting.need)
+            if shortage in _NOT_WAITED_FOR:
                 return self._refuse(waiting, outlook, 0)
             until = waiting.until
             if outlook.expected_wait() is None:
@@ -151,6 +154,6 @@
             reading=outlook.reading,
             expected_wait=expected,
             retry_after=retry_after,
-            evacuated=' '.join(self._fleet.list_evacuated()),
+            shortage=self._fleet.find_shortage(waiting.need),
         )
         return NoRoom(retry_after)
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -92,6 +92,18 @@
     ),
     (Cause.INSTANCE_LOST, (PLACED, RESTART)),
     (Cause.UNKNOWN, (PLACED,)),
+    (
+        Cause.EVACUATED,
+        ({**NO_ROOM, 'shortage': 'evacuated'}, {**NOT_RUN, 'reason': 'x'}),
+    ),
+    (
+        Cause.COLD,
+        ({**NO_ROOM, 'shortage': 'cold'}, {**NOT_RUN, 'reason': 'x'}),
+    ),
+    (
+        Cause.REGION,
+        ({**NO_ROOM, 'shortage': 'region'}, {**NOT_RUN, 'reason': 'x'}),
+    ),
 )
 
 
