Keep backups for all only while the service's engines are mostly empty

Announcements of a placement wake only the sender of news, not those who wait for room: each look refuses with some chance.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -8,7 +8,7 @@
 prompt tokens, as the time of reading them."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cartdale.clock import Millis
@@ -175,6 +175,21 @@
     return max(int(takes) - need.read_within, 0)
 
 
+def measure_filling(
+    candidates: Collection[Upstream], around: Surroundings
+) -> float:
+    """Return which part of the memory of some engines is or will be taken."""
+    engine = around.spec.engine
+    if engine is None or not candidates:
+        return 1
+    loads = [
+        around.loads_by_upstream.get(upstream.entry.upstream, Load())
+        for upstream in candidates
+    ]
+    taken = sum(load.tokens + GROWTH_RESERVED * load.growth for load in loads)
+    return taken / (engine.memory_tokens * len(loads))
+
+
 def count_missing(load: Load, need: Need, around: Surroundings) -> float:
     """Return the memory that an engine lacks for a request, in tokens."""
     engine = around.spec.engine
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -13,7 +13,13 @@
     is_cold,
     list_candidates,
 )
-from cartdale.fleet.choose import CHOICES, Need, Surroundings, choose
+from cartdale.fleet.choose import (
+    CHOICES,
+    Need,
+    Surroundings,
+    choose,
+    measure_filling,
+)
 from cartdale.fleet.cold import ColdGate
 from cartdale.fleet.decide import decide
 from cartdale.fleet.evacuation import Evacuation, may_finish_move
@@ -72,6 +78,7 @@
         #: Upstreams among which the best is chosen.
         self.choices = CHOICES
         self._changed = trio.Event()
+        self._announced = trio.Event()
         self._reading = ReadingShares()
         self._paces_by_service: dict[str, Pace] = {}
 
@@ -96,14 +103,28 @@
             self.notify()
 
     def notify(self) -> None:
-        """Wake those who wait for room."""
+        """Wake those who wait for room, and who tells peers."""
         self._changed.set()
         self._changed = trio.Event()
+        self.announce()
+
+    def announce(self) -> None:
+        """Wake who tells peers what is placed here.
+
+        They choose from what they hear. Without this call news waited for
+        something else that was worth telling: 196 ms in the mean.
+        """
+        self._announced.set()
+        self._announced = trio.Event()
 
     async def changed(self) -> None:
         """Wait until room may have come up."""
         await self._changed.wait()
 
+    async def announced(self) -> None:
+        """Wait until there may be something to tell peers."""
+        await self._announced.wait()
+
     async def run(self) -> None:
         """Let time pass, for ever."""
         while True:
@@ -159,6 +180,15 @@
         candidates = self._list_allowed(need, around)
         return foresee(candidates, need, around, ahead)
 
+    def filled_share(self, need: Need) -> float:
+        """Return how full the engines are that could serve a request.
+
+        Their memory with the growth that is expected, 0 to 1 and beyond; 1
+        where there are none.
+        """
+        around = self._look_around(need, None)
+        return measure_filling(list_candidates(self.state, need), around)
+
     def find_shortage(self, need: Need) -> Shortage:
         """Return why a request found no upstream."""
         around = self._look_around(need, None)
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -236,7 +236,7 @@
     async def _wait_for_news(self, longest: Millis) -> None:
         with trio.move_on_after(seconds(longest)):
             while not self._writer.has_new():
-                await self._fleet.changed()
+                await self._fleet.announced()
 
 
 def _read(envelope: Envelope, own: str) -> Message | None:
--- a/src/cartdale/relay/occupancy.py
+++ b/src/cartdale/relay/occupancy.py
@@ -37,8 +37,7 @@
         self.release()
         self._assignment = self._make_assignment(upstream)
         self._fleet.loads.assign(self._assignment)
-        # Peers choose from what they hear: news wait for this call.
-        self._fleet.notify()
+        self._fleet.announce()
 
     def release(self) -> None:
         """Count it nowhere, and wake those who wait for room."""
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -16,11 +16,13 @@
 #: twice as long, and the others of the engine wait behind it.
 _FAR_MOVE_COST = 0.3
 #: Part of an engine's memory that may be filled when a backup is sent there;
-#: backups beyond it were measured to displace running generations.
-_BACKUP_FILLED = 0.6
-#: The same for an engine that holds more without a backup than its link
-#: carries away once it leaves: what can't be moved is lost for sure.
-_CROWDED_FILLED = 0.8
+#: fuller ones were measured to push running generations aside for it.
+_BACKUP_FILLED = 0.8
+#: Part of the memory of all engines of a service, with the growth that is
+#: expected, up to which any long generation gets a backup: twice as much, with
+#: the backups, then still leaves every engine room for a prompt. Above it
+#: memory serves others better than the rare crash without notice.
+_SERVICE_FILLED = 0.4
 #: Tokens to make from which on a backup is worth its memory.
 _BACKUP_WORTH = 100
 
@@ -59,7 +61,15 @@
 ) -> UpstreamEntry | None:
     """Return an engine with memory to spare for a second copy.
 
-    ``None`` where the service keeps no backups, and for short generations.
+    While the engines of the service are mostly empty, memory costs nobody
+    anything, and a backup survives an engine that ends without notice. When
+    they fill, only a generation gets one whose engine holds more than its link
+    carries away once it leaves: what can't be moved then is lost for sure.
+    On 30 engines of 21,878 tokens that were nearly full, backups for every
+    long generation cost 0.1 to 0.2 of all worth.
+
+    ``None`` also where the service keeps no backups, and for short
+    generations.
     """
     spec = fleet.table.services_by_name.get(source.service)
     if spec is None or spec.engine is None or not spec.engine.backups:
@@ -72,9 +82,8 @@
     load = fleet.load_at(source.upstream)
     awaiting_copy = int(load.share_awaiting_copy * load.tokens)
     movable = SourceLink(spec.engine).carries_all(awaiting_copy)
-    if movable and not fleet.switches.has(Mechanism.SPARE_BACKUPS):
+    if movable and fleet.filled_share(need) > _SERVICE_FILLED:
         return None
-    filled = _BACKUP_FILLED if movable else _CROWDED_FILLED
-    copied = replace(need, reads=0, read_within=0, filled=filled)
+    copied = replace(need, reads=0, read_within=0, filled=_BACKUP_FILLED)
     chosen = fleet.choose(copied)
     return chosen.entry if chosen else None
--- a/src/cartdale/switches.py
+++ b/src/cartdale/switches.py
@@ -20,8 +20,6 @@
     MOVES = 'moves'
     #: An engine keeps another up to date while a generation runs.
     BACKUPS = 'backups'
-    #: Backups are kept also where an engine could move all that it holds.
-    SPARE_BACKUPS = 'spare_backups'
     #: A generation whose link broke is stopped and moved if its engine lives.
     RESCUE = 'rescue'
     #: Generations leave an engine one after another.
--- a/tests/load/crowd.py
+++ b/tests/load/crowd.py
@@ -145,8 +145,9 @@
 
     def earn(self) -> float:
         """Return its credit; a pause that is too long counts as late."""
-        late = self.is_late() or self.longest_gap > _LONGEST_GAP
-        return self.kind.credit * (_LATE if late else 1)
+        if self.is_late() or self.longest_gap > _LONGEST_GAP:
+            return _LATE * self.kind.credit
+        return self.kind.credit
 
     def _count_made(self, at: float) -> int:
         if at <= self.first_at:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -54,16 +54,22 @@
 @pytest.mark.parametrize(
     ('at_source', 'at_other', 'kept'),
     [
+        # Engines are mostly empty: memory is to spare.
+        (Load(1, 3000), Load(), True),
         (Load(1, 3000), Load(3, 12000), True),
-        (Load(1, 3000), Load(6, 20000), False),
-        # More than the link carries away in time: memory is worth less.
+        # All of it leaves over the link in time: memory serves others.
+        (Load(4, 14000), Load(4, 14000), False),
+        (Load(1, 3000), Load(3, 15000, growth=16000), False),
+        (Load(1, 3000), Load(8, 26000), False),
+        # More than the link carries away in time.
+        (Load(7, 25000), Load(3, 12000), True),
         (Load(7, 25000), Load(6, 20000), True),
         (Load(7, 25000), Load(8, 26000), False),
         # What has a backup need not be carried away.
         (Load(7, 25000, exempt=5), Load(6, 20000), False),
     ],
 )
-def test_backup_is_kept_where_memory_is_to_spare(
+def test_backup_is_kept_for_what_could_not_be_moved(
     at_source: Load, at_other: Load, kept: bool
 ) -> None:
     fleet = make_fleet(at_source, at_other)
