--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -10,6 +10,8 @@
 CONTACT_SECONDS = 3.0
 #: A leaving upstream gets no new work so long after the store has taken it.
 DRAIN_SECONDS = 2.0
+#: The same after its failure domain was evacuated.
+EVACUATE_SECONDS = 2.0
 #: A configuration is in force so long after the store has taken it.
 CONFIGURE_SECONDS = 2.0
 #: A generation may run at two engines for no longer.
@@ -113,10 +115,12 @@
         if not asked.whole and not excused:
             self._add(f'{asked.name}: cut by a planned stop')
 
-    def check_drain(self, name: str, upstream: str, excused: bool) -> None:
+    def check_closed(self, name: str, upstream: str, excused: bool) -> None:
         """Check a request that reached an upstream after its bound."""
         if not excused:
-            self._add(f'{name}: reached {upstream}, which leaves')
+            self._add(
+                f'{name}: reached {upstream}, which leaves or is evacuated'
+            )
 
     def _expect(self, asked: Asked) -> bytes:
         if asked.kind not in STREAMS:
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -10,7 +10,7 @@
 from cartdale_standins.platform_store import PlatformStoreFaults
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.proxy import FaultProxy, LinkState
-from tests.fault_soak.watch import Upstream
+from tests.fault_soak.watch import DOMAINS, Upstream
 from tests.platform_stage import make_configuration
 
 #: What is done to the system, and how often relative to each other.
@@ -31,6 +31,7 @@
         'stop': 2,
         'reload': 1,
         'configure': 3,
+        'evacuate': 2,
     }
 )
 _SIGNALS = MappingProxyType(
@@ -42,6 +43,9 @@
 )
 #: An engine ends so long after it began to leave.
 _NOTICE_SECONDS = 2.6
+#: Shortest and longest time that a failure domain stays evacuated: over the
+#: bound after which new work there would show.
+_EVACUATED_SECONDS = (5.0, 7.0)
 #: Time in which an instance that was killed runs again.
 _START_SECONDS = 1.0
 
@@ -110,8 +114,8 @@
             case 'pause':
                 instance.disturb(lasts)
                 self._soak.nursery.start_soon(self._pause, instance, lasts)
-            case 'configure':
-                self._configure()
+            case 'configure' | 'evacuate':
+                self._operate(fault)
 
     def _pick(self) -> LinkState:
         return self._soak.random.choice(
@@ -180,6 +184,25 @@
         upstream.proxy.set(LinkState.RESET)
         self._soak.store.remove(f'servers/{upstream.worker.name}')
 
+    def _operate(self, fault: str) -> None:
+        """Do what an operator does."""
+        if fault == 'evacuate':
+            self._soak.nursery.start_soon(self._evacuate)
+        else:
+            self._configure()
+
+    async def _evacuate(self) -> None:
+        """Let the operator evacuate a failure domain, one at a time."""
+        if self._soak.evacuated_since:
+            return
+        domain = self._soak.random.choice(DOMAINS)
+        key = f'op/evacuate/{domain}'
+        self._soak.store.put(key, {})
+        self._soak.evacuated_since[domain] = trio.current_time()
+        await trio.sleep(self._soak.random.uniform(*_EVACUATED_SECONDS))
+        self._soak.evacuated_since.pop(domain)
+        self._soak.store.remove(key)
+
     def _configure(self) -> None:
         """Confirm a configuration with one more route."""
         document = make_configuration(self._soak.version + 1)
--- a/tests/fault_soak/mutants.py
+++ b/tests/fault_soak/mutants.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'src'))
 
-from cartdale.fleet import choose, driver  # noqa: E402
+from cartdale.fleet import candidates, driver  # noqa: E402
 from cartdale.fleet.follow import Follower  # noqa: E402
 from cartdale.platform import callers, translate  # noqa: E402
 from cartdale.platform.main import main  # noqa: E402
@@ -57,10 +57,14 @@
             and name not in need.excluded
         ]
 
-    choose.list_candidates = list_candidates
     driver.list_candidates = list_candidates
 
 
+def ignore_evacuation() -> None:
+    """Send new work to failure domains that are evacuated."""
+    candidates.is_evacuated = lambda *_: False
+
+
 def look_away(*_: object, **named: object) -> None:
     """Stand for an invariant that is not checked."""
 
@@ -107,6 +111,7 @@
         'repeat-unsafe': repeat_unsafe,
         'go-back': go_back,
         'ignore-drain': ignore_drain,
+        'ignore-evacuation': ignore_evacuation,
         'pass-twice': pass_twice,
         'end-as-whole': end_as_whole,
         'start-over': start_over,
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -27,7 +27,7 @@
 from tests.fault_soak.faults import Faults
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.proxy import LOCAL, FaultProxy
-from tests.fault_soak.watch import Upstream, Watch
+from tests.fault_soak.watch import DOMAINS, Upstream, Watch
 from tests.platform_stage import make_configuration
 
 _TICK_SECONDS = 0.05
@@ -57,6 +57,8 @@
         self.upstreams: list[Upstream] = []
         self.version = 1
         self.confirmed_at: float = 0
+        #: When each failure domain was evacuated, of those that are.
+        self.evacuated_since: dict[str, float] = {}
         self.instances: list[Instance] = []
         self.ready: set[str] = set()
         self._folder = folder
@@ -101,7 +103,8 @@
         self.nursery.start_soon(proxy.run)
         self.nursery.start_soon(worker.run)
         self.nursery.start_soon(bound.serve, worker.make_app(), trio.Event())
-        upstream = Upstream(worker, proxy, service)
+        domain = DOMAINS[len(self.upstreams) % len(DOMAINS)]
+        upstream = Upstream(worker, proxy, service, domain)
         self.upstreams.append(upstream)
         self.list_upstream(upstream, 'ready')
 
@@ -112,7 +115,7 @@
             {
                 'service': upstream.service,
                 'address': upstream.proxy.address,
-                'zone': 'west',
+                'zone': upstream.domain,
                 'slots': 64,
                 'state': state,
             },
--- a/tests/fault_soak/watch.py
+++ b/tests/fault_soak/watch.py
@@ -13,11 +13,14 @@
     CONFIGURE_SECONDS,
     CONTACT_SECONDS,
     DRAIN_SECONDS,
+    EVACUATE_SECONDS,
 )
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.proxy import FaultProxy
 from tests.platform_stage import make_headers
 
+#: Failure domains of the upstreams, which take turns.
+DOMAINS = ('east', 'west')
 #: Slack of checks for the machine's own delays.
 _SLACK_SECONDS = 1.5
 _TICK_SECONDS = 0.05
@@ -30,6 +33,7 @@
     worker: PlatformWorker
     proxy: FaultProxy
     service: str
+    domain: str
     drained_at: float | None = None
     known: set[str] = field(default_factory=set)
     disturbed_at: float = 0
@@ -78,7 +82,7 @@
                 if calm and isinstance(upstream.worker, PlatformEngine):
                     records = upstream.worker.driver.records_by_generation
                     running.update(records.keys())
-                self._watch_drain(upstream, now)
+                self._watch_closed(upstream, now)
             self._soak.checks.check_twice(running, now)
             await trio.sleep(_TICK_SECONDS)
 
@@ -110,13 +114,17 @@
                 (instance.name, life), answer.status_code, version, due
             )
 
-    def _watch_drain(self, upstream: Upstream, now: float) -> None:
+    def _watch_closed(self, upstream: Upstream, now: float) -> None:
+        """Look for new work where none may come any more."""
         ran = set(upstream.worker.runs_by_request)
         fresh, upstream.known = ran - upstream.known, ran
-        if upstream.drained_at is None:
-            return
-        bound = upstream.drained_at + DRAIN_SECONDS + _SLACK_SECONDS
-        if now < bound:
+        bounds = []
+        if upstream.drained_at is not None:
+            bounds.append(upstream.drained_at + DRAIN_SECONDS)
+        evacuated_since = self._soak.evacuated_since.get(upstream.domain)
+        if evacuated_since is not None:
+            bounds.append(evacuated_since + EVACUATE_SECONDS)
+        if not bounds or now < min(bounds) + _SLACK_SECONDS:
             return
         by_name = {each.name: each for each in self._soak.instances}
         asked_by_name = {each.name: each for each in self._soak.checks.asked}
@@ -128,7 +136,7 @@
             sender = by_name[asked.instance]
             excused = sender.disturbed_at > calm
             excused = excused or self._soak.store_disturbed_at > calm
-            self._soak.checks.check_drain(name, upstream.worker.name, excused)
+            self._soak.checks.check_closed(name, upstream.worker.name, excused)
 
 
 async def _is_ready(client: httpx.AsyncClient, instance: Instance) -> bool:
