--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -191,8 +191,8 @@
 
     def find_shortage(self, need: Need) -> Shortage:
         """Return why a request found no upstream."""
-        around = self._look_around(need, None)
-        return find_shortage(self.state, need, around.spec, around.now)
+        spec = self._find_spec(need.service)
+        return find_shortage(self.state, need, spec, self._clock.now())
 
     def may_finish_move(self, entry: UpstreamEntry) -> bool:
         """Tell whether a stopped generation may go on at an upstream."""
@@ -236,15 +236,16 @@
             )
         ]
 
+    def _find_spec(self, service: str) -> ServiceSpec:
+        known = self.table.services_by_name.get(service)
+        return known or ServiceSpec(service, '', 0)
+
     def _look_around(
         self, need: Need, failure_domain: str | None
     ) -> Surroundings:
-        spec = self.table.services_by_name.get(need.service)
-        if spec is None:
-            spec = ServiceSpec(need.service, '', 0)
         now = self._clock.now()
         return Surroundings(
-            spec=spec,
+            spec=self._find_spec(need.service),
             loads_by_upstream=self.loads.totals(now),
             failure_domain=failure_domain or self._failure_domain,
             now=now,
--- a/tests/load/crowd.py
+++ b/tests/load/crowd.py
@@ -20,6 +20,7 @@
 from cartdale.model.engine import EngineModel
 from cartdale.model.types import Hardware, Job
 from cartdale.routes.types import EngineTraits, ServiceSpec
+from tests.load.deployments import LONG_TOKENS, Deployment, Kind
 
 #: Part of its target within which a prompt is to be read.
 _READING_SHARE = 0.6
@@ -27,7 +28,6 @@
 _OUTRUN_SHARE = 0.3
 #: The first seconds fill the engines.
 _WARM_UP = 6000
-_LONG_TOKENS = 106
 #: Between looks for room of a request that waits, in ms.
 _LOOK_EVERY = 20
 #: Longest pause of a stream that is in time, in ms.
@@ -36,54 +36,6 @@
 _LATE, _REFUSAL = 0.15, 0.5
 
 
-@dataclass(frozen=True)
-class Kind:
-    """Describe a kind of request; lengths are lognormal, in tokens.
-
-    :param target: time until the first event that is in time, in ms.
-    :param credit: of an answer in time.
-    :param hint_spread: of the caller's estimate around the true length.
-    """
-
-    rate: float
-    prompt: float
-    prompt_spread: float
-    output: float
-    output_spread: float
-    most: int
-    target: int
-    priority: int
-    credit: float
-    hint_spread: float = 1.2
-
-
-@dataclass(frozen=True)
-class Deployment:
-    """Describe engines, work and news.
-
-    :param own_age: of the news of one's own failure domain, least and most.
-    :param far_age: of those of the others.
-    """
-
-    engines: int
-    memory: int
-    slots: int
-    kinds: tuple[Kind, ...]
-    domains: int = 3
-    own_age: tuple[float, float] = (20, 60)
-    far_age: tuple[float, float] = (100, 260)
-    choices: int = 3
-    step_ms: float = 7.0
-    step_per_slot_ms: float = 0.12
-    tokens_per_ms: float = 14.0
-    chunk: int = 112
-    #: Every third engine is so much slower than the others.
-    slowness: float = 1.3
-    #: Whether engines admit the urgent first, and push others aside for them.
-    urgent_first: bool = False
-    seconds: int = 30
-
-
 @dataclass
 class Waiting:
     """A request that has no engine yet."""
@@ -129,7 +81,7 @@
             tokens=self.prompt + made,
             growth=left,
             reading=0 if self.first_at <= at else self.prompt,
-            long=int(self.kind.most > _LONG_TOKENS),
+            long=int(self.kind.most > LONG_TOKENS),
         )
 
     def advance(self, now: float) -> None:
@@ -396,7 +348,7 @@
         long = [
             each
             for each in counted
-            if each.kind.most > _LONG_TOKENS and each.made > 20
+            if each.kind.most > LONG_TOKENS and each.made > 20
         ]
         spans = [(each.last_at - each.first_at) / each.made for each in long]
         return Outcome(
@@ -431,31 +383,3 @@
 def _share(holds) -> float:
     listed = list(holds)
     return sum(listed) / max(len(listed), 1)
-
-
-def draft(rate: float, target: int = 1800, output: float = 400) -> Kind:
-    """Return long generations of three thousand tokens of prompt."""
-    return Kind(rate, 2900, 0.35, output, 1.344, 1756, target, 0, 180)
-
-
-def check(rate: float, target: int = 1500) -> Kind:
-    """Return short answers to long prompts."""
-    return Kind(rate, 1900, 0.6, 8, 0.3, 34, target, 1, 24)
-
-
-#: Engines of little memory, checks twice as often as drafts, of which a quarter
-#: is away or about to leave; lengths are known at the median only.
-CROWDED = Deployment(22, 21878, 24, (draft(14.2), check(27.3)))
-#: As many engines of more memory and less work, before more instances.
-WIDE = Deployment(
-    27, 34330, 24, (draft(11.9, output=600), check(16.9)), domains=5
-)
-#: A few large engines before a handful of instances that tell all at once.
-SMALL = Deployment(
-    4,
-    34545,
-    64,
-    (draft(1.72, output=600), check(2.43)),
-    far_age=(20, 60),
-    choices=7,
-)
--- a/tests/load/test_crowd.py
+++ b/tests/load/test_crowd.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from tests.load.crowd import CROWDED, SMALL, WIDE, Crowd, Outcome
+from tests.load.crowd import Crowd, Outcome
+from tests.load.deployments import CROWDED, SMALL, WIDE
 
 SEEDS = range(3)
 #: Ages of news in ms, of one's own failure domain and of others.
