--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -122,7 +122,7 @@
             outlook = self._fleet.foresee(waiting.need, ahead)
             shortage = self._fleet.find_shortage(waiting.need)
             if shortage in _NOT_WAITED_FOR:
-                return self._refuse(waiting, outlook, 0)
+                return self._refuse(waiting, outlook, 0, shortage)
             until = waiting.until
             if outlook.expected_wait() is None:
                 until = min(until, began + _UNKNOWN_WAIT)
@@ -132,13 +132,17 @@
             if not self._fleet.switches.has(Mechanism.FORECAST):
                 chance = 1
             if now >= until or chance < least_chance:
-                return self._refuse(waiting, outlook, chance)
+                return self._refuse(waiting, outlook, chance, shortage)
             least_chance = _LEAST_CHANCE_LEFT
             with trio.move_on_after(seconds(min(until - now, _LOOK_EVERY))):
                 await self._fleet.changed()
 
     def _refuse(
-        self, waiting: Waiting, outlook: Outlook, chance: float
+        self,
+        waiting: Waiting,
+        outlook: Outlook,
+        chance: float,
+        shortage: Shortage,
     ) -> NoRoom:
         expected = outlook.expected_wait()
         wait = _UNKNOWN_RETRY if expected is None else expected
@@ -154,6 +158,6 @@
             reading=outlook.reading,
             expected_wait=expected,
             retry_after=retry_after,
-            shortage=self._fleet.find_shortage(waiting.need),
+            shortage=shortage,
         )
         return NoRoom(retry_after)
