Log what a broken link tells: the request's identity, and whether its upstream ended

Cause: after seven engines had ended one after another, the logs could not tell one request that ends them all (new id, another instance each time) from different requests of one customer, nor an engine that ended from a link that broke. Change: every request has an identity (method, host, path, customer, body) in 'placed'; 'link broke' names it beside the events that came over the link and whether the upstream was gone right after, asked once for all links of that upstream. Nothing is decided by it yet. The upstream's 'born' is read from its entry and its report.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -15,6 +15,7 @@
 from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.peer_links import SocketLinks
 from cartdale.daemon.peers import Peers
+from cartdale.daemon.relaying import Relaying
 from cartdale.daemon.serve import Application, BoundListener
 from cartdale.daemon.shares import Shares
 from cartdale.exceptions import BadInputError
@@ -41,11 +42,6 @@
 )
 from cartdale.platform.store import make_store
 from cartdale.platform.translate import PlatformWire, translate
-from cartdale.platform.upstreams import PlatformUpstreams
-from cartdale.relay.admission import Admission
-from cartdale.relay.discards import Discards
-from cartdale.relay.ports import RelayPorts
-from cartdale.retries.window import RepeatBudget
 from cartdale.routes.places import Places
 from cartdale.routes.types import RoutingTable
 from cartdale.settings.types import Listener
@@ -112,18 +108,15 @@
             self.peers.news.is_silent,
             max(settings.bounds.contact - SECOND_MS, SECOND_MS),
         )
-        bounds = settings.bounds
-        self._budget = RepeatBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        self._relaying = Relaying(
+            self.fleet, self._clock, settings.bounds, self._seed
         )
-        self._upstreams = PlatformUpstreams()
-        self._discards = Discards(self._upstreams)
         self.metrics = GatewayMetrics(
             self._read_version, store.calls_by_path, self._read_constraints
         )
         self.mover = Mover(
             self.fleet,
-            self._upstreams,
+            self._relaying.upstreams,
             self._clock,
             self.peers.is_cut_off,
             self.peers.asks,
@@ -144,7 +137,7 @@
             self.fleet,
             self.follower,
             self.peers,
-            self._budget,
+            self._relaying.budget,
             self._callers,
         )
         self._ready = _bind(settings.ready)
@@ -202,7 +195,7 @@
             return
         self._settings = replace(self._settings, bounds=settings.bounds)
         self.fleet.cold_gate.bound = settings.bounds.cold
-        self._budget.bound(
+        self._relaying.budget.bound(
             settings.bounds.retry_ratio,
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
@@ -215,7 +208,7 @@
     def _start(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self.fleet.run)
         nursery.start_soon(self.mover.run)
-        nursery.start_soon(self._discards.run)
+        nursery.start_soon(self._relaying.run)
         nursery.start_soon(self.peers.run, self.follower, self._stopping)
         nursery.start_soon(self._shares.run)
         nursery.start_soon(self._watch_settings)
@@ -255,17 +248,9 @@
                 self.reload()
 
     def _make_app(self) -> GatewayApp:
-        relay = RelayPorts(
-            clock=self._clock,
-            fleet=self.fleet,
-            admission=Admission(self.fleet, self._clock, self._seed),
-            upstreams=self._upstreams,
-            budget=self._budget,
-            discards=self._discards,
-        )
         return GatewayApp(
             GatewayPorts(
-                relay=relay,
+                relay=self._relaying.ports,
                 mover=self.mover,
                 wire=PlatformWire(),
                 clock=self._clock,
--- /dev/null
+++ b/src/cartdale/daemon/relaying.py
@@ -0,0 +1,45 @@
+"""Wire what carries requests to upstreams on the platform."""
+
+import trio
+
+from cartdale.clock import Clock
+from cartdale.fleet.driver import Fleet
+from cartdale.platform.settings import Bounds
+from cartdale.platform.upstreams import PlatformUpstreams
+from cartdale.relay.admission import Admission
+from cartdale.relay.discards import Discards
+from cartdale.relay.inquests import Inquests
+from cartdale.relay.ports import RelayPorts
+from cartdale.retries.window import RepeatBudget
+
+
+class Relaying:
+    """Own what every relayed request works with.
+
+    :param seed: makes choices repeatable.
+    """
+
+    def __init__(
+        self, fleet: Fleet, clock: Clock, bounds: Bounds, seed: int
+    ) -> None:
+        self.upstreams = PlatformUpstreams()
+        self.budget = RepeatBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        self._discards = Discards(self.upstreams)
+        self._inquests = Inquests(self.upstreams, fleet)
+        self.ports = RelayPorts(
+            clock=clock,
+            fleet=fleet,
+            admission=Admission(fleet, clock, seed),
+            upstreams=self.upstreams,
+            budget=self.budget,
+            discards=self._discards,
+            inquests=self._inquests,
+        )
+
+    async def run(self) -> None:
+        """Do what goes on beside the requests, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._discards.run)
+            nursery.start_soon(self._inquests.run)
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -21,9 +21,10 @@
 class UpstreamEntry:
     """Describe an upstream as it described itself in the store.
 
-    :param upstream: new with every start of the upstream.
+    :param upstream: its id; a new start may have the same.
     :param address: ``IP:PORT``.
     :param cold_for: how much longer it is slow after its start.
+    :param born: Unix milliseconds of its start; 0 when it does not tell.
     """
 
     upstream: str
@@ -33,6 +34,7 @@
     slots: int
     lifecycle: Lifecycle = Lifecycle.LIVE
     cold_for: Millis = 0
+    born: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,7 @@
     :param used_tokens: memory that can't give way.
     :param leaves_in: time until the engine is gone, if it is known.
     :param leaving: whether the engine says that it leaves.
+    :param born: Unix milliseconds of its start; 0 when it does not tell.
     """
 
     running: int
@@ -65,6 +68,7 @@
     leaves_in: Millis | None = None
     leaving: bool = False
     runs: tuple[RunReport, ...] = ()
+    born: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -14,6 +14,7 @@
 from cartdale.gateway.ports import GatewayPorts
 from cartdale.gateway.sink import AsgiSink
 from cartdale.problems.types import NotRun, NotRunReason, Problem, describe
+from cartdale.quarantine.identity import identify
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.plain import PlainCarrier
 from cartdale.relay.stream import StreamCarrier, StreamEnd
@@ -127,17 +128,26 @@
         longest = route.timeout
         if self._request.deadline:
             longest = min(longest, self._request.deadline)
+        request = self._request
+        named = customer.name if customer else ''
         return RoutedRequest(
-            request=self._request,
+            request=request,
             route=route,
             service=pick_service(route, self._ports.generator),
-            customer=customer.name if customer else '',
+            customer=named,
             priority=self._rank(route, customer),
             arrived_at=self._arrived_at,
             ends_at=self._arrived_at + longest,
             domains=self._ports.places.find_domains(
                 find_regions(route, customer)
             ),
+            identity=identify(
+                request.method,
+                request.host,
+                request.target,
+                named,
+                request.body,
+            ),
         )
 
     def _rank(self, route: Route, customer: Customer | None) -> int:
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -135,6 +135,8 @@
     state: str = 'ready'
     #: How much longer the upstream is slow after its start.
     cold_remaining_ms: float = 0
+    #: Unix milliseconds of its start.
+    born: int = 0
 
 
 def decode_table(raw: bytes) -> RoutingTable:
@@ -187,6 +189,7 @@
         slots=stored.slots,
         lifecycle=Lifecycle.LEAVING if draining else Lifecycle.LIVE,
         cold_for=int(stored.cold_remaining_ms),
+        born=stored.born,
     )
 
 
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -71,6 +71,7 @@
     leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
     #: Rows of id, tokens in memory, events made and priority.
     runs: tuple[tuple[str, int, int, int], ...] = ()
+    born: int = 0
 
 
 def write_headers(call: UpstreamCall) -> list[tuple[bytes, bytes]]:
@@ -169,6 +170,7 @@
             leaves_in=None if leaves is None else int(leaves),
             leaving=stored.state == WORD_DRAINING,
             runs=tuple(RunReport(*row) for row in stored.runs),
+            born=stored.born,
         )
     )
 
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -7,13 +7,14 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import httpcore
 import msgspec
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis
-from cartdale.fleet.types import EngineReport
+from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.formatting import format_error
 from cartdale.platform.exchanges import (
     CopyRequest,
@@ -35,6 +36,7 @@
     SendFailure,
     UpstreamCall,
 )
+from cartdale.routes.types import ServiceSpec
 from cartdale.transport import CORE_BROKEN, CORE_NOT_SENT
 
 #: Longest wait for a report.
@@ -103,6 +105,25 @@
         )
         return answer.bind(read_report)
 
+    async def is_gone(
+        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+    ) -> bool:
+        """Tell whether an upstream ended, or started anew since its entry.
+
+        One that can't be reached counts as ended: its machine refuses, or
+        says nothing. Any answer shows that it lives, and an engine's also
+        when it was born.
+        """
+        if spec is not None and spec.engine is None:
+            answer = await self._ask(
+                'GET', upstream.address, spec.health_path, b'', _REPORT_TIMEOUT
+            )
+            return _was_not_sent(answer)
+        report = await self.report(upstream.address)
+        born = report.map(_read_born).value_or(0)
+        reborn = bool(born and upstream.born and born != upstream.born)
+        return reborn or _was_not_sent(report)
+
     async def _ask(
         self,
         method: str,
@@ -130,6 +151,14 @@
         return Success(response)
 
 
+def _was_not_sent(answer: Result[Any, SendFailure]) -> bool:
+    return isinstance(answer, Failure) and isinstance(answer.failure(), NotSent)
+
+
+def _read_born(report: EngineReport) -> Millis:
+    return report.born
+
+
 def _make_url(address: str, target: bytes) -> httpcore.URL:
     host, _, port = address.rpartition(':')
     return httpcore.URL(
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -75,6 +75,7 @@
         request=routed.request.request_id,
         upstream=upstream.entry.upstream,
         customer=routed.customer,
+        identity=routed.identity.hex(),
         route=routed.route.name,
         version=ports.fleet.table.version,
         waited=now - routed.arrived_at,
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -28,6 +28,7 @@
     begin,
     refuse,
 )
+from cartdale.relay.inquests import BrokenLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     LinkBroke,
@@ -111,25 +112,36 @@
         async with self._ports.upstreams.open(call) as opened:
             match opened:
                 case Success(answer):
-                    return await self._read(answer, call.upstream.upstream)
+                    return await self._read(answer, call)
                 case Failure(NotSent()):
                     return Unsent(), None
                 case Failure(LinkBroke(detail=detail)):
-                    return Broken(detail), None
+                    return self._break(detail, call), None
         return Broken('no answer'), None
 
-    async def _read(self, answer: OpenedAnswer, upstream: str) -> Ended:
-        declined = find_decline(self._ports.fleet, answer, upstream)
+    async def _read(self, answer: OpenedAnswer, call: UpstreamCall) -> Ended:
+        fleet = self._ports.fleet
+        declined = find_decline(fleet, answer, call.upstream.upstream)
         if declined is not None:
             return declined, None
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
-            return Broken(error.detail), None
+            return self._break(error.detail, call), None
         good = answer.status < _FIRST_SERVER_ERROR
         whole = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=good), whole
 
+    def _break(self, detail: str, call: UpstreamCall) -> Broken:
+        """Return a broken link, and have its upstream looked at."""
+        routed = self._routed
+        self._ports.inquests.hold(
+            BrokenLink(
+                routed.request.request_id, routed.identity, call.upstream
+            )
+        )
+        return Broken(detail)
+
     def _patience(self) -> float:
         """Return how many seconds an attempt may stay silent."""
         target = self._routed.route.target_latency
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -31,6 +31,7 @@
     refuse,
 )
 from cartdale.relay.generation import RunningGeneration
+from cartdale.relay.inquests import BrokenLink
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.silence import await_loss
@@ -98,6 +99,10 @@
         self._failure: WholeAnswer | None = None
         self._started = False
         self._sent = False
+        #: What the present link carries, and the events that the caller had
+        #: when it began.
+        self._call: UpstreamCall | None = None
+        self._events_before = 0
 
     @property
     def longest_gap(self) -> Millis:
@@ -182,6 +187,8 @@
     async def _open(self, call: UpstreamCall) -> LinkEnd:
         """Send a request, and read its answer unless none will come."""
         self._sent = True
+        self._call = call
+        self._events_before = self._generation.events
         watching, waiting = trio.CancelScope(), trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_head, watching, waiting)
@@ -213,6 +220,7 @@
             case Failure(LinkBroke(detail=detail)) if call.resume is None:
                 return await self._lose_link(detail)
             case Failure(LinkBroke(detail=detail)):
+                self._inquire()
                 return self._break(detail)
         return Unsent()
 
@@ -240,6 +248,7 @@
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
+            self._inquire()
             return self._break(error.detail)
         self._failure = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=False)
@@ -269,6 +278,8 @@
 
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how the attempt ended."""
+        if not self._generation.is_stopped:
+            self._inquire()
         upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
@@ -280,6 +291,20 @@
         )
         return self._break(detail)
 
+    def _inquire(self) -> None:
+        """Have it found out whether an engine ended as its link broke."""
+        call = self._call
+        if call is None:
+            return
+        self._ports.inquests.hold(
+            BrokenLink(
+                call.routed.request.request_id,
+                call.routed.identity,
+                call.upstream,
+                self._generation.events - self._events_before,
+            )
+        )
+
     def _break(self, detail: str) -> Broken:
         return Broken(detail, begun=self._started)
 
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -11,7 +11,8 @@
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import EngineReport, UpstreamEntry
-from cartdale.routes.types import Route
+from cartdale.quarantine.identity import Identity
+from cartdale.routes.types import Route, ServiceSpec
 
 #: Longest wait for a copy: all of an engine's memory over its link.
 COPY_PATIENCE: Millis = 3 * SECOND_MS
@@ -62,6 +63,8 @@
     :param priority: 0 is the most urgent.
     :param ends_at: when the caller or the route gives it up.
     :param domains: failure domains that it may enter; ``None`` for all.
+    :param identity: what it has in common with other submissions of the same
+        request.
     """
 
     request: CallerRequest
@@ -72,6 +75,7 @@
     arrived_at: Millis
     ends_at: Millis
     domains: frozenset[str] | None = None
+    identity: Identity = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +244,14 @@
     async def report(self, address: str) -> Result[EngineReport, SendFailure]:
         """Read what an engine holds."""
 
+    async def is_gone(
+        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+    ) -> bool:
+        """Tell whether an upstream ended, or started anew since its entry.
+
+        :param spec: its service, as the configuration describes it.
+        """
+
 
 class AnswerSink(Protocol):
     """Write an answer to the caller."""
