--- a/tests/test_inquests.py
+++ b/tests/test_inquests.py
@@ -1,4 +1,4 @@
-"""What logs tell of a link that broke: which request, and its upstream's end."""
+"""What logs tell of a broken link: which request, and its upstream's end."""
 
 import trio
 from loguru import logger
