--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -26,6 +26,7 @@
     LinkCutError,
     PlatformWorker,
     decline,
+    read_body,
 )
 
 #: Tokens that an event holds.
@@ -78,7 +79,6 @@
         self.driver = EngineDriver(hardware, SystemClock())
         self.memory = EngineMemory()
         self.resumed_by_request: Counter[str] = Counter()
-        self.dead = False
         self.streams = StreamFaults()
         self.leaves_ms: float | None = None
         #: Copies that were asked for while one of the same was under way.
@@ -112,15 +112,24 @@
         return app
 
     async def run(self) -> None:
-        """Drive the engine model."""
-        await self.driver.run()
+        """Drive the engine model, and come back after each crash."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.driver.run)
+            nursery.start_soon(super().run)
 
     def die(self) -> None:
         """Cut every stream, as a machine that is taken away does."""
-        self.dead = True
+        super().die()
         for record in self.driver.records_by_generation.values():
             record.wake()
 
+    def forget(self) -> None:
+        """Lose the memory of generations."""
+        self.memory = EngineMemory()
+        for name in tuple(self.driver.records_by_generation):
+            self.driver.model.cancel(name)
+            self.driver.records_by_generation.pop(name)
+
     async def _run(self, path: str) -> Response:
         if self.dead:
             raise LinkCutError
@@ -143,7 +152,8 @@
         await self._back_up(request_id)
         if vanishes:
             await trio.sleep_forever()
-        response = self._begin(request_id, made)
+        deadly = await read_body() in self.crashes.deadly
+        response = self._begin(request_id, made, deadly=deadly)
         while self.streams.headless and not self.dead:
             await trio.sleep(_POLL_SECONDS)
         if self.dead:
@@ -168,15 +178,20 @@
         except httpx.TransportError as error:
             logger.info('no backup kept', target=target, detail=repr(error))
 
-    def _begin(self, request_id: str, made: int) -> Response:
+    def _begin(
+        self, request_id: str, made: int, *, deadly: bool = False
+    ) -> Response:
         prompt, _, most = request.headers['Token-Count'].partition(',')
         length = int(most) - made * STRIDE
         record = Record(request_id, 0, length, chat=False)
         self._stopped.discard(request_id)
         self.driver.records_by_generation[request_id] = record
         self.driver.model.accept(Job(request_id, int(prompt), length))
+        answer = self._follow(request_id, record, made)
+        if deadly:
+            answer = self._end_with(request_id)
         response = Response(
-            self._follow(request_id, record, made),
+            answer,
             content_type=_SSE_TYPE,
             headers=self._sign(request_id),
         )
@@ -203,6 +218,12 @@
             self.driver.model.cancel(request_id)
             self.driver.records_by_generation.pop(request_id, None)
 
+    async def _end_with(self, request_id: str) -> AsyncIterator[bytes]:
+        """Begin an answer, and end."""
+        yield b''
+        self.crash(request_id)
+        raise LinkCutError
+
     async def _wait_for_stop(self, request_id: str) -> None:
         while request_id not in self._stopped:
             await trio.sleep(_POLL_SECONDS)
@@ -276,6 +297,7 @@
             'queued': 0,
             'kvUsed': 0,
             'kvTotal': self.driver.model.hardware.memory_tokens,
+            'born': self.crashes.born,
             'runs': [
                 [name, record.produced, record.produced // STRIDE, 0]
                 for name, record in records.items()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,12 +12,21 @@
 from pytest_bdd import given, parsers, then
 
 from cartdale_standins.store import StoreFaults
+from tests.known_red import pass_over, print_known_red
 from tests.stage import Stage, open_stage
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    pass_over(items)
+
+
+def pytest_terminal_summary(terminalreporter: Any) -> None:
+    print_known_red(terminalreporter.write_line)
+
+
 @dataclass
 class World:
     """Hold the stage of a scenario and what its steps found."""
