Refuse a request once three upstreams have ended as they began to run it

Also true: a generation with a backup goes on there and ends that engine too. Change: the slice 'quarantine' holds evidence by the request's identity: an upstream ended (it refuses, closes without a word, or another start of it answers) under a run that was not past its beginning (ten events). Three pieces quarantine it for ten minutes: it gets 503, or 502 where an earlier attempt may have run; what waits for room stops waiting, what waits for its head at an engine is taken back, and nothing goes on at a backup. A whole answer, or a run past its beginning, clears it. Evidence is a set that peers merge in any order; it travels in news at once (eight pieces a message), later in turns, and in briefings. Switch: 'quarantine'.

--- a/src/cartdale/briefing/types.py
+++ b/src/cartdale/briefing/types.py
@@ -5,6 +5,7 @@
 from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.news.types import PeerEntry
+from cartdale.quarantine.types import CrashNews
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +20,7 @@
     :param lapsed: ids of those among them whose entries went with an outage
         of the store, and may come back.
     :param evacuations: of failure domains, present and past.
+    :param crashes: upstreams that ended as they began to run a request.
     """
 
     key: bytes
@@ -27,3 +29,4 @@
     entries: tuple[UpstreamEntry, ...] = ()
     lapsed: tuple[str, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    crashes: tuple[CrashNews, ...] = ()
--- a/src/cartdale/daemon/briefing.py
+++ b/src/cartdale/daemon/briefing.py
@@ -11,6 +11,7 @@
     Lifecycle,
 )
 from cartdale.news.types import PeerListed
+from cartdale.quarantine.types import CrashesTold
 
 
 class Briefings:
@@ -47,6 +48,7 @@
                 if each.lifecycle is Lifecycle.LAPSED
             ),
             evacuations=self._fleet.list_evacuations(),
+            crashes=self._fleet.quarantine.list_news(),
         )
 
     def take(self, briefing: Briefing) -> None:
@@ -54,6 +56,8 @@
 
         The configuration goes forward only, by its version.
         """
+        # The store knows nothing of crashes.
+        self._fleet.quarantine.tell(CrashesTold(briefing.crashes))
         if self._follower.in_step.is_set():
             return
         if briefing.key:
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -39,6 +39,7 @@
     UpstreamEntry,
 )
 from cartdale.formatting import list_plain_fields
+from cartdale.quarantine.driver import Quarantine
 from cartdale.routes.types import RoutingTable, ServiceSpec
 from cartdale.switches import Switches
 
@@ -81,6 +82,8 @@
         self._announced = trio.Event()
         self._reading = ReadingShares()
         self._paces_by_service: dict[str, Pace] = {}
+        #: Requests that no upstream is to get.
+        self.quarantine = Quarantine(clock, self.notify)
 
     def tell(self, message: Message) -> None:
         """Take one message and act on what follows from it."""
@@ -130,6 +133,7 @@
         while True:
             await trio.sleep(seconds(_TICK))
             self.tell(TimePassed())
+            self.quarantine.forget()
             self.cold_gate.forget(self._clock.now())
             totals = self.loads.totals(self._clock.now())
             self._reading.look(self.state.upstreams_by_id, totals)
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -28,6 +28,7 @@
     TakeLeaving,
     TakeLoads,
 )
+from cartdale.quarantine.types import CrashesTold
 
 #: A peer counts as alive for so long after its last message.
 ALIVE_MS: Millis = 3 * SECOND_MS
@@ -190,6 +191,8 @@
     actions.extend(TakeLeaving(upstream) for upstream in news.leaving)
     if news.evacuations:
         actions.append(TakeEvacuations(news.evacuations))
+    if news.crashes:
+        actions.append(CrashesTold(news.crashes))
     return tuple(actions)
 
 
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -48,6 +48,7 @@
 )
 from cartdale.news.writing import DOMAIN_KIND, NEWS_KIND, NewsWriter
 from cartdale.peers.seal import Envelope, Seal
+from cartdale.quarantine.types import CrashesTold
 from cartdale.switches import Mechanism
 
 #: Between two messages when there is something new, in a small system:
@@ -119,6 +120,8 @@
                     self._fleet.tell(EntryRemoved(upstream, heard=True))
                 case TakeEvacuations(evacuations=evacuations):
                     self._fleet.tell(EvacuationsTold(evacuations))
+                case CrashesTold():
+                    self._fleet.quarantine.tell(action)
                 case AvoidUpstream(upstream=upstream):
                     self._fleet.tell(ToldFailing(upstream))
                 case FetchTable(peer=newer):
--- a/src/cartdale/news/speaking.py
+++ b/src/cartdale/news/speaking.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._store_lost = store_lost
         #: What was urgent when this instance last considered to speak.
-        self._spoken_of = (0, 0)
+        self._spoken_of = (0, 0, 0)
 
     async def run(self) -> None:
         """Speak while that is the duty here, for ever."""
@@ -100,9 +100,11 @@
                 await self._fleet.changed()
         self._spoken_of = self._list_urgent()
 
-    def _list_urgent(self) -> tuple[int, int]:
+    def _list_urgent(self) -> tuple[int, int, int]:
         """Return what changes with whatever other domains must hear soon."""
-        return self._fleet.lifecycles, self._fleet.table.version
+        fleet = self._fleet
+        crashes = fleet.quarantine.version
+        return fleet.lifecycles, fleet.table.version, crashes
 
     def _describe(self, now: Millis) -> DomainNews:
         names = [peer.name for peer in self._news.list_audience()]
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -6,6 +6,7 @@
 from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.quarantine.types import CrashesTold, CrashNews
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,7 @@
     :param unreachable: upstreams that the sender could not reach of late.
     :param evacuations: of failure domains, present and past; in each message,
         so that one which was missed is made up for by the next.
+    :param crashes: upstreams that ended as they began to run a request.
     """
 
     boot: Millis
@@ -49,6 +51,7 @@
     store_lost: bool = False
     unreachable: tuple[str, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    crashes: tuple[CrashNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,7 @@
         could not reach an upstream of late.
     :param store_lost: whether the store answers none of them.
     :param evacuations: of failure domains, present and past.
+    :param crashes: upstreams that ended as they began to run a request.
     """
 
     boot: Millis
@@ -81,6 +85,7 @@
     reporters_by_upstream: dict[str, int] = field(default_factory=dict)
     store_lost: bool = False
     evacuations: tuple[Evacuation, ...] = ()
+    crashes: tuple[CrashNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +204,7 @@
     | TakeLeaving
     | TakeEntry
     | TakeEvacuations
+    | CrashesTold
     | AvoidUpstream
     | FetchTable
     | ForwardNews
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -30,6 +30,10 @@
     lifecycles: int
     unreachable: tuple[str, ...]
     lost: bool
+    crashes: int
+
+
+_NOTHING_TOLD = _Content(-1, -1, -1, (), lost=False, crashes=-1)
 
 
 class NewsWriter:
@@ -56,7 +60,7 @@
         self._store_lost = store_lost
         self._boot = clock.wall()
         self._number = 0
-        self._told = _Content(-1, -1, -1, (), lost=False)
+        self._told = _NOTHING_TOLD
 
     def has_new(self) -> bool:
         """Tell whether there is something that was not written yet."""
@@ -77,6 +81,7 @@
             store_lost=self._store_lost(),
             unreachable=self.list_unreachable(),
             evacuations=self._fleet.list_evacuations(),
+            crashes=self._fleet.quarantine.list_news(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
@@ -119,6 +124,7 @@
             reporters_by_upstream=reporters_by_upstream,
             store_lost=store_lost,
             evacuations=self._fleet.list_evacuations(),
+            crashes=self._fleet.quarantine.list_news(),
         )
 
     def close_domain(
@@ -150,6 +156,7 @@
             self._fleet.lifecycles if self._is_watcher() else 0,
             self.list_unreachable(),
             lost=self._store_lost(),
+            crashes=self._fleet.quarantine.version,
         )
 
     def _list_leaving(self) -> tuple[str, ...]:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -7,7 +7,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
 
 import httpcore
 import msgspec
@@ -110,19 +109,25 @@
     ) -> bool:
         """Tell whether an upstream ended, or started anew since its entry.
 
-        One that can't be reached counts as ended: its machine refuses, or
-        says nothing. Any answer shows that it lives, and an engine's also
-        when it was born.
+        One that can't be reached, or that closes without a word, counts as
+        ended. An answer of any kind shows that it lives, and an engine's also
+        when it was born; so does a connection that is kept: a plain service
+        lets the question wait while all its slots are taken.
         """
-        if spec is not None and spec.engine is None:
-            answer = await self._ask(
-                'GET', upstream.address, spec.health_path, b'', _REPORT_TIMEOUT
-            )
-            return _was_not_sent(answer)
-        report = await self.report(upstream.address)
-        born = report.map(_read_born).value_or(0)
-        reborn = bool(born and upstream.born and born != upstream.born)
-        return reborn or _was_not_sent(report)
+        plain = spec is not None and spec.engine is None
+        path = spec.health_path if spec is not None and plain else PATH_REPORT
+        answer = await self._ask(
+            'GET', upstream.address, path, b'', _REPORT_TIMEOUT
+        )
+        match answer:
+            case Failure(LinkBroke(timed_out=timed_out)):
+                return not timed_out
+            case Failure(NotSent()):
+                return True
+        if plain:
+            return False
+        born = answer.bind(read_report).map(_read_born).value_or(0)
+        return bool(born and upstream.born and born != upstream.born)
 
     async def _ask(
         self,
@@ -147,14 +152,11 @@
         except CORE_NOT_SENT as error:
             return Failure(NotSent(format_error(error)))
         except CORE_BROKEN as late_error:
-            return Failure(LinkBroke(format_error(late_error)))
+            timed_out = isinstance(late_error, httpcore.TimeoutException)
+            return Failure(LinkBroke(format_error(late_error), timed_out))
         return Success(response)
 
 
-def _was_not_sent(answer: Result[Any, SendFailure]) -> bool:
-    return isinstance(answer, Failure) and isinstance(answer.failure(), NotSent)
-
-
 def _read_born(report: EngineReport) -> Millis:
     return report.born
 
--- /dev/null
+++ b/src/cartdale/quarantine/driver.py
@@ -0,0 +1,170 @@
+"""Hold the evidence, and stop what waits once a request is quarantined."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+import trio
+from loguru import logger
+
+from cartdale.clock import Clock, Millis
+from cartdale.quarantine.decide import (
+    MOST_ENDED,
+    count_crashes,
+    decide,
+    find_end,
+    is_quarantined,
+)
+from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.telling import select_news
+from cartdale.quarantine.types import (
+    CrashNews,
+    Message,
+    Quarantined,
+    QuarantineState,
+    RanOn,
+    Released,
+    TimePassed,
+)
+
+
+class Guard:
+    """Cancel what is done inside once a request is quarantined.
+
+    :param guards_by_identity: all that are entered.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        guards_by_identity: 'GuardsByIdentity',
+    ) -> None:
+        self._identity = identity
+        self._guards_by_identity = guards_by_identity
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> Self:
+        """Begin to cancel."""
+        guards = self._guards_by_identity.setdefault(self._identity, [])
+        guards.append(self)
+        self._scope.__enter__()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Cancel nothing any more."""
+        self.release()
+        return self._scope.__exit__(kind, error, trace)
+
+    @property
+    def stopped(self) -> bool:
+        """Tell whether it cancelled what was done."""
+        return self._scope.cancelled_caught
+
+    def release(self) -> None:
+        """Cancel nothing from here on."""
+        guards = self._guards_by_identity.get(self._identity, [])
+        if self in guards:
+            guards.remove(self)
+        if not guards:
+            self._guards_by_identity.pop(self._identity, None)
+
+    def stop(self) -> None:
+        """Cancel what is done."""
+        self._scope.cancel()
+
+
+GuardsByIdentity = dict[Identity, list[Guard]]
+
+
+class Quarantine:
+    """Hold the evidence against requests that end upstreams.
+
+    :param announce: called when there is something to tell peers.
+    """
+
+    def __init__(self, clock: Clock, announce: Callable[[], None]) -> None:
+        self._clock = clock
+        self._announce = announce
+        self._turn = 0
+        self._guards_by_identity: GuardsByIdentity = {}
+        self.state = QuarantineState()
+        #: Counts the changes of the evidence, for news.
+        self.version = 0
+
+    def tell(self, message: Message) -> None:
+        """Take one message and act on what follows from it."""
+        before = self.state
+        after, actions = decide(before, message, self._clock.now())
+        self.state = after
+        if after is before:
+            return
+        self.version += 1
+        self._announce()
+        for action in actions:
+            match action:
+                case Quarantined(identity=identity):
+                    self._stop(identity)
+                case Released(identity=identity):
+                    logger.warning(
+                        'quarantine ended',
+                        identity=identity.hex(),
+                        message=type(message).__name__,
+                    )
+
+    def holds(self, identity: Identity) -> bool:
+        """Tell whether a request is sent to no upstream any more."""
+        return is_quarantined(self.state, identity)
+
+    def suspects(self, identity: Identity) -> bool:
+        """Tell whether one more crash quarantines a request, or has."""
+        return count_crashes(self.state, identity) >= MOST_ENDED - 1
+
+    def time_left(self, identity: Identity) -> Millis:
+        """Return how long a request stays quarantined without new evidence."""
+        return max(find_end(self.state, identity) - self._clock.now(), 0)
+
+    def list_ended(self, identity: Identity) -> tuple[str, ...]:
+        """Return the upstreams that ended under a request."""
+        evidence = self.state.evidence_by_identity.get(identity, ())
+        return tuple(
+            each.crash.upstream for each in evidence if not each.cleared
+        )
+
+    def count_held(self) -> int:
+        """Return how many requests are quarantined."""
+        return sum(map(self.holds, self.state.evidence_by_identity))
+
+    def acquit(self, identity: Identity) -> None:
+        """Note that a request ran without ending its upstream."""
+        if identity in self.state.evidence_by_identity:
+            self.tell(RanOn(identity))
+
+    def list_news(self) -> tuple[CrashNews, ...]:
+        """Return what to tell peers next."""
+        self._turn += 1
+        return select_news(self.state, self._clock.now(), self._turn)
+
+    def guard(self, identity: Identity) -> Guard:
+        """Return what cancels a thing that is done for a request."""
+        return Guard(identity, self._guards_by_identity)
+
+    def forget(self) -> None:
+        """Forget what is too old."""
+        if self.state.evidence_by_identity:
+            self.tell(TimePassed())
+
+    def _stop(self, identity: Identity) -> None:
+        guards = tuple(self._guards_by_identity.get(identity, ()))
+        logger.warning(
+            'quarantined',
+            identity=identity.hex(),
+            ended=' '.join(self.list_ended(identity)),
+            stopped=len(guards),
+        )
+        for guard in guards:
+            guard.stop()
--- /dev/null
+++ b/src/cartdale/quarantine/types.py
@@ -0,0 +1,106 @@
+"""Evidence against requests, and the messages about it."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cartdale.clock import Millis
+from cartdale.quarantine.identity import Identity
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """An upstream ended as it began to run a request.
+
+    :param upstream: its id.
+    :param born: Unix milliseconds of the start that ended; an upstream may
+        come back under its id. 0 where upstreams don't tell.
+    """
+
+    identity: Identity
+    upstream: str
+    born: Millis = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """Hold a crash that this instance saw or was told of.
+
+    :param seen_at: when the upstream ended, in monotonic milliseconds.
+    :param changed_at: when this instance learnt it, or that it was cleared.
+    :param cleared: whether the request ran on elsewhere, so that it did not
+        end the upstream.
+    """
+
+    crash: Crash
+    seen_at: Millis
+    changed_at: Millis
+    cleared: bool = False
+
+
+class CrashNews(msgspec.Struct, frozen=True, array_like=True):
+    """Tell a peer of a crash, in about 50 bytes.
+
+    :param age: whole seconds since the upstream ended: peers' clocks differ.
+    """
+
+    identity: Identity
+    upstream: str
+    born: Millis
+    age: int
+    cleared: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineState:
+    """Hold the evidence against each request, the oldest first."""
+
+    evidence_by_identity: dict[Identity, tuple[Evidence, ...]] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEnded:
+    """This instance saw an upstream end."""
+
+    crash: Crash
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesTold:
+    """A peer told of crashes."""
+
+    crashes: tuple[CrashNews, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RanOn:
+    """A request was answered whole, or ran on past its beginning."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """Forget what is too old."""
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """Tell that a request is sent to no upstream any more."""
+
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """Tell that a request may be sent again."""
+
+    identity: Identity
+
+
+Message = UpstreamEnded | CrashesTold | RanOn | TimePassed
+Action = Quarantined | Released
+Decision = tuple[QuarantineState, tuple[Action, ...]]
+"""The next state, and which requests are quarantined or released."""
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -17,6 +17,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.outlook import Outlook
 from cartdale.fleet.types import Upstream
+from cartdale.problems.types import NotRunReason
 from cartdale.switches import Mechanism
 
 #: Between looks for room that no message announced.
@@ -58,9 +59,11 @@
     """A request finds no room in its time.
 
     :param retry_after: when there may be some.
+    :param reason: what the caller is told.
     """
 
     retry_after: Millis
+    reason: NotRunReason = NotRunReason.NO_UPSTREAM
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -13,6 +13,8 @@
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Replaced, RequestEnded, Upstream
 from cartdale.formatting import list_plain_fields
+from cartdale.problems.types import NotRunReason
+from cartdale.quarantine.driver import Quarantine
 from cartdale.relay.admission import NoRoom, Waiting
 from cartdale.relay.decide import (
     Answered,
@@ -24,6 +26,7 @@
     Step,
     TryAgain,
     Unsent,
+    Withdrawn,
     check_refusal,
     decide,
 )
@@ -44,11 +47,32 @@
 ) -> Upstream | NoRoom:
     """Wait for an upstream with room, while it is likely to come in time.
 
+    All sends but those of a generation that moves begin here, so that none
+    of a quarantined request passes: it would end one more upstream, and what
+    others run there. One that waits stops waiting.
+
     :param tried: upstreams that are not chosen again.
     """
-    need = make_need(routed, frozenset(tried))
-    pace = ports.fleet.pace(routed.service)
-    return await ports.admission.place(_describe_wait(routed, need, pace))
+    await ports.inquests.settle(routed.identity)
+    quarantine = ports.fleet.quarantine
+    if not quarantine.holds(routed.identity):
+        need = make_need(routed, frozenset(tried))
+        pace = ports.fleet.pace(routed.service)
+        waiting = _describe_wait(routed, need, pace)
+        with quarantine.guard(routed.identity):
+            return await ports.admission.place(waiting)
+    return _refuse_quarantined(quarantine, routed)
+
+
+def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
+    """Log that a request was taken back from an engine."""
+    logger.info(
+        'taken back',
+        request=routed.request.request_id,
+        identity=routed.identity.hex(),
+        upstream=upstream,
+    )
+    return Withdrawn()
 
 
 def time_left(ports: RelayPorts, routed: RoutedRequest) -> Millis:
@@ -130,6 +154,21 @@
     return Declined()
 
 
+def _refuse_quarantined(
+    quarantine: Quarantine, routed: RoutedRequest
+) -> NoRoom:
+    """Refuse a quarantined request until the evidence is forgotten."""
+    left = quarantine.time_left(routed.identity)
+    logger.info(
+        'request barred',
+        request=routed.request.request_id,
+        identity=routed.identity.hex(),
+        ended=' '.join(quarantine.list_ended(routed.identity)),
+        left=left,
+    )
+    return NoRoom(left, NotRunReason.QUARANTINED)
+
+
 def _describe_wait(routed: RoutedRequest, need: Need, pace: Pace) -> Waiting:
     """Return until when a request may wait to be answered in time.
 
@@ -165,6 +204,8 @@
     :param streams: whether the request was to be streamed.
     """
     match ended:
+        case Withdrawn():
+            """It says nothing of the upstream."""
         case Unsent():
             fleet.tell(RequestEnded(upstream, good=False, reached=False))
         case Broken(begun=False) if streams:
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -62,6 +62,11 @@
     begun: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """We took the request back; it may have run."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """A whole answer came, good or bad.
@@ -89,7 +94,7 @@
     problem: Problem
 
 
-AttemptEnd = Unsent | Declined | Broken | Answered
+AttemptEnd = Unsent | Declined | Broken | Withdrawn | Answered
 Step = TryAgain | PassOn | GiveUp
 
 
@@ -118,6 +123,9 @@
             if affordable and _may_repeat(after):
                 return after, TryAgain()
             return after, GiveUp(OutcomeUnknown(detail))
+        case Withdrawn():
+            after = _count_run(state)
+            return after, GiveUp(refuse(after, NotRunReason.QUARANTINED))
         case Answered(good=good):
             after = _count_run(state)
             if not good and affordable and _may_repeat(after):
--- a/src/cartdale/relay/inquests.py
+++ b/src/cartdale/relay/inquests.py
@@ -13,11 +13,18 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.relay.types import UpstreamPort
+from cartdale.switches import Mechanism
 
 #: Links that wait for their upstream's inquest; one of an engine with 64
 #: slots breaks at most as many.
 _MOST_WAITING = 1024
+#: Events after which a run is past its beginning, and its request cleared: a
+#: request that an upstream can't bear ends it while its prompt is read or its
+#: first tokens are made. What an upstream dies of later takes everyone with
+#: it, most of them long past this.
+PAST_BEGINNING = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,42 +41,64 @@
     events: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Inquest:
+    """Hold the links that an inquest is held for."""
+
+    upstream: UpstreamEntry
+    links: list[BrokenLink]
+    ended: trio.Event
+
+
 class Inquests:
     """Ask upstreams whose links broke how they are, once for all links."""
 
     def __init__(self, upstreams: UpstreamPort, fleet: Fleet) -> None:
         self._upstreams = upstreams
         self._fleet = fleet
-        self._links_by_upstream: dict[str, list[BrokenLink]] = {}
-        ends = trio.open_memory_channel[UpstreamEntry](_MOST_WAITING)
+        self._inquests_by_upstream: dict[str, _Inquest] = {}
+        ends = trio.open_memory_channel[_Inquest](_MOST_WAITING)
         self._put = ends[0]
         self._take = ends[1]
 
     def hold(self, link: BrokenLink) -> None:
         """Find out soon whether the upstream of a link ended."""
         name = link.upstream.upstream
-        waiting = self._links_by_upstream.get(name)
-        if waiting is not None:
-            waiting.append(link)
+        held = self._inquests_by_upstream.get(name)
+        if held is not None:
+            held.links.append(link)
             return
+        held = _Inquest(link.upstream, [link], trio.Event())
         try:
-            self._put.send_nowait(link.upstream)
+            self._put.send_nowait(held)
         except trio.WouldBlock:
             logger.warning('inquest not held', upstream=name)
             return
-        self._links_by_upstream[name] = [link]
+        self._inquests_by_upstream[name] = held
+
+    async def settle(self, identity: Identity) -> None:
+        """Wait for what is still to be found out about a suspected request.
+
+        An attempt that follows at once would otherwise go ahead of it.
+        """
+        if not self._fleet.quarantine.suspects(identity):
+            return
+        for held in tuple(self._inquests_by_upstream.values()):
+            if any(link.identity == identity for link in held.links):
+                await held.ended.wait()
 
     async def run(self) -> None:
         """Hold inquests, for ever."""
         async with trio.open_nursery() as nursery:
-            async for upstream in self._take:
-                nursery.start_soon(self._inquire, upstream)
+            async for held in self._take:
+                nursery.start_soon(self._inquire, held)
 
-    async def _inquire(self, upstream: UpstreamEntry) -> None:
+    async def _inquire(self, held: _Inquest) -> None:
+        upstream = held.upstream
         spec = self._fleet.table.services_by_name.get(upstream.service)
         gone = await self._upstreams.is_gone(upstream, spec)
-        links = self._links_by_upstream.pop(upstream.upstream)
-        for link in links:
+        self._inquests_by_upstream.pop(upstream.upstream)
+        for link in held.links:
             logger.info(
                 'link broke',
                 request=link.request_id,
@@ -78,3 +107,16 @@
                 events=link.events,
                 upstream_gone=gone,
             )
+            if gone:
+                self._suspect(link)
+        held.ended.set()
+
+    def _suspect(self, link: BrokenLink) -> None:
+        """Take an upstream's end as evidence, unless the run went on there."""
+        if not link.identity or link.events > PAST_BEGINNING:
+            return
+        if not self._fleet.switches.has(Mechanism.QUARANTINE):
+            return
+        upstream = link.upstream
+        crash = Crash(link.identity, upstream.upstream, upstream.born)
+        self._fleet.quarantine.tell(UpstreamEnded(crash))
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -74,9 +74,8 @@
         while True:
             upstream = await place(self._ports, self._routed, self._tried)
             if isinstance(upstream, NoRoom):
-                reason = NotRunReason.NO_UPSTREAM
                 wait = upstream.retry_after
-                return Failure(refuse(self._state, reason, wait))
+                return Failure(refuse(self._state, upstream.reason, wait))
             name = upstream.entry.upstream
             self._tried.add(name)
             ended, whole = await self._attempt(upstream)
@@ -128,6 +127,9 @@
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail, call), None
+        if answer.framed:
+            # Without a frame an upstream that ended looks the same.
+            fleet.quarantine.acquit(self._routed.identity)
         good = answer.status < _FIRST_SERVER_ERROR
         whole = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=good), whole
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -10,6 +10,7 @@
 from cartdale.clock import Millis, seconds
 from cartdale.fleet.types import RequestEnded, Upstream, UpstreamEntry
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
+from cartdale.quarantine.driver import Guard
 from cartdale.relay.admission import NoRoom
 from cartdale.relay.attempts import (
     conclude,
@@ -17,6 +18,7 @@
     make_call,
     place,
     time_left,
+    withdraw,
 )
 from cartdale.relay.decide import (
     Answered,
@@ -93,7 +95,12 @@
         resumable = routed.route.resumable
         last_event = routed.request.last_event if resumable else b''
         self._passer = EventPasser(
-            ports, sink, generation, last_event, routed.route.target_gap
+            ports,
+            sink,
+            generation,
+            last_event,
+            routed.route.target_gap,
+            routed.identity,
         )
         #: An upstream's own failure, passed on if nobody else is asked.
         self._failure: WholeAnswer | None = None
@@ -125,9 +132,9 @@
         while True:
             upstream = await place(self._ports, self._routed, tried)
             if isinstance(upstream, NoRoom):
-                reason = NotRunReason.NO_UPSTREAM
                 wait = upstream.retry_after
-                return self._give_up(refuse(self._attempts, reason, wait))
+                refused = refuse(self._attempts, upstream.reason, wait)
+                return self._give_up(refused)
             tried.add(upstream.entry.upstream)
             ended = await self._attempt(upstream)
             if isinstance(ended, StreamEnd):
@@ -170,6 +177,11 @@
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
         """Go on at an engine that holds the generation's memory."""
+        identity = self._routed.identity
+        await self._ports.inquests.settle(identity)
+        if self._ports.fleet.quarantine.holds(identity):
+            # It would end the engine that keeps its backup as well.
+            return self._break('quarantined')
         if not self._ports.fleet.may_finish_move(upstream):
             return self._generation.resume_rejected() or self._break(
                 'evacuated'
@@ -189,14 +201,33 @@
         self._sent = True
         self._call = call
         self._events_before = self._generation.events
+        guard = self._ports.fleet.quarantine.guard(self._routed.identity)
+        ended: LinkEnd | None = None
+        with guard:
+            ended = await self._await_answer(call, guard)
+        if guard.stopped:
+            return withdraw(self._routed, call.upstream.upstream)
+        if ended is None:
+            return await self._lose_link('nothing of it at its engine')
+        return ended
+
+    async def _await_answer(
+        self, call: UpstreamCall, guard: Guard
+    ) -> LinkEnd | None:
+        """Read an answer; ``None`` when its engine has nothing of it.
+
+        :param guard: released when the answer begins: the engine bears it, or
+            ends before anything could be done.
+        """
         watching, waiting = trio.CancelScope(), trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_head, watching, waiting)
             with waiting:
                 async with self._ports.upstreams.open(call) as opened:
                     watching.cancel()
+                    guard.release()
                     return await self._take_opened(opened, call)
-        return await self._lose_link('nothing of it at its engine')
+        return None
 
     async def _watch_for_head(
         self, watching: trio.CancelScope, waiting: trio.CancelScope
@@ -274,6 +305,8 @@
                 return await self._lose_link('ended inside an event')
             await self._sink.write(self._passer.pending)
         await self._sink.finish()
+        if answer.framed:
+            self._ports.fleet.quarantine.acquit(self._routed.identity)
         return StreamEnd.WHOLE
 
     async def _lose_link(self, detail: str) -> LinkEnd:
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -156,9 +156,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkBroke:
-    """The request may have run; no whole answer came."""
+    """The request may have run; no whole answer came.
+
+    :param timed_out: whether nothing came in time, though nothing broke.
+    """
 
     detail: str
+    timed_out: bool = False
 
 
 SendFailure = NotSent | LinkBroke
--- a/src/cartdale/switches.py
+++ b/src/cartdale/switches.py
@@ -42,6 +42,8 @@
     AVOIDANCE = 'avoidance'
     #: Silent links are left while their engine works on.
     SILENCE = 'silence'
+    #: Requests that end the upstreams which begin them are refused.
+    QUARANTINE = 'quarantine'
     #: New instances ask others while the store does not answer.
     BRIEFINGS = 'briefings'
 
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -221,8 +221,10 @@
     async def _end_with(self, request_id: str) -> AsyncIterator[bytes]:
         """Begin an answer, and end."""
         yield b''
+        # Its head goes out first, as from an engine that reads a prompt.
+        await trio.sleep(_POLL_SECONDS)
         self.crash(request_id)
-        raise LinkCutError
+        await trio.sleep_forever()
 
     async def _wait_for_stop(self, request_id: str) -> None:
         while request_id not in self._stopped:
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -48,6 +48,7 @@
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param ended_by: ids of the requests that ended it, in order.
+    :param on_end: called as it ends, to cut its connections.
     :param on_return: called once it is back.
     """
 
@@ -55,6 +56,7 @@
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     ended_by: list[str] = field(default_factory=list)
+    on_end: Callable[[], None] | None = None
     on_return: Callable[[], None] | None = None
 
 
@@ -103,6 +105,8 @@
         self.crashes.ended_by.append(request_id)
         self.die()
         self._crashed.set()
+        if self.crashes.on_end is not None:
+            self.crashes.on_end()
 
     def forget(self) -> None:
         """Lose what the life before held."""
@@ -123,7 +127,7 @@
         self.runs_by_request[request_id] += 1
         if body in self.crashes.deadly:
             self.crash(request_id)
-            raise LinkCutError
+            await trio.sleep_forever()
         if self._spend('cuts'):
             raise LinkCutError
         if self._spend('strangers'):
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -22,6 +22,7 @@
 )
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import PlatformWorker
+from tests.fault_soak.proxy import FaultProxy, LinkState
 
 KEY = 'key-of-a-test'
 HOST = 'mill.example'
@@ -126,6 +127,9 @@
     client: httpx.AsyncClient
     store: PlatformStoreStandIn
     store_port: int
+    #: Whether upstreams lie behind proxies, which cut their connections when
+    #: they crash.
+    proxied: bool = False
     engines: list[PlatformEngine] = field(default_factory=list)
     plains: list[PlatformWorker] = field(default_factory=list)
     runtimes: list[GatewayRuntime] = field(default_factory=list)
@@ -135,11 +139,12 @@
     def add_engine(self) -> PlatformEngine:
         bound = BoundListener(Listener(LOCAL, 0))
         name = f'engine-{len(self.engines)}'
-        address = f'{LOCAL}:{bound.port}'
+        proxy = self._add_proxy(bound.port)
+        address = proxy.address if proxy else f'{LOCAL}:{bound.port}'
         engine = PlatformEngine(name, address, HARDWARE)
         self.engines.append(engine)
         self._serve(bound, engine)
-        self._list_lives(engine, 'writers', address)
+        self._list_lives(engine, 'writers', address, proxy)
         return engine
 
     def add_plain(self) -> PlatformWorker:
@@ -148,7 +153,9 @@
         plain = PlatformWorker(name)
         self.plains.append(plain)
         self._serve(bound, plain)
-        self._list_lives(plain, 'portal', f'{LOCAL}:{bound.port}')
+        proxy = self._add_proxy(bound.port)
+        address = proxy.address if proxy else f'{LOCAL}:{bound.port}'
+        self._list_lives(plain, 'portal', address, proxy)
         return plain
 
     def list_upstream(
@@ -214,17 +221,35 @@
     def url(self, path: str, index: int = 0) -> str:
         return f'http://{LOCAL}:{self.runtimes[index].caller_port}{path}'
 
+    def _add_proxy(self, port: int) -> FaultProxy | None:
+        if not self.proxied:
+            return None
+        proxy = FaultProxy(port)
+        self.nursery.start_soon(proxy.run)
+        return proxy
+
     def _list_lives(
-        self, worker: PlatformWorker, service: str, address: str
+        self,
+        worker: PlatformWorker,
+        service: str,
+        address: str,
+        proxy: FaultProxy | None,
     ) -> None:
         """List an upstream, and again each time that it is back."""
 
-        def write() -> None:
+        def cut() -> None:
+            if proxy is not None:
+                proxy.set(LinkState.RESET)
+
+        def come_back() -> None:
+            if proxy is not None:
+                proxy.set(LinkState.NORMAL)
             born = worker.crashes.born
             self.list_upstream(worker.name, service, address, born=born)
 
-        worker.crashes.on_return = write
-        write()
+        worker.crashes.on_end = cut
+        worker.crashes.on_return = come_back
+        come_back()
 
     async def _run(
         self,
@@ -268,7 +293,11 @@
 
 @asynccontextmanager
 async def open_platform(
-    engines: int = 1, plains: int = 1, instances: int = 1
+    engines: int = 1,
+    plains: int = 1,
+    instances: int = 1,
+    *,
+    proxied: bool = False,
 ) -> AsyncIterator[PlatformStage]:
     """Run stand-ins and instances while the context is open.
 
@@ -280,20 +309,20 @@
     """
     spare_loaded_objects()
     with trio.fail_after(STAGE_LIMIT):
-        async with _open_stage(engines, plains, instances) as stage:
+        async with _open_stage(engines, plains, instances, proxied) as stage:
             yield stage
 
 
 @asynccontextmanager
 async def _open_stage(
-    engines: int, plains: int, instances: int
+    engines: int, plains: int, instances: int, proxied: bool
 ) -> AsyncIterator[PlatformStage]:
     async with trio.open_nursery() as nursery:
         store = PlatformStoreStandIn()
         bound = BoundListener(Listener(LOCAL, 0))
         nursery.start_soon(bound.serve, store.make_app(), trio.Event())
         async with httpx.AsyncClient(timeout=20) as client:
-            stage = PlatformStage(nursery, client, store, bound.port)
+            stage = PlatformStage(nursery, client, store, bound.port, proxied)
             store.put('op/config', make_configuration())
             for _ in range(engines):
                 stage.add_engine()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -53,12 +53,12 @@
         upstream.crashes.deadly.add(DEADLY)
     answers: list[httpx.Response | None] = []
 
-    def is_any_up() -> bool:
-        return not all(each.dead for each in upstreams)
+    def are_all_up() -> bool:
+        return not any(each.dead for each in upstreams)
 
     for number in range(9):
         answers.append(await ask_deadly(stage, number, path, method))
-        await until(is_any_up)
+        await until(are_all_up)
     return answers
 
 
@@ -72,7 +72,7 @@
 
 
 async def test_stream_that_ends_its_engines_is_sent_no_more() -> None:
-    async with open_platform(engines=5, instances=2) as stage:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
         answers = await ask_again_and_again(stage, '/draft/a')
         assert count_ends(stage) == MOST_ENDED
         last = answers[-1]
