Count the time in which a machine was suspended

Cause: the loop's clock is the steady one, which stands still while a machine is suspended. On waking, leases, ages of news, who is alive, time limits and evacuations counted as fresh; an owner of slots would have granted past its lapsed lease. Change: both programs run their loop on CLOCK_BOOTTIME; the one clock of ours reads the loop's.

--- a/src/cartdale/clock.py
+++ b/src/cartdale/clock.py
@@ -1,8 +1,9 @@
 """Clock: the one source of time, in milliseconds."""
 
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import trio
 
@@ -23,6 +24,32 @@
         """Return milliseconds since the Unix epoch."""
 
 
+class BootClock(trio.abc.Clock):
+    """Let a trio loop count the time in which its machine was suspended.
+
+    The steady clock stands still then, and with it whatever is believed for a
+    while: leases, time limits, the age of news, who is alive. On its own the
+    loop wakes from a wait only after the rest of that wait; every instance
+    looks around a few times a second.
+    """
+
+    def start_clock(self) -> None:
+        """Begin; there is nothing to do."""
+
+    def current_time(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Return how many seconds remain until a time."""
+        return deadline - self.current_time()
+
+
+def run_loop(entry: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    """Run a program's loop on a clock that counts suspended time."""
+    trio.run(entry, *arguments, clock=BootClock())
+
+
 @dataclass(frozen=True, slots=True)
 class SystemClock:
     """Read the running trio loop's clock, which tests may replace."""
--- a/src/cartdale/daemon/main.py
+++ b/src/cartdale/daemon/main.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from cartdale.clock import run_loop
 from cartdale.daemon.collector import spare_loaded_objects
 from cartdale.daemon.runtime import Runtime
 from cartdale.daemon.signals import obey_signals
@@ -36,7 +37,7 @@
             self.line_error(error.format_message())
             return error.exit_code
         spare_loaded_objects()
-        trio.run(_run, runtime)
+        run_loop(_run, runtime)
         return 0
 
 
--- a/src/cartdale/platform/main.py
+++ b/src/cartdale/platform/main.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from cartdale.clock import run_loop
 from cartdale.daemon.collector import spare_loaded_objects
 from cartdale.daemon.gateway import GatewayRuntime
 from cartdale.daemon.signals import obey_signals
@@ -28,7 +29,7 @@
         sys.exit(error.exit_code)
     configure_json_logs(settings.name)
     spare_loaded_objects()
-    trio.run(_run, GatewayRuntime(settings, path, switches))
+    run_loop(_run, GatewayRuntime(settings, path, switches))
 
 
 async def _run(runtime: GatewayRuntime) -> None:
