Tell an upstream's lives apart; entries of other writers name no upstream

Cause: 'born' was read nowhere, so that an upstream that came back under its id kept the failures, the leaving and the backups of its life before; and an entry with a missing field or an unknown state counted as an upstream that takes work, one that could not be read as gone wherever everything is read anew. Change: another 'born' is a new life: nothing of the one before counts, backups that it kept are lost, what peers tell of the earlier life is passed over. Of an entry all fields are required but 'born', states are the two that there are; an unreadable one names nothing, and leaves in force what was. Fixtures: entries of tests and stand-ins lacked fields that upstreams write; they are made in one place now, whole.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -21,6 +21,7 @@
     Message,
     Replaced,
     RequestEnded,
+    Restarted,
     TimePassed,
     ToldFailing,
     Upstream,
@@ -105,6 +106,10 @@
             entry, entry.lifecycle, now, warm_at=now + entry.cold_for
         )
         return _put(state, found), _announce(found)
+    if _is_other_life(entry, known.entry):
+        return _begin_life(state, known, entry, now)
+    if not entry.born:
+        entry = replace(entry, born=known.entry.born)
     if known.lifecycle is Lifecycle.LEAVING:
         return _return(state, known, entry, now, heard=heard), ()
     changed = replace(
@@ -118,6 +123,32 @@
     return _put(state, changed), _announce(changed)
 
 
+def _is_other_life(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
+    """Tell whether an upstream started anew between two entries."""
+    return bool(entry.born and known.born) and entry.born != known.born
+
+
+def _begin_life(
+    state: FleetState, known: Upstream, entry: UpstreamEntry, now: Millis
+) -> Decision:
+    """Take an upstream that started again under its id as a new one.
+
+    What was known of the life before says nothing of this one. A peer may
+    still tell of that one, as an entry or that it left.
+    """
+    if entry.born < known.entry.born:
+        return state, ()
+    found = Upstream(
+        entry,
+        entry.lifecycle,
+        now,
+        returned=True,
+        warm_at=now + entry.cold_for,
+    )
+    began = (Restarted(entry.upstream), *_announce(found))
+    return _put(state, found), began
+
+
 def _find_warm_at(
     known: Upstream, entry: UpstreamEntry, now: Millis, *, heard: bool
 ) -> Millis:
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -34,6 +34,7 @@
     EndedEvacuating,
     FleetState,
     Message,
+    Restarted,
     TimePassed,
     Upstream,
     UpstreamEntry,
@@ -72,6 +73,7 @@
         self.loads = LoadBook()
         self.table = RoutingTable()
         self.on_leaving: Left | None = None
+        self.on_restarted: Left | None = None
         self.on_evacuating: Left | None = None
         self.cold_gate = ColdGate()
         #: Counts what changed in the upstreams' lifecycles, for news.
@@ -98,10 +100,7 @@
             logger.info(
                 f'{subject} changed', **list_plain_fields('change', action)
             )
-            if isinstance(action, BeganLeaving) and self.on_leaving:
-                self.on_leaving(action.upstream)
-            if isinstance(action, BeganEvacuating) and self.on_evacuating:
-                self.on_evacuating(action.failure_domain)
+            self._act(action)
         if self.state is not before:
             self.notify()
 
@@ -229,6 +228,16 @@
             if standing.active
         )
 
+    def _act(self, action: Action) -> None:
+        """Tell whoever moves generations."""
+        match action:
+            case BeganLeaving(upstream=upstream) if self.on_leaving:
+                self.on_leaving(upstream)
+            case Restarted(upstream=upstream) if self.on_restarted:
+                self.on_restarted(upstream)
+            case BeganEvacuating(failure_domain=name) if self.on_evacuating:
+                self.on_evacuating(name)
+
     def _list_allowed(self, need: Need, around: Surroundings) -> list[Upstream]:
         """Return the candidates, without cold ones that have their part."""
         return [
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -33,6 +33,7 @@
     EntryWritten,
     EvacuationsListed,
     EvacuationsTold,
+    Lifecycle,
     UpstreamEntry,
 )
 from cartdale.formatting import list_plain_fields
@@ -214,6 +215,9 @@
                     evacuations.append(evacuation)
                 case None:
                     continue
+                case Unreadable() as unreadable:
+                    self._take(unreadable)
+                    listed.extend(self._keep(unreadable.upstream))
                 case change:
                     self._take(change)
         after_outage = self._had_outage()
@@ -224,6 +228,13 @@
         self._fleet.tell(EntriesListed(tuple(listed), after_outage))
         self.in_step.set()
 
+    def _keep(self, name: str) -> tuple[UpstreamEntry, ...]:
+        """Return the entry that was in force before an unreadable one."""
+        known = self._fleet.find(name)
+        if known is None or known.lifecycle is Lifecycle.LEAVING:
+            return ()
+        return (known.entry,)
+
     async def _watch(self, revision: int) -> None:
         """Follow changes until the store fails or has forgotten some."""
         while self._watches():
--- a/src/cartdale/fleet/stored.py
+++ b/src/cartdale/fleet/stored.py
@@ -22,9 +22,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Unreadable:
-    """A value in the store can't be used; what was in force stays."""
+    """A value in the store can't be used; what was in force stays.
+
+    :param upstream: whose entry it would be; empty for other values.
+    """
 
     detail: str
+    upstream: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -212,6 +212,13 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """Tell that an upstream started again under its id: it holds nothing."""
+
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class BeganEvacuating:
     """Tell that nothing new may go to a failure domain."""
@@ -239,5 +246,5 @@
     | EvacuationsListed
     | TimePassed
 )
-Action = BeganLeaving | Vanished | BeganEvacuating | EndedEvacuating
+Action = BeganLeaving | Restarted | Vanished | BeganEvacuating | EndedEvacuating
 Decision = tuple[FleetState, tuple[Action, ...]]
--- a/src/cartdale/moves/driver.py
+++ b/src/cartdale/moves/driver.py
@@ -61,6 +61,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._fleet.on_leaving = self.begin
+            self._fleet.on_restarted = self.forget_life
             self._fleet.on_evacuating = self.give_up_backups
             looks = 0
             while True:
@@ -93,6 +94,13 @@
             for name in left:
                 self._nursery.start_soon(self._empty, name)
 
+    def forget_life(self, upstream: str) -> None:
+        """Take what an upstream kept as lost: it started again."""
+        for told in self._told_by_generation.values():
+            told.discard(upstream)
+        for name in self._lose_backups_at(upstream):
+            self.begin(name)
+
     def give_up_backups(self, failure_domain: str) -> None:
         """Count on no backup in a failure domain that is evacuated.
 
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any
+from typing import Annotated, Any, Final
 
 import msgspec
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import Lifecycle, UpstreamEntry
-from cartdale.platform.names import WORD_DRAINING
+from cartdale.platform.names import WORD_DRAINING, WORD_READY
 from cartdale.routes.types import (
     Customer,
     EngineTraits,
@@ -40,6 +40,13 @@
 )
 
 
+_LIFECYCLES_BY_WORD: Mapping[str, Lifecycle] = MappingProxyType(
+    {WORD_READY: Lifecycle.LIVE, WORD_DRAINING: Lifecycle.LEAVING},
+)
+#: ``IP:PORT`` of an upstream.
+_ADDRESS: Final = r'^\S+:[1-9][0-9]{0,4}$'
+
+
 class BadDocumentError(CartdaleError):
     """Report a stored value that can't be used.
 
@@ -128,15 +135,19 @@
 
 
 class _Upstream(msgspec.Struct, rename='camel'):
-    service: str
-    address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    address: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+    zone: str
+    #: Of its software.
+    version: str | int
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: str
     #: How much longer the upstream is slow after its start.
-    cold_remaining_ms: float = 0
-    #: Unix milliseconds of its start.
-    born: int = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    #: Counts what it wrote since its start.
+    sequence: int
+    #: Unix milliseconds of its start; older platforms don't tell it.
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 def decode_table(raw: bytes) -> RoutingTable:
@@ -177,17 +188,22 @@
 def decode_upstream(key: str, raw: bytes) -> UpstreamEntry:
     """Decode what an upstream says of itself.
 
+    Others may write there too: what lacks a field, or has a state that the
+    platform does not name, describes no upstream.
+
     :raises BadDocumentError: when it is malformed.
     """
     stored = _decode(key, raw, _Upstream)
-    draining = stored.state == WORD_DRAINING
+    lifecycle = _LIFECYCLES_BY_WORD.get(stored.state)
+    if lifecycle is None:
+        raise BadDocumentError(key, 'unknown state - at `$.state`')
     return UpstreamEntry(
         upstream=key.removeprefix(UPSTREAM_PREFIX),
         service=stored.service,
         address=stored.address,
         failure_domain=stored.zone,
         slots=stored.slots,
-        lifecycle=Lifecycle.LEAVING if draining else Lifecycle.LIVE,
+        lifecycle=lifecycle,
         cold_for=int(stored.cold_remaining_ms),
         born=stored.born,
     )
--- a/src/cartdale/platform/names.py
+++ b/src/cartdale/platform/names.py
@@ -18,7 +18,8 @@
 HEADER_AUTHORIZATION: Final = 'authorization'
 HEADER_SEAL: Final = 'response-seal'
 
-#: State of an upstream that takes no new work.
+#: State of an upstream that takes new work, and of one that does not.
+WORD_READY: Final = 'ready'
 WORD_DRAINING: Final = 'draining'
 
 PATH_REPORT: Final = '/cartdale/report'
--- a/src/cartdale/platform/translate.py
+++ b/src/cartdale/platform/translate.py
@@ -65,7 +65,10 @@
         if change.key.startswith(UPSTREAM_PREFIX):
             return EntryWritten(decode_upstream(change.key, change.value))
     except BadDocumentError as error:
-        return Unreadable(error.format_message())
+        upstream = ''
+        if change.key.startswith(UPSTREAM_PREFIX):
+            upstream = change.key.removeprefix(UPSTREAM_PREFIX)
+        return Unreadable(error.format_message(), upstream)
     return None
 
 
--- a/src/cartdale_standins/platform_store.py
+++ b/src/cartdale_standins/platform_store.py
@@ -16,6 +16,7 @@
 
 from cartdale.clock import Clock, Millis, SystemClock, seconds
 from cartdale.store.types import Committed, Compare, Delete, Entry, Put, Write
+from cartdale_standins.platform_entries import describe_upstream
 from cartdale_standins.state import KeyValueState, RateMeter
 
 _WATCH_POLL: Millis = 5
@@ -194,12 +195,7 @@
 
     :param store: ``IP:PORT``.
     """
-    entry = {
-        'service': service,
-        'address': f'127.0.0.1:{port}',
-        'zone': 'west',
-        'slots': _SLOTS,
-    }
+    entry = describe_upstream(service, f'127.0.0.1:{port}', slots=_SLOTS)
     write = {
         'key': f'servers/{name}',
         'value': base64.b64encode(msgspec.json.encode(entry)).decode(),
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -20,6 +20,7 @@
 from cartdale.model.types import Hardware
 from cartdale.settings.types import Listener
 from cartdale_standins.platform_engine import PlatformEngine
+from cartdale_standins.platform_entries import describe_upstream
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import PlatformWorker
 from tests.fault_soak.callers import Callers
@@ -112,13 +113,13 @@
         """Write an upstream's entry to the store."""
         self.store.put(
             f'servers/{upstream.worker.name}',
-            {
-                'service': upstream.service,
-                'address': upstream.proxy.address,
-                'zone': upstream.domain,
-                'slots': 64,
-                'state': state,
-            },
+            describe_upstream(
+                upstream.service,
+                upstream.proxy.address,
+                upstream.domain,
+                state=state,
+                born=upstream.worker.crashes.born,
+            ),
         )
 
     async def _wait_ready(self) -> None:
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -31,6 +31,7 @@
     StoreUnavailable,
     Write,
 )
+from cartdale_standins.platform_entries import describe_upstream
 from cartdale_standins.state import KeyValueState
 from tests.platform_stage import make_configuration
 
@@ -194,13 +195,9 @@
         self.state.transact((), (Put('op/config', document),))
 
     def list_engine(self, name: str, state: str = 'ready') -> None:
-        entry = {
-            'service': 'writers',
-            'address': f'{name}:1',
-            'zone': DOMAINS[0],
-            'slots': 24,
-            'state': state,
-        }
+        entry = describe_upstream(
+            'writers', f'{name}:1', DOMAINS[0], slots=24, state=state
+        )
         self.state.transact((), (Put(f'servers/{name}', encode_json(entry)),))
 
     def start_all(self) -> None:
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -20,6 +20,7 @@
     PlatformEngine,
     format_event,
 )
+from cartdale_standins.platform_entries import describe_upstream
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import PlatformWorker
 from tests.fault_soak.proxy import FaultProxy, LinkState
@@ -168,14 +169,7 @@
     ) -> None:
         self.store.put(
             f'servers/{name}',
-            {
-                'service': service,
-                'address': address,
-                'zone': 'west',
-                'slots': 64,
-                'state': state,
-                'born': born,
-            },
+            describe_upstream(service, address, state=state, born=born),
         )
 
     def drain(self, engine: PlatformEngine) -> None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,7 +9,7 @@
 
 from cartdale.briefing.types import Briefing
 from cartdale.clock import SystemClock, VirtualClock
-from cartdale.codec import decode_binary, encode_binary
+from cartdale.codec import decode_binary, encode_binary, encode_json
 from cartdale.fleet.candidates import is_closed, list_candidates
 from cartdale.fleet.choose import Need
 from cartdale.fleet.decide import decide
@@ -45,6 +45,7 @@
 from cartdale.relay.targets import choose_backup, choose_target
 from cartdale.routes.types import RoutingTable
 from cartdale.store.types import Entry, Listing
+from cartdale_standins.platform_entries import describe_upstream
 from tests.platform_stage import (
     count_runs,
     draft,
@@ -63,7 +64,7 @@
 BEGUN = Evacuation('west', 7)
 ENDED = Evacuation('west', 9, active=False)
 AGAIN = Evacuation('west', 12)
-ENTRY_VALUE = b'{"service":"s","address":"a:1"}'
+ENTRY_VALUE = encode_json(describe_upstream('s', 'a:1'))
 
 
 def make_state(*told: Evacuation, now: int = 0) -> FleetState:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -18,9 +18,10 @@
     StoreFailure,
     StoreUnavailable,
 )
+from cartdale_standins.platform_entries import describe_upstream
 from tests.platform_stage import make_configuration
 
-ENTRY = Entry('servers/i', b'{"service":"s","address":"a:1"}', 1, 1)
+ENTRY = Entry('servers/i', encode_json(describe_upstream('s', 'a:1')), 1, 1)
 
 
 @dataclass
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -22,6 +22,7 @@
 from cartdale.platform.translate import translate
 from cartdale.routes.types import RouteKind
 from cartdale.store.types import Entry, Removed
+from cartdale_standins.platform_entries import describe_upstream
 from tests.platform_stage import SETTINGS, make_configuration
 
 
@@ -100,16 +101,14 @@
 
 
 def test_upstream_entries() -> None:
-    raw = encode(
-        {'service': 's', 'address': 'a:1', 'slots': 6, 'state': 'draining'}
-    )
+    raw = encode(describe_upstream('s', 'a:1', slots=6, state='draining'))
     entry = decode_upstream('servers/i-1', raw)
     assert entry.upstream == 'i-1'
     assert entry.lifecycle is Lifecycle.LEAVING
 
 
 def test_keys_become_news() -> None:
-    good = encode({'service': 's', 'address': 'a:1'})
+    good = encode(describe_upstream('s', 'a:1'))
     assert isinstance(translate(Entry('servers/i', good, 1, 1)), EntryWritten)
     assert translate(Removed('servers/i', 2)) == EntryRemoved('i')
     assert isinstance(translate(Entry('servers/i', b'{', 1, 1)), Unreadable)
--- /dev/null
+++ b/tests/test_upstream_lives.py
@@ -0,0 +1,150 @@
+"""An upstream that starts again under its id, and entries of other writers."""
+
+from types import MappingProxyType
+
+import pytest
+
+from cartdale.codec import encode_json
+from cartdale.fleet.decide import HEARD_AFTER_MS, decide
+from cartdale.fleet.stored import Unreadable
+from cartdale.fleet.types import (
+    EntriesListed,
+    EntryRemoved,
+    EntryWritten,
+    FleetState,
+    Lifecycle,
+    RequestEnded,
+    Restarted,
+)
+from cartdale.platform.documents import BadDocumentError, decode_upstream
+from cartdale.platform.translate import translate
+from cartdale.store.types import Entry
+from tests.platform_stage import draft_meanwhile, open_platform, until
+from tests.test_fleet import make_entry, make_fleet
+
+STORED = MappingProxyType(
+    {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'west',
+        'version': 1,
+        'slots': 4,
+        'state': 'ready',
+        'coldRemainingMs': 700,
+        'sequence': 3,
+        'born': 1777495388662,
+    }
+)
+
+
+def write(state: FleetState, born: int, now: int = 0, **changes):
+    heard = changes.pop('heard', False)
+    entry = make_entry('a', born=born, **changes)
+    return decide(state, EntryWritten(entry, heard=heard), now)
+
+
+def test_a_new_life_begins_anew() -> None:
+    state = make_fleet('a', born=1)
+    for _ in range(3):
+        ended = RequestEnded('a', good=False, reached=False)
+        state, _ = decide(state, ended, 100)
+    state, actions = write(state, 2, 200, cold_for=500)
+    assert actions == (Restarted('a'),)
+    upstream = state.upstreams_by_id['a']
+    assert upstream.lifecycle is Lifecycle.LIVE
+    assert (upstream.strikes, upstream.failing) == (0, 0)
+    assert upstream.avoided_until == upstream.unreachable_until == 0
+    assert upstream.warm_at == 700
+
+
+@pytest.mark.parametrize('heard', [False, True])
+def test_an_upstream_that_left_may_start_again(heard: bool) -> None:
+    state = make_fleet('a', born=1)
+    state, _ = write(state, 1, 100, lifecycle=Lifecycle.LEAVING)
+    state, _ = write(state, 1, 200, heard=heard)
+    assert state.upstreams_by_id['a'].lifecycle is Lifecycle.LEAVING
+    state, _ = write(state, 2, 300, heard=heard)
+    assert state.upstreams_by_id['a'].lifecycle is Lifecycle.LIVE
+
+
+def test_peers_that_know_only_the_life_before_change_nothing() -> None:
+    state, _ = write(make_fleet('a', born=1), 2, 100)
+    assert write(state, 1, 200, lifecycle=Lifecycle.LEAVING) == (state, ())
+    gone = EntryRemoved('a', heard=True)
+    assert decide(state, gone, 200) == (state, ())
+    after, _ = decide(state, gone, 100 + HEARD_AFTER_MS)
+    assert after.upstreams_by_id['a'].lifecycle is Lifecycle.LEAVING
+
+
+def test_an_entry_without_birth_is_the_same_life() -> None:
+    state = make_fleet('a', born=1)
+    state, actions = write(state, 0, 100)
+    assert not actions
+    assert state.upstreams_by_id['a'].entry.born == 1
+    listed = EntriesListed((make_entry('a', born=1),))
+    assert not decide(state, listed, 200)[1]
+
+
+async def test_a_backup_is_gone_with_the_life_that_kept_it() -> None:
+    async with open_platform(engines=2, proxied=True) as stage:
+        mover = stage.runtimes[0].mover
+        async with draft_meanwhile(stage, 'r1'):
+            await until(
+                lambda: any(each.backup for each in mover.list_generations())
+            )
+            generation = mover.list_generations()[0]
+            engines_by_name = {each.name: each for each in stage.engines}
+            keeper = engines_by_name[generation.backup]
+            keeper.crash('another')
+            await until(lambda: not generation.backup)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'retired'},
+        {'state': 7},
+        {'slots': '4'},
+        {'slots': 0},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:x'},
+        {'service': ''},
+        {'zone': None},
+        {'born': 'yesterday'},
+        {'coldRemainingMs': -1},
+        {'sequence': 'first'},
+        {'version': None},
+    ],
+)
+def test_entries_of_other_writers_name_no_upstream(changes: dict) -> None:
+    raw = encode_json({**STORED, **changes})
+    with pytest.raises(BadDocumentError) as caught:
+        decode_upstream('servers/i', raw)
+    assert caught.value.format_message().startswith('servers/i: ')
+
+
+@pytest.mark.parametrize('missing', sorted(STORED.keys() - {'born'}))
+def test_entries_that_lack_a_field_name_no_upstream(missing: str) -> None:
+    stored = {name: STORED[name] for name in STORED if name != missing}
+    with pytest.raises(BadDocumentError):
+        decode_upstream('servers/i', encode_json(stored))
+
+
+@pytest.mark.parametrize('raw', [b'', b'\xff\xfe', b'[]', b'null', b'{"a":'])
+def test_bytes_that_cannot_be_read_name_no_upstream(raw: bytes) -> None:
+    assert isinstance(translate(Entry('servers/i', raw, 1, 1)), Unreadable)
+
+
+async def test_other_entries_hold_beside_one_that_cannot_be_read() -> None:
+    async with open_platform(engines=2) as stage:
+        runtime = stage.runtimes[0]
+        stage.store.put('servers/other', {'service': 'writers'})
+        stage.store.put('servers/engine-0', {**STORED, 'state': 'retired'})
+        stage.store.forget()
+        stage.store.put('servers/engine-1', {'service': 'writers'})
+        stage.add_engine()
+        await until(lambda: runtime.fleet.find('engine-2') is not None)
+        known = runtime.fleet.state.upstreams_by_id
+        assert set(known) == {'engine-0', 'engine-1', 'engine-2', 'plain-0'}
+        assert all(each.lifecycle is Lifecycle.LIVE for each in known.values())
