Tests of quarantine; tell an upstream's lives apart before its birth is known

Cause: an upstream that came back within 60 ms of its new entry ended a second time under the same request, and counted once (a lookup ended four upstreams instead of three). Change: a crash after a send that followed the crash known before is one of another life. Ages in news are milliseconds; what a domain's speaker compares leaves them out.

--- a/src/cartdale/news/speaking.py
+++ b/src/cartdale/news/speaking.py
@@ -1,6 +1,7 @@
 """Tell other failure domains what the instances of this one have and know."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 import trio
@@ -76,9 +77,11 @@
             ):
                 continue
             news = self._describe(now)
-            if news == told and now - told_at < _UNCHANGED_EVERY:
+            # The ages of crashes change, what is told of them does not.
+            gist = replace(news, crashes=())
+            if gist == told and now - told_at < _UNCHANGED_EVERY:
                 continue
-            told, told_at = news, now
+            told, told_at = gist, now
             turn += 1
             for peer in choose_recipients(
                 self._news.state, self._news.own, now, turn
--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import assert_never
 
-from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
+from cartdale.clock import MINUTE_MS, Millis
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import (
     Action,
@@ -75,8 +75,9 @@
     state: QuarantineState, message: Message, now: Millis
 ) -> QuarantineState:
     match message:
-        case UpstreamEnded(crash=crash):
-            return _add(state, Evidence(crash, now, now))
+        case UpstreamEnded(crash=crash, sent_at=sent_at):
+            ended = _tell_lives_apart(state, crash, sent_at)
+            return _add(state, Evidence(ended, now, now))
         case CrashesTold(crashes=crashes):
             for told in crashes:
                 state = _take(state, told, now)
@@ -106,10 +107,26 @@
             assert_never(message)
 
 
+def _tell_lives_apart(
+    state: QuarantineState, crash: Crash, sent_at: Millis
+) -> Crash:
+    """Return a crash with a birth that no life had which ended before.
+
+    An upstream may be back before its new birth is known here. If it took a
+    request after it had ended, then it has started again meanwhile; the next
+    number stands for the birth of that life.
+    """
+    known = state.evidence_by_identity.get(crash.identity, _NOTHING)
+    ended = {each.crash for each in known if each.seen_at < sent_at}
+    while crash in ended:
+        crash = replace(crash, born=crash.born + 1)
+    return crash
+
+
 def _take(
     state: QuarantineState, told: CrashNews, now: Millis
 ) -> QuarantineState:
-    seen_at = now - told.age * SECOND_MS
+    seen_at = now - told.age
     if now - seen_at >= KEPT:
         return state
     crash = Crash(told.identity, told.upstream, told.born)
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -116,6 +116,11 @@
                         message=type(message).__name__,
                     )
 
+    @property
+    def guarded(self) -> tuple[Identity, ...]:
+        """Return the requests of which something would be cancelled."""
+        return tuple(self._guards_by_identity)
+
     def holds(self, identity: Identity) -> bool:
         """Tell whether a request is sent to no upstream any more."""
         return is_quarantined(self.state, identity)
--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -58,7 +58,10 @@
 
 def _describe(evidence: Evidence, now: Millis) -> CrashNews:
     crash = evidence.crash
-    age = (now - evidence.seen_at) // SECOND_MS
     return CrashNews(
-        crash.identity, crash.upstream, crash.born, age, evidence.cleared
+        identity=crash.identity,
+        upstream=crash.upstream,
+        born=crash.born,
+        age=now - evidence.seen_at,
+        cleared=evidence.cleared,
     )
--- a/src/cartdale/quarantine/types.py
+++ b/src/cartdale/quarantine/types.py
@@ -41,13 +41,13 @@
 class CrashNews(msgspec.Struct, frozen=True, array_like=True):
     """Tell a peer of a crash, in about 50 bytes.
 
-    :param age: whole seconds since the upstream ended: peers' clocks differ.
+    :param age: milliseconds since the upstream ended: peers' clocks differ.
     """
 
     identity: Identity
     upstream: str
     born: Millis
-    age: int
+    age: Millis
     cleared: bool
 
 
@@ -62,9 +62,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamEnded:
-    """This instance saw an upstream end."""
+    """This instance saw an upstream end.
+
+    :param sent_at: when the request was sent there, in monotonic
+        milliseconds.
+    """
 
     crash: Crash
+    sent_at: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/inquests.py
+++ b/src/cartdale/relay/inquests.py
@@ -10,6 +10,7 @@
 import trio
 from loguru import logger
 
+from cartdale.clock import Millis
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.identity import Identity
@@ -32,12 +33,14 @@
     """Describe a link that broke with a request on it.
 
     :param identity: of the request.
+    :param sent_at: when the request was sent over it.
     :param events: that came over this link; 0 for a plain request.
     """
 
     request_id: str
     identity: Identity
     upstream: UpstreamEntry
+    sent_at: Millis
     events: int = 0
 
 
@@ -119,4 +122,4 @@
             return
         upstream = link.upstream
         crash = Crash(link.identity, upstream.upstream, upstream.born)
-        self._fleet.quarantine.tell(UpstreamEnded(crash))
+        self._fleet.quarantine.tell(UpstreamEnded(crash, link.sent_at))
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -5,7 +5,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import seconds
+from cartdale.clock import Millis, seconds
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
@@ -60,6 +60,7 @@
         self._ports = ports
         self._routed = routed
         self._tried: set[str] = set()
+        self._sent_at: Millis = 0
         self._state: AttemptState = begin(routed.route)
 
     async def carry(self) -> Result[WholeAnswer, Problem]:
@@ -94,12 +95,12 @@
         fleet = self._ports.fleet
         fleet.loads.assign(assignment)
         call = make_call(self._ports, self._routed, upstream)
-        sent_at = self._ports.clock.now()
+        self._sent_at = self._ports.clock.now()
         try:
             with trio.move_on_after(self._patience()):
                 ended = await self._send(call)
                 if isinstance(ended[0], Answered):
-                    took = self._ports.clock.now() - sent_at
+                    took = self._ports.clock.now() - self._sent_at
                     fleet.note_answer(self._routed.service, took)
                 return ended
             return Broken('no answer in time'), None
@@ -139,7 +140,10 @@
         routed = self._routed
         self._ports.inquests.hold(
             BrokenLink(
-                routed.request.request_id, routed.identity, call.upstream
+                routed.request.request_id,
+                routed.identity,
+                call.upstream,
+                self._sent_at,
             )
         )
         return Broken(detail)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -106,9 +106,10 @@
         self._failure: WholeAnswer | None = None
         self._started = False
         self._sent = False
-        #: What the present link carries, and the events that the caller had
-        #: when it began.
+        #: What the present link carries, when it began, and the events that
+        #: the caller had then.
         self._call: UpstreamCall | None = None
+        self._opened_at: Millis = 0
         self._events_before = 0
 
     @property
@@ -200,6 +201,7 @@
         """Send a request, and read its answer unless none will come."""
         self._sent = True
         self._call = call
+        self._opened_at = self._ports.clock.now()
         self._events_before = self._generation.events
         guard = self._ports.fleet.quarantine.guard(self._routed.identity)
         ended: LinkEnd | None = None
@@ -334,6 +336,7 @@
                 call.routed.request.request_id,
                 call.routed.identity,
                 call.upstream,
+                self._opened_at,
                 self._generation.events - self._events_before,
             )
         )
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -15,6 +15,7 @@
 from cartdale.model.types import Hardware
 from cartdale.platform.settings import Bounds, Endpoint, PlatformSettings
 from cartdale.settings.types import Listener
+from cartdale.switches import Switches
 from cartdale_standins.platform_engine import (
     STRIDE,
     PlatformEngine,
@@ -175,7 +176,9 @@
     def drain(self, engine: PlatformEngine) -> None:
         self.list_upstream(engine.name, 'writers', engine.address, 'draining')
 
-    def add_instance(self, path: Path = NO_FILE) -> GatewayRuntime:
+    def add_instance(
+        self, path: Path = NO_FILE, switches: Switches | None = None
+    ) -> GatewayRuntime:
         settings = PlatformSettings(
             name=f'entry-{len(self.runtimes)}',
             address=LOCAL,
@@ -191,7 +194,7 @@
                 Endpoint(LOCAL, each.control_port) for each in self.runtimes
             ),
         )
-        runtime = GatewayRuntime(settings, path)
+        runtime = GatewayRuntime(settings, path, switches)
         self.runtimes.append(runtime)
         scope, stopped = trio.CancelScope(), trio.Event()
         self.scopes.append(scope)
--- a/tests/test_inquests.py
+++ b/tests/test_inquests.py
@@ -62,7 +62,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(inquests.run)
         for number in range(3):
-            inquests.hold(BrokenLink(f'r{number}', b'i', UPSTREAM, number))
+            inquests.hold(BrokenLink(f'r{number}', b'i', UPSTREAM, 0, number))
         await trio.sleep(1)
         nursery.cancel_scope.cancel()
     assert upstreams.asked == 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,13 +9,18 @@
 on one route, each id reached one engine and was not repeated by us.
 """
 
-from collections.abc import Awaitable, Callable
-
 import httpx
+import trio
 
+from cartdale.fleet.types import EntryRemoved
+from cartdale.quarantine.types import Crash, UpstreamEnded
+from cartdale.switches import Mechanism, Switches
 from tests.platform_stage import (
     PlatformStage,
+    count_runs,
     draft,
+    draft_meanwhile,
+    find_runner,
     make_draft,
     make_headers,
     open_platform,
@@ -68,9 +73,6 @@
     )
 
 
-Play = Callable[[PlatformStage], Awaitable[list[httpx.Response | None]]]
-
-
 async def test_stream_that_ends_its_engines_is_sent_no_more() -> None:
     async with open_platform(engines=5, instances=2, proxied=True) as stage:
         answers = await ask_again_and_again(stage, '/draft/a')
@@ -79,3 +81,126 @@
         assert last is not None
         assert last.status_code == 503
         assert (await draft(stage, 'r1')).content == whole('r1')
+
+
+async def test_plain_request_that_ends_its_upstreams_is_sent_no_more() -> None:
+    for path, method in (('/look/a', 'GET'), ('/cut/a', 'POST')):
+        async with open_platform(plains=5, instances=2, proxied=True) as stage:
+            answers = await ask_again_and_again(stage, path, method)
+            assert count_ends(stage) == MOST_ENDED
+            assert answers[-1].status_code == 503
+            other = await stage.client.request(
+                method, stage.url(path), headers=make_headers('r1')
+            )
+            assert other.status_code == 200
+
+
+async def test_resumed_stream_that_ends_its_engines_is_sent_no_more() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        answers = await ask_again_and_again(stage, '/tag/a')
+        assert count_ends(stage) == MOST_ENDED
+        assert answers[-1].status_code == 503
+
+
+async def test_refusal_says_when_to_come_back_and_runs_nowhere() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        refused = await ask_deadly(stage, 99, '/draft/a')
+        assert refused.status_code == 503
+        assert float(refused.headers['Retry-After']) > 60
+        assert b'upstreams ended' in refused.content
+        assert count_runs(stage, 'deadly-99') == 0
+
+
+async def test_one_that_may_have_run_is_not_told_that_it_did_not() -> None:
+    async with open_platform(plains=5, proxied=True) as stage:
+        for plain in stage.plains:
+            plain.crashes.deadly.add(DEADLY)
+        answers = [
+            await ask_deadly(stage, number, '/look/a', 'GET')
+            for number in range(2)
+        ]
+        # Each was sent twice; the fourth send found the request quarantined.
+        assert [each.status_code for each in answers] == [502, 502]
+        assert count_ends(stage) == MOST_ENDED
+
+
+async def test_an_instance_that_starts_later_knows_it() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        stage.add_instance()
+        await stage.settle()
+        newcomer = stage.runtimes[-1].fleet.quarantine
+        await until(newcomer.count_held)
+        refused = await ask_deadly(stage, 2, '/draft/a')
+        assert refused.status_code == 503
+        assert count_ends(stage) == MOST_ENDED
+
+
+async def test_others_on_the_same_engines_are_not_blamed() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        async with draft_meanwhile(stage, 'r1') as answers:
+            await find_runner(stage, 'r1')
+            await ask_again_and_again(stage, '/draft/a')
+        quarantine = stage.runtimes[0].fleet.quarantine
+        assert quarantine.count_held() == 1
+        again = await draft(stage, 'r2')
+        assert again.content == whole('r2')
+        assert len(answers) <= 1
+
+
+async def test_lost_answers_of_upstreams_that_live_are_no_evidence() -> None:
+    async with open_platform(plains=3, proxied=True) as stage:
+        for plain in stage.plains:
+            plain.faults.cuts = 9
+        for number in range(4):
+            await ask_deadly(stage, number, '/look/a', 'GET')
+        assert not stage.runtimes[0].fleet.quarantine.state.evidence_by_identity
+
+
+async def test_a_request_that_waits_for_room_stops_waiting() -> None:
+    async with open_platform(engines=1, proxied=True) as stage:
+        runtime = stage.runtimes[0]
+        runtime.fleet.tell(EntryRemoved('engine-0'))
+        answers: list[httpx.Response | None] = []
+
+        async def ask() -> None:
+            answers.append(await ask_deadly(stage, 0, '/draft/a'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            quarantine = runtime.fleet.quarantine
+            await until(lambda: quarantine.guarded)
+            identity = quarantine.guarded[0]
+            for name in ('a', 'b', 'c'):
+                quarantine.tell(UpstreamEnded(Crash(identity, name)))
+        assert b'upstreams ended' in answers[0].content
+
+
+async def test_a_request_that_waits_at_an_engine_is_taken_back() -> None:
+    async with open_platform(engines=1, proxied=True) as stage:
+        engine = stage.engines[0]
+        engine.streams.headless = True
+        answers: list[httpx.Response | None] = []
+
+        async def ask() -> None:
+            answers.append(await ask_deadly(stage, 0, '/draft/a'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await until(lambda: engine.runs_by_request)
+            quarantine = stage.runtimes[0].fleet.quarantine
+            identity = quarantine.guarded[0]
+            for name in ('a', 'b', 'c'):
+                quarantine.tell(UpstreamEnded(Crash(identity, name)))
+        assert answers[0].status_code == 502
+        assert not stage.runtimes[0].fleet.find('engine-0').strikes
+
+
+async def test_switched_off_nothing_is_refused() -> None:
+    switches = Switches(frozenset((Mechanism.QUARANTINE,)))
+    async with open_platform(engines=5, instances=0, proxied=True) as stage:
+        stage.add_instance(switches=switches)
+        await stage.settle()
+        await ask_again_and_again(stage, '/draft/a')
+        assert count_ends(stage) > MOST_ENDED
--- /dev/null
+++ b/tests/test_quarantine_evidence.py
@@ -0,0 +1,216 @@
+"""Evidence against requests: merged in any order, cleared and forgotten."""
+
+from itertools import permutations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cartdale.briefing.types import Briefing
+from cartdale.clock import SECOND_MS, VirtualClock
+from cartdale.codec import decode_binary, encode_binary
+from cartdale.fleet.driver import Fleet
+from cartdale.news.decide import decide as decide_news
+from cartdale.news.types import LoadNews, NewsArrived, NewsState, PeerEntry
+from cartdale.quarantine.decide import (
+    KEPT,
+    MOST_ENDED,
+    MOST_IDENTITIES,
+    count_crashes,
+    decide,
+    is_quarantined,
+)
+from cartdale.quarantine.telling import PAGE, select_news
+from cartdale.quarantine.types import (
+    Crash,
+    CrashesTold,
+    CrashNews,
+    Quarantined,
+    QuarantineState,
+    RanOn,
+    Released,
+    TimePassed,
+    UpstreamEnded,
+)
+
+ONE = b'1' * 16
+OTHER = b'2' * 16
+#: Bytes that a piece of evidence takes of a message at most.
+PIECE_BYTES = 64
+PEER = PeerEntry('p', '10.0.0.1', 7200)
+
+
+def end(*upstreams: str, identity: bytes = ONE, now: int = 0):
+    """Return the state after upstreams have ended under a request."""
+    state = QuarantineState()
+    for name in upstreams:
+        ended = UpstreamEnded(Crash(identity, name, 1))
+        state, _ = decide(state, ended, now)
+    return state
+
+
+def tell(identity: bytes, upstream: str, **changes) -> CrashNews:
+    given = {'born': 1, 'age': 0, 'cleared': False, **changes}
+    return CrashNews(identity, upstream, **given)
+
+
+def test_three_upstreams_quarantine_a_request() -> None:
+    state = end('a', 'b')
+    assert not is_quarantined(state, ONE)
+    third = UpstreamEnded(Crash(ONE, 'c', 1))
+    state, actions = decide(state, third, 100)
+    assert actions == (Quarantined(ONE),)
+    assert not is_quarantined(state, OTHER)
+    again = UpstreamEnded(Crash(ONE, 'd', 1))
+    assert decide(state, again, 200)[1] == ()
+
+
+def test_a_crash_counts_once_whoever_saw_it() -> None:
+    state = end('a', 'a')
+    told = CrashesTold((tell(ONE, 'a'), tell(ONE, 'a', age=2)))
+    state, _ = decide(state, told, 100)
+    assert count_crashes(state, ONE) == 1
+
+
+def test_an_upstream_that_came_back_counts_again() -> None:
+    state = QuarantineState()
+    for born in range(1, 1 + MOST_ENDED):
+        ended = UpstreamEnded(Crash(ONE, 'a', born))
+        state, _ = decide(state, ended, born)
+    assert is_quarantined(state, ONE)
+
+
+def test_an_upstream_that_is_back_before_its_birth_is_known_counts_again() -> (
+    None
+):
+    state = end('a', now=100)
+    for sent_at in (200, 400):
+        ended = UpstreamEnded(Crash(ONE, 'a', 1), sent_at)
+        state, _ = decide(state, ended, sent_at + 100)
+    assert is_quarantined(state, ONE)
+    # Two copies of a request on one upstream see one end.
+    beside = UpstreamEnded(Crash(ONE, 'a', 1), 450)
+    assert decide(state, beside, 510) == (state, ())
+
+
+def test_a_request_that_ran_on_is_released() -> None:
+    state, actions = decide(end('a', 'b', 'c'), RanOn(ONE), 100)
+    assert actions == (Released(ONE),)
+    state, _ = decide(state, CrashesTold((tell(ONE, 'a'),)), 200)
+    assert count_crashes(state, ONE) == 0
+    assert decide(state, RanOn(ONE), 300) == (state, ())
+    later = UpstreamEnded(Crash(ONE, 'd', 1))
+    assert count_crashes(decide(state, later, 400)[0], ONE) == 1
+
+
+def test_evidence_is_forgotten_together_after_its_time() -> None:
+    state = end('a', 'b', now=0)
+    state, _ = decide(state, UpstreamEnded(Crash(ONE, 'c', 1)), SECOND_MS)
+    before = KEPT + SECOND_MS - 1
+    assert decide(state, TimePassed(), before) == (state, ())
+    after, actions = decide(state, TimePassed(), KEPT + SECOND_MS)
+    assert actions == (Released(ONE),)
+    assert not after.evidence_by_identity
+
+
+def test_old_evidence_of_a_peer_is_not_taken() -> None:
+    old = tell(ONE, 'a', age=KEPT)
+    state = QuarantineState()
+    assert decide(state, CrashesTold((old,)), KEPT) == (state, ())
+
+
+def test_what_speaks_least_is_dropped_when_there_is_too_much() -> None:
+    state = end('a', 'b', 'c')
+    for number in range(MOST_IDENTITIES + 5):
+        identity = number.to_bytes(16, 'big')
+        ended = UpstreamEnded(Crash(identity, 'a', 1))
+        state, _ = decide(state, ended, number)
+    assert len(state.evidence_by_identity) == MOST_IDENTITIES
+    assert is_quarantined(state, ONE)
+    assert (0).to_bytes(16, 'big') not in state.evidence_by_identity
+
+
+@given(
+    st.permutations(
+        [
+            tell(ONE, 'a'),
+            tell(ONE, 'b'),
+            tell(ONE, 'b', cleared=True),
+            tell(ONE, 'c'),
+            tell(ONE, 'd'),
+            tell(OTHER, 'a'),
+        ]
+    ),
+    st.integers(0, 6),
+)
+def test_any_order_of_news_ends_in_the_same(told, cut: int) -> None:
+    state = QuarantineState()
+    for part in (told[:cut], told[cut:], told[:2]):
+        state, _ = decide(state, CrashesTold(tuple(part)), 0)
+    assert count_crashes(state, ONE) == 3
+    assert count_crashes(state, OTHER) == 1
+
+
+def test_instances_that_each_saw_one_crash_agree_once_told() -> None:
+    states = [end(name) for name in ('a', 'b', 'c')]
+    for order in permutations(range(3)):
+        merged = states[order[0]]
+        for number in order[1:]:
+            news = select_news(states[number], 0, 1)
+            merged, _ = decide(merged, CrashesTold(news), 0)
+        assert is_quarantined(merged, ONE)
+
+
+def test_a_message_holds_a_page_and_all_come_in_turns() -> None:
+    state = QuarantineState()
+    for number in range(PAGE + 3):
+        for name in ('a', 'b'):
+            ended = UpstreamEnded(Crash(number.to_bytes(16, 'big'), name, 1))
+            state, _ = decide(state, ended, 0)
+    later = 10 * SECOND_MS
+    told = [select_news(state, later, turn) for turn in range(20)]
+    assert all(len(page) == PAGE for page in told)
+    named = {(each.identity, each.upstream) for page in told for each in page}
+    assert len(named) == 2 * (PAGE + 3)
+
+
+def test_single_crashes_are_told_only_while_they_are_fresh() -> None:
+    state = end('a')
+    assert select_news(state, SECOND_MS, 1)
+    assert not select_news(state, 10 * SECOND_MS, 1)
+    state = end('a', 'b')
+    assert len(select_news(state, 10 * SECOND_MS, 1)) == 2
+
+
+def test_the_most_suspected_are_told_first() -> None:
+    state = end('a', 'b', 'c')
+    for number in range(2 * PAGE):
+        ended = UpstreamEnded(Crash(number.to_bytes(16, 'big'), 'z', 1))
+        state, _ = decide(state, ended, 100)
+    news = select_news(state, 100, 1)
+    assert {each.upstream for each in news[:3]} == {'a', 'b', 'c'}
+
+
+def test_news_and_briefings_carry_evidence() -> None:
+    crashes = (tell(ONE, 'a', age=3),)
+    news = LoadNews(1, 1, 1, PEER, {}, crashes=crashes)
+    read = decode_binary(encode_binary(news), LoadNews)
+    _, actions = decide_news(NewsState(), NewsArrived('p', read), 0, 1)
+    assert CrashesTold(crashes) in actions
+    briefing = Briefing(b'', b'', crashes=crashes)
+    assert decode_binary(encode_binary(briefing), Briefing) == briefing
+
+
+def test_evidence_takes_little_of_a_message() -> None:
+    one = tell(ONE, 'i-7573d5a716', born=1777495388662, age=KEPT - 1)
+    empty = encode_binary(LoadNews(1, 1, 1, PEER, {}))
+    full = encode_binary(LoadNews(1, 1, 1, PEER, {}, crashes=(one,) * PAGE))
+    assert (len(full) - len(empty)) / PAGE <= PIECE_BYTES
+
+
+def test_peers_are_told_at_once() -> None:
+    fleet = Fleet(VirtualClock(), 'west', 1)
+    before = fleet.quarantine.version
+    fleet.quarantine.tell(UpstreamEnded(Crash(ONE, 'a', 1)))
+    assert fleet.quarantine.version == before + 1
+    fleet.quarantine.acquit(OTHER)
+    assert fleet.quarantine.version == before + 1
