--- a/src/cartdale_standins/engine.py
+++ b/src/cartdale_standins/engine.py
@@ -87,6 +87,8 @@
         self.faults = EngineFaults()
         self.orders: list[Order] = []
         self.started_by_generation: dict[str, int] = {}
+        #: Prompts that end the engine as it begins them; it starts again.
+        self.deadly: set[str] = set()
 
     @property
     def driver(self) -> EngineDriver:
@@ -113,6 +115,12 @@
             app.add_url_rule(path, f'{method} {path}', view, methods=[method])
         return app
 
+    def start_again(self) -> None:
+        """Lose all generations, as an engine that ends and starts again."""
+        for generation in tuple(self._driver.records_by_generation):
+            self._driver.model.cancel(generation)
+        self._driver.records_by_generation.clear()
+
     async def _complete(self) -> Response:
         body = await _body(CompletionBody)
         generation = request.headers.get(HEADER_GENERATION, '')
@@ -138,6 +146,8 @@
         self._driver.records_by_generation[generation] = record
         started = self.started_by_generation.get(generation, 0)
         self.started_by_generation[generation] = started + 1
+        if prompt in self.deadly:
+            self.start_again()
         return self._stream(generation, record, 0)
 
     async def _attach(self, generation: str) -> Response:
@@ -218,9 +228,7 @@
         self.faults = await _body(EngineFaults)
         self._driver.frozen = self.faults.frozen
         if self.faults.forget:
-            for generation in tuple(self._driver.records_by_generation):
-                self._driver.model.cancel(generation)
-            self._driver.records_by_generation.clear()
+            self.start_again()
             self.faults = replace(self.faults, forget=False)
         return _answer(self.faults)
 
--- a/src/cartdale_standins/plain.py
+++ b/src/cartdale_standins/plain.py
@@ -1,6 +1,7 @@
 """Plain-service stand-in: records every run it makes."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import trio
 from quart import Response, request
@@ -18,6 +19,11 @@
     def __init__(self) -> None:
         self.runs_by_key: Counter[str] = Counter()
         self.delay_seconds = float(0)
+        #: Body that ends the service, how often one did, and what cuts its
+        #: connections then.
+        self.ends_on = b''
+        self.ended = 0
+        self.on_end: Callable[[], None] | None = None
 
     def make_app(self) -> QuartTrio:
         """Build the HTTP application."""
@@ -32,11 +38,20 @@
         key = request.headers.get(HEADER_KEY, '')
         self.runs_by_key[key] += 1
         await trio.sleep(self.delay_seconds)
+        if self.on_end is not None and await _read_body() == self.ends_on:
+            self.ended += 1
+            self.on_end()
+            await trio.sleep_forever()
         return _answer({'path': path, 'run': self.runs_by_key[key]})
 
     async def _show_runs(self) -> Response:
         return _answer(self.runs_by_key)
 
 
+async def _read_body() -> bytes:
+    body = await request.get_data(as_text=False)
+    return body if isinstance(body, bytes) else body.encode()
+
+
 def _answer(message: object) -> Response:
     return Response(encode_json(message), content_type='application/json')
--- /dev/null
+++ b/tests/test_quarantine_own.py
@@ -0,0 +1,88 @@
+"""The own interface: a prompt that ends each engine is sent no more."""
+
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from tests.callers import Received, expect, make_body, stream
+from tests.fault_soak.proxy import FaultProxy, LinkState
+from tests.stage import CALLER_KEY, Stage, open_stage
+
+DEADLY = 'A prompt that ends engines [length=40]'
+SOUND = 'A sound one [length=40]'
+NOT_RUN = 'urn:cartdale:problem:not-run'
+#: Engines that a request may end before it is refused.
+MOST_ENDED = 3
+#: Time for the instances to tell each other, in seconds.
+TOLD = 1
+
+
+def make_deadly(stage: Stage) -> None:
+    for engine in stage.engines:
+        engine.deadly.add(DEADLY)
+
+
+def count_starts(stage: Stage) -> int:
+    return sum(len(engine.started_by_generation) for engine in stage.engines)
+
+
+async def ask_deadly(stage: Stage, times: int = 4) -> list[Received]:
+    """Submit a deadly prompt at one instance after another."""
+    answers: list[Received] = []
+    for number in range(times):
+        index = number % len(stage.runtimes)
+        answers.append(await stream(stage, index, make_body(DEADLY)))
+        await trio.sleep(TOLD)
+    return answers
+
+
+async def test_prompt_that_ends_engines_is_sent_no_more(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path, instances=2, engines=4) as stage:
+        await stage.settle(stage.declare())
+        make_deadly(stage)
+        answers = await ask_deadly(stage)
+        assert count_starts(stage) == MOST_ENDED
+        assert answers[-1].problem['type'] == NOT_RUN
+        assert 'upstreams ended' in answers[-1].problem['detail']
+        sound = await stream(stage, 0, make_body(SOUND))
+        assert sound.tokens == expect(SOUND, 40)
+
+
+async def test_where_nothing_repeats_each_submission_ends_one(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path, instances=2, engines=4) as stage:
+        await stage.settle(stage.declare(service={'repeat': 'never'}))
+        make_deadly(stage)
+        answers = await ask_deadly(stage, 6)
+        assert count_starts(stage) == MOST_ENDED
+        kinds = [each.problem['type'] for each in answers]
+        assert kinds[-1] == NOT_RUN
+        assert NOT_RUN not in kinds[:MOST_ENDED]
+
+
+async def test_plain_call_that_ends_its_upstream_is_sent_no_more(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path) as stage:
+        port = int(stage.addresses_by_name['plain-0'].rpartition(':')[2])
+        proxy = FaultProxy(port)
+        stage.nursery.start_soon(proxy.run)
+        stage.addresses_by_name['plain-0'] = f'http://{proxy.address}'
+        stage.plain.ends_on = b'deadly'
+        stage.plain.on_end = partial(proxy.set, LinkState.RESET)
+        await stage.settle(stage.declare())
+        statuses = []
+        for _ in range(5):
+            answer = await stage.client.post(
+                stage.url(0, '/services/portal/cut'),
+                content=b'deadly',
+                headers={'Authorization': f'Bearer {CALLER_KEY}'},
+            )
+            statuses.append(answer.status_code)
+            proxy.set(LinkState.NORMAL)
+        assert stage.plain.ended == MOST_ENDED
+        assert statuses == [502, 502, 502, 503, 503]
