The own interface refuses requests that end its engines too

Cause: the own interface kept no evidence either; each submission is run again up to three times, so that it ended four engines. Change: deliveries and plain calls watch how their runs end (quarantine/watching.py): an engine that has nothing of what it began, or that can't be reached for as long as a stream waits for it; a plain service that takes no connections any more. Refusals are decided before each run and after each wait for a place. Evidence travels with the gossip, at once to four peers, who pass on what is new to them. Ruled out: cancelling the wait at another instance's placer; the place would be counted until its work's end is reported.

--- a/src/cartdale/callers/plain.py
+++ b/src/cartdale/callers/plain.py
@@ -16,10 +16,10 @@
 from cartdale.callers.read import digest_body
 from cartdale.callers.respond import answer_problem
 from cartdale.callers.types import Caller
-from cartdale.clock import Millis
+from cartdale.clock import Clock, Millis
 from cartdale.declarations.types import Repeat, Service, Upstream
 from cartdale.engines.plain import PlainAnswer, PlainRequest, PlainService
-from cartdale.engines.types import EngineFailure, LinkLost
+from cartdale.engines.types import LinkLost
 from cartdale.invariants import AT_MOST_ONCE, check
 from cartdale.ledger.types import ANSWER_LIMIT, KeptAnswer, RecordPhase
 from cartdale.problems.types import (
@@ -28,6 +28,9 @@
     OutcomeUnknown,
     Problem,
 )
+from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.identity import Identity, identify
+from cartdale.quarantine.watching import RequestWatch
 from cartdale.retries.decide import RetryBudget
 
 _RETRY_AFTER: Millis = 2000
@@ -56,6 +59,8 @@
     keys: KeyGuard
     budget: RetryBudget
     generator: Random
+    quarantine: Quarantine
+    clock: Clock
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +104,10 @@
         return answer_problem(_not_run())
 
     async def _run(self, call: PlainCall, grant: Grant) -> Response:
-        attempted = await self._attempt_all(call, grant)
+        watch = RequestWatch(
+            self._ports.quarantine, _identify(call), call.request.key
+        )
+        attempted = await self._attempt_all(call, grant, watch)
         if attempted.answer is not None:
             await self._ports.keys.settle(
                 grant, RecordPhase.FINISHED, _keep(attempted.answer)
@@ -109,30 +117,38 @@
             await self._ports.keys.settle(grant, RecordPhase.UNKNOWN, None)
             return answer_problem(OutcomeUnknown('the upstream was lost'))
         await self._ports.keys.release(grant)
-        return answer_problem(_not_run())
+        return answer_problem(watch.find_refusal() or _not_run())
 
-    async def _attempt_all(self, call: PlainCall, grant: Grant) -> _Attempted:
+    async def _attempt_all(
+        self, call: PlainCall, grant: Grant, watch: RequestWatch
+    ) -> _Attempted:
         ever_sent = False
         may_repeat = call.service.repeat is Repeat.ALLOWED
         for index, name in enumerate(self._order(call.service)):
-            if index and not self._ports.budget.withdraw(
-                call.caller.name, name
-            ):
+            if not self._may_attempt(call, name, watch, first=not index):
                 break
             check(
                 AT_MOST_ONCE,
                 holds=may_repeat or not ever_sent,
                 detail=f'{call.service_name} would run again on {name}',
             )
-            attempted = await self._attempt(call, name, grant)
+            attempted = await self._attempt(call, name, grant, watch)
             ever_sent = ever_sent or attempted.sent
             finished = attempted.answer is not None
             if finished or (attempted.sent and not may_repeat):
                 return attempted
         return _Attempted(None, ever_sent)
 
+    def _may_attempt(
+        self, call: PlainCall, name: str, watch: RequestWatch, *, first: bool
+    ) -> bool:
+        """Tell whether an attempt may be made; a repeat is paid for."""
+        if watch.find_refusal() is not None:
+            return False
+        return first or self._ports.budget.withdraw(call.caller.name, name)
+
     async def _attempt(
-        self, call: PlainCall, name: str, grant: Grant
+        self, call: PlainCall, name: str, grant: Grant, watch: RequestWatch
     ) -> _Attempted:
         upstream = self._ports.upstream_of(name)
         if upstream is None or upstream.draining:
@@ -140,13 +156,17 @@
         self._ports.budget.earn(call.caller.name, name)
         fence = grant.fence if upstream.checks_fence else 0
         service = self._ports.connect(upstream, call.service.deadline_ms)
+        watch.note_sent(self._ports.clock.now())
         answer = await service.call(replace(call.request, fence=fence))
         match answer:
             case Success(given):
+                watch.note_ran_on()
                 return _Attempted(given, sent=True)
-            case Failure(failure):
-                return _Attempted(None, sent=_may_have_run(failure))
-        return _Attempted(None, sent=True)
+            case Failure(LinkLost()):
+                if await service.is_gone():
+                    watch.note_lost(name)
+                return _Attempted(None, sent=True)
+        return _Attempted(None, sent=False)
 
     def _order(self, service: Service) -> list[str]:
         names = list(service.upstreams)
@@ -154,8 +174,15 @@
         return names
 
 
-def _may_have_run(failure: EngineFailure) -> bool:
-    return isinstance(failure, LinkLost)
+def _identify(call: PlainCall) -> Identity:
+    request = call.request
+    return identify(
+        request.method,
+        call.service_name,
+        request.path.encode(),
+        call.caller.name,
+        request.body,
+    )
 
 
 def _identity(request: PlainRequest) -> bytes:
--- a/src/cartdale/callers/read.py
+++ b/src/cartdale/callers/read.py
@@ -14,6 +14,7 @@
 from cartdale.declarations.types import Repeat, Service, UpstreamKind
 from cartdale.engines.types import GenerationRequest
 from cartdale.problems.types import BadRequest, Problem, Unauthorised
+from cartdale.quarantine.identity import identify
 from cartdale.routing.lengths import describe_shape
 from cartdale.routing.types import Work
 from cartdale.streams.answers import DeliveryRequest
@@ -135,6 +136,13 @@
         customer=call.caller.name,
         body_digest=digest_body(call.raw),
         position=position,
+        identity=identify(
+            'POST',
+            call.service_name,
+            call.path.encode(),
+            call.caller.name,
+            call.raw,
+        ),
     )
 
 
--- a/src/cartdale/daemon/group.py
+++ b/src/cartdale/daemon/group.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from cartdale.clock import SECOND_MS, Clock, Millis
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.configuration.driver import Configurator
 from cartdale.daemon.clients import make_client
 from cartdale.daemon.links import PeerLinks, SharedSlices
@@ -20,6 +20,7 @@
 from cartdale.peers.pool import make_peer_pool
 from cartdale.peers.seal import Seal
 from cartdale.placement.driver import PlacementPorts, Placer
+from cartdale.quarantine.driver import Quarantine
 from cartdale.reports.recorder import Recorder
 from cartdale.settings.load import Keys
 from cartdale.settings.types import Settings
@@ -28,6 +29,8 @@
 _PEER_TIMEOUT: Millis = SECOND_MS
 #: Instances of a region that wait for changes at the store.
 _WATCHERS = 3
+#: Between looks at whether evidence against requests is too old.
+_FORGET_EVERY: Millis = 5 * SECOND_MS
 _WATCH_KEY = 'configuration watch'
 
 
@@ -61,6 +64,7 @@
             clock,
             _PEER_TIMEOUT,
         )
+        self.quarantine = Quarantine(clock, self._spread_crashes)
         links = PeerLinks(self.peers, configurator, recorder)
         self.membership = Membership(
             MembershipPorts(
@@ -69,6 +73,7 @@
                 clock=clock,
                 list_url=settings.instances,
                 heard=links.hear,
+                quarantine=self.quarantine,
             ),
             _introduce(settings, address, clock.wall()),
         )
@@ -110,6 +115,7 @@
             nursery.start_soon(self.membership.run)
             nursery.start_soon(self.owner.run)
             nursery.start_soon(self.placer.run)
+            nursery.start_soon(self._forget_crashes)
 
     async def release(self) -> None:
         """Give up what others should take over."""
@@ -141,6 +147,14 @@
         ]
         return self._settings.name in ranked[:_WATCHERS]
 
+    def _spread_crashes(self) -> None:
+        self.membership.spread_crashes()
+
+    async def _forget_crashes(self) -> None:
+        while True:
+            await trio.sleep(seconds(_FORGET_EVERY))
+            self.quarantine.forget()
+
     def _prefers_slot(self, number: int) -> bool:
         ranked = self.membership.rank(f'slot:{number}')
         return bool(ranked) and ranked[0].name == self._settings.name
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -181,6 +181,7 @@
             nursery=nursery,
             budget=budget,
             recorder=self._recorder,
+            quarantine=self._group.quarantine,
         )
         plain = PlainPorts(
             upstream_of=self._find_upstream,
@@ -188,6 +189,8 @@
             keys=keys,
             budget=budget,
             generator=random.Random(self._seed),
+            quarantine=self._group.quarantine,
+            clock=self._clock,
         )
         return CallerApp(
             CallerPorts(
--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -3,12 +3,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 
 import httpx
+import trio
 from returns.result import Failure, Result, Success
 
 from cartdale.client_transport import NOT_SENT
-from cartdale.clock import Millis, seconds
+from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.engines.types import (
     EngineFailure,
     EngineRefused,
@@ -27,6 +29,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     ),
 )
+#: Longest wait for a connection that only shows whether there is one.
+_CONNECT_TIMEOUT: Millis = SECOND_MS // 2
+#: One that is still open after so long is served.
+_CLOSED_WITHIN: Millis = 50
+_PORTS_BY_SCHEME = MappingProxyType({'http': 80, 'https': 443})
 _PASSED_ON = ('content-type', 'accept')
 
 
@@ -95,6 +102,28 @@
             ),
         )
 
+    async def is_gone(self) -> bool:
+        """Tell whether the service takes no connections, or ends each."""
+        url = httpx.URL(self._address)
+        port = url.port or _PORTS_BY_SCHEME[url.scheme]
+        try:
+            with trio.fail_after(seconds(_CONNECT_TIMEOUT)):
+                stream = await trio.open_tcp_stream(url.host, port)
+        except (OSError, trio.TooSlowError):
+            return True
+        async with stream:
+            with trio.move_on_after(seconds(_CLOSED_WITHIN)):
+                return await _is_closed(stream)
+        return False
+
+
+async def _is_closed(stream: trio.SocketStream) -> bool:
+    """Wait until the other end closes or says something."""
+    try:
+        return not await stream.receive_some(1)
+    except trio.BrokenResourceError:
+        return True
+
 
 def _select_headers(asked: PlainRequest) -> dict[str, str]:
     headers = {
--- a/src/cartdale/membership/decide.py
+++ b/src/cartdale/membership/decide.py
@@ -14,6 +14,7 @@
     ROUND_MS,
     SILENT_ROUNDS,
     URGENT_FANOUT,
+    CrashesLearnt,
     Decision,
     ListedInstance,
     ListRead,
@@ -50,6 +51,8 @@
             return _begin_round(state, now)
         case RevisionAdopted(revision=revision, took_ms=took_ms):
             return _adopt(state, revision, took_ms, now)
+        case CrashesLearnt():
+            return _tell_some(_beat(state, state.own), URGENT_FANOUT, now)
         case OwnLeaving():
             own = replace(state.own, status=MemberStatus.LEAVING)
             return _tell_some(_beat(state, own), URGENT_FANOUT, now)
--- a/src/cartdale/membership/driver.py
+++ b/src/cartdale/membership/driver.py
@@ -15,6 +15,7 @@
 from cartdale.membership.ranking import rank_names
 from cartdale.membership.types import (
     ROUND_MS,
+    CrashesLearnt,
     ListedInstance,
     ListRead,
     MemberNews,
@@ -27,6 +28,8 @@
 )
 from cartdale.peers.client import PeerClient
 from cartdale.peers.messages import Exchange
+from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.types import CrashesTold
 
 _LIST_EVERY: Millis = 20_000
 #: An instance that knows nobody, as after a start, looks more often.
@@ -35,6 +38,9 @@
 _JITTER = 0.2
 #: Age up to which a ranking of members is used again.
 RANKING_KEPT: Millis = SECOND_MS
+#: Crashes that are learnt within so long are told together: whatever ran on an
+#: engine breaks in the same moment.
+_CRASHES_GATHERED: Millis = SECOND_MS // 10
 
 NewsFrom = Callable[[MemberNews], Awaitable[None]]
 
@@ -52,6 +58,7 @@
 
     :param list_url: where the platform's list is read.
     :param heard: called with a peer's own news after each exchange.
+    :param quarantine: what it knows travels with the news.
     """
 
     client: httpx.AsyncClient
@@ -59,6 +66,7 @@
     clock: Clock
     list_url: str
     heard: NewsFrom
+    quarantine: Quarantine
 
 
 class Membership:
@@ -68,6 +76,7 @@
         self._ports = ports
         self._generator = random.Random(own.name)
         self._urgent = trio.Event()
+        self._crashes_learnt = trio.Event()
         self._pending: list[Tell] = []
         self._ranked_by_key: dict[str, list[MemberNews]] = {}
         self._ranked_at: Millis = 0
@@ -79,6 +88,11 @@
             nursery.start_soon(self._follow_list)
             nursery.start_soon(self._gossip)
             nursery.start_soon(self._send_urgent)
+            nursery.start_soon(self._spread_crashes)
+
+    def spread_crashes(self) -> None:
+        """Tell some peers soon what is known of crashes, who tell others."""
+        self._crashes_learnt.set()
 
     @property
     def name(self) -> str:
@@ -95,7 +109,9 @@
     def answer(self, exchange: Exchange) -> Exchange:
         """Take a peer's news and return own."""
         self._apply(NewsHeard(exchange.news))
-        return Exchange(select_news(self.state))
+        quarantine = self._ports.quarantine
+        quarantine.tell(CrashesTold(exchange.crashes))
+        return Exchange(select_news(self.state), quarantine.list_news())
 
     def alive(self) -> tuple[MemberNews, ...]:
         """Return the members believed to be alive."""
@@ -144,16 +160,24 @@
                 for tell in tells:
                     nursery.start_soon(self._exchange, tell)
 
+    async def _spread_crashes(self) -> None:
+        while True:
+            await self._crashes_learnt.wait()
+            await trio.sleep(seconds(_CRASHES_GATHERED))
+            self._crashes_learnt = trio.Event()
+            self.tell(CrashesLearnt())
+
     async def _exchange(self, tell: Tell) -> None:
         answer = await self._ports.peers.ask(
             tell.name,
             tell.address,
-            Exchange(tell.news),
+            Exchange(tell.news, self._ports.quarantine.list_news()),
             Exchange,
             times_clock=True,
         )
         match answer:
-            case Success(Exchange(news=news)) if news:
+            case Success(Exchange(news=news, crashes=crashes)) if news:
+                self._ports.quarantine.tell(CrashesTold(crashes))
                 self._apply(NewsHeard(news))
                 await self._ports.heard(news[0])
             case _:
--- a/src/cartdale/membership/types.py
+++ b/src/cartdale/membership/types.py
@@ -128,6 +128,11 @@
     """This instance begins to leave."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesLearnt:
+    """This instance learnt of upstreams that ended under a request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tell:
     """Exchange news with a peer."""
@@ -144,5 +149,6 @@
     | RoundBegan
     | RevisionAdopted
     | OwnLeaving
+    | CrashesLearnt
 )
 Decision = tuple[MembershipState, tuple[Tell, ...]]
--- a/src/cartdale/peers/messages.py
+++ b/src/cartdale/peers/messages.py
@@ -11,14 +11,19 @@
 from cartdale.membership.types import MemberNews
 from cartdale.peers.documents import Document, FetchDocument, Unserved
 from cartdale.placement.types import EndReport, PlaceAnswer, PlaceRequest
+from cartdale.quarantine.types import CrashNews
 from cartdale.reports.types import ReportPart
 
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """Tell news and ask for news; answered by the same type."""
+    """Tell news and ask for news; answered by the same type.
+
+    :param crashes: upstreams that ended as they began to run a request.
+    """
 
     news: tuple[MemberNews, ...]
+    crashes: tuple[CrashNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -31,6 +31,11 @@
 #: reasons of its own; two that do under the same request, one after the
 #: other, are chance where many end; platforms allow three.
 MOST_ENDED = 3
+#: Events after which a run is past its beginning, and its request cleared: a
+#: request that an upstream can't bear ends it while its prompt is read or its
+#: first tokens are made. What an upstream dies of later takes everyone with
+#: it, most of them long past this.
+PAST_BEGINNING = 10
 #: Evidence is forgotten after so long. A caller who sends such a request for
 #: ever then costs three upstreams in that time.
 KEPT: Millis = 10 * MINUTE_MS
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from cartdale.clock import Clock, Millis
+from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.quarantine.decide import (
     MOST_ENDED,
     count_crashes,
@@ -133,6 +134,26 @@
         """Return how long a request stays quarantined without new evidence."""
         return max(find_end(self.state, identity) - self._clock.now(), 0)
 
+    def find_refusal(
+        self, identity: Identity, request_id: str
+    ) -> NotRun | None:
+        """Return why a request is sent to no upstream, if it is not."""
+        if not self.holds(identity):
+            return None
+        return self.refuse(identity, request_id)
+
+    def refuse(self, identity: Identity, request_id: str) -> NotRun:
+        """Return what the caller of a quarantined request is told."""
+        left = self.time_left(identity)
+        logger.info(
+            'request barred',
+            request=request_id,
+            identity=identity.hex(),
+            ended=' '.join(self.list_ended(identity)),
+            left=left,
+        )
+        return NotRun(NotRunReason.QUARANTINED, left)
+
     def list_ended(self, identity: Identity) -> tuple[str, ...]:
         """Return the upstreams that ended under a request."""
         evidence = self.state.evidence_by_identity.get(identity, ())
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -13,8 +13,6 @@
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Replaced, RequestEnded, Upstream
 from cartdale.formatting import list_plain_fields
-from cartdale.problems.types import NotRunReason
-from cartdale.quarantine.driver import Quarantine
 from cartdale.relay.admission import NoRoom, Waiting
 from cartdale.relay.decide import (
     Answered,
@@ -61,7 +59,8 @@
         waiting = _describe_wait(routed, need, pace)
         with quarantine.guard(routed.identity):
             return await ports.admission.place(waiting)
-    return _refuse_quarantined(quarantine, routed)
+    refusal = quarantine.refuse(routed.identity, routed.request.request_id)
+    return NoRoom(refusal.retry_after, refusal.reason)
 
 
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
@@ -154,21 +153,6 @@
     return Declined()
 
 
-def _refuse_quarantined(
-    quarantine: Quarantine, routed: RoutedRequest
-) -> NoRoom:
-    """Refuse a quarantined request until the evidence is forgotten."""
-    left = quarantine.time_left(routed.identity)
-    logger.info(
-        'request barred',
-        request=routed.request.request_id,
-        identity=routed.identity.hex(),
-        ended=' '.join(quarantine.list_ended(routed.identity)),
-        left=left,
-    )
-    return NoRoom(left, NotRunReason.QUARANTINED)
-
-
 def _describe_wait(routed: RoutedRequest, need: Need, pace: Pace) -> Waiting:
     """Return until when a request may wait to be answered in time.
 
--- a/src/cartdale/relay/inquests.py
+++ b/src/cartdale/relay/inquests.py
@@ -13,6 +13,7 @@
 from cartdale.clock import Millis
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.quarantine.decide import PAST_BEGINNING
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.relay.types import UpstreamPort
@@ -21,11 +22,6 @@
 #: Links that wait for their upstream's inquest; one of an engine with 64
 #: slots breaks at most as many.
 _MOST_WAITING = 1024
-#: Events after which a run is past its beginning, and its request cleared: a
-#: request that an upstream can't bear ends it while its prompt is read or its
-#: first tokens are made. What an upstream dies of later takes everyone with
-#: it, most of them long past this.
-PAST_BEGINNING = 10
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -8,10 +8,10 @@
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check
+from cartdale.quarantine.decide import PAST_BEGINNING
 from cartdale.quarantine.identity import Identity
 from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
-from cartdale.relay.inquests import PAST_BEGINNING
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.silence import (
     LOOK_AFTER,
--- a/src/cartdale/streams/answers.py
+++ b/src/cartdale/streams/answers.py
@@ -4,6 +4,7 @@
 
 from cartdale.engines.types import GenerationRequest
 from cartdale.problems.types import EndedEarly, OutcomeUnknown, Problem
+from cartdale.quarantine.identity import Identity
 from cartdale.reports.types import Outcome
 from cartdale.routing.types import Work
 from cartdale.streams.position import Position
@@ -14,6 +15,8 @@
     """Describe the answer that a caller wants.
 
     :param position: where a resumed answer stands, if it is one.
+    :param identity: what it has in common with other submissions of the same
+        request.
     """
 
     work: Work
@@ -22,6 +25,7 @@
     customer: str
     body_digest: str
     position: Position | None = None
+    identity: Identity = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/streams/driver.py
+++ b/src/cartdale/streams/driver.py
@@ -21,6 +21,9 @@
     NotRunReason,
     Problem,
 )
+from cartdale.quarantine.decide import PAST_BEGINNING
+from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.watching import RequestWatch
 from cartdale.reports.recorder import Recorder
 from cartdale.retries.decide import RetryBudget
 from cartdale.streams.answers import (
@@ -51,6 +54,7 @@
     Fail,
     Finish,
     GenerationLost,
+    LinkBroke,
     Message,
     NotSent,
     Phase,
@@ -69,6 +73,9 @@
 
 #: Closings that speak against the engine and not only against the link.
 _ENGINE_AT_FAULT = (NotSent, StartRefused, GenerationLost)
+#: What tells, where no link can be had any more, that an engine ended: it has
+#: nothing of what it began, or can't be reached for seconds.
+_ENGINE_ENDED = (NotSent, LinkBroke, GenerationLost, StatusArrived)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +92,7 @@
     nursery: trio.Nursery
     budget: RetryBudget
     recorder: Recorder
+    quarantine: Quarantine
 
 
 class Delivery:
@@ -96,6 +104,9 @@
         self._link = Link()
         self._ready: list[Chunk] = []
         self._last: Whole | Broken | None = None
+        self._watch = RequestWatch(
+            ports.quarantine, asked.identity, asked.generation.generation
+        )
         self._meter = ports.recorder.make_meter(
             asked.work.service, asked.customer
         )
@@ -123,15 +134,23 @@
         if position is not None:
             self._resume(position)
             return None
+        refusal = self._watch.find_refusal()
+        if refusal is not None:
+            return refusal
         placed = await self._ports.placer.place(self.asked.work)
         match placed:
             case Success(upstream):
+                refusal = self._watch.find_refusal()
+                if refusal is not None:
+                    # Quarantined while it waited for room.
+                    self._settle(finished=False)
+                    return refusal
                 self.state = replace(self.state, upstream=upstream)
                 self._ports.budget.earn(self.asked.customer, upstream)
                 self._open_start()
                 return None
-            case Failure(refusal):
-                problem: Problem = refusal
+            case Failure(failure):
+                problem: Problem = failure
                 return problem
         return None
 
@@ -173,6 +192,7 @@
         self.state = replace(self.state, progress_at=self._ports.clock.now())
         self._prefix.restart()
         self._bind()
+        self._watch.note_sent(self._ports.clock.now())
         engine = self._ports.engine_of(self.state.upstream)
         request = replace(
             self.asked.generation, generation=self.state.generation
@@ -222,6 +242,8 @@
         )
         if after.received > self.state.received:
             self._prefix.add(read_text(event.payload))
+            if after.received == PAST_BEGINNING + 1:
+                self._watch.note_ran_on()
         self.state = after
         for action in actions:
             if isinstance(action, Deliver):
@@ -233,6 +255,10 @@
     async def _tell(self, message: Message) -> None:
         after, actions = decide(self.state, message, self._ports.clock.now())
         self.state = after
+        lost = any(isinstance(action, Restart | Fail) for action in actions)
+        if lost and after.sent and isinstance(message, _ENGINE_ENDED):
+            begun = max(after.received, after.delivered)
+            self._watch.note_lost(after.upstream, begun)
         for action in actions:
             await self._carry_out(action)
 
@@ -252,6 +278,7 @@
             case Restart():
                 await self._restart()
             case Finish():
+                self._watch.note_ran_on()
                 self._last = Whole()
             case Fail(problem=problem):
                 self._last = Broken(problem)
@@ -285,6 +312,10 @@
     async def _restart(self) -> None:
         self._settle(finished=False)
         abandoned = self.state
+        refusal = self._watch.find_refusal()
+        if refusal is not None:
+            self._give_up(refusal)
+            return
         if not self._ports.budget.withdraw(
             self.asked.customer, abandoned.upstream
         ):
