Name a quarantined request's cause; a gauge of quarantined requests

explain names the upstreams that ended under it, and shows when it was quarantined, however long before; the metrics page has quarantined_requests and refusals by QUARANTINED.

--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -11,6 +11,10 @@
 _DEPARTURES = frozenset(('not moved', 'turn'))
 
 
+#: Lines on a request that is sent to no upstream any more.
+_BARRED = frozenset(('request barred', 'taken back'))
+
+
 class Cause(StrEnum):
     """Say in words what became of a request."""
 
@@ -20,6 +24,7 @@
     EVACUATED = 'refused: all that could serve it is evacuated'
     COLD = 'refused: all that could serve it had just started'
     REGION = 'refused: nothing serves it in the regions that it may enter'
+    QUARANTINED = 'refused: upstreams ended as they began to run it'
     NOT_READY = 'refused: the instance had no configuration yet'
     TURNED_AWAY = 'refused: every upstream that was asked turned it away'
     NOT_ALLOWED = 'refused: the configuration does not allow it'
@@ -114,6 +119,8 @@
 def _judge_cut(by_event: dict[str, LogLine], events: str) -> Verdict:
     if 'time limit' in by_event:
         return Verdict(Cause.TIME_LIMIT, events)
+    if 'request barred' in by_event:
+        return _judge_barred(by_event)
     departures = _DEPARTURES & by_event.keys()
     if not departures:
         return Verdict(Cause.ENGINE_LOST, events)
@@ -130,6 +137,8 @@
     status = details.get('status', 0)
     if status:
         return Verdict(Cause.NOT_ALLOWED, f'status {status}')
+    if _BARRED & by_event.keys():
+        return _judge_barred(by_event)
     detail = str(details.get('detail', ''))
     match details.get('problem'):
         case 'NotRun':
@@ -142,6 +151,13 @@
             return Verdict(Cause.LINK_BROKE, detail)
 
 
+def _judge_barred(by_event: dict[str, LogLine]) -> Verdict:
+    barred = by_event.get('request barred')
+    if barred is None:
+        return Verdict(Cause.QUARANTINED, 'taken back from its engine')
+    return Verdict(Cause.QUARANTINED, str(barred.details.get('ended', '')))
+
+
 def _judge_not_run(
     by_event: dict[str, LogLine], reason: str, held: str
 ) -> Verdict:
--- a/src/cartdale/command/timeline.py
+++ b/src/cartdale/command/timeline.py
@@ -30,6 +30,8 @@
         'upstream ends',
     )
 )
+#: Events of a request that was submitted before, at any instance and time.
+_OF_IDENTITY = frozenset(('quarantined', 'quarantine ended'))
 _CONFIGURED = 'configuration in force'
 #: Around a request's first and last line, what happened so many seconds
 #: before and after is shown as well.
@@ -70,9 +72,12 @@
     nodes: frozenset[str]
     upstreams: frozenset[str]
     route: str
+    identities: frozenset[str] = frozenset()
 
     def concerns(self, line: LogLine) -> bool:
         """Tell whether a line without a request bears on this one."""
+        if line.event in _OF_IDENTITY:
+            return line.details.get('identity') in self.identities
         if not self.first - _MARGIN <= line.at <= self.last + _MARGIN:
             return False
         if line.event in _OF_UPSTREAM:
@@ -135,6 +140,9 @@
             details['upstream'] for details in named if 'upstream' in details
         ),
         route=routes[-1] if routes else '',
+        identities=frozenset(
+            details['identity'] for details in named if 'identity' in details
+        ),
     )
 
 
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -282,6 +282,7 @@
             len(self.fleet.list_evacuated()),
             self.fleet.count_cold(),
             self.fleet.cold_gate.sent,
+            self.fleet.quarantine.count_held(),
         )
 
     def _read_table(self) -> RoutingTable:
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -30,11 +30,13 @@
     :param evacuated: failure domains that get nothing new.
     :param cold: upstreams that are cold.
     :param sent_cold: requests sent to cold upstreams since the start.
+    :param quarantined: requests that are sent to no upstream.
     """
 
     evacuated: int
     cold: int
     sent_cold: int
+    quarantined: int
 
 
 class GatewayMetrics:
@@ -73,6 +75,9 @@
         self._cold = registry.measure(
             'cold_upstreams', 'Upstreams that get only a bounded rate.'
         )
+        self._quarantined = registry.measure(
+            'quarantined_requests', 'Requests that no upstream gets.'
+        )
         self._sent_cold = registry.measure(
             'requests_to_cold_upstreams', 'Sent since the start.'
         )
@@ -110,6 +115,7 @@
         self._evacuated.set({}, constraints.evacuated)
         self._cold.set({}, constraints.cold)
         self._sent_cold.set({}, constraints.sent_cold)
+        self._quarantined.set({}, constraints.quarantined)
         return self._registry.render(self._calls_by_path)
 
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -180,7 +180,8 @@
         """Go on at an engine that holds the generation's memory."""
         identity = self._routed.identity
         await self._ports.inquests.settle(identity)
-        if self._ports.fleet.quarantine.holds(identity):
+        request_id = self._routed.request.request_id
+        if self._ports.fleet.quarantine.find_refusal(identity, request_id):
             # It would end the engine that keeps its backup as well.
             return self._break('quarantined')
         if not self._ports.fleet.may_finish_move(upstream):
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -41,6 +41,9 @@
     {'event': 'no room', 'chance': 0.1, 'expected_wait': 900}
 )
 
+BARRED = MappingProxyType(
+    {'event': 'request barred', 'ended': 'i-a i-b i-c', 'left': 599000}
+)
 #: Lines as instances wrote them, by what became of the request.
 RECORDED = (
     (Cause.ANSWERED, (PLACED, {'event': 'stream ended', 'end': 'whole'})),
@@ -128,6 +131,20 @@
     assert judge_request(parsed, 'r1').cause is cause
 
 
+@pytest.mark.parametrize(
+    'lines',
+    [
+        (BARRED, {**NOT_RUN, 'reason': 'upstreams ended'}),
+        (PLACED, BARRED, {**UNKNOWN, 'detail': 'an earlier attempt'}),
+        (PLACED, {'event': 'taken back'}, {**UNKNOWN, 'detail': 'earlier'}),
+        (PLACED, BARRED, CUT),
+    ],
+)
+def test_quarantine_is_named(lines: tuple) -> None:
+    parsed = parse_lines((write_lines(lines),))
+    assert judge_request(parsed, 'r1').cause is Cause.QUARANTINED
+
+
 def test_whole_answer_that_paused_is_late() -> None:
     pause = {
         'event': 'pause too long',
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -60,3 +60,15 @@
     ]
     assert '~' in shown[1]
     assert tester.execute(f'unknown {log}') == 1
+
+
+def test_quarantine_is_told_however_long_before() -> None:
+    log = '\n'.join(
+        (
+            make_line(2, 'quarantined', 'front-2', identity='1f', ended='a b'),
+            make_line(3, 'quarantined', 'front-2', identity='2f', ended='c d'),
+            make_line(400, 'request barred', request='r1', identity='1f'),
+        )
+    )
+    lines = select_lines(parse_lines((log,)), 'r1')
+    assert [line.at for line in lines] == [2, 400]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -110,6 +110,9 @@
         assert float(refused.headers['Retry-After']) > 60
         assert b'upstreams ended' in refused.content
         assert count_runs(stage, 'deadly-99') == 0
+        metrics = stage.runtimes[1].metrics.render().decode()
+        assert 'quarantined_requests 1' in metrics
+        assert 'reason="QUARANTINED"' in metrics
 
 
 async def test_one_that_may_have_run_is_not_told_that_it_did_not() -> None:
