Soak: requests that end upstreams, upstreams that come back, suspensions, series

Change: what ran on within the last minute, here or at a peer, ends no upstreams: a request that does ends each that begins it. An instance remembers 4,096 that ran on; news of one clear all evidence, in any order. Soak: deadly requests (ends later than allowed, and any refusal of a sound request, are violations), restarts under the same id, suspensions beyond every bound, signals in series; callers keep their connections until the process is gone.

--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -39,6 +39,10 @@
 #: Evidence is forgotten after so long. A caller who sends such a request for
 #: ever then costs three upstreams in that time.
 KEPT: Millis = 10 * MINUTE_MS
+#: A request that ran on so lately ends no upstreams: one that does, ends each
+#: that begins it. Many callers may ask for the same thing at once, and it is
+#: in the way of every upstream that ends of something else.
+RAN_LATELY: Millis = MINUTE_MS
 #: Requests with evidence that are remembered, about 1 KB each. One engine
 #: that ends leaves evidence against as many as it had slots.
 MOST_IDENTITIES = 1024
@@ -142,20 +146,25 @@
     """Add evidence; what is known stays, but for being cleared."""
     identity = found.crash.identity
     known = state.evidence_by_identity.get(identity, _NOTHING)
-    for index, each in enumerate(known):
-        if each.crash != found.crash:
-            continue
-        if each.cleared or not found.cleared:
-            return state
-        cleared = replace(each, cleared=True, changed_at=found.changed_at)
-        return _put(
-            state, identity, (*known[:index], cleared, *known[index + 1 :])
-        )
+    if found.cleared:
+        # It ran on somewhere: nothing that is known speaks against it.
+        state = _clear(state, identity, found.changed_at)
+        known = state.evidence_by_identity.get(identity, _NOTHING)
+    elif _ran_lately(known, found.changed_at):
+        found = replace(found, cleared=True)
+    if any(each.crash == found.crash for each in known):
+        return state
     if len(known) >= _MOST_EVIDENCE:
         return state
     return _bound(_put(state, identity, (*known, found)))
 
 
+def _ran_lately(known: tuple[Evidence, ...], now: Millis) -> bool:
+    return any(
+        each.cleared and now - each.changed_at <= RAN_LATELY for each in known
+    )
+
+
 def _clear(
     state: QuarantineState, identity: Identity, now: Millis
 ) -> QuarantineState:
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -1,5 +1,6 @@
 """Hold the evidence, and stop what waits once a request is quarantined."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -11,6 +12,7 @@
 from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.quarantine.decide import (
     MOST_ENDED,
+    RAN_LATELY,
     count_crashes,
     decide,
     find_end,
@@ -19,6 +21,7 @@
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.telling import select_news
 from cartdale.quarantine.types import (
+    CrashesTold,
     CrashNews,
     Message,
     Quarantined,
@@ -26,8 +29,13 @@
     RanOn,
     Released,
     TimePassed,
+    UpstreamEnded,
 )
 
+#: Requests that ran on here which are remembered, about 150 bytes each: those
+#: of some minutes, and whatever is asked for again and again.
+MOST_RAN = 4096
+
 
 class Guard:
     """Cancel what is done inside once a request is quarantined.
@@ -92,6 +100,8 @@
         self._clock = clock
         self._announce = announce
         self._turn = 0
+        #: When requests ran on here, the latest last.
+        self._ran_at_by_identity: OrderedDict[Identity, Millis] = OrderedDict()
         self._guards_by_identity: GuardsByIdentity = {}
         self.state = QuarantineState()
         #: Counts the changes of the evidence, for news.
@@ -104,6 +114,7 @@
         self.state = after
         if after is before:
             return
+        self._clear_what_ran(message)
         self.version += 1
         self._announce()
         for action in actions:
@@ -167,6 +178,10 @@
 
     def acquit(self, identity: Identity) -> None:
         """Note that a request ran without ending its upstream."""
+        self._ran_at_by_identity[identity] = self._clock.now()
+        self._ran_at_by_identity.move_to_end(identity)
+        if len(self._ran_at_by_identity) > MOST_RAN:
+            self._ran_at_by_identity.popitem(last=False)
         if identity in self.state.evidence_by_identity:
             self.tell(RanOn(identity))
 
@@ -184,6 +199,21 @@
         if self.state.evidence_by_identity:
             self.tell(TimePassed())
 
+    def _clear_what_ran(self, message: Message) -> None:
+        """Clear requests in a message that ran on here lately."""
+        match message:
+            case UpstreamEnded(crash=crash):
+                accused = {crash.identity}
+            case CrashesTold(crashes=crashes):
+                accused = {told.identity for told in crashes}
+            case _:
+                return
+        now = self._clock.now()
+        for identity in accused:
+            ran_at = self._ran_at_by_identity.get(identity)
+            if ran_at is not None and now - ran_at <= RAN_LATELY:
+                self.tell(RanOn(identity))
+
     def _stop(self, identity: Identity) -> None:
         guards = tuple(self._guards_by_identity.get(identity, ()))
         logger.warning(
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -48,6 +48,7 @@
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param ended_by: ids of the requests that ended it, in order.
+    :param ended_at: when each did, in seconds of the loop's clock.
     :param on_end: called as it ends, to cut its connections.
     :param on_return: called once it is back.
     """
@@ -56,6 +57,7 @@
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     ended_by: list[str] = field(default_factory=list)
+    ended_at: list[float] = field(default_factory=list)
     on_end: Callable[[], None] | None = None
     on_return: Callable[[], None] | None = None
 
@@ -103,6 +105,7 @@
     def crash(self, request_id: str) -> None:
         """End at once by a request, and come back later."""
         self.crashes.ended_by.append(request_id)
+        self.crashes.ended_at.append(trio.current_time())
         self.die()
         self._crashed.set()
         if self.crashes.on_end is not None:
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -16,6 +16,8 @@
 CONFIGURE_SECONDS = 2.0
 #: A generation may run at two engines for no longer.
 TWICE_SECONDS = 1.0
+#: Upstreams that a request may end once three ended and that is known.
+MOST_LATE = 3
 #: Kinds whose answers are streams.
 STREAMS = frozenset(('draft', 'tag'))
 #: Upstreams that a request of a kind may run on; others on one.
@@ -62,6 +64,8 @@
         """Check one answer by itself."""
         end = 'whole' if asked.whole else 'cut'
         self.ends[f'{asked.kind} {asked.status} {end}'] += 1
+        if b'upstreams ended' in asked.body:
+            self._add(f'{asked.name}: blamed for what it did not do')
         if asked.status != _SUCCESS:
             return
         wanted = self._expect(asked)
@@ -79,6 +83,13 @@
             if asked.status in _REFUSED and runs:
                 self._add(f'{asked.name}: told not run, ran {runs} times')
 
+    def check_deadly(self, late_by_body: dict[bytes, int]) -> None:
+        """Check that few upstreams end once three have, and it is known."""
+        for body, late in late_by_body.items():
+            self.ends[f'deadly, {late} late'] += 1
+            if late > MOST_LATE:
+                self._add(f'{body.decode()}: ended {late} upstreams too many')
+
     def check_twice(self, running: Counter[str], now: float) -> None:
         """Check that no generation runs at two engines for long."""
         for name in tuple(self._twice_since):
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -25,6 +26,7 @@
 from cartdale_standins.platform_worker import PlatformWorker
 from tests.fault_soak.callers import Callers
 from tests.fault_soak.checks import Checks
+from tests.fault_soak.deadly import DeadlyCallers
 from tests.fault_soak.faults import Faults
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.proxy import LOCAL, FaultProxy
@@ -55,6 +57,9 @@
         self.faults: Counter[str] = Counter()
         self.store = PlatformStoreStandIn()
         self.store_disturbed_at: float = 0
+        self.deadly_callers = DeadlyCallers(self)
+        #: Bodies that end each upstream.
+        self.deadly: set[bytes] = set()
         self.upstreams: list[Upstream] = []
         self.version = 1
         self.confirmed_at: float = 0
@@ -87,6 +92,7 @@
         for upstream in self.upstreams:
             runs.update(upstream.worker.runs_by_request)
         self.checks.check_runs(runs)
+        self.checks.check_deadly(self.deadly_callers.count_late())
 
     def next_number(self) -> int:
         """Return a number that no name of this run has had."""
@@ -101,12 +107,15 @@
             worker = PlatformEngine(name, proxy.address, _HARDWARE)
         else:
             worker = PlatformWorker(name)
+        worker.crashes.deadly.update(self.deadly)
         self.nursery.start_soon(proxy.run)
         self.nursery.start_soon(worker.run)
         self.nursery.start_soon(bound.serve, worker.make_app(), trio.Event())
         domain = DOMAINS[len(self.upstreams) % len(DOMAINS)]
         upstream = Upstream(worker, proxy, service, domain)
         self.upstreams.append(upstream)
+        worker.crashes.on_end = partial(self._go_down, upstream)
+        worker.crashes.on_return = partial(self._come_back, upstream)
         self.list_upstream(upstream, 'ready')
 
     def list_upstream(self, upstream: Upstream, state: str) -> None:
@@ -122,6 +131,18 @@
             ),
         )
 
+    def _go_down(self, upstream: Upstream) -> None:
+        upstream.proxy.go_down(down=True)
+        upstream.disturbed_at = trio.current_time()
+
+    def _come_back(self, upstream: Upstream) -> None:
+        if upstream.gone:
+            upstream.worker.die()
+            return
+        upstream.proxy.go_down(down=False)
+        if upstream.drained_at is None:
+            self.list_upstream(upstream, 'ready')
+
     async def _wait_ready(self) -> None:
         with trio.fail_after(_START_SECONDS):
             while len(self.ready) < self._count:
