--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -6,6 +6,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 
 import trio
 
@@ -18,6 +19,8 @@
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
 _PORTS = 5
+_LOWEST_PORT = 10000
+_OUTGOING_PORTS = Path('/proc/sys/net/ipv4/ip_local_port_range')
 _SETTINGS = """
 node={name}
 ip=127.0.0.1
@@ -147,21 +150,33 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return ports that are free for connections and datagrams."""
-    held: list[socket.socket] = []
+    """Return ports that are free for connections and datagrams.
+
+    None that the system gives to outgoing connections: one of these may hold
+    the port when an instance starts again, which then ends at once.
+    """
     ports: list[int] = []
     while len(ports) < count:
-        bound = socket.socket()
-        held.append(bound)
-        bound.bind((LOCAL, 0))
-        port: int = bound.getsockname()[1]
-        datagrams = socket.socket(type=socket.SOCK_DGRAM)
-        held.append(datagrams)
+        port = SystemRandom().randrange(_LOWEST_PORT, find_outgoing_ports())
+        if port not in ports and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def find_outgoing_ports() -> int:
+    """Return the lowest port of outgoing connections."""
+    return int(_OUTGOING_PORTS.read_text().split()[0])
+
+
+def _is_free(port: int) -> bool:
+    """Tell whether both kinds of sockets can have a port."""
+    with (
+        socket.socket() as connections,
+        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+    ):
         try:
+            connections.bind((LOCAL, port))
             datagrams.bind((LOCAL, port))
         except OSError:
-            continue
-        ports.append(port)
-    for each in held:
-        each.close()
-    return ports
+            return False
+    return True
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -6,7 +6,11 @@
 import trio
 
 from tests.fault_soak.checks import Asked, Checks
-from tests.fault_soak.instances import Instance
+from tests.fault_soak.instances import (
+    Instance,
+    find_outgoing_ports,
+    pick_ports,
+)
 from tests.fault_soak.proxy import FaultProxy
 from tests.fault_soak.run import run_seed
 
@@ -45,6 +49,13 @@
     assert checks.violations
 
 
+def test_instances_listen_where_no_connection_comes_from() -> None:
+    """An outgoing connection held the port of one that started again."""
+    ports = pick_ports(40)
+    assert len(set(ports)) == 40
+    assert max(ports) < find_outgoing_ports()
+
+
 async def test_reload_during_the_start_does_not_end_the_program(
     tmp_path: Path,
 ) -> None:
