Keep quarantined requests in the store

Cause: instances hold the evidence in memory; once all were lost at the same moment, such a request ended three more upstreams, and those beside it before the news were round. Ruled out: a write for each crash (a call for each generation on an engine that ends). What is cleared in the same message stops nothing and is not written. Proof: three tests that failed before (tests/test_quarantine.py).

--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -26,6 +26,7 @@
 from cartdale.peers.documents import Document, FetchDocument, Unserved
 from cartdale.peers.seal import Seal
 from cartdale.platform.translate import read_table
+from cartdale.quarantine.lasting import LastingQuarantine
 from cartdale.store.types import LeasedStore
 
 #: Longest wait for the store when this instance takes itself off the list.
@@ -70,6 +71,7 @@
         self._roster = Roster(
             store, own, self.count_listed, self._read_after_listing
         )
+        self._lasting = LastingQuarantine(store, fleet.quarantine)
         self._generator = random.Random(zlib.crc32(own.name.encode()))
         self._clock = clock
         self._fleet = fleet
@@ -89,6 +91,7 @@
             nursery.start_soon(self.news.run)
             nursery.start_soon(self._links.serve, self._serve, stopping)
             nursery.start_soon(self._follow, follower)
+            nursery.start_soon(self._lasting.run)
             await self._roster.register()
             self._tried_to_register.set()
             await follower.in_step.wait()
@@ -104,6 +107,7 @@
         """Take what instances wrote for each other in the store."""
         if change.key == KEY_NAME and change.stored:
             self.take_key(change.stored)
+        self._lasting.take(change.key, change.stored)
         if not change.key.startswith(PEER_PREFIX):
             return
         if not change.stored:
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -19,8 +19,9 @@
     is_quarantined,
 )
 from cartdale.quarantine.identity import Identity
-from cartdale.quarantine.telling import select_news
+from cartdale.quarantine.telling import describe, select_news
 from cartdale.quarantine.types import (
+    Action,
     CrashesTold,
     CrashNews,
     Message,
@@ -100,6 +101,8 @@
         self._clock = clock
         self._announce = announce
         self._turn = 0
+        #: Called with a request that this instance found out about itself.
+        self.on_found: Callable[[Identity], None] | None = None
         #: When requests ran on here, the latest last.
         self._ran_at_by_identity: OrderedDict[Identity, Millis] = OrderedDict()
         self._guards_by_identity: GuardsByIdentity = {}
@@ -118,15 +121,7 @@
         self.version += 1
         self._announce()
         for action in actions:
-            match action:
-                case Quarantined(identity=identity):
-                    self._stop(identity)
-                case Released(identity=identity):
-                    logger.warning(
-                        'quarantine ended',
-                        identity=identity.hex(),
-                        message=type(message).__name__,
-                    )
+            self._act(action, message)
 
     @property
     def guarded(self) -> tuple[Identity, ...]:
@@ -185,6 +180,12 @@
         if identity in self.state.evidence_by_identity:
             self.tell(RanOn(identity))
 
+    def describe(self, identity: Identity) -> tuple[CrashNews, ...]:
+        """Return all that is known of one request."""
+        now = self._clock.now()
+        evidence = self.state.evidence_by_identity.get(identity, ())
+        return tuple(describe(each, now) for each in evidence)
+
     def list_news(self) -> tuple[CrashNews, ...]:
         """Return what to tell peers next."""
         self._turn += 1
@@ -199,6 +200,23 @@
         if self.state.evidence_by_identity:
             self.tell(TimePassed())
 
+    def _act(self, action: Action, cause: Message) -> None:
+        """Act on what follows from a message, unless that was cleared."""
+        identity = action.identity
+        if isinstance(action, Quarantined) is not self.holds(identity):
+            return
+        if isinstance(cause, UpstreamEnded | RanOn) and self.on_found:
+            self.on_found(identity)
+        match action:
+            case Quarantined():
+                self._stop(identity)
+            case Released():
+                logger.warning(
+                    'quarantine ended',
+                    identity=identity.hex(),
+                    message=type(cause).__name__,
+                )
+
     def _clear_what_ran(self, message: Message) -> None:
         """Clear requests in a message that ran on here lately."""
         match message:
--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -49,14 +49,15 @@
     room = min(PAGE - len(chosen), len(settled))
     for step in range(room):
         chosen.append(settled[(turn * room + step) % len(settled)])
-    return tuple(_describe(told, now) for told in chosen)
+    return tuple(describe(told, now) for told in chosen)
 
 
 def _urgency(told: _Told) -> tuple[int, Millis]:
     return told.crashes, told.changed_at
 
 
-def _describe(evidence: Evidence, now: Millis) -> CrashNews:
+def describe(evidence: Evidence, now: Millis) -> CrashNews:
+    """Return what to tell of a piece of evidence."""
     crash = evidence.crash
     return CrashNews(
         identity=crash.identity,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -15,6 +15,7 @@
 from cartdale.fleet.types import EntryRemoved
 from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.switches import Mechanism, Switches
+from cartdale_standins.platform_store import PlatformStoreFaults
 from tests.platform_stage import (
     PlatformStage,
     count_runs,
@@ -33,6 +34,13 @@
 MOST_ENDED = 3
 
 
+def list_lasting(stage: PlatformStage) -> list[str]:
+    """Return what of the quarantine is in the store."""
+    prefix = 'cartdale/quarantine/'
+    entries = stage.store.state.fetch(prefix, f'{prefix}~', 0).entries
+    return [entry.key for entry in entries]
+
+
 async def ask_deadly(
     stage: PlatformStage, number: int, path: str, method: str = 'POST'
 ) -> httpx.Response | None:
@@ -207,3 +215,51 @@
         await stage.settle()
         await ask_again_and_again(stage, '/draft/a')
         assert count_ends(stage) > MOST_ENDED
+
+
+async def test_it_is_known_after_all_instances_were_lost() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        await until(lambda: list_lasting(stage))
+        for scope in stage.scopes:
+            scope.cancel()
+        for stopped in stage.stopped:
+            await stopped.wait()
+        stage.runtimes.clear()
+        stage.add_instance()
+        await stage.settle()
+        refused = await ask_deadly(stage, 99, '/draft/a')
+        assert refused.status_code == 503
+        assert b'upstreams ended' in refused.content
+        assert count_ends(stage) == MOST_ENDED
+
+
+async def test_one_call_to_the_store_makes_it_last() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        await until(lambda: list_lasting(stage))
+        await trio.sleep(0.2)
+        assert len(list_lasting(stage)) == 1
+        quarantine = stage.runtimes[0].fleet.quarantine
+        identity = next(iter(quarantine.state.evidence_by_identity))
+        quarantine.acquit(identity)
+        await until(lambda: not list_lasting(stage))
+        assert not stage.runtimes[1].fleet.quarantine.count_held()
+
+
+async def test_a_store_that_is_away_is_told_later() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        stage.store.faults = PlatformStoreFaults(busy=True)
+        await ask_again_and_again(stage, '/draft/a')
+        assert not list_lasting(stage)
+        stage.store.faults = PlatformStoreFaults()
+        await until(lambda: list_lasting(stage))
+
+
+async def test_what_another_wrote_there_is_passed_over() -> None:
+    async with open_platform(instances=0) as stage:
+        stage.store.put('cartdale/quarantine/00', {'of': 'another'})
+        stage.add_instance()
+        await stage.settle()
+        quarantine = stage.runtimes[0].fleet.quarantine
+        assert not quarantine.state.evidence_by_identity
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -235,12 +235,15 @@
     assert quarantine.holds(OTHER)
 
 
-def test_a_peer_that_saw_it_run_clears_what_others_tell() -> None:
+async def test_a_peer_that_saw_it_run_clears_what_others_tell() -> None:
     clock = VirtualClock()
     quarantine = Quarantine(clock, print)
     quarantine.acquit(ONE)
     quarantine.tell(CrashesTold(tuple(tell(ONE, name) for name in 'abc')))
     assert not quarantine.holds(ONE)
+    with quarantine.guard(ONE) as guard:
+        quarantine.tell(CrashesTold((tell(ONE, 'd'), tell(ONE, 'e'))))
+    assert not guard.stopped
     assert all(each.cleared for each in quarantine.list_news())
     clock.advance(RAN_LATELY + 1)
     quarantine.tell(CrashesTold(tuple(tell(ONE, name) for name in 'def')))
