Remember when a request ran on, not which crashes were cleared

Cause: a peer that told an old cleared crash again cleared all that was learnt since; and eight cleared crashes of something that is asked for again and again left no room for new ones. Change: a record of each request holds its crashes and the latest time at which it ran on; what was seen up to a minute after that does not count. Both merge in any order.

--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -1,15 +1,24 @@
 """Decide which requests are sent to no upstream any more.
 
-Evidence is a set that only grows until it is forgotten: each crash counts once,
-whoever saw it and in whatever order it is told, and one that was cleared stays
-so. Instances that know the same evidence decide the same.
+Evidence is a set: each crash counts once, whoever saw it and in whatever order
+it is told. Of the times at which a request ran on the latest counts. So
+instances that were told the same decide the same.
 """
 
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import assert_never
 
-from cartdale.clock import MINUTE_MS, Millis
+from cartdale.clock import Millis
+from cartdale.quarantine.evidence import (
+    KEPT,
+    add_crash,
+    find_newest,
+    is_recent,
+    list_valid,
+    note_run,
+    weigh,
+)
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import (
     Action,
@@ -23,6 +32,7 @@
     QuarantineState,
     RanOn,
     Released,
+    RequestRecord,
     TimePassed,
     UpstreamEnded,
 )
@@ -36,20 +46,11 @@
 #: first tokens are made. What an upstream dies of later takes everyone with
 #: it, most of them long past this.
 PAST_BEGINNING = 10
-#: Evidence is forgotten after so long. A caller who sends such a request for
-#: ever then costs three upstreams in that time.
-KEPT: Millis = 10 * MINUTE_MS
-#: A request that ran on so lately ends no upstreams: one that does, ends each
-#: that begins it. Many callers may ask for the same thing at once, and it is
-#: in the way of every upstream that ends of something else.
-RAN_LATELY: Millis = MINUTE_MS
 #: Requests with evidence that are remembered, about 1 KB each. One engine
 #: that ends leaves evidence against as many as it had slots.
 MOST_IDENTITIES = 1024
-#: Crashes kept for one request: enough to see that it went on.
-_MOST_EVIDENCE = 8
 
-_NOTHING: tuple[Evidence, ...] = ()
+_UNKNOWN = RequestRecord()
 
 
 def decide(state: QuarantineState, message: Message, now: Millis) -> Decision:
@@ -63,21 +64,22 @@
     return after, _compare(state, after, _name_concerned(state, message))
 
 
-def count_crashes(state: QuarantineState, identity: Identity) -> int:
-    """Return how many upstreams ended under a request."""
-    evidence = state.evidence_by_identity.get(identity, _NOTHING)
-    return count_uncleared(evidence)
+def list_crashes(
+    state: QuarantineState, identity: Identity
+) -> tuple[Evidence, ...]:
+    """Return the crashes that speak against a request."""
+    return list_valid(state.records_by_identity.get(identity, _UNKNOWN))
 
 
 def is_quarantined(state: QuarantineState, identity: Identity) -> bool:
     """Tell whether a request is sent to no upstream any more."""
-    return count_crashes(state, identity) >= MOST_ENDED
+    return len(list_crashes(state, identity)) >= MOST_ENDED
 
 
 def find_end(state: QuarantineState, identity: Identity) -> Millis:
-    """Return when the newest evidence against a request is forgotten."""
-    evidence = state.evidence_by_identity.get(identity, _NOTHING)
-    return KEPT + max((each.seen_at for each in evidence), default=0)
+    """Return when what is known of a request is forgotten."""
+    record = state.records_by_identity.get(identity)
+    return KEPT + find_newest(record) if record else 0
 
 
 def _change(
@@ -91,8 +93,8 @@
             for told in crashes:
                 state = _take(state, told, now)
             return state
-        case RanOn(identity=identity):
-            return _clear(state, identity, now)
+        case RanOn(identity=identity, ran_at=ran_at):
+            return _note_run(state, identity, ran_at, now)
         case TimePassed():
             return _forget(state, now)
         case _:
@@ -111,7 +113,7 @@
         case RanOn(identity=identity):
             return (identity,)
         case TimePassed():
-            return state.evidence_by_identity.keys()
+            return state.records_by_identity.keys()
         case _:
             assert_never(message)
 
@@ -125,8 +127,8 @@
     request after it had ended, then it has started again meanwhile; the next
     number stands for the birth of that life.
     """
-    known = state.evidence_by_identity.get(crash.identity, _NOTHING)
-    ended = {each.crash for each in known if each.seen_at < sent_at}
+    record = state.records_by_identity.get(crash.identity, _UNKNOWN)
+    ended = {each.crash for each in record.evidence if each.seen_at < sent_at}
     while crash in ended:
         crash = replace(crash, born=crash.born + 1)
     return crash
@@ -135,95 +137,61 @@
 def _take(
     state: QuarantineState, told: CrashNews, now: Millis
 ) -> QuarantineState:
-    seen_at = now - told.age
-    if now - seen_at >= KEPT:
+    """Take one crash that a peer told, and when its request ran on."""
+    if told.age >= KEPT:
         return state
     crash = Crash(told.identity, told.upstream, told.born)
-    return _add(state, Evidence(crash, seen_at, now, told.cleared))
+    state = _add(state, Evidence(crash, now - told.age, now))
+    if told.ran_age is None:
+        return state
+    return _note_run(state, told.identity, now - told.ran_age, now)
 
 
 def _add(state: QuarantineState, found: Evidence) -> QuarantineState:
-    """Add evidence; what is known stays, but for being cleared."""
     identity = found.crash.identity
-    known = state.evidence_by_identity.get(identity, _NOTHING)
-    if found.cleared:
-        # It ran on somewhere: nothing that is known speaks against it.
-        state = _clear(state, identity, found.changed_at)
-        known = state.evidence_by_identity.get(identity, _NOTHING)
-    elif _ran_lately(known, found.changed_at):
-        found = replace(found, cleared=True)
-    if any(each.crash == found.crash for each in known):
-        return state
-    if len(known) >= _MOST_EVIDENCE:
-        return state
-    return _bound(_put(state, identity, (*known, found)))
+    record = state.records_by_identity.get(identity, _UNKNOWN)
+    return _bound(_put(state, identity, add_crash(record, found)))
 
 
-def _ran_lately(known: tuple[Evidence, ...], now: Millis) -> bool:
-    return any(
-        each.cleared and now - each.changed_at <= RAN_LATELY for each in known
-    )
+def _note_run(
+    state: QuarantineState, identity: Identity, ran_at: Millis, now: Millis
+) -> QuarantineState:
+    record = state.records_by_identity.get(identity)
+    if record is None:
+        return state
+    return _put(state, identity, note_run(record, ran_at, now))
 
 
-def _clear(
-    state: QuarantineState, identity: Identity, now: Millis
+def _put(
+    state: QuarantineState, identity: Identity, record: RequestRecord
 ) -> QuarantineState:
-    known = state.evidence_by_identity.get(identity, _NOTHING)
-    if not count_uncleared(known):
+    if state.records_by_identity.get(identity) is record:
         return state
-    cleared = tuple(
-        each if each.cleared else replace(each, cleared=True, changed_at=now)
-        for each in known
-    )
-    return _put(state, identity, cleared)
+    return QuarantineState({**state.records_by_identity, identity: record})
 
 
 def _forget(state: QuarantineState, now: Millis) -> QuarantineState:
     kept = {
-        identity: recent
-        for identity, evidence in state.evidence_by_identity.items()
-        if (recent := _select_recent(evidence, now))
+        identity: record
+        for identity, record in state.records_by_identity.items()
+        if is_recent(record, now)
     }
-    if kept == state.evidence_by_identity:
+    if len(kept) == len(state.records_by_identity):
         return state
     return QuarantineState(kept)
 
 
-def _select_recent(
-    evidence: tuple[Evidence, ...], now: Millis
-) -> tuple[Evidence, ...]:
-    """Return nothing or all of it: it stands or falls together."""
-    newest = max(each.seen_at for each in evidence)
-    return evidence if now - newest < KEPT else _NOTHING
-
-
 def _bound(state: QuarantineState) -> QuarantineState:
     """Drop what speaks least against a request when there is too much."""
-    if len(state.evidence_by_identity) <= MOST_IDENTITIES:
+    records = state.records_by_identity
+    if len(records) <= MOST_IDENTITIES:
         return state
-    weakest = min(state.evidence_by_identity.values(), key=_weigh)
-    remaining = dict(state.evidence_by_identity)
-    remaining.pop(weakest[0].crash.identity)
+    weakest = min(records, key=lambda identity: weigh(records[identity]))
+    remaining = dict(records)
+    remaining.pop(weakest)
     return QuarantineState(remaining)
 
 
-def _weigh(evidence: tuple[Evidence, ...]) -> tuple[int, Millis]:
-    return count_uncleared(evidence), max(each.seen_at for each in evidence)
-
-
-def _put(
-    state: QuarantineState, identity: Identity, evidence: tuple[Evidence, ...]
-) -> QuarantineState:
-    evidence_by_identity = dict(state.evidence_by_identity)
-    evidence_by_identity[identity] = evidence
-    return QuarantineState(evidence_by_identity)
-
-
-def count_uncleared(evidence: Iterable[Evidence]) -> int:
-    """Return how many crashes speak against a request."""
-    return sum(not each.cleared for each in evidence)
-
-
 def _compare(
     before: QuarantineState,
     after: QuarantineState,
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -12,11 +12,10 @@
 from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.quarantine.decide import (
     MOST_ENDED,
-    RAN_LATELY,
-    count_crashes,
     decide,
     find_end,
     is_quarantined,
+    list_crashes,
 )
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.telling import describe, select_news
@@ -29,6 +28,7 @@
     QuarantineState,
     RanOn,
     Released,
+    RequestRecord,
     TimePassed,
     UpstreamEnded,
 )
@@ -134,7 +134,7 @@
 
     def suspects(self, identity: Identity) -> bool:
         """Tell whether one more crash quarantines a request, or has."""
-        return count_crashes(self.state, identity) >= MOST_ENDED - 1
+        return len(list_crashes(self.state, identity)) >= MOST_ENDED - 1
 
     def time_left(self, identity: Identity) -> Millis:
         """Return how long a request stays quarantined without new evidence."""
@@ -162,29 +162,28 @@
 
     def list_ended(self, identity: Identity) -> tuple[str, ...]:
         """Return the upstreams that ended under a request."""
-        evidence = self.state.evidence_by_identity.get(identity, ())
-        return tuple(
-            each.crash.upstream for each in evidence if not each.cleared
-        )
+        crashes = list_crashes(self.state, identity)
+        return tuple(each.crash.upstream for each in crashes)
 
     def count_held(self) -> int:
         """Return how many requests are quarantined."""
-        return sum(map(self.holds, self.state.evidence_by_identity))
+        return sum(map(self.holds, self.state.records_by_identity))
 
     def acquit(self, identity: Identity) -> None:
         """Note that a request ran without ending its upstream."""
-        self._ran_at_by_identity[identity] = self._clock.now()
+        now = self._clock.now()
+        self._ran_at_by_identity[identity] = now
         self._ran_at_by_identity.move_to_end(identity)
         if len(self._ran_at_by_identity) > MOST_RAN:
             self._ran_at_by_identity.popitem(last=False)
-        if identity in self.state.evidence_by_identity:
-            self.tell(RanOn(identity))
+        if identity in self.state.records_by_identity:
+            self.tell(RanOn(identity, now))
 
     def describe(self, identity: Identity) -> tuple[CrashNews, ...]:
         """Return all that is known of one request."""
         now = self._clock.now()
-        evidence = self.state.evidence_by_identity.get(identity, ())
-        return tuple(describe(each, now) for each in evidence)
+        record = self.state.records_by_identity.get(identity, RequestRecord())
+        return tuple(describe(record, each, now) for each in record.evidence)
 
     def list_news(self) -> tuple[CrashNews, ...]:
         """Return what to tell peers next."""
@@ -197,7 +196,7 @@
 
     def forget(self) -> None:
         """Forget what is too old."""
-        if self.state.evidence_by_identity:
+        if self.state.records_by_identity:
             self.tell(TimePassed())
 
     def _act(self, action: Action, cause: Message) -> None:
@@ -226,11 +225,10 @@
                 accused = {told.identity for told in crashes}
             case _:
                 return
-        now = self._clock.now()
         for identity in accused:
             ran_at = self._ran_at_by_identity.get(identity)
-            if ran_at is not None and now - ran_at <= RAN_LATELY:
-                self.tell(RanOn(identity))
+            if ran_at is not None:
+                self.tell(RanOn(identity, ran_at))
 
     def _stop(self, identity: Identity) -> None:
         guards = tuple(self._guards_by_identity.get(identity, ()))
--- a/src/cartdale/quarantine/lasting.py
+++ b/src/cartdale/quarantine/lasting.py
@@ -12,7 +12,6 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
-from cartdale.quarantine.decide import is_quarantined
 from cartdale.quarantine.driver import Quarantine
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import CrashesTold, CrashNews
@@ -70,7 +69,7 @@
     async def _write(self, identity: Identity) -> bool:
         """Write how a request stands now; tell whether the store took it."""
         key = f'{PREFIX}{identity.hex()}'
-        if not is_quarantined(self._quarantine.state, identity):
+        if not self._quarantine.holds(identity):
             removed = await self._store.transact((), (Delete(key),))
             return isinstance(removed, Success)
         granted = await self._store.grant(_LEASE)
--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -3,26 +3,32 @@
 from dataclasses import dataclass
 
 from cartdale.clock import SECOND_MS, Millis
-from cartdale.quarantine.decide import count_uncleared
-from cartdale.quarantine.types import CrashNews, Evidence, QuarantineState
+from cartdale.quarantine.evidence import list_valid
+from cartdale.quarantine.types import (
+    CrashNews,
+    Evidence,
+    QuarantineState,
+    RequestRecord,
+)
 
-#: Pieces of evidence in one message to a peer; bounds its size.
+#: Crashes in one message to a peer; bounds its size.
 PAGE = 8
-#: Evidence is told for so long after it changed; after that in turns, and
-#: only if more than one crash speaks against the request.
+#: Crashes are told for so long after something changed; after that in turns,
+#: and only if more than one speaks against the request.
 _TOLD_FRESH: Millis = 3 * SECOND_MS
 
 
 @dataclass(frozen=True, slots=True)
 class _Told:
-    """Rank fresh evidence.
+    """Hold a crash with what ranks it.
 
     :param crashes: that speak against the request.
+    :param changed_at: when something about it was learnt.
     """
 
     crashes: int
     changed_at: Millis
-    evidence: Evidence
+    news: CrashNews
 
 
 def select_news(
@@ -36,33 +42,37 @@
     :param turn: counts the messages.
     """
     fresh: list[_Told] = []
-    settled: list[Evidence] = []
-    for evidence in state.evidence_by_identity.values():
-        crashes = count_uncleared(evidence)
-        for each in evidence:
-            if now - each.changed_at <= _TOLD_FRESH:
-                fresh.append(_Told(crashes, each.changed_at, each))
+    settled: list[CrashNews] = []
+    for record in state.records_by_identity.values():
+        crashes = len(list_valid(record))
+        for each in record.evidence:
+            changed_at = max(each.changed_at, record.changed_at)
+            news = describe(record, each, now)
+            if now - changed_at <= _TOLD_FRESH:
+                fresh.append(_Told(crashes, changed_at, news))
             elif crashes > 1:
-                settled.append(each)
+                settled.append(news)
     fresh.sort(key=_urgency, reverse=True)
-    chosen = [told.evidence for told in fresh[:PAGE]]
+    chosen = [told.news for told in fresh[:PAGE]]
     room = min(PAGE - len(chosen), len(settled))
     for step in range(room):
         chosen.append(settled[(turn * room + step) % len(settled)])
-    return tuple(describe(told, now) for told in chosen)
+    return tuple(chosen)
 
 
-def _urgency(told: _Told) -> tuple[int, Millis]:
-    return told.crashes, told.changed_at
-
-
-def describe(evidence: Evidence, now: Millis) -> CrashNews:
-    """Return what to tell of a piece of evidence."""
+def describe(
+    record: RequestRecord, evidence: Evidence, now: Millis
+) -> CrashNews:
+    """Return what to tell of a crash."""
     crash = evidence.crash
     return CrashNews(
         identity=crash.identity,
         upstream=crash.upstream,
         born=crash.born,
         age=now - evidence.seen_at,
-        cleared=evidence.cleared,
+        ran_age=None if record.ran_at is None else now - record.ran_at,
     )
+
+
+def _urgency(told: _Told) -> tuple[int, Millis]:
+    return told.crashes, told.changed_at
--- a/src/cartdale/quarantine/types.py
+++ b/src/cartdale/quarantine/types.py
@@ -27,35 +27,49 @@
     """Hold a crash that this instance saw or was told of.
 
     :param seen_at: when the upstream ended, in monotonic milliseconds.
-    :param changed_at: when this instance learnt it, or that it was cleared.
-    :param cleared: whether the request ran on elsewhere, so that it did not
-        end the upstream.
+    :param changed_at: when this instance learnt it.
     """
 
     crash: Crash
     seen_at: Millis
     changed_at: Millis
-    cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """Hold what is known of one request.
+
+    :param evidence: upstreams that ended under it, the oldest first.
+    :param ran_at: when it last ran on without ending its upstream, as far as
+        that is known; ``None`` for never.
+    :param changed_at: when this instance learnt the latter.
+    """
+
+    evidence: tuple[Evidence, ...] = ()
+    ran_at: Millis | None = None
+    changed_at: Millis = 0
 
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True):
-    """Tell a peer of a crash, in about 50 bytes.
+    """Tell a peer of a crash, in at most 64 bytes.
 
     :param age: milliseconds since the upstream ended: peers' clocks differ.
+    :param ran_age: milliseconds since the request last ran on elsewhere;
+        ``None`` when it never did.
     """
 
     identity: Identity
     upstream: str
     born: Millis
     age: Millis
-    cleared: bool
+    ran_age: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class QuarantineState:
-    """Hold the evidence against each request, the oldest first."""
+    """Hold a record of each request under which an upstream ended."""
 
-    evidence_by_identity: dict[Identity, tuple[Evidence, ...]] = field(
+    records_by_identity: dict[Identity, RequestRecord] = field(
         default_factory=dict
     )
 
@@ -81,9 +95,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RanOn:
-    """A request was answered whole, or ran on past its beginning."""
+    """A request was answered whole, or ran on past its beginning.
+
+    :param ran_at: when it did.
+    """
 
     identity: Identity
+    ran_at: Millis
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_log_fields.py
+++ b/tests/test_log_fields.py
@@ -96,6 +96,7 @@
                 'slots': 4,
                 'lifecycle': Lifecycle.LIVE.value,
                 'cold_for': 0,
+                'born': 0,
             },
         ),
     ],
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -166,7 +166,7 @@
             plain.faults.cuts = 9
         for number in range(4):
             await ask_deadly(stage, number, '/look/a', 'GET')
-        assert not stage.runtimes[0].fleet.quarantine.state.evidence_by_identity
+        assert not stage.runtimes[0].fleet.quarantine.state.records_by_identity
 
 
 async def test_a_request_that_waits_for_room_stops_waiting() -> None:
@@ -241,7 +241,7 @@
         await trio.sleep(0.2)
         assert len(list_lasting(stage)) == 1
         quarantine = stage.runtimes[0].fleet.quarantine
-        identity = next(iter(quarantine.state.evidence_by_identity))
+        identity = next(iter(quarantine.state.records_by_identity))
         quarantine.acquit(identity)
         await until(lambda: not list_lasting(stage))
         assert not stage.runtimes[1].fleet.quarantine.count_held()
@@ -262,4 +262,4 @@
         stage.add_instance()
         await stage.settle()
         quarantine = stage.runtimes[0].fleet.quarantine
-        assert not quarantine.state.evidence_by_identity
+        assert not quarantine.state.records_by_identity
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -12,15 +12,14 @@
 from cartdale.news.decide import decide as decide_news
 from cartdale.news.types import LoadNews, NewsArrived, NewsState, PeerEntry
 from cartdale.quarantine.decide import (
-    KEPT,
     MOST_ENDED,
     MOST_IDENTITIES,
-    RAN_LATELY,
-    count_crashes,
     decide,
     is_quarantined,
+    list_crashes,
 )
 from cartdale.quarantine.driver import MOST_RAN, Quarantine
+from cartdale.quarantine.evidence import KEPT, RAN_LATELY
 from cartdale.quarantine.telling import PAGE, select_news
 from cartdale.quarantine.types import (
     Crash,
@@ -51,7 +50,7 @@
 
 
 def tell(identity: bytes, upstream: str, **changes) -> CrashNews:
-    given = {'born': 1, 'age': 0, 'cleared': False, **changes}
+    given = {'born': 1, 'age': 0, **changes}
     return CrashNews(identity, upstream, **given)
 
 
@@ -70,7 +69,7 @@
     state = end('a', 'a')
     told = CrashesTold((tell(ONE, 'a'), tell(ONE, 'a', age=2)))
     state, _ = decide(state, told, 100)
-    assert count_crashes(state, ONE) == 1
+    assert len(list_crashes(state, ONE)) == 1
 
 
 def test_an_upstream_that_came_back_counts_again() -> None:
@@ -95,16 +94,32 @@
 
 
 def test_a_request_that_ran_on_is_released() -> None:
-    state, actions = decide(end('a', 'b', 'c'), RanOn(ONE), 100)
+    state, actions = decide(end('a', 'b', 'c'), RanOn(ONE, 100), 100)
     assert actions == (Released(ONE),)
     state, _ = decide(state, CrashesTold((tell(ONE, 'a'),)), 200)
-    assert count_crashes(state, ONE) == 0
-    assert decide(state, RanOn(ONE), 300) == (state, ())
+    assert not list_crashes(state, ONE)
+    assert decide(state, RanOn(ONE, 300), 300) == (state, ())
     soon = UpstreamEnded(Crash(ONE, 'd', 1))
-    assert count_crashes(decide(state, soon, 400)[0], ONE) == 0
+    state, _ = decide(state, soon, 400)
+    assert not list_crashes(state, ONE)
     later = UpstreamEnded(Crash(ONE, 'e', 1))
     state, _ = decide(state, later, 101 + RAN_LATELY)
-    assert count_crashes(state, ONE) == 1
+    assert len(list_crashes(state, ONE)) == 1
+
+
+def test_news_of_an_old_run_clear_nothing_new() -> None:
+    state, _ = decide(end('a'), RanOn(ONE, 100), 100)
+    later = 2 * RAN_LATELY
+    for name in ('b', 'c', 'd'):
+        ended = UpstreamEnded(Crash(ONE, name, 1))
+        state, _ = decide(state, ended, later)
+    assert is_quarantined(state, ONE)
+    for turn in range(3):
+        told = CrashesTold(select_news(state, later, turn))
+        newcomer, _ = decide(QuarantineState(), told, later)
+        assert is_quarantined(newcomer, ONE)
+        state, _ = decide(state, told, later)
+        assert is_quarantined(state, ONE)
 
 
 def test_evidence_is_forgotten_together_after_its_time() -> None:
@@ -114,7 +129,7 @@
     assert decide(state, TimePassed(), before) == (state, ())
     after, actions = decide(state, TimePassed(), KEPT + SECOND_MS)
     assert actions == (Released(ONE),)
-    assert not after.evidence_by_identity
+    assert not after.records_by_identity
 
 
 def test_old_evidence_of_a_peer_is_not_taken() -> None:
@@ -129,9 +144,9 @@
         identity = number.to_bytes(16, 'big')
         ended = UpstreamEnded(Crash(identity, 'a', 1))
         state, _ = decide(state, ended, number)
-    assert len(state.evidence_by_identity) == MOST_IDENTITIES
+    assert len(state.records_by_identity) == MOST_IDENTITIES
     assert is_quarantined(state, ONE)
-    assert (0).to_bytes(16, 'big') not in state.evidence_by_identity
+    assert (0).to_bytes(16, 'big') not in state.records_by_identity
 
 
 @given(
@@ -142,7 +157,7 @@
             tell(ONE, 'c'),
             tell(OTHER, 'a'),
             tell(OTHER, 'b'),
-            tell(OTHER, 'c', cleared=True),
+            tell(OTHER, 'c', ran_age=0),
             tell(OTHER, 'd'),
         ]
     ),
@@ -152,8 +167,8 @@
     state = QuarantineState()
     for part in (told[:cut], told[cut:], told[:2]):
         state, _ = decide(state, CrashesTold(tuple(part)), 0)
-    assert count_crashes(state, ONE) == 3
-    assert count_crashes(state, OTHER) == 0
+    assert len(list_crashes(state, ONE)) == 3
+    assert len(list_crashes(state, OTHER)) == 0
 
 
 def test_instances_that_each_saw_one_crash_agree_once_told() -> None:
@@ -207,7 +222,9 @@
 
 
 def test_evidence_takes_little_of_a_message() -> None:
-    one = tell(ONE, 'i-7573d5a716', born=1777495388662, age=KEPT - 1)
+    one = tell(
+        ONE, 'i-7573d5a716', born=1777495388662, age=KEPT - 1, ran_age=KEPT
+    )
     empty = encode_binary(LoadNews(1, 1, 1, PEER, {}))
     full = encode_binary(LoadNews(1, 1, 1, PEER, {}, crashes=(one,) * PAGE))
     assert (len(full) - len(empty)) / PAGE <= PIECE_BYTES
@@ -235,6 +252,16 @@
     assert quarantine.holds(OTHER)
 
 
+def test_the_oldest_evidence_makes_way() -> None:
+    state = end('a', 'b', 'c', 'd', 'e', 'f', 'g', 'h')
+    state, _ = decide(state, RanOn(ONE, 0), 0)
+    for name in 'ijk':
+        ended = UpstreamEnded(Crash(ONE, name, 1))
+        state, _ = decide(state, ended, RAN_LATELY + 1)
+    assert is_quarantined(state, ONE)
+    assert len(state.records_by_identity[ONE].evidence) == 8
+
+
 async def test_a_peer_that_saw_it_run_clears_what_others_tell() -> None:
     clock = VirtualClock()
     quarantine = Quarantine(clock, print)
@@ -244,9 +271,9 @@
     with quarantine.guard(ONE) as guard:
         quarantine.tell(CrashesTold((tell(ONE, 'd'), tell(ONE, 'e'))))
     assert not guard.stopped
-    assert all(each.cleared for each in quarantine.list_news())
+    assert all(each.ran_age == 0 for each in quarantine.list_news())
     clock.advance(RAN_LATELY + 1)
-    quarantine.tell(CrashesTold(tuple(tell(ONE, name) for name in 'def')))
+    quarantine.tell(CrashesTold(tuple(tell(ONE, name) for name in 'fgh')))
     assert quarantine.holds(ONE)
 
 
