--- a/src/cartdale/daemon/group.py
+++ b/src/cartdale/daemon/group.py
@@ -30,7 +30,7 @@
 #: Instances of a region that wait for changes at the store.
 _WATCHERS = 3
 #: Between looks at whether evidence against requests is too old.
-_FORGET_EVERY: Millis = 5 * SECOND_MS
+_FORGET_EVERY: Millis = SECOND_MS
 _WATCH_KEY = 'configuration watch'
 
 
--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -88,7 +88,7 @@
     match message:
         case UpstreamEnded(crash=crash, sent_at=sent_at):
             ended = _tell_lives_apart(state, crash, sent_at)
-            return _add(state, Evidence(ended, now, now))
+            return _add(state, Evidence(ended, now), now)
         case CrashesTold(crashes=crashes):
             for told in crashes:
                 state = _take(state, told, now)
@@ -141,16 +141,18 @@
     if told.age >= KEPT:
         return state
     crash = Crash(told.identity, told.upstream, told.born)
-    state = _add(state, Evidence(crash, now - told.age, now))
+    state = _add(state, Evidence(crash, now - told.age), now)
     if told.ran_age is None:
         return state
     return _note_run(state, told.identity, now - told.ran_age, now)
 
 
-def _add(state: QuarantineState, found: Evidence) -> QuarantineState:
+def _add(
+    state: QuarantineState, found: Evidence, now: Millis
+) -> QuarantineState:
     identity = found.crash.identity
     record = state.records_by_identity.get(identity, _UNKNOWN)
-    return _bound(_put(state, identity, add_crash(record, found)))
+    return _bound(_put(state, identity, add_crash(record, found, now)))
 
 
 def _note_run(
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -8,7 +8,7 @@
 import trio
 from loguru import logger
 
-from cartdale.clock import Clock, Millis
+from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.quarantine.decide import (
     MOST_ENDED,
@@ -33,6 +33,8 @@
     UpstreamEnded,
 )
 
+#: Between looks at what is too old, which cost 2 ms where the most is known.
+_FORGET_EVERY: Millis = 5 * SECOND_MS
 #: Requests that ran on here which are remembered, about 150 bytes each: those
 #: of some minutes, and whatever is asked for again and again.
 MOST_RAN = 4096
@@ -101,6 +103,7 @@
         self._clock = clock
         self._announce = announce
         self._turn = 0
+        self._forgets_at: Millis = 0
         #: Called with a request that this instance found out about itself.
         self.on_found: Callable[[Identity], None] | None = None
         #: When requests ran on here, the latest last.
@@ -196,7 +199,9 @@
 
     def forget(self) -> None:
         """Forget what is too old."""
-        if self.state.records_by_identity:
+        now = self._clock.now()
+        if self.state.records_by_identity and now >= self._forgets_at:
+            self._forgets_at = now + _FORGET_EVERY
             self.tell(TimePassed())
 
     def _act(self, action: Action, cause: Message) -> None:
--- a/src/cartdale/quarantine/evidence.py
+++ b/src/cartdale/quarantine/evidence.py
@@ -26,12 +26,14 @@
     )
 
 
-def add_crash(record: RequestRecord, found: Evidence) -> RequestRecord:
+def add_crash(
+    record: RequestRecord, found: Evidence, now: Millis
+) -> RequestRecord:
     """Add a crash, unless it is known; the oldest makes way for it."""
     if any(each.crash == found.crash for each in record.evidence):
         return record
     kept = record.evidence[1 - _MOST_EVIDENCE :]
-    return replace(record, evidence=(*kept, found))
+    return replace(record, evidence=(*kept, found), changed_at=now)
 
 
 def note_run(
--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -1,6 +1,7 @@
 """Choose what to tell peers of the evidence against requests."""
 
 from dataclasses import dataclass
+from itertools import chain, islice
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.quarantine.evidence import list_valid
@@ -20,15 +21,13 @@
 
 @dataclass(frozen=True, slots=True)
 class _Told:
-    """Hold a crash with what ranks it.
+    """Rank a request of which something was learnt of late.
 
-    :param crashes: that speak against the request.
-    :param changed_at: when something about it was learnt.
+    :param crashes: that speak against it.
     """
 
     crashes: int
-    changed_at: Millis
-    news: CrashNews
+    record: RequestRecord
 
 
 def select_news(
@@ -36,28 +35,33 @@
 ) -> tuple[CrashNews, ...]:
     """Return what to tell a peer next.
 
-    What changed of late goes first, that against the most suspected foremost;
-    the rest comes in turns, for instances that were cut off or suspended.
+    What was learnt of late goes first, of the most suspected foremost; the
+    rest comes in turns, for instances that were cut off or suspended.
 
     :param turn: counts the messages.
     """
     fresh: list[_Told] = []
-    settled: list[CrashNews] = []
+    settled: list[RequestRecord] = []
     for record in state.records_by_identity.values():
-        crashes = len(list_valid(record))
-        for each in record.evidence:
-            changed_at = max(each.changed_at, record.changed_at)
-            news = describe(record, each, now)
-            if now - changed_at <= _TOLD_FRESH:
-                fresh.append(_Told(crashes, changed_at, news))
-            elif crashes > 1:
-                settled.append(news)
+        if now - record.changed_at <= _TOLD_FRESH:
+            fresh.append(_Told(len(list_valid(record)), record))
+        elif len(record.evidence) > 1 and len(list_valid(record)) > 1:
+            settled.append(record)
     fresh.sort(key=_urgency, reverse=True)
-    chosen = [told.news for told in fresh[:PAGE]]
-    room = min(PAGE - len(chosen), len(settled))
-    for step in range(room):
-        chosen.append(settled[(turn * room + step) % len(settled)])
-    return tuple(chosen)
+    begin = turn * PAGE % max(len(settled), 1)
+    ranked = chain(
+        (told.record for told in fresh),
+        islice(settled, begin, None),
+        islice(settled, begin),
+    )
+    news: list[CrashNews] = []
+    for suspected in ranked:
+        news.extend(
+            describe(suspected, each, now) for each in suspected.evidence
+        )
+        if len(news) >= PAGE:
+            break
+    return tuple(news[:PAGE])
 
 
 def describe(
@@ -75,4 +79,4 @@
 
 
 def _urgency(told: _Told) -> tuple[int, Millis]:
-    return told.crashes, told.changed_at
+    return told.crashes, told.record.changed_at
--- a/src/cartdale/quarantine/types.py
+++ b/src/cartdale/quarantine/types.py
@@ -27,12 +27,10 @@
     """Hold a crash that this instance saw or was told of.
 
     :param seen_at: when the upstream ended, in monotonic milliseconds.
-    :param changed_at: when this instance learnt it.
     """
 
     crash: Crash
     seen_at: Millis
-    changed_at: Millis
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +40,7 @@
     :param evidence: upstreams that ended under it, the oldest first.
     :param ran_at: when it last ran on without ending its upstream, as far as
         that is known; ``None`` for never.
-    :param changed_at: when this instance learnt the latter.
+    :param changed_at: when this instance last learnt something of it.
     """
 
     evidence: tuple[Evidence, ...] = ()
