Only answers of success clear a request; unframed ends are looked at

Cause, found on reading: an upstream that fails part of its requests with 500 answered a request that ends the sound ones, and so cleared it for a minute; and an answer without a frame whose upstream ended looked whole. Proof: test_failures_of_sick_upstreams_clear_nothing, which failed before.

--- a/src/cartdale/callers/plain.py
+++ b/src/cartdale/callers/plain.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 from random import Random
 
 from quart import Response
@@ -160,7 +161,8 @@
         answer = await service.call(replace(call.request, fence=fence))
         match answer:
             case Success(given):
-                watch.note_ran_on()
+                if given.status < HTTPStatus.MULTIPLE_CHOICES:
+                    watch.note_ran_on()
                 return _Attempted(given, sent=True)
             case Failure(LinkLost()):
                 if await service.is_gone():
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -44,6 +44,7 @@
 #: elsewhere: an upstream that stays silent so long is slower than nearly all
 #: answers, and the rest of the time suffices for one more.
 _PATIENCE_SHARE = 0.6
+_FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
 
 
@@ -128,8 +129,11 @@
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail, call), None
-        if answer.framed:
-            # Without a frame an upstream that ended looks the same.
+        if not answer.framed:
+            # One whose upstream ended looks the same.
+            self._inquire(call)
+        elif answer.status < _FIRST_REDIRECT:
+            # A failure may come from an upstream that ran nothing of it.
             fleet.quarantine.acquit(self._routed.identity)
         good = answer.status < _FIRST_SERVER_ERROR
         whole = WholeAnswer(answer.status, answer.headers, body)
@@ -137,6 +141,10 @@
 
     def _break(self, detail: str, call: UpstreamCall) -> Broken:
         """Return a broken link, and have its upstream looked at."""
+        self._inquire(call)
+        return Broken(detail)
+
+    def _inquire(self, call: UpstreamCall) -> None:
         routed = self._routed
         self._ports.inquests.hold(
             BrokenLink(
@@ -146,7 +154,6 @@
                 self._sent_at,
             )
         )
-        return Broken(detail)
 
     def _patience(self) -> float:
         """Return how many seconds an attempt may stay silent."""
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -308,7 +308,10 @@
                 return await self._lose_link('ended inside an event')
             await self._sink.write(self._passer.pending)
         await self._sink.finish()
-        if answer.framed:
+        if not answer.framed:
+            # One whose engine ended looks the same.
+            self._inquire()
+        elif answer.status == _SUCCESS:
             self._ports.fleet.quarantine.acquit(self._routed.identity)
         return StreamEnd.WHOLE
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -263,3 +263,20 @@
         await stage.settle()
         quarantine = stage.runtimes[0].fleet.quarantine
         assert not quarantine.state.records_by_identity
+
+
+async def test_failures_of_sick_upstreams_clear_nothing() -> None:
+    async with open_platform(plains=4, proxied=True) as stage:
+        sick, *sound = stage.plains
+        sick.faults.errors = 99
+        for plain in sound:
+            plain.crashes.deadly.add(DEADLY)
+
+        def are_all_up() -> bool:
+            return not any(each.dead for each in stage.plains)
+
+        for number in range(16):
+            await ask_deadly(stage, number, '/cut/a')
+            await until(are_all_up)
+        assert sick.runs_by_request
+        assert count_ends(stage) == MOST_ENDED
