Count an upstream's lives only where it showed that it lived; keep the store's record true

Change: a further life counts only after the head of an answer, or by 'born'; the store's record carries its time, who reads it and knows better removes it, and news tell in turns of requests that ran on as well.

--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -71,7 +71,7 @@
         self._roster = Roster(
             store, own, self.count_listed, self._read_after_listing
         )
-        self._lasting = LastingQuarantine(store, fleet.quarantine)
+        self._lasting = LastingQuarantine(store, fleet.quarantine, clock)
         self._generator = random.Random(zlib.crc32(own.name.encode()))
         self._clock = clock
         self._fleet = fleet
--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -86,9 +86,10 @@
     state: QuarantineState, message: Message, now: Millis
 ) -> QuarantineState:
     match message:
-        case UpstreamEnded(crash=crash, sent_at=sent_at):
-            ended = _tell_lives_apart(state, crash, sent_at)
-            return _add(state, Evidence(ended, now), now)
+        case UpstreamEnded(crash=crash, sent_at=sent_at, begun=begun):
+            if begun:
+                crash = _tell_lives_apart(state, crash, sent_at)
+            return _add(state, Evidence(crash, now), now)
         case CrashesTold(crashes=crashes):
             for told in crashes:
                 state = _take(state, told, now)
@@ -123,9 +124,10 @@
 ) -> Crash:
     """Return a crash with a birth that no life had which ended before.
 
-    An upstream may be back before its new birth is known here. If it took a
+    An upstream may be back before its new birth is known here. If it began a
     request after it had ended, then it has started again meanwhile; the next
-    number stands for the birth of that life.
+    number stands for the birth of that life. That it only took the connection
+    shows nothing: something before it may do so, and close.
     """
     record = state.records_by_identity.get(crash.identity, _UNKNOWN)
     ended = {each.crash for each in record.evidence if each.seen_at < sent_at}
--- a/src/cartdale/quarantine/lasting.py
+++ b/src/cartdale/quarantine/lasting.py
@@ -5,12 +5,14 @@
 request costs two calls, whatever the number of instances.
 """
 
+from dataclasses import dataclass
+
 import msgspec
 import trio
 from loguru import logger
 from returns.result import Success
 
-from cartdale.clock import MINUTE_MS, SECOND_MS, Millis, seconds
+from cartdale.clock import MINUTE_MS, SECOND_MS, Clock, Millis, seconds
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.quarantine.driver import Quarantine
 from cartdale.quarantine.identity import Identity
@@ -26,15 +28,29 @@
 _MOST_WAITING = 64
 
 
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """Hold what the store keeps of a quarantined request.
+
+    :param written_at: wall time when it was written; ages count to then.
+    """
+
+    written_at: Millis
+    crashes: tuple[CrashNews, ...]
+
+
 class LastingQuarantine:
     """Write to the store what this instance found out, and read it.
 
     :param store: where it lasts.
     """
 
-    def __init__(self, store: LeasedStore, quarantine: Quarantine) -> None:
+    def __init__(
+        self, store: LeasedStore, quarantine: Quarantine, clock: Clock
+    ) -> None:
         self._store = store
         self._quarantine = quarantine
+        self._clock = clock
         ends = trio.open_memory_channel[Identity](_MOST_WAITING)
         self._put = ends[0]
         self._take = ends[1]
@@ -49,16 +65,24 @@
     def take(self, key: str, stored: bytes) -> None:
         """Take what an instance wrote.
 
+        Where it is known by now that the request ran on, what was written is
+        removed: whoever wrote it may not live to hear of that.
+
         :param stored: empty when it was removed.
         """
         if not key.startswith(PREFIX) or not stored:
             return
         try:
-            crashes = decode_binary(stored, tuple[CrashNews, ...])
+            record = decode_binary(stored, StoredRecord)
         except msgspec.MsgspecError as error:
             logger.error('quarantine unreadable', key=key, detail=str(error))
             return
+        passed = max(self._clock.wall() - record.written_at, 0)
+        crashes = tuple(_grow_older(each, passed) for each in record.crashes)
         self._quarantine.tell(CrashesTold(crashes))
+        for identity in sorted({each.identity for each in crashes}):
+            if not self._quarantine.holds(identity):
+                self._add(identity)
 
     def _add(self, identity: Identity) -> None:
         try:
@@ -75,8 +99,15 @@
         granted = await self._store.grant(_LEASE)
         if not isinstance(granted, Success):
             return False
-        raw = encode_binary(self._quarantine.describe(identity))
+        record = StoredRecord(
+            self._clock.wall(), self._quarantine.describe(identity)
+        )
         written = await self._store.transact(
-            (), (Put(key, raw, granted.unwrap()),)
+            (), (Put(key, encode_binary(record), granted.unwrap()),)
         )
         return isinstance(written, Success)
+
+
+def _grow_older(told: CrashNews, passed: Millis) -> CrashNews:
+    ran_age = None if told.ran_age is None else told.ran_age + passed
+    return msgspec.structs.replace(told, age=told.age + passed, ran_age=ran_age)
--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -15,7 +15,8 @@
 #: Crashes in one message to a peer; bounds its size.
 PAGE = 8
 #: Crashes are told for so long after something changed; after that in turns,
-#: and only if more than one speaks against the request.
+#: and only of requests under which several upstreams ended. Those that ran on
+#: are among them: one who hears only of the crashes would blame the request.
 _TOLD_FRESH: Millis = 3 * SECOND_MS
 
 
@@ -45,7 +46,7 @@
     for record in state.records_by_identity.values():
         if now - record.changed_at <= _TOLD_FRESH:
             fresh.append(_Told(len(list_valid(record)), record))
-        elif len(record.evidence) > 1 and len(list_valid(record)) > 1:
+        elif len(record.evidence) > 1:
             settled.append(record)
     fresh.sort(key=_urgency, reverse=True)
     begin = turn * PAGE % max(len(settled), 1)
--- a/src/cartdale/quarantine/types.py
+++ b/src/cartdale/quarantine/types.py
@@ -78,10 +78,13 @@
 
     :param sent_at: when the request was sent there, in monotonic
         milliseconds.
+    :param begun: whether the upstream showed that it had begun the request,
+        and so that it lived after it was sent.
     """
 
     crash: Crash
     sent_at: Millis = 0
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/quarantine/watching.py
+++ b/src/cartdale/quarantine/watching.py
@@ -38,7 +38,8 @@
         """
         if begun <= PAST_BEGINNING:
             crash = Crash(self._identity, upstream)
-            self._quarantine.tell(UpstreamEnded(crash, self._sent_at))
+            ended = UpstreamEnded(crash, self._sent_at, begun=True)
+            self._quarantine.tell(ended)
 
     def note_ran_on(self) -> None:
         """Note that the run was answered, or is past its beginning."""
--- a/src/cartdale/relay/inquests.py
+++ b/src/cartdale/relay/inquests.py
@@ -31,6 +31,7 @@
     :param identity: of the request.
     :param sent_at: when the request was sent over it.
     :param events: that came over this link; 0 for a plain request.
+    :param begun: whether the head of an answer came.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     upstream: UpstreamEntry
     sent_at: Millis
     events: int = 0
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +106,7 @@
                 identity=link.identity.hex(),
                 upstream=upstream.upstream,
                 events=link.events,
+                begun=link.begun,
                 upstream_gone=gone,
             )
             if gone:
@@ -118,4 +121,5 @@
             return
         upstream = link.upstream
         crash = Crash(link.identity, upstream.upstream, upstream.born)
-        self._fleet.quarantine.tell(UpstreamEnded(crash, link.sent_at))
+        ended = UpstreamEnded(crash, link.sent_at, link.begun)
+        self._fleet.quarantine.tell(ended)
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -128,10 +128,10 @@
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
-            return self._break(error.detail, call), None
+            return self._break(error.detail, call, begun=True), None
         if not answer.framed:
             # One whose upstream ended looks the same.
-            self._inquire(call)
+            self._inquire(call, begun=True)
         elif answer.status < _FIRST_REDIRECT:
             # A failure may come from an upstream that ran nothing of it.
             fleet.quarantine.acquit(self._routed.identity)
@@ -139,12 +139,14 @@
         whole = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=good), whole
 
-    def _break(self, detail: str, call: UpstreamCall) -> Broken:
+    def _break(
+        self, detail: str, call: UpstreamCall, *, begun: bool = False
+    ) -> Broken:
         """Return a broken link, and have its upstream looked at."""
-        self._inquire(call)
+        self._inquire(call, begun=begun)
         return Broken(detail)
 
-    def _inquire(self, call: UpstreamCall) -> None:
+    def _inquire(self, call: UpstreamCall, *, begun: bool) -> None:
         routed = self._routed
         self._ports.inquests.hold(
             BrokenLink(
@@ -152,6 +154,7 @@
                 routed.identity,
                 call.upstream,
                 self._sent_at,
+                begun=begun,
             )
         )
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -110,6 +110,8 @@
         #: the caller had then.
         self._call: UpstreamCall | None = None
         self._opened_at: Millis = 0
+        #: Whether the head of an answer came over it.
+        self._begun = False
         self._events_before = 0
 
     @property
@@ -203,6 +205,7 @@
         self._sent = True
         self._call = call
         self._opened_at = self._ports.clock.now()
+        self._begun = False
         self._events_before = self._generation.events
         guard = self._ports.fleet.quarantine.guard(self._routed.identity)
         ended: LinkEnd | None = None
@@ -264,6 +267,7 @@
         declined = find_decline(fleet, answer, upstream)
         if declined is not None:
             return declined
+        self._begun = True
         if answer.status >= _FIRST_SERVER_ERROR:
             return await self._read_failure(answer)
         if not self._started:
@@ -342,6 +346,7 @@
                 call.upstream,
                 self._opened_at,
                 self._generation.events - self._events_before,
+                self._begun,
             )
         )
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,7 +12,11 @@
 import httpx
 import trio
 
+from cartdale.clock import SystemClock, VirtualClock
 from cartdale.fleet.types import EntryRemoved
+from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.evidence import KEPT
+from cartdale.quarantine.lasting import LastingQuarantine
 from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.switches import Mechanism, Switches
 from cartdale_standins.platform_store import PlatformStoreFaults
@@ -60,14 +64,27 @@
 async def ask_again_and_again(
     stage: PlatformStage, path: str, method: str = 'POST'
 ) -> list[httpx.Response | None]:
-    """Submit a deadly request at one instance after another."""
+    """Submit a deadly request at one instance after another.
+
+    Between two of them all upstreams come back, and all instances hear of it
+    unless the store is away.
+    """
     upstreams = (*stage.engines, *stage.plains)
     for upstream in upstreams:
         upstream.crashes.deadly.add(DEADLY)
     answers: list[httpx.Response | None] = []
 
     def are_all_up() -> bool:
-        return not any(each.dead for each in upstreams)
+        return not any(each.dead for each in upstreams) and (
+            stage.store.faults.busy or are_all_known()
+        )
+
+    def are_all_known() -> bool:
+        return all(
+            runtime.fleet.find(each.name).entry.born == each.crashes.born
+            for runtime in stage.runtimes
+            for each in upstreams
+        )
 
     for number in range(9):
         answers.append(await ask_deadly(stage, number, path, method))
@@ -280,3 +297,38 @@
             await until(are_all_up)
         assert sick.runs_by_request
         assert count_ends(stage) == MOST_ENDED
+
+
+async def test_what_ran_on_after_all_is_not_read_back() -> None:
+    async with open_platform(engines=5, instances=2, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        await until(lambda: list_lasting(stage))
+        stage.store.faults = PlatformStoreFaults(busy=True)
+        first, other = (each.fleet.quarantine for each in stage.runtimes)
+        identity = next(iter(first.state.records_by_identity))
+        other.acquit(identity)
+        await until(lambda: not first.count_held())
+        # Both are lost before the store could be told.
+        for scope in stage.scopes:
+            scope.cancel()
+        for stopped in stage.stopped:
+            await stopped.wait()
+        stage.runtimes.clear()
+        stage.store.faults = PlatformStoreFaults()
+        runtime = stage.add_instance()
+        runtime.fleet.quarantine.acquit(identity)
+        await stage.settle()
+        await until(lambda: not list_lasting(stage))
+        assert not runtime.fleet.quarantine.count_held()
+
+
+async def test_ages_in_the_store_go_on() -> None:
+    async with open_platform(engines=5, instances=1, proxied=True) as stage:
+        await ask_again_and_again(stage, '/draft/a')
+        await until(lambda: list_lasting(stage))
+        quarantine = Quarantine(VirtualClock(), print)
+        clock = VirtualClock(epoch=SystemClock().wall() + KEPT)
+        lasting = LastingQuarantine(None, quarantine, clock)
+        entry = stage.store.state.find(list_lasting(stage)[0])
+        lasting.take(entry.key, entry.value)
+        assert not quarantine.state.records_by_identity
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -85,12 +85,15 @@
 ):
     state = end('a', now=100)
     for sent_at in (200, 400):
-        ended = UpstreamEnded(Crash(ONE, 'a', 1), sent_at)
+        ended = UpstreamEnded(Crash(ONE, 'a', 1), sent_at, begun=True)
         state, _ = decide(state, ended, sent_at + 100)
     assert is_quarantined(state, ONE)
     # Two copies of a request on one upstream see one end.
-    beside = UpstreamEnded(Crash(ONE, 'a', 1), 450)
+    beside = UpstreamEnded(Crash(ONE, 'a', 1), 450, begun=True)
     assert decide(state, beside, 510) == (state, ())
+    # Whatever stands before a dead upstream may take connections and close.
+    closed = UpstreamEnded(Crash(ONE, 'a', 1), 600)
+    assert decide(state, closed, 610) == (state, ())
 
 
 def test_a_request_that_ran_on_is_released() -> None:
