Tell which life of an upstream leaves, and who says so itself

An instance that hears of departures from peers takes no such news for four seconds after an upstream came back, and they are told for three; it sent two streams there 4.5 s late. Change: news tell the birth of those that leave, so that news of the life before are passed over and those of this one count at once; and an upstream that says itself that it leaves is told as an entry, which also counts right after an outage of the store.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -138,13 +138,7 @@
     """
     if entry.born < known.entry.born:
         return state, ()
-    found = Upstream(
-        entry,
-        entry.lifecycle,
-        now,
-        returned=True,
-        warm_at=now + entry.cold_for,
-    )
+    found = Upstream(entry, entry.lifecycle, now, warm_at=now + entry.cold_for)
     began = (Restarted(entry.upstream), *_announce(found))
     return _put(state, found), began
 
@@ -197,8 +191,7 @@
     known = state.upstreams_by_id.get(message.upstream)
     if known is None or known.lifecycle is Lifecycle.LEAVING:
         return state, ()
-    age = now - known.changed_at
-    if message.heard and known.returned and age < HEARD_AFTER_MS:
+    if message.heard and _is_late(known, message, now):
         return state, ()
     if message.after_outage:
         if known.lifecycle is Lifecycle.LAPSED:
@@ -209,6 +202,17 @@
     return _put(state, leaving), _announce(leaving)
 
 
+def _is_late(known: Upstream, message: EntryRemoved, now: Millis) -> bool:
+    """Tell whether a peer told of what was before this instance knew better.
+
+    A life that is over, or an entry that was missing and came back.
+    """
+    told = message.born and known.entry.born
+    if told and message.born != known.entry.born:
+        return True
+    return known.returned and now - known.changed_at < HEARD_AFTER_MS
+
+
 def _count(state: FleetState, message: RequestEnded, now: Millis) -> FleetState:
     known = state.upstreams_by_id.get(message.upstream)
     if known is None:
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -141,11 +141,13 @@
 
     :param after_outage: whether the store was away shortly before.
     :param heard: whether a peer told it, who may be a little behind.
+    :param born: start of the life that left, where a peer tells it.
     """
 
     upstream: str
     after_outage: bool = False
     heard: bool = False
+    born: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -188,7 +188,10 @@
 def _take_over(teller: str, news: LoadNews | DomainNews) -> tuple[Action, ...]:
     actions: list[Action] = [TakeLoads(teller, news.loads_by_upstream)]
     actions.extend(TakeEntry(entry) for entry in news.entries)
-    actions.extend(TakeLeaving(upstream) for upstream in news.leaving)
+    actions.extend(
+        TakeLeaving(upstream, news.births.get(upstream, 0))
+        for upstream in news.leaving
+    )
     if news.evacuations:
         actions.append(TakeEvacuations(news.evacuations))
     if news.crashes:
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -116,8 +116,9 @@
                     self._take_loads(peer, loads_by_upstream)
                 case TakeEntry(entry=entry):
                     self._fleet.tell(EntryWritten(entry, heard=True))
-                case TakeLeaving(upstream=upstream):
-                    self._fleet.tell(EntryRemoved(upstream, heard=True))
+                case TakeLeaving(upstream=upstream, born=born):
+                    removed = EntryRemoved(upstream, heard=True, born=born)
+                    self._fleet.tell(removed)
                 case TakeEvacuations(evacuations=evacuations):
                     self._fleet.tell(EvacuationsTold(evacuations))
                 case CrashesTold():
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -33,6 +33,8 @@
     :param version: configuration in force at the sender.
     :param peer: how the sender is reached.
     :param leaving: upstreams that take no new work.
+    :param births: when those were born, in Unix milliseconds: one may have
+        started again under its id.
     :param entries: upstreams whose entries changed of late.
     :param store_lost: whether the store does not answer the sender.
     :param unreachable: upstreams that the sender could not reach of late.
@@ -52,6 +54,7 @@
     unreachable: tuple[str, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     crashes: tuple[CrashNews, ...] = ()
+    births: dict[str, Millis] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
         itself included.
     :param loads_by_upstream: what all of them have running.
     :param leaving: upstreams that take no new work.
+    :param births: when those were born, in Unix milliseconds.
     :param entries: upstreams whose entries changed of late.
     :param reporters_by_upstream: how many instances of the failure domain
         could not reach an upstream of late.
@@ -86,6 +90,7 @@
     store_lost: bool = False
     evacuations: tuple[Evacuation, ...] = ()
     crashes: tuple[CrashNews, ...] = ()
+    births: dict[str, Millis] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,9 +165,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeLeaving:
-    """Take over that an upstream leaves."""
+    """Take over that an upstream leaves.
+
+    :param born: start of the life that leaves; 0 when that is not told.
+    """
 
     upstream: str
+    born: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -82,6 +82,7 @@
             unreachable=self.list_unreachable(),
             evacuations=self._fleet.list_evacuations(),
             crashes=self._fleet.quarantine.list_news(),
+            births=self._list_births(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
@@ -125,6 +126,7 @@
             store_lost=store_lost,
             evacuations=self._fleet.list_evacuations(),
             crashes=self._fleet.quarantine.list_news(),
+            births=self._list_births(),
         )
 
     def close_domain(
@@ -168,12 +170,21 @@
             and now - upstream.changed_at <= _LEAVING_TOLD
         )
 
+    def _list_births(self) -> dict[str, Millis]:
+        """Return when those that leave were born, where they tell it."""
+        upstreams_by_id = self._fleet.state.upstreams_by_id
+        births = {
+            name: upstreams_by_id[name].entry.born
+            for name in self._list_leaving()
+        }
+        return {name: born for name, born in births.items() if born}
+
     def _list_changed(self) -> tuple[UpstreamEntry, ...]:
-        """Return new entries."""
+        """Return new entries, and those that say that they leave."""
         now = self._clock.now()
         return tuple(
             upstream.entry
             for upstream in self._fleet.state.upstreams_by_id.values()
-            if upstream.lifecycle is Lifecycle.LIVE
-            and now - upstream.changed_at <= _CHANGED_TOLD
+            if now - upstream.changed_at <= _CHANGED_TOLD
+            and (upstream.lifecycle is Lifecycle.LIVE or upstream.said_leaving)
         )
