--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -5,7 +5,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import Millis, seconds
+from cartdale.clock import seconds
 from cartdale.fleet.loads import Assignment
 from cartdale.fleet.types import Upstream
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
@@ -28,7 +28,7 @@
     begin,
     refuse,
 )
-from cartdale.relay.inquests import BrokenLink
+from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
     LinkBroke,
@@ -61,7 +61,7 @@
         self._ports = ports
         self._routed = routed
         self._tried: set[str] = set()
-        self._sent_at: Millis = 0
+        self._link = CarriedLink(ports)
         self._state: AttemptState = begin(routed.route)
 
     async def carry(self) -> Result[WholeAnswer, Problem]:
@@ -96,12 +96,13 @@
         fleet = self._ports.fleet
         fleet.loads.assign(assignment)
         call = make_call(self._ports, self._routed, upstream)
-        self._sent_at = self._ports.clock.now()
+        self._link.begin(call)
+        sent_at = self._ports.clock.now()
         try:
             with trio.move_on_after(self._patience()):
                 ended = await self._send(call)
                 if isinstance(ended[0], Answered):
-                    took = self._ports.clock.now() - self._sent_at
+                    took = self._ports.clock.now() - sent_at
                     fleet.note_answer(self._routed.service, took)
                 return ended
             return Broken('no answer in time'), None
@@ -117,7 +118,7 @@
                 case Failure(NotSent()):
                     return Unsent(), None
                 case Failure(LinkBroke(detail=detail)):
-                    return self._break(detail, call), None
+                    return self._break(detail), None
         return Broken('no answer'), None
 
     async def _read(self, answer: OpenedAnswer, call: UpstreamCall) -> Ended:
@@ -125,13 +126,14 @@
         declined = find_decline(fleet, answer, call.upstream.upstream)
         if declined is not None:
             return declined, None
+        self._link.note_head()
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
-            return self._break(error.detail, call, begun=True), None
+            return self._break(error.detail), None
         if not answer.framed:
             # One whose upstream ended looks the same.
-            self._inquire(call, begun=True)
+            self._link.inquire()
         elif answer.status < _FIRST_REDIRECT:
             # A failure may come from an upstream that ran nothing of it.
             fleet.quarantine.acquit(self._routed.identity)
@@ -139,25 +141,11 @@
         whole = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=good), whole
 
-    def _break(
-        self, detail: str, call: UpstreamCall, *, begun: bool = False
-    ) -> Broken:
+    def _break(self, detail: str) -> Broken:
         """Return a broken link, and have its upstream looked at."""
-        self._inquire(call, begun=begun)
+        self._link.inquire()
         return Broken(detail)
 
-    def _inquire(self, call: UpstreamCall, *, begun: bool) -> None:
-        routed = self._routed
-        self._ports.inquests.hold(
-            BrokenLink(
-                routed.request.request_id,
-                routed.identity,
-                call.upstream,
-                self._sent_at,
-                begun=begun,
-            )
-        )
-
     def _patience(self) -> float:
         """Return how many seconds an attempt may stay silent."""
         target = self._routed.route.target_latency
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -33,7 +33,7 @@
     refuse,
 )
 from cartdale.relay.generation import RunningGeneration
-from cartdale.relay.inquests import BrokenLink
+from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.silence import await_loss
@@ -106,13 +106,7 @@
         self._failure: WholeAnswer | None = None
         self._started = False
         self._sent = False
-        #: What the present link carries, when it began, and the events that
-        #: the caller had then.
-        self._call: UpstreamCall | None = None
-        self._opened_at: Millis = 0
-        #: Whether the head of an answer came over it.
-        self._begun = False
-        self._events_before = 0
+        self._link = CarriedLink(ports)
 
     @property
     def longest_gap(self) -> Millis:
@@ -203,10 +197,7 @@
     async def _open(self, call: UpstreamCall) -> LinkEnd:
         """Send a request, and read its answer unless none will come."""
         self._sent = True
-        self._call = call
-        self._opened_at = self._ports.clock.now()
-        self._begun = False
-        self._events_before = self._generation.events
+        self._link.begin(call, self._generation.events)
         guard = self._ports.fleet.quarantine.guard(self._routed.identity)
         ended: LinkEnd | None = None
         with guard:
@@ -257,7 +248,7 @@
             case Failure(LinkBroke(detail=detail)) if call.resume is None:
                 return await self._lose_link(detail)
             case Failure(LinkBroke(detail=detail)):
-                self._inquire()
+                self._link.inquire(self._generation.events)
                 return self._break(detail)
         return Unsent()
 
@@ -267,7 +258,7 @@
         declined = find_decline(fleet, answer, upstream)
         if declined is not None:
             return declined
-        self._begun = True
+        self._link.note_head()
         if answer.status >= _FIRST_SERVER_ERROR:
             return await self._read_failure(answer)
         if not self._started:
@@ -286,7 +277,7 @@
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
-            self._inquire()
+            self._link.inquire(self._generation.events)
             return self._break(error.detail)
         self._failure = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=False)
@@ -314,7 +305,7 @@
         await self._sink.finish()
         if not answer.framed:
             # One whose engine ended looks the same.
-            self._inquire()
+            self._link.inquire(self._generation.events)
         elif answer.status == _SUCCESS:
             self._ports.fleet.quarantine.acquit(self._routed.identity)
         return StreamEnd.WHOLE
@@ -322,7 +313,7 @@
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how the attempt ended."""
         if not self._generation.is_stopped:
-            self._inquire()
+            self._link.inquire(self._generation.events)
         upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
@@ -334,22 +325,6 @@
         )
         return self._break(detail)
 
-    def _inquire(self) -> None:
-        """Have it found out whether an engine ended as its link broke."""
-        call = self._call
-        if call is None:
-            return
-        self._ports.inquests.hold(
-            BrokenLink(
-                call.routed.request.request_id,
-                call.routed.identity,
-                call.upstream,
-                self._opened_at,
-                self._generation.events - self._events_before,
-                self._begun,
-            )
-        )
-
     def _break(self, detail: str) -> Broken:
         return Broken(detail, begun=self._started)
 
