--- a/src/cartdale/switches.py
+++ b/src/cartdale/switches.py
@@ -1,7 +1,8 @@
 """Switch mechanisms off, to find out what each is worth.
 
-All of them are on. What is switched off costs quality or bytes, never a
-promise: every one decides when and where, none of them what is true.
+All of them are on. What is switched off costs quality, bytes or, with the
+quarantine, upstreams, never the truth of an answer: every one decides when and
+where, none of them what is true.
 """
 
 from dataclasses import dataclass
