--- a/tests/fault_soak/mutants.py
+++ b/tests/fault_soak/mutants.py
@@ -3,12 +3,15 @@
 ``python mutants.py NAME``: run by the soak, as the program itself is.
 """
 
+import signal
 import sys
 from dataclasses import replace
 from itertools import count
 from pathlib import Path
 from types import MappingProxyType
 
+# As the program does, before a request to read its settings can end it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'src'))
 
 from cartdale.fleet import candidates, driver  # noqa: E402
