--- a/src/cartdale/daemon/briefing.py
+++ b/src/cartdale/daemon/briefing.py
@@ -56,7 +56,7 @@
 
         The configuration goes forward only, by its version.
         """
-        # The store knows nothing of crashes.
+        # The store knows only of those that quarantined a request.
         self._fleet.quarantine.tell(CrashesTold(briefing.crashes))
         if self._follower.in_step.is_set():
             return
