Tell every settled request in its turn

Cause: each message began a page further, but held the crashes of only two or three requests; where the number of requests was a multiple of the page, the others between never came. Found on reading the change once more; the test had a number that hid it. Change: each message begins one request further.

--- a/src/cartdale/quarantine/telling.py
+++ b/src/cartdale/quarantine/telling.py
@@ -49,7 +49,7 @@
         elif len(record.evidence) > 1:
             settled.append(record)
     fresh.sort(key=_urgency, reverse=True)
-    begin = turn * PAGE % max(len(settled), 1)
+    begin = turn % max(len(settled), 1)
     ranked = chain(
         (told.record for told in fresh),
         islice(settled, begin, None),
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -2,6 +2,7 @@
 
 from itertools import permutations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -184,17 +185,18 @@
         assert is_quarantined(merged, ONE)
 
 
-def test_a_message_holds_a_page_and_all_come_in_turns() -> None:
+@pytest.mark.parametrize('requests', [PAGE + 3, 2 * PAGE, 4 * PAGE])
+def test_a_message_holds_a_page_and_all_come_in_turns(requests: int) -> None:
     state = QuarantineState()
-    for number in range(PAGE + 3):
+    for number in range(requests):
         for name in ('a', 'b'):
             ended = UpstreamEnded(Crash(number.to_bytes(16, 'big'), name, 1))
             state, _ = decide(state, ended, 0)
     later = 10 * SECOND_MS
-    told = [select_news(state, later, turn) for turn in range(20)]
+    told = [select_news(state, later, turn) for turn in range(3 * requests)]
     assert all(len(page) == PAGE for page in told)
     named = {(each.identity, each.upstream) for page in told for each in page}
-    assert len(named) == 2 * (PAGE + 3)
+    assert len(named) == 2 * requests
 
 
 def test_single_crashes_are_told_only_while_they_are_fresh() -> None:
