--- a/src/cartdale/news/speaking.py
+++ b/src/cartdale/news/speaking.py
@@ -77,11 +77,11 @@
             ):
                 continue
             news = self._describe(now)
-            # The ages of crashes change, what is told of them does not.
-            gist = replace(news, crashes=())
-            if gist == told and now - told_at < _UNCHANGED_EVERY:
+            if news == told and now - told_at < _UNCHANGED_EVERY:
                 continue
-            told, told_at = gist, now
+            told, told_at = news, now
+            # Ages of crashes change always, and choosing them takes time.
+            news = replace(news, crashes=self._fleet.quarantine.list_news())
             turn += 1
             for peer in choose_recipients(
                 self._news.state, self._news.own, now, turn
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -70,19 +70,20 @@
         """Return the next message, sealed."""
         self._number += 1
         self._told = self._newest()
+        leaving = self._list_leaving()
         news = LoadNews(
             boot=self._boot,
             number=self._number,
             version=self._fleet.table.version,
             peer=self._own,
             loads_by_upstream=self._fleet.loads.own(shared=True),
-            leaving=self._list_leaving(),
+            leaving=leaving,
             entries=self._list_changed() if self._is_watcher() else (),
             store_lost=self._store_lost(),
             unreachable=self.list_unreachable(),
             evacuations=self._fleet.list_evacuations(),
             crashes=self._fleet.quarantine.list_news(),
-            births=self._list_births(),
+            births=self._list_births(leaving),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
@@ -105,14 +106,15 @@
     ) -> DomainNews:
         """Return what this instance tells of its failure domain.
 
-        It gets its number when it is closed, so that two are equal that
-        tell the same.
+        It gets its number when it is closed, and crashes when it is sent, so
+        that two are equal that tell the same.
 
         :param alive: instances there, this one included.
         :param loads_by_upstream: what all of them have running.
         :param reporters_by_upstream: how many of them can't reach it.
         :param store_lost: whether the store answers none of them.
         """
+        leaving = self._list_leaving()
         return DomainNews(
             boot=self._boot,
             number=0,
@@ -120,13 +122,12 @@
             peer=self._own,
             alive=alive,
             loads_by_upstream=loads_by_upstream,
-            leaving=self._list_leaving(),
+            leaving=leaving,
             entries=self._list_changed(),
             reporters_by_upstream=reporters_by_upstream,
             store_lost=store_lost,
             evacuations=self._fleet.list_evacuations(),
-            crashes=self._fleet.quarantine.list_news(),
-            births=self._list_births(),
+            births=self._list_births(leaving),
         )
 
     def close_domain(
@@ -170,13 +171,10 @@
             and now - upstream.changed_at <= _LEAVING_TOLD
         )
 
-    def _list_births(self) -> dict[str, Millis]:
+    def _list_births(self, leaving: tuple[str, ...]) -> dict[str, Millis]:
         """Return when those that leave were born, where they tell it."""
         upstreams_by_id = self._fleet.state.upstreams_by_id
-        births = {
-            name: upstreams_by_id[name].entry.born
-            for name in self._list_leaving()
-        }
+        births = {name: upstreams_by_id[name].entry.born for name in leaving}
         return {name: born for name, born in births.items() if born}
 
     def _list_changed(self) -> tuple[UpstreamEntry, ...]:
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -12,6 +12,7 @@
 from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.quarantine.decide import (
     MOST_ENDED,
+    PAST_BEGINNING,
     decide,
     find_end,
     is_quarantined,
@@ -67,7 +68,7 @@
         kind: type[BaseException] | None,
         error: BaseException | None,
         trace: TracebackType | None,
-    ) -> bool | None:
+    ) -> bool:
         """Cancel nothing any more."""
         self.release()
         return self._scope.__exit__(kind, error, trace)
@@ -172,6 +173,14 @@
         """Return how many requests are quarantined."""
         return sum(map(self.holds, self.state.records_by_identity))
 
+    def accuse(self, ended: UpstreamEnded, events: int) -> None:
+        """Take an upstream's end as evidence, unless the run went on there.
+
+        :param events: that had come of the run.
+        """
+        if events <= PAST_BEGINNING:
+            self.tell(ended)
+
     def acquit(self, identity: Identity) -> None:
         """Note that a request ran without ending its upstream."""
         now = self._clock.now()
--- a/src/cartdale/quarantine/watching.py
+++ b/src/cartdale/quarantine/watching.py
@@ -2,7 +2,6 @@
 
 from cartdale.clock import Millis
 from cartdale.problems.types import NotRun
-from cartdale.quarantine.decide import PAST_BEGINNING
 from cartdale.quarantine.driver import Quarantine
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import Crash, UpstreamEnded
@@ -36,10 +35,9 @@
         :param begun: tokens that had come; past its beginning the run did not
             end its upstream.
         """
-        if begun <= PAST_BEGINNING:
-            crash = Crash(self._identity, upstream)
-            ended = UpstreamEnded(crash, self._sent_at, begun=True)
-            self._quarantine.tell(ended)
+        crash = Crash(self._identity, upstream)
+        ended = UpstreamEnded(crash, self._sent_at, begun=True)
+        self._quarantine.accuse(ended, begun)
 
     def note_ran_on(self) -> None:
         """Note that the run was answered, or is past its beginning."""
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -13,6 +13,7 @@
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Replaced, RequestEnded, Upstream
 from cartdale.formatting import list_plain_fields
+from cartdale.problems.types import NotRun
 from cartdale.relay.admission import NoRoom, Waiting
 from cartdale.relay.decide import (
     Answered,
@@ -51,18 +52,31 @@
 
     :param tried: upstreams that are not chosen again.
     """
-    await ports.inquests.settle(routed.identity)
-    quarantine = ports.fleet.quarantine
-    if not quarantine.holds(routed.identity):
+    refusal = await find_refusal(ports, routed)
+    if refusal is None:
+        quarantine = ports.fleet.quarantine
         need = make_need(routed, frozenset(tried))
         pace = ports.fleet.pace(routed.service)
         waiting = _describe_wait(routed, need, pace)
         with quarantine.guard(routed.identity):
             return await ports.admission.place(waiting)
-    refusal = quarantine.refuse(routed.identity, routed.request.request_id)
+        refusal = quarantine.refuse(routed.identity, routed.request.request_id)
     return NoRoom(refusal.retry_after, refusal.reason)
 
 
+async def find_refusal(
+    ports: RelayPorts, routed: RoutedRequest
+) -> NotRun | None:
+    """Return why a request is sent to no upstream, if it is not.
+
+    Waits for what is still to be found out about one that is suspected.
+    """
+    await ports.inquests.settle(routed.identity)
+    return ports.fleet.quarantine.find_refusal(
+        routed.identity, routed.request.request_id
+    )
+
+
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
     """Log that a request was taken back from an engine."""
     logger.info(
--- a/src/cartdale/relay/inquests.py
+++ b/src/cartdale/relay/inquests.py
@@ -13,7 +13,6 @@
 from cartdale.clock import Millis
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.quarantine.decide import PAST_BEGINNING
 from cartdale.quarantine.identity import Identity
 from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.relay.types import UpstreamPort
@@ -114,12 +113,11 @@
         held.ended.set()
 
     def _suspect(self, link: BrokenLink) -> None:
-        """Take an upstream's end as evidence, unless the run went on there."""
-        if not link.identity or link.events > PAST_BEGINNING:
-            return
-        if not self._fleet.switches.has(Mechanism.QUARANTINE):
+        """Hold an upstream's end against a request whose link broke."""
+        on = self._fleet.switches.has(Mechanism.QUARANTINE)
+        if not (on and link.identity):
             return
         upstream = link.upstream
         crash = Crash(link.identity, upstream.upstream, upstream.born)
         ended = UpstreamEnded(crash, link.sent_at, link.begun)
-        self._fleet.quarantine.tell(ended)
+        self._fleet.quarantine.accuse(ended, link.events)
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -1,53 +1,71 @@
 """Follow one link to an upstream, and have its end looked into."""
 
 from cartdale.clock import Millis
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.quarantine.decide import PAST_BEGINNING
 from cartdale.relay.inquests import BrokenLink
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.types import UpstreamCall
+from cartdale.relay.types import RoutedRequest
 
 
 class CarriedLink:
-    """Hold what the present link of a request carries.
+    """Follow the present link of a request.
 
     A request has one link after another, to upstreams where it goes on.
     """
 
-    def __init__(self, ports: RelayPorts) -> None:
+    def __init__(self, ports: RelayPorts, routed: RoutedRequest) -> None:
         self._ports = ports
-        self._call: UpstreamCall | None = None
+        self._routed = routed
+        self._upstream: UpstreamEntry | None = None
         self._began_at: Millis = 0
-        self._events_before = 0
+        self._events = 0
         self._begun = False
 
-    def begin(self, call: UpstreamCall, events: int = 0) -> None:
-        """Note that a link begins.
-
-        :param events: that the caller has from earlier links.
-        """
-        self._call = call
+    def begin(self, upstream: UpstreamEntry) -> None:
+        """Note that a link begins."""
+        self._upstream = upstream
         self._began_at = self._ports.clock.now()
-        self._events_before = events
+        self._events = 0
         self._begun = False
 
     def note_head(self) -> None:
         """Note that the head of an answer came."""
         self._begun = True
 
-    def inquire(self, events: int = 0) -> None:
-        """Have it found out whether the upstream ended as its link did.
+    def note_event(self) -> None:
+        """Note that an event came."""
+        self._events += 1
+        if self._events == PAST_BEGINNING + 1:
+            self._acquit()
+
+    def note_whole(self, *, framed: bool, good: bool) -> None:
+        """Note that an answer came that looks whole.
 
-        :param events: that the caller has by now.
+        :param framed: whether it says itself where it ends; without that one
+            whose upstream ended looks the same.
+        :param good: whether it is a success; a failure may come from an
+            upstream that ran nothing of the request.
         """
-        call = self._call
-        if call is None:
+        if not framed:
+            self.inquire()
+        elif good:
+            self._acquit()
+
+    def inquire(self) -> None:
+        """Have it found out whether the upstream ended as its link did."""
+        if self._upstream is None:
             return
         self._ports.inquests.hold(
             BrokenLink(
-                request_id=call.routed.request.request_id,
-                identity=call.routed.identity,
-                upstream=call.upstream,
+                request_id=self._routed.request.request_id,
+                identity=self._routed.identity,
+                upstream=self._upstream,
                 sent_at=self._began_at,
-                events=events - self._events_before,
+                events=self._events,
                 begun=self._begun,
             )
         )
+
+    def _acquit(self) -> None:
+        self._ports.fleet.quarantine.acquit(self._routed.identity)
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -8,10 +8,9 @@
 from cartdale.clock import SECOND_MS, Millis, seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check
-from cartdale.quarantine.decide import PAST_BEGINNING
-from cartdale.quarantine.identity import Identity
 from cartdale.relay.frames import EventFrames, follows, read_id
 from cartdale.relay.generation import RunningGeneration
+from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.silence import (
     LOOK_AFTER,
@@ -37,7 +36,7 @@
     :param last_event: id of the last event that the caller has.
     :param target_gap: longest pause between two events that is in time; 0 for
         any.
-    :param identity: of the request.
+    :param link: what the events come by, one after another.
     """
 
     def __init__(
@@ -46,10 +45,10 @@
         sink: AnswerSink,
         generation: RunningGeneration,
         last_event: bytes,
-        target_gap: Millis = 0,
-        identity: Identity = b'',
+        target_gap: Millis,
+        link: CarriedLink,
     ) -> None:
-        self._identity = identity
+        self._link = link
         self._target_gap = target_gap
         self._ports = ports
         self._sink = sink
@@ -70,7 +69,6 @@
         #: Around each wait for bytes of the present link.
         self._reading = trio.CancelScope()
         self._link_since: Millis = 0
-        self._link_events = 0
         #: Reports of the engine in a row that did not know the generation.
         self._reports_without = 0
         #: Whether the generation is on its way from a silent link to another,
@@ -102,7 +100,6 @@
         self._reports_without = 0
         self._leaving_link = False
         self._link_left = False
-        self._link_events = 0
         self.left_for = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_silence)
@@ -195,9 +192,7 @@
         )
         self.last_event = name or self.last_event
         self._generation.advance()
-        self._link_events += 1
-        if self._link_events == PAST_BEGINNING + 1:
-            self._ports.fleet.quarantine.acquit(self._identity)
+        self._link.note_event()
         self._note_gap()
         await self._sink.write(event)
 
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -61,7 +61,7 @@
         self._ports = ports
         self._routed = routed
         self._tried: set[str] = set()
-        self._link = CarriedLink(ports)
+        self._link = CarriedLink(ports, routed)
         self._state: AttemptState = begin(routed.route)
 
     async def carry(self) -> Result[WholeAnswer, Problem]:
@@ -96,7 +96,7 @@
         fleet = self._ports.fleet
         fleet.loads.assign(assignment)
         call = make_call(self._ports, self._routed, upstream)
-        self._link.begin(call)
+        self._link.begin(call.upstream)
         sent_at = self._ports.clock.now()
         try:
             with trio.move_on_after(self._patience()):
@@ -131,12 +131,8 @@
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail), None
-        if not answer.framed:
-            # One whose upstream ended looks the same.
-            self._link.inquire()
-        elif answer.status < _FIRST_REDIRECT:
-            # A failure may come from an upstream that ran nothing of it.
-            fleet.quarantine.acquit(self._routed.identity)
+        ran = answer.status < _FIRST_REDIRECT
+        self._link.note_whole(framed=answer.framed, good=ran)
         good = answer.status < _FIRST_SERVER_ERROR
         whole = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=good), whole
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -15,6 +15,7 @@
 from cartdale.relay.attempts import (
     conclude,
     find_decline,
+    find_refusal,
     make_call,
     place,
     time_left,
@@ -94,19 +95,19 @@
         )
         resumable = routed.route.resumable
         last_event = routed.request.last_event if resumable else b''
+        self._link = CarriedLink(ports, routed)
         self._passer = EventPasser(
             ports,
             sink,
             generation,
             last_event,
             routed.route.target_gap,
-            routed.identity,
+            self._link,
         )
         #: An upstream's own failure, passed on if nobody else is asked.
         self._failure: WholeAnswer | None = None
         self._started = False
         self._sent = False
-        self._link = CarriedLink(ports)
 
     @property
     def longest_gap(self) -> Millis:
@@ -174,10 +175,7 @@
 
     async def _resume(self, upstream: UpstreamEntry) -> LinkEnd:
         """Go on at an engine that holds the generation's memory."""
-        identity = self._routed.identity
-        await self._ports.inquests.settle(identity)
-        request_id = self._routed.request.request_id
-        if self._ports.fleet.quarantine.find_refusal(identity, request_id):
+        if await find_refusal(self._ports, self._routed) is not None:
             # It would end the engine that keeps its backup as well.
             return self._break('quarantined')
         if not self._ports.fleet.may_finish_move(upstream):
@@ -197,7 +195,7 @@
     async def _open(self, call: UpstreamCall) -> LinkEnd:
         """Send a request, and read its answer unless none will come."""
         self._sent = True
-        self._link.begin(call, self._generation.events)
+        self._link.begin(call.upstream)
         guard = self._ports.fleet.quarantine.guard(self._routed.identity)
         ended: LinkEnd | None = None
         with guard:
@@ -248,7 +246,7 @@
             case Failure(LinkBroke(detail=detail)) if call.resume is None:
                 return await self._lose_link(detail)
             case Failure(LinkBroke(detail=detail)):
-                self._link.inquire(self._generation.events)
+                self._link.inquire()
                 return self._break(detail)
         return Unsent()
 
@@ -277,7 +275,7 @@
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
-            self._link.inquire(self._generation.events)
+            self._link.inquire()
             return self._break(error.detail)
         self._failure = WholeAnswer(answer.status, answer.headers, body)
         return Answered(good=False)
@@ -303,17 +301,14 @@
                 return await self._lose_link('ended inside an event')
             await self._sink.write(self._passer.pending)
         await self._sink.finish()
-        if not answer.framed:
-            # One whose engine ended looks the same.
-            self._link.inquire(self._generation.events)
-        elif answer.status == _SUCCESS:
-            self._ports.fleet.quarantine.acquit(self._routed.identity)
+        good = answer.status == _SUCCESS
+        self._link.note_whole(framed=answer.framed, good=good)
         return StreamEnd.WHOLE
 
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return where the generation goes on, or how the attempt ended."""
         if not self._generation.is_stopped:
-            self._link.inquire(self._generation.events)
+            self._link.inquire()
         upstream = await self._generation.lose_link()
         if upstream is not None:
             return upstream
