Sight: read the rate limit that answers name, and log its changes

An upstream can name in its answers how many requests a second it takes from all instances. Nothing showed which answers do, which number, and when it ends, so that a limit nobody reads, one that each instance keeps to alone and requests on their way looked alike.

Each answer's head is looked at; what it names is kept with the time between the request and the head, since answers overtake each other. A line tells each change with the number before and after, and a gauge counts the upstreams that name one. Where requests go is unchanged. What is learnt of an upstream's health moves to a module of its own.

--- a/src/cartdale/fleet/candidates.py
+++ b/src/cartdale/fleet/candidates.py
@@ -74,11 +74,13 @@
     )
 
 
-def count_unavailable(state: FleetState, now: Millis) -> tuple[int, int]:
-    """Return how many upstreams leave, and how many asked for rest."""
+def count_unavailable(state: FleetState, now: Millis) -> tuple[int, int, int]:
+    """Return how many upstreams leave, asked for rest, and name a limit."""
     upstreams = state.upstreams_by_id.values()
     leaving = sum(each.lifecycle is Lifecycle.LEAVING for each in upstreams)
-    return leaving, sum(each.rests_until > now for each in upstreams)
+    resting = sum(each.rests_until > now for each in upstreams)
+    limited = sum(each.rate_limit.limited for each in upstreams)
+    return leaving, resting, limited
 
 
 def _find_absence(state: FleetState, need: Need) -> Shortage:
--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -1,7 +1,6 @@
 """Decide which upstreams exist, which are leaving and which to avoid."""
 
 from dataclasses import replace
-from typing import assert_never
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.departures import (
@@ -12,9 +11,9 @@
     take_word,
 )
 from cartdale.fleet.evacuation import Evacuation, end_unlisted, merge
+from cartdale.fleet.health import judge, put
 from cartdale.fleet.types import (
     Action,
-    AskedForRest,
     BeganEvacuating,
     BeganLeaving,
     Decision,
@@ -28,12 +27,10 @@
     Lifecycle,
     Message,
     Replaced,
-    RequestEnded,
     Restarted,
     Returned,
     SaidLeaving,
     TimePassed,
-    ToldFailing,
     Upstream,
     UpstreamEntry,
     Vanished,
@@ -42,13 +39,6 @@
 #: An entry that lapsed in an outage comes back within about two seconds; one
 #: more is for the way here.
 LAPSED_KEPT_MS: Millis = 3 * SECOND_MS
-#: Weight of one request in the share of failed requests.
-_FAILING_WEIGHT = 0.2
-#: An upstream that others can't reach is avoided for so long after they told.
-TOLD_AVOIDED_MS: Millis = SECOND_MS
-#: First and longest time that an upstream which does not answer is avoided.
-_AVOID_MS: Millis = 500
-_AVOID_LONGEST_MS: Millis = 4 * SECOND_MS
 
 
 def decide(state: FleetState, message: Message, now: Millis) -> Decision:
@@ -66,8 +56,6 @@
             return _remove(state, message, now)
         case SaidLeaving():
             return _hear(state, message, now)
-        case AskedForRest() | RequestEnded() | ToldFailing():
-            return _judge(state, message, now), ()
         case Replaced(upstream=name):
             return _drop(state, (name,))
         case EvacuationsTold(evacuations=told):
@@ -81,7 +69,7 @@
         case TimePassed():
             return _expire(state, now)
         case _:
-            assert_never(message)
+            return judge(state, message, now), ()
 
 
 def _list(state: FleetState, message: EntriesListed, now: Millis) -> Decision:
@@ -118,7 +106,7 @@
         found = Upstream(
             entry, entry.lifecycle, now, warm_at=now + entry.cold_for
         )
-        return _put(state, found), _announce(found)
+        return put(state, found), _announce(found)
     if _is_other_life(entry, known.entry):
         return _begin_life(state, known, entry, now)
     if not entry.born:
@@ -127,7 +115,7 @@
         back = find_return(known, entry, now, heard=heard)
         leaves = back.lifecycle is Lifecycle.LEAVING
         returned = () if leaves else (Returned(entry.upstream),)
-        return _put(state, back), returned
+        return put(state, back), returned
     changed = replace(
         known,
         entry=entry,
@@ -136,7 +124,7 @@
     )
     if changed.lifecycle is not known.lifecycle:
         changed = replace(changed, changed_at=now)
-    return _put(state, changed), _announce(changed)
+    return put(state, changed), _announce(changed)
 
 
 def _is_other_life(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
@@ -156,7 +144,7 @@
         return state, ()
     found = Upstream(entry, entry.lifecycle, now, warm_at=now + entry.cold_for)
     began = (Restarted(entry.upstream), *_announce(found))
-    return _put(state, found), began
+    return put(state, found), began
 
 
 def _announce(upstream: Upstream) -> tuple[Action, ...]:
@@ -177,9 +165,9 @@
         if known.lifecycle is Lifecycle.LAPSED:
             return state, ()
         lapsed = replace(known, lifecycle=Lifecycle.LAPSED, changed_at=now)
-        return _put(state, lapsed), ()
+        return put(state, lapsed), ()
     leaving = replace(known, lifecycle=Lifecycle.LEAVING, changed_at=now)
-    return _put(state, leaving), _announce(leaving)
+    return put(state, leaving), _announce(leaving)
 
 
 def _unlist(
@@ -188,7 +176,7 @@
     """Note that no older entry of one that leaves is left in the store."""
     if known.unlisted or message.heard or message.after_outage:
         return state
-    return _put(state, replace(known, unlisted=True))
+    return put(state, replace(known, unlisted=True))
 
 
 def _hear(state: FleetState, said: SaidLeaving, now: Millis) -> Decision:
@@ -198,71 +186,7 @@
         return state, ()
     told = take_word(known, said, now)
     began = known.lifecycle is not Lifecycle.LEAVING
-    return _put(state, told), _announce(told) if began else ()
-
-
-def _judge(
-    state: FleetState,
-    message: AskedForRest | RequestEnded | ToldFailing,
-    now: Millis,
-) -> FleetState:
-    """Take what says how well an upstream does its work."""
-    match message:
-        case AskedForRest():
-            return _rest(state, message, now)
-        case RequestEnded():
-            return _count(state, message, now)
-        case ToldFailing(upstream=name):
-            return _avoid(state, name, now)
-        case _:
-            assert_never(message)
-
-
-def _rest(state: FleetState, asked: AskedForRest, now: Millis) -> FleetState:
-    """Leave an upstream alone for as long as any of its answers asked.
-
-    A shorter time that it asks for later is that of another answer, and what
-    it answers to requests that were there before says nothing of new ones.
-    """
-    known = state.upstreams_by_id.get(asked.upstream)
-    if known is None:
-        return state
-    until = max(known.rests_until, now + asked.rest)
-    return _put(state, replace(known, rests_until=until))
-
-
-def _count(state: FleetState, message: RequestEnded, now: Millis) -> FleetState:
-    known = state.upstreams_by_id.get(message.upstream)
-    if known is None:
-        return state
-    failed = 0 if message.good else 1
-    failing = known.failing + _FAILING_WEIGHT * (failed - known.failing)
-    if message.reached:
-        counted = replace(
-            known,
-            failing=failing,
-            strikes=0,
-            unreachable_until=0,
-            avoided_until=0,
-        )
-        return _put(state, counted)
-    pause = min(_AVOID_MS * 2**known.strikes, _AVOID_LONGEST_MS)
-    unreachable = replace(
-        known,
-        failing=failing,
-        strikes=known.strikes + 1,
-        unreachable_until=now + pause,
-        avoided_until=max(known.avoided_until, now + pause),
-    )
-    return _put(state, unreachable)
-
-
-def _avoid(state: FleetState, name: str, now: Millis) -> FleetState:
-    known = state.upstreams_by_id.get(name)
-    if known is None:
-        return state
-    until = max(known.avoided_until, now + TOLD_AVOIDED_MS)
-    return _put(state, replace(known, avoided_until=until))
+    return put(state, told), _announce(told) if began else ()
 
 
 def _expire(state: FleetState, now: Millis) -> Decision:
@@ -309,11 +233,3 @@
         change = BeganEvacuating if standing.active else EndedEvacuating
         actions.append(change(domain, standing.evacuation.revision))
     return replace(state, standings_by_domain=after), tuple(actions)
-
-
-def _put(state: FleetState, upstream: Upstream) -> FleetState:
-    if state.upstreams_by_id.get(upstream.entry.upstream) is upstream:
-        return state
-    upstreams_by_id = dict(state.upstreams_by_id)
-    upstreams_by_id[upstream.entry.upstream] = upstream
-    return replace(state, upstreams_by_id=upstreams_by_id)
--- a/src/cartdale/fleet/notices.py
+++ b/src/cartdale/fleet/notices.py
@@ -2,9 +2,17 @@
 
 from loguru import logger
 
-from cartdale.clock import Clock
+from cartdale.clock import Clock, Millis
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import AskedForRest, Lifecycle, Notice, SaidLeaving
+from cartdale.fleet.rate_limits import RateLimit
+from cartdale.fleet.types import (
+    AskedForRest,
+    Lifecycle,
+    NamedLimit,
+    Notice,
+    SaidLeaving,
+    Upstream,
+)
 
 
 class Notices:
@@ -17,17 +25,28 @@
         self._fleet = fleet
         self._clock = clock
 
-    def hear(self, upstream: str, notice: Notice, request_id: str) -> None:
+    def now(self) -> Millis:
+        """Return the time, as ``hear`` takes that of a request."""
+        return self._clock.now()
+
+    def hear(
+        self, upstream: str, notice: Notice, request_id: str, asked_at: Millis
+    ) -> None:
         """Take what an upstream says beside an answer, as its head comes.
 
         :param request_id: of the request that was answered.
+        :param asked_at: when that was sent, in monotonic milliseconds.
         """
         before = self._fleet.find(upstream)
+        if before is None:
+            return
         if notice.leaving:
             self._fleet.tell(SaidLeaving(upstream))
         if notice.rest:
             self._fleet.tell(AskedForRest(upstream, notice.rest))
-        if self._fleet.find(upstream) is before:
+        self._take_limit(before, notice, asked_at)
+        after = self._fleet.find(upstream)
+        if after is None or _is_same(before, after):
             return
         self._fleet.departures_heard += notice.leaving
         self._fleet.announce()
@@ -37,6 +56,8 @@
             request=request_id,
             leaving=notice.leaving,
             rest=notice.rest,
+            limit=after.rate_limit.per_second,
+            limit_before=before.rate_limit.per_second,
         )
 
     def forbid(self, upstream: str, *, resumes: bool) -> bool:
@@ -53,3 +74,26 @@
         if known is None or known.rests_until > self._clock.now():
             return True
         return known.lifecycle is Lifecycle.LEAVING and not resumes
+
+    def _take_limit(
+        self, known: Upstream, notice: Notice, asked_at: Millis
+    ) -> None:
+        if notice.limit is None:
+            return
+        named = RateLimit(notice.limit, asked_at, self._clock.now())
+        # Nearly all answers name none where there is none.
+        if named.limited or known.rate_limit.limited:
+            self._fleet.tell(NamedLimit(known.entry.upstream, named))
+
+
+def _is_same(before: Upstream, after: Upstream) -> bool:
+    """Tell whether nothing changed but how long a limit is known."""
+    if before is after:
+        return True
+    limits = before.rate_limit, after.rate_limit
+    same_limit = limits[0].per_second == limits[1].per_second
+    others = (
+        (each.lifecycle, each.told_here, each.rests_until)
+        for each in (before, after)
+    )
+    return same_limit and len(set(others)) == 1
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -5,6 +5,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.evacuation import DomainStanding, Evacuation
+from cartdale.fleet.rate_limits import UNLIMITED, RateLimit
 
 
 class Lifecycle(StrEnum):
@@ -78,10 +79,13 @@
     :param leaving: whether it takes no new work any more.
     :param rest: how long it wants no requests from this instance, which it
         turned away; 0 when it does not say.
+    :param limit: requests a second that it takes from all instances together,
+        infinite for any; ``None`` when the answer does not tell.
     """
 
     leaving: bool = False
     rest: Millis = 0
+    limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +105,7 @@
     :param told_here: whether it said in an answer to this instance that it
         leaves.
     :param unlisted: whether the store removed its entry since it leaves.
+    :param rate_limit: what it takes from all instances together.
     """
 
     entry: UpstreamEntry
@@ -115,6 +120,7 @@
     rests_until: Millis = 0
     told_here: bool = False
     unlisted: bool = False
+    rate_limit: RateLimit = UNLIMITED
 
     @property
     def said_leaving(self) -> bool:
@@ -198,6 +204,14 @@
     rest: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """An upstream named its rate limit, or none, in an answer."""
+
+    upstream: str
+    limit: RateLimit
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
     """A request's attempt at an upstream ended.
@@ -301,6 +315,7 @@
     | EntryRemoved
     | SaidLeaving
     | AskedForRest
+    | NamedLimit
     | RequestEnded
     | ToldFailing
     | Replaced
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -33,6 +33,7 @@
     :param quarantined: requests that are sent to no upstream.
     :param leaving: upstreams that take no new work any more.
     :param resting: upstreams that asked this instance for rest.
+    :param limited: upstreams that name a rate limit.
     """
 
     evacuated: int
@@ -41,6 +42,7 @@
     quarantined: int
     leaving: int
     resting: int
+    limited: int
 
 
 class GatewayMetrics:
@@ -88,6 +90,9 @@
         self._resting = registry.measure(
             'resting_upstreams', 'Upstreams that asked to be left alone.'
         )
+        self._limited = registry.measure(
+            'limited_upstreams', 'Upstreams that name a rate limit.'
+        )
         self._sent_cold = registry.measure(
             'requests_to_cold_upstreams', 'Sent since the start.'
         )
@@ -128,6 +133,7 @@
         self._quarantined.set({}, constraints.quarantined)
         self._leaving.set({}, constraints.leaving)
         self._resting.set({}, constraints.resting)
+        self._limited.set({}, constraints.limited)
         return self._registry.render(self._calls_by_path)
 
 
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from cartdale.fleet.rate_limits import parse_limit
 from cartdale.fleet.types import EngineReport, Notice, RunReport
 from cartdale.formatting import format_error
 from cartdale.platform.callers import CONNECTION_HEADERS
@@ -16,6 +17,7 @@
     HEADER_EXPECT,
     HEADER_LAST_EVENT,
     HEADER_LEAVING,
+    HEADER_LIMIT,
     HEADER_LOAD,
     HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
@@ -43,8 +45,9 @@
 _HIDDEN_HEADERS = CONNECTION_HEADERS | {
     HEADER_LOAD.encode(),
     HEADER_NOT_RUN.encode(),
-    # A caller that is a proxy itself would take it for this instance's.
+    # A caller that is a proxy itself would take these for this instance's.
     HEADER_LEAVING.encode(),
+    HEADER_LIMIT.encode(),
 }
 #: Headers of which one says where a body ends.
 _FRAMES = frozenset((b'content-length', b'transfer-encoding'))
@@ -151,9 +154,15 @@
     named = {name.lower(): value for name, value in response.headers}
     asked = named.get(HEADER_RETRY_AFTER.encode(), b'')
     rests = response.status == HTTPStatus.SERVICE_UNAVAILABLE
+    limit_name = HEADER_LIMIT.encode()
     return Notice(
         leaving=named.get(HEADER_LEAVING.encode(), b'').strip() == b'1',
         rest=read_rest(asked) if rests else 0,
+        limit=parse_limit(
+            value
+            for name, value in response.headers
+            if name.lower() == limit_name
+        ),
     )
 
 
--- a/src/cartdale/platform/names.py
+++ b/src/cartdale/platform/names.py
@@ -15,6 +15,8 @@
 HEADER_RETRY_AFTER: Final = 'retry-after'
 #: Of an upstream's answer, where the upstream takes no new work any more.
 HEADER_LEAVING: Final = 'server-leaving'
+#: Of an upstream's answer: requests a second that it takes from all instances.
+HEADER_LIMIT: Final = 'server-limit'
 HEADER_TOKENS: Final = 'token-count'
 HEADER_URGENCY: Final = 'request-urgency'
 HEADER_HINT: Final = 'length-hint'
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -16,7 +16,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.notices import Notices
-from cartdale.fleet.types import EngineReport, Notice, UpstreamEntry
+from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.formatting import format_error
 from cartdale.platform.exchanges import (
     CopyRequest,
@@ -64,6 +64,8 @@
     def __init__(self, notices: Notices, call: UpstreamCall) -> None:
         self._notices = notices
         self._call = call
+        #: When it was sent, in monotonic milliseconds.
+        self.sent_at: Millis = 0
 
     async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
         """Take an event of the connection; httpcore awaits each."""
@@ -72,6 +74,7 @@
         resumes = self._call.resume is not None
         if self._notices.forbid(self._call.upstream.upstream, resumes=resumes):
             raise _WithheldError
+        self.sent_at = self._notices.now()
 
 
 class PlatformUpstreams:
@@ -110,9 +113,9 @@
             yield Failure(LinkBroke(format_error(late_error)))
             return
         notice = read_notice(response)
-        if notice != Notice():
-            name = call.upstream.upstream
-            self._notices.hear(name, notice, request.request_id)
+        self._notices.hear(
+            call.upstream.upstream, notice, request.request_id, guard.sent_at
+        )
         try:
             yield read_head(call, response, notice)
         finally:
@@ -160,6 +163,7 @@
         """
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
+        asked_at = self._notices.now()
         answer = await self._ask(
             'GET', upstream.address, path, b'', _REPORT_TIMEOUT
         )
@@ -169,16 +173,18 @@
             case Failure(NotSent()):
                 return True
         if plain:
-            answer.map(partial(self._hear_health, upstream.upstream))
+            answer.map(partial(self._hear_health, upstream.upstream, asked_at))
             return False
         born = answer.bind(read_report).map(_read_born).value_or(0)
         return bool(born and upstream.born and born != upstream.born)
 
-    def _hear_health(self, upstream: str, response: httpcore.Response) -> None:
+    def _hear_health(
+        self, upstream: str, asked_at: Millis, response: httpcore.Response
+    ) -> None:
         """Take what a health answer says, if this upstream gave it."""
         named = {name.lower(): value for name, value in response.headers}
         if named.get(HEADER_INSTANCE.encode()) == upstream.encode():
-            self._notices.hear(upstream, read_notice(response), '')
+            self._notices.hear(upstream, read_notice(response), '', asked_at)
 
     async def _ask(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,10 +12,10 @@
 )
 from cartdale.fleet.decide import (
     LAPSED_KEPT_MS,
-    TOLD_AVOIDED_MS,
     decide,
 )
 from cartdale.fleet.departures import HEARD_AFTER_MS, LEAVING_KEPT_MS
+from cartdale.fleet.health import TOLD_AVOIDED_MS
 from cartdale.fleet.loads import (
     PEER_LOAD_KEPT_MS,
     Assignment,
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,5 +1,7 @@
 """Notices: what upstreams say of themselves beside an answer."""
 
+from math import inf
+
 import httpcore
 import pytest
 
@@ -50,3 +52,39 @@
 def test_only_who_turns_a_request_away_for_now_asks_for_rest() -> None:
     assert not read_notice(answer(429, Retry_After='3')).rest
     assert not read_notice(answer(500, Retry_After='3')).rest
+
+
+@pytest.mark.parametrize(
+    ('named', 'limit'),
+    [
+        (('3.1',), 3.1),
+        ((' 2 ',), 2),
+        (('0',), 0),
+        (('1e9',), 1e9),
+        (('inf',), inf),
+        (('4', '2.5'), 2.5),
+        (('4, 2.5',), 2.5),
+        ((), inf),
+        (('-1',), None),
+        (('nan',), None),
+        (('3', 'nan'), None),
+        (('nan', '3'), None),
+        (('',), None),
+        (('few',), None),
+    ],
+)
+def test_limit_is_read_in_requests_a_second(
+    named: tuple[str, ...], limit: float | None
+) -> None:
+    headers = [(b'Server-Limit', text.encode()) for text in named]
+    response = httpcore.Response(200, headers=headers)
+    assert read_notice(response).limit == limit
+
+
+@pytest.mark.parametrize('status', [200, 404, 500, 503])
+def test_any_answer_may_name_a_limit(status: int) -> None:
+    assert read_notice(answer(status, Server_Limit='3.1')).limit == 3.1
+
+
+def test_another_upstream_at_the_address_does_not_tell_a_limit() -> None:
+    assert read_notice(answer(421, Server_Limit='3.1')).limit is None
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -121,7 +121,7 @@
         fleet = stage.runtimes[0].fleet
         notices = Notices(fleet, SystemClock())
         call = make_call_to(fleet, 'plain-0')
-        notices.hear('plain-0', Notice(rest=500), 'r')
+        notices.hear('plain-0', Notice(rest=500), 'r', 0)
         async with PlatformUpstreams(notices).open(call) as opened:
             assert opened == Failure(SendWithheld())
         assert not stage.plains[0].arrivals
@@ -274,5 +274,5 @@
 def test_metrics_count_who_leaves_and_who_rests() -> None:
     fleet = make_resting(VirtualClock(), 900, 0)
     fleet.tell(SaidLeaving('u1'))
-    assert count_unavailable(fleet.state, 0) == (1, 1)
-    assert count_unavailable(fleet.state, 900) == (1, 0)
+    assert count_unavailable(fleet.state, 0) == (1, 1, 0)
+    assert count_unavailable(fleet.state, 900) == (1, 0, 0)
