Red: an upstream that names a rate limit gets more from all instances

What was seen: upstreams named 3.1 and 1.6 requests a second for all instances together, and got 27 and 30 in four seconds of instances that had been told.

Stand-ins learn the header.

--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -71,11 +71,13 @@
 
     :param at: seconds of the loop's clock.
     :param rest: what its answer asked for, as the header said it.
+    :param limit: rate limit that its answer named, as the header said it.
     """
 
     request_id: str
     at: float
     rest: str = ''
+    limit: str = ''
 
 
 class PlatformWorker:
@@ -92,11 +94,16 @@
         self.faults = PlainFaults()
         #: Whether all answers say that this upstream leaves.
         self.leaving = False
+        #: Requests a second that all answers name as the limit for all
+        #: instances, as the header says it; empty for not to name one.
+        self.limit = ''
         self.arrivals: list[Seen] = []
         #: Requests that were turned away with a rest asked for.
         self.rests_asked: list[Seen] = []
         #: Requests whose answers said that this upstream leaves.
         self.told_leaving: list[Seen] = []
+        #: Requests whose answers named a limit.
+        self.told_limit: list[Seen] = []
         self.runs_by_request: Counter[str] = Counter()
         self.heads: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
@@ -118,6 +125,7 @@
             self.crashes.born = max(_now(), self.crashes.born + 1)
             self.forget()
             self.leaving = False
+            self.limit = ''
             self.dead = False
             if self.crashes.on_return is not None:
                 self.crashes.on_return()
@@ -145,13 +153,16 @@
     def _begin_app(self) -> QuartTrio:
         """Return an application without routes, whose answers tell enough."""
         app = QuartTrio(self.name)
-        app.after_request(self._tell_leaving)
+        app.after_request(self._add_notices)
         return app
 
-    async def _tell_leaving(self, response: Response) -> Response:
+    async def _add_notices(self, response: Response) -> Response:
         if self.leaving:
             response.headers['Server-Leaving'] = '1'
             self.told_leaving.append(_see())
+        if self.limit:
+            response.headers['Server-Limit'] = self.limit
+            self.told_limit.append(_see(limit=self.limit))
         return response
 
     async def _run(self, path: str) -> Response:
@@ -216,9 +227,9 @@
     return response
 
 
-def _see(rest: str = '') -> Seen:
+def _see(rest: str = '', limit: str = '') -> Seen:
     name = request.headers.get('Request-Id', '')
-    return Seen(name, trio.current_time(), rest)
+    return Seen(name, trio.current_time(), rest, limit)
 
 
 async def read_body() -> bytes:
