Divide the rate limit that an upstream names among all instances

Callers saw nothing; upstreams in need got 27 and 30 requests in four seconds where 23 and 14 were the most, until they would have failed.

Cause: what an upstream names beside its answers was read nowhere.

Change: a limit is turned into whole permits, each of which lets one request pass in a span, and the permits are divided among the listed instances by rendezvous hashing of names. Idle ones are lent to those whose callers ask for more, by what news tell of each; who is not heard of keeps its part, so that both sides of a partition together keep to the limit. A permit is asked for where a request is placed, and spent where it is sent. A limit ends with an answer whose request was sent after the last head that named it; in doubt the lower one holds. Peers are told at once. Callers whom the limits leave no part are refused at once, and told to come back one after another.

Why it holds: no permit passes twice within four seconds, and the permits that instances with the same news hold add up to the limit.

--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -23,6 +23,7 @@
     NO_ROOM = 'refused: no room was likely to come in its time'
     EVACUATED = 'refused: all that could serve it is evacuated'
     COLD = 'refused: all that could serve it had just started'
+    LIMITED = 'refused: all that could serve it had named a rate limit'
     RESTING = 'refused: all that could serve it had asked to be left alone'
     LEAVING = 'refused: all that could serve it was leaving'
     REGION = 'refused: nothing serves it in the regions that it may enter'
@@ -48,6 +49,7 @@
         'cold': Cause.COLD,
         'region': Cause.REGION,
         'resting': Cause.RESTING,
+        'limited': Cause.LIMITED,
         'leaving': Cause.LEAVING,
     },
 )
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -140,6 +140,7 @@
             self.peers,
             self._relaying.budget,
             self._callers,
+            self._clock,
         )
         self._ready = _bind(settings.ready)
         self._metrics_listener = _bind(
--- a/src/cartdale/daemon/shares.py
+++ b/src/cartdale/daemon/shares.py
@@ -2,11 +2,11 @@
 
 import trio
 
-from cartdale.clock import SECOND_MS, Millis, seconds
+from cartdale.clock import SECOND_MS, Clock, Millis, seconds
 from cartdale.daemon.peers import Peers
 from cartdale.daemon.serve import BoundListener
 from cartdale.fleet.choose import CHOICES, CHOICES_BY_OLD_NEWS
-from cartdale.fleet.cold import Sharers
+from cartdale.fleet.division import Sharers
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.platform.settings import PlatformSettings
@@ -30,7 +30,9 @@
         peers: Peers,
         budget: RepeatBudget,
         callers: BoundListener,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._settings = settings
         self._fleet = fleet
         self._follower = follower
@@ -56,6 +58,9 @@
         # instance sent before it started again is forgotten for a second.
         if self._follower.in_step.is_set():
             self._fleet.cold_gate.divide_among(self._find_sharers())
+            self._fleet.limits.gate.divide_among(
+                self._peers.news.find_limit_sharers(), self._clock.now()
+            )
 
     def _find_sharers(self) -> Sharers:
         domain = self._settings.failure_domain
--- a/src/cartdale/fleet/candidates.py
+++ b/src/cartdale/fleet/candidates.py
@@ -19,6 +19,8 @@
     COLD = 'cold'
     #: All of them asked to be left alone for a while.
     RESTING = 'resting'
+    #: All of them have a rate limit, and have had this instance's part.
+    LIMITED = 'limited'
     #: All of them leave.
     LEAVING = 'leaving'
     #: All of them lie in failure domains that are evacuated.
@@ -41,16 +43,26 @@
 
 
 def find_shortage(
-    state: FleetState, need: Need, spec: ServiceSpec, now: Millis
+    state: FleetState,
+    need: Need,
+    spec: ServiceSpec,
+    now: Millis,
+    spent: frozenset[str],
 ) -> Shortage:
-    """Return why a request found no upstream."""
+    """Return why a request found no upstream.
+
+    :param spent: upstreams of whose rate limits this instance has had its part.
+    """
     candidates = list_candidates(state, need)
     if not candidates:
         return _find_absence(state, need)
     awake = [each for each in candidates if each.rests_until <= now]
     if not awake:
         return Shortage.RESTING
-    cold = all(is_cold(state, each, spec, now) for each in awake)
+    open_to_it = [each for each in awake if each.entry.upstream not in spent]
+    if not open_to_it:
+        return Shortage.LIMITED
+    cold = all(is_cold(state, each, spec, now) for each in open_to_it)
     return Shortage.COLD if cold and spec.cold_rate else Shortage.FULL
 
 
--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -67,6 +67,7 @@
     :param filled: part of an engine's memory that may be filled.
     :param reserved: part of the expected growth that must fit as well.
     :param among_all: look at all upstreams instead of a few.
+    :param sends: whether a request follows that is sent there.
     """
 
     service: str
@@ -80,6 +81,7 @@
     filled: float = MEMORY_FILLED
     reserved: float = GROWTH_RESERVED
     among_all: bool = False
+    sends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/fleet/cold.py
+++ b/src/cartdale/fleet/cold.py
@@ -1,22 +1,17 @@
 """Bound what all instances together send to an upstream that is cold.
 
 A cold upstream bears a few requests a second and falls over well above that.
-Nobody counts for all: a counter on the wire is late, and wrong during a
-partition. Instead the bound is divided beforehand, first among the failure
-domains that the settings name, then among the instances that are listed in
-each, by rendezvous hashing of their names with the upstream's (Thaler and
-Ravishankar, Using Name-Based Mappings to Increase Hit Rates, 1998). Each
-sends no more than its part in any second; who has none sends nothing there
-until it is warm. Neither list changes when instances are cut off from each
-other or start again, so that both sides of a partition divide alike.
+The bound is divided beforehand, first among the failure domains that the
+settings name, then among the instances that are listed in each. Each sends no
+more than its part in any second; who has none sends nothing there until it is
+warm.
 """
 
-import zlib
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from cartdale.clock import SECOND_MS, Millis
+from cartdale.fleet.division import Sharers, divide
 
 #: Part of the bound that is divided. The rest is for instances whose lists of
 #: each other differ while some join or go, and for requests that were chosen
@@ -42,42 +37,14 @@
         return int(rate * self.overage + self.slack)
 
 
-@dataclass(frozen=True, slots=True)
-class Sharers:
-    """Name those among whom a bound is divided.
-
-    :param own: this instance's name.
-    :param domain: this instance's failure domain.
-    :param domains: all failure domains.
-    :param around: the instances of this one's domain, itself included.
-    """
-
-    own: str
-    domain: str
-    domains: tuple[str, ...]
-    around: tuple[str, ...]
-
-
 def find_quota(sharers: Sharers, upstream: str, most: int) -> int:
     """Return how many requests a second an instance may send.
 
     :param most: requests a second that all of them may send together.
     """
     divided = int(DIVIDED_SHARE * most)
-    of_domain = _divide(sharers.domain, sharers.domains, upstream, divided)
-    return _divide(sharers.own, sharers.around, upstream, of_domain)
-
-
-def _divide(own: str, sharers: Sequence[str], upstream: str, total: int) -> int:
-    """Return one sharer's part of a whole number; the parts add up to it.
-
-    Who gets one more than others differs from upstream to upstream.
-    """
-    if own not in sharers:
-        return 0
-    ranked = sorted(sharers, key=lambda name: _weigh(name, upstream))
-    share, rest = divmod(total, len(ranked))
-    return share + (ranked.index(own) < rest)
+    of_domain = divide(sharers.domain, sharers.domains, upstream, divided)
+    return divide(sharers.own, sharers.around, upstream, of_domain)
 
 
 class ColdGate:
@@ -134,7 +101,3 @@
         while sent and now - sent[0] >= WINDOW:
             sent.popleft()
         return len(sent)
-
-
-def _weigh(name: str, upstream: str) -> tuple[int, str]:
-    return zlib.crc32(f'{name} {upstream}'.encode()), name
--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -4,18 +4,18 @@
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.departures import (
+    announce_departure,
     find_kept,
     find_return,
     find_warm_at,
     is_late,
-    take_word,
 )
 from cartdale.fleet.evacuation import Evacuation, end_unlisted, merge
 from cartdale.fleet.health import judge, put
+from cartdale.fleet.statements import take_statement
 from cartdale.fleet.types import (
     Action,
     BeganEvacuating,
-    BeganLeaving,
     Decision,
     EndedEvacuating,
     EntriesListed,
@@ -26,6 +26,7 @@
     FleetState,
     Lifecycle,
     Message,
+    NamedLimit,
     Replaced,
     Restarted,
     Returned,
@@ -54,8 +55,8 @@
             return _write(state, entry, now, heard=message.heard)
         case EntryRemoved():
             return _remove(state, message, now)
-        case SaidLeaving():
-            return _hear(state, message, now)
+        case SaidLeaving() | NamedLimit():
+            return take_statement(state, message, now)
         case Replaced(upstream=name):
             return _drop(state, (name,))
         case EvacuationsTold(evacuations=told):
@@ -106,7 +107,7 @@
         found = Upstream(
             entry, entry.lifecycle, now, warm_at=now + entry.cold_for
         )
-        return put(state, found), _announce(found)
+        return put(state, found), announce_departure(found)
     if _is_other_life(entry, known.entry):
         return _begin_life(state, known, entry, now)
     if not entry.born:
@@ -124,7 +125,7 @@
     )
     if changed.lifecycle is not known.lifecycle:
         changed = replace(changed, changed_at=now)
-    return put(state, changed), _announce(changed)
+    return put(state, changed), announce_departure(changed)
 
 
 def _is_other_life(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
@@ -143,16 +144,10 @@
     if entry.born < known.entry.born:
         return state, ()
     found = Upstream(entry, entry.lifecycle, now, warm_at=now + entry.cold_for)
-    began = (Restarted(entry.upstream), *_announce(found))
+    began = (Restarted(entry.upstream), *announce_departure(found))
     return put(state, found), began
 
 
-def _announce(upstream: Upstream) -> tuple[Action, ...]:
-    if upstream.lifecycle is Lifecycle.LEAVING:
-        return (BeganLeaving(upstream.entry.upstream),)
-    return ()
-
-
 def _remove(state: FleetState, message: EntryRemoved, now: Millis) -> Decision:
     known = state.upstreams_by_id.get(message.upstream)
     if known is None:
@@ -167,7 +162,7 @@
         lapsed = replace(known, lifecycle=Lifecycle.LAPSED, changed_at=now)
         return put(state, lapsed), ()
     leaving = replace(known, lifecycle=Lifecycle.LEAVING, changed_at=now)
-    return put(state, leaving), _announce(leaving)
+    return put(state, leaving), announce_departure(leaving)
 
 
 def _unlist(
@@ -179,16 +174,6 @@
     return put(state, replace(known, unlisted=True))
 
 
-def _hear(state: FleetState, said: SaidLeaving, now: Millis) -> Decision:
-    """Take an upstream's own word that it leaves."""
-    known = state.upstreams_by_id.get(said.upstream)
-    if known is None:
-        return state, ()
-    told = take_word(known, said, now)
-    began = known.lifecycle is not Lifecycle.LEAVING
-    return put(state, told), _announce(told) if began else ()
-
-
 def _expire(state: FleetState, now: Millis) -> Decision:
     actions: list[Action] = []
     vanished: list[str] = []
--- a/src/cartdale/fleet/departures.py
+++ b/src/cartdale/fleet/departures.py
@@ -4,6 +4,8 @@
 
 from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
 from cartdale.fleet.types import (
+    Action,
+    BeganLeaving,
     EntryRemoved,
     Lifecycle,
     SaidLeaving,
@@ -29,7 +31,7 @@
     It is newer than what the store and peers tell, and no life takes it back:
     an entry that says otherwise is older, or one of the next life.
     """
-    if _is_of_another_life(said.born, known):
+    if is_of_another_life(said.born, known):
         return known
     told_here = known.told_here or not said.heard
     if known.said_leaving and told_here == known.told_here:
@@ -45,6 +47,13 @@
     return replace(leaving, changed_at=now)
 
 
+def announce_departure(upstream: Upstream) -> tuple[Action, ...]:
+    """Return what others are told of an upstream that leaves."""
+    if upstream.lifecycle is Lifecycle.LEAVING:
+        return (BeganLeaving(upstream.entry.upstream),)
+    return ()
+
+
 def find_return(
     known: Upstream,
     entry: UpstreamEntry,
@@ -76,7 +85,7 @@
 
     A life that is over, or an entry that was missing and came back.
     """
-    if _is_of_another_life(message.born, known):
+    if is_of_another_life(message.born, known):
         return True
     return known.returned and now - known.changed_at < HEARD_AFTER_MS
 
@@ -101,5 +110,9 @@
     return max(known.warm_at, told) if heard else told
 
 
-def _is_of_another_life(born: Millis, known: Upstream) -> bool:
+def is_of_another_life(born: Millis, known: Upstream) -> bool:
+    """Tell whether an upstream has started again since a life was told of.
+
+    :param born: start of that life; 0 when it is not told.
+    """
     return bool(born and known.entry.born) and born != known.entry.born
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -26,7 +26,11 @@
 from cartdale.fleet.decide import decide
 from cartdale.fleet.evacuation import Evacuation, may_finish_move
 from cartdale.fleet.loads import Load, LoadBook
-from cartdale.fleet.outlook import Outlook, foresee, foresee_end_of_rest
+from cartdale.fleet.outlook import (
+    Outlook,
+    foresee,
+    foresee_end_of_rest,
+)
 from cartdale.fleet.pace import Pace, Progress, learn, learn_answer
 from cartdale.fleet.reading import ReadingShares
 from cartdale.fleet.types import (
@@ -41,6 +45,7 @@
     Upstream,
     UpstreamEntry,
 )
+from cartdale.fleet.upstream_limits import UpstreamLimits
 from cartdale.formatting import list_plain_fields
 from cartdale.quarantine.driver import Quarantine
 from cartdale.routes.types import RoutingTable, ServiceSpec
@@ -78,6 +83,7 @@
         self.on_restarted: Left | None = None
         self.on_evacuating: Left | None = None
         self.cold_gate = ColdGate()
+        self.limits = UpstreamLimits(clock)
         #: Counts what changed in the upstreams' lifecycles, for news.
         self.lifecycles = 0
         #: Counts the upstreams that said to this instance that they leave.
@@ -104,6 +110,7 @@
             logger.info(
                 f'{subject} changed', **list_plain_fields('change', action)
             )
+            self.limits.follow(action, _find_subject(after, action))
             self._act(action)
         if self.state is not before:
             self.notify()
@@ -174,8 +181,11 @@
         around = self._look_around(need, failure_domain)
         candidates = self._list_allowed(need, around)
         chosen = choose(candidates, need, around, self._generator)
-        if chosen and is_cold(self.state, chosen, around.spec, around.now):
+        if chosen is None:
+            return None
+        if is_cold(self.state, chosen, around.spec, around.now):
             self.cold_gate.note(chosen.entry.upstream, around.now)
+        self.limits.reserve(chosen, need)
         return chosen
 
     def foresee(self, need: Need, ahead: int) -> Outlook:
@@ -184,19 +194,20 @@
         :param ahead: requests that are served before it.
         """
         around = self._look_around(need, None)
-        resting = [
-            each
-            for each in list_candidates(self.state, need)
-            if each.rests_until > around.now
-        ]
-        awake = self._list_allowed(need, around)
-        outlook = foresee(awake, need, around, ahead)
-        if not resting:
+        candidates = list_candidates(self.state, need)
+        resting = [each for each in candidates if each.rests_until > around.now]
+        others = [each for each in candidates if each not in resting]
+        allowed = self._list_allowed(need, around)
+        outlook = foresee(allowed, need, around, ahead)
+        later = self.limits.foresee(others, need, around, ahead)
+        if resting:
+            later.append(foresee_end_of_rest(resting, need, around, ahead))
+        if not later:
             return outlook
-        rested = foresee_end_of_rest(resting, need, around, ahead)
-        if not awake:
-            return replace(rested, rest=rested.reading)
-        return min(outlook, rested, key=_expect)
+        if not allowed:
+            first = min(later, key=_expect)
+            return replace(first, rest=first.reading)
+        return min(outlook, *later, key=_expect)
 
     def filled_share(self, need: Need) -> float:
         """Return how full the engines are that could serve a request.
@@ -210,7 +221,9 @@
     def find_shortage(self, need: Need) -> Shortage:
         """Return why a request found no upstream."""
         spec = self._find_spec(need.service)
-        return find_shortage(self.state, need, spec, self._clock.now())
+        now = self._clock.now()
+        spent = self.limits.gate.list_spent(now)
+        return find_shortage(self.state, need, spec, now, spent)
 
     def may_finish_move(self, entry: UpstreamEntry) -> bool:
         """Tell whether a stopped generation may go on at an upstream."""
@@ -254,15 +267,17 @@
                 self.on_evacuating(name)
 
     def _list_allowed(self, need: Need, around: Surroundings) -> list[Upstream]:
-        """Return the candidates that don't rest, nor have a cold one's part.
+        """Return the candidates to which this instance may send now.
 
         An upstream that asked this instance for rest gets nothing from it,
-        whatever else is full: what it turns away it must still read.
+        whatever else is full: what it turns away it must still read. Of a cold
+        one, and of one with a rate limit, this instance has a part.
         """
         awake = [
             upstream
             for upstream in list_candidates(self.state, need)
             if upstream.rests_until <= around.now
+            and self.limits.has_permit(upstream, need)
         ]
         return [
             upstream
@@ -293,6 +308,14 @@
         )
 
 
+def _find_subject(state: FleetState, action: Action) -> Upstream | None:
+    """Return the upstream that an action is about, if any."""
+    match action:
+        case BeganEvacuating() | EndedEvacuating():
+            return None
+    return state.upstreams_by_id.get(action.upstream)
+
+
 def _expect(outlook: Outlook) -> float:
     """Return the mean wait that an outlook gives, to choose the shorter."""
     wait = outlook.expected_wait()
--- a/src/cartdale/fleet/health.py
+++ b/src/cartdale/fleet/health.py
@@ -4,11 +4,9 @@
 from typing import assert_never
 
 from cartdale.clock import SECOND_MS, Millis
-from cartdale.fleet.rate_limits import merge_limits
 from cartdale.fleet.types import (
     AskedForRest,
     FleetState,
-    NamedLimit,
     RequestEnded,
     ToldFailing,
     Upstream,
@@ -25,15 +23,13 @@
 
 def judge(
     state: FleetState,
-    message: AskedForRest | NamedLimit | RequestEnded | ToldFailing,
+    message: AskedForRest | RequestEnded | ToldFailing,
     now: Millis,
 ) -> FleetState:
     """Take what says how well an upstream does its work."""
     match message:
         case AskedForRest():
             return _rest(state, message, now)
-        case NamedLimit():
-            return _limit(state, message)
         case RequestEnded():
             return _count(state, message, now)
         case ToldFailing(upstream=name):
@@ -55,16 +51,6 @@
     return put(state, replace(known, rests_until=until))
 
 
-def _limit(state: FleetState, named: NamedLimit) -> FleetState:
-    known = state.upstreams_by_id.get(named.upstream)
-    if known is None:
-        return state
-    limit = merge_limits(known.rate_limit, named.limit)
-    if limit == known.rate_limit:
-        return state
-    return put(state, replace(known, rate_limit=limit))
-
-
 def _count(state: FleetState, message: RequestEnded, now: Millis) -> FleetState:
     known = state.upstreams_by_id.get(message.upstream)
     if known is None:
--- /dev/null
+++ b/src/cartdale/fleet/limit_gate.py
@@ -0,0 +1,158 @@
+"""Keep to the rate limits of upstreams, for this instance's part."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.fleet.division import Part, find_part, lend_idle
+from cartdale.fleet.permits import Allotment, Permits, allot
+
+#: What somebody offers, in requests a second by service; a service that is
+#: missing is not told, and ``None`` stands for who was not heard of.
+Offers = Mapping[str, float] | None
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSharers:
+    """Name those among whom limits are divided.
+
+    :param own: this instance's name.
+    :param own_group: the group of instances that it belongs to.
+    :param groups: what all of each group offer together.
+    :param around: what the instances of the own group offer.
+    """
+
+    own: str = ''
+    own_group: str = ''
+    groups: Mapping[str, Offers] = field(default_factory=dict)
+    around: Mapping[str, Offers] = field(default_factory=dict)
+
+
+class LimitGate:
+    """Count what this instance sends to upstreams with a limit.
+
+    Until the sharers are known it lets nothing pass.
+    """
+
+    def __init__(self) -> None:
+        self._sharers = LimitSharers()
+        self._permits_by_upstream: dict[str, Permits] = {}
+        self._services_by_upstream: dict[str, str] = {}
+        #: Requests that were held back as they were about to be sent.
+        self.withheld = 0
+
+    def divide_among(self, sharers: LimitSharers, now: Millis) -> None:
+        """Take who shares the limits, and what they offer."""
+        before = self._sharers
+        if sharers == before:
+            return
+        self._sharers = sharers
+        for upstream, permits in tuple(self._permits_by_upstream.items()):
+            service = self._services_by_upstream[upstream]
+            part = self._find_part(upstream, service, permits.allotment)
+            if before.own:
+                permits.resize(part, now)
+                continue
+            # Nothing passed here before, and nobody else had this part.
+            renewed = Permits(permits.allotment, part, now)
+            self._permits_by_upstream[upstream] = renewed
+
+    def limit(
+        self, upstream: str, service: str, per_second: float, now: Millis
+    ) -> None:
+        """Take an upstream's limit, in requests a second."""
+        allotment = allot(per_second)
+        part = self._find_part(upstream, service, allotment)
+        self._services_by_upstream[upstream] = service
+        self._permits_by_upstream[upstream] = Permits(allotment, part, now)
+
+    def release(self, upstream: str) -> None:
+        """Note that an upstream has no limit any more, or is gone."""
+        self._permits_by_upstream.pop(upstream, None)
+        self._services_by_upstream.pop(upstream, None)
+
+    def list_limited(self) -> tuple[str, ...]:
+        """Return the upstreams that have a limit."""
+        return tuple(self._permits_by_upstream)
+
+    def list_services(self) -> frozenset[str]:
+        """Return the services of the upstreams that have a limit."""
+        return frozenset(self._services_by_upstream.values())
+
+    def find(self, upstream: str) -> Permits | None:
+        """Return the own permits for an upstream; ``None`` for no limit."""
+        return self._permits_by_upstream.get(upstream)
+
+    def list_spent(self, now: Millis) -> frozenset[str]:
+        """Return the upstreams to which nothing may be sent now."""
+        return frozenset(
+            upstream
+            for upstream, permits in self._permits_by_upstream.items()
+            if not permits.is_free(now)
+        )
+
+    def find_return_rate(self, service: str) -> float:
+        """Return the own part of a service's limits.
+
+        :returns: requests a millisecond; 0 where nothing is limited.
+
+        An equal part where this instance has no permit: whoever returns may
+        come to another that has one.
+        """
+        held = [
+            permits
+            for upstream, permits in self._permits_by_upstream.items()
+            if self._services_by_upstream[upstream] == service
+        ]
+        sharers = len(self._sharers.groups) * len(self._sharers.around)
+        rate = sum(permits.rate for permits in held)
+        whole = sum(permits.allotment.rate for permits in held)
+        return rate or whole / max(sharers, 1)
+
+    def spend(self, upstream: str, now: Millis, *, resumes: bool) -> bool:
+        """Tell whether a request may be sent now, and count it.
+
+        :param resumes: whether it goes on from a copy there. It was stopped
+            for that and can't wait, so that it uses a later permit.
+        """
+        permits = self._permits_by_upstream.get(upstream)
+        if permits is None:
+            return True
+        passes = permits.spend(now, ahead_of_time=resumes)
+        self.withheld += not passes
+        return passes
+
+    def count_rate(self) -> float:
+        """Return this instance's part of all limits, in requests a second."""
+        rates = (each.rate for each in self._permits_by_upstream.values())
+        return sum(rates) * SECOND_MS
+
+    def _find_part(
+        self, upstream: str, service: str, allotment: Allotment
+    ) -> Part:
+        """Return the own part of an upstream's permits.
+
+        Among the groups of instances first, which hear of each other only what
+        each group offers together.
+        """
+        sharers, span = self._sharers, allotment.span
+        groups = lend_idle(
+            _expect(sharers.groups, service, span), upstream, allotment.permits
+        )
+        around = find_part(sharers.own_group, groups)
+        names = lend_idle(
+            _expect(sharers.around, service, span), upstream, around.count
+        )
+        part = find_part(sharers.own, names)
+        return Part(part.count, around.first + part.first)
+
+
+def _expect(
+    offers: Mapping[str, Offers], service: str, span: Millis
+) -> dict[str, float | None]:
+    """Return how many requests each offers in a span."""
+    expected: dict[str, float | None] = {}
+    for name, offered in offers.items():
+        rate = None if offered is None else offered.get(service)
+        expected[name] = None if rate is None else rate * span / SECOND_MS
+    return expected
--- a/src/cartdale/fleet/notices.py
+++ b/src/cartdale/fleet/notices.py
@@ -60,7 +60,7 @@
             limit_before=before.rate_limit.per_second,
         )
 
-    def forbid(self, upstream: str, *, resumes: bool) -> bool:
+    def withholds(self, upstream: str, *, resumes: bool) -> bool:
         """Tell whether a request may not be sent to an upstream any more.
 
         Asked when it is about to be sent, some time after it was placed: a
@@ -70,10 +70,15 @@
         :param resumes: whether it goes on from a copy there. It is no new
             work, and would be lost: one that leaves gets it all the same.
         """
+        now = self._clock.now()
         known = self._fleet.find(upstream)
-        if known is None or known.rests_until > self._clock.now():
+        if known is None or known.rests_until > now:
             return True
-        return known.lifecycle is Lifecycle.LEAVING and not resumes
+        if known.lifecycle is Lifecycle.LEAVING and not resumes:
+            return True
+        # Counted here, as it is sent: what is placed may be held back, or come
+        # up together with others much later.
+        return not self._fleet.limits.gate.spend(upstream, now, resumes=resumes)
 
     def _take_limit(
         self, known: Upstream, notice: Notice, asked_at: Millis
@@ -83,7 +88,9 @@
         named = RateLimit(notice.limit, asked_at, self._clock.now())
         # Nearly all answers name none where there is none.
         if named.limited or known.rate_limit.limited:
-            self._fleet.tell(NamedLimit(known.entry.upstream, named))
+            upstream = known.entry.upstream
+            self._fleet.limits.book.note(upstream, named)
+            self._fleet.tell(NamedLimit(upstream, named))
 
 
 def _is_same(before: Upstream, after: Upstream) -> bool:
--- a/src/cartdale/fleet/outlook.py
+++ b/src/cartdale/fleet/outlook.py
@@ -34,9 +34,10 @@
     :param ends: requests that must end.
     :param rate: requests that end in a millisecond, over all upstreams.
     :param reading: longest time until prompts that wait at the best engine
-        are read, beyond what a request may wait for that; and until the first
-        rest ends, where all upstreams rest.
-    :param rest: time until the first rest ends, where all rest.
+        are read, beyond what a request may wait for that; and until something
+        may be sent, where that is not now.
+    :param rest: time until something may be sent, where all upstreams rest or
+        have had this instance's part of their limit.
     """
 
     ends: int
@@ -106,6 +107,17 @@
     return replace(found, reading=found.reading + rest)
 
 
+def foresee_permit(
+    upstream: Upstream, need: Need, around: Surroundings, wait: Millis
+) -> Outlook:
+    """Return when a request finds room where its upstream is rate limited.
+
+    :param wait: time until this instance may send it there.
+    """
+    found = foresee((upstream,), need, around, 0)
+    return replace(found, reading=found.reading + wait)
+
+
 def _rate_of_ends(load: Load, around: Surroundings) -> float:
     """Return how many requests end at an upstream in a millisecond."""
     if around.spec.engine is None:
--- a/src/cartdale/fleet/rate_limits.py
+++ b/src/cartdale/fleet/rate_limits.py
@@ -12,7 +12,11 @@
 from dataclasses import dataclass, replace
 from math import inf, isfinite
 
-from cartdale.clock import Millis
+from cartdale.clock import SECOND_MS, Millis
+
+#: A limit that is named again counts as known for longer only after so long:
+#: each answer names it.
+_NAMED_AGAIN: Millis = SECOND_MS // 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +50,8 @@
         return known if named.asked_at <= known.answered_at else named
     if named.per_second < known.per_second:
         return named
+    if named.answered_at - known.answered_at < _NAMED_AGAIN:
+        return known
     return replace(
         known,
         asked_at=max(known.asked_at, named.asked_at),
--- /dev/null
+++ b/src/cartdale/fleet/statements.py
@@ -0,0 +1,56 @@
+"""Decide what follows from what upstreams say of themselves in answers."""
+
+from dataclasses import replace
+from typing import assert_never
+
+from cartdale.clock import Millis
+from cartdale.fleet.departures import (
+    announce_departure,
+    is_of_another_life,
+    take_word,
+)
+from cartdale.fleet.health import put
+from cartdale.fleet.rate_limits import merge_limits
+from cartdale.fleet.types import (
+    Decision,
+    FleetState,
+    Lifecycle,
+    LimitChanged,
+    NamedLimit,
+    SaidLeaving,
+    Upstream,
+)
+
+
+def take_statement(
+    state: FleetState, said: SaidLeaving | NamedLimit, now: Millis
+) -> Decision:
+    """Take what an upstream said to this instance or to a peer."""
+    known = state.upstreams_by_id.get(said.upstream)
+    if known is None:
+        return state, ()
+    match said:
+        case SaidLeaving():
+            told = take_word(known, said, now)
+            began = known.lifecycle is not Lifecycle.LEAVING
+            actions = announce_departure(told) if began else ()
+            return put(state, told), actions
+        case NamedLimit():
+            return _take_limit(state, known, said)
+        case _:
+            assert_never(said)
+
+
+def _take_limit(
+    state: FleetState, known: Upstream, named: NamedLimit
+) -> Decision:
+    if is_of_another_life(named.born, known):
+        return state, ()
+    before = known.rate_limit
+    limit = merge_limits(before, named.limit)
+    if limit == before:
+        return state, ()
+    after = put(state, replace(known, rate_limit=limit))
+    if limit.per_second == before.per_second:
+        return after, ()
+    return after, (LimitChanged(named.upstream, limit.per_second),)
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -206,10 +206,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NamedLimit:
-    """An upstream named its rate limit, or none, in an answer."""
+    """An upstream named its rate limit, or none, in an answer.
+
+    :param born: start of the life that named it; 0 when that is not told.
+    """
 
     upstream: str
     limit: RateLimit
+    born: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,6 +297,17 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class LimitChanged:
+    """Tell that an upstream takes another rate.
+
+    :param per_second: requests a second; infinite for no limit.
+    """
+
+    upstream: str
+    per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class BeganEvacuating:
     """Tell that nothing new may go to a failure domain."""
@@ -328,6 +343,7 @@
     | Restarted
     | Returned
     | Vanished
+    | LimitChanged
     | BeganEvacuating
     | EndedEvacuating
 )
--- /dev/null
+++ b/src/cartdale/fleet/upstream_limits.py
@@ -0,0 +1,95 @@
+"""Keep to the rate limits of upstreams: what is known, and what is due."""
+
+from collections.abc import Collection
+from math import isfinite
+
+from cartdale.clock import Clock, Millis
+from cartdale.fleet.choose import Need, Surroundings
+from cartdale.fleet.demand import DemandMeter
+from cartdale.fleet.limit_book import LimitBook
+from cartdale.fleet.limit_gate import LimitGate
+from cartdale.fleet.outlook import Outlook, foresee_permit
+from cartdale.fleet.types import (
+    Action,
+    LimitChanged,
+    Restarted,
+    Upstream,
+    Vanished,
+)
+
+
+class UpstreamLimits:
+    """Own what this instance needs to keep to upstreams' limits."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.gate = LimitGate()
+        self.book = LimitBook()
+        self._demand = DemandMeter()
+
+    def follow(self, action: Action, known: Upstream | None) -> None:
+        """Take what changed.
+
+        :param known: the upstream that is about, if it is known.
+        """
+        match action:
+            case LimitChanged(upstream=upstream, per_second=per_second):
+                self.gate.release(upstream)
+                if known is not None and isfinite(per_second):
+                    service = known.entry.service
+                    now = self._clock.now()
+                    self.gate.limit(upstream, service, per_second, now)
+            case Restarted(upstream=gone) | Vanished(upstream=gone):
+                self.gate.release(gone)
+
+    def note_arrival(self, service: str) -> None:
+        """Count a request that is to be placed."""
+        self._demand.note(service, self._clock.now())
+
+    def measure_offers(self) -> dict[str, float]:
+        """Return what callers here ask of services with limited upstreams.
+
+        :returns: requests a second, by service.
+        """
+        services = self.gate.list_services()
+        return self._demand.measure(services, self._clock.now())
+
+    def has_permit(self, upstream: Upstream, need: Need) -> bool:
+        """Tell whether a request may be placed at an upstream now."""
+        permits = self.gate.find(upstream.entry.upstream)
+        if permits is None:
+            return True
+        return need.sends and permits.is_free(self._clock.now())
+
+    def reserve(self, upstream: Upstream, need: Need) -> None:
+        """Keep a permit for a request that was placed at an upstream."""
+        permits = self.gate.find(upstream.entry.upstream)
+        if permits is not None and need.sends:
+            permits.reserve(self._clock.now())
+
+    def foresee(
+        self,
+        candidates: Collection[Upstream],
+        need: Need,
+        around: Surroundings,
+        ahead: int,
+    ) -> list[Outlook]:
+        """Return when a request finds room where a permit must come first.
+
+        :param candidates: upstreams that take new work.
+        :param ahead: requests that are served before it.
+        """
+        limited = [
+            (upstream, permits)
+            for upstream in candidates
+            if (permits := self.gate.find(upstream.entry.upstream))
+            and not permits.is_free(around.now)
+        ]
+        outlooks: list[Outlook] = []
+        for upstream, permits in limited:
+            # Those before this request take what comes first anywhere.
+            ready_at = permits.next_at(ahead // len(limited), around.now)
+            if ready_at is not None:
+                wait: Millis = ready_at - around.now
+                outlooks.append(foresee_permit(upstream, need, around, wait))
+        return outlooks
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -26,6 +26,7 @@
     TakeEntry,
     TakeEvacuations,
     TakeLeaving,
+    TakeLimit,
     TakeLoads,
 )
 from cartdale.quarantine.types import CrashesTold
@@ -196,6 +197,9 @@
         )
         for upstream in news.leaving
     )
+    actions.extend(
+        TakeLimit(upstream, limit) for upstream, limit in news.limits.items()
+    )
     if news.evacuations:
         actions.append(TakeEvacuations(news.evacuations))
     if news.crashes:
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -9,11 +9,13 @@
 from cartdale.clock import Clock, Millis, seconds
 from cartdale.codec import decode_binary
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.limit_gate import LimitSharers
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import (
     EntryRemoved,
     EntryWritten,
     EvacuationsTold,
+    NamedLimit,
     SaidLeaving,
     ToldFailing,
 )
@@ -29,6 +31,7 @@
     list_audience,
     stretch,
 )
+from cartdale.news.limits import find_limit_sharers, read_limit
 from cartdale.news.ports import Datagrams
 from cartdale.news.speaking import DomainSpeaker
 from cartdale.news.types import (
@@ -45,6 +48,7 @@
     TakeEntry,
     TakeEvacuations,
     TakeLeaving,
+    TakeLimit,
     TakeLoads,
 )
 from cartdale.news.writing import DOMAIN_KIND, NEWS_KIND, NewsWriter
@@ -117,8 +121,8 @@
                     self._take_loads(peer, loads_by_upstream)
                 case TakeEntry(entry=entry):
                     self._fleet.tell(EntryWritten(entry, heard=True))
-                case TakeLeaving():
-                    self._take_leaving(action)
+                case TakeLeaving() | TakeLimit():
+                    self._take_statement(action)
                 case TakeEvacuations(evacuations=evacuations):
                     self._fleet.tell(EvacuationsTold(evacuations))
                 case CrashesTold():
@@ -169,6 +173,12 @@
         """Return how many instances are alive, this one included."""
         return 1 + count_alive(self.state, self._clock.now())
 
+    def find_limit_sharers(self) -> LimitSharers:
+        """Return who shares the rate limits of upstreams."""
+        offers = self._fleet.limits.measure_offers()
+        now = self._clock.now()
+        return find_limit_sharers(self.state, self._own, offers, now)
+
     def list_audience(self) -> list[PeerEntry]:
         """Return the peers to which this instance tells its news."""
         return list_audience(self.state, self._own, self._clock.now())
@@ -191,12 +201,15 @@
             nursery.start_soon(self._send)
             nursery.start_soon(self._speaker.run)
 
-    def _take_leaving(self, told: TakeLeaving) -> None:
-        name, born = told.upstream, told.born
-        if told.said:
-            self._fleet.tell(SaidLeaving(name, heard=True, born=born))
-        else:
-            self._fleet.tell(EntryRemoved(name, heard=True, born=born))
+    def _take_statement(self, told: TakeLeaving | TakeLimit) -> None:
+        match told:
+            case TakeLeaving(upstream=name, born=born, said=True):
+                self._fleet.tell(SaidLeaving(name, heard=True, born=born))
+            case TakeLeaving(upstream=name, born=born):
+                self._fleet.tell(EntryRemoved(name, heard=True, born=born))
+            case TakeLimit(upstream=name, news=news):
+                limit = read_limit(news, self._clock.now())
+                self._fleet.tell(NamedLimit(name, limit, news.born))
 
     def _take_loads(
         self, peer: str, loads_by_upstream: dict[str, Load]
--- /dev/null
+++ b/src/cartdale/news/limits.py
@@ -0,0 +1,104 @@
+"""Tell peers of rate limits: which were named, and what is asked of whom."""
+
+from collections.abc import Iterable, Mapping
+
+from cartdale.clock import Millis
+from cartdale.fleet.limit_gate import LimitSharers, Offers
+from cartdale.fleet.rate_limits import RateLimit, merge_limits
+from cartdale.news.decide import ALIVE_MS
+from cartdale.news.duties import is_wide
+from cartdale.news.types import Heard, LimitNews, NewsState, PeerEntry
+
+#: A message may be on its way for so long. What it tells happened so much
+#: earlier than its ages say.
+_ON_ITS_WAY: Millis = 300
+#: Name of the one group of a small system.
+_EVERYBODY = ''
+
+
+def write_limit(limit: RateLimit, born: Millis, now: Millis) -> LimitNews:
+    """Return what peers are told of a limit; clocks differ, ages don't."""
+    return LimitNews(
+        limit.per_second, now - limit.asked_at, now - limit.answered_at, born
+    )
+
+
+def read_limit(news: LimitNews, now: Millis) -> RateLimit:
+    """Return a limit as a peer told it."""
+    asked_at = now - news.asked_ago - _ON_ITS_WAY
+    return RateLimit(news.per_second, asked_at, now - news.answered_ago)
+
+
+def merge_limit_news(
+    own: Mapping[str, LimitNews], heard: Iterable[Heard], now: Millis
+) -> dict[str, LimitNews]:
+    """Return what the answers to all of a failure domain named."""
+    limits_by_upstream = dict(own)
+    for each in heard:
+        for upstream, news in each.news.limits.items():
+            named = read_limit(news, each.at)
+            known = limits_by_upstream.get(upstream)
+            if known is not None and known.born >= news.born:
+                named = merge_limits(read_limit(known, now), named)
+            limits_by_upstream[upstream] = write_limit(named, news.born, now)
+    return limits_by_upstream
+
+
+def add_offers(
+    offers: Iterable[Mapping[str, float]],
+) -> dict[str, float]:
+    """Return what several offer together, of services that all tell."""
+    listed = list(offers)
+    services = set.intersection(*map(set, listed)) if listed else set()
+    return {
+        service: sum(each[service] for each in listed) for service in services
+    }
+
+
+def find_limit_sharers(
+    state: NewsState, own: PeerEntry, offers: Offers, now: Millis
+) -> LimitSharers:
+    """Return who shares the limits of upstreams, and what each offers.
+
+    Whoever is listed shares, heard of or not.
+
+    :param offers: of this instance.
+    """
+    if not is_wide(state):
+        around = _list_offers(state, state.peers_by_name, now)
+        around[own.name] = offers
+        return LimitSharers(own.name, _EVERYBODY, {_EVERYBODY: None}, around)
+    domain = own.failure_domain
+    names = [
+        name
+        for name, peer in state.peers_by_name.items()
+        if peer.failure_domain == domain
+    ]
+    around = _list_offers(state, names, now)
+    around[own.name] = offers
+    told = [each for each in around.values() if each is not None]
+    groups = {**_list_domain_offers(state, now), domain: add_offers(told)}
+    return LimitSharers(own.name, domain, groups, around)
+
+
+def _list_offers(
+    state: NewsState, names: Iterable[str], now: Millis
+) -> dict[str, Offers]:
+    offers_by_name: dict[str, Offers] = {}
+    for name in names:
+        heard = state.heard_by_name.get(name)
+        fresh = heard is not None and now - heard.at <= ALIVE_MS
+        offers_by_name[name] = heard.news.offers if heard and fresh else None
+    return offers_by_name
+
+
+def _list_domain_offers(state: NewsState, now: Millis) -> dict[str, Offers]:
+    domains = {peer.failure_domain for peer in state.peers_by_name.values()}
+    offers_by_domain: dict[str, Offers] = {}
+    for domain in domains:
+        heard = state.domains_by_name.get(domain)
+        fresh = heard is not None and now - heard.at <= ALIVE_MS
+        offers_by_domain[domain] = (
+            heard.news.offers if heard and fresh else None
+        )
+    return offers_by_domain
--- a/src/cartdale/news/speaking.py
+++ b/src/cartdale/news/speaking.py
@@ -10,7 +10,8 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.news.decide import ALIVE_MS, count_reporters
 from cartdale.news.duties import choose_recipients, is_domain_speaker
-from cartdale.news.types import DomainNews, NewsState, PeerEntry
+from cartdale.news.limits import add_offers, merge_limit_news
+from cartdale.news.types import DomainNews, Heard, NewsState, PeerEntry
 from cartdale.news.writing import NewsWriter
 from cartdale.peers.seal import Seal
 
@@ -76,12 +77,12 @@
                 self._news.state, self._news.own, now
             ):
                 continue
-            news = self._describe(now)
-            if news == told and now - told_at < _UNCHANGED_EVERY:
+            # A limit that changed is among the lifecycles.
+            news, urgent = self._describe(now), self._spoken_of
+            if (news, urgent) == told and now - told_at < _UNCHANGED_EVERY:
                 continue
-            told, told_at = news, now
-            # Ages of crashes change always, and choosing them takes time.
-            news = replace(news, crashes=self._fleet.quarantine.list_news())
+            told, told_at = (news, urgent), now
+            news = self._add_aged(news, now)
             turn += 1
             for peer in choose_recipients(
                 self._news.state, self._news.own, now, turn
@@ -91,6 +92,14 @@
                 )
                 self._news.send_to(sealed, peer)
 
+    def _add_aged(self, news: DomainNews, now: Millis) -> DomainNews:
+        """Add what has an age, which changes always."""
+        limits = merge_limit_news(
+            self._writer.list_limits(), self._list_around(now), now
+        )
+        crashes = self._fleet.quarantine.list_news()
+        return replace(news, crashes=crashes, limits=limits)
+
     async def _pause(self) -> None:
         """Wait for the next time to speak, or until something is urgent.
 
@@ -111,21 +120,29 @@
 
     def _describe(self, now: Millis) -> DomainNews:
         names = [peer.name for peer in self._news.list_audience()]
-        heard_by_name = self._news.state.heard_by_name
-        alive = [
-            heard_by_name[name].news
-            for name in names
-            if name in heard_by_name
-            and now - heard_by_name[name].at <= ALIVE_MS
-        ]
+        alive = [heard.news for heard in self._list_around(now)]
         loads_by_upstream = self._fleet.loads.shared_totals(names, now)
         lost = self._store_lost() and all(news.store_lost for news in alive)
-        return self._writer.describe_domain(
+        news = self._writer.describe_domain(
             1 + len(alive),
             loads_by_upstream,
             self._count_reporters(now),
             store_lost=lost,
         )
+        own = self._fleet.limits.measure_offers()
+        return replace(
+            news, offers=add_offers((own, *(each.offers for each in alive)))
+        )
+
+    def _list_around(self, now: Millis) -> list[Heard]:
+        """Return what the instances of this domain told of late."""
+        heard_by_name = self._news.state.heard_by_name
+        return [
+            heard_by_name[peer.name]
+            for peer in self._news.list_audience()
+            if peer.name in heard_by_name
+            and now - heard_by_name[peer.name].at <= ALIVE_MS
+        ]
 
     def _count_reporters(self, now: Millis) -> dict[str, int]:
         """Count the instances of this domain that can't reach an upstream."""
--- a/src/cartdale/news/types.py
+++ b/src/cartdale/news/types.py
@@ -23,6 +23,23 @@
     failure_domain: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class LimitNews:
+    """Tell which rate limit an upstream named in an answer.
+
+    :param per_second: requests a second; infinite for no limit.
+    :param asked_ago: time since the request was sent that was answered so.
+    :param answered_ago: time since the head of its answer came.
+    :param born: start of the upstream's life, in Unix milliseconds; 0 when it
+        does not tell.
+    """
+
+    per_second: float
+    asked_ago: Millis
+    answered_ago: Millis
+    born: Millis = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LoadNews:
     """Tell what an instance has running and what it knows.
@@ -43,6 +60,9 @@
     :param crashes: upstreams that ended as they began to run a request.
     :param departing: those of ``leaving`` that said it in an answer to the
         sender; they don't come back, whatever the store says.
+    :param limits: what upstreams named of late in answers to the sender.
+    :param offers: requests a second that the sender's callers ask of the
+        services with limited upstreams.
     """
 
     boot: Millis
@@ -58,6 +78,8 @@
     crashes: tuple[CrashNews, ...] = ()
     births: dict[str, Millis] = field(default_factory=dict)
     departing: tuple[str, ...] = ()
+    limits: dict[str, LimitNews] = field(default_factory=dict)
+    offers: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +102,8 @@
     :param evacuations: of failure domains, present and past.
     :param crashes: upstreams that ended as they began to run a request.
     :param departing: those of ``leaving`` that said it themselves.
+    :param limits: what upstreams named of late in answers there.
+    :param offers: requests a second of all callers there together.
     """
 
     boot: Millis
@@ -96,6 +120,8 @@
     crashes: tuple[CrashNews, ...] = ()
     births: dict[str, Millis] = field(default_factory=dict)
     departing: tuple[str, ...] = ()
+    limits: dict[str, LimitNews] = field(default_factory=dict)
+    offers: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +207,14 @@
     said: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TakeLimit:
+    """Take over which rate limit an upstream named."""
+
+    upstream: str
+    news: LimitNews
+
+
 @dataclass(frozen=True, slots=True)
 class TakeEntry:
     """Take over what an upstream wrote of itself."""
@@ -218,6 +252,7 @@
 Action = (
     TakeLoads
     | TakeLeaving
+    | TakeLimit
     | TakeEntry
     | TakeEvacuations
     | CrashesTold
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -10,7 +10,8 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import Lifecycle, UpstreamEntry
-from cartdale.news.types import DomainNews, LoadNews, PeerEntry
+from cartdale.news.limits import write_limit
+from cartdale.news.types import DomainNews, LimitNews, LoadNews, PeerEntry
 from cartdale.peers.seal import Envelope, Seal
 
 NEWS_KIND = LoadNews.__name__
@@ -32,9 +33,7 @@
     lost: bool
     crashes: int
     departures: int
-
-
-_NOTHING_TOLD = _Content(-1, -1, -1, (), False, -1, -1)
+    limits: int
 
 
 class NewsWriter:
@@ -61,7 +60,7 @@
         self._store_lost = store_lost
         self._boot = clock.wall()
         self._number = 0
-        self._told = _NOTHING_TOLD
+        self._told: _Content | None = None
 
     def has_new(self) -> bool:
         """Tell whether there is something that was not written yet."""
@@ -86,6 +85,8 @@
             crashes=self._fleet.quarantine.list_news(),
             births=self._list_births(leaving),
             departing=self._list_departing(leaving, told_here=True),
+            limits=self.list_limits(),
+            offers=self._fleet.limits.measure_offers(),
         )
         return self._close(seal, _EVERYBODY, NEWS_KIND, encode_binary(news))
 
@@ -108,8 +109,8 @@
     ) -> DomainNews:
         """Return what this instance tells of its failure domain.
 
-        It gets its number when it is closed, and crashes when it is sent, so
-        that two are equal that tell the same.
+        It gets its number when it is closed, and what has an age when it is
+        sent, so that two are equal that tell the same.
 
         :param alive: instances there, this one included.
         :param loads_by_upstream: what all of them have running.
@@ -133,6 +134,16 @@
             departing=self._list_departing(leaving),
         )
 
+    def list_limits(self) -> dict[str, LimitNews]:
+        """Return what upstreams named of late in answers here."""
+        now = self._clock.now()
+        upstreams_by_id = self._fleet.state.upstreams_by_id
+        return {
+            name: write_limit(limit, upstreams_by_id[name].entry.born, now)
+            for name, limit in self._fleet.limits.book.list_recent(now).items()
+            if name in upstreams_by_id
+        }
+
     def close_domain(
         self, seal: Seal, news: DomainNews, recipient: str
     ) -> bytes:
@@ -164,6 +175,7 @@
             lost=self._store_lost(),
             crashes=self._fleet.quarantine.version,
             departures=self._fleet.departures_heard,
+            limits=self._fleet.limits.book.version,
         )
 
     def _list_leaving(self) -> tuple[str, ...]:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -72,7 +72,9 @@
         if event != _BEFORE_SENDING:
             return
         resumes = self._call.resume is not None
-        if self._notices.forbid(self._call.upstream.upstream, resumes=resumes):
+        if self._notices.withholds(
+            self._call.upstream.upstream, resumes=resumes
+        ):
             raise _WithheldError
         self.sent_at = self._notices.now()
 
--- a/src/cartdale/relay/admission.py
+++ b/src/cartdale/relay/admission.py
@@ -7,6 +7,7 @@
 import random
 from bisect import insort
 from dataclasses import dataclass
+from math import ceil
 
 import trio
 from loguru import logger
@@ -98,10 +99,13 @@
         #: The tickets of the requests that wait, the next one first.
         self._queues_by_service: dict[str, list[Ticket]] = {}
         self._arrivals = 0
+        #: When the last one comes back that was told so, for rate limits.
+        self._returns_by_service: dict[str, Millis] = {}
 
     async def place(self, waiting: Waiting) -> Upstream | NoRoom:
         """Wait for room as long as it is likely to come in time."""
         service = waiting.need.service
+        self._fleet.limits.note_arrival(service)
         queue = self._queues_by_service.setdefault(service, [])
         self._arrivals += 1
         ticket = Ticket(waiting.priority, waiting.arrived_at, self._arrivals)
@@ -125,6 +129,23 @@
         spread = min(rest * _RETRY_SPREAD, _REST_SPREAD)
         return rest + int(spread * self._generator.random())
 
+    def _schedule_return(self, need: Need, least: Millis) -> Millis:
+        """Return when a caller may come back to upstreams with rate limits.
+
+        One after another, as the limits bear them: all that return at the same
+        moment would be refused again.
+        """
+        rate = self._fleet.limits.gate.find_return_rate(need.service)
+        now = self._clock.now()
+        after_last = self._returns_by_service.get(need.service, 0)
+        after_last += ceil(1 / rate) if rate else 0
+        returns_at = max(now + least, after_last)
+        if returns_at > now + _RETRY_LONGEST:
+            share = 1 - _RETRY_SPREAD * self._generator.random()
+            return max(least, int(_RETRY_LONGEST * share))
+        self._returns_by_service[need.service] = returns_at
+        return returns_at - now
+
     async def _wait(
         self, queue: list[Ticket], ticket: Ticket, waiting: Waiting
     ) -> Upstream | NoRoom:
@@ -143,7 +164,7 @@
                 return self._refuse(waiting, outlook, 0, shortage)
             until = waiting.until
             if outlook.expected_wait() is None:
-                until = min(until, began + _UNKNOWN_WAIT)
+                until = min(until, began + _find_unknown_wait(shortage))
                 chance = float(now < until)
             else:
                 chance = outlook.chance(until - now)
@@ -167,6 +188,8 @@
         wait += int(wait * _RETRY_SPREAD * self._generator.random())
         bounded = min(max(wait, _RETRY_SHORTEST), _RETRY_LONGEST)
         retry_after = max(bounded, self._outlast(outlook.rest))
+        if shortage is Shortage.LIMITED:
+            retry_after = self._schedule_return(waiting.need, retry_after)
         logger.info(
             'no room',
             request=waiting.request_id,
@@ -180,3 +203,11 @@
             shortage=shortage,
         )
         return NoRoom(retry_after)
+
+
+def _find_unknown_wait(shortage: Shortage) -> Millis:
+    """Return how long a request waits for what can't be foreseen.
+
+    Who has no part of the limits gets none soon.
+    """
+    return 0 if shortage is Shortage.LIMITED else _UNKNOWN_WAIT
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -87,6 +87,8 @@
     movable = SourceLink(spec.engine).carries_all(awaiting_copy)
     if movable and fleet.filled_share(need) > _SERVICE_FILLED:
         return None
-    copied = replace(need, reads=0, read_within=0, filled=_BACKUP_FILLED)
+    copied = replace(
+        need, reads=0, read_within=0, filled=_BACKUP_FILLED, sends=False
+    )
     chosen = fleet.choose(copied)
     return chosen.entry if chosen else None
--- a/tests/load/test_cold_upstreams.py
+++ b/tests/load/test_cold_upstreams.py
@@ -15,7 +15,8 @@
 
 from cartdale.clock import VirtualClock
 from cartdale.fleet.choose import Need
-from cartdale.fleet.cold import ColdBound, ColdGate, Sharers, find_quota
+from cartdale.fleet.cold import ColdBound, ColdGate, find_quota
+from cartdale.fleet.division import Sharers
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.types import (
