End a rate limit only by an upstream's own answer

An answer to another's request, or one that breaks off before it is a whole head, says nothing by not naming a limit; nor do health checks, of which it is not known whether they name any. Shares of bounds are looked up as soon as the other instances are known: for up to a second after its start an instance refused requests for limited and cold upstreams.

--- a/src/cartdale/daemon/shares.py
+++ b/src/cartdale/daemon/shares.py
@@ -41,7 +41,10 @@
         self._callers = callers
 
     async def run(self) -> None:
-        """Look once a second, for ever."""
+        """Look once a second, for ever, and as soon as others are known."""
+        self._look()
+        with trio.move_on_after(seconds(_LOOK_EVERY)):
+            await self._follower.in_step.wait()
         while True:
             self._look()
             await trio.sleep(seconds(_LOOK_EVERY))
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -1,7 +1,8 @@
 """Types of the fleet: upstreams, what they report and how they fare."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from math import inf
 
 from cartdale.clock import Millis
 from cartdale.fleet.evacuation import DomainStanding, Evacuation
@@ -87,6 +88,10 @@
     rest: Millis = 0
     limit: float | None = None
 
+    def without_absence(self) -> 'Notice':
+        """Return what it tells where a missing limit does not tell of none."""
+        return replace(self, limit=None) if self.limit == inf else self
+
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -12,6 +12,7 @@
 
 import httpcore
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis
@@ -115,11 +116,15 @@
             yield Failure(LinkBroke(format_error(late_error)))
             return
         notice = read_notice(response)
+        answer = read_head(call, response, notice)
+        if not is_successful(answer):
+            # It may be another's answer, which says nothing by its silence.
+            notice = notice.without_absence()
         self._notices.hear(
             call.upstream.upstream, notice, request.request_id, guard.sent_at
         )
         try:
-            yield read_head(call, response, notice)
+            yield answer
         finally:
             await response.aclose()
 
@@ -186,7 +191,9 @@
         """Take what a health answer says, if this upstream gave it."""
         named = {name.lower(): value for name, value in response.headers}
         if named.get(HEADER_INSTANCE.encode()) == upstream.encode():
-            self._notices.hear(upstream, read_notice(response), '', asked_at)
+            # Whether these answers name limits at all is not known.
+            notice = read_notice(response).without_absence()
+            self._notices.hear(upstream, notice, '', asked_at)
 
     async def _ask(
         self,
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -11,9 +11,17 @@
 """
 
 import trio
+from returns.result import Failure
 
+from cartdale.clock import SystemClock
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.notices import Notices
+from cartdale.fleet.types import Notice
+from cartdale.platform.upstreams import PlatformUpstreams
+from cartdale.relay.types import SendWithheld
 from cartdale_standins.platform_worker import PlatformWorker
 from tests.platform_stage import PlatformStage, ask, open_platform, until
+from tests.test_heard_departures import make_call_to
 
 #: In force so long after an upstream first named its limit, in seconds.
 CONTACT = 3
@@ -65,3 +73,42 @@
             nursery.cancel_scope.cancel()
         most = most_in_window(plain, first + CONTACT)
         assert most <= OVERAGE * limit * WINDOW + SLACK
+
+
+def has_permit(fleet: Fleet) -> bool:
+    """Tell whether a request may be placed at the limited upstream."""
+    permits = fleet.limits.gate.find('plain-0')
+    return permits is not None and permits.is_free(SystemClock().now())
+
+
+async def test_an_answer_of_another_does_not_end_a_limit() -> None:
+    """It has another request's id, and does not name the limit."""
+    async with open_platform(engines=0, plains=1) as stage:
+        plain, fleet = stage.plains[0], stage.runtimes[0].fleet
+        plain.limit = '20'
+        await ask(stage, 'r1')
+        await until(lambda: has_permit(fleet))
+        plain.limit, plain.faults.strangers = '', 1
+        assert (await ask(stage, 'r2')).status_code != 200
+        assert fleet.find('plain-0').rate_limit.per_second == 20
+        await until(lambda: has_permit(fleet))
+        await ask(stage, 'r3')
+        assert not fleet.find('plain-0').rate_limit.limited
+
+
+async def test_a_request_is_counted_as_it_is_sent() -> None:
+    """Its permit was kept while its connection came up, and has lapsed."""
+    async with open_platform(engines=0, plains=1) as stage:
+        fleet = stage.runtimes[0].fleet
+        notices = Notices(fleet, SystemClock())
+        named = Notice(limit=1)
+        notices.hear('plain-0', named, 'r', SystemClock().now())
+        await until(lambda: has_permit(fleet))
+        call = make_call_to(fleet, 'plain-0')
+        upstreams = PlatformUpstreams(notices)
+        async with upstreams.open(call) as opened:
+            assert opened.unwrap().status == 200
+        notices.hear('plain-0', named, 'r', SystemClock().now())
+        async with upstreams.open(call) as opened:
+            assert opened == Failure(SendWithheld())
+        assert len(stage.plains[0].arrivals) == 1
