Count requests to cold upstreams as they are sent

What callers would have seen: a cold upstream that falls over. Found by looking for the cause of overrun rate limits elsewhere: the bound on cold upstreams was counted as a request was placed, which is up to seconds before it is sent.

Change: a place is kept for a quarter of a second as a request is placed, and the request is counted, and may be held back, where it is sent. Rate limits keep places in the same way; the strictest of both holds. Ruled out: counting it at both places, which counts a request that is held back and placed again twice.

Why it holds: nothing is sent that was not counted within the last second at that moment.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -19,7 +19,7 @@
 from cartdale.daemon.serve import Application, BoundListener
 from cartdale.daemon.shares import Shares
 from cartdale.exceptions import BadInputError
-from cartdale.fleet.candidates import count_unavailable
+from cartdale.fleet.candidates import count_cold, count_unavailable
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.follow import Follower
 from cartdale.formatting import list_plain_fields
@@ -282,7 +282,7 @@
     def _read_constraints(self) -> Constraints:
         return Constraints(
             len(self.fleet.list_evacuated()),
-            self.fleet.count_cold(),
+            count_cold(self.fleet.state, self._clock.now()),
             self.fleet.cold_gate.sent,
             self.fleet.quarantine.count_held(),
             *count_unavailable(self.fleet.state, self._clock.now()),
--- a/src/cartdale/fleet/candidates.py
+++ b/src/cartdale/fleet/candidates.py
@@ -86,6 +86,12 @@
     )
 
 
+def count_cold(state: FleetState, now: Millis) -> int:
+    """Return how many upstreams are cold, as far as it is told."""
+    upstreams = state.upstreams_by_id.values()
+    return sum(upstream.warm_at > now for upstream in upstreams)
+
+
 def count_unavailable(state: FleetState, now: Millis) -> tuple[int, int, int]:
     """Return how many upstreams leave, asked for rest, and name a limit."""
     upstreams = state.upstreams_by_id.values()
--- a/src/cartdale/fleet/cold.py
+++ b/src/cartdale/fleet/cold.py
@@ -12,6 +12,7 @@
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.division import Sharers, divide
+from cartdale.fleet.reservations import Reservations
 
 #: Part of the bound that is divided. The rest is for instances whose lists of
 #: each other differ while some join or go, and for requests that were chosen
@@ -58,6 +59,7 @@
         self._sharers: Sharers | None = None
         self._quotas: dict[tuple[str, int], int] = {}
         self._sent_by_upstream: dict[str, deque[Millis]] = {}
+        self._kept_by_upstream: dict[str, Reservations] = {}
         #: Requests sent to cold upstreams since the start.
         self.sent = 0
 
@@ -81,7 +83,25 @@
         if quota is None:
             quota = find_quota(self._sharers, upstream, most)
             self._quotas[(upstream, most)] = quota
-        return self._count_sent(upstream, now) < quota
+        taken = self._count_sent(upstream, now) + self._count_kept(
+            upstream, now
+        )
+        return taken < quota
+
+    def reserve(self, upstream: str, now: Millis) -> None:
+        """Keep a place for a request that was placed at a cold upstream."""
+        kept = self._kept_by_upstream.setdefault(upstream, Reservations())
+        kept.add(now)
+
+    def cancel(self, upstream: str, now: Millis) -> None:
+        """Take back the place of a request that is sent now, or held back.
+
+        It is counted as it is sent: connections take from a millisecond to
+        seconds, and what was placed over seconds may come up at one moment.
+        """
+        kept = self._kept_by_upstream.get(upstream)
+        if kept is not None:
+            kept.drop(now)
 
     def note(self, upstream: str, now: Millis) -> None:
         """Count a request that is sent to a cold upstream."""
@@ -93,6 +113,13 @@
         for upstream in list(self._sent_by_upstream):
             if not self._count_sent(upstream, now):
                 self._sent_by_upstream.pop(upstream)
+        for name, kept in list(self._kept_by_upstream.items()):
+            if not kept.count(now):
+                self._kept_by_upstream.pop(name)
+
+    def _count_kept(self, upstream: str, now: Millis) -> int:
+        kept = self._kept_by_upstream.get(upstream)
+        return kept.count(now) if kept else 0
 
     def _count_sent(self, upstream: str, now: Millis) -> int:
         sent = self._sent_by_upstream.get(upstream)
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -184,10 +184,32 @@
         if chosen is None:
             return None
         if is_cold(self.state, chosen, around.spec, around.now):
-            self.cold_gate.note(chosen.entry.upstream, around.now)
+            self.cold_gate.reserve(chosen.entry.upstream, around.now)
         self.limits.reserve(chosen, need)
         return chosen
 
+    def spend(self, upstream: Upstream, *, resumes: bool) -> bool:
+        """Tell whether a request may be sent now, and count it.
+
+        What bounds the rate of its upstream is asked here, where all ways to
+        it meet; the strictest holds.
+
+        :param resumes: whether it goes on from a copy there, and can't wait.
+        """
+        now = self._clock.now()
+        name = upstream.entry.upstream
+        spec = self._find_spec(upstream.entry.service)
+        cold = is_cold(self.state, upstream, spec, now)
+        self.cold_gate.cancel(name, now)
+        bears = not cold or self.cold_gate.allows(name, spec.cold_rate, now)
+        if not bears and not resumes:
+            return False
+        if not self.limits.gate.spend(name, now, resumes=resumes):
+            return False
+        if cold:
+            self.cold_gate.note(name, now)
+        return True
+
     def foresee(self, need: Need, ahead: int) -> Outlook:
         """Return when a request finds room.
 
@@ -240,14 +262,6 @@
             for standing in self.state.standings_by_domain.values()
         )
 
-    def count_cold(self) -> int:
-        """Return how many upstreams are cold, as far as it is told."""
-        now = self._clock.now()
-        return sum(
-            upstream.warm_at > now
-            for upstream in self.state.upstreams_by_id.values()
-        )
-
     def list_evacuated(self) -> tuple[str, ...]:
         """Return the failure domains where nothing new may go."""
         return tuple(
--- a/src/cartdale/fleet/notices.py
+++ b/src/cartdale/fleet/notices.py
@@ -70,15 +70,12 @@
         :param resumes: whether it goes on from a copy there. It is no new
             work, and would be lost: one that leaves gets it all the same.
         """
-        now = self._clock.now()
         known = self._fleet.find(upstream)
-        if known is None or known.rests_until > now:
+        if known is None or known.rests_until > self._clock.now():
             return True
         if known.lifecycle is Lifecycle.LEAVING and not resumes:
             return True
-        # Counted here, as it is sent: what is placed may be held back, or come
-        # up together with others much later.
-        return not self._fleet.limits.gate.spend(upstream, now, resumes=resumes)
+        return not self._fleet.spend(known, resumes=resumes)
 
     def _take_limit(
         self, known: Upstream, notice: Notice, asked_at: Millis
--- a/src/cartdale/fleet/permits.py
+++ b/src/cartdale/fleet/permits.py
@@ -8,12 +8,12 @@
 """
 
 from bisect import insort
-from collections import deque
 from dataclasses import dataclass
 from math import ceil
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.division import Part
+from cartdale.fleet.reservations import Reservations
 
 #: An upstream's requests are counted over so long. No permit lets two pass in
 #: it, so that after a pause no more come at once than there are permits.
@@ -31,9 +31,6 @@
 _MADE_UP_SHARE = 0.25
 #: Span of the permits, while there are few of them.
 _SPAN: Millis = int(_COUNTED_OVER / (1 - _MADE_UP_SHARE))
-#: How long a permit is kept for a request whose connection comes up. One that
-#: takes longer asks again.
-_RESERVED: Millis = SECOND_MS // 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +73,8 @@
         self._ready_at: list[Millis] = [
             now + self._find_turn(part, number) for number in range(part.count)
         ]
-        #: Until when permits are kept for requests that were placed.
-        self._reserved_until: deque[Millis] = deque()
+        #: Of permits, for requests that were placed.
+        self._reservations = Reservations()
 
     @property
     def rate(self) -> float:
@@ -102,7 +99,7 @@
         if not self._ready_at:
             return None
         spans, number = divmod(
-            ahead + self._count_reserved(now), len(self._ready_at)
+            ahead + self._reservations.count(now), len(self._ready_at)
         )
         ready_at = max(self._ready_at[number], now)
         return ready_at + spans * self.allotment.span
@@ -114,15 +111,14 @@
 
     def reserve(self, now: Millis) -> None:
         """Keep a permit for a request that was placed."""
-        self._reserved_until.append(now + _RESERVED)
+        self._reservations.add(now)
 
     def spend(self, now: Millis, *, ahead_of_time: bool = False) -> bool:
         """Let a request pass that is sent now, if there is a permit.
 
         :param ahead_of_time: use one that lets the next request pass later.
         """
-        if self._count_reserved(now):
-            self._reserved_until.popleft()
+        self._reservations.drop(now)
         if not self._ready_at:
             return ahead_of_time
         ready_at = self._ready_at[0]
@@ -138,8 +134,3 @@
         """Return when in its span an own permit has its turn among all."""
         allotment = self.allotment
         return allotment.span * (part.first + number + 1) // allotment.permits
-
-    def _count_reserved(self, now: Millis) -> int:
-        while self._reserved_until and self._reserved_until[0] <= now:
-            self._reserved_until.popleft()
-        return len(self._reserved_until)
--- a/tests/load/test_cold_upstreams.py
+++ b/tests/load/test_cold_upstreams.py
@@ -19,6 +19,7 @@
 from cartdale.fleet.division import Sharers
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.evacuation import Evacuation
+from cartdale.fleet.notices import Notices
 from cartdale.fleet.types import (
     EntriesListed,
     EntryWritten,
@@ -228,3 +229,19 @@
     assert not choose_many(fleet)
     clock.advance(1000)
     assert choose_many(fleet) == {'only': 100}
+
+
+def test_what_waits_for_its_connection_is_counted_as_it_is_sent() -> None:
+    """Placed over two seconds, all arrive when the path is free again."""
+    clock = VirtualClock()
+    fleet = make_fleet(clock, make_entry('cold', slots=1000, cold_for=60_000))
+    share_alone(fleet)
+    placed = choose_many(fleet)['cold']
+    clock.advance(1000)
+    placed += choose_many(fleet)['cold']
+    notices = Notices(fleet, clock)
+    sent = sum(
+        not notices.withholds('cold', resumes=False) for _ in range(placed)
+    )
+    assert placed > MOST
+    assert MOST / 2 <= sent <= MOST
