Soak: upstreams that name rate limits, one and all of a service

One after another upstreams name a limit for ten seconds and more, some change it, and callers ask for more of their service meanwhile and for five seconds after. The sum over all instances is checked in each four seconds, and that an upstream is used again once its limit has ended. Three mutants: a limit that is not read, one that each instance keeps to alone, and one that never ends.

--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -1,11 +1,13 @@
 """Callers of a soak: they ask, and have the checks judge the answers."""
 
+from random import Random
 from types import MappingProxyType
 from typing import Any
 
 import httpx
 import trio
 
+from cartdale_standins.platform_engine import STRIDE
 from tests.fault_soak.checks import CONTACT_SECONDS, STREAMS, Asked
 from tests.fault_soak.instances import Instance
 from tests.platform_stage import make_headers
@@ -48,6 +50,30 @@
             if asked.kind == 'tag' and asked.body and not asked.whole:
                 await self._resume(asked)
 
+    async def press(
+        self, kind: str, pause: float, random: Random, over: trio.Event
+    ) -> None:
+        """Ask for little, again and again.
+
+        :param over: set to end it.
+        """
+        soak = self._soak
+        while not over.is_set():
+            await trio.sleep(pause)
+            ready = [each for each in soak.instances if each.name in soak.ready]
+            if not ready:
+                continue
+            instance = random.choice(ready)
+            asked = Asked(
+                f'{kind}-{soak.next_number()}',
+                kind,
+                instance.name,
+                trio.current_time(),
+                tokens=STRIDE * 3,
+                life=instance.life,
+            )
+            await self._try(asked, instance)
+
     def _stay_or_choose(self, before: Instance | None) -> Instance | None:
         """Return where to ask next: an open connection is kept mostly.
 
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -22,6 +22,11 @@
 #: the first part, which is for what is on its way.
 MOST_IN_REST = 2
 ON_ITS_WAY_SECONDS = 0.5
+#: Over which requests to an upstream with a rate limit are counted, and what
+#: may come over the limit: half as much again, and some on top.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
 #: Kinds whose answers are streams.
 STREAMS = frozenset(('draft', 'tag'))
 #: Upstreams that a request of a kind may run on; others on one.
@@ -148,6 +153,17 @@
         if count > MOST_IN_REST:
             self._add(f'{upstream}: {count} from {instance} while it rested')
 
+    def check_limit(self, upstream: str, limit: float, count: int) -> None:
+        """Check how many requests came in a window from all instances."""
+        most = LIMIT_OVERAGE * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        if count > most:
+            self._add(f'{upstream}: over its limit of {limit} a second')
+
+    def check_limit_ended(self, upstream: str, count: int, least: int) -> None:
+        """Check that an upstream is used again once its limit has ended."""
+        if count < least:
+            self._add(f'{upstream}: {count} requests after its limit ended')
+
     def _expect(self, asked: Asked) -> bytes:
         if asked.kind not in STREAMS:
             return f'{asked.kind}/ of {asked.name}'.encode()
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -266,6 +266,9 @@
         key = f'op/evacuate/{domain}'
         self._soak.store.put(key, {})
         self._soak.evacuated_since[domain] = trio.current_time()
+        for upstream in self._soak.upstreams:
+            if upstream.domain == domain:
+                upstream.evacuated_at = trio.current_time()
         await trio.sleep(self._soak.random.uniform(*_EVACUATED_SECONDS))
         self._soak.evacuated_since.pop(domain)
         self._soak.store.remove(key)
--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -64,6 +64,8 @@
     stopped_at: float | None = None
     killed: bool = False
     leaving_for_good: bool = False
+    #: When it was started, and told to stop or killed.
+    starts: list[float] = field(default_factory=list)
     #: When it stood still, from and until.
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
@@ -111,6 +113,7 @@
         with self.log_path.open('ab') as log:
             while not self.leaving_for_good:
                 self.life += 1
+                self.starts.append(trio.current_time())
                 self.killed = False
                 self.stopped_at = None
                 self.disturb()
--- /dev/null
+++ b/tests/fault_soak/limits.py
@@ -0,0 +1,197 @@
+"""Upstreams that name rate limits, and callers that ask for more."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import trio
+
+from tests.fault_soak.callers import Callers
+from tests.fault_soak.checks import CONTACT_SECONDS, LIMIT_WINDOW_SECONDS
+from tests.fault_soak.watch import SLACK_SECONDS, Upstream
+
+#: Of plain services and engines, requests a second: few, none at all, many, and
+#: what is no number, which says nothing.
+_LIMITS = ('0.4', '1.6', '1.6', '3.1', '6', '0', 'few')
+#: How long a limit holds: so long that a window lies in it whole.
+_SHORTEST, _LONGEST = 10.0, 13.0
+#: Between the end of one and the next.
+_PAUSE_SECONDS = 1.0
+#: Callers that ask the limited service beside the others, and their pause.
+_CALLERS, _CALL_EVERY = 6, 0.15
+#: Longest that a failure domain stays evacuated.
+EVACUATED_SECONDS = 8
+#: How long they go on after a limit has ended.
+_AFTER_SECONDS = 5.0
+#: A limit that has ended is known to have, everywhere, by then.
+_ENDED_SECONDS = 1.0
+#: So many at the least come in the rest of the time; a limit that still held
+#: would let fewer pass.
+_LEAST_AFTER = 6
+#: Which kind of request asks which service for little.
+_KIND_BY_SERVICE = (('portal', 'cut'), ('writers', 'tag'))
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Hold that an upstream named a limit, and until when."""
+
+    upstream: Upstream
+    per_second: float
+    since: float
+    until: float
+    #: Whether it named another one right after.
+    changed: bool
+
+
+class Limits:
+    """Let upstreams name limits, one after another and all of a service.
+
+    :param soak: the run that they belong to.
+    """
+
+    def __init__(self, soak: Any, seed: int) -> None:
+        self._soak = soak
+        # Of its own, so that the other faults of a seed are as without it.
+        self._random = Random(f'limits {seed}')
+        self._spans: list[Limited] = []
+
+    async def run(self, asking: Callers, stopping: trio.Event) -> None:
+        """Name limits until told to stop."""
+        while not stopping.is_set():
+            await trio.sleep(_PAUSE_SECONDS)
+            service, kind = self._random.choice(_KIND_BY_SERVICE)
+            everyone = self._random.random() < 0.4
+            listed = self._list_up(service)
+            chosen = listed if everyone else listed[:1]
+            over = trio.Event()
+            async with trio.open_nursery() as nursery:
+                for _ in range(_CALLERS):
+                    nursery.start_soon(
+                        asking.press, kind, _CALL_EVERY, self._random, over
+                    )
+                await self._limit(chosen)
+                await trio.sleep(_AFTER_SECONDS)
+                over.set()
+
+    def check(self) -> None:
+        """Check at the end what came while a limit held, and after it."""
+        for limited in self._spans:
+            self._check_sum(limited)
+            if not limited.changed:
+                self._check_end(limited)
+
+    async def _limit(self, chosen: list[Upstream]) -> None:
+        """Have some name a limit, and perhaps another one later."""
+        self._soak.faults['names a limit'] += len(chosen)
+        first = self._random.choice(_LIMITS)
+        lasts = self._random.uniform(_SHORTEST, _LONGEST)
+        changes = self._random.random() < 0.3
+        await self._hold(chosen, first, lasts, changes=changes)
+        if changes:
+            second = self._random.choice(_LIMITS)
+            await self._hold(chosen, second, lasts, changes=False)
+
+    async def _hold(
+        self, chosen: list[Upstream], named: str, lasts: float, *, changes: bool
+    ) -> None:
+        since = trio.current_time()
+        births = [each.worker.crashes.born for each in chosen]
+        for each in chosen:
+            each.worker.limit = named
+        await trio.sleep(lasts)
+        until = trio.current_time()
+        for upstream, born in zip(chosen, births, strict=True):
+            same_life = upstream.worker.crashes.born == born
+            if upstream.worker.limit and not changes:
+                upstream.worker.limit = ''
+            if (
+                same_life
+                and upstream.is_up
+                and named.replace('.', '').isdigit()
+            ):
+                limited = Limited(upstream, float(named), since, until, changes)
+                self._spans.append(limited)
+
+    def _check_sum(self, limited: Limited) -> None:
+        worker = limited.upstream.worker
+        told = [
+            seen.at
+            for seen in worker.told_limit
+            if limited.since <= seen.at <= limited.until
+        ]
+        if not told:
+            return
+        first = told[0] + CONTACT_SECONDS + SLACK_SECONDS
+        arrivals = self._list_arrivals(limited.upstream, first, limited.until)
+        for start, _ in arrivals:
+            end = start + LIMIT_WINDOW_SECONDS
+            if end > limited.until:
+                break
+            excused = self._list_excused(start, end)
+            count = sum(
+                start <= at < end and sender not in excused
+                for at, sender in arrivals
+            )
+            self._soak.checks.check_limit(
+                worker.name, limited.per_second, count
+            )
+
+    def _check_end(self, limited: Limited) -> None:
+        start = limited.until + _ENDED_SECONDS + SLACK_SECONDS
+        end = limited.until + _AFTER_SECONDS
+        arrivals = self._list_arrivals(limited.upstream, start, end)
+        if limited.per_second <= 1 and self._is_calm(limited, end):
+            self._soak.checks.check_limit_ended(
+                limited.upstream.worker.name, len(arrivals), _LEAST_AFTER
+            )
+
+    def _is_calm(self, limited: Limited, end: float) -> bool:
+        """Tell whether nothing but the limit kept requests away."""
+        soak, upstream = self._soak, limited.upstream
+        since = limited.until - 2 * CONTACT_SECONDS
+        worker = upstream.worker
+        disturbed = [
+            soak.store_disturbed_at,
+            upstream.disturbed_at,
+            upstream.drained_at or 0,
+            *worker.crashes.ended_at,
+            *(seen.at for seen in worker.rests_asked),
+            *(seen.at for seen in worker.told_leaving),
+            *(each.disturbed_at for each in soak.instances),
+            upstream.evacuated_at + EVACUATED_SECONDS,
+        ]
+        return upstream.is_up and max(disturbed) < since
+
+    def _list_arrivals(
+        self, upstream: Upstream, start: float, end: float
+    ) -> list[tuple[float, str]]:
+        """Return when requests came, and from which instance."""
+        senders = {each.name: each.instance for each in self._soak.checks.asked}
+        return [
+            (seen.at, senders[seen.request_id])
+            for seen in upstream.worker.arrivals
+            if start <= seen.at <= end and seen.request_id in senders
+        ]
+
+    def _list_excused(self, start: float, end: float) -> set[str]:
+        """Return the instances that stood still or began again near a span."""
+        since = start - CONTACT_SECONDS - SLACK_SECONDS
+        return {
+            each.name
+            for each in self._soak.instances
+            if any(since <= at <= end for at in each.starts)
+            or any(
+                began < end and ended > since for began, ended in each.pauses
+            )
+        }
+
+    def _list_up(self, service: str) -> list[Upstream]:
+        return [
+            each
+            for each in self._soak.upstreams
+            if each.service == service
+            and each.is_up
+            and each.drained_at is None
+            and not each.worker.leaving
+        ]
--- a/tests/fault_soak/mutants.py
+++ b/tests/fault_soak/mutants.py
@@ -14,7 +14,14 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'src'))
 
-from cartdale.fleet import candidates, driver, notices  # noqa: E402
+from cartdale.fleet import (  # noqa: E402
+    candidates,
+    driver,
+    limit_gate,
+    notices,
+    statements,
+)
+from cartdale.fleet.division import Part  # noqa: E402
 from cartdale.fleet.follow import Follower  # noqa: E402
 from cartdale.platform import callers, translate  # noqa: E402
 from cartdale.platform.main import main  # noqa: E402
@@ -94,6 +101,32 @@
     notices.Notices.hear = hear
 
 
+def ignore_limit() -> None:
+    """Don't take it when an upstream names a rate limit."""
+    notices.Notices._take_limit = look_away
+
+
+def keep_limit() -> None:
+    """Keep a limit that an upstream names no more."""
+    honest = statements.merge_limits
+
+    def merge_limits(known, named):
+        return min(
+            (known, honest(known, named)), key=lambda each: each.per_second
+        )
+
+    statements.merge_limits = merge_limits
+
+
+def limit_alone() -> None:
+    """Let each instance keep to a limit by itself."""
+
+    def find_part(self, upstream, service, allotment):
+        return Part(allotment.permits)
+
+    limit_gate.LimitGate._find_part = find_part
+
+
 def adopt_older() -> None:
     """Put whatever configuration the store lists in force."""
     honest = Follower.adopt
@@ -157,6 +190,9 @@
         'ignore-quarantine': ignore_quarantine,
         'ignore-word': ignore_word,
         'ignore-rest': ignore_rest,
+        'ignore-limit': ignore_limit,
+        'keep-limit': keep_limit,
+        'limit-alone': limit_alone,
         'adopt-older': adopt_older,
         'pass-twice': pass_twice,
         'end-as-whole': end_as_whole,
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -29,6 +29,7 @@
 from tests.fault_soak.deadly import DeadlyCallers
 from tests.fault_soak.faults import Faults
 from tests.fault_soak.instances import Instance
+from tests.fault_soak.limits import Limits
 from tests.fault_soak.notices import check_notices
 from tests.fault_soak.proxy import LOCAL, FaultProxy
 from tests.fault_soak.watch import DOMAINS, Upstream, Watch
@@ -48,12 +49,20 @@
     """Run one seed.
 
     :param mutant: fault of the program that must be found; empty for none.
+    :param limits: whether upstreams name rate limits beside all else.
     """
 
     def __init__(
-        self, seed: int, folder: Path, instances: int = 3, mutant: str = ''
+        self,
+        seed: int,
+        folder: Path,
+        instances: int = 3,
+        mutant: str = '',
+        *,
+        limits: bool = False,
     ) -> None:
         self.random = Random(seed)
+        self._limits = Limits(self, seed) if limits else None
         self.checks = Checks()
         self.faults: Counter[str] = Counter()
         self.store = PlatformStoreStandIn()
@@ -94,6 +103,8 @@
             runs.update(upstream.worker.runs_by_request)
         self.checks.check_runs(runs)
         check_notices(self)
+        if self._limits is not None:
+            self._limits.check()
         self.checks.check_deadly(self.deadly_callers.count_late())
 
     def make_document(self) -> dict:
@@ -169,6 +180,8 @@
             for _ in range(_CALLERS * self._count):
                 callers.start_soon(asking.call, stopping)
             with trio.move_on_after(seconds):
+                if self._limits is not None:
+                    callers.start_soon(self._limits.run, asking, stopping)
                 await Faults(self).disturb()
             stopping.set()
         # What was refused must not run later either.
@@ -197,19 +210,31 @@
 
 
 async def _run(
-    seed: int, folder: Path, seconds: float, instances: int, mutant: str
+    seed: int,
+    folder: Path,
+    seconds: float,
+    instances: int,
+    mutant: str,
+    limits: bool,
 ) -> FaultSoak:
-    soak = FaultSoak(seed, folder, instances, mutant)
+    soak = FaultSoak(seed, folder, instances, mutant, limits=limits)
     await soak.run(seconds)
     return soak
 
 
 def run_seed(
-    seed: int, seconds: float, instances: int = 3, mutant: str = ''
+    seed: int,
+    seconds: float,
+    instances: int = 3,
+    mutant: str = '',
+    *,
+    limits: bool = False,
 ) -> FaultSoak:
     """Run one seed and return what it saw."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = trio.run(_run, seed, Path(folder), seconds, instances, mutant)
+        soak = trio.run(
+            _run, seed, Path(folder), seconds, instances, mutant, limits
+        )
         if soak.checks.violations and not mutant:
             for log in sorted(Path(folder).glob('*.log')):
                 kept = Path(f'soak-{seed}-{log.name}')
@@ -227,7 +252,11 @@
     found = 0
     for seed in range(options.first, options.first + options.seeds):
         soak = run_seed(
-            seed, options.seconds, options.instances, options.mutant
+            seed,
+            options.seconds,
+            options.instances,
+            options.mutant,
+            limits=options.limits,
         )
         faults.update(soak.faults)
         ends.update(soak.checks.ends)
@@ -248,6 +277,7 @@
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--instances', type=int, default=3)
     parser.add_argument('--mutant', default='')
+    parser.add_argument('--limits', action='store_true')
     return parser.parse_args()
 
 
--- a/tests/fault_soak/watch.py
+++ b/tests/fault_soak/watch.py
@@ -37,6 +37,8 @@
     drained_at: float | None = None
     known: set[str] = field(default_factory=set)
     disturbed_at: float = 0
+    #: When its failure domain was last evacuated.
+    evacuated_at: float = 0
     #: Whether it ended for good.
     gone: bool = False
     #: When its path was disturbed, from and until.
