Name the context of a choice, the record of notices and a synced follower

Surroundings becomes ChoiceContext, Notices.hear becomes record, and a follower's in_step becomes synced. The mutants that pass over notices take the time of the request too, which they had to since limits are read; without it they failed.

--- a/src/cartdale/daemon/briefing.py
+++ b/src/cartdale/daemon/briefing.py
@@ -28,7 +28,7 @@
     def knows_enough(self) -> bool:
         """Tell whether a new instance needs no briefing any more."""
         briefed = self._follower.configured.is_set() and bool(self._peers.key)
-        return briefed or self._follower.in_step.is_set()
+        return briefed or self._follower.synced.is_set()
 
     def describe(self) -> Briefing:
         """Return what a new instance needs."""
@@ -58,7 +58,7 @@
         """
         # The store knows only of those that quarantined a request.
         self._fleet.quarantine.tell(CrashesTold(briefing.crashes))
-        if self._follower.in_step.is_set():
+        if self._follower.synced.is_set():
             return
         if briefing.key:
             self._peers.take_key(briefing.key)
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -98,7 +98,7 @@
             nursery.start_soon(self._lasting.run)
             await self._roster.register()
             self._tried_to_register.set()
-            await follower.in_step.wait()
+            await follower.synced.wait()
             nursery.start_soon(self._agree_on_key)
             await self._roster.run()
 
--- a/src/cartdale/daemon/shares.py
+++ b/src/cartdale/daemon/shares.py
@@ -44,7 +44,7 @@
         """Look once a second, for ever, and as soon as others are known."""
         self._look()
         with trio.move_on_after(seconds(_LOOK_EVERY)):
-            await self._follower.in_step.wait()
+            await self._follower.synced.wait()
         while True:
             self._look()
             await trio.sleep(seconds(_LOOK_EVERY))
@@ -59,7 +59,7 @@
         self._fleet.choices = CHOICES_BY_OLD_NEWS if old_news else CHOICES
         # Before the first read nobody is known who shares, and what an
         # instance sent before it started again is forgotten for a second.
-        if self._follower.in_step.is_set():
+        if self._follower.synced.is_set():
             self._fleet.cold_gate.divide_among(self._find_sharers())
             self._fleet.limits.gate.divide_among(
                 self._peers.news.find_limit_sharers(), self._clock.now()
--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -85,7 +85,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
+class ChoiceContext:
     """Hold what a choice is made from.
 
     :param failure_domain: where the chooser runs, or the engine that a
@@ -109,7 +109,7 @@
 def choose(
     candidates: Iterable[Upstream],
     need: Need,
-    around: Surroundings,
+    context: ChoiceContext,
     generator: random.Random,
 ) -> Upstream | None:
     """Return an upstream that has room, or ``None``.
@@ -120,31 +120,31 @@
     in Randomized Load Balancing, 2001).
     """
     listed = list(candidates)
-    if around.switches.has(Mechanism.AVOIDANCE):
-        listed = _prefer_answering(listed, around.now)
+    if context.switches.has(Mechanism.AVOIDANCE):
+        listed = _prefer_answering(listed, context.now)
     considered = len(listed)
-    if around.switches.has(Mechanism.FEW_CHOICES) and not need.among_all:
-        considered = min(considered, around.choices)
+    if context.switches.has(Mechanism.FEW_CHOICES) and not need.among_all:
+        considered = min(considered, context.choices)
     few = generator.sample(listed, considered)
-    best = _choose_best(few, need, around, generator)
+    best = _choose_best(few, need, context, generator)
     if best is None and len(few) < len(listed):
-        return _choose_best(listed, need, around, generator)
+        return _choose_best(listed, need, context, generator)
     return best
 
 
 def _choose_best(
     listed: Iterable[Upstream],
     need: Need,
-    around: Surroundings,
+    context: ChoiceContext,
     generator: random.Random,
 ) -> Upstream | None:
     best: Upstream | None = None
     least = float('inf')
     for upstream in listed:
-        load = around.loads_by_upstream.get(upstream.entry.upstream, Load())
-        if not _has_room(upstream, load, need, around):
+        load = context.loads_by_upstream.get(upstream.entry.upstream, Load())
+        if not _has_room(upstream, load, need, context):
             continue
-        cost = _cost(upstream, load, need, around)
+        cost = _cost(upstream, load, need, context)
         cost += generator.random() * _JITTER
         if cost < least:
             best, least = upstream, cost
@@ -157,18 +157,18 @@
 
 
 def _has_room(
-    upstream: Upstream, load: Load, need: Need, around: Surroundings
+    upstream: Upstream, load: Load, need: Need, context: ChoiceContext
 ) -> bool:
-    engine = around.spec.engine
+    engine = context.spec.engine
     if load.runs >= upstream.entry.slots:
         return False
     if engine is None:
         return True
     if not load.runs and need.filled >= MEMORY_FILLED:
         return True
-    if reads_after(load, need, around.pace):
+    if reads_after(load, need, context.pace):
         return False
-    return count_missing(load, need, around) <= 0
+    return count_missing(load, need, context) <= 0
 
 
 def reads_after(load: Load, need: Need, pace: Pace) -> Millis:
@@ -180,26 +180,26 @@
 
 
 def measure_filling(
-    candidates: Collection[Upstream], around: Surroundings
+    candidates: Collection[Upstream], context: ChoiceContext
 ) -> float:
     """Return which part of the memory of some engines is or will be taken."""
-    engine = around.spec.engine
+    engine = context.spec.engine
     if engine is None or not candidates:
         return 1
     loads = [
-        around.loads_by_upstream.get(upstream.entry.upstream, Load())
+        context.loads_by_upstream.get(upstream.entry.upstream, Load())
         for upstream in candidates
     ]
     taken = sum(load.tokens + GROWTH_RESERVED * load.growth for load in loads)
     return taken / (engine.memory_tokens * len(loads))
 
 
-def count_missing(load: Load, need: Need, around: Surroundings) -> float:
+def count_missing(load: Load, need: Need, context: ChoiceContext) -> float:
     """Return the memory that an engine lacks for a request, in tokens."""
-    engine = around.spec.engine
+    engine = context.spec.engine
     if engine is None:
         return 0
-    wanted = need.prompt + _forecast_growth(load, need, around.pace)
+    wanted = need.prompt + _forecast_growth(load, need, context.pace)
     return load.tokens + wanted - need.filled * engine.memory_tokens
 
 
@@ -214,20 +214,20 @@
 
 
 def _cost(
-    upstream: Upstream, load: Load, need: Need, around: Surroundings
+    upstream: Upstream, load: Load, need: Need, context: ChoiceContext
 ) -> float:
-    engine = around.spec.engine
+    engine = context.spec.engine
     if engine is None:
         cost = (load.runs + 1) / upstream.entry.slots
     else:
         held = load.tokens + GROWTH_RESERVED * load.growth + need.prompt
         cost = (held / engine.memory_tokens) ** 2
-        if around.switches.has(Mechanism.INTERFERENCE):
-            delay = _count_delay(upstream, load, need, around)
+        if context.switches.has(Mechanism.INTERFERENCE):
+            delay = _count_delay(upstream, load, need, context)
             cost += _DELAY_WEIGHT * delay / engine.memory_tokens
-    if around.switches.has(Mechanism.AVOIDANCE):
-        cost += _count_risk(upstream, around.now)
-    if upstream.entry.failure_domain != around.failure_domain:
+    if context.switches.has(Mechanism.AVOIDANCE):
+        cost += _count_risk(upstream, context.now)
+    if upstream.entry.failure_domain != context.failure_domain:
         cost += need.far_cost
     return cost
 
@@ -243,11 +243,11 @@
 
 
 def _count_delay(
-    upstream: Upstream, load: Load, need: Need, around: Surroundings
+    upstream: Upstream, load: Load, need: Need, context: ChoiceContext
 ) -> float:
     """Return the time that a choice costs all, in prompt tokens."""
-    share = around.reading_shares.get(upstream.entry.upstream, 0)
-    beside_others = share * need.expected * around.pace.read_in_step
+    share = context.reading_shares.get(upstream.entry.upstream, 0)
+    beside_others = share * need.expected * context.pace.read_in_step
     if not need.reads:
         return beside_others
     holds_up = _HELD_UP * load.long * need.reads
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -17,8 +17,8 @@
 )
 from cartdale.fleet.choose import (
     CHOICES,
+    ChoiceContext,
     Need,
-    Surroundings,
     choose,
     measure_filling,
 )
@@ -178,13 +178,13 @@
         :param failure_domain: where the work comes from; this instance's
             own when left out.
         """
-        around = self._look_around(need, failure_domain)
-        candidates = self._list_allowed(need, around)
-        chosen = choose(candidates, need, around, self._generator)
+        context = self._make_context(need, failure_domain)
+        candidates = self._list_allowed(need, context)
+        chosen = choose(candidates, need, context, self._generator)
         if chosen is None:
             return None
-        if is_cold(self.state, chosen, around.spec, around.now):
-            self.cold_gate.reserve(chosen.entry.upstream, around.now)
+        if is_cold(self.state, chosen, context.spec, context.now):
+            self.cold_gate.reserve(chosen.entry.upstream, context.now)
         self.limits.reserve(chosen, need)
         return chosen
 
@@ -215,15 +215,17 @@
 
         :param ahead: requests that are served before it.
         """
-        around = self._look_around(need, None)
+        context = self._make_context(need, None)
         candidates = list_candidates(self.state, need)
-        resting = [each for each in candidates if each.rests_until > around.now]
+        resting = [
+            each for each in candidates if each.rests_until > context.now
+        ]
         others = [each for each in candidates if each not in resting]
-        allowed = self._list_allowed(need, around)
-        outlook = foresee(allowed, need, around, ahead)
-        later = self.limits.foresee(others, need, around, ahead)
+        allowed = self._list_allowed(need, context)
+        outlook = foresee(allowed, need, context, ahead)
+        later = self.limits.foresee(others, need, context, ahead)
         if resting:
-            later.append(foresee_end_of_rest(resting, need, around, ahead))
+            later.append(foresee_end_of_rest(resting, need, context, ahead))
         if not later:
             return outlook
         if not allowed:
@@ -237,8 +239,8 @@
         Their memory with the growth that is expected, 0 to 1 and beyond; 1
         where there are none.
         """
-        around = self._look_around(need, None)
-        return measure_filling(list_candidates(self.state, need), around)
+        context = self._make_context(need, None)
+        return measure_filling(list_candidates(self.state, need), context)
 
     def find_shortage(self, need: Need) -> Shortage:
         """Return why a request found no upstream."""
@@ -280,7 +282,9 @@
             case BeganEvacuating(failure_domain=name) if self.on_evacuating:
                 self.on_evacuating(name)
 
-    def _list_allowed(self, need: Need, around: Surroundings) -> list[Upstream]:
+    def _list_allowed(
+        self, need: Need, context: ChoiceContext
+    ) -> list[Upstream]:
         """Return the candidates to which this instance may send now.
 
         An upstream that asked this instance for rest gets nothing from it,
@@ -290,15 +294,15 @@
         awake = [
             upstream
             for upstream in list_candidates(self.state, need)
-            if upstream.rests_until <= around.now
+            if upstream.rests_until <= context.now
             and self.limits.has_permit(upstream, need)
         ]
         return [
             upstream
             for upstream in awake
-            if not is_cold(self.state, upstream, around.spec, around.now)
+            if not is_cold(self.state, upstream, context.spec, context.now)
             or self.cold_gate.allows(
-                upstream.entry.upstream, around.spec.cold_rate, around.now
+                upstream.entry.upstream, context.spec.cold_rate, context.now
             )
         ]
 
@@ -306,11 +310,11 @@
         known = self.table.services_by_name.get(service)
         return known or ServiceSpec(service, '', 0)
 
-    def _look_around(
+    def _make_context(
         self, need: Need, failure_domain: str | None
-    ) -> Surroundings:
+    ) -> ChoiceContext:
         now = self._clock.now()
-        return Surroundings(
+        return ChoiceContext(
             spec=self._find_spec(need.service),
             loads_by_upstream=self.loads.totals(now),
             failure_domain=failure_domain or self._failure_domain,
--- a/src/cartdale/fleet/follow.py
+++ b/src/cartdale/fleet/follow.py
@@ -115,7 +115,7 @@
         #: Set once a configuration is in force.
         self.configured = trio.Event()
         #: Set once everything was read for the first time.
-        self.in_step = trio.Event()
+        self.synced = trio.Event()
         #: Whether everything is to be read again soon.
         self._outdated = False
         #: The era of the last listing; ``None`` before the first.
@@ -137,7 +137,7 @@
 
         Before the first read there is nothing that could have been.
         """
-        self._outdated = self.in_step.is_set()
+        self._outdated = self.synced.is_set()
 
     def adopt(self, written: TableWritten) -> None:
         """Put a configuration in force unless it is older than the present.
@@ -240,7 +240,7 @@
             )
         )
         self._fleet.tell(EntriesListed(tuple(listed), after_outage, restored))
-        self.in_step.set()
+        self.synced.set()
 
     def _note_era(self, era: int) -> bool:
         """Tell whether the store came back from an older copy of late.
--- a/src/cartdale/fleet/notices.py
+++ b/src/cartdale/fleet/notices.py
@@ -1,4 +1,4 @@
-"""Take what upstreams say of themselves beside their answers."""
+"""Record the notices that upstreams put beside their answers."""
 
 from loguru import logger
 
@@ -16,7 +16,7 @@
 
 
 class Notices:
-    """Listen to upstreams, and tell whom they bind.
+    """Record notices, and hold back requests that they forbid.
 
     :param fleet: holds what is believed of upstreams.
     """
@@ -26,13 +26,13 @@
         self._clock = clock
 
     def now(self) -> Millis:
-        """Return the time, as ``hear`` takes that of a request."""
+        """Return the time, as ``record`` takes that of a request."""
         return self._clock.now()
 
-    def hear(
+    def record(
         self, upstream: str, notice: Notice, request_id: str, asked_at: Millis
     ) -> None:
-        """Take what an upstream says beside an answer, as its head comes.
+        """Record what an upstream says beside an answer, as its head comes.
 
         :param request_id: of the request that was answered.
         :param asked_at: when that was sent, in monotonic milliseconds.
--- a/src/cartdale/fleet/outlook.py
+++ b/src/cartdale/fleet/outlook.py
@@ -15,8 +15,8 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.choose import (
+    ChoiceContext,
     Need,
-    Surroundings,
     count_missing,
     reads_after,
 )
@@ -71,7 +71,10 @@
 
 
 def foresee(
-    candidates: Iterable[Upstream], need: Need, around: Surroundings, ahead: int
+    candidates: Iterable[Upstream],
+    need: Need,
+    context: ChoiceContext,
+    ahead: int,
 ) -> Outlook:
     """Return when a request finds room.
 
@@ -80,10 +83,10 @@
     rate: float = 0
     best: tuple[int, Millis] | None = None
     for upstream in candidates:
-        load = around.loads_by_upstream.get(upstream.entry.upstream, Load())
-        rate += _rate_of_ends(load, around)
-        ends = _count_ends(upstream, load, need, around)
-        found = (ends, reads_after(load, need, around.pace))
+        load = context.loads_by_upstream.get(upstream.entry.upstream, Load())
+        rate += _rate_of_ends(load, context)
+        ends = _count_ends(upstream, load, need, context)
+        found = (ends, reads_after(load, need, context.pace))
         if best is None or found < best:
             best = found
     if best is None:
@@ -92,7 +95,10 @@
 
 
 def foresee_end_of_rest(
-    resting: Collection[Upstream], need: Need, around: Surroundings, ahead: int
+    resting: Collection[Upstream],
+    need: Need,
+    context: ChoiceContext,
+    ahead: int,
 ) -> Outlook:
     """Return when a request finds room where the first rest ends.
 
@@ -100,43 +106,43 @@
     :param ahead: requests like it that are served before it.
     """
     first = min(resting, key=attrgetter('rests_until'))
-    rest = first.rests_until - around.now
-    load = around.loads_by_upstream.get(first.entry.upstream, Load())
+    rest = first.rests_until - context.now
+    load = context.loads_by_upstream.get(first.entry.upstream, Load())
     places = max(first.entry.slots - load.runs - 1, 0)
-    found = foresee((first,), need, around, max(ahead - places, 0))
+    found = foresee((first,), need, context, max(ahead - places, 0))
     return replace(found, reading=found.reading + rest)
 
 
 def foresee_permit(
-    upstream: Upstream, need: Need, around: Surroundings, wait: Millis
+    upstream: Upstream, need: Need, context: ChoiceContext, wait: Millis
 ) -> Outlook:
     """Return when a request finds room where its upstream is rate limited.
 
     :param wait: time until this instance may send it there.
     """
-    found = foresee((upstream,), need, around, 0)
+    found = foresee((upstream,), need, context, 0)
     return replace(found, reading=found.reading + wait)
 
 
-def _rate_of_ends(load: Load, around: Surroundings) -> float:
+def _rate_of_ends(load: Load, context: ChoiceContext) -> float:
     """Return how many requests end at an upstream in a millisecond."""
-    if around.spec.engine is None:
-        return load.runs / around.pace.answer_time
+    if context.spec.engine is None:
+        return load.runs / context.pace.answer_time
     if not load.runs:
         return 0
     # Short answers hold their memory while their prompt is read.
-    to_read = around.pace.read_time(load.reading)
-    to_make = load.growth * around.pace.token_time
+    to_read = context.pace.read_time(load.reading)
+    to_make = load.growth * context.pace.token_time
     return load.runs**2 / max(to_read + to_make, 1)
 
 
 def _count_ends(
-    upstream: Upstream, load: Load, need: Need, around: Surroundings
+    upstream: Upstream, load: Load, need: Need, context: ChoiceContext
 ) -> int:
     """Return how many requests must end at an upstream before there is room."""
     places = max(load.runs + 1 - upstream.entry.slots, 0)
-    if around.spec.engine is None or not load.runs:
+    if context.spec.engine is None or not load.runs:
         return places
-    missing = count_missing(load, need, around)
+    missing = count_missing(load, need, context)
     held_by_one = max(load.tokens / load.runs, 1)
     return max(places, ceil(missing / held_by_one))
--- a/src/cartdale/fleet/upstream_limits.py
+++ b/src/cartdale/fleet/upstream_limits.py
@@ -4,7 +4,7 @@
 from math import isfinite
 
 from cartdale.clock import Clock, Millis
-from cartdale.fleet.choose import Need, Surroundings
+from cartdale.fleet.choose import ChoiceContext, Need
 from cartdale.fleet.demand import DemandMeter
 from cartdale.fleet.limit_book import LimitBook
 from cartdale.fleet.limit_gate import LimitGate
@@ -71,7 +71,7 @@
         self,
         candidates: Collection[Upstream],
         need: Need,
-        around: Surroundings,
+        context: ChoiceContext,
         ahead: int,
     ) -> list[Outlook]:
         """Return when a request finds room where a permit must come first.
@@ -83,13 +83,13 @@
             (upstream, permits)
             for upstream in candidates
             if (permits := self.gate.find(upstream.entry.upstream))
-            and not permits.is_free(around.now)
+            and not permits.is_free(context.now)
         ]
         outlooks: list[Outlook] = []
         for upstream, permits in limited:
             # Those before this request take what comes first anywhere.
-            ready_at = permits.next_at(ahead // len(limited), around.now)
+            ready_at = permits.next_at(ahead // len(limited), context.now)
             if ready_at is not None:
-                wait: Millis = ready_at - around.now
-                outlooks.append(foresee_permit(upstream, need, around, wait))
+                wait: Millis = ready_at - context.now
+                outlooks.append(foresee_permit(upstream, need, context, wait))
         return outlooks
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -120,7 +120,7 @@
         if not is_successful(answer):
             # It may be another's answer, which says nothing by its silence.
             notice = notice.without_absence()
-        self._notices.hear(
+        self._notices.record(
             call.upstream.upstream, notice, request.request_id, guard.sent_at
         )
         try:
@@ -193,7 +193,7 @@
         if named.get(HEADER_INSTANCE.encode()) == upstream.encode():
             # Whether these answers name limits at all is not known.
             notice = read_notice(response).without_absence()
-            self._notices.hear(upstream, notice, '', asked_at)
+            self._notices.record(upstream, notice, '', asked_at)
 
     async def _ask(
         self,
--- a/tests/fault_soak/mutants.py
+++ b/tests/fault_soak/mutants.py
@@ -83,22 +83,24 @@
 
 def ignore_word() -> None:
     """Don't take it when an upstream says in an answer that it leaves."""
-    honest = notices.Notices.hear
+    honest = notices.Notices.record
 
-    def hear(self, upstream, notice, request_id):
-        honest(self, upstream, replace(notice, leaving=False), request_id)
+    def record(self, upstream, notice, request_id, asked_at):
+        honest(
+            self, upstream, replace(notice, leaving=False), request_id, asked_at
+        )
 
-    notices.Notices.hear = hear
+    notices.Notices.record = record
 
 
 def ignore_rest() -> None:
     """Don't take it when an upstream wants rest."""
-    honest = notices.Notices.hear
+    honest = notices.Notices.record
 
-    def hear(self, upstream, notice, request_id):
-        honest(self, upstream, replace(notice, rest=0), request_id)
+    def record(self, upstream, notice, request_id, asked_at):
+        honest(self, upstream, replace(notice, rest=0), request_id, asked_at)
 
-    notices.Notices.hear = hear
+    notices.Notices.record = record
 
 
 def ignore_limit() -> None:
--- a/tests/load/crowd.py
+++ b/tests/load/crowd.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from cartdale.fleet.choose import Need, Surroundings, choose
+from cartdale.fleet.choose import ChoiceContext, Need, choose
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace, Progress, learn
 from cartdale.fleet.types import Lifecycle, Upstream, UpstreamEntry
@@ -234,7 +234,7 @@
     def _place(self, waiting: Waiting, now: float) -> bool:
         """Send a request to an engine, if one has room by the news."""
         kind = waiting.kind
-        around = Surroundings(
+        around = ChoiceContext(
             self._spec,
             self._look(waiting.domain, now),
             str(waiting.domain),
--- a/tests/load/herd.py
+++ b/tests/load/herd.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from cartdale.fleet.choose import Need, Surroundings, choose
+from cartdale.fleet.choose import ChoiceContext, Need, choose
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Lifecycle, Upstream, UpstreamEntry
@@ -110,7 +110,7 @@
             prompt, expected = self._draw(2200, 0.6), 12
         told_at = now - self._random.uniform(60, self._oldest)
         need = Need('s', prompt, expected, prompt, 900)
-        around = Surroundings(
+        around = ChoiceContext(
             SPEC,
             self._look(told_at),
             'west',
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,8 +6,8 @@
 
 from cartdale.fleet.candidates import list_candidates
 from cartdale.fleet.choose import (
+    ChoiceContext,
     Need,
-    Surroundings,
     choose,
 )
 from cartdale.fleet.decide import (
@@ -61,7 +61,7 @@
 
 
 def pick(state: FleetState, need: Need, loads=None, now=0, domain='west'):
-    around = Surroundings(SPEC, loads or {}, domain, now)
+    around = ChoiceContext(SPEC, loads or {}, domain, now)
     candidates = list_candidates(state, need)
     chosen = choose(candidates, need, around, Random(1))
     return chosen.entry.upstream if chosen else None
@@ -245,7 +245,7 @@
         for number, name in enumerate(names)
     }
     need = Need('s', prompt=100)
-    around = Surroundings(SPEC, loads, 'west', 0)
+    around = ChoiceContext(SPEC, loads, 'west', 0)
     chosen = {
         choose(list_candidates(state, need), need, around, Random(seed))
         for seed in range(20)
--- a/tests/test_heard_departures.py
+++ b/tests/test_heard_departures.py
@@ -168,7 +168,7 @@
     writer = NewsWriter(PEER, teller, clock, bool, bool)
     seal = Seal((b'k' * 32,))
     writer.write(seal)
-    Notices(teller, clock).hear('a', Notice(leaving=True), 'r', 0)
+    Notices(teller, clock).record('a', Notice(leaving=True), 'r', 0)
     assert writer.has_new()
     envelope = seal.open(writer.write(seal), clock.wall())
     news = decode_binary(bytes(envelope.body), LoadNews)
@@ -223,7 +223,7 @@
         hidden = {each.entry.upstream for each in list_live(fleet)}
         assert hidden == {'plain-0', 'plain-1', 'engine-0'}
         call = make_call_to(fleet, 'plain-0')
-        notices.hear('plain-0', Notice(leaving=True), 'r', 0)
+        notices.record('plain-0', Notice(leaving=True), 'r', 0)
         async with PlatformUpstreams(notices).open(call) as opened:
             assert opened == Failure(SendWithheld())
         assert not leaving.arrivals
--- a/tests/test_outlook.py
+++ b/tests/test_outlook.py
@@ -5,7 +5,7 @@
 
 from cartdale.clock import SystemClock
 from cartdale.fleet.candidates import list_candidates
-from cartdale.fleet.choose import Need, Surroundings
+from cartdale.fleet.choose import ChoiceContext, Need
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.loads import Load
 from cartdale.fleet.outlook import Outlook, foresee
@@ -21,7 +21,7 @@
 
 def look(loads: dict[str, Load], need: Need = NEED, ahead: int = 0) -> Outlook:
     state = make_fleet(*sorted(loads), slots=64)
-    around = Surroundings(SPEC, loads, 'west', 0)
+    around = ChoiceContext(SPEC, loads, 'west', 0)
     return foresee(list_candidates(state, need), need, around, ahead)
 
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cartdale.fleet.candidates import list_candidates
-from cartdale.fleet.choose import Need, Surroundings, choose
+from cartdale.fleet.choose import ChoiceContext, Need, choose
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace, Progress, learn
 from cartdale.fleet.reading import ReadingShares
@@ -69,7 +69,7 @@
 
 def test_long_generation_goes_where_little_is_read() -> None:
     state = make_fleet('a', 'b')
-    around = Surroundings(
+    around = ChoiceContext(
         SPEC, {}, 'west', 0, reading_shares={'a': 0.5, 'b': 0.05}
     )
     chosen = choose(list_candidates(state, DRAFT), DRAFT, around, Random(1))
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -121,7 +121,7 @@
         fleet = stage.runtimes[0].fleet
         notices = Notices(fleet, SystemClock())
         call = make_call_to(fleet, 'plain-0')
-        notices.hear('plain-0', Notice(rest=500), 'r', 0)
+        notices.record('plain-0', Notice(rest=500), 'r', 0)
         async with PlatformUpstreams(notices).open(call) as opened:
             assert opened == Failure(SendWithheld())
         assert not stage.plains[0].arrivals
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -6,7 +6,7 @@
 
 from cartdale.exceptions import BadInputError
 from cartdale.fleet.candidates import list_candidates
-from cartdale.fleet.choose import Surroundings, choose
+from cartdale.fleet.choose import ChoiceContext, choose
 from cartdale.fleet.decide import decide
 from cartdale.fleet.loads import Load
 from cartdale.fleet.types import RequestEnded
@@ -32,7 +32,7 @@
 
 
 def pick(state, loads, off: str) -> str:
-    around = Surroundings(
+    around = ChoiceContext(
         SPEC, loads, 'west', 1000, switches=parse_switches(off)
     )
     chosen = choose(list_candidates(state, TAG), TAG, around, Random(1))
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -102,13 +102,13 @@
         fleet = stage.runtimes[0].fleet
         notices = Notices(fleet, SystemClock())
         named = Notice(limit=1)
-        notices.hear('plain-0', named, 'r', SystemClock().now())
+        notices.record('plain-0', named, 'r', SystemClock().now())
         await until(lambda: has_permit(fleet))
         call = make_call_to(fleet, 'plain-0')
         upstreams = PlatformUpstreams(notices)
         async with upstreams.open(call) as opened:
             assert opened.unwrap().status == 200
-        notices.hear('plain-0', named, 'r', SystemClock().now())
+        notices.record('plain-0', named, 'r', SystemClock().now())
         async with upstreams.open(call) as opened:
             assert opened == Failure(SendWithheld())
         assert len(stage.plains[0].arrivals) == 1
