Forecast who waits for a permit behind others; lend idle permits at once

Found by tests of a service whose upstreams all name limits. Requests behind the first one in the queue were refused although permits came in their time: as soon as one was free, its upstream counted as one with room, of which the forecast wants an end for each request ahead. Upstreams with limits are now forecast by their permits alone.

A permit that was lent waited for a span first, as its lender might have used it just now, so that a limit of 0.3 a second went unused for eleven seconds where its holders had no callers. Where all who gave some have as many as their callers use, it passes in its next turn.

To divide among 300 instances sorted their names 300 times; now once. Gauges show the own part of all limits, and what was held back.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -286,6 +286,8 @@
             self.fleet.cold_gate.sent,
             self.fleet.quarantine.count_held(),
             *count_unavailable(self.fleet.state, self._clock.now()),
+            permitted=self.fleet.limits.gate.count_rate(),
+            withheld=self.fleet.limits.gate.withheld,
         )
 
     def _read_table(self) -> RoutingTable:
--- a/src/cartdale/fleet/cold.py
+++ b/src/cartdale/fleet/cold.py
@@ -44,8 +44,9 @@
     :param most: requests a second that all of them may send together.
     """
     divided = int(DIVIDED_SHARE * most)
-    of_domain = divide(sharers.domain, sharers.domains, upstream, divided)
-    return divide(sharers.own, sharers.around, upstream, of_domain)
+    by_domain = divide(sharers.domains, upstream, divided)
+    of_domain = by_domain.get(sharers.domain, 0)
+    return divide(sharers.around, upstream, of_domain).get(sharers.own, 0)
 
 
 class ColdGate:
--- a/src/cartdale/fleet/division.py
+++ b/src/cartdale/fleet/division.py
@@ -9,7 +9,7 @@
 """
 
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import ceil
 
@@ -46,21 +46,16 @@
     first: int = 0
 
 
-def divide(own: str, sharers: Sequence[str], upstream: str, total: int) -> int:
-    """Return one sharer's part of a whole number; the parts add up to it.
+def divide(sharers: Iterable[str], upstream: str, total: int) -> dict[str, int]:
+    """Return each sharer's part of a whole number; the parts add up to it.
 
     Who gets one more than others differs from upstream to upstream.
-    """
-    if own not in sharers:
-        return 0
-    ranked = rank(sharers, upstream)
-    share, rest = divmod(total, len(ranked))
-    return share + (ranked.index(own) < rest)
-
 
-def rank(sharers: Sequence[str], upstream: str) -> list[str]:
-    """Return sharers in the order in which they get parts of an upstream."""
-    return sorted(sharers, key=lambda name: _weigh(name, upstream))
+    :returns: the parts by sharer, in the order in which they get them.
+    """
+    ranked = sorted(sharers, key=lambda name: _weigh(name, upstream))
+    share, rest = divmod(total, max(len(ranked), 1))
+    return {name: share + (place < rest) for place, name in enumerate(ranked)}
 
 
 def lend_idle(demands: Demands, upstream: str, total: int) -> dict[str, int]:
@@ -73,17 +68,16 @@
         once.
     :returns: the parts by sharer; they add up to the total.
     """
-    ranked = rank(tuple(demands), upstream)
-    parts = {name: divide(name, ranked, upstream, total) for name in ranked}
+    parts = divide(demands, upstream, total)
     wanted = {
         name: ceil(demand)
-        for name in ranked
+        for name in parts
         if (demand := demands[name]) is not None
     }
     idle = [
         name
-        for name in ranked
-        for _ in range(parts[name] - wanted.get(name, parts[name]))
+        for name, part in parts.items()
+        for _ in range(part - wanted.get(name, part))
     ]
     while idle:
         borrowers = [name for name in wanted if wanted[name] > parts[name]]
@@ -97,6 +91,21 @@
     return parts
 
 
+def gave_idle_ones(
+    before: Mapping[str, int], after: Mapping[str, int], demands: Demands
+) -> bool:
+    """Tell whether all who have less now have as much as they can use.
+
+    They have not used what they gave for a while, then.
+    """
+    for name, part in after.items():
+        demand = demands[name]
+        given = part < before.get(name, 0)
+        if given and (demand is None or ceil(demand) > part):
+            return False
+    return True
+
+
 def find_part(own: str, parts: Mapping[str, int]) -> Part:
     """Return one sharer's part of a division.
 
--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -220,15 +220,23 @@
         resting = [
             each for each in candidates if each.rests_until > context.now
         ]
-        others = [each for each in candidates if each not in resting]
-        allowed = self._list_allowed(need, context)
-        outlook = foresee(allowed, need, context, ahead)
-        later = self.limits.foresee(others, need, context, ahead)
+        limited = [
+            each
+            for each in candidates
+            if each.rate_limit.limited and each not in resting
+        ]
+        unlimited = [
+            each
+            for each in self._list_allowed(need, context)
+            if each not in limited
+        ]
+        outlook = foresee(unlimited, need, context, ahead)
+        later = self.limits.foresee(limited, need, context, ahead)
         if resting:
             later.append(foresee_end_of_rest(resting, need, context, ahead))
         if not later:
             return outlook
-        if not allowed:
+        if not unlimited:
             first = min(later, key=_expect)
             return replace(first, rest=first.reading)
         return min(outlook, *later, key=_expect)
--- a/src/cartdale/fleet/limit_gate.py
+++ b/src/cartdale/fleet/limit_gate.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass, field
 
 from cartdale.clock import SECOND_MS, Millis
-from cartdale.fleet.division import Part, find_part, lend_idle
+from cartdale.fleet.division import (
+    Demands,
+    Part,
+    find_part,
+    gave_idle_ones,
+    lend_idle,
+)
 from cartdale.fleet.permits import Allotment, Permits, allot
 
 #: What somebody offers, in requests a second by service; a service that is
@@ -28,6 +34,30 @@
     around: Mapping[str, Offers] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class _Division:
+    """Hold how an upstream's permits are divided.
+
+    :param part: of this instance.
+    :param groups: permits by group of instances.
+    :param around: permits by instance of the own group.
+    :param group_demands: requests of each group in the span of a permit.
+    :param demands: the same of the instances of the own group.
+    """
+
+    part: Part
+    groups: Mapping[str, int]
+    around: Mapping[str, int]
+    group_demands: Demands
+    demands: Demands
+
+    def gave_idle_ones(self, before: '_Division') -> bool:
+        """Tell whether what was given since was not used by its holders."""
+        return gave_idle_ones(
+            before.groups, self.groups, self.group_demands
+        ) and gave_idle_ones(before.around, self.around, self.demands)
+
+
 class LimitGate:
     """Count what this instance sends to upstreams with a limit.
 
@@ -49,22 +79,25 @@
         self._sharers = sharers
         for upstream, permits in tuple(self._permits_by_upstream.items()):
             service = self._services_by_upstream[upstream]
-            part = self._find_part(upstream, service, permits.allotment)
-            if before.own:
-                permits.resize(part, now)
+            division = _divide(sharers, upstream, service, permits.allotment)
+            if not before.own:
+                # Nothing passed here before, and nobody else had this part.
+                renewed = Permits(permits.allotment, division.part, now)
+                self._permits_by_upstream[upstream] = renewed
                 continue
-            # Nothing passed here before, and nobody else had this part.
-            renewed = Permits(permits.allotment, part, now)
-            self._permits_by_upstream[upstream] = renewed
+            earlier = _divide(before, upstream, service, permits.allotment)
+            idle = division.gave_idle_ones(earlier)
+            permits.resize(division.part, now, idle=idle)
 
     def limit(
         self, upstream: str, service: str, per_second: float, now: Millis
     ) -> None:
         """Take an upstream's limit, in requests a second."""
         allotment = allot(per_second)
-        part = self._find_part(upstream, service, allotment)
+        division = _divide(self._sharers, upstream, service, allotment)
         self._services_by_upstream[upstream] = service
-        self._permits_by_upstream[upstream] = Permits(allotment, part, now)
+        permits = Permits(allotment, division.part, now)
+        self._permits_by_upstream[upstream] = permits
 
     def release(self, upstream: str) -> None:
         """Note that an upstream has no limit any more, or is gone."""
@@ -127,24 +160,23 @@
         rates = (each.rate for each in self._permits_by_upstream.values())
         return sum(rates) * SECOND_MS
 
-    def _find_part(
-        self, upstream: str, service: str, allotment: Allotment
-    ) -> Part:
-        """Return the own part of an upstream's permits.
 
-        Among the groups of instances first, which hear of each other only what
-        each group offers together.
-        """
-        sharers, span = self._sharers, allotment.span
-        groups = lend_idle(
-            _expect(sharers.groups, service, span), upstream, allotment.permits
-        )
-        around = find_part(sharers.own_group, groups)
-        names = lend_idle(
-            _expect(sharers.around, service, span), upstream, around.count
-        )
-        part = find_part(sharers.own, names)
-        return Part(part.count, around.first + part.first)
+def _divide(
+    sharers: LimitSharers, upstream: str, service: str, allotment: Allotment
+) -> _Division:
+    """Divide an upstream's permits.
+
+    Among the groups of instances first, which hear of each other only what
+    each group offers together.
+    """
+    group_demands = _expect(sharers.groups, service, allotment.span)
+    groups = lend_idle(group_demands, upstream, allotment.permits)
+    own_group = find_part(sharers.own_group, groups)
+    demands = _expect(sharers.around, service, allotment.span)
+    around = lend_idle(demands, upstream, own_group.count)
+    own = find_part(sharers.own, around)
+    part = Part(own.count, own_group.first + own.first)
+    return _Division(part, groups, around, group_demands, demands)
 
 
 def _expect(
--- a/src/cartdale/fleet/permits.py
+++ b/src/cartdale/fleet/permits.py
@@ -81,15 +81,17 @@
         """Return how many requests pass in a millisecond."""
         return len(self._ready_at) / max(self.allotment.span, 1)
 
-    def resize(self, part: Part, now: Millis) -> None:
+    def resize(self, part: Part, now: Millis, *, idle: bool) -> None:
         """Hold more or fewer permits.
 
         One that is new was another's, who may have used it just now.
+
+        :param idle: whether whoever gave some did not use them of late.
         """
         self._ready_at = self._ready_at[: part.count]
+        wait = 0 if idle else self.allotment.span
         for number in range(len(self._ready_at), part.count):
-            span = self.allotment.span
-            insort(self._ready_at, now + span + self._find_turn(part, number))
+            insort(self._ready_at, now + wait + self._find_turn(part, number))
 
     def next_at(self, ahead: int, now: Millis) -> Millis | None:
         """Return when a request can pass; ``None`` without any permit.
--- a/src/cartdale/fleet/upstream_limits.py
+++ b/src/cartdale/fleet/upstream_limits.py
@@ -74,21 +74,18 @@
         context: ChoiceContext,
         ahead: int,
     ) -> list[Outlook]:
-        """Return when a request finds room where a permit must come first.
+        """Return when a request finds room at upstreams with limits.
 
-        :param candidates: upstreams that take new work.
+        :param candidates: those that take new work.
         :param ahead: requests that are served before it.
         """
-        limited = [
-            (upstream, permits)
-            for upstream in candidates
-            if (permits := self.gate.find(upstream.entry.upstream))
-            and not permits.is_free(context.now)
-        ]
         outlooks: list[Outlook] = []
-        for upstream, permits in limited:
+        for upstream in candidates:
+            permits = self.gate.find(upstream.entry.upstream)
+            if permits is None:
+                continue
             # Those before this request take what comes first anywhere.
-            ready_at = permits.next_at(ahead // len(limited), context.now)
+            ready_at = permits.next_at(ahead // len(candidates), context.now)
             if ready_at is not None:
                 wait: Millis = ready_at - context.now
                 outlooks.append(foresee_permit(upstream, need, context, wait))
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -34,6 +34,10 @@
     :param leaving: upstreams that take no new work any more.
     :param resting: upstreams that asked this instance for rest.
     :param limited: upstreams that name a rate limit.
+    :param permitted: this instance's part of those limits, in requests a
+        second.
+    :param withheld: requests held back by them as they were to be sent, since
+        the start.
     """
 
     evacuated: int
@@ -43,6 +47,8 @@
     leaving: int
     resting: int
     limited: int
+    permitted: float
+    withheld: int
 
 
 class GatewayMetrics:
@@ -93,6 +99,12 @@
         self._limited = registry.measure(
             'limited_upstreams', 'Upstreams that name a rate limit.'
         )
+        self._permitted = registry.measure(
+            'permitted_requests_per_second', 'Own part of rate limits.'
+        )
+        self._withheld = registry.measure(
+            'requests_withheld_by_limits', 'Held back since the start.'
+        )
         self._sent_cold = registry.measure(
             'requests_to_cold_upstreams', 'Sent since the start.'
         )
@@ -134,6 +146,8 @@
         self._leaving.set({}, constraints.leaving)
         self._resting.set({}, constraints.resting)
         self._limited.set({}, constraints.limited)
+        self._permitted.set({}, constraints.permitted)
+        self._withheld.set({}, constraints.withheld)
         return self._registry.render(self._calls_by_path)
 
 
--- /dev/null
+++ b/tests/test_limit_news.py
@@ -0,0 +1,191 @@
+"""What instances tell each other of upstreams' rate limits."""
+
+from dataclasses import replace
+from math import inf
+
+import pytest
+
+from cartdale.clock import VirtualClock
+from cartdale.codec import decode_binary
+from cartdale.fleet.decide import decide
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.notices import Notices
+from cartdale.fleet.rate_limits import RateLimit
+from cartdale.fleet.types import (
+    EntryRemoved,
+    EntryWritten,
+    LimitChanged,
+    NamedLimit,
+    Notice,
+)
+from cartdale.news.decide import ALIVE_MS
+from cartdale.news.decide import decide as decide_news
+from cartdale.news.limits import (
+    add_offers,
+    find_limit_sharers,
+    merge_limit_news,
+    read_limit,
+    write_limit,
+)
+from cartdale.news.types import (
+    Heard,
+    LimitNews,
+    LoadNews,
+    NewsArrived,
+    NewsState,
+    TakeLimit,
+)
+from cartdale.news.writing import NewsWriter
+from cartdale.peers.seal import Seal
+from cartdale_standins.platform_store import PlatformStoreFaults
+from tests.platform_stage import ask, open_platform, until
+from tests.test_domain_news import (
+    OWN,
+    PEERS,
+    hear_domains,
+    make_state,
+)
+from tests.test_fleet import make_entry, make_fleet
+
+#: More than a message takes.
+LATER = 1000
+
+
+def test_peers_hear_of_a_limit_and_of_its_end() -> None:
+    clock = VirtualClock(10_000)
+    teller = Fleet(clock, 'west', 1)
+    teller.tell(EntryWritten(make_entry('a', born=1)))
+    notices = Notices(teller, clock)
+    writer = NewsWriter(PEERS[1], teller, clock, bool, bool)
+    seal = Seal((b'k' * 32,))
+    known = make_fleet('a', born=1)
+    for limit in (3.1, inf):
+        writer.write(seal)
+        asked_at = clock.now()
+        clock.advance(40)
+        notices.record('a', Notice(limit=limit), 'r', asked_at)
+        assert writer.has_new()
+        envelope = seal.open(writer.write(seal), clock.wall())
+        news = decode_binary(bytes(envelope.body), LoadNews)
+        assert news.limits == {'a': LimitNews(limit, 40, 0, 1)}
+        _, actions = decide_news(NewsState(), NewsArrived('p', news), 0, 0)
+        assert TakeLimit('a', news.limits['a']) in actions
+        named = read_limit(news.limits['a'], clock.now())
+        known, actions = decide(known, NamedLimit('a', named, 1), clock.now())
+        assert actions == (LimitChanged('a', limit),)
+        clock.advance(LATER)
+
+
+def test_a_peer_does_not_tell_what_it_was_told() -> None:
+    clock = VirtualClock(10_000)
+    fleet = Fleet(clock, 'west', 1)
+    fleet.tell(EntryWritten(make_entry('a')))
+    fleet.tell(NamedLimit('a', RateLimit(3, 9000, 9100)))
+    assert fleet.limits.gate.find('a') is not None
+    writer = NewsWriter(PEERS[1], fleet, clock, bool, bool)
+    assert not writer.list_limits()
+
+
+def test_what_a_peer_tells_late_does_not_end_a_limit() -> None:
+    """It was answered before the limit began, and told after."""
+    known = RateLimit(3, 900, 1000)
+    ended = write_limit(RateLimit(inf, 950, 990), 0, 1000)
+    arrived_at = 1200
+    state = make_fleet('a')
+    state, _ = decide(state, NamedLimit('a', known), 1000)
+    told = NamedLimit('a', read_limit(ended, arrived_at))
+    assert decide(state, told, arrived_at) == (state, ())
+
+
+def test_another_life_has_another_limit() -> None:
+    state = make_fleet('a', born=2)
+    named = RateLimit(3, 100, 200)
+    assert decide(state, NamedLimit('a', named, born=1), 200) == (state, ())
+    state, _ = decide(state, NamedLimit('a', named, born=2), 200)
+    state, _ = decide(state, EntryWritten(make_entry('a', born=3)), 300)
+    assert not state.upstreams_by_id['a'].rate_limit.limited
+
+
+def test_an_entry_that_is_gone_and_back_keeps_its_limit() -> None:
+    state = make_fleet('a', born=2)
+    state, _ = decide(state, NamedLimit('a', RateLimit(3, 100, 200)), 200)
+    state, _ = decide(state, EntryRemoved('a', after_outage=True), 300)
+    state, _ = decide(state, EntryWritten(make_entry('a', born=2)), 5000)
+    assert state.upstreams_by_id['a'].rate_limit.per_second == 3
+
+
+def test_gate_lets_go_of_a_life_that_is_over() -> None:
+    fleet = Fleet(VirtualClock(), 'west', 1)
+    fleet.tell(EntryWritten(make_entry('a', born=1)))
+    fleet.tell(NamedLimit('a', RateLimit(3, 0, 0), born=1))
+    assert fleet.limits.gate.find('a') is not None
+    fleet.tell(EntryWritten(make_entry('a', born=2)))
+    assert fleet.limits.gate.find('a') is None
+
+
+def test_a_domain_tells_the_newest_of_what_its_instances_were_named() -> None:
+    peer = LoadNews(1, 1, 0, PEERS[1], {})
+    heard = [
+        Heard(replace(peer, limits={'a': LimitNews(6, 900, 800)}), 2000),
+        Heard(replace(peer, limits={'b': LimitNews(2, 50, 40)}), 2000),
+        Heard(replace(peer, limits={'a': LimitNews(1.6, 100, 90)}), 1900),
+    ]
+    own = {'b': LimitNews(9, 900, 800)}
+    merged = merge_limit_news(own, heard, 2000)
+    assert {name: each.per_second for name, each in merged.items()} == {
+        'a': 1.6,
+        'b': 2,
+    }
+    assert merged['a'].answered_ago == 190
+
+
+def test_offers_are_added_where_all_tell_them() -> None:
+    assert add_offers([{'s': 1, 't': 2}, {'s': 3}]) == {'s': 4}
+    assert not add_offers([])
+
+
+def test_sharers_of_a_small_system_are_all_that_are_listed() -> None:
+    few = PEERS[:3]
+    state = make_state(few, offers={'s': 2.0})
+    sharers = find_limit_sharers(state, OWN, {'s': 1.0}, 0)
+    assert sharers.around == {
+        OWN.name: {'s': 1.0},
+        **{peer.name: {'s': 2.0} for peer in few[1:]},
+    }
+    silent = find_limit_sharers(state, OWN, {'s': 1.0}, ALIVE_MS + 1)
+    assert silent.around == {
+        **dict.fromkeys((peer.name for peer in few)),
+        OWN.name: {'s': 1.0},
+    }
+
+
+def test_sharers_of_a_large_system_are_domains_first() -> None:
+    state = make_state(offers={'s': 2.0})
+    sharers = find_limit_sharers(state, OWN, {'s': 1.0}, 0)
+    assert sharers.own_group == 'east'
+    assert len(sharers.around) == 8
+    assert sharers.groups == {'east': {'s': 15}, 'north': None, 'west': None}
+    state = hear_domains(state, OWN, offers={'s': 8.0})
+    sharers = find_limit_sharers(state, OWN, {'s': 1.0}, 0)
+    assert sharers.groups['west'] == {'s': 8}
+
+
+@pytest.mark.parametrize('store_is_away', [False, True])
+async def test_a_peer_that_was_never_answered_keeps_to_a_limit(
+    *, store_is_away: bool
+) -> None:
+    async with open_platform(engines=0, plains=1, instances=2) as stage:
+        plain = stage.plains[0]
+        news = [runtime.peers.news for runtime in stage.runtimes]
+        await until(lambda: all(each.count_alive() == 2 for each in news))
+        stage.store.faults = PlatformStoreFaults(busy=store_is_away)
+        gates = [runtime.fleet.limits.gate for runtime in stage.runtimes]
+        plain.limit = '2'
+        await ask(stage, 'r')
+        await until(lambda: all(gate.find('plain-0') for gate in gates))
+        assert sum(gate.count_rate() for gate in gates) == pytest.approx(2)
+        plain.limit = ''
+        number = 0
+        while any(gate.find('plain-0') for gate in gates):
+            number += 1
+            await ask(stage, f'r-{number}')
