--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -111,6 +111,10 @@
         Cause.RESTING,
         ({**NO_ROOM, 'shortage': 'resting'}, {**NOT_RUN, 'reason': 'x'}),
     ),
+    (
+        Cause.LIMITED,
+        ({**NO_ROOM, 'shortage': 'limited'}, {**NOT_RUN, 'reason': 'x'}),
+    ),
     (
         Cause.LEAVING,
         ({**NO_ROOM, 'shortage': 'leaving'}, {**NOT_RUN, 'reason': 'x'}),
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -20,6 +20,8 @@
 #: Sound requests refused in place of those that end upstreams, and a departure
 #: that was not heard right after a new start.
 SEEDS_THAT_FAILED = (2101, 3027, 3046)
+#: Upstreams name rate limits beside all else.
+SEED_WITH_LIMITS = 8000
 LONGER_SECONDS = 25
 _HUP_BIT = 1 << (signal.SIGHUP - 1)
 
@@ -36,6 +38,12 @@
     assert not run_seed(seed, LONGER_SECONDS).checks.violations
 
 
+def test_soak_with_rate_limits_breaks_no_promise() -> None:
+    soak = run_seed(SEED_WITH_LIMITS, LONGER_SECONDS, limits=True)
+    assert not soak.checks.violations
+    assert soak.faults['names a limit']
+
+
 def make_asked(**changes) -> Asked:
     return Asked('cut-1', 'cut', 'entry-0', 0, status=200, **changes)
 
@@ -60,6 +68,16 @@
     assert checks.violations
 
 
+def test_checks_tell_an_overrun_limit_and_one_that_is_kept_too_long() -> None:
+    checks = Checks()
+    checks.check_limit('u', 1.6, 14)
+    checks.check_limit_ended('u', 8, 8)
+    assert not checks.violations
+    checks.check_limit('u', 1.6, 15)
+    checks.check_limit_ended('u', 7, 8)
+    assert len(checks.violations) == 2
+
+
 def test_instances_listen_where_no_connection_comes_from() -> None:
     """An outgoing connection held the port of one that started again."""
     ports = pick_ports(40)
