Let instances without a permit hear that a rate limit has ended

Found by reading the change: in a large system an instance without a permit could keep a limit for ever, and refuse its callers. It sends nothing there, so that only peers can tell it of the end; and they told the first answer without a limit alone, whose request was mostly sent before the last head that named it had come to others (300 ms are taken off for the way).

Change: for three seconds after an end later answers are told as well, which are surely newer. A limit that nobody named for a minute is not kept, for who was cut off meanwhile; while it holds and anybody sends there, it is named all the time.

The test hears of the end within a second; without the change never. Ruled out: a shorter time for the way, with which a message that was held up would end a limit that holds.

--- a/src/cartdale/fleet/decide.py
+++ b/src/cartdale/fleet/decide.py
@@ -12,7 +12,7 @@
 )
 from cartdale.fleet.evacuation import Evacuation, end_unlisted, merge
 from cartdale.fleet.health import judge, put
-from cartdale.fleet.statements import take_statement
+from cartdale.fleet.statements import lapse_limits, take_statement
 from cartdale.fleet.types import (
     Action,
     BeganEvacuating,
@@ -186,7 +186,8 @@
             case Lifecycle.LEAVING if age >= find_kept(upstream):
                 vanished.append(name)
     state, dropped = _drop(state, tuple(vanished))
-    return state, (*actions, *dropped)
+    state, ended = lapse_limits(state, now)
+    return state, (*actions, *dropped, *ended)
 
 
 def _drop(state: FleetState, names: tuple[str, ...]) -> Decision:
--- a/src/cartdale/fleet/notices.py
+++ b/src/cartdale/fleet/notices.py
@@ -83,10 +83,11 @@
         if notice.limit is None:
             return
         named = RateLimit(notice.limit, asked_at, self._clock.now())
-        # Nearly all answers name none where there is none.
-        if named.limited or known.rate_limit.limited:
-            upstream = known.entry.upstream
-            self._fleet.limits.book.note(upstream, named)
+        upstream, book = known.entry.upstream, self._fleet.limits.book
+        told = named.limited or known.rate_limit.limited or upstream in book
+        # Nearly all answers name none where there was none.
+        if told:
+            book.note(upstream, named, self._clock.now())
             self._fleet.tell(NamedLimit(upstream, named))
 
 
--- a/src/cartdale/fleet/rate_limits.py
+++ b/src/cartdale/fleet/rate_limits.py
@@ -12,11 +12,15 @@
 from dataclasses import dataclass, replace
 from math import inf, isfinite
 
-from cartdale.clock import SECOND_MS, Millis
+from cartdale.clock import MINUTE_MS, SECOND_MS, Millis
 
 #: A limit that is named again counts as known for longer only after so long:
 #: each answer names it.
 _NAMED_AGAIN: Millis = SECOND_MS // 2
+#: A limit that nobody was named for so long is not kept. While it holds and
+#: anybody sends there it is named and told all the time; whoever was cut off
+#: as it ended, and has no permit to ask by itself, would keep it for ever.
+LIMIT_KEPT_MS: Millis = MINUTE_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/fleet/statements.py
+++ b/src/cartdale/fleet/statements.py
@@ -1,6 +1,7 @@
 """Decide what follows from what upstreams say of themselves in answers."""
 
 from dataclasses import replace
+from math import inf
 from typing import assert_never
 
 from cartdale.clock import Millis
@@ -10,7 +11,11 @@
     take_word,
 )
 from cartdale.fleet.health import put
-from cartdale.fleet.rate_limits import merge_limits
+from cartdale.fleet.rate_limits import (
+    LIMIT_KEPT_MS,
+    UNLIMITED,
+    merge_limits,
+)
 from cartdale.fleet.types import (
     Decision,
     FleetState,
@@ -54,3 +59,18 @@
     if limit.per_second == before.per_second:
         return after, ()
     return after, (LimitChanged(named.upstream, limit.per_second),)
+
+
+def lapse_limits(state: FleetState, now: Millis) -> Decision:
+    """End the limits that nobody was named for long."""
+    lapsed = [
+        each
+        for each in state.upstreams_by_id.values()
+        if each.rate_limit.limited
+        and now - each.rate_limit.answered_at >= LIMIT_KEPT_MS
+    ]
+    for upstream in lapsed:
+        state = put(state, replace(upstream, rate_limit=UNLIMITED))
+    return state, tuple(
+        LimitChanged(each.entry.upstream, inf) for each in lapsed
+    )
--- a/tests/test_limit_news.py
+++ b/tests/test_limit_news.py
@@ -10,13 +10,14 @@
 from cartdale.fleet.decide import decide
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.notices import Notices
-from cartdale.fleet.rate_limits import RateLimit
+from cartdale.fleet.rate_limits import LIMIT_KEPT_MS, RateLimit
 from cartdale.fleet.types import (
     EntryRemoved,
     EntryWritten,
     LimitChanged,
     NamedLimit,
     Notice,
+    TimePassed,
 )
 from cartdale.news.decide import ALIVE_MS
 from cartdale.news.decide import decide as decide_news
@@ -189,3 +190,45 @@
         while any(gate.find('plain-0') for gate in gates):
             number += 1
             await ask(stage, f'r-{number}')
+
+
+def test_who_sends_nothing_hears_of_an_end_by_later_answers() -> None:
+    """The first answer without a limit may be older than the last with one.
+
+    Seen in review: an instance without a permit kept a limit for ever, since
+    the one end that it was told was asked for 10 ms after the limit was named.
+    """
+    clock = VirtualClock(10_000)
+    teller = Fleet(clock, 'west', 1)
+    teller.tell(EntryWritten(make_entry('a')))
+    notices = Notices(teller, clock)
+    writer = NewsWriter(PEERS[1], teller, clock, bool, bool)
+    known = make_fleet('a')
+    began = clock.now()
+    for limit in (3.1, *[inf] * 60):
+        asked_at = clock.now()
+        clock.advance(50)
+        notices.record('a', Notice(limit=limit), 'r', asked_at)
+        for told in writer.list_limits().values():
+            named = NamedLimit('a', read_limit(told, clock.now()))
+            known, _ = decide(known, named, clock.now())
+        if limit == inf and not known.upstreams_by_id['a'].rate_limit.limited:
+            break
+    assert clock.now() - began <= LATER
+    # It is not told for ever.
+    clock.advance(4000)
+    notices.record('a', Notice(limit=inf), 'r', clock.now() - 10)
+    assert not writer.list_limits()
+
+
+def test_a_limit_that_nobody_names_any_more_lapses() -> None:
+    """Whoever was cut off as it ended, and has no permit, hears of no end."""
+    state = make_fleet('a')
+    state, _ = decide(state, NamedLimit('a', RateLimit(3, 0, 0)), 0)
+    before = LIMIT_KEPT_MS - 1
+    assert decide(state, TimePassed(), before)[0] is state
+    state, actions = decide(state, TimePassed(), LIMIT_KEPT_MS)
+    assert actions == (LimitChanged('a', inf),)
+    again = RateLimit(3, LIMIT_KEPT_MS - 20, LIMIT_KEPT_MS + 10)
+    _, actions = decide(state, NamedLimit('a', again), LIMIT_KEPT_MS + 10)
+    assert actions == (LimitChanged('a', 3),)
