Tell limited upstreams apart by their limit; one reading of offers, one of pauses

Behaviour is unchanged. The forecast looked each upstream up in lists of others by value; it asks for the limit and the rest instead. Offers of peers and of failure domains are read by one function. The soak's limits use the lists of upstreams and the look at pauses that its notices had already.

--- a/src/cartdale/fleet/driver.py
+++ b/src/cartdale/fleet/driver.py
@@ -223,12 +223,12 @@
         limited = [
             each
             for each in candidates
-            if each.rate_limit.limited and each not in resting
+            if each.rate_limit.limited and each.rests_until <= context.now
         ]
         unlimited = [
             each
             for each in self._list_allowed(need, context)
-            if each not in limited
+            if not each.rate_limit.limited
         ]
         outlook = foresee(unlimited, need, context, ahead)
         later = self.limits.foresee(limited, need, context, ahead)
--- a/src/cartdale/news/limits.py
+++ b/src/cartdale/news/limits.py
@@ -7,7 +7,13 @@
 from cartdale.fleet.rate_limits import RateLimit, merge_limits
 from cartdale.news.decide import ALIVE_MS
 from cartdale.news.duties import is_wide
-from cartdale.news.types import Heard, LimitNews, NewsState, PeerEntry
+from cartdale.news.types import (
+    Heard,
+    HeardDomain,
+    LimitNews,
+    NewsState,
+    PeerEntry,
+)
 
 #: A message may be on its way for so long. What it tells happened so much
 #: earlier than its ages say.
@@ -84,21 +90,21 @@
 def _list_offers(
     state: NewsState, names: Iterable[str], now: Millis
 ) -> dict[str, Offers]:
-    offers_by_name: dict[str, Offers] = {}
-    for name in names:
-        heard = state.heard_by_name.get(name)
-        fresh = heard is not None and now - heard.at <= ALIVE_MS
-        offers_by_name[name] = heard.news.offers if heard and fresh else None
-    return offers_by_name
+    heard_by_name = state.heard_by_name
+    return {name: _find_offers(heard_by_name.get(name), now) for name in names}
 
 
 def _list_domain_offers(state: NewsState, now: Millis) -> dict[str, Offers]:
     domains = {peer.failure_domain for peer in state.peers_by_name.values()}
-    offers_by_domain: dict[str, Offers] = {}
-    for domain in domains:
-        heard = state.domains_by_name.get(domain)
-        fresh = heard is not None and now - heard.at <= ALIVE_MS
-        offers_by_domain[domain] = (
-            heard.news.offers if heard and fresh else None
-        )
-    return offers_by_domain
+    heard_by_domain = state.domains_by_name
+    return {
+        domain: _find_offers(heard_by_domain.get(domain), now)
+        for domain in domains
+    }
+
+
+def _find_offers(heard: Heard | HeardDomain | None, now: Millis) -> Offers:
+    """Return what was told of late; ``None`` for nothing."""
+    if heard is None or now - heard.at > ALIVE_MS:
+        return None
+    return heard.news.offers
--- a/tests/fault_soak/limits.py
+++ b/tests/fault_soak/limits.py
@@ -12,6 +12,7 @@
     LIMIT_OVERAGE,
     LIMIT_WINDOW_SECONDS,
 )
+from tests.fault_soak.notices import list_up, stood_still
 from tests.fault_soak.watch import SLACK_SECONDS, Upstream
 
 #: Of plain services and engines, requests a second: few, none at all, many, and
@@ -66,7 +67,7 @@
             await trio.sleep(_PAUSE_SECONDS)
             service, kind = self._random.choice(_KIND_BY_SERVICE)
             everyone = self._random.random() < 0.4
-            listed = self._list_up(service)
+            listed = list_up(self._soak, service)
             chosen = listed if everyone else listed[:1]
             over = trio.Event()
             async with trio.open_nursery() as nursery:
@@ -192,22 +193,10 @@
 
     def _list_excused(self, start: float, end: float) -> set[str]:
         """Return the instances that stood still or began again near a span."""
-        since = start - CONTACT_SECONDS - SLACK_SECONDS
+        since = start - CONTACT_SECONDS
         return {
             each.name
             for each in self._soak.instances
-            if any(since <= at <= end for at in each.starts)
-            or any(
-                began < end and ended > since for began, ended in each.pauses
-            )
+            if any(since - SLACK_SECONDS <= at <= end for at in each.starts)
+            or stood_still(self._soak, each.name, since, end)
         }
-
-    def _list_up(self, service: str) -> list[Upstream]:
-        return [
-            each
-            for each in self._soak.upstreams
-            if each.service == service
-            and each.is_up
-            and each.drained_at is None
-            and not each.worker.leaving
-        ]
--- a/tests/fault_soak/notices.py
+++ b/tests/fault_soak/notices.py
@@ -27,7 +27,7 @@
 
 async def leave_by_word(soak: Any) -> None:
     """Let an upstream leave, of which only its own answers tell."""
-    listed = _list_up(soak, soak.random.choice(_SERVICES))
+    listed = list_up(soak, soak.random.choice(_SERVICES))
     if not listed:
         return
     upstream = soak.random.choice(listed)
@@ -47,7 +47,7 @@
 
 async def rest(soak: Any, lasts: float, *, everyone: bool) -> None:
     """Let one upstream, or all of a service, turn requests away."""
-    listed = _list_up(soak, soak.random.choice(_SERVICES))
+    listed = list_up(soak, soak.random.choice(_SERVICES))
     chosen = listed if everyone else listed[:1]
     for upstream in chosen:
         wanted = _LONG_REST if everyone else soak.random.choice(_RESTS)
@@ -93,7 +93,7 @@
         ):
             # Another life of it.
             continue
-        if not _stood_still(soak, told.instance, at, arrived_at):
+        if not stood_still(soak, told.instance, at, arrived_at):
             soak.checks.check_told(asked.name, upstream.worker.name)
 
 
@@ -114,7 +114,7 @@
         for start, end in upstream.cuts
     )
     other_life = _is_between(upstream.worker.crashes.ended_at, seen.at, ends_at)
-    still = _stood_still(soak, asked.instance, seen.at, ends_at)
+    still = stood_still(soak, asked.instance, seen.at, ends_at)
     if not (cut or other_life or still):
         soak.checks.check_rest(upstream.worker.name, asked.instance, count)
 
@@ -127,7 +127,7 @@
     return any(start <= at <= end for at in moments)
 
 
-def _stood_still(soak: Any, name: str, start: float, end: float) -> bool:
+def stood_still(soak: Any, name: str, start: float, end: float) -> bool:
     """Tell whether an instance was paused within a span."""
     instance = next(each for each in soak.instances if each.name == name)
     return any(
@@ -136,7 +136,7 @@
     )
 
 
-def _list_up(soak: Any, service: str) -> list[Upstream]:
+def list_up(soak: Any, service: str) -> list[Upstream]:
     """Return the upstreams of a service that neither leave nor are down."""
     return [
         each
