Soak: reserve the ports of instances; say which instances do not start

No log was left.

Cause: each instance picked five free ports by itself, and let them go again before its program bound them. Two instances could pick the same one (64 of 20,000 triples counted, 0.32%); the program that came second then ended at its start with 'Address already in use', again and again.

Evidence: of about 120 starts in a loop that kept ports and logs, two failed with the same error; in both, two instances had one port in common (27956 and 23788), and the one that never became ready had been started 13 and 10 times. A port given twice on purpose looks the same.

Change: ports are reserved by sockets that are bound but do not listen, for as long as the instance may start again. Listeners allow the reuse of addresses and get them; no other picker does, in this process or another. A soak whose instances are not ready names them, how often each was started and its last line, and keeps the logs.

Tests, both failed before (999 of 1,000 ports or fewer differed): test_instances_never_share_a_port, test_reserved_port_is_free_for_its_listener_only; and test_instances_that_do_not_start_are_named.

--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -2,14 +2,15 @@
 
 import os
 import signal
-import socket
 import sys
+from contextlib import closing
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
-from random import SystemRandom
 
 import trio
 
+from tests.fault_soak.ports import ReservedPorts, reserve_ports
 from tests.fault_soak.proxy import LOCAL, FaultProxy
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -19,8 +20,6 @@
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
 _PORTS = 5
-_LOWEST_PORT = 10000
-_OUTGOING_PORTS = Path('/proc/sys/net/ipv4/ip_local_port_range')
 _SETTINGS = """
 node={name}
 ip=127.0.0.1
@@ -54,7 +53,9 @@
     store: FaultProxy
     mutant: str = ''
     seeds: list[str] = field(default_factory=list)
-    ports: list[int] = field(default_factory=lambda: pick_ports(_PORTS))
+    reserved: ReservedPorts = field(
+        default_factory=partial(reserve_ports, _PORTS)
+    )
     process: trio.Process | None = None
     #: Counts its starts: nothing is remembered from one to the next.
     life: int = 0
@@ -69,6 +70,10 @@
     #: When it stood still, from and until.
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
+    @property
+    def ports(self) -> tuple[int, ...]:
+        return self.reserved.numbers
+
     @property
     def is_running(self) -> bool:
         return self.process is not None and self.process.returncode is None
@@ -89,6 +94,11 @@
     def log_path(self) -> Path:
         return self.folder / f'{self.name}.log'
 
+    def describe_start(self) -> str:
+        """Tell how often it was started, and what it logged last."""
+        lines = self.log_path.read_text().splitlines() or ['nothing logged']
+        return f'{self.name}, started {self.life} times: {lines[-1]}'
+
     def disturb(self, seconds: float = 0) -> None:
         """Note that it is disturbed for some time from now."""
         until = trio.current_time() + seconds
@@ -110,7 +120,7 @@
         if self.mutant:
             command.append(self.mutant)
         env = {**os.environ, 'CARTDALE_BOOT': str(settings)}
-        with self.log_path.open('ab') as log:
+        with closing(self.reserved), self.log_path.open('ab') as log:
             while not self.leaving_for_good:
                 self.life += 1
                 self.starts.append(trio.current_time())
@@ -152,36 +162,3 @@
         return code == 0 or (
             self.stopped_at is not None and code == -signal.SIGTERM
         )
-
-
-def pick_ports(count: int) -> list[int]:
-    """Return ports that are free for connections and datagrams.
-
-    None that the system gives to outgoing connections: one of these may hold
-    the port when an instance starts again, which then ends at once.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = SystemRandom().randrange(_LOWEST_PORT, find_outgoing_ports())
-        if port not in ports and _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def find_outgoing_ports() -> int:
-    """Return the lowest port of outgoing connections."""
-    return int(_OUTGOING_PORTS.read_text().split()[0])
-
-
-def _is_free(port: int) -> bool:
-    """Tell whether both kinds of sockets can have a port."""
-    with (
-        socket.socket() as connections,
-        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-    ):
-        try:
-            connections.bind((LOCAL, port))
-            datagrams.bind((LOCAL, port))
-        except OSError:
-            return False
-    return True
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -45,6 +45,13 @@
 )
 
 
+class InstancesNotReadyError(Exception):
+    """Raised when instances are not ready in time after their first start."""
+
+    def __init__(self, waiting: list[Instance]) -> None:
+        super().__init__('; '.join(each.describe_start() for each in waiting))
+
+
 class FaultSoak:
     """Run one seed.
 
@@ -90,7 +97,7 @@
             watch = Watch(self)
             async with httpx.AsyncClient(timeout=_CLIENT_TIMEOUT) as client:
                 nursery.start_soon(watch.follow_ready)
-                await self._wait_ready()
+                await self.wait_ready(_START_SECONDS)
                 nursery.start_soon(watch.watch_upstreams)
                 nursery.start_soon(watch.probe)
                 await self._play(Callers(self, client), seconds)
@@ -107,6 +114,22 @@
             self._limits.check()
         self.checks.check_deadly(self.deadly_callers.count_late())
 
+    async def wait_ready(self, seconds: float) -> None:
+        """Wait until all instances are ready.
+
+        :raises InstancesNotReadyError: if some are not in so many seconds.
+        """
+        deadline = trio.current_time() + seconds
+        while True:
+            waiting = [
+                each for each in self.instances if each.name not in self.ready
+            ]
+            if not waiting:
+                return
+            if trio.current_time() > deadline:
+                raise InstancesNotReadyError(waiting)
+            await trio.sleep(_TICK_SECONDS)
+
     def make_document(self) -> dict:
         """Return the newest configuration, with one route for each version."""
         document = make_configuration(self.version)
@@ -169,11 +192,6 @@
         if upstream.drained_at is None:
             self.list_upstream(upstream, 'ready')
 
-    async def _wait_ready(self) -> None:
-        with trio.fail_after(_START_SECONDS):
-            while len(self.ready) < self._count:
-                await trio.sleep(_TICK_SECONDS)
-
     async def _play(self, asking: Callers, seconds: float) -> None:
         async with trio.open_nursery() as callers:
             stopping = trio.Event()
@@ -232,16 +250,23 @@
 ) -> FaultSoak:
     """Run one seed and return what it saw."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = trio.run(
-            _run, seed, Path(folder), seconds, instances, mutant, limits
-        )
-        if soak.checks.violations and not mutant:
-            for log in sorted(Path(folder).glob('*.log')):
-                kept = Path(f'soak-{seed}-{log.name}')
-                kept.write_bytes(log.read_bytes())
+        failed = True
+        try:
+            soak = trio.run(
+                _run, seed, Path(folder), seconds, instances, mutant, limits
+            )
+            failed = bool(soak.checks.violations)
+        finally:
+            if failed and not mutant:
+                _keep_logs(seed, Path(folder))
         return soak
 
 
+def _keep_logs(seed: int, folder: Path) -> None:
+    for log in sorted(folder.glob('*.log')):
+        Path(f'soak-{seed}-{log.name}').write_bytes(log.read_bytes())
+
+
 def main() -> int:
     """Run seeds and print a table of what was done and found."""
     options = _parse()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,19 +1,22 @@
 """A short fault soak with the real program, and seeds that once failed."""
 
 import signal
+import socket
+from contextlib import closing
 from pathlib import Path
 
 import pytest
 import trio
 
 from tests.fault_soak.checks import Asked, Checks
-from tests.fault_soak.instances import (
-    Instance,
-    find_outgoing_ports,
-    pick_ports,
+from tests.fault_soak.instances import Instance
+from tests.fault_soak.ports import find_outgoing_ports, reserve_ports
+from tests.fault_soak.proxy import LOCAL, FaultProxy
+from tests.fault_soak.run import (
+    FaultSoak,
+    InstancesNotReadyError,
+    run_seed,
 )
-from tests.fault_soak.proxy import FaultProxy
-from tests.fault_soak.run import run_seed
 
 SECONDS = 6
 SEED = 7
@@ -80,17 +83,44 @@
 
 def test_instances_listen_where_no_connection_comes_from() -> None:
     """An outgoing connection held the port of one that started again."""
-    ports = pick_ports(40)
+    ports = reserve_ports(40).numbers
     assert len(set(ports)) == 40
     assert max(ports) < find_outgoing_ports()
 
 
+def test_instances_never_share_a_port(tmp_path: Path) -> None:
+    """One of two that share a port ends at its start, again and again."""
+    instances = [
+        make_instance(f'entry-{number}', tmp_path) for number in range(200)
+    ]
+    ports = [port for each in instances for port in each.ports]
+    assert len(set(ports)) == len(ports)
+
+
+def test_reserved_port_is_free_for_its_listener_only() -> None:
+    with closing(reserve_ports(1)) as reserved:
+        port = reserved.numbers[0]
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind((LOCAL, port))
+        for _ in range(2):
+            with socket.create_server((LOCAL, port)) as listener:
+                assert listener.getsockname() == (LOCAL, port)
+
+
+async def test_instances_that_do_not_start_are_named(tmp_path: Path) -> None:
+    soak = FaultSoak(SEED, tmp_path)
+    soak.instances = [make_instance('entry-0', tmp_path)]
+    soak.instances[0].log_path.write_text('a line\nthe last line\n')
+    with pytest.raises(InstancesNotReadyError, match='entry-0.*the last line'):
+        await soak.wait_ready(0)
+
+
 async def test_reload_during_the_start_does_not_end_the_program(
     tmp_path: Path,
 ) -> None:
     """Seed 104: SIGHUP came before the program could take it."""
     unexpected: list[str] = []
-    instance = Instance('entry-0', tmp_path, FaultProxy(9))
+    instance = make_instance('entry-0', tmp_path)
     with trio.fail_after(20):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(instance.run, unexpected)
@@ -110,6 +140,10 @@
     assert instance.life == 1
 
 
+def make_instance(name: str, folder: Path) -> Instance:
+    return Instance(name, folder, FaultProxy(9))
+
+
 def ignores_reload(instance: Instance) -> bool:
     """Tell whether the process ignores SIGHUP already."""
     status = Path(f'/proc/{instance.process.pid}/status').read_text()
