Use permits for limited upstreams to hear that the limit has ended

Cause: only an answer tells that a limit has ended, and an instance sent one request there only if that upstream was the best choice at the moment. Another one that was a little better was chosen each time while its callers found room there: one in the own failure domain (a cost of 0.05 against a jitter of 0.02), or one without a failed request (one of five fails counts 0.4, and is forgotten only as others succeed). Once the demand grew, the old limit was still in force.

Ruled out: permits that were missing (free at two of three instances the whole time), rests, cold upstreams, and answers that were lost.

The limit itself holds as before.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -38,6 +38,10 @@
 _COLD_COST = 0.5
 _LAPSED_COST = 0.5
 _FAR_COST = 0.05
+#: What counts for an upstream whose rate limit may have ended: only an answer
+#: tells, and without a request there is none. As much as counts against one
+#: that fails a quarter of its requests.
+_ASKED_AGAIN_GAIN = 0.5
 _JITTER = 0.02
 #: Upstreams among which the best is chosen where loads are told at once: all
 #: of a small system's.
@@ -229,6 +233,8 @@
         cost += _count_risk(upstream, context.now)
     if upstream.entry.failure_domain != context.failure_domain:
         cost += need.far_cost
+    if upstream.rate_limit.may_have_ended(context.now):
+        cost -= _ASKED_AGAIN_GAIN
     return cost
 
 
--- a/src/cartdale/fleet/rate_limits.py
+++ b/src/cartdale/fleet/rate_limits.py
@@ -21,6 +21,8 @@
 #: anybody sends there it is named and told all the time; whoever was cut off
 #: as it ended, and has no permit to ask by itself, would keep it for ever.
 LIMIT_KEPT_MS: Millis = MINUTE_MS
+#: A limit may have ended once it was not named for so long.
+_NAMED_OF_LATE: Millis = SECOND_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,10 @@
         """Tell whether there is a limit."""
         return isfinite(self.per_second)
 
+    def may_have_ended(self, now: Millis) -> bool:
+        """Tell whether the upstream has not named the limit of late."""
+        return self.limited and now - self.answered_at > _NAMED_OF_LATE
+
 
 UNLIMITED = RateLimit()
 
--- a/tests/test_limited_admission.py
+++ b/tests/test_limited_admission.py
@@ -8,7 +8,7 @@
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.limit_gate import LimitSharers
 from cartdale.fleet.rate_limits import RateLimit
-from cartdale.fleet.types import EntryWritten, NamedLimit
+from cartdale.fleet.types import EntryWritten, NamedLimit, RequestEnded
 from cartdale.relay.admission import Admission, NoRoom, Waiting
 from tests.test_fleet import make_entry
 
@@ -115,6 +115,39 @@
     assert max(waits) == 0
 
 
+async def test_a_free_permit_is_used_although_another_upstream_is_better(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Only an answer tells that a limit has ended.
+
+    What counted against the upstream kept all requests away: a failed one is
+    forgotten only as others succeed, so that instances whose callers found
+    room elsewhere kept the limit for a minute after its end.
+    """
+    fleet = make_limited(SystemClock(), 0.5, float('inf'))
+    fleet.tell(RequestEnded('u0', good=False, reached=True))
+    sent = 0
+    for _ in range(200):
+        chosen = fleet.choose(NEED)
+        assert chosen is not None
+        sent += chosen.entry.upstream == 'u0'
+        assert fleet.spend(chosen, resumes=False)
+        await trio.sleep(0.1)
+    assert 0.8 * 10 <= sent <= 10
+
+
+async def test_what_fails_often_is_not_asked_for_the_end_of_its_limit(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    fleet = make_limited(SystemClock(), 0.5, float('inf'))
+    for _ in range(8):
+        fleet.tell(RequestEnded('u0', good=False, reached=True))
+    await trio.sleep(5)
+    chosen = fleet.choose(NEED)
+    assert chosen is not None
+    assert chosen.entry.upstream == 'u1'
+
+
 @pytest.mark.parametrize('lowered', [1.6, 0])
 async def test_a_limit_that_falls_holds_from_then_on(
     lowered: float, autojump_clock: trio.testing.MockClock
