--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -2,7 +2,8 @@
 
 import signal
 import socket
-from contextlib import closing
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, closing
 from pathlib import Path
 
 import pytest
@@ -114,27 +115,39 @@
         await soak.wait_ready(0)
 
 
-async def test_reload_during_the_start_does_not_end_the_program(
-    tmp_path: Path,
-) -> None:
-    """Seed 104: SIGHUP came before the program could take it."""
-    unexpected: list[str] = []
-    instance = make_instance('entry-0', tmp_path)
+@asynccontextmanager
+async def start_instance(
+    folder: Path, unexpected: list[str]
+) -> AsyncIterator[Instance]:
+    """Start an instance.
+
+    :param unexpected: takes its unexpected ends.
+    """
+    instance = make_instance('entry-0', folder)
     with trio.fail_after(20):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(instance.run, unexpected)
-            log = instance.log_path
             while instance.process is None:
-                await trio.sleep(0.001)
-            while not instance.takes_reload():
-                assert b'"started"' not in log.read_bytes()
-                await trio.sleep(0.001)
-            instance.signal(signal.SIGHUP)
-            while b'"started"' not in log.read_bytes():
-                await trio.sleep(0.01)
+                await trio.sleep(0)
+            yield instance
             instance.end()
             await instance.process.wait()
             nursery.cancel_scope.cancel()
+
+
+async def test_reload_during_the_start_does_not_end_the_program(
+    tmp_path: Path,
+) -> None:
+    """Seed 104: SIGHUP came before the program could take it."""
+    unexpected: list[str] = []
+    async with start_instance(tmp_path, unexpected) as instance:
+        log = instance.log_path
+        while not instance.takes_reload():
+            assert b'"started"' not in log.read_bytes()
+            await trio.sleep(0.001)
+        instance.signal(signal.SIGHUP)
+        while b'"started"' not in log.read_bytes():
+            await trio.sleep(0.01)
     assert not unexpected
     assert instance.life == 1
 
@@ -144,19 +157,12 @@
 ) -> None:
     """Seed 9104: nothing of the program can take a signal so early."""
     unexpected: list[str] = []
-    instance = make_instance('entry-0', tmp_path)
-    with trio.fail_after(20):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(instance.run, unexpected)
-            while instance.process is None:
-                await trio.sleep(0)
-            assert not instance.takes_reload()
-            instance.signal(signal.SIGHUP)
-            assert await instance.process.wait() == -signal.SIGHUP
-            while instance.life == 1:
-                await trio.sleep(0.01)
-            instance.end()
-            nursery.cancel_scope.cancel()
+    async with start_instance(tmp_path, unexpected) as instance:
+        assert not instance.takes_reload()
+        instance.signal(signal.SIGHUP)
+        assert await instance.process.wait() == -signal.SIGHUP
+        while instance.life == 1:
+            await trio.sleep(0.01)
     assert not unexpected
 
 
