Soak: leave no process behind

Cause: processes that soaks had left behind. An instance that was being started again as its soak ended was not killed, nor were any when the run broke off; each went on to call its store and its upstreams, several times a second, on ports that the system then gave to the stand-ins of other tests. A call to the store counts as a request at an engine's stand-in.

Evidence: seven such processes were found, one of them from the same run of all tests, started four minutes before the failure by the test of a reload before the first line, which ends an instance just as it starts again (the other test runs and soaks that were ended by hand left the rest). A capture on the loopback showed connections to 14 ports in the range from which stand-ins get theirs, all refused at that time, 20 times or more in six seconds each. That one of them met the engine's port in that moment is concluded, not recorded.

Ruled out: another path of the instance to its engines without a placement (its log has none), the same test by itself (4 runs of 14 passed).

Change: a process is killed when the task that waits for it ends, however it ends, and at once when its instance was ended while it was being started.

--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -135,7 +135,7 @@
                 self.process = await trio.lowlevel.open_process(
                     command, env=env, cwd=ROOT, stdout=log, stderr=log
                 )
-                code = await self.process.wait()
+                code = await self._wait_for_end(self.process)
                 if not self.killed and not self._is_expected(code):
                     unexpected.append(f'{self.name} ended by itself: {code}')
                 self.disturb()
@@ -171,6 +171,20 @@
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
 
+    async def _wait_for_end(self, process: trio.Process) -> int:
+        """Wait for a process, and leave none behind.
+
+        The run may break off, or end while the process is being started. One
+        that was left would go on to call its store and upstreams, on ports
+        that other stand-ins get.
+        """
+        if self.leaving_for_good:
+            process.kill()
+        try:
+            return await process.wait()
+        finally:
+            process.kill()
+
     def _is_expected(self, code: int) -> bool:
         """Tell whether an exit is that of a program that was told to stop.
 
