Test of an early reload: hold the process before its first line

The test has to look at a process before the first line of the program has run, and came too late on a busy machine: the program ignored the signal by then. The interpreter now runs a module that waits before it runs the program, so that the moment that the test is about lasts. The checks are the same.

--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -153,9 +153,12 @@
 
 
 async def test_reload_before_the_first_line_ends_the_program_as_expected(
-    tmp_path: Path,
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Seed 9104: nothing of the program can take a signal so early."""
+    # The interpreter runs this module before the program's first line.
+    (tmp_path / 'sitecustomize.py').write_text('import time; time.sleep(60)')
+    monkeypatch.setenv('PYTHONPATH', str(tmp_path))
     unexpected: list[str] = []
     async with start_instance(tmp_path, unexpected) as instance:
         assert not instance.takes_reload()
