Log documents that are sent, and how long failed fetches took

After an instance was late for a version, its logs did not tell whether the one that it asked was busy sending to others, nor how long it had waited. The line `configuration sent` names version and size at the sender, and `configuration not fetched` how many milliseconds passed.

--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -31,6 +31,7 @@
 )
 from cartdale.peers.authentication import Authenticator
 from cartdale.peers.documents import (
+    Document,
     DocumentEncoder,
     FetchDocument,
     Unserved,
@@ -75,6 +76,7 @@
         self._links = links
         own = links.own
         self._own = own
+        self._fleet = fleet
         #: The cluster's key; empty until it is known.
         self.key = b''
         self.news = NewsExchange(
@@ -294,11 +296,18 @@
 
     async def _serve(self, message: object) -> object:
         if isinstance(message, FetchDocument) and self._follower is not None:
-            return self.encoder.encode(
-                self._follower.raw_table, message.accepts
-            )
+            return self._send_document(self._follower.raw_table, message)
         return Unserved()
 
+    def _send_document(self, raw: bytes, message: FetchDocument) -> Document:
+        document = self.encoder.encode(raw, message.accepts)
+        logger.info(
+            'configuration sent',
+            version=self._fleet.table.version,
+            size=len(document.raw),
+        )
+        return document
+
 
 def _list_names(own_keys: frozenset[str]) -> frozenset[str]:
     """Return the names of the instances that are among the listed keys."""
--- a/src/cartdale/versions/driver.py
+++ b/src/cartdale/versions/driver.py
@@ -167,6 +167,7 @@
                     peer=peer.name,
                     newest=self.newest,
                     version=self._fleet.table.version,
+                    took=self._clock.now() - began,
                     **format_log_fields('failure', failure),
                 )
         newer = self._fleet.table.version > before
