Test a large configuration on links that carry other traffic

The model in virtual time now lets everything that an instance sends wait for its link: datagrams too, which are lost behind half a second; the answers of the store as they arrive; and the processor's time to decode a document. An instance can stop as planned and start again: it hears news until its process ends.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -52,7 +52,7 @@
 _STORE_TIMEOUT: Millis = SECOND_MS
 #: After SIGTERM the balancer asks twice, a second apart, until it sends no
 #: new connections; what still comes in that time is served.
-_LEAVE_PAUSE: Millis = 3 * SECOND_MS
+LEAVE_PAUSE: Millis = 3 * SECOND_MS
 #: Before the platform's SIGKILL, what still runs is cut and logged.
 _STOP_MARGIN: Millis = 300
 _STOP_POLL: Millis = 50
@@ -270,7 +270,7 @@
     async def _leave(self) -> None:
         began = self._clock.now()
         logger.info('leaving', in_flight=self._app.count)
-        await trio.sleep(as_seconds(_LEAVE_PAUSE))
+        await trio.sleep(as_seconds(LEAVE_PAUSE))
         self._stopping.set()
         last = began + self._settings.bounds.grace - _STOP_MARGIN
         while self._app.count and self._clock.now() < last:
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -5,9 +5,10 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from math import inf
 from random import Random
 from types import MappingProxyType
@@ -17,20 +18,28 @@
 
 from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.codec import encode_json
+from cartdale.daemon.gateway import LEAVE_PAUSE
 from cartdale.daemon.peer_links import PEER_TIMEOUT, MessageHandler
 from cartdale.daemon.peers import Peers
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.store_follower import StoreFollower
 from cartdale.news.types import PeerEntry
 from cartdale.peers.client import PeerNotReached, PeerUncertain
-from cartdale.peers.documents import ENCODINGS, Document, FetchDocument
+from cartdale.peers.documents import (
+    ENCODINGS,
+    Document,
+    FetchDocument,
+    decode_document,
+)
 from cartdale.platform.translate import decode_change
 from cartdale.store.types import (
     Changes,
     Compare,
+    Entry,
     LeaseLost,
     Listing,
     Put,
+    Removed,
     StoreFailure,
     StoreUnavailable,
     Write,
@@ -50,10 +59,39 @@
 WAY_TAKES: Millis = 2
 #: From the end of an instance to its start again, in seconds.
 _RESTART_SECONDS = 0.5
+#: Wait on a full link from which on a datagram is lost.
+_LONGEST_QUEUE: Millis = SECOND_MS // 2
+#: What a value grows by in the store's answers, which are text.
+_STORE_ENCODING = 4 / 3
+#: What half a core decodes of a document in a millisecond, in bytes.
+_DECODING_RATE = 10_000
 DOMAINS = ('karen', 'kilimani', 'parklands', 'upperhill', 'westlands')
 AT_ONCE: Mapping[str, float] = MappingProxyType({})
 
 
+@dataclass
+class Link:
+    """Carry one thing after another."""
+
+    free_at: float = 0
+
+    def send(self, size: float, rate: float) -> tuple[float, float]:
+        """Send something after all before it, also if nobody waits for it.
+
+        :param rate: in bytes a millisecond.
+        :returns: how long it waits, and how long it is on the link.
+        """
+        now = trio.current_time() * 1000
+        begins_at = max(now, self.free_at)
+        takes = size / rate
+        self.free_at = begins_at + takes
+        return begins_at - now, takes
+
+
+async def receive_at_once(size: float) -> None:
+    """Receive over a link without a bound."""
+
+
 @dataclass
 class CountingStore:
     """Answer one instance's calls, and count them for the whole fleet."""
@@ -63,13 +101,17 @@
     #: Whether calls of this instance are turned away.
     refuses: bool = False
     trouble: Trouble = field(default_factory=Trouble)
+    #: Waits until so many bytes have arrived here.
+    receive: Callable[[float], Awaitable[None]] = receive_at_once
 
     async def fetch(
         self, prefix: str, start: str = '', limit: int = 0
     ) -> Result[Listing, StoreFailure]:
         if await self._refuse('read'):
             return Failure(StoreUnavailable('busy'))
-        return Success(self.state.fetch(prefix, '~', 0))
+        listing = self.state.fetch(prefix, '~', 0)
+        await self._receive(listing.entries)
+        return Success(listing)
 
     async def watch(
         self, prefix: str, after: int, timeout: Millis
@@ -82,7 +124,9 @@
                     await trio.sleep(as_seconds(STORE_TAKES))
             await self.trouble.hold_store_call()
             changes = self._list_changes(after)
-            return Success(Changes(changes, self.state.revision))
+            revision = self.state.revision
+            await self._receive(changes)
+            return Success(Changes(changes, revision))
         return Failure(StoreUnavailable('no answer'))
 
     async def transact(
@@ -116,6 +160,12 @@
             return self.refuses
         return True
 
+    async def _receive(self, items: tuple[Entry | Removed, ...]) -> None:
+        size = sum(
+            len(each.value) for each in items if isinstance(each, Entry)
+        )
+        await self.receive(size * _STORE_ENCODING)
+
     def _list_changes(self, after: int):
         return tuple(
             change
@@ -135,8 +185,18 @@
     sent_bytes: Counter[str] = field(default_factory=Counter)
     #: What an instance's link sends in a millisecond, in bytes.
     link_rate: float = inf
-    #: When each instance's link has sent what it was given, in milliseconds.
-    link_free_at: dict[str, float] = field(default_factory=dict)
+    #: Share of each link that other traffic takes.
+    link_traffic: float = 0
+    #: The links by which instances send, and receive from the store.
+    uplinks: defaultdict[str, Link] = field(
+        default_factory=lambda: defaultdict(Link)
+    )
+    downlinks: defaultdict[str, Link] = field(
+        default_factory=lambda: defaultdict(Link)
+    )
+    processors: defaultdict[str, Link] = field(
+        default_factory=lambda: defaultdict(Link)
+    )
     troubles: defaultdict[str, Trouble] = field(
         default_factory=lambda: defaultdict(Trouble)
     )
@@ -152,10 +212,12 @@
         lost = any(end.loses() for end in ends) or self.is_cut(sender, receiver)
         if lost or ends[0].frozen:
             return
-        if ends[0].delay:
-            self.nursery.start_soon(
-                self._deliver_late, raw, receiver, ends[0].delay
-            )
+        waits, takes = self.send_over_link(sender, len(raw))
+        if waits > _LONGEST_QUEUE:
+            return
+        delay = ends[0].delay + int(waits + takes)
+        if delay:
+            self.nursery.start_soon(self._deliver_late, raw, receiver, delay)
             return
         self._deliver(raw, receiver)
 
@@ -170,16 +232,22 @@
             return True
         return False
 
-    def send_over_link(self, name: str, size: int) -> tuple[float, float]:
-        """Send an answer after those before it, also if nobody waits for it.
+    def send_over_link(self, name: str, size: float) -> tuple[float, float]:
+        """Send something from an instance, as :meth:`Link.send` does."""
+        return self.uplinks[name].send(size, self._find_rate())
 
-        :returns: how long it waits, and how long it is on the link.
-        """
-        now = trio.current_time() * 1000
-        begins_at = max(now, self.link_free_at.get(name, 0))
-        takes = size / self.link_rate
-        self.link_free_at[name] = begins_at + takes
-        return begins_at - now, takes
+    async def receive_from_store(self, name: str, size: float) -> None:
+        waits, takes = self.downlinks[name].send(size, self._find_rate())
+        await trio.sleep(as_seconds(waits + takes))
+        await self.decode(name, size)
+
+    async def decode(self, name: str, size: float) -> None:
+        """Take the processor's time for what was received, one by one."""
+        waits, takes = self.processors[name].send(size, _DECODING_RATE)
+        await trio.sleep(as_seconds(waits + takes))
+
+    def _find_rate(self) -> float:
+        return self.link_rate * (1 - self.link_traffic)
 
     def _deliver(self, raw: bytes, receiver: str) -> None:
         inbox = self.inboxes.get(receiver)
@@ -227,6 +295,9 @@
         self.network.servers[name] = answer
         try:
             await stopping.wait()
+            # Datagrams still arrive until the process ends.
+            self.network.servers.pop(name, None)
+            await trio.sleep_forever()
         finally:
             self.network.inboxes.pop(name, None)
             self.network.servers.pop(name, None)
@@ -247,6 +318,8 @@
             await trio.sleep(as_seconds(PEER_TIMEOUT))
             return Failure(PeerUncertain('nothing came'))
         await trio.sleep(as_seconds(waits + takes))
+        raw = decode_document(answer).unwrap()
+        await self.network.decode(self.own.name, len(raw))
         return Success(answer)
 
 
@@ -259,6 +332,9 @@
     follower: StoreFollower
     store: CountingStore
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    stopping: trio.Event = field(default_factory=trio.Event)
+    #: In seconds; infinite before the start.
+    started_at: float = inf
 
     @property
     def name(self) -> str:
@@ -267,7 +343,8 @@
     async def run(self, delay: float) -> None:
         with self.scope:
             await trio.sleep(delay)
-            await self.peers.run(self.follower, trio.Event())
+            self.started_at = trio.current_time()
+            await self.peers.run(self.follower, self.stopping)
 
 
 class SimulatedFleet:
@@ -335,6 +412,21 @@
         await leaving.peers.withdraw()
         leaving.scope.cancel()
 
+    async def stop_and_start(self, name: str, drains: float) -> None:
+        """Stop an instance as planned, and start it again.
+
+        :param drains: seconds for which it still has work after it takes no
+            new connections.
+        """
+        stopping = self.find(name)
+        await trio.sleep(as_seconds(LEAVE_PAUSE))
+        stopping.stopping.set()
+        await trio.sleep(drains)
+        if stopping.scope.cancel_called:
+            return
+        await stopping.peers.withdraw()
+        self.restart(name)
+
     def list_running(self) -> list[FleetInstance]:
         return [each for each in self.instances if not each.scope.cancel_called]
 
@@ -358,7 +450,10 @@
     def _make(self, own: PeerEntry, skew: Millis = 0) -> FleetInstance:
         clock = SkewedClock(skew)
         trouble = self.network.troubles[own.name]
-        store = CountingStore(self.state, self.calls, trouble=trouble)
+        receive = partial(self.network.receive_from_store, own.name)
+        store = CountingStore(
+            self.state, self.calls, trouble=trouble, receive=receive
+        )
         fleet = Fleet(clock, own.failure_domain, own.port)
         links = MemoryLinks(own, self.network)
         peers = Peers(links, store, fleet, clock)
