--- a/src/cartdale/peers/documents.py
+++ b/src/cartdale/peers/documents.py
@@ -26,7 +26,8 @@
 
     :param accepts: encodings that the requester can decode; if empty, the
         document is sent as stored.
-    :param may_wait: whether the requester understands ``retry_after``.
+    :param may_wait: whether the response may be to ask again later; instances
+        of earlier builds don't understand that.
     """
 
     accepts: tuple[str, ...] = ()
--- a/src/cartdale/versions/decide.py
+++ b/src/cartdale/versions/decide.py
@@ -179,7 +179,10 @@
 def _wait_for_busy(
     state: VersionState, message: FetchEnded, now: Millis, own: str
 ) -> VersionState:
-    """Leave a busy holder alone, and let others report the version."""
+    """Leave a busy holder alone for as long as it asked for.
+
+    During the pause other holders may report the version.
+    """
     pause = BUSY_PAUSE + int(BUSY_PAUSE * find_share(own, state.newest))
     state = replace(state, paused_until=now + pause)
     holder = state.holders_by_name.get(message.name)
@@ -295,7 +298,7 @@
 
 
 def _find_nearby_due_at(state: VersionState) -> Millis:
-    """Return when a nearby holder may be asked that has not failed.
+    """Return when the first nearby holder that has not failed may be asked.
 
     :returns: 0 if there is none.
     """
--- a/src/cartdale/versions/types.py
+++ b/src/cartdale/versions/types.py
@@ -80,7 +80,8 @@
 
     :param newer: whether it provided a configuration newer than the one in
         force.
-    :param retry_after: when the peer may be asked again, if it was busy.
+    :param retry_after: if positive, the peer was busy: time after which it may
+        be asked again.
     """
 
     name: str
