Fleet: let the failures of an upstream count for less with age

An upstream that failed many requests got none while others had room, however long ago that was, so that no result could show that it had recovered.

Cause: the share of failed requests changed with results only, and costs a choice up to twice an upstream's capacity.

Change: the share halves each 5 s without results, in the choice and in the log. Weighed: forgotten as a whole 10 s after the last result, at which all requests of an instance may go to an upstream that still fails.

--- a/src/cartdale/fleet/choose.py
+++ b/src/cartdale/fleet/choose.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from cartdale.clock import Millis
+from cartdale.fleet.health import find_failing
 from cartdale.fleet.loads import Load
 from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import Lifecycle, Upstream
@@ -252,7 +253,7 @@
 
 def _risk_cost(upstream: Upstream, now: Millis) -> float:
     """Return the cost of the risk that an upstream fails or is slow."""
-    cost = _FAILING_COST * upstream.failing
+    cost = _FAILING_COST * find_failing(upstream, now)
     if upstream.warm_at > now:
         cost += _COLD_COST
     if upstream.lifecycle is Lifecycle.LAPSED:
--- a/src/cartdale/fleet/health.py
+++ b/src/cartdale/fleet/health.py
@@ -14,6 +14,10 @@
 
 #: Weight of one request in the share of failed requests.
 _FAILING_WEIGHT = 0.2
+#: Time without results in which the share of failed requests halves. An
+#: upstream that fails gets few requests or none, so that results alone would
+#: not show that it has recovered.
+FAILING_HALF_LIFE: Millis = 5 * SECOND_MS
 #: An upstream that peers report unreachable is avoided for this long.
 TOLD_AVOIDED_MS: Millis = SECOND_MS
 #: First and maximum time for which an unresponsive upstream is avoided.
@@ -38,6 +42,15 @@
             assert_never(message)
 
 
+def find_failing(upstream: Upstream, now: Millis) -> float:
+    """Return the share of failed requests; it counts for less with age.
+
+    :returns: 0 to 1.
+    """
+    age = now - upstream.failing_at
+    return upstream.failing * 2 ** (-age / FAILING_HALF_LIFE)
+
+
 def _back_off(
     state: FleetState, requested: BackoffRequested, now: Millis
 ) -> FleetState:
@@ -60,11 +73,13 @@
     if known is None:
         return state
     failed = 0 if message.good else 1
-    failing = known.failing + _FAILING_WEIGHT * (failed - known.failing)
+    share = find_failing(known, now)
+    failing = share + _FAILING_WEIGHT * (failed - share)
     if message.reached:
         counted = replace(
             known,
             failing=failing,
+            failing_at=now,
             strikes=0,
             unreachable_until=0,
             avoided_until=0,
@@ -74,6 +89,7 @@
     unreachable = replace(
         known,
         failing=failing,
+        failing_at=now,
         strikes=known.strikes + 1,
         unreachable_until=now + pause,
         avoided_until=max(known.avoided_until, now + pause),
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -102,7 +102,9 @@
 
     :param returned: whether its entry came back after it was missing.
     :param warm_at: when it stops being slow after its start.
-    :param failing: share of recent requests that failed, 0 to 1.
+    :param failing: share of recent requests that had failed at ``failing_at``,
+        0 to 1; see :func:`cartdale.fleet.health.find_failing`.
+    :param failing_at: when a request last ended.
     :param strikes: consecutive failures to reach it.
     :param unreachable_until: until when it counts as unreachable, from
         failures observed by this instance.
@@ -123,6 +125,7 @@
     returned: bool = False
     warm_at: Millis = 0
     failing: float = 0
+    failing_at: Millis = 0
     strikes: int = 0
     unreachable_until: Millis = 0
     avoided_until: Millis = 0
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -11,6 +11,7 @@
 from cartdale.fleet.choose import RequestNeeds
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.pace import Pace
+from cartdale.fleet.health import find_failing
 from cartdale.fleet.types import AddressTakenOver, RequestEnded, Upstream
 from cartdale.formatting import format_log_fields
 from cartdale.problems.types import NotRun
@@ -120,7 +121,7 @@
         version=ports.fleet.table.version,
         waited=now - routed.arrived_at,
         left=left,
-        failing=round(upstream.failing, 2),
+        failing=round(find_failing(upstream, now), 2),
     )
     return UpstreamCall(
         routed, upstream.entry, left, last_event=last_event, backup=backup
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Upstream lifecycles, health, loads and the choice of an upstream."""
 
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -16,7 +17,11 @@
     decide,
 )
 from cartdale.fleet.departures import LEAVING_KEPT_MS, PEER_REPORT_IGNORED_MS
-from cartdale.fleet.health import TOLD_AVOIDED_MS
+from cartdale.fleet.health import (
+    FAILING_HALF_LIFE,
+    TOLD_AVOIDED_MS,
+    find_failing,
+)
 from cartdale.fleet.loads import (
     PEER_LOAD_KEPT_MS,
     Assignment,
@@ -282,10 +287,24 @@
     assert state.upstreams_by_id['a'].avoided_until == 0
 
 
-# An upstream must not go without work because of what it once was.
+# Failures that are never forgotten keep an upstream without work for ever.
 def test_upstream_that_failed_long_ago_is_tried_again() -> None:
     state = make_fleet('a', 'b')
     for _ in range(20):
         state, _ = decide(state, RequestEnded('a', good=False), 0)
     loads = {'b': Load(runs=3)}
     assert pick(state, RequestNeeds('s'), loads, now=HOUR_MS) == 'a'
+
+
+def test_failures_count_for_less_with_age_and_not_at_once() -> None:
+    state = make_fleet('a')
+    for _ in range(20):
+        state, _ = decide(state, RequestEnded('a', good=False), 0)
+    upstream = state.upstreams_by_id['a']
+    shares = [
+        find_failing(upstream, halvings * FAILING_HALF_LIFE)
+        for halvings in range(4)
+    ]
+    assert shares[0] > 0.9
+    for former, share in pairwise(shares):
+        assert share == pytest.approx(former / 2)
