--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -10,8 +10,8 @@
 from cartdale.clock import Millis
 from cartdale.fleet.choose import RequestNeeds
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.pace import Pace
 from cartdale.fleet.health import find_failing
+from cartdale.fleet.pace import Pace
 from cartdale.fleet.types import AddressTakenOver, RequestEnded, Upstream
 from cartdale.formatting import format_log_fields
 from cartdale.problems.types import NotRun
