--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -219,6 +219,7 @@
     downlinks: defaultdict[str, Link] = field(
         default_factory=lambda: defaultdict(Link)
     )
+    #: Each decodes one document after another, as a link carries them.
     processors: defaultdict[str, Link] = field(
         default_factory=lambda: defaultdict(Link)
     )
