Test of an early reload: don't inherit an ignored signal

Shown: the test under nohup fails, without it passes. It now sets the signal's default before it starts the program.

Measured: passes with and without nohup.

--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, closing
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -153,13 +154,18 @@
 
 
 async def test_reload_before_the_first_line_ends_the_program_as_expected(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    request: pytest.FixtureRequest,
 ) -> None:
     """Seed 9104: nothing of the program can take a signal so early."""
     # The interpreter runs this module before the program's first line.
     (tmp_path / 'sitecustomize.py').write_text('import time; time.sleep(60)')
     monkeypatch.setenv('PYTHONPATH', str(tmp_path))
     unexpected: list[str] = []
+    # The program would inherit that the signal is ignored, as under nohup.
+    inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    request.addfinalizer(partial(signal.signal, signal.SIGHUP, inherited))
     async with start_instance(tmp_path, unexpected) as instance:
         assert not instance.takes_reload()
         instance.signal(signal.SIGHUP)
