Versions: count turns from the newest version that is reported nearby

While several versions follow each other, a report of one in between started the turns of the newest one. All turns had then passed before anybody nearby had that, and all instances asked its first holder at once, as before turns counted from the first report.

Found by reading the change. tests/test_versions.py::test_turn_counts_from_the_newest_version_nearby failed on the code before and passes; 15 tests of versions pass.

--- a/src/cartdale/versions/decide.py
+++ b/src/cartdale/versions/decide.py
@@ -119,7 +119,8 @@
     if message.version > state.newest:
         state = _note_newest(state, message.version, now)
         actions = (FellBehind(message),)
-    if message.nearby and state.nearby_since is None:
+    is_newest = message.version == state.newest
+    if is_newest and message.nearby and state.nearby_since is None:
         state = replace(state, nearby_since=now)
     return _note_holder(state, message, now), actions
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -216,6 +216,21 @@
     assert len(asked) == 1
 
 
+# Reports of a version in between must not let all turns pass before anybody
+# nearby has the newest one.
+def test_turn_counts_from_the_newest_version_nearby() -> None:
+    instance = Clockwork()
+    instance.hear(FAR, version=3, wait=1000, nearby=False)
+    instance.hear(PEERS[0], version=2, wait=200)
+    instance.now = 150
+    instance.hear(PEERS[1], version=3, wait=200)
+    instance.pass_time(349)
+    assert PEERS[1].name not in instance.asked
+    instance.apply(FetchEnded(PEERS[0].name, newer=False))
+    instance.pass_time(350)
+    assert PEERS[1].name in instance.asked
+
+
 # A busy holder sends to others, which may be asked instead.
 def test_busy_holder_is_asked_again_after_the_others() -> None:
     instance = Clockwork()
