Versions: tell all holders nearby apart from those far away in one way

Whether a request may be told to wait was decided by its failure domain, whether a holder is asked among others nearby by the rule of the versions. In a system of up to 16 peers all are nearby, so that a holder there was asked by all and could tell only its own domain to wait. The request now takes over what the versions decided, and the second rule is gone.

--- a/src/cartdale/daemon/peer_links.py
+++ b/src/cartdale/daemon/peer_links.py
@@ -18,7 +18,7 @@
 from cartdale.peers.app import PeerApp
 from cartdale.peers.authentication import Authenticator
 from cartdale.peers.client import PeerClient, PeerFailure
-from cartdale.peers.documents import Document, FetchDocument, request_document
+from cartdale.peers.documents import ENCODINGS, Document, FetchDocument
 from cartdale.peers.pool import make_peer_pool
 from cartdale.settings.types import Listener
 
@@ -53,9 +53,12 @@
         """Answer the calls of others until told to stop."""
 
     async def fetch_document(
-        self, peer: PeerEntry
+        self, peer: PeerEntry, *, may_wait: bool
     ) -> Result[Document, PeerFailure]:
-        """Ask a peer for the configuration that it has in force."""
+        """Ask a peer for the configuration that it has in force.
+
+        :param may_wait: whether the peer may respond to ask again later.
+        """
 
 
 class SocketLinks:
@@ -99,14 +102,17 @@
         await self._listener.serve(app, stopping)
 
     async def fetch_document(
-        self, peer: PeerEntry
+        self, peer: PeerEntry, *, may_wait: bool
     ) -> Result[Document, PeerFailure]:
-        """Ask a peer for the configuration that it has in force."""
+        """Ask a peer for the configuration that it has in force.
+
+        :param may_wait: whether the peer may respond to ask again later.
+        """
         address = f'http://{peer.address}:{peer.port}'
         return await self._client.request(
             peer.name,
             address,
-            request_document(peer, self.own),
+            FetchDocument(ENCODINGS, may_wait),
             Document,
         )
 
--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -141,7 +141,7 @@
             await self._registration.run()
 
     def hand_over(self) -> None:
-        """Let others take over this instance's duties before it leaves."""
+        """Let another instance watch the store before this one leaves."""
         self.news.hand_over()
 
     async def withdraw(self) -> None:
--- a/src/cartdale/peers/documents.py
+++ b/src/cartdale/peers/documents.py
@@ -10,7 +10,6 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis
-from cartdale.news.types import PeerEntry
 
 _ZLIB: Final = 'zlib'
 #: Document encodings that this instance can decode.
@@ -26,8 +25,9 @@
 
     :param accepts: encodings that the requester can decode; if empty, the
         document is sent as stored.
-    :param may_wait: whether the response may be to ask again later; instances
-        of earlier builds don't understand that.
+    :param may_wait: whether the response may be to ask again later. Instances
+        of earlier builds don't understand that, and a request for a whole
+        failure domain is not to wait.
     """
 
     accepts: tuple[str, ...] = ()
@@ -85,16 +85,6 @@
         return Document(self._encoded, _ZLIB)
 
 
-def request_document(peer: PeerEntry, own: PeerEntry) -> FetchDocument:
-    """Return a request for the document that a peer has.
-
-    One for another failure domain is not to wait: a whole domain waits for it.
-    """
-    return FetchDocument(
-        ENCODINGS, may_wait=peer.failure_domain == own.failure_domain
-    )
-
-
 def decode_document(document: Document) -> Result[bytes, DocumentUnreadable]:
     """Return the stored form of a document received from a peer."""
     if not document.encoding:
--- a/src/cartdale/versions/decide.py
+++ b/src/cartdale/versions/decide.py
@@ -244,7 +244,7 @@
             state,
             fetches_by_peer={**state.fetches_by_peer, name: now},
         )
-        actions.append(FetchDocument(holder.peer))
+        actions.append(FetchDocument(holder.peer, holder.nearby))
     if not state.reading and _find_read_time(state, own) <= now:
         state = replace(state, reading=True, read_at=now)
         actions.append(ReadStore())
--- a/src/cartdale/versions/driver.py
+++ b/src/cartdale/versions/driver.py
@@ -1,6 +1,7 @@
 """Fetch the newest configuration from peers, or read it from the store."""
 
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import trio
 from loguru import logger
@@ -36,7 +37,14 @@
 #: Minimum time between two checks whether a step is due.
 _MIN_WAIT: Millis = 10
 
-Fetch = Callable[[PeerEntry], Awaitable[Result[Document, PeerFailure]]]
+
+class Fetch(Protocol):
+    """Request the document that a peer has in force."""
+
+    async def __call__(
+        self, peer: PeerEntry, *, may_wait: bool
+    ) -> Result[Document, PeerFailure]:
+        """Return the document, or from when on to ask again if it may wait."""
 
 
 class VersionFollower:
@@ -144,19 +152,20 @@
                         source=report.source.value,
                         wait=report.wait,
                     )
-                case FetchDocument(peer=peer):
-                    self._nursery.start_soon(self._fetch_document, peer)
+                case FetchDocument():
+                    self._nursery.start_soon(self._fetch_document, action)
                 case ReadStore():
                     self._nursery.start_soon(self._read)
 
-    async def _fetch_document(self, peer: PeerEntry) -> None:
+    async def _fetch_document(self, request: FetchDocument) -> None:
+        peer = request.peer
         before = self._fleet.table.version
         began = self._clock.now()
         answer: Result[Document, PeerFailure] = Failure(
             PeerUncertain('no response in time')
         )
         with trio.move_on_after(as_seconds(_FETCH_TIMEOUT)):
-            answer = await self._fetch(peer)
+            answer = await self._fetch(peer, may_wait=request.nearby)
         retry_after = answer.map(_get_retry_after).value_or(0)
         match answer.map(decode_document):
             case _ if retry_after:
--- a/src/cartdale/versions/types.py
+++ b/src/cartdale/versions/types.py
@@ -114,9 +114,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchDocument:
-    """Request the document of a peer."""
+    """Request the document of a peer.
+
+    :param nearby: whether the peer may respond to ask again later; one far
+        away is asked for a whole failure domain.
+    """
 
     peer: PeerEntry
+    nearby: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -231,6 +231,14 @@
     assert PEERS[1].name in instance.asked
 
 
+# Whoever is asked at once by all around may tell them to wait; a whole failure
+# domain waits for the one request that crosses to another.
+@pytest.mark.parametrize('nearby', [True, False])
+def test_only_a_holder_nearby_may_tell_to_wait(nearby: bool) -> None:
+    actions = Clockwork().hear(FIRST, nearby=nearby)
+    assert FetchDocument(FIRST, nearby) in actions
+
+
 # A busy holder sends to others, which may be asked instead.
 def test_busy_holder_is_asked_again_after_the_others() -> None:
     instance = Clockwork()
