Versions: bound how long a holder's word keeps an instance from it

A holder says when to ask it again, and that was believed without a limit: instances of an earlier build can't be told to wait and move the time on.

Found by reading the change. tests/test_versions.py::test_busy_holder_is_left_alone_for_a_bounded_time fails without the bound and passes with it; 18 tests of versions pass.

--- a/src/cartdale/versions/decide.py
+++ b/src/cartdale/versions/decide.py
@@ -34,6 +34,8 @@
 #: Minimum time between a response that a holder is busy and the next fetch;
 #: up to twice as long, so that instances refused together spread.
 BUSY_PAUSE: Millis = 30
+#: Maximum time for which a holder that is busy is left alone.
+MAX_BUSY: Millis = SECOND_MS
 #: While all fetches fail, the time between them doubles so often, from
 #: ``RETRY_AFTER`` to 4 s. The first ones follow each other at once, since a
 #: holder may just have ended.
@@ -189,7 +191,8 @@
     holder = state.holders_by_name.get(message.name)
     if holder is None:
         return state
-    busy = replace(holder, busy_until=now + message.retry_after)
+    wait = min(message.retry_after, MAX_BUSY)
+    busy = replace(holder, busy_until=now + wait)
     holders_by_name = {**state.holders_by_name, message.name: busy}
     return replace(state, holders_by_name=holders_by_name)
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from cartdale.clock import Millis
+from cartdale.clock import HOUR_MS, Millis
 from cartdale.news.types import (
     DomainNews,
     DomainNewsArrived,
@@ -18,6 +18,7 @@
     BUSY_PAUSE,
     HEDGE_AFTER,
     HOLDER_MS,
+    MAX_BUSY,
     MAX_FETCHES,
     READ_AFTER,
     READ_INTERVAL,
@@ -256,6 +257,15 @@
     assert instance.asked[2:] == [PEERS[0].name]
 
 
+# One holder's word must not keep an instance from the newest version.
+def test_busy_holder_is_left_alone_for_a_bounded_time() -> None:
+    instance = Clockwork()
+    instance.hear()
+    instance.apply(FetchEnded(FIRST.name, newer=False, retry_after=HOUR_MS))
+    instance.pass_time(MAX_BUSY)
+    assert instance.asked == [FIRST.name] * 2
+
+
 # A whole failure domain must not turn to another one while its own holders are
 # busy, but must once they fail.
 def test_busy_holder_nearby_is_preferred_to_one_far_away() -> None:
