Log why nothing was sent to an upstream, and attempts that a time limit ends

Of an instance that reaches no upstream the logs told neither that it could not connect and why, nor that an attempt was still waiting when its request's time limit came. attempt ended now has the transport's detail for Unsent, time limit names the upstream for plain requests too, and a gauge counts the upstreams that this instance recently failed to reach. No logic changes.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -19,7 +19,11 @@
 from cartdale.daemon.serve import Application, BoundListener
 from cartdale.daemon.shares import Shares
 from cartdale.exceptions import BadInputError
-from cartdale.fleet.candidates import count_cold, count_unavailable
+from cartdale.fleet.candidates import (
+    count_cold,
+    count_unavailable,
+    count_unreachable,
+)
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.store_follower import StoreFollower
 from cartdale.formatting import format_log_fields
@@ -299,6 +303,7 @@
             self.fleet.cold_gate.sent,
             self.fleet.quarantine.count_quarantined(),
             *count_unavailable(self.fleet.state, self._clock.now()),
+            unreachable=count_unreachable(self.fleet.state, self._clock.now()),
             permitted=self.fleet.limits.gate.count_rate(),
             withheld=self.fleet.limits.gate.withheld,
         )
--- a/src/cartdale/fleet/candidates.py
+++ b/src/cartdale/fleet/candidates.py
@@ -97,6 +97,12 @@
     return sum(upstream.warm_at > now for upstream in upstreams)
 
 
+def count_unreachable(state: FleetState, now: Millis) -> int:
+    """Return how many upstreams this instance recently failed to reach."""
+    upstreams = state.upstreams_by_id.values()
+    return sum(upstream.unreachable_until > now for upstream in upstreams)
+
+
 def count_unavailable(state: FleetState, now: Millis) -> tuple[int, int, int]:
     """Return the numbers of leaving, backing-off and rate-limited upstreams."""
     upstreams = state.upstreams_by_id.values()
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -36,6 +36,7 @@
     :param limited: upstreams that announce a rate limit.
     :param permitted: this instance's share of those limits, in requests per
         second.
+    :param unreachable: upstreams that this instance recently failed to reach.
     :param withheld: requests that those limits stopped just before they were
         sent, since the start.
     """
@@ -47,6 +48,7 @@
     leaving: int
     resting: int
     limited: int
+    unreachable: int
     permitted: float
     withheld: int
 
@@ -81,6 +83,11 @@
     ('leaving', 'leaving_upstreams', 'Upstreams that get nothing new.'),
     ('resting', 'resting_upstreams', 'Upstreams that asked to be left alone.'),
     ('limited', 'limited_upstreams', 'Upstreams that name a rate limit.'),
+    (
+        'unreachable',
+        'unreachable_upstreams',
+        'Upstreams not reached from here.',
+    ),
     ('permitted', 'permitted_requests_per_second', 'Own part of rate limits.'),
     ('withheld', 'requests_withheld_by_limits', 'Held back since the start.'),
     ('sent_cold', 'requests_to_cold_upstreams', 'Sent since the start.'),
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -157,6 +157,16 @@
     return after, step
 
 
+def log_time_limit(routed: RoutedRequest, upstream: str) -> None:
+    """Log that the time limit of a request ended its attempt.
+
+    :param upstream: of the attempt; empty if there was none.
+    """
+    logger.warning(
+        'time limit', request=routed.request.request_id, upstream=upstream
+    )
+
+
 def may_choose_again(ended: AttemptEnd) -> bool:
     """Tell whether the same upstream may get the request again.
 
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -43,7 +43,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """Nothing of the request reached the upstream."""
+    """Nothing of the request reached the upstream.
+
+    :param detail: the transport's error.
+    """
+
+    detail: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -13,6 +13,7 @@
 from cartdale.relay.attempts import (
     conclude,
     find_decline,
+    log_time_limit,
     make_call,
     may_choose_again,
     place,
@@ -65,6 +66,8 @@
         self._routed = routed
         self._tried: set[str] = set()
         self._link = CarriedLink(ports, routed)
+        #: The upstream of the current attempt; empty between attempts.
+        self._current = ''
         self._state: AttemptState = begin(routed.route)
 
     async def forward(self) -> Result[CompleteResponse, Problem]:
@@ -84,6 +87,7 @@
             name = upstream.entry.upstream
             self._tried.add(name)
             ended, response = await self._attempt(upstream)
+            self._current = ''
             if may_choose_again(ended):
                 self._tried.discard(name)
             after, step = conclude(
@@ -103,6 +107,7 @@
         call = make_call(self._ports, self._routed, upstream)
         self._link.begin(call.upstream)
         sent_at = self._ports.clock.now()
+        self._current = call.upstream.upstream
         try:
             with trio.move_on_after(self._attempt_timeout()):
                 ended = await self._send(call)
@@ -120,8 +125,8 @@
             match opened:
                 case Success(answer):
                     return await self._read(answer, call)
-                case Failure(NotSent()):
-                    return Unsent(), None
+                case Failure(NotSent(detail=detail)):
+                    return Unsent(detail), None
                 case Failure(SendWithheld()):
                     return Withheld(), None
                 case Failure(LinkBroke(detail=detail)):
@@ -159,6 +164,8 @@
         return inf
 
     def _time_out(self) -> Problem:
+        if self._current:
+            log_time_limit(self._routed, self._current)
         if self._state.runs or self._tried:
             return OutcomeUnknown('the time limit passed')
         return refuse(self._state, NotRunReason.DEADLINE)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -16,6 +16,7 @@
     conclude,
     find_decline,
     find_refusal,
+    log_time_limit,
     make_call,
     may_choose_again,
     place,
@@ -44,6 +45,7 @@
     CompleteResponse,
     LinkBroke,
     LinkBrokeError,
+    NotSent,
     OpenedResponse,
     ResponseSink,
     RoutedRequest,
@@ -267,6 +269,8 @@
                 return self._break(detail)
             case Failure(SendWithheld()):
                 return Withheld()
+            case Failure(NotSent(detail=detail)):
+                return Unsent(detail)
         return Unsent()
 
     async def _read(
@@ -345,7 +349,7 @@
         return Broken(detail, begun=self._started)
 
     def _time_out(self) -> Result[StreamEnd, Problem]:
-        logger.warning('time limit', request=self._routed.request.request_id)
+        log_time_limit(self._routed, self._generation.upstream)
         if self._started:
             return Success(StreamEnd.CUT)
         if self._sent:
