--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -25,6 +25,7 @@
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import PlatformWorker
 from tests.fault_soak.proxy import FaultProxy, LinkState
+from tests.network_cuts import OWN_INSTANCE
 
 KEY = 'key-of-a-test'
 HOST = 'mill.example'
@@ -194,12 +195,14 @@
                 Endpoint(LOCAL, each.control_port) for each in self.runtimes
             ),
         )
+        OWN_INSTANCE.set(settings.name)
         runtime = GatewayRuntime(settings, path, switches)
         self.runtimes.append(runtime)
         scope, stopped = trio.CancelScope(), trio.Event()
         self.scopes.append(scope)
         self.stopped.append(stopped)
         self.nursery.start_soon(self._run, runtime, scope, stopped)
+        OWN_INSTANCE.set('')
         return runtime
 
     async def settle(self, version: int = 1) -> None:
