--- a/tests/network_cuts.py
+++ b/tests/network_cuts.py
@@ -120,7 +120,8 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         received = b''
-        with trio.CancelScope() as self._reading:
+        self._reading = trio.CancelScope()
+        with self._reading:
             if not self._reset:
                 received = await self._stream.read(max_bytes, timeout)
             if self._silent:
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -60,7 +60,7 @@
 ) -> None:
     answer = await stage.client.post(
         stage.url('/cut/a'),
-        headers=make_headers(request_id, **{'Deadline-Ms': '1500'}),
+        headers={**make_headers(request_id), 'Deadline-Ms': '1500'},
         content=b'x',
     )
     if answer.status_code != 200:
