--- a/tests/network_cuts.py
+++ b/tests/network_cuts.py
@@ -65,6 +65,20 @@
     async def wait_for_heal(self) -> None:
         await self._healed.wait()
 
+    async def check(self, path: tuple[str, int], timeout: float | None) -> None:
+        """Let a connection be opened, unless its path is cut."""
+        self.attempts[path] += 1
+        match self._ways_by_path.get(path):
+            case CutWay.SILENT:
+                await trio.sleep(inf if timeout is None else timeout)
+                raise httpcore.ConnectTimeout
+            case CutWay.RESET | CutWay.REFUSE:
+                raise httpcore.ConnectError('refused by a cut')
+
+    def add(self, path: tuple[str, int], stream: '_CutStream') -> None:
+        """Let later cuts of a path apply to a connection."""
+        self._streams_by_path[path].append(stream)
+
     def _make_connect(self) -> Any:
         connect, cuts = self._connect, self
 
@@ -84,20 +98,6 @@
 
         return connect_tcp
 
-    async def check(self, path: tuple[str, int], timeout: float | None) -> None:
-        """Let a connection be opened, unless its path is cut."""
-        self.attempts[path] += 1
-        match self._ways_by_path.get(path):
-            case CutWay.SILENT:
-                await trio.sleep(inf if timeout is None else timeout)
-                raise httpcore.ConnectTimeout
-            case CutWay.RESET | CutWay.REFUSE:
-                raise httpcore.ConnectError('refused by a cut')
-
-    def add(self, path: tuple[str, int], stream: '_CutStream') -> None:
-        """Let later cuts of a path apply to a connection."""
-        self._streams_by_path[path].append(stream)
-
 
 class _CutStream(httpcore.AsyncNetworkStream):
     """A connection that a cut may silence or reset."""
