--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -12,6 +12,7 @@
 from cartdale.briefing.driver import BriefingClient
 from cartdale.clock import SECOND_MS, Millis, SystemClock, as_seconds
 from cartdale.daemon.briefing import Briefings
+from cartdale.daemon.detours import Detours
 from cartdale.daemon.inflight import InFlight
 from cartdale.daemon.peer_links import SocketLinks
 from cartdale.daemon.peers import Peers
@@ -116,7 +117,19 @@
             max(settings.bounds.contact - SECOND_MS, SECOND_MS),
         )
         self._relaying = Relaying(
-            self.fleet, self._clock, settings.bounds, self._seed
+            self.fleet,
+            self._clock,
+            settings.bounds,
+            settings.failure_domain,
+            self._seed,
+        )
+        self.detours = Detours(
+            links,
+            self.peers.news,
+            self._relaying,
+            self._clock,
+            self._is_leaving,
+            settings.max_descriptors,
         )
         self.metrics = GatewayMetrics(
             self._read_versions, store.calls_by_path, self._read_constraints
@@ -214,6 +227,7 @@
         )
 
     def _start(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self.detours.run)
         nursery.start_soon(self.fleet.run)
         nursery.start_soon(self.mover.run)
         nursery.start_soon(self._relaying.run)
@@ -279,9 +293,10 @@
         await trio.sleep(as_seconds(LEAVE_PAUSE))
         self._stopping.set()
         last = began + self._settings.bounds.grace - _STOP_MARGIN
-        while self._app.count and self._clock.now() < last:
+        carrying = self.detours.capacity
+        while self._app.count + carrying.carried and self._clock.now() < last:
             await trio.sleep(as_seconds(_STOP_POLL))
-        logger.info('left', in_flight=self._app.count)
+        logger.info('left', in_flight=self._app.count, carried=carrying.carried)
         await self.peers.withdraw()
         self._left.set()
 
@@ -304,6 +319,10 @@
             self.fleet.quarantine.count_quarantined(),
             *count_unavailable(self.fleet.state, self._clock.now()),
             unreachable=count_unreachable(self.fleet.state, self._clock.now()),
+            blocked=self.detours.router.blocked,
+            detours=self.detours.router.detours,
+            carried=self.detours.capacity.accepted,
+            not_carried=self.detours.capacity.refused,
             permitted=self.fleet.limits.gate.count_rate(),
             withheld=self.fleet.limits.gate.withheld,
         )
--- a/src/cartdale/daemon/peer_links.py
+++ b/src/cartdale/daemon/peer_links.py
@@ -10,8 +10,11 @@
 import trio
 from returns.result import Result
 
+from cartdale.asgi import AsgiEvent, Receive, Send
 from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.daemon.serve import BoundListener
+from cartdale.detours.app import DetourApp
+from cartdale.detours.calls import PATH as DETOUR_PATH
 from cartdale.news.datagrams import SocketDatagrams
 from cartdale.news.ports import Datagrams
 from cartdale.news.types import PeerEntry
@@ -61,6 +64,26 @@
         """
 
 
+class PeerInterface:
+    """ASGI application that serves all that other instances ask.
+
+    :param detour_app: serves detours; ``None`` if none are carried.
+    """
+
+    def __init__(self, peer_app: PeerApp, detour_app: DetourApp | None) -> None:
+        self._peer_app = peer_app
+        self._detour_app = detour_app
+
+    async def __call__(
+        self, scope: AsgiEvent, receive: Receive, send: Send
+    ) -> None:
+        """Handle one ASGI connection."""
+        if self._detour_app is not None and scope.get('path') == DETOUR_PATH:
+            await self._detour_app(scope, receive, send)
+            return
+        await self._peer_app(scope, receive, send)
+
+
 class SocketLinks:
     """Reach the others by datagrams and by calls on the same port.
 
@@ -82,7 +105,9 @@
             name, listener.address, self._listener.port, failure_domain
         )
         self.datagrams = SocketDatagrams(both.datagrams)
-        self._client = PeerClient(
+        #: Carries requests of other instances to upstreams, if set.
+        self.detour_app: DetourApp | None = None
+        self.client = PeerClient(
             make_peer_pool(None),
             name,
             Authenticator((secrets.token_bytes(_KEY_BYTES),)),
@@ -92,14 +117,15 @@
 
     def set_authenticator(self, authenticator: Authenticator) -> None:
         """Seal calls from now on."""
-        self._client.authenticator = authenticator
+        self.client.authenticator = authenticator
 
     async def serve(self, answer: MessageHandler, stopping: trio.Event) -> None:
         """Answer the calls of others until told to stop."""
         app = PeerApp(
-            self.own.name, self._client, self._clock, answer, _SHAPES_BY_KIND
+            self.own.name, self.client, self._clock, answer, _SHAPES_BY_KIND
         )
-        await self._listener.serve(app, stopping)
+        served = PeerInterface(app, self.detour_app)
+        await self._listener.serve(served, stopping)
 
     async def fetch_document(
         self, peer: PeerEntry, *, may_wait: bool
@@ -109,7 +135,7 @@
         :param may_wait: whether the peer may respond to ask again later.
         """
         address = f'http://{peer.address}:{peer.port}'
-        return await self._client.request(
+        return await self.client.request(
             peer.name,
             address,
             FetchDocument(ENCODINGS, may_wait),
--- a/src/cartdale/daemon/relaying.py
+++ b/src/cartdale/daemon/relaying.py
@@ -3,8 +3,11 @@
 import trio
 
 from cartdale.clock import Clock
+from cartdale.detours.carrier import Carrier
+from cartdale.detours.driver import PathRouter
 from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.driver import Fleet
+from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import Bounds
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay.admission import Admission
@@ -17,13 +20,27 @@
 class Relaying:
     """Own what every relayed request works with.
 
+    :param failure_domain: of this instance.
     :param seed: makes choices repeatable.
     """
 
     def __init__(
-        self, fleet: Fleet, clock: Clock, bounds: Bounds, seed: int
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        bounds: Bounds,
+        failure_domain: str,
+        seed: int,
     ) -> None:
-        self.upstreams = PlatformUpstreams(AdvisoryRecorder(fleet, clock))
+        self.router = PathRouter(
+            make_pool(max_idle=0), clock, failure_domain, seed
+        )
+        self.upstreams = PlatformUpstreams(
+            AdvisoryRecorder(fleet, clock), self.router
+        )
+        self.carrier = Carrier(
+            self.router, fleet, clock, self.upstreams.record_carried, seed
+        )
         self.budget = RepeatBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -44,3 +61,4 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._copy_releaser.run)
             nursery.start_soon(self._crash_prober.run)
+            nursery.start_soon(self.router.run)
--- /dev/null
+++ b/src/cartdale/detours/app.py
@@ -0,0 +1,146 @@
+"""ASGI application that carries requests of other instances to upstreams."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httpcore
+import trio
+from loguru import logger
+from returns.result import Failure, Success
+
+from cartdale.asgi import (
+    TYPE,
+    AsgiEvent,
+    Receive,
+    Send,
+    read_body,
+    send_response,
+)
+from cartdale.detours.calls import REPLY_HEADER, encode_header
+from cartdale.detours.capacity import CarryingCapacity
+from cartdale.detours.ports import DetourCarrier, DetourPeers
+from cartdale.detours.types import (
+    DetourOutcome,
+    DetourReply,
+    UpstreamRequest,
+)
+from cartdale.formatting import format_error
+from cartdale.transport import HTTPCORE_UNKNOWN_OUTCOME_ERRORS
+
+#: Room for the headers of a request, and for its envelope.
+_HEAD_BYTES = 65536
+
+
+class DetourApp:
+    """Carry signed requests to upstreams, and pass the responses back.
+
+    :param carrier: reaches upstreams over direct paths only.
+    :param accepts: whether this instance takes new work.
+    :param body_limit: returns the maximum size of a request's body.
+    """
+
+    def __init__(
+        self,
+        peers: DetourPeers,
+        carrier: DetourCarrier,
+        capacity: CarryingCapacity,
+        accepts: Callable[[], bool],
+        body_limit: Callable[[], int],
+    ) -> None:
+        self._peers = peers
+        self._carrier = carrier
+        self._capacity = capacity
+        self._accepts = accepts
+        self._body_limit = body_limit
+
+    async def __call__(
+        self, scope: AsgiEvent, receive: Receive, send: Send
+    ) -> None:
+        """Handle one HTTP request."""
+        signed = await read_body(receive, self._body_limit() + _HEAD_BYTES)
+        if signed is None:
+            await send_response(send, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        verified = self._peers.open_message(signed, UpstreamRequest)
+        if verified is None:
+            await send_response(send, HTTPStatus.FORBIDDEN)
+            return
+        reply = _ReplyWriter(self._peers, verified.sender, send)
+        if not (self._accepts() and self._capacity.accept()):
+            await reply.refuse(DetourReply(DetourOutcome.BUSY))
+            return
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    _watch_disconnect, receive, nursery.cancel_scope
+                )
+                await self._carry(verified.message, reply)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._capacity.release()
+
+    async def _carry(
+        self, request: UpstreamRequest, reply: '_ReplyWriter'
+    ) -> None:
+        async with self._carrier.carry(request) as carried:
+            match carried:
+                case Failure(refusal):
+                    await reply.refuse(refusal)
+                case Success(response):
+                    await reply.pass_response(response)
+
+
+class _ReplyWriter:
+    """Write the reply to one peer.
+
+    :param peer: its name.
+    """
+
+    def __init__(self, peers: DetourPeers, peer: str, send: Send) -> None:
+        self._peers = peers
+        self._peer = peer
+        self._send = send
+
+    async def refuse(self, reply: DetourReply) -> None:
+        """Say why there is no response of the upstream."""
+        await self._start(reply)
+        await self._send(_make_part(b'', more=False))
+
+    async def pass_response(self, response: httpcore.Response) -> None:
+        """Pass a response on; it ends early here if it does there."""
+        opened = DetourReply(
+            DetourOutcome.OPENED, response.status, tuple(response.headers)
+        )
+        await self._start(opened)
+        try:
+            async for chunk in response.aiter_stream():
+                await self._send(_make_part(chunk, more=True))
+        except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
+            # The body is left without its end, so that the server closes the
+            # connection and the other side sees it broken too.
+            logger.info('carried response broke', detail=format_error(error))
+            return
+        await self._send(_make_part(b'', more=False))
+
+    async def _start(self, reply: DetourReply) -> None:
+        signed = self._peers.sign_message(self._peer, reply)
+        await self._send(
+            {
+                TYPE: 'http.response.start',
+                'status': int(HTTPStatus.OK),
+                'headers': [(REPLY_HEADER, encode_header(signed))],
+            }
+        )
+
+
+def _make_part(chunk: bytes, *, more: bool) -> AsgiEvent:
+    return {TYPE: 'http.response.body', 'body': chunk, 'more_body': more}
+
+
+async def _watch_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+    """Cancel a carried request when the other instance disconnects."""
+    while True:
+        event = await receive()
+        if event[TYPE] == 'http.disconnect':
+            scope.cancel()
+            return
--- /dev/null
+++ b/src/cartdale/detours/calls.py
@@ -0,0 +1,150 @@
+"""Ask other instances to carry requests."""
+
+import base64
+from collections.abc import AsyncIterator, Callable
+
+import httpcore
+
+from cartdale.clock import Millis
+from cartdale.detours.direct import make_extensions
+from cartdale.detours.ports import DetourPeers, RequestHandler
+from cartdale.detours.types import (
+    BeforeSending,
+    DetourOutcome,
+    DetourReply,
+    UpstreamRequest,
+)
+from cartdale.news.types import PeerEntry
+from cartdale.transport import HTTPCORE_NOT_SENT_ERRORS
+
+PATH = '/peer/v1/detours'
+#: Response header with the signed ``DetourReply``; the body is the upstream's.
+REPLY_HEADER = b'cartdale-detour'
+_SUCCESS = 200
+#: Maximum wait for a connection to another instance.
+_CONNECT_WAIT: Millis = 250
+
+Released = Callable[[], None]
+
+
+class DetourCalls:
+    """Send requests to upstreams through other instances.
+
+    Each call uses a new connection: an idle one may be dead without a sign, and
+    a request that is sent over it may or may not have run.
+
+    :param pool: makes the connections.
+    """
+
+    def __init__(self, pool: RequestHandler, peers: DetourPeers) -> None:
+        self._pool = pool
+        self._peers = peers
+
+    async def send(
+        self,
+        peer: PeerEntry,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None,
+        released: Released,
+    ) -> httpcore.Response | DetourReply | None:
+        """Send a request through a peer.
+
+        :param released: called once the peer no longer carries the request.
+        :returns: the upstream's response, with the body unread; why there is
+            none; or ``None`` if the peer was not reached.
+        :raises httpcore.NetworkError: if the request may have run.
+        """
+        try:
+            response = await self._call(peer, request, before_sending)
+        except HTTPCORE_NOT_SENT_ERRORS:
+            released()
+            return None
+        except BaseException:
+            released()
+            raise
+        reply = self._read_reply(peer, response)
+        if reply is not None and reply.outcome is DetourOutcome.OPENED:
+            body = _CarriedBody(response, released)
+            return httpcore.Response(
+                reply.status, headers=reply.headers, content=body
+            )
+        released()
+        await response.aclose()
+        if reply is not None:
+            return reply
+        if response.status == _SUCCESS:
+            raise httpcore.RemoteProtocolError('the reply is not genuine')
+        # A peer that just started does not know the key yet.
+        return DetourReply(DetourOutcome.BUSY, detail=str(response.status))
+
+    async def _call(
+        self,
+        peer: PeerEntry,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None,
+    ) -> httpcore.Response:
+        signed = self._peers.sign_message(peer.name, request)
+        headers = [
+            (b'host', f'{peer.address}:{peer.port}'.encode()),
+            (b'content-length', str(len(signed)).encode()),
+            (b'connection', b'close'),
+        ]
+        outgoing = httpcore.Request(
+            'POST',
+            f'http://{peer.address}:{peer.port}{PATH}',
+            headers=headers,
+            content=signed,
+            extensions=make_extensions(
+                request.timeout, _CONNECT_WAIT, before_sending
+            ),
+        )
+        return await self._pool.handle_async_request(outgoing)
+
+    def _read_reply(
+        self, peer: PeerEntry, response: httpcore.Response
+    ) -> DetourReply | None:
+        """Return a peer's reply; ``None`` if there is no genuine one."""
+        for name, value in response.headers:
+            if name.lower() == REPLY_HEADER:
+                return self._open_reply(peer, decode_header(value))
+        return None
+
+    def _open_reply(self, peer: PeerEntry, signed: bytes) -> DetourReply | None:
+        verified = self._peers.open_message(signed, DetourReply)
+        if verified is None or verified.sender != peer.name:
+            return None
+        return verified.message
+
+
+class _CarriedBody:
+    """Pass on the body of a response that a peer carries."""
+
+    def __init__(self, response: httpcore.Response, released: Released) -> None:
+        self._response = response
+        self._released = released
+        self._closed = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterate over the parts of the body."""
+        async for chunk in self._response.aiter_stream():
+            yield chunk
+
+    async def aclose(self) -> None:
+        """Close the connection to the peer, which ends the request there."""
+        if not self._closed:
+            self._closed = True
+            self._released()
+        await self._response.aclose()
+
+
+def encode_header(signed: bytes) -> bytes:
+    """Encode a signed message as the value of a header."""
+    return base64.b64encode(signed)
+
+
+def decode_header(value: bytes) -> bytes:
+    """Decode a signed message; empty if the value is none."""
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return b''
--- /dev/null
+++ b/src/cartdale/detours/decide.py
@@ -0,0 +1,242 @@
+"""Decide between direct paths and detours, and choose intermediaries.
+
+Only a connection that could not be opened blocks a path: nothing of the request
+was sent then, so that it may go through another instance whatever it is. That
+an upstream is at fault and not the path shows only by instances that reach
+others but not this one (Das et al., SWIM, 2002, ask members in the same way).
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+from functools import partial
+from typing import assert_never
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.detours.types import (
+    BlockedPath,
+    Decision,
+    DetourAnswered,
+    DetourBegan,
+    DetourEnded,
+    DetourOutcome,
+    DirectFailed,
+    DirectReached,
+    Intermediary,
+    Message,
+    PathBlocked,
+    PathReopened,
+    PathState,
+    PathWanted,
+    UnreachedByAll,
+)
+from cartdale.news.types import PeerEntry
+
+#: Bounds of the interval between probes of a blocked path. It grows with the
+#: time for which the path has been blocked.
+_MIN_PROBE_INTERVAL: Millis = SECOND_MS // 4
+_MAX_PROBE_INTERVAL: Millis = SECOND_MS
+_PROBE_INTERVAL_SHARE = 1 / 8
+#: A blocked path that no request needs for so long is forgotten.
+_FORGOTTEN_AFTER: Millis = 10 * SECOND_MS
+#: Time for which an upstream that nobody reaches is not tried through others.
+UNREACHED_FOR: Millis = SECOND_MS // 2
+#: Time for which an intermediary is not asked again for an upstream that it
+#: did not reach.
+_BLIND_FOR: Millis = 2 * SECOND_MS
+#: Time for which an intermediary that was not reached, or that has no capacity,
+#: is not asked again.
+_SILENT_FOR: Millis = 3 * SECOND_MS
+_BUSY_FOR: Millis = SECOND_MS // 4
+#: Time for which an intermediary that worked is preferred to unknown ones.
+_PROVEN_FOR: Millis = 5 * SECOND_MS
+#: Number of proven intermediaries among which requests are spread. While there
+#: are fewer, some requests try unknown ones.
+_ENOUGH_PROVEN = 3
+_TRY_UNKNOWN_SHARE = 0.25
+
+
+def decide(state: PathState, message: Message, now: Millis) -> Decision:
+    """Apply one message.
+
+    :param now: monotonic milliseconds.
+    :returns: the next state, and the changes to log.
+    """
+    match message:
+        case DirectFailed():
+            return _block(state, message, now)
+        case DirectReached(address=address):
+            return _reopen(state, address, now)
+        case PathWanted(address=address):
+            return _change_path(state, address, wanted_at=now), ()
+        case UnreachedByAll(address=address):
+            until = now + UNREACHED_FOR
+            return _change_path(state, address, unreached_until=until), ()
+        case DetourBegan(intermediary=name):
+            known = find_intermediary(state, name)
+            return _put(state, name, replace(known, carries=known.carries + 1))
+        case DetourEnded(intermediary=name):
+            known = find_intermediary(state, name)
+            return _put(state, name, replace(known, carries=known.carries - 1))
+        case DetourAnswered():
+            return _note_answer(state, message, now)
+        case _:
+            assert_never(message)
+
+
+def is_blocked(state: PathState, address: str) -> bool:
+    """Tell whether the direct path to an upstream is blocked."""
+    return address in state.blocked_by_address
+
+
+def is_unreached(state: PathState, address: str, now: Millis) -> bool:
+    """Tell whether no instance reached an upstream shortly before."""
+    path = state.blocked_by_address.get(address)
+    return path is not None and path.unreached_until > now
+
+
+def find_intermediary(state: PathState, name: str) -> Intermediary:
+    """Return what is known of an instance as an intermediary."""
+    return state.intermediaries_by_name.get(name) or Intermediary()
+
+
+def list_probes(state: PathState, now: Millis) -> tuple[str, ...]:
+    """Return the addresses whose direct paths are to be probed."""
+    return tuple(
+        address
+        for address, path in state.blocked_by_address.items()
+        if path.probe_at <= now
+    )
+
+
+def list_unwanted(state: PathState, now: Millis) -> tuple[str, ...]:
+    """Return the addresses whose blocked paths no request needs any more."""
+    return tuple(
+        address
+        for address, path in state.blocked_by_address.items()
+        if now - path.wanted_at > _FORGOTTEN_AFTER
+    )
+
+
+def list_proven(state: PathState, now: Millis) -> tuple[str, ...]:
+    """Return the names of instances that recently worked as intermediaries."""
+    return tuple(
+        name
+        for name, known in state.intermediaries_by_name.items()
+        if known.worked_at is not None
+        and now - known.worked_at <= _PROVEN_FOR
+        and known.avoided_until <= now
+    )
+
+
+def rank_intermediaries(
+    state: PathState,
+    peers: Iterable[PeerEntry],
+    address: str,
+    nearby: frozenset[str],
+    now: Millis,
+    generator: random.Random,
+) -> list[PeerEntry]:
+    """Return the instances that may carry a request, the best one first.
+
+    Proven ones go first, those that carry the least before others. Some
+    requests try an unknown one instead, so that a few share the load.
+
+    :param peers: the other instances.
+    :param address: of the upstream.
+    :param nearby: failure domains that are preferred.
+    """
+    proven: list[PeerEntry] = []
+    unknown: list[PeerEntry] = []
+    proven_names = frozenset(list_proven(state, now))
+    for peer in peers:
+        known = find_intermediary(state, peer.name)
+        blind_until = known.blind_until_by_address.get(address, 0)
+        if known.avoided_until > now or blind_until > now:
+            continue
+        listed = proven if peer.name in proven_names else unknown
+        listed.append(peer)
+    generator.shuffle(unknown)
+    generator.shuffle(proven)
+    proven.sort(key=partial(_rank_proven, state, nearby))
+    explores = generator.random() < _TRY_UNKNOWN_SHARE
+    if proven and unknown and explores and len(proven) < _ENOUGH_PROVEN:
+        return [unknown[0], *proven, *unknown[1:]]
+    return [*proven, *unknown]
+
+
+def _rank_proven(
+    state: PathState, nearby: frozenset[str], peer: PeerEntry
+) -> tuple[int, bool]:
+    carries = find_intermediary(state, peer.name).carries
+    return carries, peer.failure_domain not in nearby
+
+
+def _block(state: PathState, message: DirectFailed, now: Millis) -> Decision:
+    address = message.address
+    known = state.blocked_by_address.get(address)
+    since = now if known is None else known.since
+    interval = int((now - since) * _PROBE_INTERVAL_SHARE)
+    interval = min(max(interval, _MIN_PROBE_INTERVAL), _MAX_PROBE_INTERVAL)
+    if known is None:
+        blocked = BlockedPath(now, now + interval, now)
+        return _put_path(state, address, blocked), (PathBlocked(address),)
+    wanted_at = known.wanted_at if message.probed else now
+    blocked = replace(known, probe_at=now + interval, wanted_at=wanted_at)
+    return _put_path(state, address, blocked), ()
+
+
+def _reopen(state: PathState, address: str, now: Millis) -> Decision:
+    known = state.blocked_by_address.get(address)
+    if known is None:
+        return state, ()
+    blocked_by_address = dict(state.blocked_by_address)
+    blocked_by_address.pop(address)
+    reopened = replace(state, blocked_by_address=blocked_by_address)
+    return reopened, (PathReopened(address, now - known.since),)
+
+
+def _change_path(
+    state: PathState, address: str, **changes: Millis
+) -> PathState:
+    known = state.blocked_by_address.get(address)
+    if known is None:
+        return state
+    return _put_path(state, address, replace(known, **changes))
+
+
+def _put_path(state: PathState, address: str, path: BlockedPath) -> PathState:
+    blocked_by_address = {**state.blocked_by_address, address: path}
+    return replace(state, blocked_by_address=blocked_by_address)
+
+
+def _note_answer(
+    state: PathState, message: DetourAnswered, now: Millis
+) -> Decision:
+    known = find_intermediary(state, message.intermediary)
+    match message.outcome:
+        case DetourOutcome.OPENED:
+            changed = replace(known, worked_at=now)
+        case DetourOutcome.UNREACHED | DetourOutcome.WITHHELD:
+            blind = {
+                address: until
+                for address, until in known.blind_until_by_address.items()
+                if until > now
+            }
+            blind_for = _BLIND_FOR if message.blames_path else UNREACHED_FOR
+            blind[message.address] = now + blind_for
+            changed = replace(known, blind_until_by_address=blind)
+        case DetourOutcome.BUSY:
+            changed = replace(known, avoided_until=now + _BUSY_FOR)
+        case None:
+            changed = replace(known, avoided_until=now + _SILENT_FOR)
+        case DetourOutcome.BROKEN:
+            return state, ()
+        case _:
+            assert_never(message.outcome)
+    return _put(state, message.intermediary, changed)
+
+
+def _put(state: PathState, name: str, known: Intermediary) -> Decision:
+    intermediaries_by_name = {**state.intermediaries_by_name, name: known}
+    return replace(state, intermediaries_by_name=intermediaries_by_name), ()
--- /dev/null
+++ b/src/cartdale/detours/driver.py
@@ -0,0 +1,349 @@
+"""Send requests to upstreams over the path that works."""
+
+import random
+from functools import partial
+
+import httpcore
+import trio
+from loguru import logger
+
+from cartdale.clock import Clock, Millis, as_seconds
+from cartdale.detours.calls import DetourCalls
+from cartdale.detours.decide import (
+    decide,
+    is_blocked,
+    is_unreached,
+    list_probes,
+    list_proven,
+    list_unwanted,
+    rank_intermediaries,
+)
+from cartdale.detours.direct import (
+    MAX_CONNECT_WAIT,
+    SHORT_CONNECT_WAIT,
+    DirectTransport,
+    split_address,
+)
+from cartdale.detours.ports import DetourPeers, RequestHandler
+from cartdale.detours.types import (
+    BeforeSending,
+    DetourAnswered,
+    DetourBegan,
+    DetourEnded,
+    DetourOutcome,
+    DetourReply,
+    DirectFailed,
+    DirectReached,
+    Message,
+    PathBlocked,
+    PathReopened,
+    PathState,
+    PathWanted,
+    UnreachedByAll,
+    UpstreamRequest,
+)
+from cartdale.formatting import format_error
+from cartdale.news.types import PeerEntry
+from cartdale.transport import HTTPCORE_NOT_SENT_ERRORS, PathUnclearError
+
+#: Between looks at which blocked paths are to be probed.
+_TICK: Millis = 50
+#: Intermediaries that are asked for one request.
+_MAX_INTERMEDIARIES = 6
+#: Intermediaries that must fail to reach an upstream, besides this instance,
+#: before nobody reaches it; fewer if there are fewer.
+_MIN_WITNESSES = 3
+
+
+class PathRouter:
+    """Send requests to upstreams directly, or through other instances.
+
+    :param pool: makes the connections, to upstreams and to instances.
+    :param failure_domain: of this instance.
+    :param seed: makes the choice of intermediaries reproducible.
+    :param backend: opens the connections of probes.
+    """
+
+    def __init__(
+        self,
+        pool: RequestHandler,
+        clock: Clock,
+        failure_domain: str,
+        seed: int,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        self._pool = pool
+        self._direct = DirectTransport(pool)
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._generator = random.Random(seed)
+        self._peers: DetourPeers | None = None
+        self._calls: DetourCalls | None = None
+        self._backend = backend or httpcore.TrioBackend()
+        self._probed: set[str] = set()
+        self.state = PathState()
+        #: Requests sent through other instances, since the start.
+        self.detours = 0
+
+    def join(self, peers: DetourPeers) -> None:
+        """Use other instances as intermediaries from now on."""
+        self._peers = peers
+        self._calls = DetourCalls(self._pool, peers)
+
+    @property
+    def blocked(self) -> int:
+        """Return the number of direct paths that are blocked."""
+        return len(self.state.blocked_by_address)
+
+    def list_proven(self) -> tuple[str, ...]:
+        """Return the names of instances that recently carried requests."""
+        return list_proven(self.state, self._clock.now())
+
+    async def run(self) -> None:
+        """Probe blocked paths; never returns."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(as_seconds(_TICK))
+                self._start_probes(nursery)
+
+    async def send(
+        self,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None = None,
+    ) -> httpcore.Response:
+        """Send a request and return its response, with the body unread.
+
+        :raises httpcore.ConnectError: or another error of
+            ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent, among them
+            ``PathUnclearError``.
+        """
+        peers = self._list_peers()
+        if not peers:
+            return await self._direct.send(
+                request, before_sending, MAX_CONNECT_WAIT
+            )
+        if is_blocked(self.state, request.address):
+            self._dispatch(PathWanted(request.address))
+        else:
+            try:
+                return await self.send_directly(request, before_sending)
+            except HTTPCORE_NOT_SENT_ERRORS as error:
+                logger.debug('no direct path', detail=format_error(error))
+        return await _Detour(self, request, before_sending).send(peers)
+
+    async def send_directly(
+        self,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None = None,
+    ) -> httpcore.Response:
+        """Send a request over the direct path.
+
+        :raises httpcore.ConnectError: or another error of
+            ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
+        """
+        try:
+            response = await self._direct.send(
+                request, before_sending, SHORT_CONNECT_WAIT
+            )
+        except HTTPCORE_NOT_SENT_ERRORS:
+            self._dispatch(DirectFailed(request.address))
+            raise
+        self._dispatch(DirectReached(request.address))
+        return response
+
+    async def connects(self, address: str) -> bool:
+        """Tell whether a direct connection to an upstream can be opened."""
+        host, port = split_address(address)
+        try:
+            stream = await self._backend.connect_tcp(
+                host, port, as_seconds(SHORT_CONNECT_WAIT)
+            )
+        except HTTPCORE_NOT_SENT_ERRORS:
+            return False
+        await stream.aclose()
+        return True
+
+    async def send_through(
+        self,
+        peer: PeerEntry,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None,
+    ) -> httpcore.Response | DetourReply | None:
+        """Send a request through a peer and note what it answered."""
+        if self._calls is None:
+            return None
+        began_at = self._clock.now()
+        self._dispatch(DetourBegan(peer.name))
+        released = partial(self._dispatch, DetourEnded(peer.name))
+        answer = await self._calls.send(peer, request, before_sending, released)
+        outcome = _find_outcome(answer)
+        blames_path = isinstance(answer, DetourReply) and answer.reaches_others
+        self._dispatch(
+            DetourAnswered(
+                peer.name, request.address, outcome, blames_path=not blames_path
+            )
+        )
+        self.detours += outcome is DetourOutcome.OPENED
+        if request.is_work:
+            logger.info(
+                'detour',
+                request=request.request_id,
+                upstream=request.upstream,
+                peer=peer.name,
+                outcome='not reached' if outcome is None else outcome,
+                took=self._clock.now() - began_at,
+            )
+        return answer
+
+    def rank(
+        self, peers: list[PeerEntry], request: UpstreamRequest
+    ) -> list[PeerEntry]:
+        """Return the peers that may carry a request, the best one first."""
+        return rank_intermediaries(
+            self.state,
+            peers,
+            request.address,
+            frozenset((self._failure_domain,)),
+            self._clock.now(),
+            self._generator,
+        )
+
+    def is_unreached(self, address: str) -> bool:
+        """Tell whether no instance reached an upstream shortly before."""
+        return is_unreached(self.state, address, self._clock.now())
+
+    def keep_wanted(self, address: str) -> None:
+        """Keep probing a blocked path, since another instance needs it."""
+        self._dispatch(PathWanted(address))
+
+    def note_unreached(self, address: str) -> None:
+        """Note that nobody reaches an upstream."""
+        self._dispatch(UnreachedByAll(address))
+
+    def _list_peers(self) -> list[PeerEntry]:
+        return [] if self._peers is None else list(self._peers.list_alive())
+
+    def _start_probes(self, nursery: trio.Nursery) -> None:
+        """Start the probes that are due, and forget unneeded paths."""
+        now = self._clock.now()
+        for unwanted in list_unwanted(self.state, now):
+            self._dispatch(DirectReached(unwanted))
+        for address in list_probes(self.state, now):
+            if address not in self._probed:
+                self._probed.add(address)
+                nursery.start_soon(self._probe, address)
+
+    async def _probe(self, address: str) -> None:
+        reached = await self.connects(address)
+        self._probed.discard(address)
+        if reached:
+            self._dispatch(DirectReached(address))
+        elif is_blocked(self.state, address):
+            self._dispatch(DirectFailed(address, probed=True))
+
+    def _dispatch(self, message: Message) -> None:
+        now = self._clock.now()
+        after, actions = decide(self.state, message, now)
+        self.state = after
+        for action in actions:
+            match action:
+                case PathBlocked(address=address):
+                    logger.info('path blocked', address=address)
+                case PathReopened(address=address, took=took):
+                    logger.info('path reopened', address=address, took=took)
+
+
+class _Detour:
+    """Send one request through an intermediary that reaches its upstream.
+
+    Intermediaries use their direct paths only, so that it takes one hop.
+    """
+
+    def __init__(
+        self,
+        router: PathRouter,
+        request: UpstreamRequest,
+        before_sending: BeforeSending | None,
+    ) -> None:
+        self._router = router
+        self._request = request
+        self._before_sending = before_sending
+        self._asked: set[str] = set()
+        self._hinted: list[str] = []
+        #: Intermediaries that don't reach the upstream, and those of them that
+        #: reach others.
+        self._blind = 0
+        self._witnesses = 0
+
+    async def send(self, peers: list[PeerEntry]) -> httpcore.Response:
+        """Return the response, with the body unread.
+
+        :raises httpcore.ConnectError: if nobody reaches the upstream.
+        :raises PathUnclearError: if that is not known.
+        """
+        address = self._request.address
+        if self._router.is_unreached(address):
+            raise httpcore.ConnectError('no instance reaches it')
+        enough = min(_MIN_WITNESSES, len(peers))
+        for _ in range(_MAX_INTERMEDIARIES):
+            peer = self._choose(peers)
+            if peer is None:
+                break
+            self._asked.add(peer.name)
+            response = await self._ask(peer)
+            if response is not None:
+                return response
+            if self._witnesses and self._blind >= enough:
+                break
+        if self._witnesses:
+            self._router.note_unreached(address)
+            raise httpcore.ConnectError('no instance reaches it')
+        return await self._try_directly()
+
+    async def _ask(self, peer: PeerEntry) -> httpcore.Response | None:
+        answer = await self._router.send_through(
+            peer, self._request, self._before_sending
+        )
+        match answer:
+            case DetourReply(outcome=DetourOutcome.BROKEN, detail=detail):
+                raise httpcore.ReadError(detail)
+            case DetourReply(outcome=DetourOutcome.UNREACHED):
+                self._blind += 1
+                self._witnesses += answer.reaches_others
+                self._hinted.extend(answer.alternatives)
+                return None
+            case DetourReply() | None:
+                return None
+        return answer
+
+    def _choose(self, peers: list[PeerEntry]) -> PeerEntry | None:
+        ranked = [
+            peer
+            for peer in self._router.rank(peers, self._request)
+            if peer.name not in self._asked
+        ]
+        for peer in ranked:
+            if peer.name in self._hinted:
+                return peer
+        return ranked[0] if ranked else None
+
+    async def _try_directly(self) -> httpcore.Response:
+        """Try the direct path, since nobody else can be asked."""
+        try:
+            return await self._router.send_directly(
+                self._request, self._before_sending
+            )
+        except HTTPCORE_NOT_SENT_ERRORS as error:
+            raise PathUnclearError(format_error(error)) from error
+
+
+def _find_outcome(
+    answer: httpcore.Response | DetourReply | None,
+) -> DetourOutcome | None:
+    match answer:
+        case None:
+            return None
+        case DetourReply(outcome=outcome):
+            return outcome
+        case _:
+            return DetourOutcome.OPENED
--- /dev/null
+++ b/src/cartdale/detours/guard.py
@@ -0,0 +1,44 @@
+"""Withhold requests that upstreams no longer accept."""
+
+from cartdale.clock import Millis
+from cartdale.detours.types import UpstreamRequest
+from cartdale.fleet.advisories import AdvisoryRecorder
+
+
+class WithheldError(Exception):
+    """Raised to abort a request before any of it is sent."""
+
+
+class SendGuard:
+    """Abort a request which must no longer be sent.
+
+    :param counted: whether the request is counted by the bounds on the rate of
+        its upstream already, by another instance or by an earlier connection.
+    """
+
+    def __init__(
+        self,
+        advisories: AdvisoryRecorder,
+        request: UpstreamRequest,
+        *,
+        counted: bool = False,
+    ) -> None:
+        self._advisories = advisories
+        self._request = request
+        self._counted = counted
+        #: Time at which the request was sent, in monotonic milliseconds.
+        self.sent_at: Millis = 0
+
+    async def __call__(self) -> None:
+        """Check the request just before it is sent over a connection.
+
+        :raises WithheldError: if it must not be sent.
+        """
+        if self._advisories.must_withhold(
+            self._request.upstream,
+            resumes=self._request.resumes,
+            counted=self._counted,
+        ):
+            raise WithheldError
+        self._counted = True
+        self.sent_at = self._advisories.now()
--- /dev/null
+++ b/src/cartdale/detours/types.py
@@ -0,0 +1,208 @@
+"""Messages of detours between instances, and the state of direct paths."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cartdale.clock import Millis
+
+Headers = tuple[tuple[bytes, bytes], ...]
+#: Called just before a request is sent; raises an error to withhold it.
+BeforeSending = Callable[[], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """Hold an HTTP request to an upstream.
+
+    :param upstream: id of the upstream; empty if only its address matters.
+    :param address: ``IP:PORT``.
+    :param target: path and query.
+    :param timeout: maximum wait for bytes of the response; 0 for no bound.
+    :param request_id: of the caller's request; empty if there is none.
+    :param is_work: whether the upstream runs it for a caller.
+    :param resumes: whether it resumes from a copy at the upstream.
+    """
+
+    address: str
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+    timeout: Millis = 0
+    upstream: str = ''
+    request_id: str = ''
+    is_work: bool = False
+    resumes: bool = False
+
+
+class DetourOutcome(StrEnum):
+    """Say what an intermediary did with a request."""
+
+    #: The upstream's response follows.
+    OPENED = 'opened'
+    #: Nothing was sent: the intermediary does not reach the upstream either.
+    UNREACHED = 'unreached'
+    #: Nothing was sent: the upstream is leaving or backing off.
+    WITHHELD = 'withheld'
+    #: Nothing was sent: the intermediary has no capacity left, or is leaving.
+    BUSY = 'busy'
+    #: It was sent and may have run, but no response was received.
+    BROKEN = 'broken'
+
+
+@dataclass(frozen=True, slots=True)
+class DetourReply:
+    """Precede the upstream's response, or say why there is none.
+
+    :param status: of the upstream's response; 0 if there is none.
+    :param headers: of the upstream's response, unchanged.
+    :param detail: the transport's error.
+    :param reaches_others: for ``UNREACHED``: whether the intermediary reaches
+        another upstream, so that not its own paths are to blame.
+    :param alternatives: names of instances that recently served it as
+        intermediaries.
+    """
+
+    outcome: DetourOutcome
+    status: int = 0
+    headers: Headers = ()
+    detail: str = ''
+    reaches_others: bool = False
+    alternatives: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class BlockedPath:
+    """Hold what is known of a direct path that failed.
+
+    :param since: when it failed first.
+    :param probe_at: when it is probed next.
+    :param wanted_at: when a request last needed it.
+    :param unreached_until: until when the upstream counts as unreachable by
+        all instances.
+    """
+
+    since: Millis
+    probe_at: Millis
+    wanted_at: Millis
+    unreached_until: Millis = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Intermediary:
+    """Hold what is known of another instance as an intermediary.
+
+    :param carries: requests of this instance that it is carrying.
+    :param worked_at: when it last reached an upstream for this instance;
+        ``None`` for never.
+    :param avoided_until: it was not reached, or is busy, until then.
+    :param blind_until_by_address: upstreams that it did not reach.
+    """
+
+    carries: int = 0
+    worked_at: Millis | None = None
+    avoided_until: Millis = 0
+    blind_until_by_address: dict[str, Millis] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PathState:
+    """Hold the blocked paths, and the instances that may be intermediaries."""
+
+    blocked_by_address: dict[str, BlockedPath] = field(default_factory=dict)
+    intermediaries_by_name: dict[str, Intermediary] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DirectFailed:
+    """A direct connection to an upstream could not be opened.
+
+    :param probed: whether it was a probe, which no request needs.
+    """
+
+    address: str
+    probed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DirectReached:
+    """A direct connection to an upstream was opened."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathWanted:
+    """A request needs a path that is blocked."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class DetourBegan:
+    """An intermediary was sent a request."""
+
+    intermediary: str
+
+
+@dataclass(frozen=True, slots=True)
+class DetourEnded:
+    """An intermediary no longer carries a request."""
+
+    intermediary: str
+
+
+@dataclass(frozen=True, slots=True)
+class DetourAnswered:
+    """An intermediary answered, or was not reached.
+
+    :param outcome: ``None`` if the intermediary was not reached.
+    :param blames_path: whether its own path may be to blame if it did not reach
+        the upstream, since it reached no other one either.
+    """
+
+    intermediary: str
+    address: str
+    outcome: DetourOutcome | None
+    blames_path: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UnreachedByAll:
+    """Instances that reach other upstreams don't reach this one either."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathBlocked:
+    """A direct path was found blocked."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathReopened:
+    """A direct path works again, or is not needed any more.
+
+    :param took: for how long it was blocked.
+    """
+
+    address: str
+    took: Millis
+
+
+Message = (
+    DirectFailed
+    | DirectReached
+    | PathWanted
+    | DetourBegan
+    | DetourEnded
+    | DetourAnswered
+    | UnreachedByAll
+)
+Action = PathBlocked | PathReopened
+Decision = tuple[PathState, tuple[Action, ...]]
--- a/src/cartdale/fleet/advisories.py
+++ b/src/cartdale/fleet/advisories.py
@@ -64,7 +64,9 @@
             limit_before=before.rate_limit.per_second,
         )
 
-    def must_withhold(self, upstream: str, *, resumes: bool) -> bool:
+    def must_withhold(
+        self, upstream: str, *, resumes: bool, counted: bool = False
+    ) -> bool:
         """Tell whether a request may no longer be sent to an upstream.
 
         Called just before sending, some time after the placement: connecting
@@ -74,13 +76,15 @@
         :param resumes: whether the request resumes from a copy there. It is no
             new work and would be lost otherwise, so that it is sent to a
             leaving upstream as well.
+        :param counted: whether the bounds on the rate of the upstream count the
+            request already.
         """
         known = self._fleet.find(upstream)
         if known is None or known.backoff_until > self._clock.now():
             return True
         if known.lifecycle is Lifecycle.LEAVING and not resumes:
             return True
-        return not self._fleet.spend(known, resumes=resumes)
+        return not counted and not self._fleet.spend(known, resumes=resumes)
 
     def _take_limit(
         self, known: Upstream, advisory: Advisory, asked_at: Millis
--- a/src/cartdale/fleet/health.py
+++ b/src/cartdale/fleet/health.py
@@ -86,10 +86,13 @@
         )
         return put(state, counted)
     pause = min(_AVOID_MS * 2**known.strikes, _MAX_AVOID_MS)
+    if not message.confirmed:
+        failing = share
     unreachable = replace(
         known,
         failing=failing,
         failing_at=now,
+        path_unclear=not message.confirmed,
         strikes=known.strikes + 1,
         unreachable_until=now + pause,
         avoided_until=max(known.avoided_until, now + pause),
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -108,6 +108,8 @@
     :param strikes: consecutive failures to reach it.
     :param unreachable_until: until when it counts as unreachable, from
         failures observed by this instance.
+    :param path_unclear: whether perhaps only the path from this instance was at
+        fault when it was last not reached, so that peers are not told.
     :param avoided_until: no new work is sent before this time if another
         upstream can take it; from failures observed here or by peers.
     :param backoff_until: nothing is sent there before this time, as it
@@ -128,6 +130,7 @@
     failing_at: Millis = 0
     strikes: int = 0
     unreachable_until: Millis = 0
+    path_unclear: bool = False
     avoided_until: Millis = 0
     backoff_until: Millis = 0
     leaving_observed_locally: bool = False
@@ -236,11 +239,14 @@
 
     :param good: whether the upstream served the request.
     :param reached: whether the upstream responded at all.
+    :param confirmed: whether the upstream is at fault if it was not reached;
+        otherwise perhaps only the path from this instance is.
     """
 
     upstream: str
     good: bool
     reached: bool = True
+    confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -37,6 +37,11 @@
     :param permitted: this instance's share of those limits, in requests per
         second.
     :param unreachable: upstreams that this instance recently failed to reach.
+    :param blocked: upstreams that this instance reaches through others only.
+    :param detours: requests sent through other instances since the start.
+    :param carried: requests carried for other instances since the start.
+    :param not_carried: requests of other instances that this one had no
+        capacity to carry, since the start.
     :param withheld: requests that those limits stopped just before they were
         sent, since the start.
     """
@@ -49,6 +54,10 @@
     resting: int
     limited: int
     unreachable: int
+    blocked: int
+    detours: int
+    carried: int
+    not_carried: int
     permitted: float
     withheld: int
 
@@ -88,6 +97,10 @@
         'unreachable_upstreams',
         'Upstreams not reached from here.',
     ),
+    ('blocked', 'blocked_paths', 'Upstreams reached through others only.'),
+    ('detours', 'detours_sent', 'Sent through others since the start.'),
+    ('carried', 'detours_carried', 'Carried for others since the start.'),
+    ('not_carried', 'detours_refused', 'Not carried for want of capacity.'),
     ('permitted', 'permitted_requests_per_second', 'Own part of rate limits.'),
     ('withheld', 'requests_withheld_by_limits', 'Held back since the start.'),
     ('sent_cold', 'requests_to_cold_upstreams', 'Sent since the start.'),
--- a/src/cartdale/news/decide.py
+++ b/src/cartdale/news/decide.py
@@ -25,6 +25,7 @@
     NewsArrived,
     NewsDropped,
     NewsState,
+    PeerEntry,
     PeerListed,
     PeerRemoved,
     PeersListed,
@@ -83,6 +84,25 @@
     return bool(received_at) and now - max(received_at) > SILENT_MS
 
 
+def list_alive(
+    state: NewsState, own: PeerEntry, now: Millis
+) -> list[PeerEntry]:
+    """Return the peers, without those known to be silent.
+
+    Peers that send no news to this instance are known to others only.
+    """
+    silent = {
+        name
+        for name, received in state.received_by_name.items()
+        if now - received.at > ALIVE_MS
+    }
+    return [
+        peer
+        for name, peer in state.peers_by_name.items()
+        if name != own.name and name not in silent
+    ]
+
+
 def count_alive(state: NewsState, now: Millis) -> int:
     """Return the number of live peers, by direct and by domain news."""
     direct = sum(
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -143,7 +143,7 @@
             upstream,
             failure_domain,
             self._clock.now(),
-            reaches=upstream not in self._writer.list_unreachable(),
+            reaches=self._writer.reaches(upstream),
         )
 
     def is_silent(self) -> bool:
--- a/src/cartdale/news/writing.py
+++ b/src/cartdale/news/writing.py
@@ -101,14 +101,22 @@
         )
 
     def list_unreachable(self) -> tuple[str, ...]:
-        """Return upstreams that this instance recently failed to reach."""
+        """Return upstreams that recently were not reached.
+
+        Those that perhaps only this instance does not reach are left out.
+        """
         now = self._clock.now()
         return tuple(
             name
             for name, upstream in self._fleet.state.upstreams_by_id.items()
-            if upstream.unreachable_until > now
+            if upstream.unreachable_until > now and not upstream.path_unclear
         )
 
+    def reaches(self, upstream: str) -> bool:
+        """Tell whether this instance has not recently failed to reach one."""
+        known = self._fleet.find(upstream)
+        return known is None or known.unreachable_until <= self._clock.now()
+
     def describe_domain(
         self,
         alive: int,
--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from statistics import median
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import httpcore
 import msgspec
@@ -56,6 +56,14 @@
     measured_at: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class VerifiedMessage(Generic[Reply]):
+    """Hold a genuine message and the peer that sent it."""
+
+    sender: str
+    message: Reply
+
+
 class PeerClient:
     """Send signed messages to other instances.
 
@@ -112,8 +120,8 @@
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
             return Failure(PeerUncertain(format_error(late_error)))
         self.received_bytes += len(response.content)
-        envelope = self._verify(response.content, peer, shape)
-        if envelope is None:
+        envelope = self._verify(response.content, shape)
+        if envelope is None or envelope.sender != peer:
             return Failure(PeerUncertain('the answer is not genuine'))
         if times_clock:
             self._record_clock(peer, envelope.wall_ms, sent_at)
@@ -129,6 +137,19 @@
             wrap(self._name, recipient, message, wall)
         )
 
+    def open_message(
+        self, signed: bytes, shape: type[Reply]
+    ) -> VerifiedMessage[Reply] | None:
+        """Return a message to this instance; ``None`` if it is not genuine."""
+        envelope = self._verify(signed, shape)
+        if envelope is None:
+            return None
+        try:
+            message = decode_binary(bytes(envelope.body), shape)
+        except msgspec.MsgspecError:
+            return None
+        return VerifiedMessage(envelope.sender, message)
+
     def clock_error(self) -> Millis:
         """Return the absolute median offset between this clock and the peers'.
 
@@ -153,16 +174,12 @@
             if now - clocks[name].measured_at > _MEASUREMENT_LIFETIME:
                 clocks.pop(name)
 
-    def _verify(
-        self, signed: bytes, peer: str, shape: type[Reply]
-    ) -> Envelope | None:
-        """Return the envelope of a valid response of the expected type."""
+    def _verify(self, signed: bytes, shape: type[Reply]) -> Envelope | None:
+        """Return the envelope of a valid message of the expected type."""
         envelope = self.authenticator.verify(signed, self._clock.wall_time())
         if envelope is None or envelope.recipient != self._name:
             return None
-        if envelope.sender != peer or envelope.kind != shape.__name__:
-            return None
-        return envelope
+        return envelope if envelope.kind == shape.__name__ else None
 
 
 def _make_extensions(timeout: Millis) -> dict[str, object]:
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -19,6 +19,8 @@
 
 _MAX_PORT = 65535
 _NO_LINE = 0
+#: What systems allow a process unless they are told otherwise.
+_DEFAULT_DESCRIPTORS = 1024
 
 Parsed = TypeVar('Parsed')
 
@@ -69,6 +71,7 @@
     :param regions_by_domain: the region of each failure domain.
     :param link_mbps: bandwidth of the machine's link, in megabits per second;
         infinite if it is not told.
+    :param max_descriptors: open files and connections of the process at most.
     """
 
     name: str
@@ -84,6 +87,7 @@
     seeds: tuple[Endpoint, ...] = ()
     regions_by_domain: dict[str, str] = field(default_factory=dict)
     link_mbps: float = inf
+    max_descriptors: int = _DEFAULT_DESCRIPTORS
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -155,6 +159,9 @@
         link_mbps=reader.parse_optional(
             'limits.linkMbps', _parse_bandwidth, inf
         ),
+        max_descriptors=reader.parse_optional(
+            'limits.maxFds', _parse_count, _DEFAULT_DESCRIPTORS
+        ),
     )
     reader.raise_faults()
     return settings
@@ -244,6 +251,13 @@
     return bandwidth
 
 
+def _parse_count(raw: str) -> int:
+    count = int(raw)
+    if count <= 0:
+        raise ValueError('expected a positive number')
+    return count
+
+
 def _parse_endpoint(raw: str) -> Endpoint:
     address, mark, port = raw.rpartition(':')
     if not mark or not address:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -5,10 +5,9 @@
 distinguishing these cases.
 """
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
-from typing import Any
 
 import httpcore
 import msgspec
@@ -16,6 +15,10 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis
+from cartdale.detours.direct import DirectTransport
+from cartdale.detours.guard import SendGuard, WithheldError
+from cartdale.detours.ports import UpstreamTransport
+from cartdale.detours.types import UpstreamRequest
 from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.formatting import format_error
@@ -33,7 +36,7 @@
     PATH_MOVE,
     PATH_REPORT,
 )
-from cartdale.platform.pools import make_pool, make_timeouts
+from cartdale.platform.pools import make_pool
 from cartdale.relay.types import (
     Copied,
     CopyFailed,
@@ -50,72 +53,42 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    PathUnclearError,
 )
 
-#: httpcore trace event: the connection is open and the request is sent next.
-_BEFORE_SENDING = 'http11.send_request_headers.started'
 #: Maximum wait for a report.
 _REPORT_TIMEOUT: Millis = 500
 
 
-class _WithheldError(Exception):
-    """Raised to abort a request before any of it is sent."""
-
-
-class _SendGuard:
-    """Trace callback that aborts a request which must no longer be sent."""
-
-    def __init__(
-        self, advisories: AdvisoryRecorder, call: UpstreamCall
-    ) -> None:
-        self._advisories = advisories
-        self._call = call
-        #: Time at which the request was sent, in monotonic milliseconds.
-        self.sent_at: Millis = 0
-
-    async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
-        """Handle a trace event of the connection; httpcore awaits each."""
-        if event != _BEFORE_SENDING:
-            return
-        resumes = self._call.resume is not None
-        if self._advisories.must_withhold(
-            self._call.upstream.upstream, resumes=resumes
-        ):
-            raise _WithheldError
-        self.sent_at = self._advisories.now()
-
-
 class PlatformUpstreams:
     """Client of upstreams over HTTP.
 
     :param advisories: records the advisories of upstreams.
+    :param transport: reaches the upstreams; directly if left out.
     """
 
-    def __init__(self, advisories: AdvisoryRecorder) -> None:
+    def __init__(
+        self,
+        advisories: AdvisoryRecorder,
+        transport: UpstreamTransport | None = None,
+    ) -> None:
         self._advisories = advisories
-        self._pool = make_pool(max_idle=0)
+        self._transport = transport or DirectTransport(make_pool(max_idle=0))
 
     @asynccontextmanager
     async def open(
         self, call: UpstreamCall
     ) -> AsyncIterator[Result[OpenedResponse, SendFailure]]:
         """Send a request and read the head of its response."""
-        request = call.routed.request
-        guard = _SendGuard(self._advisories, call)
-        outgoing = httpcore.Request(
-            request.method,
-            _make_url(call.upstream.address, request.target),
-            headers=write_headers(call),
-            content=request.body,
-            extensions={**make_timeouts(None), 'trace': guard},
-        )
+        request = _make_request(call)
+        guard = SendGuard(self._advisories, request)
         try:
-            response = await self._pool.handle_async_request(outgoing)
-        except _WithheldError:
+            response = await self._transport.send(request, guard)
+        except WithheldError:
             yield Failure(SendWithheld())
             return
         except HTTPCORE_NOT_SENT_ERRORS as error:
-            yield Failure(NotSent(format_error(error)))
+            yield Failure(_describe_not_sent(error))
             return
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
             yield Failure(LinkBroke(format_error(late_error)))
@@ -134,6 +107,22 @@
         finally:
             await response.aclose()
 
+    def record_carried(
+        self,
+        request: UpstreamRequest,
+        response: httpcore.Response,
+        sent_at: Millis,
+    ) -> None:
+        """Record the advisory of a response to another instance's request.
+
+        What the response answers is for that instance to check, so that the
+        absence of an advisory means nothing here.
+        """
+        advisory = read_advisory(response).without_absence()
+        self._advisories.record(
+            request.upstream, advisory, request.request_id, sent_at
+        )
+
     async def copy(self, copy: MemoryCopy) -> Result[Copied, CopyFailed]:
         """Copy a generation's memory."""
         body = CopyRequest(copy.request_id, copy.target, copy.last)
@@ -169,11 +158,11 @@
     ) -> bool:
         """Return whether an upstream ended, or restarted since its entry.
 
-        An upstream that is unreachable, or closes the connection without a
-        response, counts as ended. Any response shows that it is alive, and an
-        engine's also shows its start time. A timeout on an open connection
-        counts as alive too: a plain service lets the check wait while all its
-        slots are in use.
+        An upstream that no instance reaches, or that closes the connection
+        without a response, counts as ended. Any response shows that it is
+        alive, and an engine's also shows its start time. A timeout on an open
+        connection counts as alive too: a plain service lets the check wait
+        while all its slots are in use.
         """
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
@@ -184,8 +173,8 @@
         match answer:
             case Failure(LinkBroke(timed_out=timed_out)):
                 return not timed_out
-            case Failure(NotSent()):
-                return True
+            case Failure(NotSent(confirmed=confirmed)):
+                return confirmed
         if plain:
             answer.map(partial(self._record_health, upstream.upstream, sent_at))
             return False
@@ -213,32 +202,54 @@
         body: bytes,
         timeout: Millis,
     ) -> Result[httpcore.Response, SendFailure]:
-        headers = [(b'host', address.encode()), (b'connection', b'close')]
+        headers = [
+            (b'host', address.encode()),
+            (b'connection', b'close'),
+        ]
         if body:
             headers.append((b'content-type', b'application/json'))
             headers.append((b'content-length', str(len(body)).encode()))
+        request = UpstreamRequest(
+            address, method, path.encode(), tuple(headers), body, timeout
+        )
         try:
-            response = await self._pool.request(
-                method,
-                _make_url(address, path.encode()),
-                headers=headers,
-                content=body,
-                extensions=make_timeouts(timeout),
-            )
+            response = await self._read_whole(request)
         except HTTPCORE_NOT_SENT_ERRORS as error:
-            return Failure(NotSent(format_error(error)))
+            return Failure(_describe_not_sent(error))
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
             timed_out = isinstance(late_error, httpcore.TimeoutException)
             return Failure(LinkBroke(format_error(late_error), timed_out))
         return Success(response)
 
+    async def _read_whole(self, request: UpstreamRequest) -> httpcore.Response:
+        response = await self._transport.send(request)
+        try:
+            await response.aread()
+        finally:
+            await response.aclose()
+        return response
+
 
 def _read_born(report: EngineReport) -> Millis:
     return report.born
 
 
-def _make_url(address: str, target: bytes) -> httpcore.URL:
-    host, _, port = address.rpartition(':')
-    return httpcore.URL(
-        scheme=b'http', host=host.encode(), port=int(port), target=target
+def _make_request(call: UpstreamCall) -> UpstreamRequest:
+    """Return the request of an attempt."""
+    request = call.routed.request
+    return UpstreamRequest(
+        call.upstream.address,
+        request.method,
+        request.target,
+        tuple(write_headers(call)),
+        request.body,
+        upstream=call.upstream.upstream,
+        request_id=request.request_id,
+        is_work=True,
+        resumes=call.resume is not None,
     )
+
+
+def _describe_not_sent(error: Exception) -> NotSent:
+    confirmed = not isinstance(error, PathUnclearError)
+    return NotSent(format_error(error), confirmed=confirmed)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -249,8 +249,12 @@
     match ended:
         case Withdrawn() | Withheld():
             """These ends carry no information on the upstream."""
-        case Unsent():
-            fleet.dispatch(RequestEnded(upstream, good=False, reached=False))
+        case Unsent(confirmed=confirmed):
+            fleet.dispatch(
+                RequestEnded(
+                    upstream, good=False, reached=False, confirmed=confirmed
+                )
+            )
         case Broken(begun=False) if streams:
             fleet.dispatch(RequestEnded(upstream, good=False, reached=False))
         case Declined() | Broken():
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -46,9 +46,12 @@
     """Nothing of the request reached the upstream.
 
     :param detail: the transport's error.
+    :param confirmed: whether the upstream is at fault; otherwise perhaps only
+        the path from this instance is.
     """
 
     detail: str = ''
+    confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -125,8 +125,8 @@
             match opened:
                 case Success(answer):
                     return await self._read(answer, call)
-                case Failure(NotSent(detail=detail)):
-                    return Unsent(detail), None
+                case Failure(NotSent(detail=detail, confirmed=confirmed)):
+                    return Unsent(detail, confirmed), None
                 case Failure(SendWithheld()):
                     return Withheld(), None
                 case Failure(LinkBroke(detail=detail)):
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -269,8 +269,8 @@
                 return self._break(detail)
             case Failure(SendWithheld()):
                 return Withheld()
-            case Failure(NotSent(detail=detail)):
-                return Unsent(detail)
+            case Failure(NotSent(detail=detail, confirmed=confirmed)):
+                return Unsent(detail, confirmed)
         return Unsent()
 
     async def _read(
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -150,9 +150,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Nothing of the request was sent."""
+    """Nothing of the request was sent.
+
+    :param confirmed: whether the upstream is at fault; otherwise perhaps only
+        the path from this instance is.
+    """
 
     detail: str
+    confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/switches.py
+++ b/src/cartdale/switches.py
@@ -45,6 +45,8 @@
     SILENCE = 'silence'
     #: Requests that end the upstreams which begin them are refused.
     QUARANTINE = 'quarantine'
+    #: Other instances carry requests to upstreams that this one can't reach.
+    DETOURS = 'detours'
     #: New instances ask others while the store does not answer.
     BRIEFINGS = 'briefings'
 
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -1,15 +1,26 @@
 """Instances that are cut from upstreams which other instances reach."""
 
+from time import time
+
 import pytest
 import trio
 
+from cartdale.detours.calls import PATH
+from cartdale.detours.types import UpstreamRequest
+from cartdale.peers.authentication import Authenticator, wrap
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
     PlatformStage,
+    ask,
     count_runs,
+    draft,
+    draft_meanwhile,
+    find_runner,
     make_draft,
     make_headers,
     open_platform,
+    until,
+    whole,
 )
 
 #: From the cut to the first request that counts, in seconds.
@@ -32,6 +43,132 @@
         assert not failed, way
 
 
+# Guards against generations that stop when their instance loses its path.
+async def test_running_generation_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for way in CutWay:
+        cuts = NetworkCuts(monkeypatch)
+        async with open_platform(engines=3, plains=1, instances=3) as stage:
+            async with draft_meanwhile(stage, 'r1') as answers:
+                await find_runner(stage, 'r1')
+                cuts.cut('entry-0', list_upstream_ports(stage), way)
+            cuts.heal()
+        monkeypatch.undo()
+        assert answers[0].content == whole('r1'), way
+
+
+# Guards against upstreams that get all requests through others for good.
+async def test_healed_path_is_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(plains=1, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        assert (await ask(stage, 'r1')).status_code == 200
+        router = stage.runtimes[0].detours.router
+        assert router.detours == 1
+        cuts.heal()
+        await until(lambda: not router.blocked)
+        assert (await ask(stage, 'r2')).status_code == 200
+        assert router.detours == 1
+
+
+# Guards against an instance that blames upstreams for its own lost path.
+async def test_sound_upstreams_are_not_blamed_for_a_lost_path(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(engines=2, plains=2, instances=3) as stage:
+        await _await_news(stage)
+        ports = list_upstream_ports(stage)
+        async with draft_meanwhile(stage, 'r1') as answers:
+            await find_runner(stage, 'r1')
+            cuts.cut('entry-0', ports, CutWay.RESET)
+            cuts.cut('entry-1', ports, CutWay.RESET)
+            for number in range(ROUNDS):
+                await ask(stage, f'cut-{number}', number % 2)
+        assert answers[0].content == whole('r1')
+        for runtime in stage.runtimes:
+            upstreams = runtime.fleet.state.upstreams_by_id.values()
+            assert not any(each.avoided_until for each in upstreams)
+            assert not runtime.fleet.quarantine.list_news()
+
+
+# Guards against evidence of ends of upstreams that nobody reaches any more
+# being lost.
+async def test_upstream_that_nobody_reaches_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for way in (CutWay.SILENT, CutWay.RESET):
+        cuts = NetworkCuts(monkeypatch)
+        async with open_platform(plains=1, instances=3) as stage:
+            await _await_news(stage)
+            port = int(_find_plain_address(stage).rpartition(':')[2])
+            for runtime in stage.runtimes:
+                cuts.cut(runtime.peers.news.own.name, [port], way)
+            assert (await ask(stage, 'first')).status_code == 503
+            began = trio.current_time()
+            assert (await ask(stage, 'second')).status_code == 503
+            assert trio.current_time() - began < 0.4, way
+            known = stage.runtimes[0].fleet.find('plain-0')
+            assert known.unreachable_until
+            assert not known.path_unclear
+            assert not count_runs(stage, 'first')
+        monkeypatch.undo()
+
+
+# Guards against requests that run on after their caller has left.
+async def test_caller_that_leaves_ends_its_carried_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        with trio.move_on_after(0.4):
+            await draft(stage, 'r1', tokens=4000)
+        await until(lambda: not stage.engines[0].driver.records_by_generation)
+        assert not stage.runtimes[1].detours.capacity.carried
+
+
+# Guards against callers that send requests to upstreams as if by a peer.
+async def test_unsigned_request_of_a_peer_is_refused() -> None:
+    async with open_platform(instances=2) as stage:
+        await _await_news(stage)
+        peer = stage.runtimes[1].peers.news.own
+        forged = UpstreamRequest(
+            _find_plain_address(stage), 'POST', b'/cut/a', ()
+        )
+        answer = await stage.client.post(
+            f'http://{peer.address}:{peer.port}{PATH}',
+            content=Authenticator((b'another key',)).sign(
+                wrap('entry-0', peer.name, forged, int(time() * 1000))
+            ),
+        )
+        assert answer.status_code == 403
+        assert not stage.plains[0].heads
+
+
+# Guards against a second run of a request whose intermediary was lost.
+async def test_request_whose_intermediary_ends_runs_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(engines=2, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        for engine in stage.engines:
+            engine.stream_faults.withhold_headers = True
+        async with draft_meanwhile(stage, 'r1') as answers:
+            await until(lambda: count_runs(stage, 'r1'))
+            stage.scopes[1].cancel()
+            await stage.stopped[1].wait()
+        assert answers[0].status_code == 502
+        assert count_runs(stage, 'r1') == 1
+
+
 async def _find_failed(
     stage: PlatformStage, cuts: NetworkCuts, way: CutWay
 ) -> list[str]:
@@ -86,3 +223,18 @@
         for upstream in stage.runtimes[-1].fleet.state.upstreams_by_id.values()
     )
     return [int(address.rpartition(':')[2]) for address in addresses]
+
+
+async def _await_news(stage: PlatformStage) -> None:
+    """Wait until all instances have news of each other."""
+    others = len(stage.runtimes) - 1
+    await until(
+        lambda: all(
+            len(runtime.peers.news.state.received_by_name) >= others
+            for runtime in stage.runtimes
+        )
+    )
+
+
+def _find_plain_address(stage: PlatformStage) -> str:
+    return stage.runtimes[-1].fleet.find('plain-0').entry.address
