--- a/tests/load/test_paths.py
+++ b/tests/load/test_paths.py
@@ -1,7 +1,8 @@
 """Systems in which instances are cut from all upstreams, in virtual time."""
 
 import pytest
-import trio.testing
+import trio
+from trio.testing import MockClock
 
 from tests.load.paths import PathInstance, PathSystem
 from tests.network_cuts import CutWay
@@ -37,7 +38,7 @@
 @pytest.mark.parametrize('case', ['one', 'half', 'domain', 'all but one'])
 def test_cut_instances_serve_as_often_as_others(size: int, case: str) -> None:
     for way in (CutWay.SILENT, CutWay.REFUSE):
-        clock = trio.testing.MockClock(autojump_threshold=0)
+        clock = MockClock(autojump_threshold=0)
         system, cut = trio.run(_play, size, case, way, clock=clock)
         others = [each for each in system.instances if each not in cut]
         shares = [_find_share(cut), _find_share(others)]
