--- a/tests/load/paths.py
+++ b/tests/load/paths.py
@@ -116,12 +116,12 @@
         host, port = request.url.host.decode(), request.url.port
         timeout = request.extensions['timeout']['connect']
         called = request.url.target.decode() == PATH
-        if not called:
+        if called:
+            await trio.sleep(2 * WAY_SECONDS)
+        else:
             await self._system.paths.connect(
                 self.peer.name, f'{host}:{port}', timeout
             )
-        else:
-            await trio.sleep(2 * WAY_SECONDS)
         trace = request.extensions.get('trace')
         if trace is not None:
             await trace('http11.send_request_headers.started', {})
