Leave an upstream that falls silent for a second alone

What callers saw: generations that run on an engine which stands still for a second or so and goes on were moved to another engine, and what ran there was given evidence of an engine's end.

Cause: a resumable or backed-up stream left its engine after a second of silence, and a check whether an upstream has ended took no answer to a connection within 0.5 s for its end, as it does a refusal.

Change: one bound for the silence of a sound upstream, 1.5 s, for both. A refusal, a closed connection and another start still show an end at once; paths and intermediaries say which of the two it was. A connection to an intermediary that breaks says nothing of the upstream.

Result: no move, no second run and no evidence in the test.

--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -14,8 +14,12 @@
     DetourReply,
     UpstreamRequest,
 )
+from cartdale.formatting import format_error
 from cartdale.news.types import PeerEntry
-from cartdale.transport import HTTPCORE_NOT_SENT_ERRORS
+from cartdale.transport import (
+    HTTPCORE_NOT_SENT_ERRORS,
+    HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+)
 
 PATH = '/peer/v1/detours'
 #: Response header with the signed ``DetourReply``; the body is the upstream's.
@@ -52,13 +56,17 @@
         :param released: called once the peer no longer carries the request.
         :returns: the upstream's response, with the body unread; why there is
             none; or ``None`` if the peer was not reached.
-        :raises httpcore.NetworkError: if the request may have run.
+        :raises httpcore.ReadTimeout: if the request may have run.
         """
         try:
             response = await self._call(peer, request, before_sending)
         except HTTPCORE_NOT_SENT_ERRORS:
             released()
             return None
+        except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
+            released()
+            detail = f'{peer.name} lost: {format_error(error)}'
+            raise httpcore.ReadTimeout(detail) from error
         except BaseException:
             released()
             raise
--- a/src/cartdale/detours/carrier.py
+++ b/src/cartdale/detours/carrier.py
@@ -8,12 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Clock, Millis
-from cartdale.detours.decide import is_blocked
 from cartdale.detours.driver import PathRouter
 from cartdale.detours.guard import SendGuard, WithheldError
 from cartdale.detours.types import (
     DetourOutcome,
     DetourReply,
+    DirectReached,
     UpstreamRequest,
 )
 from cartdale.fleet.advisories import AdvisoryRecorder
@@ -22,6 +22,8 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    is_refusal,
+    make_connect_error,
 )
 
 #: Time for which the result of a control connection counts.
@@ -89,9 +91,11 @@
         """
         if request.address not in self._list_addresses():
             raise WithheldError
-        if is_blocked(self._router.state, request.address):
-            self._router.keep_wanted(request.address)
-            raise httpcore.ConnectError('the direct path is blocked')
+        blocked = self._router.find_blocked(request.address)
+        if blocked is not None:
+            raise make_connect_error(
+                'the direct path is blocked', refused=blocked.refused
+            )
         return await self._router.send_directly(
             request, guard if request.is_work else None
         )
@@ -103,6 +107,7 @@
             DetourOutcome.UNREACHED,
             detail=format_error(error),
             reaches_others=await self._check_others(request.address),
+            refused=is_refusal(error),
             alternatives=self._router.list_proven(),
         )
 
@@ -121,11 +126,14 @@
         controls = self._generator.sample(others, min(len(others), _CONTROLS))
         reached = not controls
         for control in controls:
-            reached = reached or await self._router.connects(control)
+            reached = reached or await self._reaches(control)
         self._reaches_others = reached
         self._controlled_at = self._clock.now()
         return reached
 
+    async def _reaches(self, address: str) -> bool:
+        return isinstance(await self._router.probe(address), DirectReached)
+
     def _list_addresses(self) -> list[str]:
         upstreams = self._fleet.state.upstreams_by_id.values()
         return [upstream.entry.address for upstream in upstreams]
--- a/src/cartdale/detours/decide.py
+++ b/src/cartdale/detours/decide.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 from functools import partial
-from typing import assert_never
+from typing import Any, assert_never
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.detours.types import (
@@ -27,6 +27,7 @@
     PathBlocked,
     PathReopened,
     PathState,
+    PathUnneeded,
     PathWanted,
     UnreachedByAll,
 )
@@ -69,9 +70,16 @@
             return _reopen(state, address, now)
         case PathWanted(address=address):
             return _change_path(state, address, wanted_at=now), ()
-        case UnreachedByAll(address=address):
-            until = now + UNREACHED_FOR
-            return _change_path(state, address, unreached_until=until), ()
+        case PathUnneeded(address=address):
+            return _reopen(state, address, now)[0], ()
+        case UnreachedByAll(address=address, refused=refused):
+            unreached = _change_path(
+                state,
+                address,
+                unreached_until=now + UNREACHED_FOR,
+                refuses_all=refused,
+            )
+            return unreached, ()
         case DetourBegan(intermediary=name):
             known = find_intermediary(state, name)
             return _put(state, name, replace(known, carries=known.carries + 1))
@@ -89,10 +97,17 @@
     return address in state.blocked_by_address
 
 
-def is_unreached(state: PathState, address: str, now: Millis) -> bool:
-    """Tell whether no instance reached an upstream shortly before."""
+def find_unreached(
+    state: PathState, address: str, now: Millis
+) -> BlockedPath | None:
+    """Return the path to an upstream that no instance reached just before.
+
+    ``None`` if one may reach it.
+    """
     path = state.blocked_by_address.get(address)
-    return path is not None and path.unreached_until > now
+    if path is None or path.unreached_until <= now:
+        return None
+    return path
 
 
 def find_intermediary(state: PathState, name: str) -> Intermediary:
@@ -179,10 +194,15 @@
     interval = int((now - since) * _PROBE_INTERVAL_SHARE)
     interval = min(max(interval, _MIN_PROBE_INTERVAL), _MAX_PROBE_INTERVAL)
     if known is None:
-        blocked = BlockedPath(now, now + interval, now)
+        blocked = BlockedPath(now, now + interval, now, message.refused)
         return _put_path(state, address, blocked), (PathBlocked(address),)
     wanted_at = known.wanted_at if message.probed else now
-    blocked = replace(known, probe_at=now + interval, wanted_at=wanted_at)
+    blocked = replace(
+        known,
+        probe_at=now + interval,
+        wanted_at=wanted_at,
+        refused=message.refused,
+    )
     return _put_path(state, address, blocked), ()
 
 
@@ -196,9 +216,7 @@
     return reopened, (PathReopened(address, now - known.since),)
 
 
-def _change_path(
-    state: PathState, address: str, **changes: Millis
-) -> PathState:
+def _change_path(state: PathState, address: str, **changes: Any) -> PathState:
     known = state.blocked_by_address.get(address)
     if known is None:
         return state
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -1,6 +1,7 @@
 """Send requests to upstreams over the path that works."""
 
 import random
+from contextlib import suppress
 from functools import partial
 
 import httpcore
@@ -11,8 +12,8 @@
 from cartdale.detours.calls import DetourCalls
 from cartdale.detours.decide import (
     decide,
+    find_unreached,
     is_blocked,
-    is_unreached,
     list_probes,
     list_proven,
     list_unwanted,
@@ -27,6 +28,7 @@
 from cartdale.detours.ports import DetourPeers, RequestHandler
 from cartdale.detours.types import (
     BeforeSending,
+    BlockedPath,
     DetourAnswered,
     DetourBegan,
     DetourEnded,
@@ -38,13 +40,19 @@
     PathBlocked,
     PathReopened,
     PathState,
+    PathUnneeded,
     PathWanted,
     UnreachedByAll,
     UpstreamRequest,
 )
 from cartdale.formatting import format_error
 from cartdale.news.types import PeerEntry
-from cartdale.transport import HTTPCORE_NOT_SENT_ERRORS, PathUnclearError
+from cartdale.transport import (
+    HTTPCORE_NOT_SENT_ERRORS,
+    PathUnclearError,
+    is_refusal,
+    make_connect_error,
+)
 
 #: Between looks at which blocked paths are to be probed.
 _TICK: Millis = 50
@@ -122,13 +130,9 @@
             return await self._direct.send(
                 request, before_sending, MAX_CONNECT_WAIT
             )
-        if is_blocked(self.state, request.address):
-            self._dispatch(PathWanted(request.address))
-        else:
-            try:
+        if self.find_blocked(request.address) is None:
+            with suppress(*HTTPCORE_NOT_SENT_ERRORS):
                 return await self.send_directly(request, before_sending)
-            except HTTPCORE_NOT_SENT_ERRORS as error:
-                logger.debug('no direct path', detail=format_error(error))
         return await _Detour(self, request, before_sending).send(peers)
 
     async def send_directly(
@@ -145,23 +149,23 @@
             response = await self._direct.send(
                 request, before_sending, SHORT_CONNECT_WAIT
             )
-        except HTTPCORE_NOT_SENT_ERRORS:
-            self._dispatch(DirectFailed(request.address))
+        except HTTPCORE_NOT_SENT_ERRORS as error:
+            self._dispatch(DirectFailed(request.address, is_refusal(error)))
             raise
         self._dispatch(DirectReached(request.address))
         return response
 
-    async def connects(self, address: str) -> bool:
-        """Tell whether a direct connection to an upstream can be opened."""
+    async def probe(self, address: str) -> DirectReached | DirectFailed:
+        """Open and close a direct connection to an upstream."""
         host, port = split_address(address)
         try:
             stream = await self._backend.connect_tcp(
                 host, port, as_seconds(SHORT_CONNECT_WAIT)
             )
-        except HTTPCORE_NOT_SENT_ERRORS:
-            return False
+        except HTTPCORE_NOT_SENT_ERRORS as error:
+            return DirectFailed(address, is_refusal(error), probed=True)
         await stream.aclose()
-        return True
+        return DirectReached(address)
 
     async def send_through(
         self,
@@ -208,17 +212,24 @@
             self._generator,
         )
 
-    def is_unreached(self, address: str) -> bool:
-        """Tell whether no instance reached an upstream shortly before."""
-        return is_unreached(self.state, address, self._clock.now())
+    def find_unreached(self, address: str) -> BlockedPath | None:
+        """Return the path to an upstream that nobody reached just before."""
+        return find_unreached(self.state, address, self._clock.now())
 
-    def keep_wanted(self, address: str) -> None:
-        """Keep probing a blocked path, since another instance needs it."""
+    def find_blocked(self, address: str) -> BlockedPath | None:
+        """Return the direct path to an upstream if it is blocked.
+
+        It is probed as long as this is asked for.
+        """
         self._dispatch(PathWanted(address))
+        return self.state.blocked_by_address.get(address)
 
-    def note_unreached(self, address: str) -> None:
-        """Note that nobody reaches an upstream."""
-        self._dispatch(UnreachedByAll(address))
+    def note_unreached(self, address: str, *, refused: bool) -> None:
+        """Note that nobody reaches an upstream.
+
+        :param refused: whether it refuses connections.
+        """
+        self._dispatch(UnreachedByAll(address, refused))
 
     def _list_peers(self) -> list[PeerEntry]:
         return [] if self._peers is None else list(self._peers.list_alive())
@@ -227,19 +238,17 @@
         """Start the probes that are due, and forget unneeded paths."""
         now = self._clock.now()
         for unwanted in list_unwanted(self.state, now):
-            self._dispatch(DirectReached(unwanted))
+            self._dispatch(PathUnneeded(unwanted))
         for address in list_probes(self.state, now):
             if address not in self._probed:
                 self._probed.add(address)
                 nursery.start_soon(self._probe, address)
 
     async def _probe(self, address: str) -> None:
-        reached = await self.connects(address)
+        result = await self.probe(address)
         self._probed.discard(address)
-        if reached:
-            self._dispatch(DirectReached(address))
-        elif is_blocked(self.state, address):
-            self._dispatch(DirectFailed(address, probed=True))
+        if is_blocked(self.state, address):
+            self._dispatch(result)
 
     def _dispatch(self, message: Message) -> None:
         now = self._clock.now()
@@ -274,16 +283,22 @@
         #: reach others.
         self._blind = 0
         self._witnesses = 0
+        self._refused = False
 
     async def send(self, peers: list[PeerEntry]) -> httpcore.Response:
         """Return the response, with the body unread.
 
-        :raises httpcore.ConnectError: if nobody reaches the upstream.
+        :raises httpcore.ConnectError: if nobody reaches the upstream, which
+            refuses connections.
+        :raises httpcore.ConnectTimeout: if it does not answer any.
         :raises PathUnclearError: if that is not known.
         """
         address = self._request.address
-        if self._router.is_unreached(address):
-            raise httpcore.ConnectError('no instance reaches it')
+        unreached = self._router.find_unreached(address)
+        if unreached is not None:
+            raise make_connect_error(
+                'no instance reaches it', refused=unreached.refuses_all
+            )
         enough = min(_MIN_WITNESSES, len(peers))
         for _ in range(_MAX_INTERMEDIARIES):
             peer = self._choose(peers)
@@ -296,8 +311,10 @@
             if self._witnesses and self._blind >= enough:
                 break
         if self._witnesses:
-            self._router.note_unreached(address)
-            raise httpcore.ConnectError('no instance reaches it')
+            self._router.note_unreached(address, refused=self._refused)
+            raise make_connect_error(
+                'no instance reaches it', refused=self._refused
+            )
         return await self._try_directly()
 
     async def _ask(self, peer: PeerEntry) -> httpcore.Response | None:
@@ -310,6 +327,7 @@
             case DetourReply(outcome=DetourOutcome.UNREACHED):
                 self._blind += 1
                 self._witnesses += answer.reaches_others
+                self._refused |= answer.reaches_others and answer.refused
                 self._hinted.extend(answer.alternatives)
                 return None
             case DetourReply() | None:
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -60,6 +60,8 @@
     :param detail: the transport's error.
     :param reaches_others: for ``UNREACHED``: whether the intermediary reaches
         another upstream, so that not its own paths are to blame.
+    :param refused: for ``UNREACHED``: whether connections were refused, not
+        left without an answer.
     :param alternatives: names of instances that recently served it as
         intermediaries.
     """
@@ -69,6 +71,7 @@
     headers: Headers = ()
     detail: str = ''
     reaches_others: bool = False
+    refused: bool = False
     alternatives: tuple[str, ...] = ()
 
 
@@ -79,14 +82,19 @@
     :param since: when it failed first.
     :param probe_at: when it is probed next.
     :param wanted_at: when a request last needed it.
+    :param refused: whether connections were refused last, not left without an
+        answer.
     :param unreached_until: until when the upstream counts as unreachable by
         all instances.
+    :param refuses_all: whether it refused their connections.
     """
 
     since: Millis
     probe_at: Millis
     wanted_at: Millis
+    refused: bool = False
     unreached_until: Millis = 0
+    refuses_all: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,10 +128,12 @@
 class DirectFailed:
     """A direct connection to an upstream could not be opened.
 
+    :param refused: whether it was refused, not left without an answer.
     :param probed: whether it was a probe, which no request needs.
     """
 
     address: str
+    refused: bool = False
     probed: bool = False
 
 
@@ -134,6 +144,13 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class PathUnneeded:
+    """No request has needed a blocked path for long."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class PathWanted:
     """A request needs a path that is blocked."""
@@ -172,9 +189,13 @@
 
 @dataclass(frozen=True, slots=True)
 class UnreachedByAll:
-    """Instances that reach other upstreams don't reach this one either."""
+    """Instances that reach other upstreams don't reach this one either.
+
+    :param refused: whether it refused their connections.
+    """
 
     address: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +207,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PathReopened:
-    """A direct path works again, or is not needed any more.
+    """A direct path works again.
 
     :param took: for how long it was blocked.
     """
@@ -199,6 +220,7 @@
     DirectFailed
     | DirectReached
     | PathWanted
+    | PathUnneeded
     | DetourBegan
     | DetourEnded
     | DetourAnswered
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -11,10 +11,11 @@
 
 import httpcore
 import msgspec
+import trio
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from cartdale.clock import Millis
+from cartdale.clock import Millis, as_seconds
 from cartdale.detours.direct import DirectTransport
 from cartdale.detours.guard import SendGuard, WithheldError
 from cartdale.detours.ports import UpstreamTransport
@@ -38,6 +39,7 @@
 )
 from cartdale.platform.pools import make_pool
 from cartdale.relay.types import (
+    MAX_SOUND_SILENCE,
     Copied,
     CopyFailed,
     CopyFault,
@@ -54,10 +56,13 @@
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     PathUnclearError,
+    is_refusal,
 )
 
 #: Maximum wait for a report.
 _REPORT_TIMEOUT: Millis = 500
+#: Between two checks whether a silent upstream has ended.
+_CHECK_PAUSE: Millis = 100
 
 
 class PlatformUpstreams:
@@ -162,8 +167,22 @@
         without a response, counts as ended. Any response shows that it is
         alive, and an engine's also shows its start time. A timeout on an open
         connection counts as alive too: a plain service lets the check wait
-        while all its slots are in use.
+        while all its slots are in use. Without an answer to its connections an
+        upstream counts as ended only after a while.
         """
+        began_at = self._advisories.now()
+        while True:
+            ended = await self._check_end(upstream, spec)
+            if ended is not None:
+                return ended
+            if self._advisories.now() - began_at >= MAX_SOUND_SILENCE:
+                return True
+            await trio.sleep(as_seconds(_CHECK_PAUSE))
+
+    async def _check_end(
+        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+    ) -> bool | None:
+        """Return whether an upstream ended; ``None`` if it is silent."""
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
         sent_at = self._advisories.now()
@@ -173,6 +192,8 @@
         match answer:
             case Failure(LinkBroke(timed_out=timed_out)):
                 return not timed_out
+            case Failure(NotSent(confirmed=True, refused=False)):
+                return None
             case Failure(NotSent(confirmed=confirmed)):
                 return confirmed
         if plain:
@@ -252,4 +273,4 @@
 
 def _describe_not_sent(error: Exception) -> NotSent:
     confirmed = not isinstance(error, PathUnclearError)
-    return NotSent(format_error(error), confirmed=confirmed)
+    return NotSent(format_error(error), confirmed, is_refusal(error))
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -18,12 +18,13 @@
     RunState,
     fetch_run_state,
 )
-from cartdale.relay.types import LinkBrokeError, ResponseSink
+from cartdale.relay.types import (
+    MAX_SOUND_SILENCE,
+    LinkBrokeError,
+    ResponseSink,
+)
 from cartdale.switches import Mechanism
 
-#: A stream that is silent for so long resumes elsewhere if it can: its engine
-#: has stalled for longer than any pause within the target.
-_SILENCE_TIMEOUT: Millis = SECOND_MS
 #: Silence after which the engine's report is checked for events that were not
 #: received: a connection may stay silent while its engine works on. Longer than
 #: the engine's reading of another prompt, which is the longest usual pause.
@@ -168,7 +169,7 @@
         if not self._ports.fleet.switches.is_enabled(Mechanism.SILENCE):
             return False
         movable = self._generation.backup or self._repeatable
-        if self._last_at and movable and since >= _SILENCE_TIMEOUT:
+        if self._last_at and movable and since >= MAX_SOUND_SILENCE:
             return True
         state = await fetch_run_state(self._ports, self._generation)
         if state is RunState.GONE and self._has_waited(MIN_REPORT_WAIT):
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -14,6 +14,8 @@
 from cartdale.quarantine.identity import Identity
 from cartdale.routes.types import Route, ServiceSpec
 
+#: Time for which an upstream may be silent and go on as before.
+MAX_SOUND_SILENCE: Millis = 1500
 #: Maximum wait for a copy: all of an engine's memory over its link.
 COPY_TIMEOUT: Millis = 3 * SECOND_MS
 
@@ -154,10 +156,13 @@
 
     :param confirmed: whether the upstream is at fault; otherwise perhaps only
         the path from this instance is.
+    :param refused: whether a connection was refused, not left without an
+        answer.
     """
 
     detail: str
     confirmed: bool = True
+    refused: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -17,6 +17,25 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
+
+
+def is_refusal(error: Exception) -> bool:
+    """Tell whether a connection was refused, not left without an answer."""
+    return not isinstance(error, httpcore.TimeoutException)
+
+
+def make_connect_error(
+    detail: str, *, refused: bool
+) -> httpcore.ConnectError | httpcore.ConnectTimeout:
+    """Return the error of a connection that was not opened.
+
+    :param refused: whether it was refused, not left without an answer.
+    """
+    if refused:
+        return httpcore.ConnectError(detail)
+    return httpcore.ConnectTimeout(detail)
+
+
 #: What is raised once a request may have had an effect.
 HTTPCORE_UNKNOWN_OUTCOME_ERRORS = (
     httpcore.TimeoutException,
--- a/tests/network_cuts.py
+++ b/tests/network_cuts.py
@@ -41,6 +41,7 @@
         self._streams_by_path: defaultdict[
             tuple[str, int], list[_CutStream]
         ] = defaultdict(list)
+        self._silenced: list[_CutStream] = []
         self._healed = trio.Event()
         #: Connections that instances tried to open, by instance and port.
         self.attempts: defaultdict[tuple[str, int], int] = defaultdict(int)
@@ -55,10 +56,14 @@
             self._ways_by_path[path] = way
             for stream in self._streams_by_path.pop(path, ()):
                 stream.apply(way)
+                self._silenced.append(stream)
 
     def heal(self) -> None:
         """Heal all cuts."""
         self._ways_by_path.clear()
+        for stream in self._silenced:
+            stream.unsilence()
+        self._silenced.clear()
         self._healed.set()
         self._healed = trio.Event()
 
@@ -118,6 +123,10 @@
         if self._reset:
             self._reading.cancel()
 
+    def unsilence(self) -> None:
+        """Let bytes pass again."""
+        self._silent = False
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         received = b''
         self._reading = trio.CancelScope()
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -5,8 +5,8 @@
 from cartdale.detours.decide import (
     UNREACHED_FOR,
     decide,
+    find_unreached,
     is_blocked,
-    is_unreached,
     list_probes,
     list_proven,
     list_unwanted,
@@ -151,6 +151,6 @@
 
 def test_upstream_that_nobody_reaches_is_not_asked_for_a_while() -> None:
     state = apply(PathState(), DirectFailed(ADDRESS), UnreachedByAll(ADDRESS))
-    assert is_unreached(state, ADDRESS, UNREACHED_FOR - 1)
-    assert not is_unreached(state, ADDRESS, UNREACHED_FOR)
-    assert not is_unreached(apply(state, DirectReached(ADDRESS)), ADDRESS, 1)
+    assert find_unreached(state, ADDRESS, UNREACHED_FOR - 1)
+    assert not find_unreached(state, ADDRESS, UNREACHED_FOR)
+    assert not find_unreached(apply(state, DirectReached(ADDRESS)), ADDRESS, 1)
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -25,6 +25,8 @@
 
 #: From the cut to the first request that counts, in seconds.
 LEARNING_TIME = 1
+#: Time for which a sound upstream may be silent, in seconds.
+SOUND_SILENCE = 1.3
 #: Events of the drafts that are asked for.
 FEW_TOKENS = 20
 ROUNDS = 10
@@ -169,6 +171,28 @@
         assert count_runs(stage, 'r1') == 1
 
 
+# Guards against generations that leave a sound engine, and evidence against
+# what runs there, when the engine falls silent for a second and goes on.
+async def test_silence_of_a_second_moves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(engines=3, instances=2) as stage:
+        await _await_news(stage)
+        async with draft_meanwhile(stage, 'r1', path='/tag/a') as answers:
+            engine = await find_runner(stage, 'r1')
+            port = int(engine.address.rpartition(':')[2])
+            for runtime in stage.runtimes:
+                cuts.cut(runtime.peers.news.own.name, [port], CutWay.SILENT)
+            await trio.sleep(SOUND_SILENCE)
+            cuts.heal()
+        assert answers[0].content == whole('r1')
+        assert count_runs(stage, 'r1') == 1
+        assert not any(each.resumed_by_request for each in stage.engines)
+        for runtime in stage.runtimes:
+            assert not runtime.fleet.quarantine.list_news()
+
+
 async def _find_failed(
     stage: PlatformStage, cuts: NetworkCuts, way: CutWay
 ) -> list[str]:
