Use an upstream again as soon as a path to it is open

What callers saw: after an upstream that several requests had not reached was back, it was avoided for up to four more seconds.

Cause: consecutive failures double the time for which an upstream is avoided, and only a request that reaches it ends that; a probe now finds out sooner.

Change: a path that is open again ends the avoidance of the upstreams at its address, and leaves their share of failed requests.

--- a/src/cartdale/daemon/relaying.py
+++ b/src/cartdale/daemon/relaying.py
@@ -7,6 +7,7 @@
 from cartdale.detours.driver import PathRouter
 from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import PathReopened
 from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import Bounds
 from cartdale.platform.upstreams import PlatformUpstreams
@@ -35,6 +36,7 @@
         self.router = PathRouter(
             make_pool(max_idle=0), clock, failure_domain, seed
         )
+        self.router.on_reopened = self._note_reopened
         self.upstreams = PlatformUpstreams(
             AdvisoryRecorder(fleet, clock), self.router
         )
@@ -62,3 +64,6 @@
             nursery.start_soon(self._copy_releaser.run)
             nursery.start_soon(self._crash_prober.run)
             nursery.start_soon(self.router.run)
+
+    def _note_reopened(self, address: str) -> None:
+        self.ports.fleet.dispatch(PathReopened(address))
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -1,6 +1,7 @@
 """Send requests to upstreams over the path that works."""
 
 import random
+from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
 
@@ -27,6 +28,7 @@
 )
 from cartdale.detours.ports import DetourPeers, RequestHandler
 from cartdale.detours.types import (
+    Action,
     BeforeSending,
     BlockedPath,
     DetourAnswered,
@@ -90,6 +92,8 @@
         self._backend = backend or httpcore.TrioBackend()
         self._probed: set[str] = set()
         self.state = PathState()
+        #: Called with the address of a path that is open again.
+        self.on_reopened: Callable[[str], None] | None = None
         #: Requests sent through other instances, since the start.
         self.detours = 0
 
@@ -255,11 +259,16 @@
         after, actions = decide(self.state, message, now)
         self.state = after
         for action in actions:
-            match action:
-                case PathBlocked(address=address):
-                    logger.info('path blocked', address=address)
-                case PathReopened(address=address, took=took):
-                    logger.info('path reopened', address=address, took=took)
+            self._act(action)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case PathBlocked(address=address):
+                logger.info('path blocked', address=address)
+            case PathReopened(address=address, took=took):
+                logger.info('path reopened', address=address, took=took)
+                if self.on_reopened is not None:
+                    self.on_reopened(address)
 
 
 class _Detour:
--- a/src/cartdale/fleet/health.py
+++ b/src/cartdale/fleet/health.py
@@ -7,6 +7,7 @@
 from cartdale.fleet.types import (
     BackoffRequested,
     FleetState,
+    PathReopened,
     ReportedUnreachable,
     RequestEnded,
     Upstream,
@@ -27,7 +28,10 @@
 
 def update_health(
     state: FleetState,
-    message: BackoffRequested | RequestEnded | ReportedUnreachable,
+    message: BackoffRequested
+    | RequestEnded
+    | ReportedUnreachable
+    | PathReopened,
     now: Millis,
 ) -> FleetState:
     """Apply a message about the health of an upstream."""
@@ -38,6 +42,8 @@
             return _count_result(state, message, now)
         case ReportedUnreachable(upstream=name):
             return _avoid(state, name, now)
+        case PathReopened(address=address):
+            return _end_avoidance(state, address)
         case _:
             assert_never(message)
 
@@ -108,6 +114,17 @@
     return put(state, replace(known, avoided_until=until))
 
 
+def _end_avoidance(state: FleetState, address: str) -> FleetState:
+    for upstream in tuple(state.upstreams_by_id.values()):
+        if upstream.entry.address != address:
+            continue
+        reachable = replace(
+            upstream, strikes=0, unreachable_until=0, avoided_until=0
+        )
+        state = put(state, reachable)
+    return state
+
+
 def put(state: FleetState, upstream: Upstream) -> FleetState:
     """Return the state with an upstream added or replaced."""
     if state.upstreams_by_id.get(upstream.entry.upstream) is upstream:
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -256,6 +256,13 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class PathReopened:
+    """A connection to an address is possible again."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class AddressTakenOver:
     """Another upstream responded at the address of this one."""
@@ -353,6 +360,7 @@
     | LimitAdvertised
     | RequestEnded
     | ReportedUnreachable
+    | PathReopened
     | AddressTakenOver
     | EvacuationsReceived
     | EvacuationsListed
