Fault soak: cut instances from upstreams that others reach

The soak's proxies sit between instances and the store, and cut upstreams for all, so that the loss of a path of one instance was never played. Instances now may run on a network that loses paths when told (--paths): silently, by resets, or with new connections refused, one to all but one instance at a time, with its own draws.

--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -27,6 +27,10 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_OVERAGE = 1.5
 LIMIT_SLACK = 5
+#: How often callers at instances that reach no upstream are served relative to
+#: others, and the requests that may fail besides.
+MIN_RELATIVE_SHARE = 0.95
+PATHS_SLACK = 1
 #: Kinds whose answers are streams.
 STREAMS = frozenset(('draft', 'tag'))
 #: Upstreams that a request of a kind may run on; others on one.
@@ -153,6 +157,25 @@
         if count > MOST_IN_REST:
             self._add(f'{upstream}: {count} from {instance} while it rested')
 
+    def check_paths(
+        self, cut: str, at_cut: list[bool], others: list[bool]
+    ) -> None:
+        """Check how often callers were served while some paths were cut.
+
+        :param at_cut: whether each request at cut instances was served.
+        :param others: the same for the others.
+        """
+        if not at_cut or not others:
+            return
+        wanted = MIN_RELATIVE_SHARE * sum(others) / len(others)
+        failed = len(at_cut) - sum(at_cut)
+        allowed = (1 - wanted) * len(at_cut) + PATHS_SLACK
+        if failed > allowed:
+            self._add(
+                f'{cut}: {failed} of {len(at_cut)} not served,'
+                f' at others {len(others) - sum(others)} of {len(others)}'
+            )
+
     def check_limit(self, upstream: str, limit: float, count: int) -> None:
         """Check how many requests came in a window from all instances."""
         most = LIMIT_OVERAGE * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 _DAEMON = ROOT / 'deploy' / 'cartdaled.py'
 _MUTANT = Path(__file__).with_name('mutants.py')
+_CUT_PROGRAM = Path(__file__).with_name('cut_program.py')
 _GRACE = 8
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
@@ -47,12 +48,14 @@
     :param seeds: where instances give briefings, this one included.
     :param mutant: fault of the program that the soak has to find; empty for
         none.
+    :param cuttable: whether its paths to upstreams can be cut.
     """
 
     name: str
     folder: Path
     store: FaultProxy
     mutant: str = ''
+    cuttable: bool = False
     failure_domain: str = 'west'
     seeds: list[str] = field(default_factory=list)
     reserved: ReservedPorts = field(
@@ -99,6 +102,10 @@
     def metrics_url(self) -> str:
         return f'http://{LOCAL}:{self.ports[3]}/'
 
+    @property
+    def cuts_path(self) -> Path:
+        return self.folder / f'{self.name}.cuts'
+
     @property
     def log_path(self) -> Path:
         return self.folder / f'{self.name}.log'
@@ -129,6 +136,8 @@
         command = [sys.executable, str(_MUTANT if self.mutant else _DAEMON)]
         if self.mutant:
             command.append(self.mutant)
+        elif self.cuttable:
+            command = [sys.executable, str(_CUT_PROGRAM), str(self.cuts_path)]
         env = {**os.environ, 'CARTDALE_BOOT': str(settings)}
         with closing(self.reserved), self.log_path.open('ab') as log:
             while not self.leaving_for_good:
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -31,6 +31,7 @@
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.limits import Limits
 from tests.fault_soak.notices import check_notices
+from tests.fault_soak.paths import Paths
 from tests.fault_soak.proxy import LOCAL, FaultProxy
 from tests.fault_soak.watch import DOMAINS, Upstream, Watch
 from tests.platform_stage import make_configuration
@@ -57,6 +58,7 @@
 
     :param mutant: fault of the program that must be found; empty for none.
     :param limits: whether upstreams name rate limits beside all else.
+    :param paths: whether instances lose their paths to upstreams beside it.
     """
 
     def __init__(
@@ -67,9 +69,11 @@
         mutant: str = '',
         *,
         limits: bool = False,
+        paths: bool = False,
     ) -> None:
         self.random = Random(seed)
         self._limits = Limits(self, seed) if limits else None
+        self._paths = Paths(self, seed) if paths else None
         self.checks = Checks()
         self.faults: Counter[str] = Counter()
         self.store = PlatformStoreStandIn()
@@ -112,6 +116,8 @@
         check_notices(self)
         if self._limits is not None:
             self._limits.check()
+        if self._paths is not None:
+            self._paths.check()
         self.checks.check_deadly(self.deadly_callers.count_late())
 
     async def wait_ready(self, seconds: float) -> None:
@@ -200,6 +206,8 @@
             with trio.move_on_after(seconds):
                 if self._limits is not None:
                     callers.start_soon(self._limits.run, asking, stopping)
+                if self._paths is not None:
+                    callers.start_soon(self._paths.run, stopping)
                 await Faults(self).disturb()
             stopping.set()
         # What was refused must not run later either.
@@ -221,6 +229,7 @@
             instance = Instance(
                 f'entry-{number}', self._folder, path, self._mutant
             )
+            instance.cuttable = self._paths is not None
             self.instances.append(instance)
         for instance in self.instances:
             instance.seeds = [each.control_address for each in self.instances]
@@ -234,8 +243,11 @@
     instances: int,
     mutant: str,
     limits: bool,
+    paths: bool,
 ) -> FaultSoak:
-    soak = FaultSoak(seed, folder, instances, mutant, limits=limits)
+    soak = FaultSoak(
+        seed, folder, instances, mutant, limits=limits, paths=paths
+    )
     await soak.run(seconds)
     return soak
 
@@ -247,13 +259,21 @@
     mutant: str = '',
     *,
     limits: bool = False,
+    paths: bool = False,
 ) -> FaultSoak:
     """Run one seed and return what it saw."""
     with tempfile.TemporaryDirectory() as folder:
         failed = True
         try:
             soak = trio.run(
-                _run, seed, Path(folder), seconds, instances, mutant, limits
+                _run,
+                seed,
+                Path(folder),
+                seconds,
+                instances,
+                mutant,
+                limits,
+                paths,
             )
             failed = bool(soak.checks.violations)
         finally:
@@ -282,6 +302,7 @@
             options.instances,
             options.mutant,
             limits=options.limits,
+            paths=options.paths,
         )
         faults.update(soak.faults)
         ends.update(soak.checks.ends)
@@ -303,6 +324,7 @@
     parser.add_argument('--instances', type=int, default=3)
     parser.add_argument('--mutant', default='')
     parser.add_argument('--limits', action='store_true')
+    parser.add_argument('--paths', action='store_true')
     return parser.parse_args()
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -27,6 +27,9 @@
 SEEDS_THAT_FAILED = (2101, 3027, 3046)
 #: Upstreams name rate limits beside all else.
 SEED_WITH_LIMITS = 8000
+#: Instances lose their paths to upstreams beside all else.
+SEED_WITH_PATHS = 9602
+PATHS_SECONDS = 15
 LONGER_SECONDS = 25
 
 
@@ -48,6 +51,21 @@
     assert soak.faults['names a limit']
 
 
+def test_soak_with_lost_paths_breaks_no_promise() -> None:
+    soak = run_seed(SEED_WITH_PATHS, PATHS_SECONDS, paths=True)
+    assert not soak.checks.violations
+    assert soak.faults['paths refuse']
+
+
+def test_checks_tell_callers_of_cut_instances_that_are_not_served() -> None:
+    checks = Checks()
+    checks.check_paths('cut', [True] * 18 + [False], [True] * 40)
+    checks.check_paths('cut', [True] * 6 + [False] * 4, [True, False] * 10)
+    assert not checks.violations
+    checks.check_paths('cut', [True] * 17 + [False] * 2, [True] * 40)
+    assert checks.violations
+
+
 def make_asked(**changes) -> Asked:
     return Asked('cut-1', 'cut', 'entry-0', 0, status=200, **changes)
 
