Open a blocked path only by a new connection

What callers saw: nothing so far; a path could count as open because the answer to an old request came over a connection that outlived it, and the next request was sent there again.

Cause: any response over a direct connection ended the block, also of a request that was sent before it. Change: only a request that began after the block, or a probe, ends it.

--- a/src/cartdale/daemon/relaying.py
+++ b/src/cartdale/daemon/relaying.py
@@ -7,7 +7,7 @@
 from cartdale.detours.driver import PathRouter
 from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.driver import Fleet
-from cartdale.fleet.types import PathReopened
+from cartdale.fleet.types import AddressReachable
 from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import Bounds
 from cartdale.platform.upstreams import PlatformUpstreams
@@ -66,4 +66,4 @@
             nursery.start_soon(self.router.run)
 
     def _note_reopened(self, address: str) -> None:
-        self.ports.fleet.dispatch(PathReopened(address))
+        self.ports.fleet.dispatch(AddressReachable(address))
--- a/src/cartdale/detours/decide.py
+++ b/src/cartdale/detours/decide.py
@@ -241,7 +241,7 @@
                 for address, until in known.blind_until_by_address.items()
                 if until > now
             }
-            blind_for = _BLIND_FOR if message.blames_path else UNREACHED_FOR
+            blind_for = UNREACHED_FOR if message.is_witness else _BLIND_FOR
             blind[message.address] = now + blind_for
             changed = replace(known, blind_until_by_address=blind)
         case DetourOutcome.BUSY:
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -149,6 +149,7 @@
         :raises httpcore.ConnectError: or another error of
             ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
         """
+        began_at = self._clock.now()
         try:
             response = await self._direct.send(
                 request, before_sending, SHORT_CONNECT_WAIT
@@ -156,7 +157,10 @@
         except HTTPCORE_NOT_SENT_ERRORS as error:
             self._dispatch(DirectFailed(request.address, is_refusal(error)))
             raise
-        self._dispatch(DirectReached(request.address))
+        path = self.state.blocked_by_address.get(request.address)
+        # A connection may outlive its path, on which no new one can be opened.
+        if path is not None and path.since <= began_at:
+            self._dispatch(DirectReached(request.address))
         return response
 
     async def probe(self, address: str) -> DirectReached | DirectFailed:
@@ -185,10 +189,10 @@
         released = partial(self._dispatch, DetourEnded(peer.name))
         answer = await self._calls.send(peer, request, before_sending, released)
         outcome = _find_outcome(answer)
-        blames_path = isinstance(answer, DetourReply) and answer.reaches_others
+        witness = isinstance(answer, DetourReply) and answer.reaches_others
         self._dispatch(
             DetourAnswered(
-                peer.name, request.address, outcome, blames_path=not blames_path
+                peer.name, request.address, outcome, is_witness=witness
             )
         )
         self.detours += outcome is DetourOutcome.OPENED
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -5,8 +5,8 @@
 from enum import StrEnum
 
 from cartdale.clock import Millis
+from cartdale.relay.types import Headers
 
-Headers = tuple[tuple[bytes, bytes], ...]
 #: Called just before a request is sent; raises an error to withhold it.
 BeforeSending = Callable[[], Awaitable[None]]
 
@@ -177,14 +177,14 @@
     """An intermediary answered, or was not reached.
 
     :param outcome: ``None`` if the intermediary was not reached.
-    :param blames_path: whether its own path may be to blame if it did not reach
-        the upstream, since it reached no other one either.
+    :param is_witness: for ``UNREACHED``: whether it reaches another upstream,
+        so that not its own paths are to blame.
     """
 
     intermediary: str
     address: str
     outcome: DetourOutcome | None
-    blames_path: bool = False
+    is_witness: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/fleet/health.py
+++ b/src/cartdale/fleet/health.py
@@ -5,9 +5,9 @@
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.types import (
+    AddressReachable,
     BackoffRequested,
     FleetState,
-    PathReopened,
     ReportedUnreachable,
     RequestEnded,
     Upstream,
@@ -31,7 +31,7 @@
     message: BackoffRequested
     | RequestEnded
     | ReportedUnreachable
-    | PathReopened,
+    | AddressReachable,
     now: Millis,
 ) -> FleetState:
     """Apply a message about the health of an upstream."""
@@ -42,7 +42,7 @@
             return _count_result(state, message, now)
         case ReportedUnreachable(upstream=name):
             return _avoid(state, name, now)
-        case PathReopened(address=address):
+        case AddressReachable(address=address):
             return _end_avoidance(state, address)
         case _:
             assert_never(message)
--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -262,7 +262,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PathReopened:
+class AddressReachable:
     """A connection to an address is possible again."""
 
     address: str
@@ -367,7 +367,7 @@
     | LimitAdvertised
     | RequestEnded
     | ReportedUnreachable
-    | PathReopened
+    | AddressReachable
     | AddressTakenOver
     | EvacuationsReceived
     | EvacuationsListed
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -118,9 +118,7 @@
 
 
 def test_blind_intermediary_is_asked_for_other_upstreams_only() -> None:
-    blind = DetourAnswered(
-        'front-0', ADDRESS, DetourOutcome.UNREACHED, blames_path=True
-    )
+    blind = DetourAnswered('front-0', ADDRESS, DetourOutcome.UNREACHED)
     state = apply(PathState(), blind)
     assert 'front-0' not in rank(state, 1999)
     assert 'front-0' in rank(state, 2000)
@@ -131,7 +129,9 @@
 
 
 def test_witness_is_asked_again_soon() -> None:
-    witness = DetourAnswered('front-0', ADDRESS, DetourOutcome.UNREACHED)
+    witness = DetourAnswered(
+        'front-0', ADDRESS, DetourOutcome.UNREACHED, is_witness=True
+    )
     state = apply(PathState(), witness)
     assert 'front-0' not in rank(state, UNREACHED_FOR - 1)
     assert 'front-0' in rank(state, UNREACHED_FOR)
--- a/tests/test_reachable.py
+++ b/tests/test_reachable.py
@@ -3,8 +3,8 @@
 from cartdale.clock import VirtualClock
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import (
+    AddressReachable,
     EntryWritten,
-    PathReopened,
     RequestEnded,
     UpstreamEntry,
 )
@@ -18,7 +18,7 @@
         fleet.dispatch(EntryWritten(entry))
         for _ in range(3):
             fleet.dispatch(RequestEnded(name, good=False, reached=False))
-    fleet.dispatch(PathReopened('one:80'))
+    fleet.dispatch(AddressReachable('one:80'))
     reopened, avoided = fleet.find('one'), fleet.find('two')
     assert not reopened.avoided_until
     assert not reopened.unreachable_until
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -77,6 +77,26 @@
         assert router.detours == 1
 
 
+# Guards against a path that counts as open since an old connection on it lives.
+async def test_answer_on_an_old_connection_opens_no_path(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(engines=1, plains=0, instances=2) as stage:
+        await _await_news(stage)
+        engine = stage.engines[0]
+        engine.stream_faults.withhold_headers = True
+        async with draft_meanwhile(stage, 'r1', FEW_TOKENS) as answers:
+            await until(lambda: count_runs(stage, 'r1'))
+            cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+            router = stage.runtimes[0].detours.router
+            await until(lambda: router.blocked)
+            engine.stream_faults.withhold_headers = False
+            await until(lambda: answers)
+            assert router.blocked
+        assert answers[0].status_code == 200
+
+
 # Guards against an instance that blames upstreams for its own lost path.
 async def test_sound_upstreams_are_not_blamed_for_a_lost_path(
     monkeypatch: pytest.MonkeyPatch,
