Stand-in engine: drop a request whose connection closes before its head

Their logs show a link that broke before any head and that they went on at another engine. Engines drop the request of a connection that closes; the stand-in did so only once its answer had begun.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -154,11 +154,24 @@
             await trio.sleep_forever()
         deadly = await read_body() in self.crashes.crashing_bodies
         response = self._begin(request_id, made, deadly=deadly)
+        try:
+            await self._wait_for_headers()
+        except BaseException:
+            # The connection closed, and nothing else will end the request.
+            self._drop(request_id)
+            raise
+        return response
+
+    async def _wait_for_headers(self) -> None:
         while self.stream_faults.withhold_headers and not self.dead:
             await trio.sleep(_POLL_SECONDS)
         if self.dead:
             raise LinkCutError
-        return response
+
+    def _drop(self, request_id: str) -> None:
+        """Stop working on a request."""
+        self.driver.model.cancel(request_id)
+        self.driver.records_by_generation.pop(request_id, None)
 
     def _has_memory(self, request_id: str) -> bool:
         source = request.headers.get('Kv-From')
@@ -215,8 +228,7 @@
                     await self._wait_for_stop(request_id)
                 yield format_event(request_id, made + sent)
         finally:
-            self.driver.model.cancel(request_id)
-            self.driver.records_by_generation.pop(request_id, None)
+            self._drop(request_id)
 
     async def _end_with(self, request_id: str) -> AsyncIterator[bytes]:
         """Begin an answer, and end."""
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -12,6 +12,7 @@
     count_runs,
     draft,
     find_runner,
+    make_draft,
     open_platform,
     until,
 )
@@ -112,3 +113,17 @@
             await until(lambda: is_running(second))
         await within_bound(lambda: not is_running(second))
         await within_bound(lambda: is_forgotten(stage))
+
+
+async def test_stand_in_drops_a_request_whose_connection_closes() -> None:
+    """Before its head too, as engines do; else it seems to run twice."""
+    async with open_platform(engines=1, plains=0, instances=0) as stage:
+        engine = stage.engines[0]
+        engine.stream_faults.withhold_headers = True
+        with trio.move_on_after(0.3):
+            await stage.client.post(
+                f'http://{engine.address}/draft/a',
+                headers=make_draft('r1'),
+                content=b'brief',
+            )
+        await until(lambda: not engine.driver.records_by_generation)
