Ask a peer that refused a connection again soon

Cause: a peer that could not be connected to was left alone for 3 s, whether its process was gone for a moment or its machine was silent.

Change: a refusal, which costs next to nothing, counts for 0.25 s; only silence for 3 s.

--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -19,6 +19,7 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    is_refusal,
 )
 
 PATH = '/peer/v1/detours'
@@ -55,13 +56,19 @@
 
         :param released: called once the peer no longer carries the request.
         :returns: the upstream's response, with the body unread; why there is
-            none; or ``None`` if the peer was not reached.
+            none; or ``None`` if the peer did not answer.
         :raises httpcore.ReadTimeout: if the request may have run.
         """
         try:
             response = await self._call(peer, request, before_sending)
-        except HTTPCORE_NOT_SENT_ERRORS:
+        except HTTPCORE_NOT_SENT_ERRORS as unsent:
             released()
+            if is_refusal(unsent):
+                # Its process may start again any moment, and to ask costs
+                # next to nothing.
+                return DetourReply(
+                    DetourOutcome.BUSY, detail=format_error(unsent)
+                )
             return None
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
             released()
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -97,6 +97,24 @@
         assert answers[0].status_code == 200
 
 
+# Guards against callers of a cut instance who are refused for seconds after a
+# peer that could serve them is back.
+async def test_peer_that_is_back_is_asked_again_soon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(plains=1, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        peer_port = stage.runtimes[1].peers.news.own.port
+        cuts.cut('entry-0', [peer_port], CutWay.REFUSE)
+        assert (await ask(stage, 'r1')).status_code == 503
+        cuts.heal()
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        await trio.sleep(0.3)
+        assert (await ask(stage, 'r2')).status_code == 200
+
+
 # Guards against an instance that blames upstreams for its own lost path.
 async def test_sound_upstreams_are_not_blamed_for_a_lost_path(
     monkeypatch: pytest.MonkeyPatch,
