Keep apart the limit that a brittle upstream names and the derived one

What callers would see: a rate limit that an upstream named once and no longer names stayed in force for as long as the upstream was brittle; and in systems of many instances an upstream whose limit ended while it was brittle was never limited by rejections again.

Cause: any limit that came beside Server-Brittle was marked as derived, also a named one and "no limit", and a derived one is kept. Found in reading. Evidence: both new tests failed before.

Change: one place decides, for each response, between the named limit and the derived one; only the latter is marked. The time that a generation takes a slot has a name.

--- a/src/cartdale/fleet/advisories.py
+++ b/src/cartdale/fleet/advisories.py
@@ -1,11 +1,10 @@
 """Record the advisories in responses of upstreams."""
 
-from dataclasses import replace
-
 from loguru import logger
 
 from cartdale.clock import SECOND_MS, Clock, Millis
 from cartdale.fleet.brittleness import (
+    GENERATION_TIME,
     can_spread,
     find_brittle_limit,
     lower_limit,
@@ -99,15 +98,9 @@
     def _take_limit(
         self, known: Upstream, advisory: Advisory, asked_at: Millis
     ) -> None:
-        per_second = self._find_limit(known, advisory)
-        if per_second is None:
+        named = self._find_limit(known, advisory, asked_at)
+        if named is None:
             return
-        named = RateLimit(
-            per_second,
-            asked_at,
-            self._clock.now(),
-            paced=advisory.tolerance is not None,
-        )
         upstream, history = known.entry.upstream, self._fleet.limits.history
         relevant = (
             named.limited or known.rate_limit.limited or upstream in history
@@ -117,33 +110,47 @@
             history.note(upstream, named, self._clock.now())
             self._fleet.dispatch(LimitAdvertised(upstream, named))
 
-    def _find_limit(self, known: Upstream, advisory: Advisory) -> float | None:
-        """Return the limit that a response sets, in requests per second.
+    def _find_limit(
+        self, known: Upstream, advisory: Advisory, asked_at: Millis
+    ) -> RateLimit | None:
+        """Return the limit that a response sets; ``None`` if it sets none.
 
-        ``None`` if it leaves the limit as it is.
+        The lower one of the limit that it names and the one that is derived for
+        a brittle upstream.
+        """
+        now = self._clock.now()
+        derived = self._derive_limit(known, advisory)
+        named = advisory.limit
+        if derived is not None and (named is None or derived < named):
+            return RateLimit(derived, asked_at, now, paced=True)
+        return None if named is None else RateLimit(named, asked_at, now)
+
+    def _derive_limit(
+        self, known: Upstream, advisory: Advisory
+    ) -> float | None:
+        """Return the limit of a brittle upstream, in requests per second.
+
+        ``None`` if it is not brittle, or not limited before a rejection.
         """
         tolerance = advisory.tolerance
         if tolerance is None:
-            return advisory.limit
-        limit = self._find_brittle_limit(known, tolerance)
-        participants = self._fleet.limits.gate.count_participants()
-        limits = known.rate_limit.paced or advisory.rejected
-        if not limits and not can_spread(limit, participants):
-            return advisory.limit
-        if advisory.rejected and self._may_lower(known):
-            limit = lower_limit(
-                replace(known.rate_limit, per_second=limit), tolerance
-            )
-        return limit if advisory.limit is None else min(limit, advisory.limit)
-
-    def _find_brittle_limit(self, known: Upstream, tolerance: int) -> float:
+            return None
         service = known.entry.service
         spec = self._fleet.table.services_by_name.get(service)
         plain = spec is None or spec.engine is None
-        run_time = self._fleet.pace(service).answer_time if plain else SECOND_MS
-        return find_brittle_limit(
-            known.rate_limit, known.entry.slots, run_time, tolerance
+        limit = find_brittle_limit(
+            known.rate_limit,
+            known.entry.slots,
+            self._fleet.pace(service).answer_time if plain else GENERATION_TIME,
+            tolerance,
         )
+        participants = self._fleet.limits.gate.count_participants()
+        limited = known.rate_limit.paced or advisory.rejected
+        if not limited and not can_spread(limit, participants):
+            return None
+        if advisory.rejected and self._may_lower(known):
+            return lower_limit(limit, tolerance)
+        return limit
 
     def _may_lower(self, known: Upstream) -> bool:
         """Tell whether rejections lower a limit, once for each second."""
--- a/src/cartdale/fleet/brittleness.py
+++ b/src/cartdale/fleet/brittleness.py
@@ -8,7 +8,7 @@
 would only gather requests at the upstreams with free permits.
 """
 
-from cartdale.clock import SECOND_MS
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.fleet.rate_limits import RateLimit
 
 #: Share of what the slots of an upstream can run that it is sent: requests
@@ -17,6 +17,9 @@
 #: Requests per second that each instance must be able to send on the mean, so
 #: that a limit is in force before any rejection.
 _MIN_SHARE = 1.5
+#: Time for which a generation takes a slot, at least: its length is not known,
+#: and engines are protected by what they hold in memory besides.
+GENERATION_TIME: Millis = SECOND_MS
 #: Share of a limit that is left after a second with rejections.
 _KEPT_SHARE = 0.7
 
@@ -47,10 +50,9 @@
     return max(rate, find_lowest_limit(tolerance))
 
 
-def lower_limit(known: RateLimit, tolerance: int) -> float:
+def lower_limit(limit: float, tolerance: int) -> float:
     """Return the limit after rejections, in requests per second."""
-    lowered = known.per_second * _KEPT_SHARE
-    return max(lowered, find_lowest_limit(tolerance))
+    return max(limit * _KEPT_SHARE, find_lowest_limit(tolerance))
 
 
 def find_lowest_limit(tolerance: int) -> float:
--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -59,8 +59,8 @@
 
 
 def test_limit_is_not_lowered_below_what_may_all_be_rejected() -> None:
-    known = RateLimit(2, paced=True)
-    assert lower_limit(known, tolerance=4) == 2
+    assert lower_limit(2, tolerance=4) == 2
+    assert 2 < lower_limit(20, tolerance=4) < 20
     assert find_lowest_limit(0) > 0
 
 
@@ -113,3 +113,33 @@
     limited = Advisory(limit=2.0, tolerance=4)
     AdvisoryRecorder(fleet, clock).record(NAME, limited, 'r1', 900)
     assert find_limit(fleet).per_second == 2
+
+
+# Guards against keeping a limit that a brittle upstream no longer names.
+def test_limit_that_has_ended_is_not_kept_for_a_brittle_upstream() -> None:
+    clock = VirtualClock(1000)
+    fleet = make_fleet(clock)
+    recorder = AdvisoryRecorder(fleet, clock)
+    recorder.record(NAME, Advisory(limit=2.0, tolerance=4), 'r1', 900)
+    assert find_limit(fleet).per_second == 2
+    clock.advance(2000)
+    recorder.record(NAME, BRITTLE, 'r2', 2900)
+    assert 2 < find_limit(fleet).per_second < 100
+
+
+# Guards against rejections that no longer limit a brittle upstream.
+def test_rejection_limits_after_a_named_limit_has_ended() -> None:
+    clock = VirtualClock(1000)
+    fleet = make_fleet(clock)
+    names = {f'front-{number}': None for number in range(200)}
+    fleet.limits.gate.divide_among(
+        LimitParticipants('front-0', '', {'': None}, names), 1000
+    )
+    recorder = AdvisoryRecorder(fleet, clock)
+    recorder.record(NAME, Advisory(limit=2.0), 'r1', 900)
+    clock.advance(2000)
+    recorder.record(NAME, BRITTLE, 'r2', 2900)
+    assert not find_limit(fleet).limited
+    clock.advance(2000)
+    recorder.record(NAME, REJECTED, 'r3', 4900)
+    assert find_limit(fleet).limited
