--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -5,13 +5,11 @@
 
 import httpcore
 
-from cartdale.clock import Millis, as_seconds
+from cartdale.clock import Millis
 from cartdale.detours.ports import RequestHandler
 from cartdale.detours.types import BeforeSending, UpstreamRequest
+from cartdale.transport import MAX_CONNECT_WAIT, make_timeouts
 
-#: Maximum wait for a connection if there is no other way: it is established in
-#: a few milliseconds, or its SYN was dropped and is sent again after a second.
-MAX_CONNECT_WAIT: Millis = 1500
 #: Maximum wait if another instance may carry the request instead.
 SHORT_CONNECT_WAIT: Millis = 250
 #: httpcore trace event: the connection is open and the request is sent next.
@@ -69,12 +67,10 @@
 
     :param timeout: maximum wait for bytes; 0 for no bound.
     """
-    seconds = as_seconds(timeout) if timeout else None
-    connect = as_seconds(min(timeout or connect_wait, connect_wait))
-    timeouts = {'connect': connect, 'read': seconds, 'write': seconds}
-    if before_sending is None:
-        return {'timeout': timeouts}
-    return {'timeout': timeouts, 'trace': _SendTrace(before_sending)}
+    extensions = make_timeouts(timeout, connect_wait)
+    if before_sending is not None:
+        extensions['trace'] = _SendTrace(before_sending)
+    return extensions
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -21,7 +21,6 @@
     rank_intermediaries,
 )
 from cartdale.detours.direct import (
-    MAX_CONNECT_WAIT,
     SHORT_CONNECT_WAIT,
     DirectTransport,
     split_address,
@@ -131,9 +130,7 @@
         """
         peers = self._list_peers()
         if not peers:
-            return await self._direct.send(
-                request, before_sending, MAX_CONNECT_WAIT
-            )
+            return await self._direct.send(request, before_sending)
         if self.find_blocked(request.address) is None:
             with suppress(*HTTPCORE_NOT_SENT_ERRORS):
                 return await self.send_directly(request, before_sending)
--- a/src/cartdale/platform/pools.py
+++ b/src/cartdale/platform/pools.py
@@ -1,15 +1,11 @@
 """Connection pools for the platform's store and upstreams."""
 
 import socket
-from typing import Any
 
 import httpcore
 
-from cartdale.clock import SECOND_MS, Millis, as_seconds
+from cartdale.clock import SECOND_MS, Millis
 
-#: A connection is established in a few milliseconds, or its SYN was dropped and
-#: is retransmitted after a second.
-_CONNECT_TIMEOUT: Millis = 1500
 #: Time after which unacknowledged bytes or unanswered keep-alive probes close a
 #: connection: an established connection may go silent for good while new ones
 #: can be opened.
@@ -38,13 +34,3 @@
         max_keepalive_connections=max_idle,
         socket_options=_SOCKET_OPTIONS,
     )
-
-
-def make_timeouts(timeout: Millis | None) -> dict[str, Any]:
-    """Return the request extensions that set its timeouts.
-
-    :param timeout: maximum wait for bytes; ``None`` for no bound.
-    """
-    seconds = None if timeout is None else as_seconds(timeout)
-    connect = as_seconds(min(timeout or _CONNECT_TIMEOUT, _CONNECT_TIMEOUT))
-    return {'timeout': {'connect': connect, 'read': seconds, 'write': seconds}}
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -21,7 +21,7 @@
     encode_revision,
     read_era,
 )
-from cartdale.platform.pools import make_pool, make_timeouts
+from cartdale.platform.pools import make_pool
 from cartdale.platform.settings import Endpoint
 from cartdale.platform.store_shapes import (
     Events,
@@ -54,6 +54,7 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    make_timeouts,
 )
 
 _PATH_RANGE = '/cartdale/kv-range'
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -1,7 +1,15 @@
 """Tell failures before sending from failures after it."""
 
+from typing import Any
+
 import httpcore
 
+from cartdale.clock import Millis, as_seconds
+
+#: Maximum wait for a connection if there is no other way: it is established in
+#: a few milliseconds, or its SYN was dropped and is sent again after a second.
+MAX_CONNECT_WAIT: Millis = 1500
+
 
 class PathUnclearError(httpcore.ConnectError):
     """Raised when an upstream was not reached, perhaps for want of a path.
@@ -36,6 +44,19 @@
     return httpcore.ConnectTimeout(detail)
 
 
+def make_timeouts(
+    timeout: Millis, connect_wait: Millis = MAX_CONNECT_WAIT
+) -> dict[str, Any]:
+    """Return the request extensions that set its timeouts.
+
+    :param timeout: maximum wait for bytes; 0 for no bound.
+    :param connect_wait: maximum wait for a connection.
+    """
+    seconds = as_seconds(timeout) if timeout else None
+    connect = as_seconds(min(timeout or connect_wait, connect_wait))
+    return {'timeout': {'connect': connect, 'read': seconds, 'write': seconds}}
+
+
 #: What is raised once a request may have had an effect.
 HTTPCORE_UNKNOWN_OUTCOME_ERRORS = (
     httpcore.TimeoutException,
