Fault soak: a process that is ended while it starts is no surprise

Cause: an instance counts a start before its process exists. Ended in between, the new process is killed as soon as it is there, but only a kill by `signal` was noted as one. If the process has gone before it is waited for, its end counts as its own.

Evidence: the new test ends an instance at that very moment and waits for its last process; it failed on -9 before the change, and passes with the kill noted. No fault of the program, but a false report of the soak.

Change: note the kill where it is made. What counts as expected is as before.

--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -194,6 +194,7 @@
         that other stand-ins get.
         """
         if self.leaving_for_good:
+            self.killed = True
             process.kill()
         try:
             return await process.wait()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -207,6 +207,25 @@
         assert await instance.process.wait() == -signal.SIGKILL
 
 
+async def test_end_is_expected_of_one_that_was_just_started_again(
+    tmp_path: Path,
+) -> None:
+    """One that was ended while it started seemed to end by itself."""
+    instance = make_instance('entry-0', tmp_path)
+    unexpected: list[str] = []
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(instance.run, unexpected)
+            while not instance.is_running:
+                await trio.sleep(0)
+            instance.signal(signal.SIGKILL)
+            while instance.life == 1:
+                await trio.sleep(0)
+            assert not instance.is_running
+            instance.end()
+    assert not unexpected
+
+
 async def test_no_process_is_left_that_was_just_started_again(
     tmp_path: Path,
 ) -> None:
