Detours: wait out a back-off towards the intermediary

What callers saw: while an instance was cut from all upstreams, 503 "no upstream accepts work" at once, for up to two seconds, where callers of other instances waited until their upstream accepted work again and were served.

Cause: a back-off holds towards whom an upstream asked for it. The intermediary withheld the request for its own back-off, of which the instance with the caller knew nothing or an earlier one. That took the answer for a path which nobody knows anything about, failed the request as not sent, and did not ask that intermediary for two seconds, however short the back-off was.

Change: an intermediary that withholds a request says for how long its upstream backs off. If no other one carries the request, the instance records that back-off, and the request is placed again when it ends, as one that its own instance withholds. The intermediary is asked again at that time.

--- a/src/cartdale/detours/carrier.py
+++ b/src/cartdale/detours/carrier.py
@@ -66,8 +66,12 @@
         try:
             response = await self._send(request, guard)
         except WithheldError as withheld:
-            detail = str(withheld)
-            yield Failure(DetourReply(DetourOutcome.WITHHELD, detail=detail))
+            reply = DetourReply(
+                DetourOutcome.WITHHELD,
+                detail=str(withheld),
+                backoff=withheld.backoff,
+            )
+            yield Failure(reply)
             return
         except HTTPCORE_NOT_SENT_ERRORS as error:
             yield Failure(await self._describe_unreached(request, error))
--- a/src/cartdale/detours/decide.py
+++ b/src/cartdale/detours/decide.py
@@ -236,15 +236,12 @@
     match message.outcome:
         case DetourOutcome.OPENED:
             changed = replace(known, worked_at=now)
-        case DetourOutcome.UNREACHED | DetourOutcome.WITHHELD:
-            blind = {
-                address: until
-                for address, until in known.blind_until_by_address.items()
-                if until > now
-            }
+        case DetourOutcome.UNREACHED:
             blind_for = UNREACHED_FOR if message.is_witness else _BLIND_FOR
-            blind[message.address] = now + blind_for
-            changed = replace(known, blind_until_by_address=blind)
+            changed = _set_blind(known, message.address, now, blind_for)
+        case DetourOutcome.WITHHELD:
+            blind_for = message.backoff or _BLIND_FOR
+            changed = _set_blind(known, message.address, now, blind_for)
         case DetourOutcome.BUSY | DetourOutcome.CLOSED:
             changed = replace(known, avoided_until=now + _BUSY_FOR)
         case None:
@@ -256,6 +253,18 @@
     return _put(state, message.intermediary, changed)
 
 
+def _set_blind(
+    known: Intermediary, address: str, now: Millis, blind_for: Millis
+) -> Intermediary:
+    blind = {
+        each: until
+        for each, until in known.blind_until_by_address.items()
+        if until > now
+    }
+    blind[address] = now + blind_for
+    return replace(known, blind_until_by_address=blind)
+
+
 def _put(state: PathState, name: str, known: Intermediary) -> Decision:
     intermediaries_by_name = {**state.intermediaries_by_name, name: known}
     return replace(state, intermediaries_by_name=intermediaries_by_name), ()
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -25,6 +25,7 @@
     DirectTransport,
     split_address,
 )
+from cartdale.detours.guard import WithheldError
 from cartdale.detours.ports import DetourPeers, RequestHandler
 from cartdale.detours.types import (
     Action,
@@ -186,10 +187,14 @@
         released = partial(self._dispatch, DetourEnded(peer.name))
         answer = await self._calls.send(peer, request, before_sending, released)
         outcome = _find_outcome(answer)
-        witness = isinstance(answer, DetourReply) and answer.reaches_others
+        reply = answer if isinstance(answer, DetourReply) else None
         self._dispatch(
             DetourAnswered(
-                peer.name, request.address, outcome, is_witness=witness
+                peer.name,
+                request.address,
+                outcome,
+                backoff=reply.backoff if reply else 0,
+                is_witness=reply is not None and reply.reaches_others,
             )
         )
         self.detours += outcome is DetourOutcome.OPENED
@@ -295,6 +300,9 @@
         self._blind = 0
         self._witnesses = 0
         self._refused = False
+        #: Shortest back-off of the upstream towards an intermediary; 0 for
+        #: none.
+        self._backoff: Millis = 0
 
     async def send(self, peers: list[PeerEntry]) -> httpcore.Response:
         """Return the response, with the body unread.
@@ -302,6 +310,8 @@
         :raises httpcore.ConnectError: if nobody reaches the upstream, which
             refuses connections.
         :raises httpcore.ConnectTimeout: if it does not answer any.
+        :raises WithheldError: if the upstream backs off towards the only ones
+            who may reach it.
         :raises PathUnclearError: if that is not known.
         """
         address = self._request.address
@@ -310,17 +320,11 @@
             raise make_connect_error(
                 'no instance reaches it', refused=unreached.refuses_all
             )
-        enough = min(_MIN_WITNESSES, len(peers))
-        for _ in range(_MAX_INTERMEDIARIES):
-            peer = self._choose(peers)
-            if peer is None:
-                break
-            self._asked.add(peer.name)
-            response = await self._ask(peer)
-            if response is not None:
-                return response
-            if self._witnesses and self._blind >= enough:
-                break
+        response = await self._ask_peers(peers)
+        if response is not None:
+            return response
+        if self._backoff and not self._has_enough_witnesses(peers):
+            raise WithheldError('its upstream backs off', self._backoff)
         if self._witnesses:
             self._router.note_unreached(address, refused=self._refused)
             raise make_connect_error(
@@ -328,6 +332,25 @@
             )
         return await self._try_directly()
 
+    async def _ask_peers(
+        self, peers: list[PeerEntry]
+    ) -> httpcore.Response | None:
+        """Ask one peer after another; ``None`` if none of them helps."""
+        for _ in range(_MAX_INTERMEDIARIES):
+            peer = self._choose(peers)
+            if peer is None:
+                return None
+            self._asked.add(peer.name)
+            response = await self._ask(peer)
+            if response is not None or self._has_enough_witnesses(peers):
+                return response
+        return None
+
+    def _has_enough_witnesses(self, peers: list[PeerEntry]) -> bool:
+        """Tell whether enough peers say that they don't reach the upstream."""
+        enough = min(_MIN_WITNESSES, len(peers))
+        return self._witnesses > 0 and self._blind >= enough
+
     async def _ask(self, peer: PeerEntry) -> httpcore.Response | None:
         answer = await self._router.send_through(
             peer, self._request, self._before_sending
@@ -341,6 +364,10 @@
                 self._refused |= answer.reaches_others and answer.refused
                 self._hinted.extend(answer.alternatives)
                 return None
+            case DetourReply(outcome=DetourOutcome.WITHHELD, backoff=backoff):
+                backoffs = filter(None, (self._backoff, backoff))
+                self._backoff = min(backoffs, default=0)
+                return None
             case DetourReply() | None:
                 return None
         return answer
--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -6,7 +6,15 @@
 
 
 class WithheldError(Exception):
-    """Raised to abort a request before any of it is sent."""
+    """Raised to abort a request before any of it is sent.
+
+    :param backoff: time for which the upstream accepts nothing from whom the
+        request would go through; 0 if it is withheld for another reason.
+    """
+
+    def __init__(self, reason: str, backoff: Millis = 0) -> None:
+        super().__init__(reason)
+        self.backoff = backoff
 
 
 class SendGuard:
@@ -39,6 +47,9 @@
             resumes=self._request.resumes,
             counted=self._counted,
         ):
-            raise WithheldError('its upstream leaves, backs off or is limited')
+            raise WithheldError(
+                'its upstream leaves, backs off or is limited',
+                self._advisories.find_backoff(self._request.upstream),
+            )
         self._counted = True
         self.sent_at = self._advisories.now()
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -60,6 +60,8 @@
     :param status: of the upstream's response; 0 if there is none.
     :param headers: of the upstream's response, unchanged.
     :param detail: the transport's error.
+    :param backoff: for ``WITHHELD``: time for which the upstream accepts
+        nothing from the intermediary; 0 if it is withheld for another reason.
     :param reaches_others: for ``UNREACHED``: whether the intermediary reaches
         another upstream, so that not its own paths are to blame.
     :param refused: for ``UNREACHED``: whether connections were refused, not
@@ -72,6 +74,7 @@
     status: int = 0
     headers: Headers = ()
     detail: str = ''
+    backoff: Millis = 0
     reaches_others: bool = False
     refused: bool = False
     alternatives: tuple[str, ...] = ()
@@ -179,6 +182,7 @@
     """An intermediary answered, or was not reached.
 
     :param outcome: ``None`` if the intermediary was not reached.
+    :param backoff: for ``WITHHELD``, as in the reply.
     :param is_witness: for ``UNREACHED``: whether it reaches another upstream,
         so that not its own paths are to blame.
     """
@@ -186,6 +190,7 @@
     intermediary: str
     address: str
     outcome: DetourOutcome | None
+    backoff: Millis = 0
     is_witness: bool = False
 
 
--- a/src/cartdale/fleet/advisories.py
+++ b/src/cartdale/fleet/advisories.py
@@ -95,6 +95,17 @@
             return True
         return not counted and not self._fleet.spend(known, resumes=resumes)
 
+    def find_backoff(self, upstream: str) -> Millis:
+        """Return for how long an upstream backs off; 0 if it does not."""
+        known = self._fleet.find(upstream)
+        if known is None:
+            return 0
+        return max(known.backoff_until - self._clock.now(), 0)
+
+    def record_backoff(self, upstream: str, backoff: Millis) -> None:
+        """Record a back-off that applies to whom requests go through."""
+        self._fleet.dispatch(BackoffRequested(upstream, backoff))
+
     def _take_limit(
         self, known: Upstream, advisory: Advisory, asked_at: Millis
     ) -> None:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -89,7 +89,11 @@
         guard = SendGuard(self._advisories, request)
         try:
             response = await self._transport.send(request, guard)
-        except WithheldError:
+        except WithheldError as withheld:
+            if withheld.backoff:
+                self._advisories.record_backoff(
+                    request.upstream, withheld.backoff
+                )
             yield Failure(SendWithheld())
             return
         except HTTPCORE_NOT_SENT_ERRORS as error:
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -137,6 +137,15 @@
     assert 'front-0' in rank(state, UNREACHED_FOR)
 
 
+def test_intermediary_is_asked_again_when_its_upstream_accepts_work() -> None:
+    withheld = DetourAnswered(
+        'front-0', ADDRESS, DetourOutcome.WITHHELD, backoff=300
+    )
+    state = apply(PathState(), withheld)
+    assert 'front-0' not in rank(state, 299)
+    assert 'front-0' in rank(state, 300)
+
+
 def test_busy_and_silent_intermediaries_are_left_alone_for_a_while() -> None:
     state = apply(
         PathState(),
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -5,8 +5,10 @@
 import pytest
 import trio
 
+from cartdale.clock import as_seconds
 from cartdale.detours.calls import PATH
 from cartdale.detours.types import UpstreamRequest
+from cartdale.fleet.types import BackoffRequested
 from cartdale.peers.authentication import Authenticator, wrap
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
@@ -34,6 +36,8 @@
 #: Events of the drafts that are asked for.
 FEW_TOKENS = 20
 ROUNDS = 10
+#: Back-off that an upstream asks for, in milliseconds.
+BACKOFF = 400
 
 
 # Guards against callers of an instance without a path to upstreams getting
@@ -119,6 +123,23 @@
         assert (await ask(stage, 'r2')).status_code == 200
 
 
+# Guards against callers of a cut instance who are refused where those of others
+# wait until the upstream accepts work again.
+async def test_backoff_towards_the_intermediary_is_waited_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(plains=1, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        backing_off = BackoffRequested('plain-0', BACKOFF)
+        stage.runtimes[1].fleet.dispatch(backing_off)
+        began_at = trio.current_time()
+        assert (await ask(stage, 'r1')).status_code == 200
+        waited = trio.current_time() - began_at
+        assert waited >= as_seconds(BACKOFF)
+
+
 # Guards against an instance that blames upstreams for its own lost path.
 async def test_sound_upstreams_are_not_blamed_for_a_lost_path(
     monkeypatch: pytest.MonkeyPatch,
