Streams: a response that arrives with a report is not lost

Cause: while a response is awaited, a watcher asks the engine whether it has the request. When the response begins, the watcher is cancelled, and what it waits for with it. If its last report arrived in the same turn of the loop, it has nothing left to wait for, runs on, and cancels the reading of the response. An event that is being written then counts as passed on, though the caller never gets it; the next attempt resumes after it.

Evidence: the log shows the first event of that stream 22 ms before the report without it, `events=1` as the link ended, and an answer that began with event 2.

Change: the watcher cancels nothing once the response began, and a response that begins as it cancels is not read.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -240,7 +240,8 @@
                 async with self._ports.upstreams.open(call) as opened:
                     head_watch.cancel()
                     guard.release()
-                    return await self._handle_opened(opened, call)
+                    lost = response_wait.cancel_called
+                    return await self._handle_opened(opened, call, lost=lost)
         return None
 
     async def _watch_for_loss(
@@ -254,11 +255,23 @@
         with head_watch:
             if self._ports.fleet.switches.is_enabled(Mechanism.SILENCE):
                 await await_loss(self._ports, self._generation)
-                response_wait.cancel()
+                # The response may have begun while the last report arrived.
+                if not head_watch.cancel_called:
+                    response_wait.cancel()
 
     async def _handle_opened(
-        self, opened: Result[OpenedResponse, SendFailure], call: UpstreamCall
-    ) -> LinkEnd:
+        self,
+        opened: Result[OpenedResponse, SendFailure],
+        call: UpstreamCall,
+        *,
+        lost: bool,
+    ) -> LinkEnd | None:
+        """Read a response; ``None`` if the engine lost the request.
+
+        :param lost: whether the wait was cancelled just as the response began.
+        """
+        if lost:
+            return None
         match opened:
             case Success(answer):
                 return await self._read(answer, call)
