Detours: ask an intermediary that left a request unanswered last

What callers saw: at an instance that was cut from all upstreams, requests waited for their time limit one after the other (502), though another instance could have carried them.

Cause: an instance that stands still accepts connections and answers none. A detour that is cancelled, by the time limit of its request or by its caller, or that ends without a response, told nothing of its intermediary, which stayed the preferred one for five seconds since it had worked before.

Change: a request without a response after half a second or more puts its intermediary behind all others for three seconds. It is not left out, as the upstream may be the slow one; a response clears it.

--- a/src/cartdale/detours/decide.py
+++ b/src/cartdale/detours/decide.py
@@ -20,6 +20,7 @@
     DetourBegan,
     DetourEnded,
     DetourOutcome,
+    DetourUnanswered,
     DirectFailed,
     DirectReached,
     Intermediary,
@@ -50,6 +51,9 @@
 #: may start again any moment.
 _SILENT_FOR: Millis = 3 * SECOND_MS
 _BUSY_FOR: Millis = SECOND_MS // 4
+#: Time for which an intermediary that left a request without a response is
+#: asked last.
+_DOUBTED_FOR: Millis = 3 * SECOND_MS
 #: Time for which an intermediary that worked is preferred to unknown ones.
 _PROVEN_FOR: Millis = 5 * SECOND_MS
 #: Number of proven intermediaries among which requests are spread. While there
@@ -89,6 +93,10 @@
             return _put(state, name, replace(known, carries=known.carries - 1))
         case DetourAnswered():
             return _note_answer(state, message, now)
+        case DetourUnanswered(intermediary=name):
+            known = find_intermediary(state, name)
+            doubted = replace(known, doubted_until=now + _DOUBTED_FOR)
+            return _put(state, name, doubted)
         case _:
             assert_never(message)
 
@@ -141,7 +149,7 @@
         for name, known in state.intermediaries_by_name.items()
         if known.worked_at is not None
         and now - known.worked_at <= _PROVEN_FOR
-        and known.avoided_until <= now
+        and max(known.avoided_until, known.doubted_until) <= now
     )
 
 
@@ -156,7 +164,8 @@
     """Return the instances that may carry a request, the best one first.
 
     Proven ones go first, those that carry the least before others. Some
-    requests try an unknown one instead, so that a few share the load.
+    requests try an unknown one instead, so that a few share the load. One that
+    left a request without a response may stand still and goes last.
 
     :param peers: the other instances.
     :param address: of the upstream.
@@ -164,21 +173,26 @@
     """
     proven: list[PeerEntry] = []
     unknown: list[PeerEntry] = []
+    doubted: list[PeerEntry] = []
     proven_names = frozenset(list_proven(state, now))
     for peer in peers:
         known = find_intermediary(state, peer.name)
         blind_until = known.blind_until_by_address.get(address, 0)
         if known.avoided_until > now or blind_until > now:
             continue
-        listed = proven if peer.name in proven_names else unknown
-        listed.append(peer)
+        if known.doubted_until > now:
+            doubted.append(peer)
+        elif peer.name in proven_names:
+            proven.append(peer)
+        else:
+            unknown.append(peer)
     generator.shuffle(unknown)
     generator.shuffle(proven)
     proven.sort(key=partial(_rank_proven, state, nearby))
     explores = generator.random() < _TRY_UNKNOWN_SHARE
     if proven and unknown and explores and len(proven) < _ENOUGH_PROVEN:
-        return [unknown[0], *proven, *unknown[1:]]
-    return [*proven, *unknown]
+        return [unknown[0], *proven, *unknown[1:], *doubted]
+    return [*proven, *unknown, *doubted]
 
 
 def _rank_proven(
@@ -235,7 +249,7 @@
     known = find_intermediary(state, message.intermediary)
     match message.outcome:
         case DetourOutcome.OPENED:
-            changed = replace(known, worked_at=now)
+            changed = replace(known, worked_at=now, doubted_until=0)
         case DetourOutcome.UNREACHED:
             blind_for = UNREACHED_FOR if message.is_witness else _BLIND_FOR
             changed = _set_blind(known, message.address, now, blind_for)
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -9,7 +9,7 @@
 import trio
 from loguru import logger
 
-from cartdale.clock import Clock, Millis, as_seconds
+from cartdale.clock import SECOND_MS, Clock, Millis, as_seconds
 from cartdale.detours.calls import DetourCalls
 from cartdale.detours.decide import (
     decide,
@@ -36,6 +36,7 @@
     DetourEnded,
     DetourOutcome,
     DetourReply,
+    DetourUnanswered,
     DirectFailed,
     DirectReached,
     Message,
@@ -58,6 +59,9 @@
 
 #: Between looks at which blocked paths are to be probed.
 _TICK: Millis = 50
+#: A request that ends after so long without a response tells something of its
+#: intermediary.
+_UNANSWERED_AFTER: Millis = SECOND_MS // 2
 #: Intermediaries that are asked for one request.
 _MAX_INTERMEDIARIES = 6
 #: Intermediaries that must fail to reach an upstream, besides this instance,
@@ -185,7 +189,15 @@
         began_at = self._clock.now()
         self._dispatch(DetourBegan(peer.name))
         released = partial(self._dispatch, DetourEnded(peer.name))
-        answer = await self._calls.send(peer, request, before_sending, released)
+        try:
+            answer = await self._calls.send(
+                peer, request, before_sending, released
+            )
+        except (httpcore.ReadTimeout, trio.Cancelled):
+            # The time limit of a request and a caller that leaves cancel it.
+            if self._clock.now() - began_at >= _UNANSWERED_AFTER:
+                self._dispatch(DetourUnanswered(peer.name))
+            raise
         outcome = _find_outcome(answer)
         reply = answer if isinstance(answer, DetourReply) else None
         self._dispatch(
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -110,12 +110,15 @@
     :param worked_at: when it last reached an upstream for this instance;
         ``None`` for never.
     :param avoided_until: it was not reached, or is busy, until then.
+    :param doubted_until: it left a request without a response, and is asked
+        after all others, until then.
     :param blind_until_by_address: upstreams that it did not reach.
     """
 
     carries: int = 0
     worked_at: Millis | None = None
     avoided_until: Millis = 0
+    doubted_until: Millis = 0
     blind_until_by_address: dict[str, Millis] = field(default_factory=dict)
 
 
@@ -194,6 +197,16 @@
     is_witness: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DetourUnanswered:
+    """A request that an intermediary was sent got no response in time.
+
+    It or the upstream is slow, or stands still.
+    """
+
+    intermediary: str
+
+
 @dataclass(frozen=True, slots=True)
 class UnreachedByAll:
     """Instances that reach other upstreams don't reach this one either.
@@ -231,6 +244,7 @@
     | DetourBegan
     | DetourEnded
     | DetourAnswered
+    | DetourUnanswered
     | UnreachedByAll
 )
 Action = PathBlocked | PathReopened
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -17,6 +17,7 @@
     DetourBegan,
     DetourEnded,
     DetourOutcome,
+    DetourUnanswered,
     DirectFailed,
     DirectReached,
     Message,
@@ -146,6 +147,14 @@
     assert 'front-0' in rank(state, 300)
 
 
+def test_intermediary_that_left_a_request_unanswered_goes_last() -> None:
+    worked = DetourAnswered('front-0', ADDRESS, DetourOutcome.OPENED)
+    state = apply(PathState(), worked, DetourUnanswered('front-0'))
+    assert rank(state)[-1] == 'front-0'
+    state = apply(state, worked)
+    assert rank(state)[0] == 'front-0'
+
+
 def test_busy_and_silent_intermediaries_are_left_alone_for_a_while() -> None:
     state = apply(
         PathState(),
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -140,6 +140,25 @@
         assert waited >= as_seconds(BACKOFF)
 
 
+# Guards against requests that go through an instance that stands still, one
+# after the other, while another one could carry them.
+async def test_instance_that_stands_still_gets_one_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(plains=1, instances=3) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        stalled = stage.runtimes[1].detours.router
+        monkeypatch.setattr(stalled, 'send_directly', _stand_still)
+        held = 0
+        for number in range(ROUNDS):
+            with trio.move_on_after(SOUND_SILENCE) as limit:
+                assert (await ask(stage, f'r{number}')).status_code == 200
+            held += limit.cancelled_caught
+        assert held <= 1
+
+
 # Guards against an instance that blames upstreams for its own lost path.
 async def test_sound_upstreams_are_not_blamed_for_a_lost_path(
     monkeypatch: pytest.MonkeyPatch,
@@ -256,6 +275,10 @@
             assert not runtime.fleet.quarantine.list_news()
 
 
+async def _stand_still(*_request: object) -> None:
+    await trio.sleep_forever()
+
+
 async def _find_failed(
     stage: PlatformStage, cuts: NetworkCuts, way: CutWay
 ) -> list[str]:
