Brittle upstreams: few instances of a large system send to each

What callers saw: in systems of 73 and 195 instances brittle upstreams fell over in bursts beyond the capacity, 8 to 18 times of 2.9 allowed and 17 to 41 of 4 (virtual time); each fall takes its requests along.

Cause: the limit of an upstream is divided among all instances. With 73 each has one or two permits at each upstream. It can't spread so few over time, so that what many saved comes at once. For that reason the limit even began with the first rejection only, too late.

Change: while a plain service's upstreams are brittle, an instance sends to a few of them only, and at most 20 instances to each. Who sends where follows from the names, so that nothing is told or agreed on.

It replaces the idea of one instance that sends for all, which was not built.

--- a/src/cartdale/daemon/shares.py
+++ b/src/cartdale/daemon/shares.py
@@ -1,5 +1,8 @@
 """Keep this instance's part of what all instances share up to date."""
 
+from collections import defaultdict
+from dataclasses import replace
+
 import trio
 
 from cartdale.clock import SECOND_MS, Clock, Millis, as_seconds
@@ -8,12 +11,16 @@
 from cartdale.fleet.choose import CHOICES, CHOICES_WITH_STALE_LOADS
 from cartdale.fleet.division import Participants
 from cartdale.fleet.driver import Fleet
+from cartdale.fleet.limit_gate import Regional
 from cartdale.fleet.store_follower import StoreFollower
+from cartdale.fleet.types import Lifecycle, Upstream
 from cartdale.platform.settings import PlatformSettings
 from cartdale.retries.window import RepeatBudget
 
 #: Between looks at what the configuration and the peers bound.
 _LOOK_EVERY: Millis = SECOND_MS
+#: A service, and a region in which it has upstreams.
+_Place = tuple[str, str]
 
 
 class Shares:
@@ -61,10 +68,42 @@
         # instance sent before it started again is forgotten for a second.
         if self._follower.synced.is_set():
             self._fleet.cold_gate.divide_among(self._find_participants())
+            participants = replace(
+                self._peers.news.find_limit_participants(),
+                plain_upstreams=self._list_plain_upstreams(),
+            )
             self._fleet.limits.gate.divide_among(
-                self._peers.news.find_limit_participants(), self._clock.now()
+                participants, self._clock.now()
             )
 
+    def _list_plain_upstreams(self) -> dict[str, tuple[Regional, ...]]:
+        """Return the upstreams of plain services that take work.
+
+        :returns: their ids by service, those of each region apart.
+        """
+        names_by_place: defaultdict[_Place, list[str]] = defaultdict(list)
+        for name, upstream in self._fleet.state.upstreams_by_id.items():
+            place = self._find_place(upstream)
+            if place is not None:
+                names_by_place[place].append(name)
+        listed: defaultdict[str, tuple[Regional, ...]] = defaultdict(tuple)
+        for (service, _), names in sorted(names_by_place.items()):
+            listed[service] += (tuple(sorted(names)),)
+        return dict(listed)
+
+    def _find_place(self, upstream: Upstream) -> _Place | None:
+        """Return the place of a plain upstream that takes work."""
+        entry = upstream.entry
+        spec = self._fleet.table.services_by_name.get(entry.service)
+        if spec is None or spec.engine is not None:
+            return None
+        if upstream.lifecycle is Lifecycle.LEAVING:
+            return None
+        domain = entry.failure_domain
+        if domain in self._fleet.list_evacuated():
+            return None
+        return entry.service, self._settings.regions_by_domain.get(domain, '')
+
     def _find_participants(self) -> Participants:
         domain = self._settings.failure_domain
         domains = {domain, *self._settings.regions_by_domain}
--- a/src/cartdale/fleet/advisories.py
+++ b/src/cartdale/fleet/advisories.py
@@ -155,9 +155,11 @@
             self._fleet.pace(service).answer_time if plain else GENERATION_TIME,
             tolerance,
         )
-        participants = self._fleet.limits.gate.count_participants()
+        senders = self._fleet.limits.gate.count_senders(
+            service, known.entry.upstream
+        )
         limited = known.rate_limit.paced or advisory.rejected
-        if not limited and not can_spread(limit, participants):
+        if not limited and not can_spread(limit, senders):
             return None
         if advisory.rejected and self._may_lower(known):
             return lower_limit(limit, tolerance)
--- a/src/cartdale/fleet/limit_gate.py
+++ b/src/cartdale/fleet/limit_gate.py
@@ -1,6 +1,6 @@
 """Enforce this instance's share of the rate limits of upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from cartdale.clock import SECOND_MS, Millis
@@ -12,7 +12,12 @@
     redistribute_idle,
 )
 from cartdale.fleet.permits import Allotment, Permits, allot
+from cartdale.fleet.senders import assign_senders
 
+#: Ids of the upstreams of a service in one region.
+Regional = tuple[str, ...]
+#: Who sends to each upstream of a service, by name.
+SendersByUpstream = dict[str, frozenset[str]]
 #: Demand of an instance or group, in requests per second by service. The demand
 #: for a missing service is unknown; ``None`` if no news was received.
 DemandByService = Mapping[str, float] | None
@@ -26,12 +31,17 @@
     :param own_group: the group of instances to which it belongs.
     :param groups: total demand of each group.
     :param domain_peers: demand of each instance of the own group.
+    :param plain_upstreams: ids of the upstreams of each plain service, of each
+        region apart.
     """
 
     own: str = ''
     own_group: str = ''
     groups: Mapping[str, DemandByService] = field(default_factory=dict)
     domain_peers: Mapping[str, DemandByService] = field(default_factory=dict)
+    plain_upstreams: Mapping[str, tuple[Regional, ...]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +88,8 @@
     def __init__(self) -> None:
         self._participants = LimitParticipants()
         self._limited_by_upstream: dict[str, _Limited] = {}
+        #: Who sends to the upstreams of a service while they are brittle.
+        self._senders_by_service: dict[str, SendersByUpstream] = {}
         #: Number of requests that were withheld just before sending.
         self.withheld = 0
 
@@ -89,6 +101,7 @@
         if participants == before:
             return
         self._participants = participants
+        self._senders_by_service.clear()
         for upstream, limited in tuple(self._limited_by_upstream.items()):
             permits = limited.permits
             division = self._divide(
@@ -154,6 +167,11 @@
         count = len(participants.groups) * len(participants.domain_peers)
         return max(count, 1)
 
+    def count_senders(self, service: str, upstream: str) -> int:
+        """Return about how many instances send to a brittle upstream."""
+        senders = self._find_senders(service, upstream)
+        return max(len(self._participants.groups) * len(senders), 1)
+
     def find_return_rate(self, service: str) -> float:
         """Return this instance's share of the limits of a service.
 
@@ -189,6 +207,22 @@
         limited = self._limited_by_upstream.values()
         return sum(each.permits.rate for each in limited) * SECOND_MS
 
+    def _find_senders(self, service: str, upstream: str) -> Collection[str]:
+        """Return the instances of the own group that send to an upstream."""
+        participants = self._participants
+        senders = self._senders_by_service.get(service)
+        if senders is None:
+            # A request may have to stay in one region.
+            senders = {}
+            for upstreams in participants.plain_upstreams.get(service, ()):
+                senders |= assign_senders(
+                    participants.domain_peers,
+                    upstreams,
+                    len(participants.groups),
+                )
+            self._senders_by_service[service] = senders
+        return senders.get(upstream, participants.domain_peers)
+
     def _divide(
         self, upstream: str, service: str, allotment: Allotment
     ) -> _Division:
@@ -202,6 +236,9 @@
         groups = redistribute_idle(group_demands, upstream, allotment.permits)
         own_group = find_share(participants.own_group, groups)
         demands = _expected_demand(participants.domain_peers, service, span)
+        if allotment.paced:
+            senders = self._find_senders(service, upstream)
+            demands = {name: demands[name] for name in senders}
         domain_peers = redistribute_idle(demands, upstream, own_group.count)
         own = find_share(participants.own, domain_peers)
         share = Share(own.count, own_group.first + own.first)
--- a/tests/load/brittle.py
+++ b/tests/load/brittle.py
@@ -96,6 +96,7 @@
             BrittleUpstream(f'plain-{number}') for number in range(upstreams)
         ]
         self._by_name = {each.name: each for each in self.upstreams}
+        self._plain_upstreams = {SERVICE: (tuple(self._by_name),)}
         self._instances = [
             self._make_instance(number) for number in range(size)
         ]
@@ -293,7 +294,9 @@
             demands: dict[str, DemandByService] = {
                 each.name: each.reported for each in self._instances
             }
-            return LimitParticipants(own.name, '', {'': None}, demands)
+            return LimitParticipants(
+                own.name, '', {'': None}, demands, self._plain_upstreams
+            )
         groups: dict[str, DemandByService] = {}
         for domain, instances in self._others_by_domain.items():
             total = sum(
@@ -304,4 +307,6 @@
             each.name: each.reported
             for each in self._others_by_domain[own.domain]
         }
-        return LimitParticipants(own.name, own.domain, groups, nearby)
+        return LimitParticipants(
+            own.name, own.domain, groups, nearby, self._plain_upstreams
+        )
