Fault soak: reads on a network that can be cut end in time

Cause: the network of these runs looks every 0.05 s whether the path is cut, and began the read anew each time, with its whole time limit. No read ever ended by its limit. A watch that was sent to a silent store hung for good, at all three instances, so that nothing was learnt of the store from then on.

Not a fault of the program: of the network that the soak gives it.

Change: the limit holds for the whole read or write. The network is a module of its own, as its program ignores a signal when it is imported.

--- a/tests/fault_soak/cut_program.py
+++ b/tests/fault_soak/cut_program.py
@@ -1,108 +1,21 @@
 """Start the program on a network that loses paths to upstreams when told.
 
 ``python cut_program.py FILE``: run by the soak, as the program itself is. The
-file holds the way of a cut and the ports of the upstreams that are cut off.
+file is that of ``cut_network.py``.
 """
 
-import json
 import signal
 import sys
-from math import inf
 from pathlib import Path
-from typing import Any
 
 # As the program does, before a request to read its settings can end it.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
-sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'src'))
-
-import httpcore  # noqa: E402
-import trio  # noqa: E402
+_ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(_ROOT))
+sys.path.insert(0, str(_ROOT / 'src'))
 
 from cartdale.platform.main import main  # noqa: E402
-
-SILENT = 'silent'
-RESET = 'reset'
-#: Between looks at the file while a connection is read.
-_LOOK_SECONDS = 0.05
-
-
-class Cuts:
-    """Read which paths are cut.
-
-    :param path: the file.
-    """
-
-    def __init__(self, path: Path) -> None:
-        self._path = path
-
-    def find(self, port: int) -> str:
-        """Return the way in which the path to a port is cut; empty for none."""
-        try:
-            cut = json.loads(self._path.read_text())
-        except (OSError, ValueError):
-            return ''
-        return cut['way'] if port in cut['ports'] else ''
-
-
-class CutStream(httpcore.AsyncNetworkStream):
-    """A connection that a cut silences or resets."""
-
-    def __init__(
-        self, stream: httpcore.AsyncNetworkStream, cuts: Cuts, port: int
-    ) -> None:
-        self._stream = stream
-        self._cuts = cuts
-        self._port = port
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        while True:
-            await self._pass()
-            with trio.move_on_after(_LOOK_SECONDS):
-                return await self._stream.read(max_bytes, timeout)
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        await self._pass()
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        await self._stream.aclose()
-
-    async def start_tls(self, *options: Any) -> httpcore.AsyncNetworkStream:
-        return await self._stream.start_tls(*options)
-
-    def get_extra_info(self, info: str) -> Any:
-        return self._stream.get_extra_info(info)
-
-    async def _pass(self) -> None:
-        """Wait while the path is silent."""
-        while self._cuts.find(self._port) == SILENT:
-            await trio.sleep(_LOOK_SECONDS)
-        if self._cuts.find(self._port) == RESET:
-            raise httpcore.ReadError('reset by a cut')
-
-
-def install(cuts: Cuts) -> None:
-    """Let new connections obey the cuts."""
-    connect = httpcore.TrioBackend.connect_tcp
-
-    async def connect_tcp(
-        backend: httpcore.TrioBackend,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        **options: Any,
-    ) -> httpcore.AsyncNetworkStream:
-        way = cuts.find(port)
-        if way == SILENT:
-            await trio.sleep(inf if timeout is None else timeout)
-            raise httpcore.ConnectTimeout
-        if way:
-            raise httpcore.ConnectError('refused by a cut')
-        opened = await connect(backend, host, port, timeout, **options)
-        return CutStream(opened, cuts, port)
-
-    httpcore.TrioBackend.connect_tcp = connect_tcp
-
+from tests.fault_soak.cut_network import Cuts, install  # noqa: E402
 
 if __name__ == '__main__':
     install(Cuts(Path(sys.argv[1])))
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,5 +1,6 @@
 """A short fault soak with the real program, and seeds that once failed."""
 
+import json
 import signal
 import socket
 from collections.abc import AsyncIterator
@@ -7,10 +8,12 @@
 from functools import partial
 from pathlib import Path
 
+import httpcore
 import pytest
 import trio
 
 from tests.fault_soak.checks import Asked, Checks
+from tests.fault_soak.cut_network import Cuts, CutStream
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.ports import find_outgoing_ports, reserve_ports
 from tests.fault_soak.proxy import LOCAL, FaultProxy
@@ -241,5 +244,27 @@
         assert await instance.process.wait() == -signal.SIGKILL
 
 
+class SilentStream(httpcore.AsyncNetworkStream):
+    """A connection on which nothing comes."""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        await trio.sleep_forever()
+        return b''
+
+
+async def test_reads_on_a_network_that_can_be_cut_end_in_time(
+    tmp_path: Path,
+) -> None:
+    """Reads of a silent store never ended, so that nothing was learnt of it."""
+    stream = CutStream(SilentStream(), Cuts(tmp_path / 'none'), 80)
+    with trio.fail_after(1), pytest.raises(httpcore.ReadTimeout):
+        await stream.read(1, 0.2)
+    cut = json.dumps({'way': 'silent', 'ports': [80]})
+    (tmp_path / 'cuts').write_text(cut)
+    stream = CutStream(SilentStream(), Cuts(tmp_path / 'cuts'), 80)
+    with trio.fail_after(1), pytest.raises(httpcore.WriteTimeout):
+        await stream.write(b'x', 0.2)
+
+
 def make_instance(name: str, folder: Path) -> Instance:
     return Instance(name, folder, FaultProxy(9))
