Fault soak: compare callers of cut instances at regular times

The check of lost paths was wrong, and is replaced by a stricter one.

Cause: it compared what a few callers happened to ask for. Most cuts had no more than ten requests on a side, as a request counted only if its instance never started again in the whole run. Callers that are refused ask again at once, those that wait do not, so that times in which requests fail were asked for more often. And a cut instance was blamed while no other one was there to carry its requests.

--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -74,6 +74,35 @@
             )
             await self._try(asked, instance)
 
+    async def sample(
+        self, kind: str, every: float, instance: Instance, over: trio.Event
+    ) -> None:
+        """Ask one instance for little at regular times while it is ready.
+
+        Also while earlier requests wait, so that times in which requests are
+        refused at once are not asked for more often than others.
+
+        :param every: seconds between two requests.
+        :param over: set to end it.
+        """
+        async with trio.open_nursery() as nursery:
+            while not over.is_set():
+                if instance.name in self._soak.ready:
+                    nursery.start_soon(self._ask_for_little, kind, instance)
+                await trio.sleep(every)
+
+    async def _ask_for_little(self, kind: str, instance: Instance) -> None:
+        asked = Asked(
+            f'{kind}-{self._soak.next_number()}',
+            kind,
+            instance.name,
+            trio.current_time(),
+            tokens=STRIDE * 3,
+            life=instance.life,
+            sampled=True,
+        )
+        await self._try(asked, instance)
+
     def _stay_or_choose(self, before: Instance | None) -> Instance | None:
         """Return where to ask next: an open connection is kept mostly.
 
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -84,6 +84,7 @@
     def _do(self, fault: str) -> None:
         lasts = self._soak.random.uniform(0.3, 3)
         instance = self._soak.random.choice(self._soak.instances)
+        self._soak.note(f'{fault}, {instance.name}, {lasts:.2f} s')
         self._touch_store(fault, lasts, instance)
         self._touch_upstreams(fault, lasts)
         self._touch_instance(fault, lasts, instance)
@@ -246,6 +247,7 @@
         await trio.sleep(2 * after)
         assert isinstance(upstream.worker, PlatformEngine)
         upstream.disturbed_at = trio.current_time()
+        upstream.ends.append(trio.current_time())
         upstream.gone = True
         upstream.worker.die()
         upstream.proxy.set(LinkState.RESET)
--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -21,6 +21,7 @@
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
 _PORTS = 5
+_ENDING = frozenset((signal.SIGKILL, signal.SIGTERM))
 _HUP_BIT = 1 << (signal.SIGHUP - 1)
 _SETTINGS = """
 node={name}
@@ -73,8 +74,10 @@
     #: line of the program: the system ends it then.
     reloaded_early: bool = False
     leaving_for_good: bool = False
-    #: When it was started, and told to stop or killed.
+    #: When it was started.
     starts: list[float] = field(default_factory=list)
+    #: When it was told to stop, or ended by a signal.
+    ends: list[float] = field(default_factory=list)
     #: When it stood still, from and until.
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
@@ -166,10 +169,25 @@
             self.stopped_at = trio.current_time()
         if number is signal.SIGHUP and not self.takes_reload():
             self.reloaded_early = True
+        if number in _ENDING or self.reloaded_early:
+            self.ends.append(trio.current_time())
         self.disturb()
         self.process.send_signal(number)
         return True
 
+    def is_sound(self, since: float, until: float, settled: float) -> bool:
+        """Tell whether it ran all the time, and for some seconds before.
+
+        :param settled: how long it ran before, in seconds.
+        """
+        begun = max((at for at in self.starts if at < until), default=until)
+        ended = max((at for at in self.ends if at < until), default=0)
+        paused = any(
+            start < until and end > since - settled
+            for start, end in self.pauses
+        )
+        return not paused and ended < begun <= since - settled
+
     def takes_reload(self) -> bool:
         """Tell whether the process ignores or handles SIGHUP already."""
         status = Path(f'/proc/{self.process.pid}/status').read_text()
--- a/tests/fault_soak/watch.py
+++ b/tests/fault_soak/watch.py
@@ -43,6 +43,8 @@
     gone: bool = False
     #: When its path was disturbed, from and until.
     cuts: list[tuple[float, float]] = field(default_factory=list)
+    #: When it ended, with all that ran there.
+    ends: list[float] = field(default_factory=list)
 
     @property
     def is_up(self) -> bool:
