Send nothing new to a domain whose evacuation began after the placement

Cause: whether a failure domain is evacuated was checked when a request was placed, but not when it was sent. A request may wait for seconds at its intermediary, which was suspended here; it sent them on two seconds after it had heard of the evacuation itself.

Evidence: the log has `failure domain changed` at entry-2 at 16.5 s and the detours through it at 18.6 s. test_intermediary_sends_nothing_to_an_evacuated_domain failed before (200 instead of 503).

Change: evacuations are checked just before sending, where departures, back-offs and limits are; a generation that resumes keeps its time.

--- a/src/cartdale/fleet/advisories.py
+++ b/src/cartdale/fleet/advisories.py
@@ -79,8 +79,9 @@
         """Tell whether a request may no longer be sent to an upstream.
 
         Called just before sending, some time after the placement: connecting
-        takes from a millisecond to seconds, and other requests that were placed
-        at the same moment may have been rejected meanwhile.
+        takes from a millisecond to seconds, as does the way to an intermediary,
+        and other requests that were placed at the same moment may have been
+        rejected meanwhile.
 
         :param resumes: whether the request resumes from a copy there. It is no
             new work and would be lost otherwise, so that it is sent to a
@@ -93,6 +94,8 @@
             return True
         if known.lifecycle is Lifecycle.LEAVING and not resumes:
             return True
+        if self._is_evacuated(known, resumes=resumes):
+            return True
         return not counted and not self._fleet.spend(known, resumes=resumes)
 
     def find_backoff(self, upstream: str) -> Millis:
@@ -106,6 +109,12 @@
         """Record a back-off that applies to whom requests go through."""
         self._fleet.dispatch(BackoffRequested(upstream, backoff))
 
+    def _is_evacuated(self, known: Upstream, *, resumes: bool) -> bool:
+        """Tell whether an evacuation forbids to send a request."""
+        if resumes:
+            return not self._fleet.may_finish_move(known.entry)
+        return known.entry.failure_domain in self._fleet.list_evacuated()
+
     def _take_limit(
         self, known: Upstream, advisory: Advisory, asked_at: Millis
     ) -> None:
--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -8,7 +8,8 @@
 from cartdale.clock import as_seconds
 from cartdale.detours.calls import PATH
 from cartdale.detours.types import UpstreamRequest
-from cartdale.fleet.types import BackoffRequested
+from cartdale.fleet.evacuation import Evacuation
+from cartdale.fleet.types import BackoffRequested, EvacuationsReceived
 from cartdale.peers.authentication import Authenticator, wrap
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
@@ -140,6 +141,25 @@
         assert waited >= as_seconds(BACKOFF)
 
 
+# Guards against new work for an evacuated failure domain: the request waited at
+# its intermediary while the evacuation began.
+async def test_intermediary_sends_nothing_to_an_evacuated_domain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(plains=1, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        intermediary = stage.runtimes[1].fleet
+        plain = intermediary.find('plain-0')
+        assert plain is not None
+        stage.runtimes[1].peers.news.stop_sending()
+        evacuation = Evacuation(plain.entry.failure_domain, 99)
+        intermediary.dispatch(EvacuationsReceived((evacuation,)))
+        assert (await ask(stage, 'r1')).status_code == 503
+        assert not count_runs(stage, 'r1')
+
+
 # Guards against requests that go through an instance that stands still, one
 # after the other, while another one could carry them.
 async def test_instance_that_stands_still_gets_one_request(
