Fault soak: count cut instances that served few requests or none

The check of lost paths skipped cuts with fewer than ten requests at the cut instances, which the check before it did not: 2 of 2 not served, others 14 of 14, passed. The share of the others needs a number to say something; what is compared with it does not. Such a case is in the check's test now, and failed before.

--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -32,9 +32,9 @@
 #: others, and the requests that may fail besides.
 MIN_RELATIVE_SHARE = 0.95
 PATHS_SLACK = 1
-#: Requests on either side from which on they are compared, and how many
+#: Requests at the others from which on their share says something, and how many
 #: standard deviations count as chance.
-MIN_COMPARED = 10
+MIN_OTHERS = 10
 CHANCE_DEVIATIONS = 2
 #: Kinds whose answers are streams.
 STREAMS = frozenset(('draft', 'tag'))
@@ -173,7 +173,7 @@
         :param at_cut: whether each request at cut instances was served.
         :param others: the same for the others.
         """
-        if min(len(at_cut), len(others)) < MIN_COMPARED:
+        if not at_cut or len(others) < MIN_OTHERS:
             return
         share = sum(others) / len(others)
         failed = len(at_cut) - sum(at_cut)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -72,6 +72,8 @@
     assert len(checks.violations) == 2
     checks.check_paths('cut 3', [True, False] * 20, [True] * 24 + [False] * 16)
     assert len(checks.violations) == 2
+    checks.check_paths('cut 4', [False] * 2, [True] * 14)
+    assert len(checks.violations) == 3
 
 
 def make_asked(**changes) -> Asked:
