--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -1,5 +1,6 @@
 """Callers of a soak: they ask, and have the checks judge the answers."""
 
+from functools import partial
 from random import Random
 from types import MappingProxyType
 from typing import Any
@@ -63,16 +64,7 @@
             ready = [each for each in soak.instances if each.name in soak.ready]
             if not ready:
                 continue
-            instance = random.choice(ready)
-            asked = Asked(
-                f'{kind}-{soak.next_number()}',
-                kind,
-                instance.name,
-                trio.current_time(),
-                tokens=STRIDE * 3,
-                life=instance.life,
-            )
-            await self._try(asked, instance)
+            await self._ask_for_little(kind, random.choice(ready))
 
     async def sample(
         self, kind: str, every: float, instance: Instance, over: trio.Event
@@ -88,10 +80,16 @@
         async with trio.open_nursery() as nursery:
             while not over.is_set():
                 if instance.name in self._soak.ready:
-                    nursery.start_soon(self._ask_for_little, kind, instance)
+                    nursery.start_soon(
+                        partial(
+                            self._ask_for_little, kind, instance, sampled=True
+                        )
+                    )
                 await trio.sleep(every)
 
-    async def _ask_for_little(self, kind: str, instance: Instance) -> None:
+    async def _ask_for_little(
+        self, kind: str, instance: Instance, *, sampled: bool = False
+    ) -> None:
         asked = Asked(
             f'{kind}-{self._soak.next_number()}',
             kind,
@@ -99,7 +97,7 @@
             trio.current_time(),
             tokens=STRIDE * 3,
             life=instance.life,
-            sampled=True,
+            sampled=sampled,
         )
         await self._try(asked, instance)
 
