Detours: log each request just before it is sent to an upstream

'placed' tells that an upstream was chosen and 'attempt ended' how it went; a generation that resumes elsewhere has neither for its second send. Which engines a request reached could not be read from our logs. 'sending' is written where the bytes leave, directly or through another instance, and says whether the request resumes from a copy.

--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -1,5 +1,7 @@
 """Withhold requests that upstreams no longer accept."""
 
+from loguru import logger
+
 from cartdale.clock import Millis
 from cartdale.detours.types import UpstreamRequest
 from cartdale.fleet.advisories import AdvisoryRecorder
@@ -53,3 +55,9 @@
             )
         self._counted = True
         self.sent_at = self._advisories.now()
+        logger.info(
+            'sending',
+            request=self._request.request_id,
+            upstream=self._request.upstream,
+            resumes=self._request.resumes,
+        )
