Test: a stream without events that its backup's engine gets, known red

The engine stand-in can end as it receives a request, before any response. On the current code a draft of 400 tokens that does so runs at two engines: 'sending', then 'move' settled, rescuing, at_backup with events=0, then 'sending' with resumes. The same draft below 100 tokens has no backup and is not sent again.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -137,6 +137,10 @@
         if refusal:
             return refusal
         request_id = request.headers['Request-Id']
+        if await read_body() in self.crashes.crashing_on_receipt:
+            self.runs_by_request[request_id] += 1
+            self.crash(request_id)
+            raise LinkCutError
         if self._spend('errors'):
             self.runs_by_request[request_id] += 1
             return Response(
--- /dev/null
+++ b/tests/test_single_run.py
@@ -0,0 +1,41 @@
+"""A request that must run once is sent again only with proof that it may be.
+
+Guards against a failure in which a stream that had sent no event was resumed
+from its backup: its first engine had crashed as it received it, and so did the
+engine of the backup, which had no copy yet.
+"""
+
+import httpx
+
+from tests.platform_stage import (
+    PlatformStage,
+    count_runs,
+    make_draft,
+    open_platform,
+    until,
+)
+
+DEADLY = b'a brief that ends engines as they receive it'
+#: Tokens of a draft that is long enough for a backup.
+BACKED_UP = 400
+
+
+async def submit_deadly(stage: PlatformStage, name: str, path: str) -> None:
+    """Submit a request that ends each engine which receives it."""
+    try:
+        await stage.client.post(
+            stage.url(path),
+            headers=make_draft(name, BACKED_UP),
+            content=DEADLY,
+        )
+    except httpx.TransportError:
+        return
+
+
+async def test_stream_without_events_is_not_resumed_at_its_backup() -> None:
+    async with open_platform(engines=6, proxied=True) as stage:
+        for engine in stage.engines:
+            engine.crashes.crashing_on_receipt.add(DEADLY)
+        await submit_deadly(stage, 'r1', '/draft/a')
+        await until(lambda: not any(each.dead for each in stage.engines))
+        assert count_runs(stage, 'r1') == 1
