Moves: a run that sent no event is not resumed from its backup

Callers saw one request run by two engines, both of which ended as they received it, and a 502.

Cause: after a broken link the generation fell back to its backup whatever was known of the run. An engine that ends as it receives a request has no run to back up; the engine of the backup was sent the request all the same, and only its refusal (no copy) stood between the caller and a second run.

Evidence: tests/test_single_run.py on the code before: 'sending', 'move' settled, rescuing, at_backup with events=0, 'sending' with resumes; the request ran at 2 engines. A draft too short for a backup ran at 1.

Now the message that a link ended says how many events it brought, and a backup is resumed from only if there was one: the engine had begun the run then, and had not ended as it received it. Since the last resume, as the next engine keeps a backup of its own. A copy that the source confirms is still resumed from.

A test expected that a stream whose engine dies before its head is resumed from the backup. It was wrong: nothing that the instance received told that the backup holds anything. It now expects 502 and one arrival at engines.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -83,8 +83,8 @@
             return _renew(state)
         case CopyRejected():
             return _reject_copy(state, message)
-        case LinkEnded():
-            return _end_link(state)
+        case LinkEnded(received=received):
+            return _end_link(state, received)
         case RescueTarget(target=target):
             return _rescue(state, target)
         case Resumed(backup=backup):
@@ -186,7 +186,7 @@
             assert_never(rejected.fault)
 
 
-def _end_link(state: MoveState) -> Decision:
+def _end_link(state: MoveState, received: int) -> Decision:
     if state.phase in _ENDING or state.phase is MovePhase.COPYING:
         return state, (AwaitCopy(),)
     if state.phase in _STOPPED:
@@ -196,7 +196,8 @@
         return after, (Resume(state.target),)
     if state.phase is MovePhase.LOST:
         return state, (Cut(),)
-    return replace(state, phase=MovePhase.RESCUING), (ChooseRescue(),)
+    rescued = replace(state, phase=MovePhase.RESCUING, backup_events=received)
+    return rescued, (ChooseRescue(),)
 
 
 def _rescue(state: MoveState, target: UpstreamEntry | None) -> Decision:
@@ -209,8 +210,12 @@
 
 
 def _fall_back(state: MoveState) -> Decision:
-    """Resume from the backup; the source has nothing to resume from."""
-    if state.backup is None:
+    """Resume from the backup; the source has nothing to resume from.
+
+    A source that has sent no event may have ended as it received the request.
+    Its backup then holds nothing, and the request would run from its start.
+    """
+    if state.backup is None or not state.backup_events:
         return replace(state, phase=MovePhase.LOST), (Cut(),)
     return replace(state, phase=MovePhase.AT_BACKUP), (Resume(state.backup),)
 
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -41,6 +41,8 @@
     :param tries: copies refused or unanswered at this engine.
     :param renewals: renewals of its copy over a busy link.
     :param backup: engine that holds an up-to-date backup of its memory.
+    :param backup_events: events that the source had sent as its link ended;
+        without any, the backup holds nothing to resume from.
     """
 
     source: UpstreamEntry
@@ -50,6 +52,7 @@
     tries: int = 0
     renewals: int = 0
     backup: UpstreamEntry | None = None
+    backup_events: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +92,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkEnded:
-    """The stream broke off before its final event."""
+    """The stream broke off before its final event.
+
+    :param received: number of events received over the link.
+    """
+
+    received: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -73,6 +73,8 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
+        #: Events received over the current link.
+        self._link_events = 0
         self._copier = Copier(ports.upstreams, ports.clock, self.request_id)
         #: Number of times it resumed at another engine.
         self.moves = 0
@@ -125,6 +127,7 @@
         self._occupancy.assign(upstream)
         backup = self._occupancy.choose_backup(upstream)
         self._state = moves.begin(upstream, backup)
+        self._link_events = 0
         return backup.address if backup else ''
 
     def end(self, *, over: bool = True) -> None:
@@ -142,6 +145,7 @@
     def advance(self) -> None:
         """Count an event passed on to the caller."""
         self._occupancy.advance()
+        self._link_events += 1
         if not self.moves:
             self._meter.advance()
 
@@ -187,10 +191,10 @@
 
     async def lose_link(self) -> UpstreamEntry | None:
         """Return the engine to resume at after its link ended, if any."""
-        action = self._dispatch(LinkEnded())
+        action = self._dispatch(LinkEnded(self._link_events))
         if isinstance(action, AwaitCopy):
             await self._copy_ended.wait()
-            action = self._dispatch(LinkEnded())
+            action = self._dispatch(LinkEnded(self._link_events))
         if isinstance(action, ChooseRescue):
             action = await self._rescue()
         return action.upstream if isinstance(action, Resume) else None
@@ -212,6 +216,7 @@
     def resumed(self) -> None:
         """Note that the engine has resumed it."""
         self.moves += 1
+        self._link_events = 0
         self._dispatch(Resumed(self._next_backup))
 
     def resume_rejected(self) -> UpstreamEntry | None:
@@ -276,7 +281,7 @@
         if isinstance(action, Copy):
             action = await self._copy(action, _RESCUE_COPY_TIMEOUT)
         if action is None:
-            action = self._dispatch(LinkEnded())
+            action = self._dispatch(LinkEnded(self._link_events))
         return action
 
     def _choose_target(self, refused: set[str]) -> UpstreamEntry | None:
