Detours: an instance that failed may have sent the request it carried

A request that another instance carries could run twice: an answer without a signed reply and with any status but 200 counted as 'busy, nothing was sent', and the next instance was asked. One that fails after it has sent the request answers 500, which looks the same.

Only 403, 404 and 413 without a reply count as unsent now: an instance gives these before it looks at the request. Everything else is an unknown outcome, as a broken connection is, and the instance is asked after all others for a while.

--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import AsyncIterator, Callable
+from http import HTTPStatus
 
 import httpcore
 
@@ -25,7 +26,16 @@
 PATH = '/peer/v1/detours'
 #: Response header with the signed ``DetourReply``; the body is the upstream's.
 REPLY_HEADER = b'cartdale-detour'
-_SUCCESS = 200
+#: Statuses of an instance that carries no requests, or does not know the key
+#: of the sender yet. It sends nothing then. Any other answer without a reply
+#: may come from one that failed after it had sent the request.
+_REFUSED_STATUSES = frozenset(
+    (
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ),
+)
 #: Maximum wait for a connection to another instance.
 _CONNECT_WAIT: Millis = 250
 
@@ -58,6 +68,7 @@
         :returns: the upstream's response, with the body unread; why there is
             none; or ``None`` if the peer did not answer.
         :raises httpcore.ReadTimeout: if the request may have run.
+        :raises httpcore.RemoteProtocolError: the same, as the peer failed.
         """
         try:
             response = await self._call(peer, request, before_sending)
@@ -85,10 +96,10 @@
         await response.aclose()
         if reply is not None:
             return reply
-        if response.status == _SUCCESS:
-            raise httpcore.RemoteProtocolError('the reply is not genuine')
-        # A peer that just started does not know the key yet.
-        return DetourReply(DetourOutcome.BUSY, detail=str(response.status))
+        if response.status in _REFUSED_STATUSES:
+            return DetourReply(DetourOutcome.BUSY, detail=str(response.status))
+        detail = f'{peer.name}: {response.status} without a genuine reply'
+        raise httpcore.RemoteProtocolError(detail)
 
     async def _call(
         self,
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -198,6 +198,9 @@
             if self._clock.now() - began_at >= _UNANSWERED_AFTER:
                 self._dispatch(DetourUnanswered(peer.name))
             raise
+        except httpcore.RemoteProtocolError:
+            self._dispatch(DetourUnanswered(peer.name))
+            raise
         outcome = _find_outcome(answer)
         reply = answer if isinstance(answer, DetourReply) else None
         self._dispatch(
--- /dev/null
+++ b/tests/test_detour_calls.py
@@ -0,0 +1,50 @@
+"""What an instance that was asked to carry a request says of it."""
+
+import httpcore
+import pytest
+
+from cartdale.detours.calls import DetourCalls
+from cartdale.detours.types import DetourOutcome, DetourReply, UpstreamRequest
+from cartdale.news.types import PeerEntry
+
+PEER = PeerEntry('front-1', '10.1.0.1', 7200)
+REQUEST = UpstreamRequest('10.0.0.1:80', 'POST', b'/draft/', (), is_work=True)
+
+
+class Answering:
+    """Answer each request with a status and no reply."""
+
+    def __init__(self, status: int) -> None:
+        self._status = status
+
+    async def handle_async_request(self, request) -> httpcore.Response:
+        return httpcore.Response(self._status)
+
+
+class Unsigned:
+    """Sign nothing."""
+
+    def sign_message(self, recipient: str, message: object) -> bytes:
+        return b'signed'
+
+    def open_message(self, signed: bytes, shape: type) -> None:
+        """Take no message for genuine."""
+
+
+async def ask(status: int) -> httpcore.Response | DetourReply | None:
+    calls = DetourCalls(Answering(status), Unsigned())
+    return await calls.send(PEER, REQUEST, None, lambda: None)
+
+
+# Guards against a second send of a request that a peer sent before it failed.
+@pytest.mark.parametrize('status', [200, 400, 500, 502, 503, 504])
+async def test_peer_that_failed_may_have_sent_the_request(status: int) -> None:
+    with pytest.raises(httpcore.RemoteProtocolError, match=str(status)):
+        await ask(status)
+
+
+@pytest.mark.parametrize('status', [403, 404, 413])
+async def test_peer_that_refused_unread_has_sent_nothing(status: int) -> None:
+    answer = await ask(status)
+    assert isinstance(answer, DetourReply)
+    assert answer.outcome is DetourOutcome.BUSY
