Relay: every send is permitted on grounds, checked as its first byte leaves

Whether a request that must run once might be sent again was decided in several places (attempts, moves, rescue, detours), each by what the step before said of itself, and the count of runs followed from the same words. Nothing compared them with what had left.

Each request has a record of its sends now (relay/send_record.py). A call to an upstream carries a permit with its grounds: a new run, a copy that an engine has confirmed, or the backup of a run that has sent events. The permit is used where the first byte leaves, directly or through another instance; it is retracted only by a promise of the upstream or by proof that nothing left. A send without grounds violates 'at most once' and is not made; 'not run' and the problem at the time limit follow from the record; a copy whose response names no handle is no copy. 'sending' logs the grounds, 'send retracted' the proof.

--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -7,10 +7,13 @@
 import httpcore
 
 from cartdale.clock import Millis
-from cartdale.detours.direct import make_extensions
-from cartdale.detours.ports import DetourPeers, RequestHandler
+from cartdale.detours.direct import send_observed
+from cartdale.detours.ports import (
+    DetourPeers,
+    RequestHandler,
+    SendObserver,
+)
 from cartdale.detours.types import (
-    BeforeSending,
     DetourOutcome,
     DetourReply,
     UpstreamRequest,
@@ -21,6 +24,7 @@
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     is_refusal,
+    make_timeouts,
 )
 
 PATH = '/peer/v1/detours'
@@ -59,7 +63,7 @@
         self,
         peer: PeerEntry,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None,
+        observer: SendObserver | None,
         released: Released,
     ) -> httpcore.Response | DetourReply | None:
         """Send a request through a peer.
@@ -71,7 +75,7 @@
         :raises httpcore.RemoteProtocolError: the same, as the peer failed.
         """
         try:
-            response = await self._call(peer, request, before_sending)
+            response = await self._call(peer, request, observer)
         except HTTPCORE_NOT_SENT_ERRORS as unsent:
             released()
             if is_refusal(unsent):
@@ -94,18 +98,20 @@
             )
         released()
         await response.aclose()
-        if reply is not None:
-            return reply
-        if response.status in _REFUSED_STATUSES:
-            return DetourReply(DetourOutcome.BUSY, detail=str(response.status))
-        detail = f'{peer.name}: {response.status} without a genuine reply'
-        raise httpcore.RemoteProtocolError(detail)
+        if reply is None and response.status in _REFUSED_STATUSES:
+            reply = DetourReply(DetourOutcome.BUSY, detail=str(response.status))
+        if reply is None:
+            detail = f'{peer.name}: {response.status} without a genuine reply'
+            raise httpcore.RemoteProtocolError(detail)
+        if observer is not None and reply.proves_unsent:
+            observer.retract()
+        return reply
 
     async def _call(
         self,
         peer: PeerEntry,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None,
+        observer: SendObserver | None,
     ) -> httpcore.Response:
         signed = self._peers.sign_message(peer.name, request)
         headers = [
@@ -118,11 +124,9 @@
             f'http://{peer.address}:{peer.port}{PATH}',
             headers=headers,
             content=signed,
-            extensions=make_extensions(
-                request.timeout, _CONNECT_WAIT, before_sending
-            ),
+            extensions=make_timeouts(request.timeout, _CONNECT_WAIT),
         )
-        return await self._pool.handle_async_request(outgoing)
+        return await send_observed(self._pool, outgoing, observer)
 
     def _read_reply(
         self, peer: PeerEntry, response: httpcore.Response
--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -6,8 +6,8 @@
 import httpcore
 
 from cartdale.clock import Millis
-from cartdale.detours.ports import RequestHandler
-from cartdale.detours.types import BeforeSending, UpstreamRequest
+from cartdale.detours.ports import RequestHandler, SendObserver
+from cartdale.detours.types import UpstreamRequest
 from cartdale.transport import MAX_CONNECT_WAIT, make_timeouts
 
 #: Maximum wait if another instance may carry the request instead.
@@ -28,7 +28,7 @@
     async def send(
         self,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None = None,
+        observer: SendObserver | None = None,
         connect_wait: Millis = MAX_CONNECT_WAIT,
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
@@ -41,36 +41,37 @@
             _make_url(request),
             headers=request.headers,
             content=request.body,
-            extensions=make_extensions(
-                request.timeout, connect_wait, before_sending
-            ),
+            extensions=make_timeouts(request.timeout, connect_wait),
         )
-        return await self._pool.handle_async_request(outgoing)
+        return await send_observed(self._pool, outgoing, observer)
 
 
 class _SendTrace:
     """Trace callback of httpcore that calls back just before sending."""
 
-    def __init__(self, before_sending: BeforeSending) -> None:
-        self._before_sending = before_sending
+    def __init__(self, observer: SendObserver) -> None:
+        self._observer = observer
 
     async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
         """Handle a trace event of the connection; httpcore awaits each."""
         if event == _BEFORE_SENDING:
-            await self._before_sending()
+            await self._observer()
 
 
-def make_extensions(
-    timeout: Millis, connect_wait: Millis, before_sending: BeforeSending | None
-) -> dict[str, Any]:
-    """Return the request extensions that set timeouts and a callback.
+async def send_observed(
+    pool: RequestHandler,
+    request: httpcore.Request,
+    observer: SendObserver | None,
+) -> httpcore.Response:
+    """Send a request over a new connection.
 
-    :param timeout: maximum wait for bytes; 0 for no bound.
+    :raises httpcore.ConnectError: or another error of
+        ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
     """
-    extensions = make_timeouts(timeout, connect_wait)
-    if before_sending is not None:
-        extensions['trace'] = _SendTrace(before_sending)
-    return extensions
+    if observer is None:
+        return await pool.handle_async_request(request)
+    request.extensions['trace'] = _SendTrace(observer)
+    return await pool.handle_async_request(request)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -26,10 +26,13 @@
     split_address,
 )
 from cartdale.detours.guard import WithheldError
-from cartdale.detours.ports import DetourPeers, RequestHandler
+from cartdale.detours.ports import (
+    DetourPeers,
+    RequestHandler,
+    SendObserver,
+)
 from cartdale.detours.types import (
     Action,
-    BeforeSending,
     BlockedPath,
     DetourAnswered,
     DetourBegan,
@@ -125,7 +128,7 @@
     async def send(
         self,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None = None,
+        observer: SendObserver | None = None,
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
 
@@ -135,16 +138,16 @@
         """
         peers = self._list_peers()
         if not peers:
-            return await self._direct.send(request, before_sending)
+            return await self._direct.send(request, observer)
         if self.find_blocked(request.address) is None:
             with suppress(*HTTPCORE_NOT_SENT_ERRORS):
-                return await self.send_directly(request, before_sending)
-        return await _Detour(self, request, before_sending).send(peers)
+                return await self.send_directly(request, observer)
+        return await _Detour(self, request, observer).send(peers)
 
     async def send_directly(
         self,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None = None,
+        observer: SendObserver | None = None,
     ) -> httpcore.Response:
         """Send a request over the direct path.
 
@@ -154,7 +157,7 @@
         began_at = self._clock.now()
         try:
             response = await self._direct.send(
-                request, before_sending, SHORT_CONNECT_WAIT
+                request, observer, SHORT_CONNECT_WAIT
             )
         except HTTPCORE_NOT_SENT_ERRORS as error:
             self._dispatch(DirectFailed(request.address, is_refusal(error)))
@@ -181,7 +184,7 @@
         self,
         peer: PeerEntry,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None,
+        observer: SendObserver | None,
     ) -> httpcore.Response | DetourReply | None:
         """Send a request through a peer and note what it answered."""
         if self._calls is None:
@@ -190,9 +193,7 @@
         self._dispatch(DetourBegan(peer.name))
         released = partial(self._dispatch, DetourEnded(peer.name))
         try:
-            answer = await self._calls.send(
-                peer, request, before_sending, released
-            )
+            answer = await self._calls.send(peer, request, observer, released)
         except (httpcore.ReadTimeout, trio.Cancelled):
             # The time limit of a request and a caller that leaves cancel it.
             if self._clock.now() - began_at >= _UNANSWERED_AFTER:
@@ -303,11 +304,11 @@
         self,
         router: PathRouter,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None,
+        observer: SendObserver | None,
     ) -> None:
         self._router = router
         self._request = request
-        self._before_sending = before_sending
+        self._observer = observer
         self._asked: set[str] = set()
         self._hinted: list[str] = []
         #: Intermediaries that don't reach the upstream, and those of them that
@@ -368,7 +369,7 @@
 
     async def _ask(self, peer: PeerEntry) -> httpcore.Response | None:
         answer = await self._router.send_through(
-            peer, self._request, self._before_sending
+            peer, self._request, self._observer
         )
         match answer:
             case DetourReply(outcome=DetourOutcome.BROKEN, detail=detail):
@@ -402,7 +403,7 @@
         """Try the direct path, since nobody else can be asked."""
         try:
             return await self._router.send_directly(
-                self._request, self._before_sending
+                self._request, self._observer
             )
         except HTTPCORE_NOT_SENT_ERRORS as error:
             raise PathUnclearError(format_error(error)) from error
--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -5,6 +5,7 @@
 from cartdale.clock import Millis
 from cartdale.detours.types import UpstreamRequest
 from cartdale.fleet.advisories import AdvisoryRecorder
+from cartdale.relay.send_record import NoRunProof, SendPermit
 
 
 class WithheldError(Exception):
@@ -22,6 +23,8 @@
 class SendGuard:
     """Abort a request which must no longer be sent.
 
+    :param permit: permits the send; ``None`` if that was checked by another
+        instance, which this one carries the request for.
     :param counted: whether the request is counted by the bounds on the rate of
         its upstream already, by another instance or by an earlier connection.
     """
@@ -30,11 +33,13 @@
         self,
         advisories: AdvisoryRecorder,
         request: UpstreamRequest,
+        permit: SendPermit | None = None,
         *,
         counted: bool = False,
     ) -> None:
         self._advisories = advisories
         self._request = request
+        self._permit = permit
         self._counted = counted
         #: Time at which the request was sent, in monotonic milliseconds.
         self.sent_at: Millis = 0
@@ -42,7 +47,8 @@
     async def __call__(self) -> None:
         """Check the request just before it is sent over a connection.
 
-        :raises WithheldError: if it must not be sent.
+        :raises WithheldError: if it must not be sent now.
+        :raises InvariantError: if it may be running already.
         """
         if self._advisories.must_withhold(
             self._request.upstream,
@@ -53,11 +59,19 @@
                 'its upstream leaves, backs off or is limited',
                 self._advisories.find_backoff(self._request.upstream),
             )
+        if self._permit is not None:
+            self._permit.use()
         self._counted = True
         self.sent_at = self._advisories.now()
         logger.info(
             'sending',
             request=self._request.request_id,
             upstream=self._request.upstream,
+            grounds=str(self._permit or 'carried'),
             resumes=self._request.resumes,
         )
+
+    def retract(self) -> None:
+        """Note that nothing was sent to the upstream after all."""
+        if self._permit is not None:
+            self._permit.retract(NoRunProof.NOTHING_SENT)
--- a/src/cartdale/detours/ports.py
+++ b/src/cartdale/detours/ports.py
@@ -7,11 +7,7 @@
 import httpcore
 from returns.result import Result
 
-from cartdale.detours.types import (
-    BeforeSending,
-    DetourReply,
-    UpstreamRequest,
-)
+from cartdale.detours.types import DetourReply, UpstreamRequest
 from cartdale.news.types import PeerEntry
 from cartdale.peers.client import VerifiedMessage
 
@@ -38,6 +34,16 @@
         """Return a message to this instance; ``None`` if it is not genuine."""
 
 
+class SendObserver(Protocol):
+    """Follow one request on its way out."""
+
+    async def __call__(self) -> None:
+        """Handle that the first byte leaves next; raises to withhold it."""
+
+    def retract(self) -> None:
+        """Handle proof that nothing was sent to the upstream after all."""
+
+
 class RequestHandler(Protocol):
     """Send HTTP requests, as httpcore's connection pools do."""
 
@@ -53,7 +59,7 @@
     async def send(
         self,
         request: UpstreamRequest,
-        before_sending: BeforeSending | None = None,
+        observer: SendObserver | None = None,
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
 
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -1,15 +1,11 @@
 """Messages of detours between instances, and the state of direct paths."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from cartdale.clock import Millis
 from cartdale.relay.types import Headers
 
-#: Called just before a request is sent; raises an error to withhold it.
-BeforeSending = Callable[[], Awaitable[None]]
-
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRequest:
@@ -79,6 +75,12 @@
     refused: bool = False
     alternatives: tuple[str, ...] = ()
 
+    @property
+    def proves_unsent(self) -> bool:
+        """Tell whether nothing was sent to the upstream."""
+        sent = (DetourOutcome.OPENED, DetourOutcome.BROKEN)
+        return self.outcome not in sent
+
 
 @dataclass(frozen=True, slots=True)
 class BlockedPath:
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -184,8 +184,10 @@
     except msgspec.MsgspecError:
         answer = _CopyAnswer()
     match response.status:
-        case HTTPStatus.OK:
+        case HTTPStatus.OK if answer.handle:
             return Success(Copied(answer.handle, answer.created))
+        case HTTPStatus.OK:
+            return Failure(CopyFailed(CopyFault.NO_ANSWER))
         case HTTPStatus.NOT_FOUND:
             return Failure(CopyFailed(CopyFault.UNKNOWN_RUN))
         case HTTPStatus.CONFLICT:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -86,7 +86,7 @@
     ) -> AsyncIterator[Result[OpenedResponse, SendFailure]]:
         """Send a request and read the head of its response."""
         request = _make_request(call)
-        guard = SendGuard(self._advisories, request)
+        guard = SendGuard(self._advisories, request, call.permit)
         try:
             response = await self._transport.send(request, guard)
         except WithheldError as withheld:
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -29,10 +29,12 @@
     Withdrawn,
     Withheld,
     check_refusal,
+    check_runs,
     decide,
 )
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.request_needs import make_request_needs
+from cartdale.relay.send_record import NewRun, NoRunProof, SendRecord
 from cartdale.relay.types import (
     ExecutionStatus,
     OpenedResponse,
@@ -100,11 +102,13 @@
     ports: RelayPorts,
     routed: RoutedRequest,
     upstream: Upstream,
+    sends: SendRecord,
     backup: str = '',
     last_event: bytes = b'',
 ) -> UpstreamCall:
     """Make the call of an attempt with the remaining time.
 
+    :param sends: the request's earlier sends.
     :param backup: address of the backup engine; empty for none.
     :param last_event: id of the event after which the upstream resumes; empty
         for the start.
@@ -124,7 +128,12 @@
         failing=round(find_failing(upstream, now), 2),
     )
     return UpstreamCall(
-        routed, upstream.entry, left, last_event=last_event, backup=backup
+        routed,
+        upstream.entry,
+        sends.permit(NewRun()),
+        left,
+        last_event=last_event,
+        backup=backup,
     )
 
 
@@ -134,8 +143,13 @@
     state: AttemptState,
     ended: AttemptEnd,
     upstream: str,
+    sends: SendRecord,
 ) -> tuple[AttemptState, Step]:
-    """Record the end of an attempt, decide the next step and log it."""
+    """Record the end of an attempt, decide the next step and log it.
+
+    :param sends: the request's sends, which must not have caused more runs
+        than the ends of its attempts tell.
+    """
     streams = routed.route.kind is RouteKind.STREAM
     _report_end(ports.fleet, ended, upstream, streams=streams)
     after, step = decide(state, ended, affordable=True)
@@ -144,6 +158,7 @@
             Mechanism.RETRIES
         ) and ports.budget.withdraw(routed.service, ports.clock.now())
         after, step = decide(state, ended, affordable=in_budget)
+    check_runs(after, sends.runs)
     if isinstance(step, GiveUp):
         check_refusal(after, step.problem)
         step = _delay_return(ports, routed, step)
@@ -195,7 +210,7 @@
 
 
 def find_decline(
-    fleet: Fleet, answer: OpenedResponse, upstream: str
+    fleet: Fleet, answer: OpenedResponse, call: UpstreamCall
 ) -> Declined | None:
     """Return ``Declined`` if the response says that the request did not run.
 
@@ -205,7 +220,8 @@
         case ExecutionStatus.RAN:
             return None
         case ExecutionStatus.REPLACED:
-            fleet.dispatch(AddressTakenOver(upstream))
+            fleet.dispatch(AddressTakenOver(call.upstream.upstream))
+    call.permit.retract(NoRunProof.DECLINED)
     return Declined(rests=answer.backoff > 0)
 
 
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -179,6 +179,18 @@
         )
 
 
+def check_runs(state: AttemptState, sent: int) -> None:
+    """Check that the ends of attempts account for all runs.
+
+    :param sent: number of runs that sends may have caused.
+    """
+    check_invariant(
+        AT_MOST_ONCE,
+        holds=sent <= state.runs,
+        detail=f'{sent} runs sent, {state.runs} counted',
+    )
+
+
 def _count_run(state: AttemptState) -> AttemptState:
     after = replace(state, sends=state.sends + 1, runs=state.runs + 1)
     check_invariant(
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -39,6 +39,7 @@
 from cartdale.relay.occupancy import Occupancy
 from cartdale.relay.pacing import PaceMeter
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.send_record import ConfirmedCopy, StartedBackup
 from cartdale.relay.targets import choose_target
 from cartdale.relay.types import COPY_TIMEOUT, ResumePoint, RoutedRequest
 from cartdale.switches import Mechanism
@@ -207,9 +208,14 @@
         self._occupancy.assign(upstream)
         self._next_backup = self._occupancy.choose_backup(upstream)
         if state.phase is MovePhase.AT_BACKUP and state.backup is not None:
-            point = ResumePoint(state.backup.address, self.request_id)
+            point = ResumePoint(
+                state.backup.address,
+                self.request_id,
+                StartedBackup(state.backup_events),
+            )
         else:
-            point = ResumePoint(state.source.address, state.handle)
+            copied = ConfirmedCopy(state.handle)
+            point = ResumePoint(state.source.address, state.handle, copied)
         backup = self._next_backup
         return point, backup.address if backup else ''
 
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -33,6 +33,7 @@
 )
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.send_record import SendRecord
 from cartdale.relay.types import (
     CompleteResponse,
     LinkBroke,
@@ -69,6 +70,7 @@
         #: The upstream of the current attempt; empty between attempts.
         self._current = ''
         self._state: AttemptState = begin(routed.route)
+        self._sends = SendRecord(routed.request.request_id, self._state.may_run)
 
     async def forward(self) -> Result[CompleteResponse, Problem]:
         """Return an upstream's response, or the problem to report."""
@@ -91,7 +93,12 @@
             if may_choose_again(ended):
                 self._tried.discard(name)
             after, step = conclude(
-                self._ports, self._routed, self._state, ended, name
+                self._ports,
+                self._routed,
+                self._state,
+                ended,
+                name,
+                self._sends,
             )
             self._state = after
             match step:
@@ -104,7 +111,7 @@
         assignment = Assignment(upstream.entry.upstream, 0, 0)
         fleet = self._ports.fleet
         fleet.loads.assign(assignment)
-        call = make_call(self._ports, self._routed, upstream)
+        call = make_call(self._ports, self._routed, upstream, self._sends)
         self._link.begin(call.upstream)
         sent_at = self._ports.clock.now()
         self._current = call.upstream.upstream
@@ -137,7 +144,7 @@
         self, answer: OpenedResponse, call: UpstreamCall
     ) -> EndedAttempt:
         fleet = self._ports.fleet
-        declined = find_decline(fleet, answer, call.upstream.upstream)
+        declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined, None
         self._link.note_head()
@@ -166,6 +173,6 @@
     def _time_out(self) -> Problem:
         if self._current:
             log_time_limit(self._routed, self._current)
-        if self._state.runs or self._tried:
+        if self._sends.runs:
             return OutcomeUnknown('the time limit passed')
         return refuse(self._state, NotRunReason.DEADLINE)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -40,6 +40,7 @@
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.send_record import SendRecord
 from cartdale.relay.silence import await_loss
 from cartdale.relay.types import (
     CompleteResponse,
@@ -98,6 +99,9 @@
             if resumption
             else replace(routed.route, resumable=False)
         )
+        self._sends = SendRecord(
+            routed.request.request_id, self._attempts.may_run
+        )
         resumable = routed.route.resumable
         last_event = routed.request.last_event if resumable else b''
         self._link = CarriedLink(ports, routed)
@@ -112,7 +116,6 @@
         #: An upstream's failure response, passed on if no attempt follows.
         self._failure: CompleteResponse | None = None
         self._started = False
-        self._sent = False
 
     @property
     def longest_gap(self) -> Millis:
@@ -151,6 +154,7 @@
                 self._attempts,
                 ended,
                 upstream.entry.upstream,
+                self._sends,
             )
             self._attempts = after
             match step:
@@ -173,7 +177,12 @@
     async def _attempt(self, upstream: Upstream) -> StreamEnd | AttemptEnd:
         backup = self._generation.begin(upstream.entry)
         call = make_call(
-            self._ports, self._routed, upstream, backup, self._passer.last_event
+            self._ports,
+            self._routed,
+            upstream,
+            self._sends,
+            backup,
+            self._passer.last_event,
         )
         ended = await self._open(call)
         while isinstance(ended, UpstreamEntry):
@@ -191,9 +200,14 @@
             )
         await self._wait_out_backoff(upstream)
         point, backup = self._generation.prepare_resume(upstream)
-        left = time_left(self._ports, self._routed)
         call = UpstreamCall(
-            self._routed, upstream, left, self._passer.last_event, point, backup
+            self._routed,
+            upstream,
+            self._sends.permit(point.grounds),
+            time_left(self._ports, self._routed),
+            self._passer.last_event,
+            point,
+            backup,
         )
         ended = await self._open(call)
         if isinstance(ended, Unsent | Withheld | Declined):
@@ -213,7 +227,6 @@
 
     async def _open(self, call: UpstreamCall) -> LinkEnd:
         """Send a request and read its response, unless the engine lost it."""
-        self._sent = True
         self._link.begin(call.upstream)
         guard = self._ports.fleet.quarantine.guard(self._routed.identity)
         ended: LinkEnd | None = None
@@ -291,7 +304,7 @@
     ) -> LinkEnd:
         fleet = self._ports.fleet
         upstream = call.upstream.upstream
-        declined = find_decline(fleet, answer, upstream)
+        declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined
         self._link.note_head()
@@ -365,6 +378,6 @@
         log_time_limit(self._routed, self._generation.upstream)
         if self._started:
             return Success(StreamEnd.CUT)
-        if self._sent:
+        if self._sends.runs:
             return Failure(OutcomeUnknown('the time limit passed'))
         return Failure(refuse(self._attempts, NotRunReason.DEADLINE))
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -12,6 +12,11 @@
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.quarantine.identity import Identity
+from cartdale.relay.send_record import (
+    ConfirmedCopy,
+    SendPermit,
+    StartedBackup,
+)
 from cartdale.routes.types import Route, ServiceSpec
 
 #: Time for which an upstream may be silent and go on as before.
@@ -85,16 +90,19 @@
 
     :param address: engine that issued the handle.
     :param handle: handle of the copy at that engine.
+    :param grounds: what shows that there is such memory.
     """
 
     address: str
     handle: str
+    grounds: ConfirmedCopy | StartedBackup
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamCall:
     """Send a request to one upstream.
 
+    :param permit: permits this one send.
     :param left: remaining time, in milliseconds.
     :param last_event: id of the last event that the caller has; the upstream
         resumes after it. Empty for a request from the start.
@@ -105,6 +113,7 @@
 
     routed: RoutedRequest
     upstream: UpstreamEntry
+    permit: SendPermit
     left: Millis
     last_event: bytes = b''
     resume: ResumePoint | None = None
--- a/tests/load/paths.py
+++ b/tests/load/paths.py
@@ -215,7 +215,7 @@
     async def call(self, port: int | None, body: bytes) -> httpcore.Response:
         """Call the interface of an instance for requests of others."""
         app = self.instances[(port or 0) - 20_000].app
-        exchange = _AsgiExchange(body)
+        exchange = AsgiExchange(body)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(app, {}, exchange.receive, exchange.send)
             await exchange.ended.wait()
@@ -258,7 +258,7 @@
         await instance.ask(number, address, counts=counts)
 
 
-class _AsgiExchange:
+class AsgiExchange:
     """Call an ASGI application once; it answers before this returns."""
 
     def __init__(self, body: bytes) -> None:
--- a/tests/test_peer_reported_departures.py
+++ b/tests/test_peer_reported_departures.py
@@ -48,6 +48,7 @@
     Withheld,
 )
 from cartdale.relay.decide import decide as decide_attempt
+from cartdale.relay.send_record import NewRun, SendRecord
 from cartdale.relay.types import (
     CallerRequest,
     RoutedRequest,
@@ -246,7 +247,8 @@
     request = CallerRequest('r', 'GET', HOST, b'/cut/a', '', 1000, headers)
     route = fleet.table.routes_by_host[HOST][0]
     routed = RoutedRequest(request, route, 'portal', '', 0, 0, 1000)
-    return UpstreamCall(routed, fleet.find(name).entry, 1000)
+    permit = SendRecord('r', 1).permit(NewRun())
+    return UpstreamCall(routed, fleet.find(name).entry, permit, 1000)
 
 
 def test_a_withheld_send_costs_no_attempt() -> None:
--- a/tests/test_single_run.py
+++ b/tests/test_single_run.py
@@ -6,6 +6,7 @@
 """
 
 import httpx
+import pytest
 
 from tests.platform_stage import (
     PlatformStage,
@@ -14,10 +15,14 @@
     open_platform,
     until,
 )
+from tests.send_faults import play
 
 DEADLY = b'a brief that ends engines as they receive it'
 #: Tokens of a draft that is long enough for a backup.
 BACKED_UP = 400
+#: Orders of faults that are drawn.
+DRAWS = 400
+DRAWS_A_TEST = 100
 
 
 async def submit_deadly(stage: PlatformStage, name: str, path: str) -> None:
@@ -39,3 +44,16 @@
         await submit_deadly(stage, 'r1', '/draft/a')
         await until(lambda: not any(each.dead for each in stage.engines))
         assert count_runs(stage, 'r1') == 1
+
+
+# Guards against a second run after any order of faults of connections, engines,
+# copies and instances that carry the request.
+@pytest.mark.parametrize('first', range(0, DRAWS, DRAWS_A_TEST))
+def test_request_that_must_run_once_runs_once_whatever_fails(
+    first: int,
+) -> None:
+    for seed in range(first, first + DRAWS_A_TEST):
+        played = play(seed)
+        assert played.runs <= 1, f'seed {seed}: {played}'
+        assert not (played.refused and played.runs), f'seed {seed}: {played}'
+        assert not played.deadly or played.receipts <= 1, f'seed {seed}'
