Detours: an error of connecting after the send proves nothing

Whether a request was sent was told by the type of the transport's error alone. One that stands for a failed connection, raised although the request had been let go, would have sent it again: by another path to the same upstream, or as a new attempt elsewhere.

No run is known in which the transport raised one so late; it guards a claim that nothing checked.

--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -8,7 +8,12 @@
 from cartdale.clock import Millis
 from cartdale.detours.ports import RequestHandler, SendObserver
 from cartdale.detours.types import UpstreamRequest
-from cartdale.transport import MAX_CONNECT_WAIT, make_timeouts
+from cartdale.formatting import format_error
+from cartdale.transport import (
+    HTTPCORE_NOT_SENT_ERRORS,
+    MAX_CONNECT_WAIT,
+    make_timeouts,
+)
 
 #: Maximum wait if another instance may carry the request instead.
 SHORT_CONNECT_WAIT: Millis = 250
@@ -51,11 +56,14 @@
 
     def __init__(self, observer: SendObserver) -> None:
         self._observer = observer
+        #: Whether the request may have left.
+        self.began = False
 
     async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
         """Handle a trace event of the connection; httpcore awaits each."""
         if event == _BEFORE_SENDING:
             await self._observer()
+            self.began = True
 
 
 async def send_observed(
@@ -65,13 +73,22 @@
 ) -> httpcore.Response:
     """Send a request over a new connection.
 
+    An error that stands for a request which was not sent is passed on only if
+    the request was not about to leave.
+
     :raises httpcore.ConnectError: or another error of
         ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
     """
     if observer is None:
         return await pool.handle_async_request(request)
-    request.extensions['trace'] = _SendTrace(observer)
-    return await pool.handle_async_request(request)
+    trace = _SendTrace(observer)
+    request.extensions['trace'] = trace
+    try:
+        return await pool.handle_async_request(request)
+    except HTTPCORE_NOT_SENT_ERRORS as error:
+        if trace.began:
+            raise httpcore.WriteError(format_error(error)) from error
+        raise
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/send_faults.py
+++ b/tests/send_faults.py
@@ -56,7 +56,7 @@
 PEERS = 2
 _FIRST_PEER_PORT = 20_000
 _WORK = ('crash', 'reset', 'decline', 'replaced', 'fail', 'run')
-_CONNECTIONS = ('open', 'open', 'open', 'refused', 'silent')
+_CONNECTIONS = ('open', 'open', 'open', 'refused', 'silent', 'late')
 _COPIES = ('copied', 'kept', 'unknown', 'busy', 'no_room', 'reset', 'empty')
 _PEERS = ('carry', 'carry', 'fails', 'unknown_key', 'reset', 'refused')
 
@@ -350,7 +350,11 @@
         await trio.sleep(0.002)
         if called:
             return await self._system.call_peer(port, request, body)
-        return self._system.answer(f'{host}:{port}', request)
+        response = self._system.answer(f'{host}:{port}', request)
+        if fault == 'late':
+            # The transport's error says that nothing was sent.
+            raise httpcore.ConnectError('late')
+        return response
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_detour_calls.py
+++ b/tests/test_detour_calls.py
@@ -4,6 +4,7 @@
 import pytest
 
 from cartdale.detours.calls import DetourCalls
+from cartdale.detours.direct import DirectTransport
 from cartdale.detours.types import DetourOutcome, DetourReply, UpstreamRequest
 from cartdale.news.types import PeerEntry
 
@@ -48,3 +49,33 @@
     answer = await ask(status)
     assert isinstance(answer, DetourReply)
     assert answer.outcome is DetourOutcome.BUSY
+
+
+class LateError:
+    """Fail with an error of connecting after the request was sent."""
+
+    async def handle_async_request(self, request) -> httpcore.Response:
+        trace = request.extensions['trace']
+        await trace('http11.send_request_headers.started', {})
+        raise httpcore.ConnectError('late')
+
+
+class Observer:
+    """Let the request go."""
+
+    async def __call__(self) -> None:
+        """Let it go."""
+
+    def retract(self) -> None:
+        """Fail, since it was sent."""
+        pytest.fail('nothing shows that it was not sent')
+
+
+# Guards against a second send after a transport's error that stands for a
+# request which was not sent.
+async def test_error_of_connecting_after_the_send_proves_nothing() -> None:
+    with pytest.raises(httpcore.WriteError):
+        await DirectTransport(LateError()).send(REQUEST, Observer())
+    calls = DetourCalls(LateError(), Unsigned())
+    with pytest.raises(httpcore.ReadTimeout):
+        await calls.send(PEER, REQUEST, Observer(), lambda: None)
