Quarantine: carry the shared parts of a prompt with each request

Evidence against requests that crash upstreams knows a digest of the whole request only, so that a crash that follows a part of the prompt, which many requests share, can't be held against that part. Callers name the parts in a header that was forwarded unread.

The adapter now decodes the header into the names of the parts that others may share, in normal form and without the request's own last part; malformed entries are skipped and the header is forwarded as it came. On the own interface every message of a chat but the last is such a part. Log lines `placed` and `link broke` gain `parts`.

Callers see no change: the quarantine still uses the identity alone, and its messages and decisions are untouched.

Existing tests pass a fingerprint where they passed an identity, and nothing else of them changed.

--- a/src/cartdale/callers/plain.py
+++ b/src/cartdale/callers/plain.py
@@ -31,7 +31,7 @@
     Problem,
 )
 from cartdale.quarantine.driver import Quarantine
-from cartdale.quarantine.identity import Identity, identify
+from cartdale.quarantine.identity import Fingerprint, identify
 from cartdale.quarantine.run_tracking import RunTracker
 from cartdale.retries.backoffs import BackoffTracker
 from cartdale.retries.decide import RetryBudget
@@ -111,7 +111,9 @@
 
     async def _run(self, call: PlainCall, grant: Grant) -> Response:
         tracker = RunTracker(
-            self._ports.quarantine, _compute_identity(call), call.request.key
+            self._ports.quarantine,
+            _compute_fingerprint(call),
+            call.request.key,
         )
         attempt = _AttemptResult(None, sent=True)
         try:
@@ -214,15 +216,16 @@
         return names
 
 
-def _compute_identity(call: PlainCall) -> Identity:
+def _compute_fingerprint(call: PlainCall) -> Fingerprint:
     request = call.request
-    return identify(
+    identity = identify(
         request.method,
         call.service_name,
         request.path.encode(),
         call.caller.name,
         request.body,
     )
+    return Fingerprint(identity)
 
 
 def _serialize_request(request: PlainRequest) -> bytes:
--- a/src/cartdale/callers/read.py
+++ b/src/cartdale/callers/read.py
@@ -8,13 +8,22 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from cartdale.callers.types import Caller, Directory, GenerationBody
+from cartdale.callers.types import (
+    Caller,
+    ChatMessage,
+    Directory,
+    GenerationBody,
+)
 from cartdale.clock import Millis
-from cartdale.codec import decode_json, digest
+from cartdale.codec import decode_json, digest, encode_json
 from cartdale.declarations.types import Repeat, Service, UpstreamKind
 from cartdale.engines.types import GenerationRequest
 from cartdale.problems.types import BadRequest, Problem, Unauthorised
-from cartdale.quarantine.identity import identify
+from cartdale.quarantine.identity import (
+    Fingerprint,
+    identify,
+    identify_parts,
+)
 from cartdale.routing.lengths import describe_shape
 from cartdale.routing.types import Work
 from cartdale.streams.answers import DeliveryRequest
@@ -136,13 +145,7 @@
         customer=call.caller.name,
         body_digest=digest_body(call.raw),
         position=position,
-        identity=identify(
-            'POST',
-            call.service_name,
-            call.path.encode(),
-            call.caller.name,
-            call.raw,
-        ),
+        fingerprint=_compute_fingerprint(call),
     )
 
 
@@ -157,6 +160,23 @@
     return int(digest(first.encode())[:_SEED_DIGITS], _HEXADECIMAL)
 
 
+def _compute_fingerprint(call: GenerationCall) -> Fingerprint:
+    identity = identify(
+        'POST',
+        call.service_name,
+        call.path.encode(),
+        call.caller.name,
+        call.raw,
+    )
+    shared = call.body.messages[:-1]
+    return Fingerprint(identity, identify_parts(map(_name_part, shared)))
+
+
+def _name_part(message: ChatMessage) -> str:
+    """Return a text that differs for each pair of role and content."""
+    return encode_json((message.role, message.content)).decode()
+
+
 def _find_service(
     directory: Directory, caller: Caller, model: str
 ) -> str | None:
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -16,11 +16,15 @@
 from cartdale.gateway.ports import GatewayPorts
 from cartdale.gateway.sink import AsgiSink
 from cartdale.problems.types import NotRun, NotRunReason, Problem, describe
-from cartdale.quarantine.identity import identify
+from cartdale.quarantine.identity import (
+    Fingerprint,
+    identify,
+    identify_parts,
+)
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.plain import PlainForwarder
 from cartdale.relay.stream import StreamEnd, StreamForwarder
-from cartdale.relay.types import RoutedRequest
+from cartdale.relay.types import CallerRequest, RoutedRequest
 from cartdale.routes.match import (
     find_regions,
     find_route,
@@ -176,13 +180,7 @@
             domains=self._ports.region_map.find_domains(
                 find_regions(route, customer)
             ),
-            identity=identify(
-                request.method,
-                request.host,
-                request.target,
-                customer_name,
-                request.body,
-            ),
+            fingerprint=_compute_fingerprint(request, customer_name),
         )
 
     def _rank(self, route: Route, customer: Customer | None) -> int:
@@ -286,3 +284,14 @@
     async def _write(self, status: int, wait: Millis, body: bytes) -> None:
         headers = self._ports.wire.write_refusal(status, wait)
         await self._sink.answer(status, headers, body)
+
+
+def _compute_fingerprint(request: CallerRequest, customer: str) -> Fingerprint:
+    identity = identify(
+        request.method,
+        request.host,
+        request.target,
+        customer,
+        request.body,
+    )
+    return Fingerprint(identity, identify_parts(request.shared_parts))
--- a/src/cartdale/platform/callers.py
+++ b/src/cartdale/platform/callers.py
@@ -1,5 +1,6 @@
 """Parse callers' requests, and build the headers of refusals."""
 
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -11,6 +12,7 @@
     HEADER_EXPECT,
     HEADER_HINT,
     HEADER_LAST_EVENT,
+    HEADER_PARTS,
     HEADER_REQUEST_ID,
     HEADER_RESUME_FROM,
     HEADER_RETRY_AFTER,
@@ -21,6 +23,8 @@
 from cartdale.relay.types import CallerRequest, Headers
 
 _KEY_SCHEME = 'token '
+#: A part of a prompt: its ID in hexadecimal and its number of tokens.
+_PART = re.compile('([0-9a-f]+):[0-9]+')
 #: Hop-by-hop headers; they are not forwarded.
 CONNECTION_HEADERS = frozenset(
     (
@@ -89,6 +93,7 @@
         max_tokens=max_tokens,
         expected_tokens=_read_number(values_by_name.get(HEADER_HINT, '')),
         last_event=values_by_name.get(HEADER_LAST_EVENT, '').encode('latin-1'),
+        shared_parts=_read_shared_parts(values_by_name.get(HEADER_PARTS, '')),
     )
 
 
@@ -137,3 +142,19 @@
 def _read_tokens(raw: str) -> tuple[int, int]:
     prompt, _, max_tokens = raw.partition(',')
     return _read_number(prompt), _read_number(max_tokens)
+
+
+def _read_shared_parts(raw: str) -> tuple[str, ...]:
+    """Return the IDs of a prompt's parts in normal form, but for the last.
+
+    Malformed entries are skipped. The last ID is left out wherever it occurs.
+    """
+    names: list[str] = []
+    for entry in raw.lower().split(','):
+        matched = _PART.fullmatch(entry.strip())
+        if matched is not None:
+            names.append(matched.group(1).lstrip('0') or '0')
+    if not names:
+        return ()
+    own = names.pop()
+    return tuple(name for name in names if name != own)
--- a/src/cartdale/platform/names.py
+++ b/src/cartdale/platform/names.py
@@ -22,6 +22,9 @@
 #: failing.
 HEADER_BRITTLE: Final = 'server-brittle'
 HEADER_TOKENS: Final = 'token-count'
+#: In a caller's request: the parts of the prompt in order, as ID:TOKENS
+#: separated by commas. The last part is the request's or its session's own.
+HEADER_PARTS: Final = 'prompt-prefix'
 HEADER_URGENCY: Final = 'request-urgency'
 HEADER_HINT: Final = 'length-hint'
 HEADER_RESUME_FROM: Final = 'kv-from'
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -18,7 +18,7 @@
     is_quarantined,
     list_crashes,
 )
-from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.identity import Fingerprint, Identity
 from cartdale.quarantine.publishing import describe, select_news
 from cartdale.quarantine.types import (
     Action,
@@ -137,26 +137,26 @@
         """Return whether a request is quarantined and sent to no upstream."""
         return is_quarantined(self.state, identity)
 
-    def is_suspect(self, identity: Identity) -> bool:
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request is quarantined or one crash short of it."""
-        return (
-            len(list_crashes(self.state, identity)) >= CRASHES_TO_QUARANTINE - 1
-        )
+        crashes = list_crashes(self.state, fingerprint.identity)
+        return len(crashes) >= CRASHES_TO_QUARANTINE - 1
 
     def time_left(self, identity: Identity) -> Millis:
         """Return the time until the quarantine ends without new evidence."""
         return max(find_expiry(self.state, identity) - self._clock.now(), 0)
 
     def find_refusal(
-        self, identity: Identity, request_id: str
+        self, fingerprint: Fingerprint, request_id: str
     ) -> NotRun | None:
         """Return the refusal of a quarantined request, otherwise ``None``."""
-        if not self.is_quarantined(identity):
+        if not self.is_quarantined(fingerprint.identity):
             return None
-        return self.refuse(identity, request_id)
+        return self.refuse(fingerprint, request_id)
 
-    def refuse(self, identity: Identity, request_id: str) -> NotRun:
+    def refuse(self, fingerprint: Fingerprint, request_id: str) -> NotRun:
         """Return the problem sent to the caller of a quarantined request."""
+        identity = fingerprint.identity
         left = self.time_left(identity)
         logger.info(
             'request barred',
@@ -184,8 +184,9 @@
         if events <= EVENTS_PAST_START:
             self.dispatch(ended)
 
-    def record_survival(self, identity: Identity) -> None:
+    def record_survival(self, fingerprint: Fingerprint) -> None:
         """Record that a request ran without crashing its upstream."""
+        identity = fingerprint.identity
         now = self._clock.now()
         self._ran_at_by_identity[identity] = now
         self._ran_at_by_identity.move_to_end(identity)
@@ -205,9 +206,9 @@
         self._message_count += 1
         return select_news(self.state, self._clock.now(), self._message_count)
 
-    def guard(self, identity: Identity) -> Guard:
+    def guard(self, fingerprint: Fingerprint) -> Guard:
         """Return a guard that cancels work for a request."""
-        return Guard(identity, self._guards_by_identity)
+        return Guard(fingerprint.identity, self._guards_by_identity)
 
     def forget(self) -> None:
         """Drop expired evidence, at most once per interval."""
--- a/src/cartdale/quarantine/run_tracking.py
+++ b/src/cartdale/quarantine/run_tracking.py
@@ -3,7 +3,7 @@
 from cartdale.clock import Millis
 from cartdale.problems.types import NotRun
 from cartdale.quarantine.driver import Quarantine
-from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.identity import Fingerprint
 from cartdale.quarantine.types import Crash, UpstreamEnded
 
 
@@ -14,16 +14,16 @@
     """
 
     def __init__(
-        self, quarantine: Quarantine, identity: Identity, name: str
+        self, quarantine: Quarantine, fingerprint: Fingerprint, name: str
     ) -> None:
         self._quarantine = quarantine
-        self._identity = identity
+        self._fingerprint = fingerprint
         self._name = name
         self._sent_at: Millis = 0
 
     def find_refusal(self) -> NotRun | None:
         """Return the refusal of a quarantined request, otherwise ``None``."""
-        return self._quarantine.find_refusal(self._identity, self._name)
+        return self._quarantine.find_refusal(self._fingerprint, self._name)
 
     def note_sent(self, now: Millis) -> None:
         """Record that a run was sent."""
@@ -35,10 +35,10 @@
         :param begun: number of tokens received; a run past its start is not
             counted as the cause.
         """
-        crash = Crash(self._identity, upstream)
+        crash = Crash(self._fingerprint.identity, upstream)
         ended = UpstreamEnded(crash, self._sent_at, begun=True)
         self._quarantine.record_crash(ended, begun)
 
     def note_ran_on(self) -> None:
         """Record that the run got a response or is past its start."""
-        self._quarantine.record_survival(self._identity)
+        self._quarantine.record_survival(self._fingerprint)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -61,9 +61,11 @@
         needs = make_request_needs(routed, frozenset(tried))
         pace = ports.fleet.pace(routed.service)
         waiting = _describe_wait(routed, needs, pace)
-        with quarantine.guard(routed.identity):
+        with quarantine.guard(routed.fingerprint):
             return await ports.admission.place(waiting)
-        refusal = quarantine.refuse(routed.identity, routed.request.request_id)
+        refusal = quarantine.refuse(
+            routed.fingerprint, routed.request.request_id
+        )
     return NoCapacity(refusal.retry_after, refusal.reason)
 
 
@@ -74,9 +76,9 @@
 
     Waits for pending crash probes if the request is a suspect.
     """
-    await ports.crash_prober.settle(routed.identity)
+    await ports.crash_prober.settle(routed.fingerprint)
     return ports.fleet.quarantine.find_refusal(
-        routed.identity, routed.request.request_id
+        routed.fingerprint, routed.request.request_id
     )
 
 
@@ -85,7 +87,7 @@
     logger.info(
         'taken back',
         request=routed.request.request_id,
-        identity=routed.identity.hex(),
+        identity=routed.fingerprint.identity.hex(),
         upstream=upstream,
     )
     return Withdrawn()
@@ -116,7 +118,8 @@
         request=routed.request.request_id,
         upstream=upstream.entry.upstream,
         customer=routed.customer,
-        identity=routed.identity.hex(),
+        identity=routed.fingerprint.identity.hex(),
+        parts=routed.fingerprint.format_parts(),
         route=routed.route.name,
         version=ports.fleet.table.version,
         waited=now - routed.arrived_at,
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -13,7 +13,7 @@
 from cartdale.clock import Millis
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.identity import Fingerprint
 from cartdale.quarantine.types import Crash, UpstreamEnded
 from cartdale.relay.types import UpstreamPort
 from cartdale.switches import Mechanism
@@ -27,14 +27,14 @@
 class BrokenLink:
     """Describe a link that broke while it carried a request.
 
-    :param identity: identity of the request.
+    :param fingerprint: fingerprint of the request.
     :param sent_at: when the request was sent over the link.
     :param events: events received over this link; 0 for a plain request.
     :param begun: whether the response head was received.
     """
 
     request_id: str
-    identity: Identity
+    fingerprint: Fingerprint
     upstream: UpstreamEntry
     sent_at: Millis
     events: int = 0
@@ -76,15 +76,18 @@
             return
         self._probes_by_upstream[name] = pending
 
-    async def settle(self, identity: Identity) -> None:
+    async def settle(self, fingerprint: Fingerprint) -> None:
         """Wait for the pending probes that concern a suspect request.
 
         Otherwise the next attempt could be sent before their result is known.
         """
-        if not self._fleet.quarantine.is_suspect(identity):
+        if not self._fleet.quarantine.is_suspect(fingerprint):
             return
+        identity = fingerprint.identity
         for pending in tuple(self._probes_by_upstream.values()):
-            if any(link.identity == identity for link in pending.links):
+            if any(
+                link.fingerprint.identity == identity for link in pending.links
+            ):
                 await pending.ended.wait()
 
     async def run(self) -> None:
@@ -102,7 +105,8 @@
             logger.info(
                 'link broke',
                 request=link.request_id,
-                identity=link.identity.hex(),
+                identity=link.fingerprint.identity.hex(),
+                parts=link.fingerprint.format_parts(),
                 upstream=upstream.upstream,
                 events=link.events,
                 begun=link.begun,
@@ -115,9 +119,10 @@
     def _suspect(self, link: BrokenLink) -> None:
         """Record an upstream's crash for a request whose link broke."""
         enabled = self._fleet.switches.is_enabled(Mechanism.QUARANTINE)
-        if not (enabled and link.identity):
+        identity = link.fingerprint.identity
+        if not (enabled and identity):
             return
         upstream = link.upstream
-        crash = Crash(link.identity, upstream.upstream, upstream.born)
+        crash = Crash(identity, upstream.upstream, upstream.born)
         ended = UpstreamEnded(crash, link.sent_at, link.begun)
         self._fleet.quarantine.record_crash(ended, link.events)
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -59,7 +59,7 @@
         self._ports.crash_prober.probe(
             BrokenLink(
                 request_id=self._routed.request.request_id,
-                identity=self._routed.identity,
+                fingerprint=self._routed.fingerprint,
                 upstream=self._upstream,
                 sent_at=self._began_at,
                 events=self._events,
@@ -68,4 +68,4 @@
         )
 
     def _record_survival(self) -> None:
-        self._ports.fleet.quarantine.record_survival(self._routed.identity)
+        self._ports.fleet.quarantine.record_survival(self._routed.fingerprint)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -215,7 +215,7 @@
         """Send a request and read its response, unless the engine lost it."""
         self._sent = True
         self._link.begin(call.upstream)
-        guard = self._ports.fleet.quarantine.guard(self._routed.identity)
+        guard = self._ports.fleet.quarantine.guard(self._routed.fingerprint)
         ended: LinkEnd | None = None
         with guard:
             ended = await self._await_response(call, guard)
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -11,7 +11,7 @@
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import EngineReport, UpstreamEntry
-from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.identity import Fingerprint
 from cartdale.routes.types import Route, ServiceSpec
 
 #: Time for which an upstream may be silent and go on as before.
@@ -36,6 +36,9 @@
     :param last_event: id of the last event that the caller has from a broken
         stream; empty for a request from the start.
     :param headers: headers forwarded to the upstream unchanged.
+    :param shared_parts: names of the parts of the prompt that other requests
+        may share, in prompt order; the last part, the request's own, is left
+        out.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     max_tokens: int = 0
     expected_tokens: int = 0
     last_event: bytes = b''
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
@@ -65,7 +69,7 @@
     :param priority: 0 is the most urgent.
     :param ends_at: time limit of the caller or the route.
     :param domains: failure domains that it may enter; ``None`` for all.
-    :param identity: digest shared by all submissions of the same request.
+    :param fingerprint: identifies all submissions of the same request.
     """
 
     request: CallerRequest
@@ -76,7 +80,7 @@
     arrived_at: Millis
     ends_at: Millis
     domains: frozenset[str] | None = None
-    identity: Identity = b''
+    fingerprint: Fingerprint = Fingerprint(b'')
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/streams/answers.py
+++ b/src/cartdale/streams/answers.py
@@ -4,7 +4,7 @@
 
 from cartdale.engines.types import GenerationRequest
 from cartdale.problems.types import EndedEarly, OutcomeUnknown, Problem
-from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.identity import Fingerprint
 from cartdale.reports.types import Outcome
 from cartdale.routing.types import Work
 from cartdale.streams.position import Position
@@ -15,7 +15,7 @@
     """A caller's request for a streamed response.
 
     :param position: resume position, for a resumed response.
-    :param identity: digest that all submissions of the same request share.
+    :param fingerprint: identifies all submissions of the same request.
     """
 
     work: Work
@@ -24,7 +24,7 @@
     customer: str
     body_digest: str
     position: Position | None = None
-    identity: Identity = b''
+    fingerprint: Fingerprint = Fingerprint(b'')
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/streams/driver.py
+++ b/src/cartdale/streams/driver.py
@@ -88,7 +88,9 @@
         self._pending_chunks: list[Chunk] = []
         self._ending: Completed | Broken | None = None
         self._run_tracker = RunTracker(
-            ports.quarantine, request.identity, request.generation.generation
+            ports.quarantine,
+            request.fingerprint,
+            request.generation.generation,
         )
         self._meter = ports.recorder.make_meter(
             request.work.service, request.customer
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -6,7 +6,7 @@
 from cartdale.clock import VirtualClock
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
-from cartdale.quarantine.identity import identify
+from cartdale.quarantine.identity import Fingerprint, identify
 from cartdale.relay.crash_probes import BrokenLink, CrashProber
 from tests.platform_stage import count_runs, make_headers, open_platform, until
 
@@ -63,7 +63,7 @@
         nursery.start_soon(crash_prober.run)
         for number in range(3):
             crash_prober.probe(
-                BrokenLink(f'r{number}', b'i', UPSTREAM, 0, number)
+                BrokenLink(f'r{number}', Fingerprint(b'i'), UPSTREAM, 0, number)
             )
         await trio.sleep(1)
         nursery.cancel_scope.cancel()
