--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -228,7 +228,7 @@
     async def _open(self, call: UpstreamCall) -> LinkEnd:
         """Send a request and read its response, unless the engine lost it."""
         self._link.begin(call.upstream)
-        guard = self._ports.fleet.quarantine.guard(self._routed.identity)
+        guard = self._ports.fleet.quarantine.guard(self._routed.fingerprint)
         ended: LinkEnd | None = None
         with guard:
             ended = await self._await_response(call, guard)
