Test: a prompt part that crashes engines, over sockets

Callers saw engines crash one after another, each as it began to write an answer on a request of which no two were alike: all prompts held one part. Nothing reads `Prompt-Prefix`, so that evidence against each stays at one.

The stand-in engine ends as it begins to answer on one of `crashing_parts` anywhere but last in the prompt: its head goes out, no event follows.

Six tests with twelve engines that are back after 2 s, four instances and a new request with the part each 0.5 s: first in the prompt, behind one shared part, behind two, two such parts at once, beside restarts of instances, and after a time in which the part was harmless. Checked: at most three requests with the part arrive at engines later than 3 s after the fifth crash, and from 6 s after it sound requests of the same route, key and other parts are whole at the first attempt at least half as often as before the first crash.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -26,6 +26,7 @@
     LinkCutError,
     PlatformWorker,
     read_body,
+    read_parts,
     reject,
 )
 
@@ -156,7 +157,7 @@
         await self._back_up(request_id)
         if vanishes:
             await trio.sleep_forever()
-        deadly = await read_body() in self.crashes.crashing_bodies
+        deadly = self.crashes.is_deadly(await read_body(), read_parts())
         response = self._begin(request_id, made, deadly=deadly)
         try:
             await self._wait_for_headers()
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -50,6 +50,8 @@
     :param crashing_bodies: bodies that end it as it begins to run them.
     :param crashing_on_receipt: bodies that end an engine as it receives them,
         before any response, whatever their headers ask for.
+    :param crashing_parts: ids of prompt parts that end an engine as it begins
+        to write an answer on one, unless it is the last of the prompt.
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param crashed_by: ids of the requests that ended it, in order.
@@ -60,6 +62,7 @@
 
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashing_on_receipt: set[bytes] = field(default_factory=set)
+    crashing_parts: set[str] = field(default_factory=set)
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     crashed_by: list[str] = field(default_factory=list)
@@ -67,6 +70,16 @@
     on_crash: Callable[[], None] | None = None
     on_restart: Callable[[], None] | None = None
 
+    def is_deadly(self, body: bytes, parts: list[str]) -> bool:
+        """Return whether an engine ends as it begins to run a request.
+
+        :param parts: ids of its prompt's parts, in order.
+        """
+        return (
+            body in self.crashing_bodies
+            or not self.crashing_parts.isdisjoint(parts[:-1])
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RecordedRequest:
@@ -239,3 +252,9 @@
     """Return the body of the current request."""
     body = await request.get_data(as_text=False)
     return body if isinstance(body, bytes) else body.encode()
+
+
+def read_parts() -> list[str]:
+    """Return the ids of the parts of the current request's prompt."""
+    parts = request.headers.get('Prompt-Prefix', '').split(',')
+    return [each.partition(':')[0] for each in parts]
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,317 @@
+"""A prompt part that crashes each engine which begins to answer on it.
+
+Guards against a failure in which engines crashed for minutes, each as it began
+to answer a new request: no two of these requests were alike, but all of their
+prompts held one part. Sound requests shared their customer, their first part
+and all other parts.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from itertools import count
+from math import inf
+
+import httpx
+import trio
+
+from cartdale_standins.platform_engine import STRIDE
+from tests.fault_soak.checks import CONTACT_SECONDS
+from tests.platform_stage import (
+    PlatformStage,
+    make_draft,
+    open_platform,
+    until,
+    whole,
+)
+
+DEADLY = 'dead0001'
+OTHER_DEADLY = 'dead0002'
+FIRST = '5c1e07a2'
+SECOND = '91bd3f06'
+#: Part of sound prompts and of deadly ones.
+COMMON = 'c0110001'
+#: First part of sound prompts where the deadly part comes first.
+OTHER_FIRST = '7700aa11'
+INSTANCES = 4
+ENGINES = 12
+DOWN_SECONDS = 2.0
+#: Between two deadly requests, and between two sound ones.
+DEADLY_PAUSE = 0.5
+SOUND_PAUSE = 0.1
+#: Events of each answer; so few that it gets no backup.
+EVENTS = 15
+TOKENS = EVENTS * STRIDE
+#: Tokens of each part of a prompt.
+PART_TOKENS = 10
+#: Crashes after which a part is to be refused.
+CRASHES_TO_REFUSE = 5
+#: Requests with the part that may reach engines once all instances know.
+MOST_LATE = 3
+#: Share of the sound requests served before that must be served again.
+MIN_RELATIVE_SHARE = 0.5
+#: Sound requests of each time from which on their shares are compared.
+MIN_SOUND = 20
+#: Time in which sound requests are counted, before and after, and in which the
+#: last of them are answered.
+COUNTED_SECONDS = 2.5
+ANSWERED_SECONDS = 1.0
+
+
+@dataclass
+class SoundRequest:
+    """Hold when a sound request was sent, and whether it was served."""
+
+    sent_at: float
+    served: bool = False
+
+
+@dataclass
+class Callers:
+    """Send requests at all instances in turn, no two alike.
+
+    :param instances: numbers of those that are not stopped.
+    """
+
+    stage: PlatformStage
+    instances: list[int]
+    sound: list[SoundRequest] = field(default_factory=list)
+    #: The deadly part of each request that holds one, by its id.
+    deadly_by_request: dict[str, str] = field(default_factory=dict)
+    _numbers: count = field(default_factory=count)
+
+    async def send_sound(self, parts: tuple[str, ...]) -> None:
+        """Send requests that no engine crashes on, for ever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self._send_sound, parts)
+                await trio.sleep(SOUND_PAUSE)
+
+    async def send_harmless(self, parts: tuple[str, ...]) -> None:
+        """Send requests that engines will crash on later."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self._send, next(self._numbers), parts)
+                await trio.sleep(SOUND_PAUSE)
+
+    async def send_deadly(self, parts: tuple[str, ...]) -> None:
+        """Send requests that crash an engine each, for ever."""
+        deadly = next(each for each in parts if each in {DEADLY, OTHER_DEADLY})
+        async with trio.open_nursery() as nursery:
+            while True:
+                number = next(self._numbers)
+                self.deadly_by_request[f'r{number}'] = deadly
+                nursery.start_soon(self._send, number, parts)
+                await trio.sleep(DEADLY_PAUSE)
+
+    def list_crashes(self, part: str) -> list[float]:
+        """Return when engines crashed on a part."""
+        return sorted(
+            at
+            for engine in self.stage.engines
+            for name, at in zip(
+                engine.crashes.crashed_by,
+                engine.crashes.crashed_at,
+                strict=True,
+            )
+            if self.deadly_by_request.get(name) == part
+        )
+
+    def find_deciding(self, part: str) -> float:
+        """Return when the fifth engine crashed, or the last if fewer did."""
+        crashes = self.list_crashes(part)[:CRASHES_TO_REFUSE]
+        return crashes[-1] if crashes else inf
+
+    def count_late(self, part: str) -> int:
+        """Count what reached engines with a part that all must refuse."""
+        if len(self.list_crashes(part)) < CRASHES_TO_REFUSE:
+            return 0
+        known_at = self.find_deciding(part) + CONTACT_SECONDS
+        return sum(
+            self.deadly_by_request.get(arrival.request_id) == part
+            for engine in self.stage.engines
+            for arrival in engine.arrivals
+            if arrival.at > known_at
+        )
+
+    def find_share(self, since: float) -> float:
+        """Return the share served of the sound requests from some time on."""
+        end = since + COUNTED_SECONDS
+        served = [
+            each.served for each in self.sound if since <= each.sent_at <= end
+        ]
+        assert len(served) >= MIN_SOUND
+        return sum(served) / len(served)
+
+    async def _send_sound(self, parts: tuple[str, ...]) -> None:
+        sent = SoundRequest(trio.current_time())
+        self.sound.append(sent)
+        number = next(self._numbers)
+        answer = await self._send(number, parts)
+        sent.served = answer is not None and (
+            answer.content == whole(f'r{number}', EVENTS)
+        )
+
+    async def _send(
+        self, number: int, parts: tuple[str, ...]
+    ) -> httpx.Response | None:
+        """Send a request with a body and a last part of its own, once."""
+        prompt = (*parts, f'{number:08x}')
+        headers = {
+            **make_draft(f'r{number}', TOKENS),
+            'Token-Count': f'{len(prompt) * PART_TOKENS},{TOKENS}',
+            'Prompt-Prefix': ','.join(f'{id_}:{PART_TOKENS}' for id_ in prompt),
+        }
+        instance = self.instances[number % len(self.instances)]
+        try:
+            return await self.stage.client.post(
+                self.stage.url('/draft/a', instance),
+                headers=headers,
+                content=f'brief {number}'.encode(),
+            )
+        except httpx.TransportError:
+            return None
+
+
+@dataclass(frozen=True)
+class Course:
+    """Say what is sent; each request adds a last part of its own.
+
+    :param sound: parts of sound prompts.
+    :param deadly: those of prompts that crash engines, one for each caller.
+    :param harmless_before: whether sound prompts have these parts too until
+        engines begin to crash on them.
+    :param meanwhile: is run beside the callers.
+    """
+
+    sound: tuple[str, ...]
+    deadly: tuple[tuple[str, ...], ...]
+    harmless_before: bool = False
+    meanwhile: Callable[[Callers], Awaitable[None]] | None = None
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Hold what is bounded.
+
+    :param late: requests with a deadly part that reached engines too late, the
+        most of any part.
+    :param before: share of the sound requests that was served before all.
+    :param after: the same from the time on by which all instances know.
+    """
+
+    late: int
+    before: float
+    after: float
+
+
+async def play(course: Course) -> Outcome:
+    """Send sound requests, then deadly ones beside them."""
+    async with open_platform(
+        engines=ENGINES, plains=0, instances=INSTANCES, proxied=True
+    ) as stage:
+        callers = Callers(stage, list(range(INSTANCES)))
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.send_sound, course.sound)
+            await send_before(course, callers)
+            counted_from = await send_deadly(course, callers)
+            nursery.cancel_scope.cancel()
+        return Outcome(
+            max(callers.count_late(each) for each in (DEADLY, OTHER_DEADLY)),
+            callers.find_share(began_at),
+            callers.find_share(counted_from),
+        )
+
+
+async def send_before(course: Course, callers: Callers) -> None:
+    """Send what engines don't crash on."""
+    async with trio.open_nursery() as nursery:
+        if course.harmless_before:
+            for parts in course.deadly:
+                nursery.start_soon(callers.send_harmless, parts)
+        await trio.sleep(COUNTED_SECONDS)
+        nursery.cancel_scope.cancel()
+    await trio.sleep(ANSWERED_SECONDS)
+
+
+async def send_deadly(course: Course, callers: Callers) -> float:
+    """Send what engines crash on; return from when sound ones are counted."""
+    parts = (DEADLY, OTHER_DEADLY)[: len(course.deadly)]
+    for engine in callers.stage.engines:
+        engine.crashes.down_seconds = DOWN_SECONDS
+        engine.crashes.crashing_parts.update(parts)
+
+    def find_counted_from() -> float:
+        deciding = max(callers.find_deciding(each) for each in parts)
+        return deciding + 2 * CONTACT_SECONDS
+
+    async with trio.open_nursery() as nursery:
+        for deadly in course.deadly:
+            nursery.start_soon(callers.send_deadly, deadly)
+        if course.meanwhile is not None:
+            nursery.start_soon(course.meanwhile, callers)
+        needed = COUNTED_SECONDS + ANSWERED_SECONDS
+        await until(lambda: trio.current_time() > find_counted_from() + needed)
+        nursery.cancel_scope.cancel()
+    return find_counted_from()
+
+
+async def restart_instances(callers: Callers) -> None:
+    """Restart one instance after the second crash, and one after the third."""
+    await restart_after(callers, crashes=2, number=0)
+    await restart_after(callers, crashes=3, number=1)
+
+
+async def restart_after(callers: Callers, crashes: int, number: int) -> None:
+    await until(lambda: len(callers.list_crashes(DEADLY)) >= crashes)
+    stage = callers.stage
+    callers.instances.remove(number)
+    stage.scopes[number].cancel()
+    started = len(stage.runtimes)
+    stage.add_instance()
+    await stage.settle()
+    callers.instances.append(started)
+
+
+async def check(course: Course) -> None:
+    outcome = await play(course)
+    assert outcome.late <= MOST_LATE
+    assert outcome.after >= MIN_RELATIVE_SHARE * outcome.before
+
+
+async def test_part_that_comes_first_is_refused() -> None:
+    deadly = (DEADLY, COMMON)
+    await check(Course(sound=(OTHER_FIRST, COMMON), deadly=(deadly,)))
+
+
+async def test_part_behind_a_shared_first_one_is_refused() -> None:
+    deadly = (FIRST, DEADLY, COMMON)
+    await check(Course(sound=(FIRST, COMMON), deadly=(deadly,)))
+
+
+async def test_part_behind_two_shared_ones_is_refused() -> None:
+    deadly = (FIRST, SECOND, DEADLY)
+    await check(Course(sound=(FIRST, SECOND), deadly=(deadly,)))
+
+
+async def test_two_parts_are_refused_at_once() -> None:
+    deadly = ((FIRST, DEADLY, COMMON), (FIRST, COMMON, OTHER_DEADLY))
+    await check(Course(sound=(FIRST, COMMON), deadly=deadly))
+
+
+async def test_part_is_refused_by_restarted_instances_too() -> None:
+    course = Course(
+        sound=(FIRST, COMMON),
+        deadly=((FIRST, DEADLY, COMMON),),
+        meanwhile=restart_instances,
+    )
+    await check(course)
+
+
+async def test_part_that_was_harmless_is_refused() -> None:
+    course = Course(
+        sound=(FIRST, COMMON),
+        deadly=((FIRST, DEADLY, COMMON),),
+        harmless_before=True,
+    )
+    await check(course)
