Fault soak: requests that end engines though no two are alike

Soaks missed both failures: no two of their deadly requests shared a part, and no engine ended as it received a request that was long enough for a backup.

`--parts` adds two kinds of request in turn, drawn from a generator of its own: distinct ones whose prompts share a deadly part, counted as other deadly requests are but from the fifth end on, and ones that end an engine before any response, of which each may be received by one engine. All prompts, those of sound requests too, then begin with the same part. Without the option no draw is added; that was read, not measured.

--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -143,6 +143,9 @@
         if asked.kind in STREAMS:
             headers['Token-Count'] = f'40,{asked.tokens}'
             headers['Length-Hint'] = str(asked.tokens)
+        if asked.kind in STREAMS and self._soak.first_part:
+            own = asked.name.partition('-')[2]
+            headers['Prompt-Prefix'] = f'{self._soak.first_part}:30,{own}:10'
         if asked.after:
             headers['Last-Event-Id'] = str(asked.after)
         method = 'GET' if asked.kind == 'look' else 'POST'
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -113,6 +113,12 @@
             if late > MOST_LATE:
                 self._add(f'{body.decode()}: ended {late} upstreams too many')
 
+    def check_received(self, name: str, runs: int) -> None:
+        """Check a request that ends each engine as it receives it."""
+        self.ends[f'deadly on receipt, {runs} received'] += 1
+        if runs > 1:
+            self._add(f'{name}: received by {runs} engines, ended each')
+
     def check_twice(self, running: Counter[str], now: float) -> None:
         """Check that no generation runs at two engines for long."""
         for name in tuple(self._twice_since):
--- a/tests/fault_soak/deadly.py
+++ b/tests/fault_soak/deadly.py
@@ -40,13 +40,20 @@
 
 @dataclass
 class DeadlyRequest:
-    """Hold what became of one request that ends upstreams."""
+    """Hold what became of one request that ends upstreams.
+
+    :param crashes: upstreams that may end before it is refused everywhere.
+    :param prompt: parts that its prompts share, as their header names them, if
+        these end upstreams: then no two submissions are alike otherwise.
+    """
 
     body: bytes
+    crashes: int = CRASHES_TO_QUARANTINE
+    prompt: str = ''
     submissions: list[Submission] = field(default_factory=list)
 
     def count_late(self, ends_by_name: dict[str, list[float]]) -> int:
-        """Count ends by what was submitted after the third was known.
+        """Count ends by what was submitted after the deciding was known.
 
         :param ends_by_name: when upstreams ended, by the submission.
         """
@@ -55,11 +62,9 @@
             for each in self.submissions
             for at in ends_by_name.get(each.name, ())
         )
-        if len(ends) < CRASHES_TO_QUARANTINE:
+        if len(ends) < self.crashes:
             return 0
-        known = (
-            ends[CRASHES_TO_QUARANTINE - 1] + CONTACT_SECONDS + SLACK_SECONDS
-        )
+        known = ends[self.crashes - 1] + CONTACT_SECONDS + SLACK_SECONDS
         return sum(
             len(ends_by_name.get(each.name, ()))
             for each in self.submissions
@@ -91,7 +96,7 @@
                 while True:
                     await trio.sleep(soak.random.uniform(*_PAUSE))
                     instance = soak.random.choice(soak.instances)
-                    await self._submit(request, kind, instance, client)
+                    await self.send(request, kind, instance, client)
 
     def count_late(self) -> dict[bytes, int]:
         """Return how many upstreams ended later than allowed, by request."""
@@ -106,26 +111,32 @@
             each.body: each.count_late(ends_by_name) for each in self.requests
         }
 
-    async def _submit(
+    async def send(
         self,
         request: DeadlyRequest,
         kind: str,
         instance: Instance,
         client: httpx.AsyncClient,
     ) -> None:
+        """Submit a deadly request once."""
         now = trio.current_time()
         calm = instance.disturbed_at < now - CONTACT_SECONDS - SLACK_SECONDS
-        name = f'deadly-{self._soak.next_number()}'
+        number = self._soak.next_number()
+        name = f'deadly-{number}'
         request.submissions.append(Submission(name, now, calm))
         headers = make_headers(name)
         if kind in STREAMS:
             headers['Token-Count'] = '40,400'
+        body = request.body
+        if request.prompt:
+            headers['Prompt-Prefix'] = f'{request.prompt},{number:x}:10'
+            body = name.encode()
         try:
             await client.request(
                 _METHODS_BY_KIND[kind],
                 f'{instance.caller_url}/{kind}/',
                 headers=headers,
-                content=request.body,
+                content=body,
             )
         except httpx.TransportError:
             # Its engine ended, or its instance did.
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -33,6 +33,7 @@
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.limits import Limits
 from tests.fault_soak.notices import check_notices
+from tests.fault_soak.parts import FIRST_PART, Parts
 from tests.fault_soak.paths import Paths
 from tests.fault_soak.proxy import LOCAL, FaultProxy
 from tests.fault_soak.watch import DOMAINS, Upstream, Watch
@@ -61,6 +62,7 @@
     :param mutant: fault of the program that must be found; empty for none.
     :param limits: whether upstreams name rate limits beside all else.
     :param paths: whether instances lose their paths to upstreams beside it.
+    :param parts: whether requests end engines though no two of them are alike.
     """
 
     def __init__(
@@ -72,10 +74,12 @@
         *,
         limits: bool = False,
         paths: bool = False,
+        parts: bool = False,
     ) -> None:
         self.random = Random(seed)
         self._limits = Limits(self, seed) if limits else None
         self._paths = Paths(self, seed) if paths else None
+        self._parts = Parts(self, seed) if parts else None
         self.checks = Checks()
         self.faults: Counter[str] = Counter()
         self._timeline: list[str] = []
@@ -96,6 +100,11 @@
         self._mutant = mutant
         self._numbers = iter(range(10**9))
 
+    @property
+    def first_part(self) -> str:
+        """Return the first part of all prompts; empty for none."""
+        return '' if self._parts is None else FIRST_PART
+
     async def run(self, seconds: float) -> None:
         """Disturb the system for some time and check what must hold."""
         async with trio.open_nursery() as nursery:
@@ -121,6 +130,8 @@
             self._limits.check()
         if self._paths is not None:
             self._paths.check()
+        if self._parts is not None:
+            self._parts.check(runs)
         self.checks.check_deadly(self.deadly_callers.count_late())
 
     async def wait_ready(self, seconds: float) -> None:
@@ -174,6 +185,8 @@
         else:
             worker = PlatformWorker(name)
         worker.crashes.crashing_bodies.update(self.deadly)
+        if self._parts is not None:
+            worker.crashes.crashing_parts.update(self._parts.deadly)
         self.nursery.start_soon(proxy.run)
         self.nursery.start_soon(worker.run)
         self.nursery.start_soon(bound.serve, worker.make_app(), trio.Event())
@@ -220,6 +233,8 @@
                     callers.start_soon(self._limits.run, asking, stopping)
                 if self._paths is not None:
                     callers.start_soon(self._paths.run, asking, stopping)
+                if self._parts is not None:
+                    callers.start_soon(self._parts.run, stopping)
                 await Faults(self).disturb()
             stopping.set()
         # What was refused must not run later either.
@@ -256,9 +271,16 @@
     mutant: str,
     limits: bool,
     paths: bool,
+    parts: bool,
 ) -> FaultSoak:
     soak = FaultSoak(
-        seed, folder, instances, mutant, limits=limits, paths=paths
+        seed,
+        folder,
+        instances,
+        mutant,
+        limits=limits,
+        paths=paths,
+        parts=parts,
     )
     await soak.run(seconds)
     return soak
@@ -272,6 +294,7 @@
     *,
     limits: bool = False,
     paths: bool = False,
+    parts: bool = False,
 ) -> FaultSoak:
     """Run one seed and return what it saw."""
     with tempfile.TemporaryDirectory() as folder:
@@ -286,6 +309,7 @@
                 mutant,
                 limits,
                 paths,
+                parts,
             )
             failed = bool(soak.checks.violations)
         finally:
@@ -324,6 +348,7 @@
             options.mutant,
             limits=options.limits,
             paths=options.paths,
+            parts=options.parts,
         )
         faults.update(soak.faults)
         ends.update(soak.checks.ends)
@@ -346,6 +371,7 @@
     parser.add_argument('--mutant', default='')
     parser.add_argument('--limits', action='store_true')
     parser.add_argument('--paths', action='store_true')
+    parser.add_argument('--parts', action='store_true')
     return parser.parse_args()
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -14,6 +14,7 @@
 
 from tests.fault_soak.checks import Asked, Checks
 from tests.fault_soak.cut_network import Cuts, CutStream
+from tests.fault_soak.deadly import DeadlyRequest, Submission
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.ports import find_outgoing_ports, reserve_ports
 from tests.fault_soak.proxy import LOCAL, FaultProxy
@@ -33,6 +34,9 @@
 #: Instances lose their paths to upstreams beside all else.
 SEED_WITH_PATHS = 9602
 PATHS_SECONDS = 15
+#: Requests end engines, no two of them alike, beside all else.
+SEED_WITH_PARTS = 9701
+PARTS_SECONDS = 30
 LONGER_SECONDS = 25
 
 
@@ -60,6 +64,35 @@
     assert soak.faults['paths refuse']
 
 
+def test_soak_with_deadly_parts_breaks_no_promise() -> None:
+    soak = run_seed(SEED_WITH_PARTS, PARTS_SECONDS, parts=True)
+    assert not soak.checks.violations
+    assert soak.faults['deadly part']
+    assert soak.faults['deadly on receipt']
+
+
+def test_checks_tell_deadly_requests_that_reach_too_many() -> None:
+    checks = Checks()
+    checks.check_received('r1', 0)
+    checks.check_received('r2', 1)
+    assert not checks.violations
+    checks.check_received('r3', 2)
+    assert len(checks.violations) == 1
+
+
+def test_ends_by_a_part_are_counted_from_the_fifth_on() -> None:
+    early = [Submission(f'early-{at}', at, calm=True) for at in range(5)]
+    late = [Submission(f'late-{at}', at, calm=True) for at in (8, 9, 10)]
+    disturbed = Submission('late-11', 11, calm=False)
+    submissions = [*early, *late, disturbed]
+    ends_by_name = {each.name: [each.at] for each in submissions}
+    request = DeadlyRequest(b'', crashes=5, submissions=submissions)
+    # The fifth is at 4 s, which is known at 8.5 s.
+    assert request.count_late(ends_by_name) == 2
+    ends_by_name.pop('early-3')
+    assert request.count_late(ends_by_name) == 0
+
+
 def test_checks_tell_callers_of_cut_instances_that_are_not_served() -> None:
     checks = Checks()
     checks.check_paths('cut', [True] * 18 + [False], [True] * 40)
