Test: requests with a deadly part that overlap

Engines read a prompt before they begin to write, so that the next request with the part is sent before the one before it has crashed its engine. Evidence that counts only crashes in sequence then sees fewer of them.

The stand-in engine can take time before it ends (`reading_seconds`); two more tests over sockets use 0.8 s at a request each 0.5 s, one with a part that was harmless before.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -239,7 +239,10 @@
         """Begin an answer, and end."""
         yield b''
         # Its head goes out first, as from an engine that reads a prompt.
-        await trio.sleep(_POLL_SECONDS)
+        born = self.crashes.born
+        await trio.sleep(max(self.crashes.reading_seconds, _POLL_SECONDS))
+        if self.dead or self.crashes.born != born:
+            raise LinkCutError
         self.crash(request_id)
         await trio.sleep_forever()
 
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -52,6 +52,8 @@
         before any response, whatever their headers ask for.
     :param crashing_parts: ids of prompt parts that end an engine as it begins
         to write an answer on one, unless it is the last of the prompt.
+    :param reading_seconds: time that an engine takes from the head of an answer
+        until it begins to write.
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param crashed_by: ids of the requests that ended it, in order.
@@ -63,6 +65,7 @@
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashing_on_receipt: set[bytes] = field(default_factory=set)
     crashing_parts: set[str] = field(default_factory=set)
+    reading_seconds: float = 0
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     crashed_by: list[str] = field(default_factory=list)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -55,6 +55,9 @@
 #: last of them are answered.
 COUNTED_SECONDS = 2.5
 ANSWERED_SECONDS = 1.0
+#: Longer than the pause, so that a request is sent before the one before it has
+#: crashed its engine.
+READING_SECONDS = 0.8
 
 
 @dataclass
@@ -180,12 +183,14 @@
     :param deadly: those of prompts that crash engines, one for each caller.
     :param harmless_before: whether sound prompts have these parts too until
         engines begin to crash on them.
+    :param reading_seconds: time that engines read before they crash.
     :param meanwhile: is run beside the callers.
     """
 
     sound: tuple[str, ...]
     deadly: tuple[tuple[str, ...], ...]
     harmless_before: bool = False
+    reading_seconds: float = 0
     meanwhile: Callable[[Callers], Awaitable[None]] | None = None
 
 
@@ -239,6 +244,7 @@
     parts = (DEADLY, OTHER_DEADLY)[: len(course.deadly)]
     for engine in callers.stage.engines:
         engine.crashes.down_seconds = DOWN_SECONDS
+        engine.crashes.reading_seconds = course.reading_seconds
         engine.crashes.crashing_parts.update(parts)
 
     def find_counted_from() -> float:
@@ -315,3 +321,22 @@
         harmless_before=True,
     )
     await check(course)
+
+
+async def test_part_is_refused_while_its_requests_overlap() -> None:
+    course = Course(
+        sound=(FIRST, COMMON),
+        deadly=((FIRST, DEADLY, COMMON),),
+        reading_seconds=READING_SECONDS,
+    )
+    await check(course)
+
+
+async def test_part_that_was_harmless_is_refused_while_they_overlap() -> None:
+    course = Course(
+        sound=(FIRST, COMMON),
+        deadly=((FIRST, DEADLY, COMMON),),
+        harmless_before=True,
+        reading_seconds=READING_SECONDS,
+    )
+    await check(course)
