Test: parts are blamed for crashes of requests that overlap

Two more scenarios, each on one and on three instances: twenty crashes 0.2 s apart, which is the fifth and the 3 s that platforms allow after it; in one the part was harmless until the first.

--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from itertools import permutations
+from types import MappingProxyType
 
 import pytest
 
@@ -126,6 +127,9 @@
     return list(crash(*shared, pause=takes // 10, count=10, name='lost'))
 
 
+#: Crashes so fast that requests overlap: from the first to the fifth, and for
+#: the time after it in which a part must be known.
+OVERLAPPING = MappingProxyType({'pause': 200, 'count': 20})
 #: Prompts that run on in most scenarios, before, between and after crashes.
 SOUND = ((FIRST, COMMON), (OTHER_FIRST, COMMON))
 SOUND_ACCEPTED = make_prompts(
@@ -266,6 +270,22 @@
         refused=WITH_DEADLY,
         accepted=SOUND_ACCEPTED,
     ),
+    Scenario(
+        'engines begin requests before earlier ones have crashed theirs',
+        order(serve(), crash((FIRST, DEADLY, COMMON), **OVERLAPPING)),
+        refused=WITH_DEADLY,
+        accepted=SOUND_ACCEPTED,
+    ),
+    Scenario(
+        'the same with a part that was harmless until then',
+        order(
+            serve(),
+            survive(FIRST, DEADLY, COMMON, until=MINUTE_MS),
+            crash((FIRST, DEADLY, COMMON), **OVERLAPPING),
+        ),
+        refused=WITH_DEADLY,
+        accepted=SOUND_ACCEPTED,
+    ),
     Scenario(
         'one crash',
         order(crash((FIRST, DEADLY), count=1)),
