--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -26,6 +26,7 @@
     LinkCutError,
     PlatformWorker,
     read_body,
+    read_parts,
     reject,
 )
 
@@ -156,7 +157,7 @@
         await self._back_up(request_id)
         if vanishes:
             await trio.sleep_forever()
-        deadly = await read_body() in self.crashes.crashing_bodies
+        deadly = self.crashes.is_deadly(await read_body(), read_parts())
         response = self._begin(request_id, made, deadly=deadly)
         try:
             await self._wait_for_headers()
@@ -238,7 +239,10 @@
         """Begin an answer, and end."""
         yield b''
         # Its head goes out first, as from an engine that reads a prompt.
-        await trio.sleep(_POLL_SECONDS)
+        born = self.crashes.born
+        await trio.sleep(max(self.crashes.reading_seconds, _POLL_SECONDS))
+        if self.dead or self.crashes.born != born:
+            raise LinkCutError
         self.crash(request_id)
         await trio.sleep_forever()
 
