Quarantine: hold back parts of prompts that crash upstreams

Engines ended one after another under requests of which no two are alike, but for one part of their prompts; streams of other callers were lost with each.

Cause: evidence was held by a digest of the whole request only. Each of these requests has one crash against it, however many there are.

Each crash is held against the shared parts of the request's prompt too, and told to peers, in the briefing and in the store's record with the request (no call more). A part is blamed after three crashes in sequence, each upstream having begun its request after the crash before, or five in all; a part that ran on within the minute before, after five in sequence since. Crashes that a likelier suspect explains don't count: one that never ran on, or a later part of the same prompt. Requests with a blamed part are refused, stop waiting, are withdrawn from engines where they have not begun, are not resumed, and are looked at once more as their first byte leaves. Evidence against whole requests stays as it was.

--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -60,6 +60,8 @@
                 self._advisories.find_backoff(self._request.upstream),
             )
         if self._permit is not None:
+            if self._permit.is_barred:
+                raise WithheldError('the request is quarantined')
             self._permit.use()
         self._counted = True
         self.sent_at = self._advisories.now()
--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import partial
 from typing import assert_never
 
 from cartdale.clock import Millis
@@ -20,6 +21,15 @@
     weigh,
 )
 from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.part_records import (
+    RecordsByPart,
+    add_crash_of_parts,
+    drop_expired_parts,
+    find_newest_of_part,
+    list_ended,
+    note_run_of_part,
+)
+from cartdale.quarantine.parts import find_blamed
 from cartdale.quarantine.types import (
     Action,
     Crash,
@@ -28,6 +38,7 @@
     Decision,
     Evidence,
     Message,
+    PartRanOn,
     Quarantined,
     QuarantineState,
     RanOn,
@@ -60,7 +71,12 @@
     after = _change(state, message, now)
     if after is state:
         return state, ()
-    return after, _list_actions(state, after, _list_affected(state, message))
+    after = _judge_parts(after)
+    affected = {
+        *_list_affected(state, message),
+        *(state.blamed_parts ^ after.blamed_parts),
+    }
+    return after, _list_actions(state, after, affected)
 
 
 def list_crashes(
@@ -71,30 +87,35 @@
 
 
 def is_quarantined(state: QuarantineState, identity: Identity) -> bool:
-    """Return whether a request is quarantined and sent to no upstream."""
+    """Return whether a request, or each with a part, is sent to no upstream."""
+    if identity in state.blamed_parts:
+        return True
     return len(list_crashes(state, identity)) >= CRASHES_TO_QUARANTINE
 
 
 def find_expiry(state: QuarantineState, identity: Identity) -> Millis:
-    """Return when the record of a request expires."""
+    """Return when the record of a request or a part expires."""
     record = state.records_by_identity.get(identity)
-    return EVIDENCE_RETENTION + find_newest(record) if record else 0
+    if record is not None:
+        return EVIDENCE_RETENTION + find_newest(record)
+    part = state.records_by_part.get(identity)
+    return EVIDENCE_RETENTION + find_newest_of_part(part) if part else 0
 
 
 def _change(
     state: QuarantineState, message: Message, now: Millis
 ) -> QuarantineState:
     match message:
-        case UpstreamEnded(crash=crash, sent_at=sent_at, begun=begun):
-            if begun:
-                crash = _distinguish_incarnation(state, crash, sent_at)
-            return _add(state, Evidence(crash, now), now)
+        case UpstreamEnded():
+            return _add(state, _make_evidence(state, message, now), now)
         case CrashesTold(crashes=crashes):
             for report in crashes:
                 state = _apply_report(state, report, now)
             return state
         case RanOn(identity=identity, ran_at=ran_at):
             return _note_run(state, identity, ran_at, now)
+        case PartRanOn(part=part, began_at=began_at):
+            return _note_part_run(state, part, began_at, now)
         case TimePassed():
             return _drop_expired(state, now)
         case _:
@@ -112,14 +133,27 @@
             return {report.identity for report in crashes}
         case RanOn(identity=identity):
             return (identity,)
+        case PartRanOn():
+            return ()
         case TimePassed():
             return state.records_by_identity.keys()
         case _:
             assert_never(message)
 
 
+def _make_evidence(
+    state: QuarantineState, ended: UpstreamEnded, now: Millis
+) -> Evidence:
+    crash = ended.crash
+    if ended.begun:
+        crash = _distinguish_incarnation(state, ended)
+    began_at = ended.sent_at if ended.began_at is None else ended.began_at
+    seen_at = now if ended.ended_at is None else ended.ended_at
+    return Evidence(crash, seen_at, began_at, ended.parts)
+
+
 def _distinguish_incarnation(
-    state: QuarantineState, crash: Crash, sent_at: Millis
+    state: QuarantineState, observed: UpstreamEnded
 ) -> Crash:
     """Return the crash with a start time distinct from earlier incarnations.
 
@@ -129,9 +163,13 @@
     alone proves nothing: a proxy in front of the upstream may accept and close
     it.
     """
+    crash, sent_at = observed.crash, observed.sent_at
     record = state.records_by_identity.get(crash.identity, _UNKNOWN)
-    ended = {each.crash for each in record.evidence if each.seen_at < sent_at}
-    while crash in ended:
+    ended = list_ended(state.records_by_part, observed.parts, sent_at)
+    for each in record.evidence:
+        if each.seen_at < sent_at:
+            ended.add((each.crash.upstream, each.crash.born))
+    while (crash.upstream, crash.born) in ended:
         crash = replace(crash, born=crash.born + 1)
     return crash
 
@@ -143,7 +181,14 @@
     if report.age >= EVIDENCE_RETENTION:
         return state
     crash = Crash(report.identity, report.upstream, report.born)
-    state = _add(state, Evidence(crash, now - report.age), now)
+    seen_at = now - report.age
+    parts = tuple(each.part for each in report.parts)
+    evidence = Evidence(crash, seen_at, seen_at - report.ran_for, parts)
+    state = _add(state, evidence, now)
+    for told in report.parts:
+        if told.ran_age is not None:
+            began_at = now - told.ran_age
+            state = _note_part_run(state, told.part, began_at, now)
     if report.ran_age is None:
         return state
     return _note_run(state, report.identity, now - report.ran_age, now)
@@ -154,9 +199,11 @@
 ) -> QuarantineState:
     identity = evidence.crash.identity
     record = state.records_by_identity.get(identity, _UNKNOWN)
-    return _bound(
+    after = _bound(
         _replace_record(state, identity, add_crash(record, evidence, now))
     )
+    by_part = add_crash_of_parts(state.records_by_part, evidence, now)
+    return _replace_parts(after, by_part)
 
 
 def _note_run(
@@ -173,7 +220,31 @@
 ) -> QuarantineState:
     if state.records_by_identity.get(identity) is record:
         return state
-    return QuarantineState({**state.records_by_identity, identity: record})
+    records = {**state.records_by_identity, identity: record}
+    return replace(state, records_by_identity=records)
+
+
+def _note_part_run(
+    state: QuarantineState, part: Identity, began_at: Millis, now: Millis
+) -> QuarantineState:
+    by_part = note_run_of_part(state.records_by_part, part, began_at, now)
+    return _replace_parts(state, by_part)
+
+
+def _replace_parts(
+    state: QuarantineState, by_part: RecordsByPart
+) -> QuarantineState:
+    if by_part is state.records_by_part:
+        return state
+    return replace(state, records_by_part=by_part)
+
+
+def _judge_parts(state: QuarantineState) -> QuarantineState:
+    """Return the state with the parts that its evidence blames."""
+    blamed = find_blamed(state.records_by_part, partial(is_quarantined, state))
+    if blamed == state.blamed_parts:
+        return state
+    return replace(state, blamed_parts=blamed)
 
 
 def _drop_expired(state: QuarantineState, now: Millis) -> QuarantineState:
@@ -182,9 +253,10 @@
         for identity, record in state.records_by_identity.items()
         if is_recent(record, now)
     }
+    by_part = drop_expired_parts(state.records_by_part, now)
     if len(recent) == len(state.records_by_identity):
-        return state
-    return QuarantineState(recent)
+        return _replace_parts(state, by_part)
+    return replace(state, records_by_identity=recent, records_by_part=by_part)
 
 
 def _bound(state: QuarantineState) -> QuarantineState:
@@ -195,7 +267,7 @@
     weakest = min(records, key=lambda identity: weigh(records[identity]))
     remaining = dict(records)
     remaining.pop(weakest)
-    return QuarantineState(remaining)
+    return replace(state, records_by_identity=remaining)
 
 
 def _list_actions(
--- a/src/cartdale/quarantine/driver.py
+++ b/src/cartdale/quarantine/driver.py
@@ -19,12 +19,19 @@
     list_crashes,
 )
 from cartdale.quarantine.identity import Fingerprint, Identity
-from cartdale.quarantine.publishing import describe, select_news
+from cartdale.quarantine.part_records import count_crashes_of_parts
+from cartdale.quarantine.parts import list_since_run
+from cartdale.quarantine.publishing import (
+    describe,
+    describe_part,
+    select_news,
+)
 from cartdale.quarantine.types import (
     Action,
     CrashesTold,
     CrashNews,
     Message,
+    PartRanOn,
     Quarantined,
     QuarantineState,
     RanOn,
@@ -44,22 +51,24 @@
 class Guard:
     """Cancel the work inside the context once a request is quarantined.
 
-    :param guards_by_identity: registry of all active guards.
+    :param fingerprint: of the request.
+    :param guards_by_identity: registry of all active guards, by the request
+        and by each shared part of its prompt.
     """
 
     def __init__(
         self,
-        identity: Identity,
+        fingerprint: Fingerprint,
         guards_by_identity: 'GuardsByIdentity',
     ) -> None:
-        self._identity = identity
+        self._identities = (fingerprint.identity, *fingerprint.parts)
         self._guards_by_identity = guards_by_identity
         self._scope = trio.CancelScope()
 
     def __enter__(self) -> Self:
         """Register the guard and enter its cancel scope."""
-        guards = self._guards_by_identity.setdefault(self._identity, [])
-        guards.append(self)
+        for identity in self._identities:
+            self._guards_by_identity.setdefault(identity, []).append(self)
         self._scope.__enter__()
         return self
 
@@ -80,11 +89,12 @@
 
     def release(self) -> None:
         """Unregister the guard, so that it no longer cancels."""
-        guards = self._guards_by_identity.get(self._identity, [])
-        if self in guards:
-            guards.remove(self)
-        if not guards:
-            self._guards_by_identity.pop(self._identity, None)
+        for identity in self._identities:
+            guards = self._guards_by_identity.get(identity, [])
+            if self in guards:
+                guards.remove(self)
+            if not guards:
+                self._guards_by_identity.pop(identity, None)
 
     def stop(self) -> None:
         """Cancel the guarded work."""
@@ -108,7 +118,8 @@
         #: Called with a request whose quarantine changed by an observation of
         #: this instance.
         self.on_observed: Callable[[Identity], None] | None = None
-        #: Times at which requests survived here, the latest last.
+        #: Times at which requests survived here, or at which runs of requests
+        #: with a part began that did; the latest last.
         self._ran_at_by_identity: OrderedDict[Identity, Millis] = OrderedDict()
         self._guards_by_identity: GuardsByIdentity = {}
         self.state = QuarantineState()
@@ -134,13 +145,16 @@
         return tuple(self._guards_by_identity)
 
     def is_quarantined(self, identity: Identity) -> bool:
-        """Return whether a request is quarantined and sent to no upstream."""
+        """Return whether a request, or each with a part, is quarantined."""
         return is_quarantined(self.state, identity)
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request is quarantined or one crash short of it."""
-        crashes = list_crashes(self.state, fingerprint.identity)
-        return len(crashes) >= CRASHES_TO_QUARANTINE - 1
+        crashes = len(list_crashes(self.state, fingerprint.identity))
+        shared = count_crashes_of_parts(
+            self.state.records_by_part, fingerprint.parts
+        )
+        return max(crashes, shared) >= CRASHES_TO_QUARANTINE - 1
 
     def time_left(self, identity: Identity) -> Millis:
         """Return the time until the quarantine ends without new evidence."""
@@ -150,31 +164,48 @@
         self, fingerprint: Fingerprint, request_id: str
     ) -> NotRun | None:
         """Return the refusal of a quarantined request, otherwise ``None``."""
-        if not self.is_quarantined(fingerprint.identity):
+        if not self.is_barred(fingerprint):
             return None
         return self.refuse(fingerprint, request_id)
 
+    def is_barred(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request or a part of its prompt is quarantined."""
+        return bool(self._list_barred(fingerprint))
+
     def refuse(self, fingerprint: Fingerprint, request_id: str) -> NotRun:
         """Return the problem sent to the caller of a quarantined request."""
-        identity = fingerprint.identity
-        left = self.time_left(identity)
+        barred = self._list_barred(fingerprint) or [fingerprint.identity]
+        left = max(map(self.time_left, barred))
         logger.info(
             'request barred',
             request=request_id,
-            identity=identity.hex(),
-            ended=' '.join(self.list_ended(identity)),
+            identity=fingerprint.identity.hex(),
+            barred=' '.join(each.hex() for each in barred),
+            ended=' '.join(self.list_ended(barred[0])),
             left=left,
         )
         return NotRun(NotRunReason.QUARANTINED, left)
 
     def list_ended(self, identity: Identity) -> tuple[str, ...]:
-        """Return the upstreams that crashed while running a request."""
+        """Return the upstreams that crashed with a request or a part."""
+        part = self.state.records_by_part.get(identity)
+        if part is not None:
+            return tuple(each.upstream for each in list_since_run(part))
         crashes = list_crashes(self.state, identity)
         return tuple(each.crash.upstream for each in crashes)
 
+    def has_survived(self, identity: Identity) -> bool:
+        """Return whether a request or a part is known to have survived."""
+        state = self.state
+        known = state.records_by_identity.get(
+            identity
+        ) or state.records_by_part.get(identity)
+        return known is not None and known.ran_at is not None
+
     def count_quarantined(self) -> int:
-        """Return how many requests are quarantined."""
-        return sum(map(self.is_quarantined, self.state.records_by_identity))
+        """Return how many requests and parts are quarantined."""
+        requests = map(self.is_quarantined, self.state.records_by_identity)
+        return sum(requests) + len(self.state.blamed_parts)
 
     def record_crash(self, ended: UpstreamEnded, events: int) -> None:
         """Record an upstream's crash unless the run had survived its start.
@@ -184,22 +215,32 @@
         if events <= EVENTS_PAST_START:
             self.dispatch(ended)
 
-    def record_survival(self, fingerprint: Fingerprint) -> None:
-        """Record that a request ran without crashing its upstream."""
-        identity = fingerprint.identity
+    def record_survival(
+        self, fingerprint: Fingerprint, began_at: Millis
+    ) -> None:
+        """Record that a request ran without crashing its upstream.
+
+        :param began_at: when its run began. Parts of its prompt may have begun
+            to crash upstreams since then.
+        """
         now = self._clock.now()
-        self._ran_at_by_identity[identity] = now
-        self._ran_at_by_identity.move_to_end(identity)
-        if len(self._ran_at_by_identity) > MAX_SURVIVALS:
-            self._ran_at_by_identity.popitem(last=False)
-        if identity in self.state.records_by_identity:
-            self.dispatch(RanOn(identity, now))
+        self._remember_survival(fingerprint.identity, now)
+        if fingerprint.identity in self.state.records_by_identity:
+            self.dispatch(RanOn(fingerprint.identity, now))
+        for part in fingerprint.parts:
+            self._remember_survival(part, began_at)
+            if part in self.state.records_by_part:
+                self.dispatch(PartRanOn(part, began_at))
 
     def describe(self, identity: Identity) -> tuple[CrashNews, ...]:
-        """Return the recorded crashes of one request, in the form for peers."""
+        """Return the crashes of one request or part, in the form for peers."""
         now = self._clock.now()
+        if identity in self.state.records_by_part:
+            return describe_part(self.state, identity, now)
         record = self.state.records_by_identity.get(identity, RequestRecord())
-        return tuple(describe(record, each, now) for each in record.evidence)
+        return tuple(
+            describe(self.state, record, each, now) for each in record.evidence
+        )
 
     def list_news(self) -> tuple[CrashNews, ...]:
         """Return the crashes for the next message to peers."""
@@ -208,7 +249,7 @@
 
     def guard(self, fingerprint: Fingerprint) -> Guard:
         """Return a guard that cancels work for a request."""
-        return Guard(fingerprint.identity, self._guards_by_identity)
+        return Guard(fingerprint, self._guards_by_identity)
 
     def forget(self) -> None:
         """Drop expired evidence, at most once per interval."""
@@ -222,7 +263,8 @@
         identity = action.identity
         if isinstance(action, Quarantined) is not self.is_quarantined(identity):
             return
-        if isinstance(cause, UpstreamEnded | RanOn) and self.on_observed:
+        observed = isinstance(cause, UpstreamEnded | RanOn | PartRanOn)
+        if observed and self.on_observed:
             self.on_observed(identity)
         match action:
             case Quarantined():
@@ -235,18 +277,37 @@
                 )
 
     def _record_known_survivals(self, message: Message) -> None:
-        """Record the survival here of requests in a crash message."""
+        """Record the survival here of requests and parts that crashed."""
+        identities: set[Identity] = set()
+        parts: set[Identity] = set()
         match message:
             case UpstreamEnded(crash=crash):
-                identities = {crash.identity}
+                identities.add(crash.identity)
+                parts.update(message.parts)
             case CrashesTold(crashes=crashes):
-                identities = {report.identity for report in crashes}
-            case _:
-                return
+                for report in crashes:
+                    identities.add(report.identity)
+                    parts.update(each.part for each in report.parts)
         for identity in identities:
             ran_at = self._ran_at_by_identity.get(identity)
             if ran_at is not None:
                 self.dispatch(RanOn(identity, ran_at))
+        for part in parts:
+            began_at = self._ran_at_by_identity.get(part)
+            if began_at is not None:
+                self.dispatch(PartRanOn(part, began_at))
+
+    def _remember_survival(self, identity: Identity, ran_at: Millis) -> None:
+        known = self._ran_at_by_identity.get(identity, ran_at)
+        self._ran_at_by_identity[identity] = max(known, ran_at)
+        self._ran_at_by_identity.move_to_end(identity)
+        if len(self._ran_at_by_identity) > MAX_SURVIVALS:
+            self._ran_at_by_identity.popitem(last=False)
+
+    def _list_barred(self, fingerprint: Fingerprint) -> list[Identity]:
+        """Return what is quarantined: the request, parts of its prompt."""
+        identities = (fingerprint.identity, *fingerprint.parts)
+        return [each for each in identities if self.is_quarantined(each)]
 
     def _stop(self, identity: Identity) -> None:
         guards = tuple(self._guards_by_identity.get(identity, ()))
--- a/src/cartdale/quarantine/persistence.py
+++ b/src/cartdale/quarantine/persistence.py
@@ -1,4 +1,4 @@
-"""Persist quarantined requests in the platform's store.
+"""Persist quarantined requests and parts in the platform's store.
 
 Instances report crashes to each other; only the store survives the loss of all
 instances at once. The instance that observed the deciding crash writes the
@@ -17,7 +17,7 @@
 from cartdale.codec import decode_binary, encode_binary
 from cartdale.quarantine.driver import Quarantine
 from cartdale.quarantine.identity import Identity
-from cartdale.quarantine.types import CrashesTold, CrashNews
+from cartdale.quarantine.types import CrashesTold, CrashNews, PartNews
 from cartdale.store.types import Delete, LeasedStore, Put
 
 PREFIX = 'cartdale/quarantine/'
@@ -93,11 +93,10 @@
             _increase_ages(each, elapsed) for each in record.crashes
         )
         self._quarantine.dispatch(CrashesTold(crashes))
-        for identity in sorted({each.identity for each in crashes}):
-            known = self._quarantine.state.records_by_identity.get(identity)
-            survived = known is not None and known.ran_at is not None
-            if survived and not self._quarantine.is_quarantined(identity):
-                self._enqueue(identity)
+        identity = bytes.fromhex(key.removeprefix(PREFIX))
+        survived = self._quarantine.has_survived(identity)
+        if survived and not self._quarantine.is_quarantined(identity):
+            self._enqueue(identity)
 
     def _enqueue(self, identity: Identity) -> None:
         try:
@@ -106,7 +105,7 @@
             logger.warning('quarantine not stored', identity=identity.hex())
 
     async def _write(self, identity: Identity) -> bool:
-        """Write the status of a request; return whether it was stored."""
+        """Write the status of a request or part; tell whether it was stored."""
         key = f'{PREFIX}{identity.hex()}'
         if not self._quarantine.is_quarantined(identity):
             self._written.discard(identity)
@@ -127,7 +126,16 @@
 
 
 def _increase_ages(crash: CrashNews, elapsed: Millis) -> CrashNews:
-    ran_age = None if crash.ran_age is None else crash.ran_age + elapsed
     return msgspec.structs.replace(
-        crash, age=crash.age + elapsed, ran_age=ran_age
+        crash,
+        age=crash.age + elapsed,
+        ran_age=_increase_age(crash.ran_age, elapsed),
+        parts=tuple(
+            PartNews(each.part, _increase_age(each.ran_age, elapsed))
+            for each in crash.parts
+        ),
     )
+
+
+def _increase_age(age: Millis | None, elapsed: Millis) -> Millis | None:
+    return None if age is None else age + elapsed
--- a/src/cartdale/quarantine/publishing.py
+++ b/src/cartdale/quarantine/publishing.py
@@ -5,6 +5,11 @@
 
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.quarantine.evidence import list_valid
+from cartdale.quarantine.identity import Identity
+from cartdale.quarantine.part_records import (
+    count_crashes_of_parts,
+    describe_parts,
+)
 from cartdale.quarantine.types import (
     CrashNews,
     Evidence,
@@ -15,9 +20,10 @@
 #: Maximum number of crashes in one message to a peer; bounds its size.
 PAGE_SIZE = 8
 #: Time after a change in which the crashes of a request are sent first. Later
-#: they are sent in turns, and only for requests that crashed several upstreams.
-#: These include requests that survived since: a peer that receives only the
-#: crashes would count them against the request.
+#: they are sent in turns, and only for requests that crashed several upstreams
+#: or share a part with one that did. These include requests that survived
+#: since: a peer that receives only the crashes would count them against the
+#: request.
 _FRESH_DURATION: Millis = 3 * SECOND_MS
 
 
@@ -25,7 +31,8 @@
 class _RankedRecord:
     """Rank a request whose record changed recently.
 
-    :param crashes: number of crashes that count against it.
+    :param crashes: number of crashes that count against it, or against one of
+        the parts of its prompt.
     """
 
     crashes: int
@@ -45,9 +52,11 @@
     fresh: list[_RankedRecord] = []
     settled: list[RequestRecord] = []
     for record in state.records_by_identity.values():
+        shared = _count_shared(state, record)
         if now - record.changed_at <= _FRESH_DURATION:
-            fresh.append(_RankedRecord(len(list_valid(record)), record))
-        elif len(record.evidence) > 1:
+            crashes = max(len(list_valid(record)), shared)
+            fresh.append(_RankedRecord(crashes, record))
+        elif len(record.evidence) > 1 or shared > 1:
             settled.append(record)
     fresh.sort(key=_urgency, reverse=True)
     start = turn % max(len(settled), 1)
@@ -58,14 +67,38 @@
     )
     news: list[CrashNews] = []
     for selected in ranked:
-        news.extend(describe(selected, each, now) for each in selected.evidence)
+        news.extend(
+            describe(state, selected, each, now) for each in selected.evidence
+        )
         if len(news) >= PAGE_SIZE:
             break
     return tuple(news[:PAGE_SIZE])
 
 
+def describe_part(
+    state: QuarantineState, part: Identity, now: Millis
+) -> tuple[CrashNews, ...]:
+    """Return the crashes of a part alone, in the form for peers."""
+    record = state.records_by_part[part]
+    told = describe_parts(state.records_by_part, (part,), now)
+    return tuple(
+        CrashNews(
+            identity=crash.identity,
+            upstream=crash.upstream,
+            born=crash.born,
+            age=now - crash.seen_at,
+            ran_for=max(crash.seen_at - crash.began_at, 0),
+            parts=told,
+        )
+        for crash in record.crashes
+    )
+
+
 def describe(
-    record: RequestRecord, evidence: Evidence, now: Millis
+    state: QuarantineState,
+    record: RequestRecord,
+    evidence: Evidence,
+    now: Millis,
 ) -> CrashNews:
     """Convert a crash for a message to peers."""
     crash = evidence.crash
@@ -75,6 +108,19 @@
         born=crash.born,
         age=now - evidence.seen_at,
         ran_age=None if record.ran_at is None else now - record.ran_at,
+        ran_for=max(evidence.seen_at - evidence.began_at, 0),
+        parts=describe_parts(state.records_by_part, evidence.parts, now),
+    )
+
+
+def _count_shared(state: QuarantineState, record: RequestRecord) -> int:
+    """Return the most crashes of a part that a request shares with others."""
+    return max(
+        (
+            count_crashes_of_parts(state.records_by_part, each.parts)
+            for each in record.evidence
+        ),
+        default=0,
     )
 
 
--- a/src/cartdale/quarantine/run_tracking.py
+++ b/src/cartdale/quarantine/run_tracking.py
@@ -36,9 +36,14 @@
             counted as the cause.
         """
         crash = Crash(self._fingerprint.identity, upstream)
-        ended = UpstreamEnded(crash, self._sent_at, begun=True)
+        ended = UpstreamEnded(
+            crash,
+            self._sent_at,
+            begun=True,
+            parts=self._fingerprint.parts,
+        )
         self._quarantine.record_crash(ended, begun)
 
     def note_ran_on(self) -> None:
         """Record that the run got a response or is past its start."""
-        self._quarantine.record_survival(self._fingerprint)
+        self._quarantine.record_survival(self._fingerprint, self._sent_at)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+from functools import partial
 
 from loguru import logger
 
@@ -84,6 +85,14 @@
     )
 
 
+def record_sends(
+    ports: RelayPorts, routed: RoutedRequest, state: AttemptState
+) -> SendRecord:
+    """Return the record of a request that was not sent yet."""
+    is_barred = partial(ports.fleet.quarantine.is_barred, routed.fingerprint)
+    return SendRecord(routed.request.request_id, state.may_run, is_barred)
+
+
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
     """Log that a request was withdrawn from an engine."""
     logger.info(
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -29,16 +29,30 @@
 
     :param fingerprint: fingerprint of the request.
     :param sent_at: when the request was sent over the link.
+    :param broke_at: when the link broke.
     :param events: events received over this link; 0 for a plain request.
-    :param begun: whether the response head was received.
+    :param begun_at: when the response head was received; ``None`` if it was
+        not.
     """
 
     request_id: str
     fingerprint: Fingerprint
     upstream: UpstreamEntry
     sent_at: Millis
+    broke_at: Millis
     events: int = 0
-    begun: bool = False
+    begun_at: Millis | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether the response head was received."""
+        return self.begun_at is not None
+
+    def concerns(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether its crash would be evidence against a request."""
+        same = self.fingerprint.identity == fingerprint.identity
+        shared = set(self.fingerprint.parts).intersection(fingerprint.parts)
+        return same or bool(shared)
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,11 +97,8 @@
         """
         if not self._fleet.quarantine.is_suspect(fingerprint):
             return
-        identity = fingerprint.identity
         for pending in tuple(self._probes_by_upstream.values()):
-            if any(
-                link.fingerprint.identity == identity for link in pending.links
-            ):
+            if any(link.concerns(fingerprint) for link in pending.links):
                 await pending.ended.wait()
 
     async def run(self) -> None:
@@ -124,5 +135,12 @@
             return
         upstream = link.upstream
         crash = Crash(identity, upstream.upstream, upstream.born)
-        ended = UpstreamEnded(crash, link.sent_at, link.begun)
+        ended = UpstreamEnded(
+            crash,
+            link.sent_at,
+            link.begun,
+            link.fingerprint.parts,
+            link.begun_at,
+            link.broke_at,
+        )
         self._fleet.quarantine.record_crash(ended, link.events)
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -20,18 +20,19 @@
         self._upstream: UpstreamEntry | None = None
         self._began_at: Millis = 0
         self._events = 0
-        self._begun = False
+        #: When the response head was received; ``None`` before.
+        self._begun_at: Millis | None = None
 
     def begin(self, upstream: UpstreamEntry) -> None:
         """Start to track a link."""
         self._upstream = upstream
         self._began_at = self._ports.clock.now()
         self._events = 0
-        self._begun = False
+        self._begun_at = None
 
     def note_head(self) -> None:
         """Note that the response head was received."""
-        self._begun = True
+        self._begun_at = self._ports.clock.now()
 
     def note_event(self) -> None:
         """Note that an event was received."""
@@ -62,10 +63,14 @@
                 fingerprint=self._routed.fingerprint,
                 upstream=self._upstream,
                 sent_at=self._began_at,
+                broke_at=self._ports.clock.now(),
                 events=self._events,
-                begun=self._begun,
+                begun_at=self._begun_at,
             )
         )
 
     def _record_survival(self) -> None:
-        self._ports.fleet.quarantine.record_survival(self._routed.fingerprint)
+        began_at = self._began_at if self._begun_at is None else self._begun_at
+        self._ports.fleet.quarantine.record_survival(
+            self._routed.fingerprint, began_at
+        )
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -17,6 +17,7 @@
     make_call,
     may_choose_again,
     place,
+    record_sends,
     time_left,
 )
 from cartdale.relay.decide import (
@@ -33,7 +34,6 @@
 )
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.send_record import SendRecord
 from cartdale.relay.types import (
     CompleteResponse,
     LinkBroke,
@@ -70,7 +70,7 @@
         #: The upstream of the current attempt; empty between attempts.
         self._current = ''
         self._state: AttemptState = begin(routed.route)
-        self._sends = SendRecord(routed.request.request_id, self._state.may_run)
+        self._sends = record_sends(ports, routed, self._state)
 
     async def forward(self) -> Result[CompleteResponse, Problem]:
         """Return an upstream's response, or the problem to report."""
--- a/src/cartdale/relay/send_record.py
+++ b/src/cartdale/relay/send_record.py
@@ -5,6 +5,7 @@
 passes its permit just before its first byte leaves.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import assert_never
@@ -108,6 +109,11 @@
         """Return the name of the grounds, for logs."""
         return type(self._grounds).__name__
 
+    @property
+    def is_barred(self) -> bool:
+        """Tell whether the request may be sent to no upstream."""
+        return self._record.is_barred()
+
     def use(self) -> None:
         """Count the send, just before the first byte leaves.
 
@@ -129,10 +135,14 @@
 
     :param request_id: the caller's id of the request.
     :param may_run: maximum number of runs.
+    :param is_barred: returns whether it may be sent to no upstream.
     """
 
-    def __init__(self, request_id: str, may_run: int) -> None:
+    def __init__(
+        self, request_id: str, may_run: int, is_barred: Callable[[], bool]
+    ) -> None:
         self._request_id = request_id
+        self.is_barred = is_barred
         self._state = SendState(may_run)
 
     @property
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -20,6 +20,7 @@
     make_call,
     may_choose_again,
     place,
+    record_sends,
     time_left,
     withdraw,
 )
@@ -40,7 +41,6 @@
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.send_record import SendRecord
 from cartdale.relay.silence import await_loss
 from cartdale.relay.types import (
     CompleteResponse,
@@ -99,9 +99,7 @@
             if resumption
             else replace(routed.route, resumable=False)
         )
-        self._sends = SendRecord(
-            routed.request.request_id, self._attempts.may_run
-        )
+        self._sends = record_sends(ports, routed, self._attempts)
         resumable = routed.route.resumable
         last_event = routed.request.last_event if resumable else b''
         self._link = CarriedLink(ports, routed)
--- a/tests/part_evidence.py
+++ b/tests/part_evidence.py
@@ -6,13 +6,22 @@
 
 from itertools import count
 
+from cartdale.clock import Millis
 from cartdale.quarantine.driver import Quarantine
-from cartdale.quarantine.identity import Identity, identify
+from cartdale.quarantine.identity import (
+    Fingerprint,
+    identify,
+    identify_parts,
+)
 from cartdale.quarantine.types import Crash, CrashesTold, UpstreamEnded
 
 #: IDs of the parts of a prompt in order; the last is the request's own.
 Prompt = tuple[str, ...]
 
+#: Time from when an upstream begins a request until it crashes or the request
+#: runs on.
+BEGINNING_TAKES: Millis = 400
+
 _numbers = count()
 
 
@@ -29,13 +38,21 @@
     :param beginning: prompts that the upstream was beginning to answer.
     """
     for prompt in beginning:
-        crash = Crash(_make_fingerprint(prompt), upstream, born=1)
-        quarantine.dispatch(UpstreamEnded(crash))
+        fingerprint = _make_fingerprint(prompt)
+        crash = Crash(fingerprint.identity, upstream, born=1)
+        quarantine.dispatch(
+            UpstreamEnded(
+                crash,
+                parts=fingerprint.parts,
+                began_at=_find_began_at(quarantine),
+            )
+        )
 
 
 def observe_survival(quarantine: Quarantine, prompt: Prompt) -> None:
     """Let an instance see that a request ran on."""
-    quarantine.record_survival(_make_fingerprint(prompt))
+    began_at = _find_began_at(quarantine)
+    quarantine.record_survival(_make_fingerprint(prompt), began_at)
 
 
 def refuses(quarantine: Quarantine, prompt: Prompt) -> bool:
@@ -49,7 +66,12 @@
     receiver.dispatch(CrashesTold(sender.list_news()))
 
 
-def _make_fingerprint(prompt: Prompt) -> Identity:
+def _find_began_at(quarantine: Quarantine) -> Millis:
+    return quarantine._clock.now() - BEGINNING_TAKES
+
+
+def _make_fingerprint(prompt: Prompt) -> Fingerprint:
     """Return what identifies a new request, whose body is like no other."""
     body = f'{next(_numbers)} {prompt}'.encode()
-    return identify('POST', 'h.example', b'/', 'customer', body)
+    identity = identify('POST', 'h.example', b'/', 'customer', body)
+    return Fingerprint(identity, identify_parts(prompt[:-1]))
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -63,7 +63,9 @@
         nursery.start_soon(crash_prober.run)
         for number in range(3):
             crash_prober.probe(
-                BrokenLink(f'r{number}', Fingerprint(b'i'), UPSTREAM, 0, number)
+                BrokenLink(
+                    f'r{number}', Fingerprint(b'i'), UPSTREAM, 0, 0, number
+                )
             )
         await trio.sleep(1)
         nursery.cancel_scope.cancel()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -265,7 +265,7 @@
         assert len(list_stored_keys(stage)) == 1
         quarantine = stage.runtimes[0].fleet.quarantine
         identity = next(iter(quarantine.state.records_by_identity))
-        quarantine.record_survival(Fingerprint(identity))
+        quarantine.record_survival(Fingerprint(identity), 0)
         await until(lambda: not list_stored_keys(stage))
         assert not stage.runtimes[1].fleet.quarantine.count_quarantined()
 
@@ -312,7 +312,7 @@
         stage.store.faults = PlatformStoreFaults(busy=True)
         first, other = (each.fleet.quarantine for each in stage.runtimes)
         identity = next(iter(first.state.records_by_identity))
-        other.record_survival(Fingerprint(identity))
+        other.record_survival(Fingerprint(identity), 0)
         await until(lambda: not first.count_quarantined())
         # Both instances end before either can write to the store.
         for scope in stage.scopes:
@@ -322,7 +322,7 @@
         stage.runtimes.clear()
         stage.store.faults = PlatformStoreFaults()
         runtime = stage.add_instance()
-        runtime.fleet.quarantine.record_survival(Fingerprint(identity))
+        runtime.fleet.quarantine.record_survival(Fingerprint(identity), 0)
         await stage.settle()
         await until(lambda: not list_stored_keys(stage))
         assert not runtime.fleet.quarantine.count_quarantined()
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -269,7 +269,7 @@
     before = fleet.quarantine.version
     fleet.quarantine.dispatch(UpstreamEnded(Crash(ONE, 'a', 1)))
     assert fleet.quarantine.version == before + 1
-    fleet.quarantine.record_survival(Fingerprint(OTHER))
+    fleet.quarantine.record_survival(Fingerprint(OTHER), 0)
     assert fleet.quarantine.version == before + 1
 
 
@@ -277,7 +277,7 @@
     """Copies of a popular request run on each upstream that crashes."""
     clock = VirtualClock()
     quarantine = Quarantine(clock, print)
-    quarantine.record_survival(Fingerprint(ONE))
+    quarantine.record_survival(Fingerprint(ONE), 0)
     for name in ('a', 'b', 'c', 'd'):
         clock.advance(SECOND_MS)
         quarantine.dispatch(UpstreamEnded(Crash(ONE, name, 1)))
@@ -299,7 +299,7 @@
 async def test_an_instance_that_saw_a_survival_overrides_reports() -> None:
     clock = VirtualClock()
     quarantine = Quarantine(clock, print)
-    quarantine.record_survival(Fingerprint(ONE))
+    quarantine.record_survival(Fingerprint(ONE), 0)
     quarantine.dispatch(
         CrashesTold(tuple(make_report(ONE, name) for name in 'abc'))
     )
@@ -319,9 +319,9 @@
 
 def test_the_number_of_remembered_survivals_is_bounded() -> None:
     quarantine = Quarantine(VirtualClock(), print)
-    quarantine.record_survival(Fingerprint(ONE))
+    quarantine.record_survival(Fingerprint(ONE), 0)
     for number in range(MAX_SURVIVALS):
-        quarantine.record_survival(Fingerprint(number.to_bytes(16, 'big')))
+        quarantine.record_survival(Fingerprint(number.to_bytes(16, 'big')), 0)
     quarantine.dispatch(
         CrashesTold(tuple(make_report(ONE, name) for name in 'abc'))
     )
