Moves: a run is resumed from its backup only once it got past its start

A request that ends its engine after its first events still reached a second one: one event counted as a sign that a backup exists. Nobody confirms that; what the engine of the backup lacks it refuses, unless the request ends it first.

A backup is resumed from after more than ten events over the last link, the bound by which a run counts as past its start elsewhere (such a request does not end upstreams). What is lost: streams whose engine ends without notice within that are cut.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -36,6 +36,7 @@
     ResumeRejected,
     TargetChosen,
 )
+from cartdale.quarantine.decide import EVENTS_PAST_START
 from cartdale.relay.types import CopyFault
 
 #: Refused or unanswered copies at one engine after which its generation stays
@@ -212,10 +213,11 @@
 def _fall_back(state: MoveState) -> Decision:
     """Resume from the backup; the source has nothing to resume from.
 
-    A source that has sent no event may have ended as it received the request.
-    Its backup then holds nothing, and the request would run from its start.
+    A source that ended before or just after its first events may have ended by
+    the request itself, with little in the backup. Another engine would run the
+    request from its start, or end by it too.
     """
-    if state.backup is None or not state.backup_events:
+    if state.backup is None or state.backup_events <= EVENTS_PAST_START:
         return replace(state, phase=MovePhase.LOST), (Cut(),)
     return replace(state, phase=MovePhase.AT_BACKUP), (Resume(state.backup),)
 
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -42,7 +42,7 @@
     :param renewals: renewals of its copy over a busy link.
     :param backup: engine that holds an up-to-date backup of its memory.
     :param backup_events: events that the source had sent as its link ended;
-        without any, the backup holds nothing to resume from.
+        after a few only, its backup is not resumed from.
     """
 
     source: UpstreamEntry
--- a/src/cartdale/relay/send_record.py
+++ b/src/cartdale/relay/send_record.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from cartdale.invariants import AT_MOST_ONCE, check_invariant
+from cartdale.quarantine.decide import EVENTS_PAST_START
 
 
 class NoRunProof(StrEnum):
@@ -42,8 +43,10 @@
 class StartedBackup:
     """The upstream continues a run from its backup, or does not run it.
 
-    :param received: number of events received from the run; they prove that
-        its engine began it while it kept the backup.
+    Nobody confirms what a backup holds: an upstream without one refuses. A run
+    that got past its start shows that the request does not end upstreams.
+
+    :param received: number of events received from the run.
     """
 
     received: int
@@ -73,7 +76,10 @@
         case ConfirmedCopy(handle=handle):
             return '' if state.runs and handle else 'no run was copied'
         case StartedBackup(received=received):
-            return '' if state.runs and received else 'no run was backed up'
+            past_start = received > EVENTS_PAST_START
+            return (
+                '' if state.runs and past_start else 'no run got past its start'
+            )
         case _:
             assert_never(grounds)
 
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -138,9 +138,7 @@
             return refusal
         request_id = request.headers['Request-Id']
         if await read_body() in self.crashes.crashing_on_receipt:
-            self.runs_by_request[request_id] += 1
-            self.crash(request_id)
-            raise LinkCutError
+            return await self._crash_on_receipt(request_id)
         if self._spend('errors'):
             self.runs_by_request[request_id] += 1
             return Response(
@@ -166,6 +164,30 @@
             raise
         return response
 
+    async def _crash_on_receipt(self, request_id: str) -> Response:
+        """Count a run and end, perhaps after some events."""
+        self.runs_by_request[request_id] += 1
+        events = self.crashes.crashing_after_events
+        if not events or 'Kv-From' in request.headers:
+            self.crash(request_id)
+            raise LinkCutError
+        response = Response(
+            self._crash_after(request_id, events),
+            content_type=_SSE_TYPE,
+            headers=self._sign(request_id),
+        )
+        response.timeout = None
+        return response
+
+    async def _crash_after(
+        self, request_id: str, events: int
+    ) -> AsyncIterator[bytes]:
+        for number in range(1, events + 1):
+            yield format_event(request_id, number)
+            await trio.sleep(_POLL_SECONDS)
+        self.crash(request_id)
+        await trio.sleep_forever()
+
     async def _wait_for_headers(self) -> None:
         while self.stream_faults.withhold_headers and not self.dead:
             await trio.sleep(_POLL_SECONDS)
--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -50,6 +50,8 @@
     :param crashing_bodies: bodies that end it as it begins to run them.
     :param crashing_on_receipt: bodies that end an engine as it receives them,
         before any response, whatever their headers ask for.
+    :param crashing_after_events: number of events that an engine sends of such
+        a request first, unless it resumes.
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param crashed_by: ids of the requests that ended it, in order.
@@ -60,6 +62,7 @@
 
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashing_on_receipt: set[bytes] = field(default_factory=set)
+    crashing_after_events: int = 0
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     crashed_by: list[str] = field(default_factory=list)
