--- a/src/cartdale_standins/platform_worker.py
+++ b/src/cartdale_standins/platform_worker.py
@@ -54,6 +54,8 @@
         to write an answer on one, unless it is the last of the prompt.
     :param reading_seconds: time that an engine takes from the head of an answer
         until it begins to write.
+    :param crashing_after_events: number of events that an engine sends of such
+        a request in ``crashing_on_receipt`` first, unless it resumes.
     :param down_seconds: time until it is back under its id.
     :param born: Unix milliseconds of its start.
     :param crashed_by: ids of the requests that ended it, in order.
@@ -66,6 +68,7 @@
     crashing_on_receipt: set[bytes] = field(default_factory=set)
     crashing_parts: set[str] = field(default_factory=set)
     reading_seconds: float = 0
+    crashing_after_events: int = 0
     down_seconds: float = 0.3
     born: int = field(default_factory=_now)
     crashed_by: list[str] = field(default_factory=list)
