Engines: an error of connecting after the send proves nothing

Whether a request of the own interface was sent was told by the type of the transport's error alone: one that stands for a failed connection, raised although the request had been let go, would have been 'not sent', and the request run again elsewhere.

Calls to engines and plain services now go through one function that compares the two, as those of the detours do: such an error counts as a lost link once the first byte was about to leave.

--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -10,6 +10,7 @@
 from cartdale.detours.types import UpstreamRequest
 from cartdale.formatting import format_error
 from cartdale.transport import (
+    BEFORE_SENDING,
     HTTPCORE_NOT_SENT_ERRORS,
     MAX_CONNECT_WAIT,
     make_timeouts,
@@ -17,8 +18,6 @@
 
 #: Maximum wait if another instance may carry the request instead.
 SHORT_CONNECT_WAIT: Millis = 250
-#: httpcore trace event: the connection is open and the request is sent next.
-_BEFORE_SENDING = 'http11.send_request_headers.started'
 
 
 class DirectTransport:
@@ -61,7 +60,7 @@
 
     async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
         """Handle a trace event of the connection; httpcore awaits each."""
-        if event == _BEFORE_SENDING:
+        if event == BEFORE_SENDING:
             await self._observer()
             self.began = True
 
--- a/src/cartdale/engines/http.py
+++ b/src/cartdale/engines/http.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 from sseclient import SSEClient
 
-from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS
+from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS, send_traced
 from cartdale.clock import Millis, as_seconds
 from cartdale.codec import decode_json, encode_json
 from cartdale.engines.types import (
@@ -146,7 +146,7 @@
         self, outgoing: httpx.Request
     ) -> AsyncIterator[Result[Events, EngineFailure]]:
         try:
-            response = await self._client.send(outgoing, stream=True)
+            response = await send_traced(self._client, outgoing, stream=True)
         except HTTPX_NOT_SENT_ERRORS as error:
             yield Failure(EngineUnreachable(format_error(error)))
             return
@@ -165,13 +165,14 @@
         body: bytes = b'',
         timeout: float | None = None,
     ) -> Result[httpx.Response, EngineFailure]:
+        outgoing = self._client.build_request(
+            method,
+            f'{self._address}{path}',
+            content=body,
+            timeout=timeout or self._timeout,
+        )
         try:
-            response = await self._client.request(
-                method,
-                f'{self._address}{path}',
-                content=body,
-                timeout=timeout or self._timeout,
-            )
+            response = await send_traced(self._client, outgoing)
         except HTTPX_NOT_SENT_ERRORS as error:
             return Failure(EngineUnreachable(format_error(error)))
         except httpx.HTTPError as late_error:
--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -9,7 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS
+from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS, send_traced
 from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.engines.http import find_backoff
 from cartdale.engines.types import (
@@ -81,14 +81,15 @@
         self, asked: PlainRequest
     ) -> Result[PlainResponse, EngineFailure]:
         """Make one attempt."""
+        outgoing = self._client.build_request(
+            asked.method,
+            f'{self._address}/{asked.path}',
+            content=asked.body,
+            headers=_select_headers(asked),
+            timeout=self._timeout,
+        )
         try:
-            response = await self._client.request(
-                asked.method,
-                f'{self._address}/{asked.path}',
-                content=asked.body,
-                headers=_select_headers(asked),
-                timeout=self._timeout,
-            )
+            response = await send_traced(self._client, outgoing)
         except HTTPX_NOT_SENT_ERRORS as error:
             return Failure(EngineUnreachable(format_error(error)))
         except httpx.HTTPError as late_error:
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -9,6 +9,8 @@
 #: Maximum wait for a connection if there is no other way: it is established in
 #: a few milliseconds, or its SYN was dropped and is sent again after a second.
 MAX_CONNECT_WAIT: Millis = 1500
+#: httpcore trace event: the connection is open and the request is sent next.
+BEFORE_SENDING = 'http11.send_request_headers.started'
 
 
 class PathUnclearError(httpcore.ConnectError):
