Stand-ins: answers with neither a length nor chunks, and tests of them

Upstreams may end an answer, a stream too, with its connection. The stand-ins' server always frames its answers, so that nothing tested such ends over sockets. A front of a stand-in takes the framing off, and ends an answer early where a test says: after some events or none, inside an event or a body or not, by a close or a reset, and with a crash in the same moment.

Tests, directly and over a detour: whole streams and plain answers; streams that end inside an event or are reset (resumed from the backup, else cut); a stream that is closed between events, which counts as whole; plain answers that are reset (502, or a second attempt where the route allows one); a crash with the end counts as evidence.

--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import httpx
@@ -24,7 +25,8 @@
 from cartdale_standins.platform_entries import describe_upstream
 from cartdale_standins.platform_store import PlatformStoreStandIn
 from cartdale_standins.platform_worker import PlatformWorker
-from tests.fault_soak.proxy import FaultProxy, LinkState
+from cartdale_standins.unframed import EarlyEnd, UnframedFront
+from tests.fault_soak.proxy import FaultProxy
 from tests.network_cuts import OWN_INSTANCE
 
 KEY = 'key-of-a-test'
@@ -133,6 +135,10 @@
     #: Whether upstreams lie behind proxies, which cut their connections when
     #: they crash.
     proxied: bool = False
+    #: Whether the answers of upstreams have neither a length nor chunks.
+    unframed: bool = False
+    #: How the next answers of unframed upstreams end early.
+    early_ends: list[EarlyEnd] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
     plains: list[PlatformWorker] = field(default_factory=list)
     runtimes: list[GatewayRuntime] = field(default_factory=list)
@@ -221,10 +227,14 @@
     def url(self, path: str, index: int = 0) -> str:
         return f'http://{LOCAL}:{self.runtimes[index].caller_port}{path}'
 
-    def _add_proxy(self, port: int) -> FaultProxy | None:
-        if not self.proxied:
+    def _add_proxy(self, port: int) -> FaultProxy | UnframedFront | None:
+        proxy: FaultProxy | UnframedFront
+        if self.unframed:
+            proxy = UnframedFront(port, self.early_ends)
+        elif self.proxied:
+            proxy = FaultProxy(port)
+        else:
             return None
-        proxy = FaultProxy(port)
         self.nursery.start_soon(proxy.run)
         return proxy
 
@@ -233,20 +243,22 @@
         worker: PlatformWorker,
         service: str,
         address: str,
-        proxy: FaultProxy | None,
+        proxy: FaultProxy | UnframedFront | None,
     ) -> None:
         """List an upstream, and again each time that it is back."""
 
         def cut() -> None:
             if proxy is not None:
-                proxy.set(LinkState.RESET)
+                proxy.go_down(down=True)
 
         def come_back() -> None:
             if proxy is not None:
-                proxy.set(LinkState.NORMAL)
+                proxy.go_down(down=False)
             born = worker.crashes.born
             self.list_upstream(worker.name, service, address, born=born)
 
+        if isinstance(proxy, UnframedFront):
+            proxy.crash = partial(worker.crash, 'early end')
         worker.crashes.on_crash = cut
         worker.crashes.on_restart = come_back
         come_back()
@@ -298,6 +310,7 @@
     instances: int = 1,
     *,
     proxied: bool = False,
+    unframed: bool = False,
 ) -> AsyncIterator[PlatformStage]:
     """Run stand-ins and instances while the context is open.
 
@@ -305,24 +318,28 @@
     start: those of all tests took 147 ms to look through, in which instances
     and stand-ins stood still.
 
+    :param unframed: whether the answers of upstreams end with their connection.
     :raises trio.TooSlowError: when that takes longer than ``STAGE_LIMIT``.
     """
     spare_loaded_objects()
     with trio.fail_after(STAGE_LIMIT):
-        async with _open_stage(engines, plains, instances, proxied) as stage:
+        opened = _open_stage(engines, plains, instances, proxied, unframed)
+        async with opened as stage:
             yield stage
 
 
 @asynccontextmanager
 async def _open_stage(
-    engines: int, plains: int, instances: int, proxied: bool
+    engines: int, plains: int, instances: int, proxied: bool, unframed: bool
 ) -> AsyncIterator[PlatformStage]:
     async with trio.open_nursery() as nursery:
         store = PlatformStoreStandIn()
         bound = BoundListener(Listener(LOCAL, 0))
         nursery.start_soon(bound.serve, store.make_app(), trio.Event())
         async with httpx.AsyncClient(timeout=20) as client:
-            stage = PlatformStage(nursery, client, store, bound.port, proxied)
+            stage = PlatformStage(
+                nursery, client, store, bound.port, proxied, unframed
+            )
             store.put('op/config', make_configuration())
             for _ in range(engines):
                 stage.add_engine()
--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,251 @@
+"""Answers with neither a length nor chunks, which end with their connection.
+
+Guards against answers that ended early and look whole, streams too, directly
+and through another instance.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpx
+import pytest
+import trio
+
+from cartdale.fleet.types import Upstream
+from cartdale_standins.platform_engine import STRIDE
+from cartdale_standins.unframed import EarlyEnd
+from tests.network_cuts import CutWay, NetworkCuts
+from tests.platform_stage import (
+    PlatformStage,
+    ask,
+    count_runs,
+    make_draft,
+    make_headers,
+    open_platform,
+    until,
+    whole,
+)
+
+#: Events of a draft that is long enough for a backup.
+EVENTS = 60
+#: Events that an engine has passed on when its answer ends early.
+PASSED = 20
+DIRECTLY_OR_NOT = pytest.mark.parametrize('detour', [False, True])
+
+
+@asynccontextmanager
+async def open_unframed(
+    monkeypatch: pytest.MonkeyPatch,
+    engines: int = 1,
+    plains: int = 1,
+    *,
+    detour: bool = False,
+) -> AsyncIterator[PlatformStage]:
+    """Run stand-ins with unframed answers, directly reached or not."""
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(
+        engines, plains, 1 + detour, unframed=True
+    ) as stage:
+        if detour:
+            await until(
+                lambda: all(
+                    runtime.peers.news.state.received_by_name
+                    for runtime in stage.runtimes
+                )
+            )
+            ports = [
+                int(upstream.entry.address.rpartition(':')[2])
+                for upstream in list_upstreams(stage)
+            ]
+            cuts.cut('entry-0', ports, CutWay.REFUSE)
+        yield stage
+        assert bool(stage.runtimes[0].detours.router.detours) is detour
+
+
+def list_upstreams(stage: PlatformStage) -> list[Upstream]:
+    return list(stage.runtimes[-1].fleet.state.upstreams_by_id.values())
+
+
+async def stream(
+    stage: PlatformStage,
+    request_id: str,
+    path: str = '/draft/a',
+    events: int = EVENTS,
+) -> tuple[bytes, bool]:
+    """Ask for a stream; return what arrives, and whether it looks whole."""
+    parts: list[bytes] = []
+    asked = stage.client.stream(
+        'POST',
+        stage.url(path),
+        headers=make_draft(request_id, events * STRIDE),
+        content=b'brief',
+    )
+    try:
+        async with asked as response:
+            assert response.status_code == 200
+            async for part in response.aiter_bytes():
+                parts.append(part)
+    except httpx.RemoteProtocolError:
+        return b''.join(parts), False
+    return b''.join(parts), True
+
+
+def list_crashes(stage: PlatformStage) -> list[str]:
+    """Return the upstreams whose crashes count against requests."""
+    news = stage.runtimes[0].fleet.quarantine.list_news()
+    return [each.upstream for each in news]
+
+
+def count_resumed(stage: PlatformStage, request_id: str) -> int:
+    return sum(
+        engine.resumed_by_request[request_id] for engine in stage.engines
+    )
+
+
+@DIRECTLY_OR_NOT
+async def test_whole_stream_arrives(monkeypatch, detour: bool) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        assert await stream(stage, 'r1') == (whole('r1', EVENTS), True)
+        assert count_runs(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('reset', [False, True])
+async def test_stream_that_ends_inside_an_event_resumes_from_its_backup(
+    monkeypatch, detour: bool, reset: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, inside=True, reset=reset))
+        assert await stream(stage, 'r1') == (whole('r1', EVENTS), True)
+        assert count_runs(stage, 'r1') == 1
+        assert count_resumed(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('reset', [False, True])
+async def test_stream_that_ends_inside_an_event_is_cut_without_a_backup(
+    monkeypatch, detour: bool, reset: bool
+) -> None:
+    async with open_unframed(monkeypatch, 1, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, inside=True, reset=reset))
+        assert await stream(stage, 'r1') == (whole('r1', PASSED), False)
+        assert count_runs(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('passed', [PASSED, EVENTS])
+async def test_stream_reset_between_events_is_not_whole(
+    monkeypatch, detour: bool, passed: int
+) -> None:
+    async with open_unframed(monkeypatch, 1, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(passed, reset=True))
+        assert await stream(stage, 'r1') == (whole('r1', passed), False)
+        assert count_runs(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+async def test_stream_reset_between_events_resumes_from_its_backup(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, reset=True))
+        assert await stream(stage, 'r1') == (whole('r1', EVENTS), True)
+        assert count_runs(stage, 'r1') == 1
+        assert count_resumed(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+async def test_stream_closed_between_events_counts_as_whole(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED))
+        assert await stream(stage, 'r1') == (whole('r1', PASSED), True)
+        assert not count_resumed(stage, 'r1')
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('inside', [False, True])
+async def test_stream_reset_before_its_first_event_is_not_whole(
+    monkeypatch, detour: bool, inside: bool
+) -> None:
+    async with open_unframed(monkeypatch, 1, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(inside=inside, reset=True))
+        assert await stream(stage, 'r1') == (b'', False)
+        assert count_runs(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('inside', [False, True])
+@pytest.mark.parametrize('reset', [False, True])
+async def test_crash_with_the_end_of_a_stream_counts(
+    monkeypatch, detour: bool, inside: bool, reset: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(
+            EarlyEnd(3, inside=inside, reset=reset, crashes=True)
+        )
+        await stream(stage, 'r1')
+        await until(lambda: list_crashes(stage))
+
+
+@DIRECTLY_OR_NOT
+async def test_whole_plain_answer_arrives(monkeypatch, detour: bool) -> None:
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 200
+        assert answer.content == b'cut/a of r1'
+        assert answer.headers['content-length'] == str(len(answer.content))
+        assert answer.headers['response-seal'] == 'plain-0.r1'
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('inside', [False, True])
+async def test_plain_answer_that_is_reset_is_never_whole(
+    monkeypatch, detour: bool, inside: bool
+) -> None:
+    async with open_unframed(monkeypatch, plains=2, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(inside=inside, reset=True))
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
+        assert count_runs(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+async def test_plain_answer_that_is_reset_runs_again_where_it_may(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, plains=2, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(inside=True, reset=True))
+        answer = await stage.client.get(
+            stage.url('/look/a'), headers=make_headers('r1')
+        )
+        assert answer.content == b'look/a of r1'
+        assert count_runs(stage, 'r1') == 2
+
+
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('reset', [False, True])
+async def test_crash_with_the_end_of_a_plain_answer_counts(
+    monkeypatch, detour: bool, reset: bool
+) -> None:
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        stage.early_ends.append(
+            EarlyEnd(inside=True, reset=reset, crashes=True)
+        )
+        await ask(stage, 'r1')
+        await until(lambda: list_crashes(stage) == ['plain-0'])
+
+
+async def test_unframed_end_is_no_survival(monkeypatch) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        worker = stage.plains[0]
+        stage.early_ends.append(EarlyEnd(inside=True, crashes=True))
+        await ask(stage, 'r1')
+        await until(lambda: list_crashes(stage))
+        await until(lambda: not worker.dead)
+        await trio.sleep(0.2)
+        answer = await ask(stage, 'r2')
+        assert answer.status_code == 200
+        assert list_crashes(stage) == ['plain-0']
