Streams: an unframed one that ends before its first event is not whole

What callers saw: a 200 whose stream was complete and empty, when an engine had written the head of an unframed answer and closed its connection, as one that crashes does. Cause: a clean end between events counted as complete, before the first event too; and a stream has at least one. Evidence: the new tests failed, six of six, directly and over a detour, with and without a crash; on the route that may run again the caller got the empty stream too, and no second run. Change: without framing, events or a position that the caller resumed from, the end is a broken link: cut, or run again where the route allows it. It goes to no engine of a backup, which has nothing to resume from, and the engine is probed. A framed end without events is left as the engine says it, and so is a caller's resumed stream of which nothing is left.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -338,11 +338,24 @@
             if answer.status == _SUCCESS:
                 return await self._lose_link('ended inside an event')
             await self._sink.write(self._passer.pending)
+        elif answer.status == _SUCCESS and not self._may_be_whole(answer):
+            self._link.probe_upstream()
+            return self._break('ended before its first event')
         await self._sink.finish()
         good = answer.status == _SUCCESS
         self._link.note_complete(framed=answer.framed, good=good)
         return StreamEnd.WHOLE
 
+    def _may_be_whole(self, answer: OpenedResponse) -> bool:
+        """Tell whether a stream that ended between events may be complete.
+
+        One without events may be if its engine says so by the framing, or if
+        the caller resumed it and has them all.
+        """
+        return bool(
+            answer.framed or self._generation.events or self._passer.last_event
+        )
+
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return the engine to resume at, or how the attempt ended."""
         if not self._generation.is_stopped:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -19,6 +19,7 @@
     PlatformStage,
     ask,
     count_runs,
+    draft,
     make_draft,
     make_headers,
     open_platform,
@@ -175,6 +176,43 @@
         assert count_runs(stage, 'r1') == 1
 
 
+# Guards against an empty stream that looks whole: its engine ended it before
+# the first event.
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('crashes', [False, True])
+async def test_stream_closed_before_its_first_event_is_not_whole(
+    monkeypatch, detour: bool, crashes: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(crashes=crashes))
+        assert await stream(stage, 'r1') == (b'', False)
+        assert count_runs(stage, 'r1') == 1
+        assert not count_resumed(stage, 'r1')
+        if crashes:
+            await until(lambda: list_crashes(stage))
+
+
+@DIRECTLY_OR_NOT
+async def test_stream_without_events_runs_again_where_it_may(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd())
+        ended = await stream(stage, 'r1', '/tag/a')
+        assert ended == (whole('r1', EVENTS), True)
+
+
+# Guards against a caller who has all events already and is cut: nothing is left
+# to send.
+async def test_resumed_stream_with_nothing_left_is_whole(monkeypatch) -> None:
+    async with open_unframed(monkeypatch, 1) as stage:
+        answer = await draft(
+            stage, 'r1', EVENTS * STRIDE, '/tag/a', str(EVENTS)
+        )
+        assert answer.status_code == 200
+        assert not answer.content
+
+
 @DIRECTLY_OR_NOT
 @pytest.mark.parametrize('inside', [False, True])
 @pytest.mark.parametrize('reset', [False, True])
