Streams: probe an engine whose unframed failure ended with its connection

What callers saw: nothing at once; a request that ends engines as they answer with a failure gathered no evidence on streaming routes. Cause: an unframed end queues a crash probe, but a stream's failure answer was never noted as ended, only a plain one. Evidence: the new test failed for the engine (no crash counted within 25 s) and passed for the plain service. Change: the end of a failure is noted too, which probes after an unframed one and records no survival.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -315,6 +315,7 @@
         except LinkBrokeError as error:
             self._link.probe_upstream()
             return self._break(error.detail)
+        self._link.note_complete(framed=answer.framed, good=False)
         self._failure = CompleteResponse(answer.status, answer.headers, body)
         return Answered(good=False)
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -276,6 +276,24 @@
         await until(lambda: list_crashes(stage) == ['plain-0'])
 
 
+# Guards against a crash that goes unseen since a failure that looks complete
+# came just before it.
+@pytest.mark.parametrize('plain', [False, True])
+async def test_crash_with_the_end_of_a_failure_counts(
+    monkeypatch, plain: bool
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        worker = stage.plains[0] if plain else stage.engines[0]
+        worker.faults.errors = 1
+        stage.early_ends.append(EarlyEnd(inside=True, crashes=True))
+        path = '/cut/a' if plain else '/draft/a'
+        answer = await stage.client.post(
+            stage.url(path), headers=make_draft('r1'), content=b'brief'
+        )
+        assert answer.status_code == 500
+        await until(lambda: list_crashes(stage) == [worker.name])
+
+
 async def test_unframed_end_is_no_survival(monkeypatch) -> None:
     async with open_unframed(monkeypatch) as stage:
         worker = stage.plains[0]
