Streams: an unframed one whose engine was told to stop it is not whole

What callers saw: a stream that looked whole and lacked its last events. A silent link of a generation without a backup makes the instance stop it at its engine. Cause: whether an unframed end may be a stop was read from the phase of the move, which forgets the order once its answer is overdue. Change: the generation remembers that a stop was sent until it resumes or the engine answers that it does not run it (or nothing was sent). Framed ends are trusted as before.

--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -22,6 +22,7 @@
     ChooseRescue,
     Copy,
     CopyEnded,
+    CopyRejected,
     Cut,
     LinkBusy,
     LinkEnded,
@@ -40,7 +41,12 @@
 from cartdale.relay.pacing import PaceMeter
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.targets import choose_target
-from cartdale.relay.types import COPY_TIMEOUT, ResumePoint, RoutedRequest
+from cartdale.relay.types import (
+    COPY_TIMEOUT,
+    CopyFault,
+    ResumePoint,
+    RoutedRequest,
+)
 from cartdale.switches import Mechanism
 
 #: First pause before a generation that must leave looks for a target again.
@@ -73,6 +79,9 @@
         self._state: MoveState | None = None
         self._ended = False
         self._moving = False
+        #: Whether its engine may have stopped it, since it was told to and did
+        #: not deny that it ran it.
+        self.stop_sent = False
         self._copier = Copier(ports.upstreams, ports.clock, self.request_id)
         #: Number of times it resumed at another engine.
         self.moves = 0
@@ -125,6 +134,7 @@
         self._occupancy.assign(upstream)
         backup = self._occupancy.choose_backup(upstream)
         self._state = moves.begin(upstream, backup)
+        self.stop_sent = False
         return backup.address if backup else ''
 
     def end(self, *, over: bool = True) -> None:
@@ -212,6 +222,7 @@
     def resumed(self) -> None:
         """Note that the engine has resumed it."""
         self.moves += 1
+        self.stop_sent = False
         self._dispatch(Resumed(self._next_backup))
 
     def resume_rejected(self) -> UpstreamEntry | None:
@@ -257,9 +268,13 @@
         state = self._state
         if state is None or state.target is None or self._ended:
             return None
+        sent_before = self.stop_sent
+        self.stop_sent = sent_before or action.last
         outcome = await self._copier.copy(
             state, state.target, last=action.last, timeout=timeout
         )
+        if _denies_run(outcome):
+            self.stop_sent = sent_before
         if outcome is None:
             return None
         if self._state is None and isinstance(outcome, CopyEnded):
@@ -304,6 +319,12 @@
         return actions[0] if actions else None
 
 
+def _denies_run(outcome: CopyEnded | CopyRejected | None) -> bool:
+    """Tell whether an order to copy a generation certainly did not stop it."""
+    faults = (CopyFault.UNKNOWN_RUN, CopyFault.UNREACHABLE)
+    return isinstance(outcome, CopyRejected) and outcome.fault in faults
+
+
 def _discard(ports: RelayPorts, state: MoveState, handle: str) -> None:
     """Free a copy at the target that will not be resumed from."""
     if state.target is not None and handle:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -331,7 +331,7 @@
             return self._passer.next_upstream
         if failure:
             return await self._lose_link(failure)
-        if self._generation.is_stopped and not answer.framed:
+        if not answer.framed and self._may_be_stopped():
             # A stopped stream closes without its end, and so does a complete
             # one whose body is not delimited.
             return await self._lose_link('stopped')
@@ -347,6 +347,10 @@
         self._link.note_complete(framed=answer.framed, good=good)
         return StreamEnd.WHOLE
 
+    def _may_be_stopped(self) -> bool:
+        """Tell whether its engine may have stopped the generation."""
+        return self._generation.is_stopped or self._generation.stop_sent
+
     def _may_be_whole(self, answer: OpenedResponse) -> bool:
         """Tell whether a stream that ended between events may be complete.
 
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -54,6 +54,7 @@
 
     :param cut_inside_event: whether a stream that is cut ends inside an event.
     :param withhold_events: whether streams send nothing while they are made.
+    :param show_stops: whether such streams end once they are stopped.
     :param lose_requests: whether requests end at once, and nobody is told.
     :param withhold_headers: whether answers don't begin while they are made.
     :param end_before_stop: whether generations end by themselves just before
@@ -62,6 +63,7 @@
 
     cut_inside_event: bool = False
     withhold_events: bool = False
+    show_stops: bool = False
     lose_requests: bool = False
     withhold_headers: bool = False
     end_before_stop: bool = False
@@ -245,6 +247,8 @@
     async def _wait_for_stop(self, request_id: str) -> None:
         while request_id not in self._stopped:
             await trio.sleep(_POLL_SECONDS)
+        if self.stream_faults.show_stops:
+            raise LinkCutError
         # Not even the end is seen behind a connection that is silent.
         await trio.sleep_forever()
 
--- a/src/cartdale_standins/unframed.py
+++ b/src/cartdale_standins/unframed.py
@@ -1,6 +1,7 @@
 """Front of a stand-in, whose answers have neither a length nor chunks.
 
-They end with their connection, which is reset if the stand-in broke them off.
+They end with their connection, which is reset if the stand-in broke them off,
+unless it was told to close it.
 """
 
 import socket
@@ -69,6 +70,8 @@
         self.port: int = self._bound.getsockname()[1]
         self._open: set[trio.SocketStream] = set()
         self._down = False
+        #: Whether answers that the stand-in breaks off are reset.
+        self.resets = True
         #: Ends the stand-in.
         self.crash: Callable[[], None] | None = None
 
@@ -102,15 +105,15 @@
         _end(caller, reset=reset)
 
     async def _answer(self, caller: trio.SocketStream) -> bool:
-        """Answer one request; return whether the answer was broken off."""
+        """Answer one request; return whether its end is a reset."""
         request = await _read_request(caller, self._target)
-        broken = True
+        reset: bool | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_await_close, caller, nursery.cancel_scope)
             with suppress(*_LOST):
-                broken = await self._pass_answer(request, caller)
+                reset = await self._pass_answer(request, caller)
             nursery.cancel_scope.cancel()
-        return broken
+        return self.resets if reset is None else reset
 
     async def _pass_answer(
         self, request: httpcore.Request, caller: trio.SocketStream
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -139,6 +139,7 @@
     unframed: bool = False
     #: How the next answers of unframed upstreams end early.
     early_ends: list[EarlyEnd] = field(default_factory=list)
+    fronts: list[UnframedFront] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
     plains: list[PlatformWorker] = field(default_factory=list)
     runtimes: list[GatewayRuntime] = field(default_factory=list)
@@ -231,6 +232,7 @@
         proxy: FaultProxy | UnframedFront
         if self.unframed:
             proxy = UnframedFront(port, self.early_ends)
+            self.fronts.append(proxy)
         elif self.proxied:
             proxy = FaultProxy(port)
         else:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -20,6 +20,7 @@
     ask,
     count_runs,
     draft,
+    find_runner,
     make_draft,
     make_headers,
     open_platform,
@@ -29,6 +30,8 @@
 
 #: Events of a draft that is long enough for a backup.
 EVENTS = 60
+#: Events of a draft that gets no backup.
+FEW_EVENTS = 24
 #: Events that an engine has passed on when its answer ends early.
 PASSED = 20
 DIRECTLY_OR_NOT = pytest.mark.parametrize('detour', [False, True])
@@ -213,6 +216,31 @@
         assert not answer.content
 
 
+# Guards against a stream that looks whole though this instance stopped it: the
+# engine did so, but its answer to the order came late.
+async def test_stream_that_was_stopped_without_an_answer_is_not_whole(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch, 2) as stage:
+        for front in stage.fronts:
+            front.resets = False
+        ended: list[tuple[bytes, bool]] = []
+
+        async def ask_meanwhile() -> None:
+            ended.append(await stream(stage, 'r1', events=FEW_EVENTS))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_meanwhile)
+            engine = await find_runner(stage, 'r1')
+            engine.stream_faults.withhold_events = True
+            engine.stream_faults.show_stops = True
+            engine.copy_gate = trio.Event()
+        assert engine.stops_by_request['r1'] == [True]
+        received, complete = ended[0]
+        assert not complete
+        assert whole('r1', FEW_EVENTS).startswith(received)
+
+
 @DIRECTLY_OR_NOT
 @pytest.mark.parametrize('inside', [False, True])
 @pytest.mark.parametrize('reset', [False, True])
