Upstreams: a copy whose answer lacks its handle is no copy

What callers saw: a generation that was to move could be cut. An answer to a copy may end early, and without a length that looks like its end. Cause: what could not be read counted as a copy without a handle, which was then resumed from at the target and at the source, and both refuse it. Evidence: the new test got a copy with an empty handle, three of three. Change: it counts as no answer, so that the copy is asked for again while its engine lives, or the backup is used. Three of three pass. Read and shown on the parser only: no stream was played through it.

--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -178,12 +178,17 @@
 
 
 def read_copy(response: httpcore.Response) -> Result[Copied, CopyFailed]:
-    """Parse the result of a copy."""
+    """Parse the result of a copy.
+
+    Without a handle the copy can't be used: its answer ended early.
+    """
     try:
         answer = msgspec.json.decode(response.content, type=_CopyAnswer)
     except msgspec.MsgspecError:
         answer = _CopyAnswer()
     match response.status:
+        case HTTPStatus.OK if not answer.handle:
+            return Failure(CopyFailed(CopyFault.NO_ANSWER))
         case HTTPStatus.OK:
             return Success(Copied(answer.handle, answer.created))
         case HTTPStatus.NOT_FOUND:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -7,11 +7,15 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import httpcore
 import httpx
 import pytest
 import trio
+from returns.result import Failure
 
 from cartdale.fleet.types import Upstream
+from cartdale.platform.exchanges import read_copy
+from cartdale.relay.types import CopyFailed, CopyFault
 from cartdale_standins.platform_engine import STRIDE
 from cartdale_standins.unframed import EarlyEnd
 from tests.network_cuts import CutWay, NetworkCuts
@@ -255,6 +259,15 @@
         await until(lambda: list_crashes(stage))
 
 
+# Guards against a copy that counts as made, though the answer that names it
+# ended early.
+@pytest.mark.parametrize('body', [b'', b'{"handle":"h","crea', b'{}'])
+def test_copy_without_its_handle_is_no_copy(body: bytes) -> None:
+    response = httpcore.Response(200, content=body)
+    response.read()
+    assert read_copy(response) == Failure(CopyFailed(CopyFault.NO_ANSWER))
+
+
 @DIRECTLY_OR_NOT
 async def test_whole_plain_answer_arrives(monkeypatch, detour: bool) -> None:
     async with open_unframed(monkeypatch, detour=detour) as stage:
