Streams: an unframed one that ends with its engine is not whole

What callers saw: a stream that looked complete and lacked its last events, where an engine crashed between two events and its connections were closed, not reset. Cause: without framing that end looks like a complete one, and the crash probe that it queued was only evidence. Change: the end waits for the probe, which was made before too, one call to the engine; an engine that has ended or restarted since makes it a broken link: resumed from the backup, else cut. Events are passed on as they come; only the end waits. An engine that can't be asked for want of a path counts as alive, as before. Plain answers are not held for it: their check waits for a slot.

Known cost: a complete stream whose engine ends in the moment of the probe is cut, or resumed in vain.

--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -5,7 +5,7 @@
 seen at once: its machine refuses connections, or another incarnation answers.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 from loguru import logger
@@ -43,11 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Probe:
-    """Hold the links that one crash probe covers."""
+    """Hold the links that one crash probe covers.
+
+    :param gone: contains the upstream's id once it is known to have ended.
+    """
 
     upstream: UpstreamEntry
     links: list[BrokenLink]
     ended: trio.Event
+    gone: set[str] = field(default_factory=set)
 
 
 class CrashProber:
@@ -76,6 +80,15 @@
             return
         self._probes_by_upstream[name] = pending
 
+    async def check(self, link: BrokenLink) -> bool:
+        """Probe the upstream of a link, and tell whether it has ended."""
+        self.probe(link)
+        pending = self._probes_by_upstream.get(link.upstream.upstream)
+        if pending is None:
+            return False
+        await pending.ended.wait()
+        return bool(pending.gone)
+
     async def settle(self, identity: Identity) -> None:
         """Wait for the pending probes that concern a suspect request.
 
@@ -97,6 +110,8 @@
         upstream = pending.upstream
         spec = self._fleet.table.services_by_name.get(upstream.service)
         gone = await self._upstreams.is_gone(upstream, spec)
+        if gone:
+            pending.gone.add(upstream.upstream)
         self._probes_by_upstream.pop(upstream.upstream)
         for link in pending.links:
             logger.info(
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -54,17 +54,25 @@
 
     def probe_upstream(self) -> None:
         """Queue a crash probe of the upstream of the current link."""
+        link = self._describe()
+        if link is not None:
+            self._ports.crash_prober.probe(link)
+
+    async def ended_with_upstream(self) -> bool:
+        """Probe the upstream of a link that ended, and tell if it ended too."""
+        link = self._describe()
+        return link is not None and await self._ports.crash_prober.check(link)
+
+    def _describe(self) -> BrokenLink | None:
         if self._upstream is None:
-            return
-        self._ports.crash_prober.probe(
-            BrokenLink(
-                request_id=self._routed.request.request_id,
-                identity=self._routed.identity,
-                upstream=self._upstream,
-                sent_at=self._began_at,
-                events=self._events,
-                begun=self._begun,
-            )
+            return None
+        return BrokenLink(
+            request_id=self._routed.request.request_id,
+            identity=self._routed.identity,
+            upstream=self._upstream,
+            sent_at=self._began_at,
+            events=self._events,
+            begun=self._begun,
         )
 
     def _record_survival(self) -> None:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -329,38 +329,48 @@
         )
         if failure and self._passer.next_upstream is not None:
             return self._passer.next_upstream
+        if not failure and self._is_empty(answer):
+            self._link.probe_upstream()
+            return self._break('ended before its first event')
+        failure = failure or await self._find_early_end(answer)
         if failure:
             return await self._lose_link(failure)
-        if not answer.framed and self._may_be_stopped():
-            # A stopped stream closes without its end, and so does a complete
-            # one whose body is not delimited.
-            return await self._lose_link('stopped')
         if self._passer.pending:
-            if answer.status == _SUCCESS:
-                return await self._lose_link('ended inside an event')
             await self._sink.write(self._passer.pending)
-        elif answer.status == _SUCCESS and not self._may_be_whole(answer):
-            self._link.probe_upstream()
-            return self._break('ended before its first event')
         await self._sink.finish()
-        good = answer.status == _SUCCESS
-        self._link.note_complete(framed=answer.framed, good=good)
         return StreamEnd.WHOLE
 
+    def _is_empty(self, answer: OpenedResponse) -> bool:
+        """Tell whether a stream ended before its first event.
+
+        It may be complete without one if its engine says so by the framing, or
+        if the caller resumed it and has all events.
+        """
+        if answer.framed or answer.status != _SUCCESS or self._may_be_stopped():
+            return False
+        begun = self._passer.pending or self._passer.last_event
+        return not (begun or self._generation.events)
+
+    async def _find_early_end(self, answer: OpenedResponse) -> str:
+        """Return why a stream that ended is incomplete; empty if it is not."""
+        if not answer.framed and self._may_be_stopped():
+            # A stopped stream closes without its end, and so does a complete
+            # one whose body is not delimited.
+            return 'stopped'
+        good = answer.status == _SUCCESS
+        if good and self._passer.pending:
+            return 'ended inside an event'
+        if answer.framed or not good:
+            self._link.note_complete(framed=answer.framed, good=good)
+            return ''
+        # An engine that crashes may end its streams as if they were complete.
+        crashed = await self._link.ended_with_upstream()
+        return 'ended with its engine' if crashed else ''
+
     def _may_be_stopped(self) -> bool:
         """Tell whether its engine may have stopped the generation."""
         return self._generation.is_stopped or self._generation.stop_sent
 
-    def _may_be_whole(self, answer: OpenedResponse) -> bool:
-        """Tell whether a stream that ended between events may be complete.
-
-        One without events may be if its engine says so by the framing, or if
-        the caller resumed it and has them all.
-        """
-        return bool(
-            answer.framed or self._generation.events or self._passer.last_event
-        )
-
     async def _lose_link(self, detail: str) -> LinkEnd:
         """Return the engine to resume at, or how the attempt ended."""
         if not self._generation.is_stopped:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -220,6 +220,45 @@
         assert not answer.content
 
 
+# Guards against a stream that looks whole though its engine ended with it, as a
+# new connection to the engine shows.
+@DIRECTLY_OR_NOT
+async def test_stream_that_ends_with_its_engine_resumes_from_its_backup(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 3, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, crashes=True))
+        assert await stream(stage, 'r1') == (whole('r1', EVENTS), True)
+        assert count_runs(stage, 'r1') == 1
+        assert count_resumed(stage, 'r1') == 1
+
+
+@DIRECTLY_OR_NOT
+async def test_stream_that_ends_with_its_engine_is_cut_without_a_backup(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 1, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, crashes=True))
+        assert await stream(stage, 'r1') == (whole('r1', PASSED), False)
+
+
+# Guards against a carried stream that looks whole since its intermediary ended.
+async def test_stream_whose_intermediary_ends_is_not_whole(monkeypatch) -> None:
+    async with open_unframed(monkeypatch, 1, detour=True) as stage:
+        ended: list[tuple[bytes, bool]] = []
+
+        async def ask_meanwhile() -> None:
+            ended.append(await stream(stage, 'r1'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_meanwhile)
+            await find_runner(stage, 'r1')
+            stage.scopes[1].cancel()
+        received, complete = ended[0]
+        assert not complete
+        assert whole('r1', EVENTS).startswith(received)
+
+
 # Guards against a stream that looks whole though this instance stopped it: the
 # engine did so, but its answer to the order came late.
 async def test_stream_that_was_stopped_without_an_answer_is_not_whole(
