--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -178,7 +178,10 @@
 
 
 def read_copy(response: httpcore.Response) -> Result[Copied, CopyFailed]:
-    """Parse the result of a copy."""
+    """Parse the result of a copy.
+
+    Without a handle the copy can't be used: its answer ended early.
+    """
     try:
         answer = msgspec.json.decode(response.content, type=_CopyAnswer)
     except msgspec.MsgspecError:
