Quarantine: what never ran on contests a crash with a part that did

In the soak, requests without parts ended engines several times a second, each as it received them.

A crash counts against a part that ran on within the last minute only if no other request without the part was beginning there that never ran on, nor all parts of its prompt.

tests/test_part_evidence.py: the new course was refused before.

--- a/src/cartdale/quarantine/decide.py
+++ b/src/cartdale/quarantine/decide.py
@@ -241,7 +241,11 @@
 
 def _judge_parts(state: QuarantineState) -> QuarantineState:
     """Return the state with the parts that its evidence blames."""
-    blamed = find_blamed(state.records_by_part, partial(is_quarantined, state))
+    blamed = find_blamed(
+        state.records_by_part,
+        state.records_by_identity.values(),
+        partial(is_quarantined, state),
+    )
     if blamed == state.blamed_parts:
         return state
     return replace(state, blamed_parts=blamed)
--- a/src/cartdale/quarantine/parts.py
+++ b/src/cartdale/quarantine/parts.py
@@ -17,7 +17,7 @@
 from cartdale.clock import Millis
 from cartdale.quarantine.evidence import SURVIVAL_VALIDITY
 from cartdale.quarantine.identity import Identity
-from cartdale.quarantine.types import PartCrash, PartRecord
+from cartdale.quarantine.types import PartCrash, PartRecord, RequestRecord
 
 #: Crashes in sequence, not explained by a likelier suspect, after which a part
 #: is blamed; as many as for a request.
@@ -84,9 +84,14 @@
 
 
 def find_blamed(
-    records_by_part: RecordsByPart, is_quarantined: RequestCheck
+    records_by_part: RecordsByPart,
+    requests: Collection[RequestRecord],
+    is_quarantined: RequestCheck,
 ) -> frozenset[Identity]:
-    """Return the parts that are blamed for crashes."""
+    """Return the parts that are blamed for crashes.
+
+    :param requests: records of all requests that upstreams crashed on.
+    """
     suspects = [
         part
         for part, record in records_by_part.items()
@@ -101,7 +106,12 @@
     blamed: set[Identity] = set()
     for part in suspects:
         record = records_by_part[part]
-        if _is_blamed(record, explained, blamed):
+        if _ran_shortly_before(record):
+            contested = _list_contested(part, records_by_part, requests)
+            is_blamed = _is_blamed_anyway(record, explained | contested)
+        else:
+            is_blamed = _is_blamed(record, explained, blamed)
+        if is_blamed:
             blamed.add(part)
             explained |= {identify_crash(each) for each in record.crashes}
     return frozenset(blamed)
@@ -117,7 +127,7 @@
     explained: Collection[Incarnation],
     likelier: Collection[Identity],
 ) -> bool:
-    """Tell whether a part is blamed.
+    """Tell whether a part is blamed that did not run on shortly before.
 
     :param explained: crashes that likelier suspects explain.
     :param likelier: likelier suspects that are blamed.
@@ -126,11 +136,8 @@
     unexplained = [
         each for each in since if identify_crash(each) not in explained
     ]
-    in_sequence = _count_sequence(unexplained)
-    if _ran_shortly_before(record, since):
-        return in_sequence >= _CRASHES_TO_BLAME_ANYWAY
     many = len(unexplained) >= _CRASHES_TO_BLAME_ANYWAY
-    if many or in_sequence >= _CRASHES_TO_BLAME:
+    if many or _count_sequence(unexplained) >= _CRASHES_TO_BLAME:
         return True
     apart = _count_sequence(
         [each for each in since if not set(each.parts).intersection(likelier)]
@@ -139,17 +146,59 @@
     return enough and apart >= _MIN_APART
 
 
-def _ran_shortly_before(
-    record: PartRecord, since: Collection[PartCrash]
+def _is_blamed_anyway(
+    record: PartRecord, excused: Collection[Incarnation]
 ) -> bool:
+    """Tell whether a part is blamed although it ran on shortly before."""
+    unexcused = [
+        each
+        for each in list_since_run(record)
+        if identify_crash(each) not in excused
+    ]
+    return _count_sequence(unexcused) >= _CRASHES_TO_BLAME_ANYWAY
+
+
+def _ran_shortly_before(record: PartRecord) -> bool:
     """Tell whether a request with the part ran on just before the crashes."""
     if record.ran_at is None:
         return False
     valid_until = record.ran_at + SURVIVAL_VALIDITY
-    fresh = [each for each in since if each.seen_at > valid_until]
+    fresh = [each for each in record.crashes if each.seen_at > valid_until]
     return len(fresh) < _CRASHES_TO_BLAME
 
 
+def _list_contested(
+    part: Identity,
+    records_by_part: RecordsByPart,
+    requests: Collection[RequestRecord],
+) -> set[Incarnation]:
+    """Return the crashes that a request without a part may have caused.
+
+    Neither it nor all parts of its prompt ever ran on. Without this rule a part
+    that most requests share would be blamed for what ends upstreams so often
+    that nothing runs on in between.
+    """
+    contested: set[Incarnation] = set()
+    for request in requests:
+        if request.ran_at is not None:
+            continue
+        for each in request.evidence:
+            if part in each.parts or _ran_on(each.parts, records_by_part):
+                continue
+            contested.add((each.crash.upstream, each.crash.born))
+    return contested
+
+
+def _ran_on(
+    parts: tuple[Identity, ...], records_by_part: RecordsByPart
+) -> bool:
+    """Tell whether there are parts, and all of them ran on before."""
+    records = [records_by_part.get(part) for part in parts]
+    return bool(records) and all(
+        record is not None and record.ran_at is not None for record in records
+    )
+
+
 def _count_sequence(crashes: Collection[PartCrash]) -> int:
     """Count the crashes of upstreams that began after the crash before."""
     count = 0
--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -327,6 +327,14 @@
         ),
         accepted=(*SOUND_ACCEPTED, *make_prompts((FIRST, RIDER))),
     ),
+    Scenario(
+        'others end engines so often that nothing runs on in between',
+        order(
+            survive(FIRST, COMMON, until=MINUTE_MS),
+            crash((FIRST, COMMON), (), count=10),
+        ),
+        accepted=make_prompts((FIRST, COMMON), (FIRST,), (COMMON,)),
+    ),
     Scenario(
         'mended: accepted again after an hour without crashes',
         order(serve(), crash((FIRST, DEADLY, COMMON))),
