Stand-ins: a refused copy is a complete response

An engine's stand-in refused a copy (404, 409) with a response that never ended, so that callers read a broken link instead of the refusal. No test saw it: both ended alike.

The refusals now have an empty body.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -262,10 +262,10 @@
         request_id: str = order['id']
         record = self.driver.records_by_generation.get(request_id)
         if record is None:
-            return Response(status=HTTPStatus.NOT_FOUND.value)
+            return _refuse_copy(HTTPStatus.NOT_FOUND)
         if request_id in self._copying:
             self.conflicts += 1
-            return Response(status=HTTPStatus.CONFLICT.value)
+            return _refuse_copy(HTTPStatus.CONFLICT)
         self._copying.add(request_id)
         try:
             return await self._copy(order, request_id, record)
@@ -280,7 +280,7 @@
         if order.get('last') and self.stream_faults.end_before_stop:
             while request_id in self.driver.records_by_generation:
                 await trio.sleep(_POLL_SECONDS)
-            return Response(status=HTTPStatus.NOT_FOUND.value)
+            return _refuse_copy(HTTPStatus.NOT_FOUND)
         if order.get('last'):
             self._stopped.add(request_id)
             self.driver.model.cancel(request_id)
@@ -344,6 +344,11 @@
         )
 
 
+def _refuse_copy(status: HTTPStatus) -> Response:
+    # Without a body, not even an empty one, the response has no end.
+    return Response('', status=status.value)
+
+
 def _answer(message: object) -> Response:
     return Response(
         msgspec.json.encode(message), content_type='application/json'
