Moves: a source that may run on is stopped before a copy resumes

When a link broke or fell silent while a copy of its generation was held or renewed, the target resumed from that copy at once. Nobody had told the source to stop: it could run on without its link, and two engines worked on one generation. A target that refused then sent the request back to that same source. A stop that the source refused as busy, or without a handle, was taken for a source that has ended.

The source is now told to stop first, as after any broken link, with the target that holds the copy; a renewal in progress still replaces the handle, and copies tell whether they stopped the generation. The older copy or the backup serves if the source can't be reached, does not know the run or does not answer in 400 ms. Busy, or no room without a handle, says that it runs on, since a source that stopped names the memory that it keeps: it is asked again within that time, and then the stream is cut. An older copy that is refused is lost (at_copy) instead of going back to a source that may run.

Tests: over sockets, a source behind a silent link that copies slowly was not told to stop before the target resumed (copies requested: none of them last); one that is busy until the end was resumed elsewhere.

--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -3,8 +3,9 @@
 The source keeps generating while most of its memory is copied. The copy is
 renewed until the source's link is free, so that the final copy is quick. Then
 the source stops, the remaining memory is copied, and the same request resumes
-at the target after the last event that the caller received. If the source ends
-earlier, the target resumes from the older copy and recomputes the tokens that
+at the target after the last event that the caller received. If the link breaks
+earlier, the source is told to stop, since it may run on without its link. If it
+has ended, the target resumes from the older copy and recomputes the tokens that
 it lacks. At most one engine works on the generation at any time.
 """
 
@@ -13,6 +14,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.moves.holders import find_copy, find_holder, lose_backup
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
@@ -31,6 +33,7 @@
     MovePhase,
     MoveState,
     RescueTarget,
+    RescueTimedOut,
     Resume,
     Resumed,
     ResumeRejected,
@@ -47,16 +50,30 @@
 #: waiting gains less each time. With the pauses below, five renewals span the
 #: notice of an engine.
 MAX_RENEWALS = 5
+#: Refused or unanswered stops of one rescue after which no other is requested.
+#: With the pauses between them they span the time of a rescue.
+MAX_RESCUE_TRIES = 6
 #: First pause before a refused copy is retried, first pause before a copy is
 #: renewed, and the maximum of both. The pauses double.
 _RETRY_PAUSE: Millis = 30
 _RENEWAL_PAUSE: Millis = 40
 _MAX_PAUSE: Millis = 480
+#: Pause before a refused or unanswered stop of a rescue is retried.
+_RESCUE_PAUSE: Millis = 60
 
+#: Faults of a copy whose source does not run the generation or is unreachable.
+_NOT_RUNNING = frozenset((CopyFault.UNREACHABLE, CopyFault.UNKNOWN_RUN))
+#: Faults of a stop whose source runs on.
+_RUNNING_ON = frozenset((CopyFault.BUSY, CopyFault.NO_ROOM))
 _ENDING = frozenset((MovePhase.STOPPING, MovePhase.RESCUING))
 _COPYING = frozenset((MovePhase.COPYING, MovePhase.REFRESHING))
 _STOPPED = frozenset(
-    (MovePhase.AT_TARGET, MovePhase.AT_SOURCE, MovePhase.AT_BACKUP)
+    (
+        MovePhase.AT_TARGET,
+        MovePhase.AT_SOURCE,
+        MovePhase.AT_COPY,
+        MovePhase.AT_BACKUP,
+    )
 )
 
 
@@ -75,8 +92,8 @@
     match message:
         case TargetChosen(target=target):
             return _choose(state, target)
-        case CopyEnded(handle=handle):
-            return _end_copy(state, handle)
+        case CopyEnded():
+            return _end_copy(state, message)
         case LinkQuiet():
             return _stop(state)
         case LinkBusy():
@@ -85,14 +102,14 @@
             return _reject_copy(state, message)
         case LinkEnded(received=received):
             return _end_link(state, received)
-        case RescueTarget(target=target):
-            return _rescue(state, target)
+        case RescueTarget() | RescueTimedOut():
+            return _rescue(state, message)
         case Resumed(backup=backup):
-            return MoveState(_holder(state), backup=backup), ()
+            return MoveState(find_holder(state), backup=backup), ()
         case ResumeRejected():
             return _reject_resume(state)
         case BackupLost():
-            return _lose_backup(state), ()
+            return lose_backup(state), ()
         case _:
             assert_never(message)
 
@@ -120,14 +137,16 @@
     return after, (Copy(last=False),)
 
 
-def _end_copy(state: MoveState, handle: str) -> Decision:
+def _end_copy(state: MoveState, ended: CopyEnded) -> Decision:
+    copied = replace(state, handle=ended.handle)
     match state.phase:
         case MovePhase.COPYING | MovePhase.REFRESHING:
-            after = replace(state, phase=MovePhase.COPIED, handle=handle)
-            return after, (AwaitQuiet(),)
-        case MovePhase.STOPPING | MovePhase.RESCUING:
-            after = replace(state, phase=MovePhase.AT_TARGET, handle=handle)
-            return after, ()
+            return replace(copied, phase=MovePhase.COPIED), (AwaitQuiet(),)
+        case MovePhase.STOPPING | MovePhase.RESCUING if ended.last:
+            return replace(copied, phase=MovePhase.AT_TARGET), ()
+        case MovePhase.RESCUING if find_copy(state) is not None:
+            # A renewal that was in progress as the link ended.
+            return copied, ()
         case _:
             return state, ()
 
@@ -154,16 +173,17 @@
 
 
 def _reject_copy(state: MoveState, rejected: CopyRejected) -> Decision:
-    if state.phase not in _ENDING | _COPYING:
-        return state, ()
     stopping = state.phase in _ENDING
+    expected = rejected.last if stopping else state.phase in _COPYING
+    if not expected:
+        return state, ()
     if stopping and rejected.handle:
         after = replace(
             state, phase=MovePhase.AT_SOURCE, handle=rejected.handle
         )
         return after, ()
     if state.phase is MovePhase.RESCUING:
-        return _fall_back(state)
+        return _reject_rescue(state, rejected.fault)
     if state.tries >= MAX_TRIES:
         return _give_up(state), ()
     tried = replace(state, tries=state.tries + 1)
@@ -180,7 +200,9 @@
         case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
             if stopping:
                 return _give_up(state), ()
-            settled = replace(tried, phase=MovePhase.SETTLED, target=None)
+            settled = replace(
+                tried, phase=MovePhase.SETTLED, target=None, handle=''
+            )
             return settled, (ChooseAgain(),)
         case _:
             assert_never(rejected.fault)
@@ -190,23 +212,60 @@
     if state.phase in _ENDING or state.phase is MovePhase.COPYING:
         return state, (AwaitCopy(),)
     if state.phase in _STOPPED:
-        return state, (Resume(_holder(state)),)
-    if state.handle and state.target is not None:
-        after = replace(state, phase=MovePhase.AT_TARGET)
-        return after, (Resume(state.target),)
+        return state, (Resume(find_holder(state)),)
     if state.phase is MovePhase.LOST:
         return state, (Cut(),)
-    rescued = replace(state, phase=MovePhase.RESCUING, backup_events=received)
+    rescued = replace(
+        state, phase=MovePhase.RESCUING, tries=0, backup_events=received
+    )
     return rescued, (ChooseRescue(),)
 
 
-def _rescue(state: MoveState, target: UpstreamEntry | None) -> Decision:
+def _rescue(
+    state: MoveState, message: RescueTarget | RescueTimedOut
+) -> Decision:
     """Stop the generation at its source, where it may still be running."""
     if state.phase is not MovePhase.RESCUING:
         return state, ()
-    if target is None:
+    if isinstance(message, RescueTimedOut):
+        return _end_rescue(state)
+    chosen = find_copy(state) or message.target
+    if chosen is None:
+        after, actions = _fall_back(state)
+        if after.phase is MovePhase.LOST or state.backup is None:
+            return after, actions
+        chosen = state.backup
+    return replace(state, target=chosen), (Copy(last=True),)
+
+
+def _reject_rescue(state: MoveState, fault: CopyFault) -> Decision:
+    """Request the stop again, unless the source no longer runs it.
+
+    A source that stopped would have named the memory that it keeps, so that
+    one which refuses without a handle runs on.
+    """
+    tried = replace(state, tries=state.tries + 1, refused=fault in _RUNNING_ON)
+    if fault in _NOT_RUNNING or state.tries >= MAX_RESCUE_TRIES:
+        return _end_rescue(tried)
+    return tried, (Copy(last=True, pause=_RESCUE_PAUSE),)
+
+
+def _end_rescue(state: MoveState) -> Decision:
+    """Resume from a copy or the backup, unless the source runs on.
+
+    An instance that gets no answer doesn't reach the source, and only one that
+    reaches it must wait until the source has stopped.
+    """
+    holder = find_copy(state)
+    if state.refused:
+        return _lose(state)
+    if holder is None:
         return _fall_back(state)
-    return replace(state, target=target), (Copy(last=True),)
+    return replace(state, phase=MovePhase.AT_COPY), (Resume(holder),)
+
+
+def _lose(state: MoveState) -> Decision:
+    return replace(state, phase=MovePhase.LOST), (Cut(),)
 
 
 def _fall_back(state: MoveState) -> Decision:
@@ -226,24 +285,8 @@
 
 
 def _reject_resume(state: MoveState) -> Decision:
+    """Resume at the source if it stopped, and so keeps the memory."""
     if state.phase is MovePhase.AT_TARGET:
         after = replace(state, phase=MovePhase.AT_SOURCE)
         return after, (Resume(state.source),)
-    return replace(state, phase=MovePhase.LOST), (Cut(),)
-
-
-def _lose_backup(state: MoveState) -> MoveState:
-    """Drop the backup, unless the generation already resumes from it."""
-    if state.phase is MovePhase.AT_BACKUP:
-        return state
-    return replace(state, backup=None)
-
-
-def _holder(state: MoveState) -> UpstreamEntry:
-    match state.phase:
-        case MovePhase.AT_TARGET if state.target is not None:
-            return state.target
-        case MovePhase.AT_BACKUP if state.backup is not None:
-            return state.backup
-        case _:
-            return state.source
+    return _lose(state)
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -27,6 +27,9 @@
     AT_SOURCE = 'at_source'
     #: Its link broke; it is being stopped at its source, if it still runs.
     RESCUING = 'rescuing'
+    #: It ended at its source, or the source doesn't answer a request to stop
+    #: it; the target holds a slightly older copy.
+    AT_COPY = 'at_copy'
     #: It ended at its source; another engine holds a backup.
     AT_BACKUP = 'at_backup'
     #: It can't be resumed anywhere.
@@ -38,8 +41,11 @@
     """The engines of a generation, and the phase of its move.
 
     :param handle: handle of the newest copy; empty for none.
-    :param tries: copies refused or unanswered at this engine.
+    :param tries: copies refused or unanswered at this engine; those of a
+        rescue are counted anew.
     :param renewals: renewals of its copy over a busy link.
+    :param refused: whether its source refused the latest request of a rescue
+        to stop it.
     :param backup: engine that holds an up-to-date backup of its memory.
     :param backup_events: events that the source had sent as its link ended;
         without any, the backup holds nothing to resume from.
@@ -51,6 +57,7 @@
     handle: str = ''
     tries: int = 0
     renewals: int = 0
+    refused: bool = False
     backup: UpstreamEntry | None = None
     backup_events: int = 0
 
@@ -64,9 +71,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyEnded:
-    """A copy completed."""
+    """A copy completed.
+
+    :param last: whether the generation was stopped first.
+    """
 
     handle: str
+    last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,10 +95,12 @@
     """A copy was not made, or its response was lost.
 
     :param handle: handle of the memory that a stopped source keeps.
+    :param last: whether the generation was to be stopped first.
     """
 
     fault: CopyFault
     handle: str = ''
+    last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +123,11 @@
     target: UpstreamEntry | None
 
 
+@dataclass(frozen=True, slots=True)
+class RescueTimedOut:
+    """No time is left to request again that the source stops."""
+
+
 @dataclass(frozen=True, slots=True)
 class Resumed:
     """The generation continues at the engine that it was sent to.
@@ -182,6 +200,7 @@
     | CopyRejected
     | LinkEnded
     | RescueTarget
+    | RescueTimedOut
     | Resumed
     | ResumeRejected
     | BackupLost
--- a/src/cartdale/relay/copying.py
+++ b/src/cartdale/relay/copying.py
@@ -72,7 +72,7 @@
             case Success(Copied(handle=handle)):
                 took = self._clock.now() - requested_at
                 self.link_free = self.renewed and took <= _MAX_QUICK_COPY
-                return CopyEnded(handle)
+                return CopyEnded(handle, last)
             case Failure(CopyFailed(fault=fault, handle=kept_handle)):
-                return CopyRejected(fault, kept_handle)
+                return CopyRejected(fault, kept_handle, last)
         return None
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -13,6 +13,7 @@
 from cartdale.formatting import format_log_fields
 from cartdale.moves import decide as moves
 from cartdale.moves.estimates import Departure
+from cartdale.moves.holders import find_partial_holder
 from cartdale.moves.types import (
     Action,
     AwaitCopy,
@@ -30,6 +31,7 @@
     MovePhase,
     MoveState,
     RescueTarget,
+    RescueTimedOut,
     Resume,
     Resumed,
     ResumeRejected,
@@ -48,8 +50,9 @@
 #: Each further pause is twice as long, so that engines which refuse get only a
 #: few requests within the drain notice of the source.
 _FIRST_RETRY_PAUSE: Millis = 40
-#: Maximum wait for the copy response of an engine whose link broke.
-_RESCUE_COPY_TIMEOUT: Millis = 400
+#: Maximum wait for the copy response of an engine whose link broke, and time
+#: during which a refused or unanswered stop is requested again.
+_RESCUE_TIMEOUT: Millis = 400
 
 
 class RunningGeneration:
@@ -279,13 +282,17 @@
 
     async def _rescue(self) -> Action | None:
         """Stop it at its source, where it may still run without its link."""
-        backup = self._state.backup if self._state else None
-        target = backup or self._choose_target(set())
-        if not self._ports.fleet.switches.is_enabled(Mechanism.RESCUE):
-            target = None
+        holder = find_partial_holder(self._state) if self._state else None
+        target = holder or self._choose_target(set())
         action = self._dispatch(RescueTarget(target))
-        if isinstance(action, Copy):
-            action = await self._copy(action, _RESCUE_COPY_TIMEOUT)
+        retry_until = self._ports.clock.now() + _RESCUE_TIMEOUT
+        enabled = self._ports.fleet.switches.is_enabled(Mechanism.RESCUE)
+        while isinstance(action, Copy):
+            starts_at = self._ports.clock.now() + action.pause
+            if enabled and starts_at <= retry_until:
+                action = await self._copy(action, _RESCUE_TIMEOUT)
+            else:
+                action = self._dispatch(RescueTimedOut())
         if action is None:
             action = self._dispatch(LinkEnded(self._link_events))
         return action
--- a/tests/test_platform_moves.py
+++ b/tests/test_platform_moves.py
@@ -5,11 +5,13 @@
 """
 
 import httpx
+import pytest
 import trio
 
 from cartdale.moves.estimates import Departure
 from cartdale_standins.platform_engine import STRIDE
 from tests.platform_stage import (
+    PlatformStage,
     count_runs,
     draft,
     draft_meanwhile,
@@ -152,6 +154,59 @@
         assert target.resumed_by_request['r1'] == 1
 
 
+# Guards against two engines that work on one generation: its first engine runs
+# on behind a link that fell silent while the generation was copied.
+async def test_source_behind_a_silent_link_stops_before_its_copy_resumes() -> (
+    None
+):
+    async with open_platform(engines=1) as stage:
+        async with draft_meanwhile(stage, 'r1', 2 * LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            # Each renewal is so slow that another one follows.
+            source.copy_seconds = 0.2
+            source.leaves_ms = LEAVES_MS
+            stage.drain(source)
+            await until(lambda: target.copies_received)
+            source.stream_faults.withhold_events = True
+            await until(lambda: target.resumed_by_request['r1'])
+            stops = list(source.stops_by_request['r1'])
+        assert True in stops
+        assert answers[0].content == whole('r1', 2 * LONG // STRIDE)
+        assert count_runs(stage, 'r1') == 1
+        assert target.resumed_by_request['r1'] == 1
+
+
+# Guards against a copy that resumes though its source answers that it runs on.
+async def test_copy_of_a_run_that_its_source_does_not_stop_is_not_resumed() -> (
+    None
+):
+    async with open_platform(engines=1) as stage:
+        with pytest.raises(ExceptionGroup) as caught:
+            await submit_to_stuck_source(stage)
+        assert caught.group_contains(httpx.RemoteProtocolError)
+        assert count_runs(stage, 'r1') == 1
+        assert not any(each.resumed_by_request for each in stage.engines)
+        assert stage.engines[0].conflicts > 1
+
+
+async def submit_to_stuck_source(stage: PlatformStage) -> None:
+    """Submit a draft whose engine is busy with a copy as its link ends."""
+    with trio.fail_after(NOTICED_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draft, stage, 'r1', 4000)
+            source = await find_runner(stage, 'r1')
+            target = stage.add_engine()
+            await stage.settle()
+            source.copy_seconds = 0.2
+            source.leaves_ms = LEAVES_MS
+            stage.drain(source)
+            await until(lambda: target.copies_received)
+            source.copy_gate = trio.Event()
+            source.stream_faults.withhold_events = True
+
+
 async def test_frozen_engine_is_waited_for() -> None:
     async with open_platform(engines=1) as stage:
         async with draft_meanwhile(stage, 'r1', LONG) as answers:
