Gateway: log an own error that a nursery has wrapped

A violated invariant ended the request, but left no 'request failed' line: a request is answered inside nurseries, which raise a group of errors, and only a bare error was logged.

The line is written for each own error in a group, however deep, and the error is raised as before. tests/test_failed_requests.py failed before, with one nursery and with three.

--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -26,11 +26,23 @@
             exchange = Exchange(self._ports, scope, receive, send)
             try:
                 await exchange.answer()
-            except CartdaleError as error:
-                logger.error(
-                    'request failed',
-                    request=exchange.request_id,
-                    error=type(error).__name__,
-                    detail=error.format_message(),
-                )
+            except (CartdaleError, BaseExceptionGroup) as error:
+                for each in _list_errors(error):
+                    logger.error(
+                        'request failed',
+                        request=exchange.request_id,
+                        error=type(each).__name__,
+                        detail=each.format_message(),
+                    )
                 raise
+
+
+def _list_errors(error: BaseException) -> list[CartdaleError]:
+    """Return the error, or those in a group of a nursery."""
+    match error:
+        case CartdaleError():
+            return [error]
+        case BaseExceptionGroup(exceptions=members):
+            return [each for part in members for each in _list_errors(part)]
+        case _:
+            return []
