Quarantine: a part that ran on is not blamed for what rides beside it

Ends of requests that hold another part which never ran on are contested now as well.

tests/test_part_evidence.py: the new course was refused before.

--- a/src/cartdale/quarantine/parts.py
+++ b/src/cartdale/quarantine/parts.py
@@ -173,29 +173,30 @@
     records_by_part: RecordsByPart,
     requests: Collection[RequestRecord],
 ) -> set[Incarnation]:
-    """Return the crashes that a request without a part may have caused.
+    """Return the crashes that something else than a part may have caused.
 
-    Neither it nor all parts of its prompt ever ran on. Without this rule a part
-    that most requests share would be blamed for what ends upstreams so often
-    that nothing runs on in between.
+    That is a request without it that never ran on, nor all parts of its prompt;
+    or another part of a request with it that never ran on. Without this rule a
+    part that most requests share would be blamed for what ends upstreams so
+    often that nothing runs on in between.
     """
     contested: set[Incarnation] = set()
     for request in requests:
         if request.ran_at is not None:
             continue
         for each in request.evidence:
-            if part in each.parts or _ran_on(each.parts, records_by_part):
+            others = [other for other in each.parts if other != part]
+            if each.parts and _all_ran_on(others, records_by_part):
                 continue
             contested.add((each.crash.upstream, each.crash.born))
     return contested
 
 
-def _ran_on(
-    parts: tuple[Identity, ...], records_by_part: RecordsByPart
+def _all_ran_on(
+    parts: Collection[Identity], records_by_part: RecordsByPart
 ) -> bool:
-    """Tell whether there are parts, and all of them ran on before."""
     records = [records_by_part.get(part) for part in parts]
-    return bool(records) and all(
+    return all(
         record is not None and record.ran_at is not None for record in records
     )
 
--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -335,6 +335,16 @@
         ),
         accepted=make_prompts((FIRST, COMMON), (FIRST,), (COMMON,)),
     ),
+    Scenario(
+        'the rarer part has fewer crashes in sequence so far',
+        order(
+            survive(FIRST, COMMON, until=MINUTE_MS),
+            crash((FIRST, RIDER), count=2, name='one'),
+            crash((FIRST, DEADLY), since=MINUTE_MS + 1200, count=2, name='two'),
+            crash((FIRST, COMMON), since=MINUTE_MS + 2400, count=1, name='on'),
+        ),
+        accepted=make_prompts((FIRST, COMMON), (FIRST,), (COMMON,)),
+    ),
     Scenario(
         'mended: accepted again after an hour without crashes',
         order(serve(), crash((FIRST, DEADLY, COMMON))),
