Callers' connections: read them as there is processor time, else close them unread

When a balancer hands most new connections to one instance, callers saw their requests read there and answered after their time limit, and connections that did not open. The instance read whatever it accepted, one connection in each pass of the loop; the rest waited in the system's queue, where nothing could tell how long.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -11,6 +11,7 @@
 from cartdale.briefing.app import BriefingApp
 from cartdale.briefing.driver import BriefingClient
 from cartdale.clock import SECOND_MS, Millis, SystemClock, as_seconds
+from cartdale.daemon.accepting import ConnectionQueue
 from cartdale.daemon.briefing import Briefings
 from cartdale.daemon.detours import Detours
 from cartdale.daemon.inflight import InFlight
@@ -152,6 +153,7 @@
         )
         self._app = InFlight(self._make_app())
         self._callers = _bind(settings.callers)
+        self._queue = ConnectionQueue(self._clock)
         self._shares = Shares(
             settings,
             self.fleet,
@@ -258,7 +260,7 @@
         with trio.move_on_after(as_seconds(_FIRST_CONFIGURATION)):
             await self.follower.configured.wait()
         logger.info('serving', version=self.fleet.table.version)
-        await self._callers.serve(self._app, self._stopping)
+        await self._callers.serve_queued(self._app, self._stopping, self._queue)
 
     async def _watch_settings(self) -> None:
         """Read the settings again when the file changes without a signal."""
--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -2,14 +2,20 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from ssl import CERT_REQUIRED
 from typing import Any
 
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from hypercorn.utils import wrap_app
 
 from cartdale.clock import SECOND_MS, Millis
+from cartdale.daemon.accepting import ConnectionQueue
 from cartdale.settings.types import Listener
 
 #: Streams in progress are never cut; they end by themselves.
@@ -46,11 +52,39 @@
             served, self._config, mode='asgi', shutdown_trigger=shutdown
         )
 
+    async def serve_queued(
+        self, app: Application, stopping: trio.Event, queue: ConnectionQueue
+    ) -> None:
+        """Serve as `serve` does, and read connections as the queue tells.
+
+        This replaces the server's own loop, which reads whatever it accepts.
+        """
+        context = WorkerContext(None)
+        serve_stream = partial(self._serve_stream, app, context)
+        listener = self._config.create_sockets().insecure_sockets[0]
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(queue.accept, listener)
+                accepting.start_soon(queue.serve, serve_stream, connections)
+                await stopping.wait()
+                accepting.cancel_scope.cancel()
+            listener.close()
+            queue.close_waiting()
+            await context.terminated.set()
+
     def limit(self, header_bytes: int, idle_timeout: Millis) -> None:
         """Bound new connections' headers and all connections' rests."""
         self._config.h11_max_incomplete_size = header_bytes
         self._config.keep_alive_timeout = idle_timeout / SECOND_MS
 
+    async def _serve_stream(
+        self, app: Any, context: WorkerContext, stream: Any
+    ) -> None:
+        wrapped = wrap_app(app, self._config.wsgi_max_body_size, 'asgi')
+        state = ConnectionState({})
+        server = TCPServer(wrapped, self._config, context, state, stream)
+        await server.run()
+
     def _configure(self) -> Config:
         config = Config()
         config.bind = [f'fd://{self._socket.detach()}']
