--- a/src/cartdale/daemon/accepting.py
+++ b/src/cartdale/daemon/accepting.py
@@ -6,7 +6,6 @@
 accepted yet wait unseen in the system's queue.
 """
 
-import errno
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -22,12 +21,8 @@
 #: third of their time, and some have little; one that is closed unread leaves
 #: its caller the time for another instance.
 MAX_UNREAD: Millis = 150
-#: Wait after the system has no descriptor left for a connection.
-_EXHAUSTED_WAIT: Millis = 100
-_EXHAUSTED = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-)
-
+#: Wait after a connection could not be accepted, as without descriptors.
+_FAILED_WAIT: Millis = 100
 #: Connections that wait at a time; the oldest one gives way.
 _MAX_WAITING = 512
 
@@ -49,6 +44,8 @@
         self._clock = clock
         self._waiting: deque[_Unread] = deque()
         self._arrived = trio.Event()
+        #: Whether some expired since the queue was last empty.
+        self._overloaded = False
         self._read_at: Millis = 0
         self._logged = 0
         self._logged_at: Millis = 0
@@ -62,22 +59,20 @@
             try:
                 self._accept_all(listener)
             except OSError as error:
-                if error.errno not in _EXHAUSTED:
-                    raise
-                logger.warning('connections not accepted', errno=error.errno)
-                await trio.sleep(as_seconds(_EXHAUSTED_WAIT))
+                logger.warning('connection not accepted', errno=error.errno)
+                await trio.sleep(as_seconds(_FAILED_WAIT))
 
     async def serve(
         self, serve_stream: ServeStream, nursery: trio.Nursery
     ) -> None:
-        """Pass connections on, the newest first, for ever.
+        """Pass connections on as there is time, for ever.
 
-        The callers of the others have less time left, and are better served
-        elsewhere. However busy the loop is, one is read now and then: all
-        instances may be as busy.
+        However busy the loop is, one is read now and then: all instances may
+        be as busy.
         """
         while True:
             if not self._waiting:
+                self._overloaded = False
                 self._arrived = trio.Event()
                 await self._arrived.wait()
             spare = await self._wait_for_spare_time()
@@ -86,10 +81,7 @@
                 continue
             if spare or now >= self._read_at + MAX_UNREAD:
                 self._read_at = now
-                newest = self._waiting.pop()
-                nursery.start_soon(
-                    serve_stream, _make_stream(newest.connection)
-                )
+                nursery.start_soon(serve_stream, self._pop())
             self._close_expired(now)
 
     def close_waiting(self) -> None:
@@ -105,6 +97,18 @@
             return True
         return False
 
+    def _pop(self) -> trio.SocketStream:
+        """Return the next connection to read.
+
+        While some can't be read in time the newest goes first: the callers of
+        the others have less time left, and are better served elsewhere.
+        """
+        if self._overloaded:
+            connection = self._waiting.pop().connection
+        else:
+            connection = self._waiting.popleft().connection
+        return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+
     def _accept_all(self, listener: socket.socket) -> None:
         while True:
             try:
@@ -132,8 +136,5 @@
 
     def _close_oldest(self) -> None:
         self._waiting.popleft().connection.close()
+        self._overloaded = True
         self.closed += 1
-
-
-def _make_stream(connection: socket.socket) -> trio.SocketStream:
-    return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
