Callers' connections: let a burst wait longer than lasting load

Of many callers that came at once some were turned away though the instance could have read them within half a second: test_unreached_upstreams.py and test_upstream_limits.py failed with connections that were closed unread (four instances in one loop). A connection may now wait for 500 ms; when one expires, more come than can be read, and 150 ms hold until the queue is empty and none was closed for a second.

--- a/src/cartdale/daemon/accepting.py
+++ b/src/cartdale/daemon/accepting.py
@@ -17,10 +17,13 @@
 from cartdale.clock import SECOND_MS, Clock, Millis, as_seconds
 from cartdale.daemon.spare_time import wait_for_spare_time
 
-#: How long a connection may stay unread. Callers leave after a second or a
-#: third of their time, and some have little; one that is closed unread leaves
-#: its caller the time for another instance.
+#: How long a connection may stay unread while more come than can be read.
+#: Callers leave after a second or a third of their time, and some have little;
+#: one that is closed unread leaves its caller the time for another instance.
 MAX_UNREAD: Millis = 150
+#: How long it may stay unread before that: many that come at once are read
+#: later rather than turned away.
+MAX_BURST: Millis = 500
 #: Wait after a connection could not be accepted, as without descriptors.
 _FAILED_WAIT: Millis = 100
 #: Connections that wait at a time; the oldest one gives way.
@@ -34,7 +37,7 @@
     """A connection of which nothing was read."""
 
     connection: socket.socket
-    expires_at: Millis
+    accepted_at: Millis
 
 
 class ConnectionQueue:
@@ -44,8 +47,9 @@
         self._clock = clock
         self._waiting: deque[_Unread] = deque()
         self._arrived = trio.Event()
-        #: Whether some expired since the queue was last empty.
+        #: Whether more come than can be read.
         self._overloaded = False
+        self._closed_at: Millis = 0
         self._read_at: Millis = 0
         self._logged = 0
         self._logged_at: Millis = 0
@@ -72,9 +76,9 @@
         """
         while True:
             if not self._waiting:
-                self._overloaded = False
                 self._arrived = trio.Event()
                 await self._arrived.wait()
+                self._update_overload()
             spare = await self._wait_for_spare_time()
             now = self._clock.now()
             if not self._waiting:
@@ -91,7 +95,8 @@
 
     async def _wait_for_spare_time(self) -> bool:
         """Return whether there is time before the oldest one expires."""
-        left = self._waiting[0].expires_at - self._clock.now()
+        waited = self._clock.now() - self._waiting[0].accepted_at
+        left = self._limit() - waited
         with trio.move_on_after(as_seconds(max(left, 0))):
             await wait_for_spare_time()
             return True
@@ -100,7 +105,7 @@
     def _pop(self) -> trio.SocketStream:
         """Return the next connection to read.
 
-        While some can't be read in time the newest goes first: the callers of
+        While more come than can be read the newest goes first: the callers of
         the others have less time left, and are better served elsewhere.
         """
         if self._overloaded:
@@ -109,6 +114,14 @@
             connection = self._waiting.popleft().connection
         return trio.SocketStream(trio.socket.from_stdlib_socket(connection))
 
+    def _limit(self) -> Millis:
+        return MAX_UNREAD if self._overloaded else MAX_BURST
+
+    def _update_overload(self) -> None:
+        """End it once the queue was empty and none was closed lately."""
+        if self._clock.now() > self._closed_at + SECOND_MS:
+            self._overloaded = False
+
     def _accept_all(self, listener: socket.socket) -> None:
         while True:
             try:
@@ -116,15 +129,18 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             connection.setblocking(False)
-            expires_at = self._clock.now() + MAX_UNREAD
-            self._waiting.append(_Unread(connection, expires_at))
+            self._waiting.append(_Unread(connection, self._clock.now()))
             self._arrived.set()
             if len(self._waiting) > _MAX_WAITING:
                 self._close_oldest()
 
     def _close_expired(self, now: Millis) -> None:
-        while self._waiting and self._waiting[0].expires_at <= now:
+        while self._waiting:
+            if now < self._waiting[0].accepted_at + self._limit():
+                break
             self._close_oldest()
+            self._overloaded = True
+            self._closed_at = now
         if self.closed > self._logged and now >= self._logged_at + SECOND_MS:
             logger.warning(
                 'connections closed unread',
@@ -136,5 +152,4 @@
 
     def _close_oldest(self) -> None:
         self._waiting.popleft().connection.close()
-        self._overloaded = True
         self.closed += 1
