Quarantine: match contested crashes by time, not by incarnation

An upstream that is back under its id before its start is known has another start time for a request whose response had begun than for one whose response had not; the end of a killer without a response did not contest the end of the first part beside it.

The test was refused before.

--- a/src/cartdale/quarantine/parts.py
+++ b/src/cartdale/quarantine/parts.py
@@ -14,10 +14,15 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 
-from cartdale.clock import Millis
+from cartdale.clock import SECOND_MS, Millis
 from cartdale.quarantine.evidence import SURVIVAL_VALIDITY
 from cartdale.quarantine.identity import Identity
-from cartdale.quarantine.types import PartCrash, PartRecord, RequestRecord
+from cartdale.quarantine.types import (
+    Evidence,
+    PartCrash,
+    PartRecord,
+    RequestRecord,
+)
 
 #: Crashes in sequence, not explained by a likelier suspect, after which a part
 #: is blamed; as many as for a request.
@@ -28,6 +33,8 @@
 _CRASHES_TO_BLAME_ANYWAY = 5
 #: Crashes among the latter of requests without a likelier suspect.
 _MIN_APART = 2
+#: Links that break in this time with one upstream broke with one crash.
+_SAME_CRASH: Millis = SECOND_MS // 2
 #: Maximum number of crashes kept for one part.
 _MAX_CRASHES = 16
 
@@ -108,7 +115,7 @@
         record = records_by_part[part]
         if _ran_shortly_before(record):
             contested = _list_contested(part, records_by_part, requests)
-            is_blamed = _is_blamed_anyway(record, explained | contested)
+            is_blamed = _is_blamed_anyway(record, explained, contested)
         else:
             is_blamed = _is_blamed(record, explained, blamed)
         if is_blamed:
@@ -148,15 +155,30 @@
 
 
 def _is_blamed_anyway(
-    record: PartRecord, excused: Collection[Incarnation]
+    record: PartRecord,
+    explained: Collection[Incarnation],
+    contested: Collection[Evidence],
 ) -> bool:
     """Tell whether a part is blamed although it ran on shortly before."""
-    unexcused = [
+    counted = [
         each
         for each in list_since_run(record)
-        if identify_crash(each) not in excused
+        if identify_crash(each) not in explained
+        and not _is_among(each, contested)
     ]
-    return _count_sequence(unexcused) >= _CRASHES_TO_BLAME_ANYWAY
+    return _count_sequence(counted) >= _CRASHES_TO_BLAME_ANYWAY
+
+
+def _is_among(crash: PartCrash, observed: Collection[Evidence]) -> bool:
+    """Tell whether a crash was observed, perhaps as another incarnation's.
+
+    The start time of an upstream that is back may not be known everywhere yet.
+    """
+    return any(
+        each.crash.upstream == crash.upstream
+        and abs(each.seen_at - crash.seen_at) <= _SAME_CRASH
+        for each in observed
+    )
 
 
 def _ran_shortly_before(record: PartRecord) -> bool:
@@ -172,7 +194,7 @@
     part: Identity,
     records_by_part: RecordsByPart,
     requests: Collection[RequestRecord],
-) -> set[Incarnation]:
+) -> list[Evidence]:
     """Return the crashes that something else than a part may have caused.
 
     That is a request without it that never ran on, nor all parts of its prompt;
@@ -180,7 +202,7 @@
     part that most requests share would be blamed for what ends upstreams so
     often that nothing runs on in between.
     """
-    contested: set[Incarnation] = set()
+    contested: list[Evidence] = []
     for request in requests:
         if request.ran_at is not None:
             continue
@@ -188,7 +210,7 @@
             others = [other for other in each.parts if other != part]
             if each.parts and _all_ran_on(others, records_by_part):
                 continue
-            contested.add((each.crash.upstream, each.crash.born))
+            contested.append(each)
     return contested
 
 
--- a/tests/part_evidence.py
+++ b/tests/part_evidence.py
@@ -31,11 +31,15 @@
 
 
 def observe_crash(
-    quarantine: Quarantine, upstream: str, *beginning: Prompt
+    quarantine: Quarantine,
+    upstream: str,
+    *beginning: Prompt,
+    begun: bool = False,
 ) -> None:
     """Let an instance see the crash of an upstream, once for each link.
 
     :param beginning: prompts that the upstream was beginning to answer.
+    :param begun: whether their responses had begun.
     """
     for prompt in beginning:
         fingerprint = _make_fingerprint(prompt)
@@ -43,6 +47,8 @@
         quarantine.dispatch(
             UpstreamEnded(
                 crash,
+                sent_at=_find_began_at(quarantine),
+                begun=begun,
                 parts=fingerprint.parts,
                 began_at=_find_began_at(quarantine),
             )
--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -438,6 +438,20 @@
     """Announce nothing: all are told after each event."""
 
 
+# Guards against a first part that is refused for the ends of an upstream which
+# is back under its id before its start is known.
+def test_crash_is_contested_whatever_incarnation_it_is_taken_for() -> None:
+    clock = VirtualClock()
+    quarantine = Quarantine(clock, _ignore)
+    clock.advance(MINUTE_MS)
+    observe_survival(quarantine, make_prompt(FIRST))
+    for _ in range(2 * CRASHES_TO_REFUSE):
+        clock.advance(SECOND_MS)
+        observe_crash(quarantine, 'engine', make_prompt(), begun=False)
+        observe_crash(quarantine, 'engine', make_prompt(FIRST), begun=True)
+    assert not refuses(quarantine, make_prompt(FIRST))
+
+
 @pytest.mark.parametrize('count', [1, 3])
 @pytest.mark.parametrize(
     'scenario', SCENARIOS, ids=[each.name for each in SCENARIOS]
