Quarantine: fresh crashes of one request leave room for others

A message names eight crashes, the most suspected requests first, with all that is known of each. Where a popular request had eight, the single crashes of what ended the same upstreams were never told; other instances then held the crashes against the first part, which all requests share. A request that changed lately is told with its three newest crashes now, as many as quarantine it; the others follow in turns, as before.

tests/test_quarantine_evidence.py: the new test failed before.

--- a/src/cartdale/quarantine/publishing.py
+++ b/src/cartdale/quarantine/publishing.py
@@ -26,6 +26,10 @@
 #: since: a peer that receives only the crashes would count them against the
 #: request.
 _FRESH_DURATION: Millis = 3 * SECOND_MS
+#: Crashes of one request that are sent at first, the newest: as many as
+#: quarantine it. All crashes of a few requests would leave no room for others,
+#: which may explain the same crashes.
+_MAX_FRESH_CRASHES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,13 +74,23 @@
     news: list[CrashNews] = []
     for selected in ranked:
         news.extend(
-            describe(state, selected, each, now) for each in selected.evidence
+            describe(state, selected, each, now)
+            for each in _select_evidence(selected, now)
         )
         if len(news) >= PAGE_SIZE:
             break
     return tuple(news[:PAGE_SIZE])
 
 
+def _select_evidence(
+    record: RequestRecord, now: Millis
+) -> tuple[Evidence, ...]:
+    """Return the crashes of a request that a message names."""
+    if now - record.changed_at <= _FRESH_DURATION:
+        return record.evidence[-_MAX_FRESH_CRASHES:]
+    return record.evidence
+
+
 def describe_part(
     state: QuarantineState, part: Identity, now: Millis
 ) -> tuple[CrashNews, ...]:
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -326,3 +326,14 @@
         CrashesTold(tuple(make_report(ONE, name) for name in 'abc'))
     )
     assert quarantine.is_quarantined(ONE)
+
+
+# Guards against a popular request that is blamed where the one that ended the
+# same upstreams is not heard of.
+def test_a_request_with_many_crashes_leaves_room_for_others() -> None:
+    state = crash_on('a', 'b', 'c', 'd', 'e', 'f', 'g', 'h')
+    for number, name in enumerate('abcde', start=2):
+        ended = UpstreamEnded(Crash(number.to_bytes(16, 'big'), name, 1))
+        state, _ = decide(state, ended, 100)
+    told = {each.identity for each in select_news(state, 100, 1)}
+    assert len(told) == 6
