Quarantine: skip a stored record whose key is no identity

Since parts are stored too, whose record a key is was read from the key without looking whether it can be: a key of another writer raised in what follows the store. Such a record is logged as unreadable and skipped, as one with unreadable contents is.

tests/test_part_evidence.py: the test of the key failed before. That a blamed part is restored from the store had no test; it has one, which passed before too.

--- a/src/cartdale/quarantine/persistence.py
+++ b/src/cartdale/quarantine/persistence.py
@@ -84,8 +84,9 @@
         if not key.startswith(PREFIX) or not stored:
             return
         try:
+            identity = bytes.fromhex(key.removeprefix(PREFIX))
             record = decode_binary(stored, StoredRecord)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError) as error:
             logger.error('quarantine unreadable', key=key, detail=str(error))
             return
         elapsed = max(self._clock.wall_time() - record.written_at, 0)
@@ -93,7 +94,6 @@
             _increase_ages(each, elapsed) for each in record.crashes
         )
         self._quarantine.dispatch(CrashesTold(crashes))
-        identity = bytes.fromhex(key.removeprefix(PREFIX))
         survived = self._quarantine.has_survived(identity)
         if survived and not self._quarantine.is_quarantined(identity):
             self._enqueue(identity)
--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -11,9 +11,17 @@
 from types import MappingProxyType
 
 import pytest
+import trio
+from returns.result import Success
 
 from cartdale.clock import HOUR_MS, MINUTE_MS, SECOND_MS, Millis, VirtualClock
+from cartdale.codec import encode_binary
 from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.persistence import (
+    PREFIX,
+    PersistentQuarantine,
+    StoredRecord,
+)
 from tests.part_evidence import (
     Prompt,
     make_prompt,
@@ -438,6 +446,58 @@
     """Announce nothing: all are told after each event."""
 
 
+class Granting:
+    """A store that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written: dict[str, bytes] = {}
+
+    async def grant(self, duration: int) -> Success[int]:
+        return Success(1)
+
+    async def transact(self, compares, writes) -> Success[None]:
+        for write in writes:
+            self.written[write.key] = write.value
+        return Success(None)
+
+
+def blame_part() -> Quarantine:
+    clock = VirtualClock(epoch=1)
+    quarantine = Quarantine(clock, _ignore)
+    for number in range(CRASHES_TO_REFUSE):
+        clock.advance(SECOND_MS)
+        observe_crash(quarantine, f'engine-{number}', make_prompt(DEADLY))
+    return quarantine
+
+
+# Guards against a part that ends engines again once all instances have ended.
+async def test_blamed_part_is_restored_from_the_store(autojump_clock) -> None:
+    quarantine, store = blame_part(), Granting()
+    clock = VirtualClock(epoch=1)
+    writer = PersistentQuarantine(store, quarantine, clock)
+    observe_crash(quarantine, 'last', make_prompt(DEADLY))
+    part = next(iter(quarantine.state.blamed_parts))
+    quarantine.on_observed(part)
+    with trio.move_on_after(1):
+        await writer.run()
+    newcomer = Quarantine(VirtualClock(epoch=1), _ignore)
+    reader = PersistentQuarantine(store, newcomer, clock)
+    for key, stored in store.written.items():
+        reader.restore(key, stored)
+    assert refuses(newcomer, make_prompt(DEADLY))
+    assert not refuses(newcomer, make_prompt(FIRST))
+
+
+# Guards against a key of another writer that ends the watch of the store.
+async def test_record_under_an_unreadable_key_is_skipped() -> None:
+    clock = VirtualClock(epoch=1)
+    stored = encode_binary(StoredRecord(1, ()))
+    quarantine = Quarantine(clock, _ignore)
+    reader = PersistentQuarantine(Granting(), quarantine, clock)
+    reader.restore(f'{PREFIX}not-an-identity', stored)
+    assert not quarantine.count_quarantined()
+
+
 # Guards against a first part that is refused for the ends of an upstream which
 # is back under its id before its start is known.
 def test_crash_is_contested_whatever_incarnation_it_is_taken_for() -> None:
