Quarantine: match crashes in one way, and explain them by any quarantined request

Which crash is the same one was decided in two ways: by incarnation where a likelier suspect explains it, by upstream and time where something contests it. Besides, a request that is quarantined by itself explained only crashes of requests that hold the part, so that a first part was blamed for what a quarantined request without it did.

There is one way now, by upstream and time, and all crashes of quarantined requests explain.

tests/test_part_evidence.py: the new test was refused before.

--- a/src/cartdale/quarantine/parts.py
+++ b/src/cartdale/quarantine/parts.py
@@ -17,12 +17,7 @@
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.quarantine.evidence import SURVIVAL_VALIDITY
 from cartdale.quarantine.identity import Identity
-from cartdale.quarantine.types import (
-    Evidence,
-    PartCrash,
-    PartRecord,
-    RequestRecord,
-)
+from cartdale.quarantine.types import PartCrash, PartRecord, RequestRecord
 
 #: Crashes in sequence, not explained by a likelier suspect, after which a part
 #: is blamed; as many as for a request.
@@ -39,6 +34,8 @@
 _MAX_CRASHES = 16
 
 Incarnation = tuple[str, Millis]
+#: Upstream that crashed, and when that was seen.
+Sighting = tuple[str, Millis]
 RecordsByPart = Mapping[Identity, PartRecord]
 #: Tells whether a request is quarantined by itself.
 RequestCheck = Callable[[Identity], bool]
@@ -107,20 +104,20 @@
     if not suspects:
         return frozenset()
     suspects.sort(key=lambda part: _rank(part, records_by_part[part]))
-    explained = _list_explained_by_requests(
-        [records_by_part[part] for part in suspects], is_quarantined
-    )
+    explained = _list_explained_by_requests(requests, is_quarantined)
     blamed: set[Identity] = set()
     for part in suspects:
         record = records_by_part[part]
         if _ran_shortly_before(record):
             contested = _list_contested(part, records_by_part, requests)
-            is_blamed = _is_blamed_anyway(record, explained, contested)
+            is_blamed = _is_blamed_anyway(record, explained + contested)
         else:
             is_blamed = _is_blamed(record, explained, blamed)
         if is_blamed:
             blamed.add(part)
-            explained |= {identify_crash(each) for each in record.crashes}
+            explained.extend(
+                (each.upstream, each.seen_at) for each in record.crashes
+            )
     return frozenset(blamed)
 
 
@@ -132,7 +129,7 @@
 
 def _is_blamed(
     record: PartRecord,
-    explained: Collection[Incarnation],
+    explained: Collection[Sighting],
     likelier: Collection[Identity],
 ) -> bool:
     """Tell whether a part is blamed that did not run on shortly before.
@@ -141,9 +138,7 @@
     :param likelier: likelier suspects that are blamed.
     """
     since = list_since_run(record)
-    unexplained = [
-        each for each in since if identify_crash(each) not in explained
-    ]
+    unexplained = [each for each in since if not _is_among(each, explained)]
     many = len(unexplained) >= _CRASHES_TO_BLAME_ANYWAY
     if many or _count_sequence(unexplained) >= _CRASHES_TO_BLAME:
         return True
@@ -155,29 +150,27 @@
 
 
 def _is_blamed_anyway(
-    record: PartRecord,
-    explained: Collection[Incarnation],
-    contested: Collection[Evidence],
+    record: PartRecord, excused: Collection[Sighting]
 ) -> bool:
-    """Tell whether a part is blamed although it ran on shortly before."""
+    """Tell whether a part is blamed although it ran on shortly before.
+
+    :param excused: crashes that are explained or contested.
+    """
     counted = [
-        each
-        for each in list_since_run(record)
-        if identify_crash(each) not in explained
-        and not _is_among(each, contested)
+        each for each in list_since_run(record) if not _is_among(each, excused)
     ]
     return _count_sequence(counted) >= _CRASHES_TO_BLAME_ANYWAY
 
 
-def _is_among(crash: PartCrash, observed: Collection[Evidence]) -> bool:
-    """Tell whether a crash was observed, perhaps as another incarnation's.
+def _is_among(crash: PartCrash, sightings: Collection[Sighting]) -> bool:
+    """Tell whether a crash is among others, whatever incarnation it is of.
 
     The start time of an upstream that is back may not be known everywhere yet.
     """
     return any(
-        each.crash.upstream == crash.upstream
-        and abs(each.seen_at - crash.seen_at) <= _SAME_CRASH
-        for each in observed
+        upstream == crash.upstream
+        and abs(seen_at - crash.seen_at) <= _SAME_CRASH
+        for upstream, seen_at in sightings
     )
 
 
@@ -194,7 +187,7 @@
     part: Identity,
     records_by_part: RecordsByPart,
     requests: Collection[RequestRecord],
-) -> list[Evidence]:
+) -> list[Sighting]:
     """Return the crashes that something else than a part may have caused.
 
     That is a request without it that never ran on, nor all parts of its prompt;
@@ -202,7 +195,7 @@
     part that most requests share would be blamed for what ends upstreams so
     often that nothing runs on in between.
     """
-    contested: list[Evidence] = []
+    contested: list[Sighting] = []
     for request in requests:
         if request.ran_at is not None:
             continue
@@ -210,7 +203,7 @@
             others = [other for other in each.parts if other != part]
             if each.parts and _all_ran_on(others, records_by_part):
                 continue
-            contested.append(each)
+            contested.append((each.crash.upstream, each.seen_at))
     return contested
 
 
@@ -236,15 +229,15 @@
 
 
 def _list_explained_by_requests(
-    records: Collection[PartRecord], is_quarantined: RequestCheck
-) -> set[Incarnation]:
+    requests: Collection[RequestRecord], is_quarantined: RequestCheck
+) -> list[Sighting]:
     """Return the crashes of requests that are quarantined by themselves."""
-    return {
-        identify_crash(crash)
-        for record in records
-        for crash in record.crashes
-        if is_quarantined(crash.identity)
-    }
+    return [
+        (each.crash.upstream, each.seen_at)
+        for request in requests
+        for each in request.evidence
+        if is_quarantined(each.crash.identity)
+    ]
 
 
 def _rank(part: Identity, record: PartRecord) -> tuple[bool, int, Identity]:
--- a/tests/test_part_evidence.py
+++ b/tests/test_part_evidence.py
@@ -17,11 +17,13 @@
 from cartdale.clock import HOUR_MS, MINUTE_MS, SECOND_MS, Millis, VirtualClock
 from cartdale.codec import encode_binary
 from cartdale.quarantine.driver import Quarantine
+from cartdale.quarantine.identity import identify
 from cartdale.quarantine.persistence import (
     PREFIX,
     PersistentQuarantine,
     StoredRecord,
 )
+from cartdale.quarantine.types import Crash, UpstreamEnded
 from tests.part_evidence import (
     Prompt,
     make_prompt,
@@ -498,6 +500,21 @@
     assert not quarantine.count_quarantined()
 
 
+# Guards against a first part that is refused for what a request without it did.
+def test_quarantined_request_explains_crashes_whatever_it_holds() -> None:
+    clock = VirtualClock()
+    quarantine = Quarantine(clock, _ignore)
+    killer = identify('POST', 'h.example', b'/', 'customer', b'killer')
+    for number in range(CRASHES_TO_REFUSE):
+        clock.advance(SECOND_MS)
+        name = f'engine-{number}'
+        quarantine.dispatch(UpstreamEnded(Crash(killer, name, born=1)))
+        if quarantine.is_quarantined(killer):
+            observe_crash(quarantine, name, make_prompt(FIRST))
+    clock.advance(SECOND_MS)
+    assert not refuses(quarantine, make_prompt(FIRST))
+
+
 # Guards against a first part that is refused for the ends of an upstream which
 # is back under its id before its start is known.
 def test_crash_is_contested_whatever_incarnation_it_is_taken_for() -> None:
