--- a/src/cartdale/quarantine/parts.py
+++ b/src/cartdale/quarantine/parts.py
@@ -11,6 +11,7 @@
 requests share, likelier than earlier ones.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 
@@ -34,8 +35,8 @@
 _MAX_CRASHES = 16
 
 Incarnation = tuple[str, Millis]
-#: Upstream that crashed, and when that was seen.
-Sighting = tuple[str, Millis]
+#: When crashes of each upstream were seen.
+TimesByUpstream = dict[str, list[Millis]]
 RecordsByPart = Mapping[Identity, PartRecord]
 #: Tells whether a request is quarantined by itself.
 RequestCheck = Callable[[Identity], bool]
@@ -110,14 +111,13 @@
         record = records_by_part[part]
         if _ran_shortly_before(record):
             contested = _list_contested(part, records_by_part, requests)
-            is_blamed = _is_blamed_anyway(record, explained + contested)
+            is_blamed = _is_blamed_anyway(record, explained, contested)
         else:
             is_blamed = _is_blamed(record, explained, blamed)
         if is_blamed:
             blamed.add(part)
-            explained.extend(
-                (each.upstream, each.seen_at) for each in record.crashes
-            )
+            for each in record.crashes:
+                explained[each.upstream].append(each.seen_at)
     return frozenset(blamed)
 
 
@@ -129,7 +129,7 @@
 
 def _is_blamed(
     record: PartRecord,
-    explained: Collection[Sighting],
+    explained: TimesByUpstream,
     likelier: Collection[Identity],
 ) -> bool:
     """Tell whether a part is blamed that did not run on shortly before.
@@ -150,27 +150,25 @@
 
 
 def _is_blamed_anyway(
-    record: PartRecord, excused: Collection[Sighting]
+    record: PartRecord, explained: TimesByUpstream, contested: TimesByUpstream
 ) -> bool:
-    """Tell whether a part is blamed although it ran on shortly before.
-
-    :param excused: crashes that are explained or contested.
-    """
+    """Tell whether a part is blamed although it ran on shortly before."""
     counted = [
-        each for each in list_since_run(record) if not _is_among(each, excused)
+        each
+        for each in list_since_run(record)
+        if not _is_among(each, explained) and not _is_among(each, contested)
     ]
     return _count_sequence(counted) >= _CRASHES_TO_BLAME_ANYWAY
 
 
-def _is_among(crash: PartCrash, sightings: Collection[Sighting]) -> bool:
+def _is_among(crash: PartCrash, times: TimesByUpstream) -> bool:
     """Tell whether a crash is among others, whatever incarnation it is of.
 
     The start time of an upstream that is back may not be known everywhere yet.
     """
     return any(
-        upstream == crash.upstream
-        and abs(seen_at - crash.seen_at) <= _SAME_CRASH
-        for upstream, seen_at in sightings
+        abs(seen_at - crash.seen_at) <= _SAME_CRASH
+        for seen_at in times.get(crash.upstream, ())
     )
 
 
@@ -187,7 +185,7 @@
     part: Identity,
     records_by_part: RecordsByPart,
     requests: Collection[RequestRecord],
-) -> list[Sighting]:
+) -> TimesByUpstream:
     """Return the crashes that something else than a part may have caused.
 
     That is a request without it that never ran on, nor all parts of its prompt;
@@ -195,7 +193,7 @@
     part that most requests share would be blamed for what ends upstreams so
     often that nothing runs on in between.
     """
-    contested: list[Sighting] = []
+    contested: TimesByUpstream = defaultdict(list)
     for request in requests:
         if request.ran_at is not None:
             continue
@@ -203,7 +201,7 @@
             others = [other for other in each.parts if other != part]
             if each.parts and _all_ran_on(others, records_by_part):
                 continue
-            contested.append((each.crash.upstream, each.seen_at))
+            contested[each.crash.upstream].append(each.seen_at)
     return contested
 
 
@@ -230,14 +228,15 @@
 
 def _list_explained_by_requests(
     requests: Collection[RequestRecord], is_quarantined: RequestCheck
-) -> list[Sighting]:
+) -> TimesByUpstream:
     """Return the crashes of requests that are quarantined by themselves."""
-    return [
-        (each.crash.upstream, each.seen_at)
-        for request in requests
-        for each in request.evidence
-        if is_quarantined(each.crash.identity)
-    ]
+    explained: TimesByUpstream = defaultdict(list)
+    for request in requests:
+        if not is_quarantined(request.evidence[0].crash.identity):
+            continue
+        for each in request.evidence:
+            explained[each.crash.upstream].append(each.seen_at)
+    return explained
 
 
 def _rank(part: Identity, record: PartRecord) -> tuple[bool, int, Identity]:
