Detours: a quarantined request spends nothing of an upstream's rate

The look at the quarantine as the first byte leaves came after the look at the bounds on the upstream's rate, which counts the request. One that was held back there used up what another request could have had.

tests/test_detour_calls.py: the new test failed before.

--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -50,6 +50,8 @@
         :raises WithheldError: if it must not be sent now.
         :raises InvariantError: if it may be running already.
         """
+        if self._permit is not None and self._permit.is_barred:
+            raise WithheldError('the request is quarantined')
         if self._advisories.must_withhold(
             self._request.upstream,
             resumes=self._request.resumes,
@@ -60,8 +62,6 @@
                 self._advisories.find_backoff(self._request.upstream),
             )
         if self._permit is not None:
-            if self._permit.is_barred:
-                raise WithheldError('the request is quarantined')
             self._permit.use()
         self._counted = True
         self.sent_at = self._advisories.now()
--- a/tests/test_detour_calls.py
+++ b/tests/test_detour_calls.py
@@ -5,8 +5,10 @@
 
 from cartdale.detours.calls import DetourCalls
 from cartdale.detours.direct import DirectTransport
+from cartdale.detours.guard import SendGuard, WithheldError
 from cartdale.detours.types import DetourOutcome, DetourReply, UpstreamRequest
 from cartdale.news.types import PeerEntry
+from cartdale.relay.send_record import NewRun, SendRecord
 
 PEER = PeerEntry('front-1', '10.1.0.1', 7200)
 REQUEST = UpstreamRequest('10.0.0.1:80', 'POST', b'/draft/', (), is_work=True)
@@ -79,3 +81,28 @@
     calls = DetourCalls(LateError(), Unsigned())
     with pytest.raises(httpcore.ReadTimeout):
         await calls.send(PEER, REQUEST, Observer(), lambda: None)
+
+
+class Advisories:
+    """Count the sends that the bounds of an upstream allow."""
+
+    def __init__(self) -> None:
+        self.spent = 0
+
+    def must_withhold(self, upstream: str, **_: bool) -> bool:
+        self.spent += 1
+        return False
+
+
+# Guards against a bound on the rate of an upstream that is used up by requests
+# which are not sent.
+async def test_quarantined_request_spends_nothing_of_an_upstreams_rate() -> (
+    None
+):
+    advisories = Advisories()
+    permit = SendRecord('r', 1, lambda: bool(advisories)).permit(NewRun())
+    guard = SendGuard(advisories, REQUEST, permit)
+    with pytest.raises(WithheldError, match='quarantined'):
+        await guard()
+    assert not advisories.spent
+    assert not permit.used
