--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -2,6 +2,7 @@
 
 from itertools import permutations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -21,12 +22,13 @@
 )
 from cartdale.quarantine.driver import MAX_SURVIVALS, Quarantine
 from cartdale.quarantine.evidence import EVIDENCE_RETENTION, SURVIVAL_VALIDITY
-from cartdale.quarantine.identity import Fingerprint
+from cartdale.quarantine.identity import MAX_PARTS, PART_BYTES, Fingerprint
 from cartdale.quarantine.publishing import PAGE_SIZE, select_news
 from cartdale.quarantine.types import (
     Crash,
     CrashesTold,
     CrashNews,
+    PartNews,
     Quarantined,
     QuarantineState,
     RanOn,
@@ -39,6 +41,8 @@
 OTHER = b'2' * 16
 #: Maximum size of one crash in a message.
 MAX_CRASH_BYTES = 64
+#: Maximum size of one part of a prompt in it.
+MAX_PART_BYTES = 16
 PEER = PeerEntry('p', '10.0.0.1', 7200)
 
 
@@ -262,6 +266,10 @@
         LoadNews(1, 1, 1, PEER, {}, crashes=(one,) * PAGE_SIZE)
     )
     assert (len(full) - len(empty)) / PAGE_SIZE <= MAX_CRASH_BYTES
+    parts = (PartNews(b'p' * PART_BYTES, EVIDENCE_RETENTION),) * MAX_PARTS
+    with_parts = msgspec.structs.replace(one, parts=parts)
+    added = len(encode_binary(with_parts)) - len(encode_binary(one))
+    assert added / MAX_PARTS <= MAX_PART_BYTES
 
 
 def test_peers_are_notified_at_once() -> None:
