Transport: one trace of a request that leaves

The callback that notes when a request may leave stood twice, for upstreams on the platform and for the own interface. Nothing changes for callers.

--- a/src/cartdale/client_transport.py
+++ b/src/cartdale/client_transport.py
@@ -4,13 +4,10 @@
 below httpx does not load it at its start.
 """
 
-from collections.abc import Mapping
-from typing import Any
-
 import httpx
 
 from cartdale.formatting import format_error
-from cartdale.transport import BEFORE_SENDING
+from cartdale.transport import SendTrace
 
 #: Failures before a request left this process: it certainly had no effect.
 HTTPX_NOT_SENT_ERRORS = (
@@ -20,18 +17,6 @@
 )
 
 
-class _SendTrace:
-    """Trace callback of httpcore that notes when a request may leave."""
-
-    def __init__(self) -> None:
-        #: Whether the request may have left.
-        self.began = False
-
-    async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
-        """Handle a trace event of the connection; httpcore awaits each."""
-        self.began = self.began or event == BEFORE_SENDING
-
-
 async def send_traced(
     client: httpx.AsyncClient, request: httpx.Request, *, stream: bool = False
 ) -> httpx.Response:
@@ -44,7 +29,7 @@
     :raises httpx.ConnectError: or another error of
         ``HTTPX_NOT_SENT_ERRORS`` if nothing was sent.
     """
-    trace = _SendTrace()
+    trace = SendTrace()
     request.extensions['trace'] = trace
     try:
         return await client.send(request, stream=stream)
--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -1,8 +1,5 @@
 """Direct connections to upstreams."""
 
-from collections.abc import Mapping
-from typing import Any
-
 import httpcore
 
 from cartdale.clock import Millis
@@ -10,9 +7,9 @@
 from cartdale.detours.types import UpstreamRequest
 from cartdale.formatting import format_error
 from cartdale.transport import (
-    BEFORE_SENDING,
     HTTPCORE_NOT_SENT_ERRORS,
     MAX_CONNECT_WAIT,
+    SendTrace,
     make_timeouts,
 )
 
@@ -50,21 +47,6 @@
         return await send_observed(self._pool, outgoing, observer)
 
 
-class _SendTrace:
-    """Trace callback of httpcore that calls back just before sending."""
-
-    def __init__(self, observer: SendObserver) -> None:
-        self._observer = observer
-        #: Whether the request may have left.
-        self.began = False
-
-    async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
-        """Handle a trace event of the connection; httpcore awaits each."""
-        if event == BEFORE_SENDING:
-            await self._observer()
-            self.began = True
-
-
 async def send_observed(
     pool: RequestHandler,
     request: httpcore.Request,
@@ -80,7 +62,7 @@
     """
     if observer is None:
         return await pool.handle_async_request(request)
-    trace = _SendTrace(observer)
+    trace = SendTrace(observer)
     request.extensions['trace'] = trace
     try:
         return await pool.handle_async_request(request)
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -1,5 +1,6 @@
 """Tell failures before sending from failures after it."""
 
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import httpcore
@@ -10,7 +11,29 @@
 #: a few milliseconds, or its SYN was dropped and is sent again after a second.
 MAX_CONNECT_WAIT: Millis = 1500
 #: httpcore trace event: the connection is open and the request is sent next.
-BEFORE_SENDING = 'http11.send_request_headers.started'
+_BEFORE_SENDING = 'http11.send_request_headers.started'
+
+
+class SendTrace:
+    """Trace callback of httpcore that notes when a request may leave.
+
+    :param before_sending: called just before that; raises to withhold it.
+    """
+
+    def __init__(
+        self, before_sending: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        self._before_sending = before_sending
+        #: Whether the request may have left.
+        self.began = False
+
+    async def __call__(self, event: str, _: Mapping[str, Any]) -> None:
+        """Handle a trace event of the connection; httpcore awaits each."""
+        if event != _BEFORE_SENDING:
+            return
+        if self._before_sending is not None:
+            await self._before_sending()
+        self.began = True
 
 
 class PathUnclearError(httpcore.ConnectError):
