--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -105,13 +106,14 @@
         return process
 
     async def end(self) -> None:
-        """End all that still run."""
+        """End all that still run, and remove the temporary folder."""
         for process in self._started:
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self._started:
             await process.wait()
+        shutil.rmtree(self.work, ignore_errors=True)
 
 
 class Instance:
