Crash probes: tell alive, ended and unknown apart, and log the evidence

The probe had two results, so that neither logs nor callers could tell an upstream that lives from one of which nothing could be found out. A check now names its evidence, from which its state follows, and 'end without framing' tells it for each end of a stream that its framing does not prove: state, evidence, its age and what the end is taken for. What is decided is as before: only a state of ended breaks a stream.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -38,6 +38,7 @@
     PATH_REPORT,
 )
 from cartdale.platform.pools import make_pool
+from cartdale.relay.liveness import LifeCheck, LifeEvidence
 from cartdale.relay.types import (
     MAX_SOUND_SILENCE,
     Copied,
@@ -163,10 +164,10 @@
         )
         return answer.bind(read_report)
 
-    async def is_gone(
+    async def check_life(
         self, upstream: UpstreamEntry, spec: ServiceSpec | None
-    ) -> bool:
-        """Return whether an upstream ended, or restarted since its entry.
+    ) -> LifeCheck:
+        """Check whether an upstream ended, or restarted since its entry.
 
         An upstream that no instance reaches, or that closes the connection
         without a response, counts as ended. Any response shows that it is
@@ -177,35 +178,31 @@
         """
         began_at = self._advisories.now()
         while True:
-            ended = await self._check_end(upstream, spec)
-            if ended is not None:
-                return ended
+            check = await self._ask_whether_alive(upstream, spec)
+            if check.evidence is not LifeEvidence.UNANSWERED:
+                return check
             if self._advisories.now() - began_at >= MAX_SOUND_SILENCE:
-                return True
+                return LifeCheck(LifeEvidence.UNREACHABLE, check.asked_at)
             await trio.sleep(as_seconds(_CHECK_PAUSE))
 
-    async def _check_end(
+    async def _ask_whether_alive(
         self, upstream: UpstreamEntry, spec: ServiceSpec | None
-    ) -> bool | None:
-        """Return whether an upstream ended; ``None`` if it is silent."""
+    ) -> LifeCheck:
+        """Ask an upstream once."""
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
         sent_at = self._advisories.now()
         answer = await self._request(
             'GET', upstream.address, path, b'', _REPORT_TIMEOUT
         )
-        match answer:
-            case Failure(LinkBroke(timed_out=timed_out)):
-                return not timed_out
-            case Failure(NotSent(confirmed=True, refused=False)):
-                return None
-            case Failure(NotSent(confirmed=confirmed)):
-                return confirmed
         if plain:
             answer.map(partial(self._record_health, upstream.upstream, sent_at))
-            return False
-        born = answer.bind(read_report).map(_read_born).value_or(0)
-        return bool(born and upstream.born and born != upstream.born)
+        match answer:
+            case Success(response):
+                evidence = _judge_response(response, upstream, plain=plain)
+            case Failure(failure):
+                evidence = _judge_failure(failure, plain=plain)
+        return LifeCheck(evidence, sent_at)
 
     def _record_health(
         self, upstream: str, sent_at: Millis, response: httpcore.Response
@@ -256,8 +253,36 @@
         return response
 
 
-def _read_born(report: EngineReport) -> Millis:
-    return report.born
+def _judge_response(
+    response: httpcore.Response, upstream: UpstreamEntry, *, plain: bool
+) -> LifeEvidence:
+    """Return what a response to a check says of an upstream."""
+    if plain:
+        return LifeEvidence.RESPONSE
+    match read_report(response):
+        case Success(report) if not report.born:
+            return LifeEvidence.RESPONSE
+        case Success(report) if report.born == upstream.born:
+            return LifeEvidence.RESPONSE
+        case Success() if upstream.born:
+            return LifeEvidence.OTHER_INCARNATION
+    return LifeEvidence.NO_REPORT
+
+
+def _judge_failure(failure: SendFailure, *, plain: bool) -> LifeEvidence:
+    """Return what a check that failed says of an upstream."""
+    match failure:
+        case LinkBroke(timed_out=True) if plain:
+            return LifeEvidence.OPEN_CONNECTION
+        case LinkBroke(timed_out=True):
+            return LifeEvidence.SILENT
+        case LinkBroke():
+            return LifeEvidence.CLOSED
+        case NotSent(confirmed=False):
+            return LifeEvidence.PATH_UNCLEAR
+        case NotSent(refused=False):
+            return LifeEvidence.UNANSWERED
+    return LifeEvidence.REFUSED
 
 
 def _make_request(call: UpstreamCall) -> UpstreamRequest:
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -15,6 +15,7 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.identity import Fingerprint
 from cartdale.quarantine.types import Crash, UpstreamEnded
+from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
 from cartdale.relay.types import UpstreamPort
 from cartdale.switches import Mechanism
 
@@ -59,13 +60,13 @@
 class _Probe:
     """Hold the links that one crash probe covers.
 
-    :param gone: contains the upstream's id once it is known to have ended.
+    :param checks: contains the result once it is known.
     """
 
     upstream: UpstreamEntry
     links: list[BrokenLink]
     ended: trio.Event
-    gone: set[str] = field(default_factory=set)
+    checks: list[LifeCheck] = field(default_factory=list)
 
 
 class CrashProber:
@@ -94,14 +95,14 @@
             return
         self._probes_by_upstream[name] = pending
 
-    async def check(self, link: BrokenLink) -> bool:
+    async def check(self, link: BrokenLink) -> LifeCheck:
         """Probe the upstream of a link, and tell whether it has ended."""
         self.probe(link)
         pending = self._probes_by_upstream.get(link.upstream.upstream)
         if pending is None:
-            return False
+            return LifeCheck(LifeEvidence.NOT_ASKED, link.broke_at)
         await pending.ended.wait()
-        return bool(pending.gone)
+        return pending.checks[0]
 
     async def settle(self, fingerprint: Fingerprint) -> None:
         """Wait for the pending probes that concern a suspect request.
@@ -123,9 +124,9 @@
     async def _run_probe(self, pending: _Probe) -> None:
         upstream = pending.upstream
         spec = self._fleet.table.services_by_name.get(upstream.service)
-        gone = await self._upstreams.is_gone(upstream, spec)
-        if gone:
-            pending.gone.add(upstream.upstream)
+        check = await self._upstreams.check_life(upstream, spec)
+        pending.checks.append(check)
+        gone = check.state is LifeState.ENDED
         self._probes_by_upstream.pop(upstream.upstream)
         for link in pending.links:
             logger.info(
@@ -137,6 +138,8 @@
                 events=link.events,
                 begun=link.begun,
                 upstream_gone=gone,
+                state=check.state,
+                evidence=check.evidence,
             )
             if gone:
                 self._suspect(link)
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -1,9 +1,12 @@
 """Track one link to an upstream, and probe the upstream when it breaks."""
 
+from loguru import logger
+
 from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.decide import EVENTS_PAST_START
 from cartdale.relay.crash_probes import BrokenLink
+from cartdale.relay.liveness import LifeState
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import RoutedRequest
 
@@ -59,10 +62,28 @@
         if link is not None:
             self._ports.crash_prober.probe(link)
 
-    async def ended_with_upstream(self) -> bool:
-        """Probe the upstream of a link that ended, and tell if it ended too."""
+    async def ends_whole(self) -> bool:
+        """Tell whether a response is complete that its framing does not prove.
+
+        An upstream that crashes may end its responses as if they were whole.
+        """
         link = self._describe()
-        return link is not None and await self._ports.crash_prober.check(link)
+        if link is None:
+            return False
+        check = await self._ports.crash_prober.check(link)
+        whole = check.state is not LifeState.ENDED
+        logger.info(
+            'end without framing',
+            request=link.request_id,
+            upstream=link.upstream.upstream,
+            events=link.events,
+            state=check.state,
+            evidence=check.evidence,
+            asked_after=check.asked_at - link.broke_at,
+            took=self._ports.clock.now() - link.broke_at,
+            whole=whole,
+        )
+        return whole
 
     def _describe(self) -> BrokenLink | None:
         if self._upstream is None:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -379,9 +379,8 @@
         if answer.framed or not good:
             self._link.note_complete(framed=answer.framed, good=good)
             return ''
-        # An engine that crashes may end its streams as if they were complete.
-        crashed = await self._link.ended_with_upstream()
-        return 'ended with its engine' if crashed else ''
+        whole = await self._link.ends_whole()
+        return '' if whole else 'ended with its engine'
 
     def _may_be_stopped(self) -> bool:
         """Tell whether its engine may have stopped the generation."""
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -12,6 +12,7 @@
 from cartdale.exceptions import CartdaleError
 from cartdale.fleet.types import EngineReport, UpstreamEntry
 from cartdale.quarantine.identity import Fingerprint
+from cartdale.relay.liveness import LifeCheck
 from cartdale.relay.send_record import (
     ConfirmedCopy,
     SendPermit,
@@ -277,10 +278,10 @@
     async def report(self, address: str) -> Result[EngineReport, SendFailure]:
         """Fetch the report of an engine."""
 
-    async def is_gone(
+    async def check_life(
         self, upstream: UpstreamEntry, spec: ServiceSpec | None
-    ) -> bool:
-        """Tell whether an upstream ended or restarted since its entry.
+    ) -> LifeCheck:
+        """Check whether an upstream ended or restarted since its entry.
 
         :param spec: its service in the configuration.
         """
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -8,6 +8,7 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.identity import Fingerprint, identify
 from cartdale.relay.crash_probes import BrokenLink, CrashProber
+from cartdale.relay.liveness import LifeCheck, LifeEvidence
 from tests.platform_stage import count_runs, make_headers, open_platform, until
 
 UPSTREAM = UpstreamEntry('a', 's', 'a:80', 'west', 4)
@@ -19,10 +20,10 @@
     def __init__(self) -> None:
         self.asked = 0
 
-    async def is_gone(self, upstream, spec) -> bool:
+    async def check_life(self, upstream, spec) -> LifeCheck:
         self.asked += 1
         await trio.sleep(0.1)
-        return True
+        return LifeCheck(LifeEvidence.REFUSED, 0)
 
 
 def collect_lines(event: str) -> list[dict]:
