--- /dev/null
+++ b/tests/test_truncated_streams.py
@@ -0,0 +1,272 @@
+"""Ends of unframed answers whose upstream is not known to live.
+
+Guards against answers that look whole although their upstream ended in the
+middle of them, and nobody could find that out.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpcore
+import pytest
+import trio
+from httpcore import ConnectError, ConnectTimeout, ReadError, ReadTimeout
+
+from cartdale.clock import VirtualClock
+from cartdale.fleet.advisories import AdvisoryRecorder
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.platform.upstreams import PlatformUpstreams
+from cartdale.quarantine.identity import Fingerprint
+from cartdale.relay import crash_probes
+from cartdale.relay.crash_probes import BrokenLink, CrashProber
+from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
+from cartdale.routes.types import EngineSpec, ServiceSpec
+from cartdale.transport import PathUnclearError
+from cartdale_standins.unframed import EarlyEnd
+from tests.network_cuts import CutWay, NetworkCuts
+from tests.platform_stage import (
+    PlatformStage,
+    ask,
+    count_runs,
+    make_headers,
+    open_platform,
+    until,
+    whole,
+)
+from tests.test_crash_probes import collect_lines
+from tests.test_unframed_answers import EVENTS, PASSED, list_upstreams, stream
+
+BORN = 1000
+ENGINE = EngineSpec(8, 20000, 1000, 2700, 4, moves=True, backups=True)
+WRITERS = ServiceSpec('s', '/health', 100, ENGINE)
+PORTAL = ServiceSpec('s', '/health', 100, None)
+UPSTREAM = UpstreamEntry('a', 's', 'a:80', 'west', 4, born=BORN)
+#: Longest that the end of a sound stream may be held up.
+MOST_DELAY = 50
+
+
+@asynccontextmanager
+async def open_crashing(
+    monkeypatch: pytest.MonkeyPatch, *, living: int
+) -> AsyncIterator[PlatformStage]:
+    """Let all upstreams but some refuse connections once a stream has begun.
+
+    :param living: plain upstreams that all instances still reach.
+    """
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(2, 2, 3, unframed=True) as stage:
+        await until(
+            lambda: all(
+                len(runtime.peers.news.state.received_by_name) == 2
+                for runtime in stage.runtimes
+            )
+        )
+        spared = [f'plain-{number}' for number in range(living)]
+        ports = [
+            int(upstream.entry.address.rpartition(':')[2])
+            for upstream in list_upstreams(stage)
+            if upstream.entry.upstream not in spared
+        ]
+
+        async def cut_once_begun() -> None:
+            await until(lambda: count_runs(stage, 'r1'))
+            for number in range(3):
+                cuts.cut(f'entry-{number}', ports, CutWay.REFUSE)
+
+        stage.nursery.start_soon(cut_once_begun)
+        stage.early_ends.append(EarlyEnd(PASSED))
+        yield stage
+
+
+# Guards against a stream that looks whole: most upstreams ended at once, so that
+# no instance could witness that its engine had.
+@pytest.mark.parametrize('living', [0, 1, 2])
+async def test_stream_that_ends_in_a_crash_of_most_upstreams_is_not_whole(
+    monkeypatch, living: int
+) -> None:
+    async with open_crashing(monkeypatch, living=living) as stage:
+        assert await stream(stage, 'r1') == (whole('r1', PASSED), False)
+        assert count_runs(stage, 'r1') == 1
+
+
+# Guards against a plain answer that looks whole, of an upstream that ended while
+# it wrote it.
+@pytest.mark.parametrize('inside', [False, True])
+async def test_plain_answer_that_ends_with_its_upstream_is_not_whole(
+    monkeypatch, inside: bool
+) -> None:
+    async with open_platform(1, 2, unframed=True) as stage:
+        stage.early_ends.append(EarlyEnd(inside=inside, crashes=True))
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
+        assert count_runs(stage, 'r1') == 1
+
+
+# Guards against a lost answer where another upstream could still give it.
+async def test_plain_answer_that_ends_with_its_upstream_runs_again_where_it_may(
+    monkeypatch,
+) -> None:
+    async with open_platform(1, 2, unframed=True) as stage:
+        stage.early_ends.append(EarlyEnd(inside=True, crashes=True))
+        answer = await stage.client.get(
+            stage.url('/look/a'), headers=make_headers('r1')
+        )
+        assert answer.content == b'look/a of r1'
+        assert count_runs(stage, 'r1') == 2
+
+
+# Guards against a sound stream that the check of its engine holds up.
+async def test_end_of_a_sound_stream_is_hardly_held_up() -> None:
+    lines = collect_lines('end without framing')
+    async with open_platform(1, 1, 2, unframed=True) as stage:
+        for number in range(5):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+    delays = sorted(line['took'] for line in lines)
+    assert len(delays) == 5
+    assert delays[2] <= MOST_DELAY
+
+
+class Answers:
+    """Transport that answers each question in the same way."""
+
+    def __init__(self, answer: Exception | httpcore.Response) -> None:
+        self._answer = answer
+
+    async def send(self, request, observer=None) -> httpcore.Response:
+        if isinstance(self._answer, Exception):
+            raise self._answer
+        return self._answer
+
+
+def report(body: bytes, status: int = 200, name: str = '') -> httpcore.Response:
+    headers = [('instance-id', name)] if name else []
+    response = httpcore.Response(status, headers=headers, content=body)
+    response.read()
+    return response
+
+
+async def check(answer, spec: ServiceSpec, born: int = BORN) -> LifeState:
+    """Check an upstream that answers in one way; return its state."""
+    clock = VirtualClock()
+    recorder = AdvisoryRecorder(Fleet(clock, 'west', 1), clock)
+    upstreams = PlatformUpstreams(recorder, Answers(answer))
+    entry = UpstreamEntry('a', 's', 'a:80', 'west', 4, born=born)
+    advance = clock.advance
+    found: list[LifeCheck] = []
+
+    async def run() -> None:
+        found.append(await upstreams.check_life(entry, spec))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        while not found:
+            await trio.sleep(0.1)
+            advance(100)
+    return found[0].state
+
+
+# Guards against an engine that counts as alive because nothing that was heard
+# says that it ended.
+@pytest.mark.parametrize(
+    'answer, state',
+    [
+        (PathUnclearError('x'), LifeState.UNKNOWN),
+        (ReadTimeout('x'), LifeState.UNKNOWN),
+        (report(b'{"born":1000}', 503), LifeState.UNKNOWN),
+        (report(b'no report'), LifeState.UNKNOWN),
+        (report(b''), LifeState.UNKNOWN),
+        (report(b'{}'), LifeState.UNKNOWN),
+        (report(b'{"born":1000}'), LifeState.ALIVE),
+        (report(b'{"born":1000}', name='a'), LifeState.ALIVE),
+        (report(b'{"born":2000}'), LifeState.ENDED),
+        (report(b'{"born":1000}', name='b'), LifeState.ENDED),
+        (ReadError('x'), LifeState.ENDED),
+        (ConnectError('x'), LifeState.ENDED),
+        (ConnectTimeout('x'), LifeState.ENDED),
+    ],
+)
+async def test_engine_lives_only_if_it_says_so(
+    autojump_clock, answer, state: LifeState
+) -> None:
+    assert await check(answer, WRITERS) is state
+
+
+# Guards against an engine that started again unseen: its entry names no start.
+@pytest.mark.parametrize(
+    'body, state',
+    [(b'{"born":7}', LifeState.UNKNOWN), (b'{}', LifeState.ALIVE)],
+)
+async def test_engine_whose_entry_names_no_start(
+    autojump_clock, body: bytes, state: LifeState
+) -> None:
+    assert await check(report(body), WRITERS, born=0) is state
+
+
+# Guards against a plain service that counts as ended since it lets its check
+# wait, and against another one that counts as it.
+@pytest.mark.parametrize(
+    'answer, state',
+    [
+        (PathUnclearError('x'), LifeState.UNKNOWN),
+        (ReadTimeout('x'), LifeState.ALIVE),
+        (report(b'', 503), LifeState.ALIVE),
+        (report(b'', name='a'), LifeState.ALIVE),
+        (report(b'', name='b'), LifeState.ENDED),
+        (ReadError('x'), LifeState.ENDED),
+    ],
+)
+async def test_plain_service_lives_while_it_keeps_connections_open(
+    autojump_clock, answer, state: LifeState
+) -> None:
+    assert await check(answer, PORTAL) is state
+
+
+class Alive:
+    """Answer that each upstream is alive, after a while."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self._clock = clock
+        self.asked = 0
+
+    async def check_life(self, upstream, spec) -> LifeCheck:
+        self.asked += 1
+        asked_at = self._clock.now()
+        await trio.sleep(0.1)
+        return LifeCheck(LifeEvidence.RESPONSE, asked_at)
+
+
+def break_link(clock: VirtualClock) -> BrokenLink:
+    now = clock.now()
+    return BrokenLink('r', Fingerprint(b'i'), UPSTREAM, 0, now, 9, 0)
+
+
+# Guards against an engine that counts as alive by an answer which is older than
+# the end of the stream.
+async def test_check_asks_again_if_the_answer_is_older_than_the_end(
+    autojump_clock,
+) -> None:
+    clock = VirtualClock()
+    upstreams = Alive(clock)
+    prober = CrashProber(upstreams, Fleet(clock, 'west', 1))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(prober.run)
+        prober.probe(break_link(clock))
+        await trio.sleep(0.05)
+        clock.advance(50)
+        link = break_link(clock)
+        found = await prober.check(link)
+        nursery.cancel_scope.cancel()
+    assert found.asked_at >= link.broke_at
+    assert upstreams.asked == 2
+
+
+# Guards against an engine that counts as alive since nobody asked it.
+async def test_check_that_is_not_queued_knows_nothing(monkeypatch) -> None:
+    monkeypatch.setattr(crash_probes, '_MAX_PENDING', 0)
+    clock = VirtualClock()
+    prober = CrashProber(Alive(clock), Fleet(clock, 'west', 1))
+    found = await prober.check(break_link(clock))
+    assert found.state is LifeState.UNKNOWN
