Streams: an end without framing is complete only if its engine is known to live

Callers got streams as complete that had been cut short in a crash of most engines. A stream with neither a length nor chunks that ends between events is whole unless its engine ended, which the crash probe tells; what the probe could not find out (no peer is a witness while most upstreams are down, a peer was just asked about the same engine, an engine accepts and does not answer, the probe was not queued) counted as alive. Now only an engine that is known to live proves an end, and an upstream is asked on while only the path is unclear.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.clock import Millis, as_seconds
+from cartdale.detours.decide import UNREACHED_FOR
 from cartdale.detours.direct import DirectTransport
 from cartdale.detours.guard import SendGuard, WithheldError
 from cartdale.detours.ports import UpstreamTransport
@@ -38,7 +39,7 @@
     PATH_REPORT,
 )
 from cartdale.platform.pools import make_pool
-from cartdale.relay.liveness import LifeCheck, LifeEvidence
+from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
 from cartdale.relay.types import (
     MAX_SOUND_SILENCE,
     Copied,
@@ -64,6 +65,9 @@
 _REPORT_TIMEOUT: Millis = 500
 #: Between two checks whether a silent upstream has ended.
 _CHECK_PAUSE: Millis = 100
+#: Time for which an upstream is asked that perhaps only the path from here does
+#: not reach. Until then instances that were asked may be asked again.
+_MAX_UNCLEAR: Millis = UNREACHED_FOR
 
 
 class PlatformUpstreams:
@@ -170,19 +174,21 @@
         """Check whether an upstream ended, or restarted since its entry.
 
         An upstream that no instance reaches, or that closes the connection
-        without a response, counts as ended. Any response shows that it is
-        alive, and an engine's also shows its start time. A timeout on an open
-        connection counts as alive too: a plain service lets the check wait
-        while all its slots are in use. Without an answer to its connections an
-        upstream counts as ended only after a while.
+        without a response, counts as ended. A response of it shows that it is
+        alive; an engine's also shows its start time. A plain service lets the
+        check wait while all its slots are in use, so that a timeout on an open
+        connection counts as alive there. Without an answer to its connections
+        an upstream counts as ended only after a while. Where nothing is found
+        out for as long, that is the result.
         """
         began_at = self._advisories.now()
         while True:
             check = await self._ask_whether_alive(upstream, spec)
-            if check.evidence is not LifeEvidence.UNANSWERED:
+            if check.state is not LifeState.UNKNOWN:
                 return check
-            if self._advisories.now() - began_at >= MAX_SOUND_SILENCE:
-                return LifeCheck(LifeEvidence.UNREACHABLE, check.asked_at)
+            waited = self._advisories.now() - began_at
+            if waited >= _find_patience(check.evidence):
+                return _conclude_unknown(check)
             await trio.sleep(as_seconds(_CHECK_PAUSE))
 
     async def _ask_whether_alive(
@@ -269,6 +275,21 @@
     return LifeEvidence.NO_REPORT
 
 
+def _find_patience(evidence: LifeEvidence) -> Millis:
+    """Return how long an upstream is asked while this is all that is known."""
+    match evidence:
+        case LifeEvidence.PATH_UNCLEAR | LifeEvidence.INTERMEDIARY:
+            return _MAX_UNCLEAR
+    return MAX_SOUND_SILENCE
+
+
+def _conclude_unknown(check: LifeCheck) -> LifeCheck:
+    """Return the result of a check that was repeated in vain."""
+    if check.evidence is LifeEvidence.UNANSWERED:
+        return LifeCheck(LifeEvidence.UNREACHABLE, check.asked_at)
+    return check
+
+
 def _judge_failure(failure: SendFailure, *, plain: bool) -> LifeEvidence:
     """Return what a check that failed says of an upstream."""
     match failure:
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -71,7 +71,7 @@
         if link is None:
             return False
         check = await self._ports.crash_prober.check(link)
-        whole = check.state is not LifeState.ENDED
+        whole = check.state is LifeState.ALIVE
         logger.info(
             'end without framing',
             request=link.request_id,
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -380,7 +380,7 @@
             self._link.note_complete(framed=answer.framed, good=good)
             return ''
         whole = await self._link.ends_whole()
-        return '' if whole else 'ended with its engine'
+        return '' if whole else 'ended without proof of its end'
 
     def _may_be_stopped(self) -> bool:
         """Tell whether its engine may have stopped the generation."""
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -79,8 +79,8 @@
         yield stage
 
 
-# Guards against a stream that looks whole: most upstreams ended at once, so that
-# no instance could witness that its engine had.
+# Guards against a stream that looks whole: most upstreams ended at once, so
+# that no instance could witness that its engine had.
 @pytest.mark.parametrize('living', [0, 1, 2])
 async def test_stream_that_ends_in_a_crash_of_most_upstreams_is_not_whole(
     monkeypatch, living: int
@@ -90,7 +90,7 @@
         assert count_runs(stage, 'r1') == 1
 
 
-# Guards against a plain answer that looks whole, of an upstream that ended while
+# Guards against a plain answer that looks whole, of an upstream that ended as
 # it wrote it.
 @pytest.mark.parametrize('inside', [False, True])
 async def test_plain_answer_that_ends_with_its_upstream_is_not_whole(
