Crash probes: look at whose response it is, and at a start that is not told

An upstream counted as alive by any report that names no other start: by one that names none while its entry does, by one that does while its entry does not, by one of another upstream at the same address. A plain service counted as alive by the health response of another one. A response that names another upstream shows now that the one asked for has ended, and a report whose start can't be compared shows nothing.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -214,10 +214,7 @@
         self, upstream: str, sent_at: Millis, response: httpcore.Response
     ) -> None:
         """Record the advisory of a health response from this upstream."""
-        values_by_name = {
-            name.lower(): value for name, value in response.headers
-        }
-        if values_by_name.get(HEADER_INSTANCE.encode()) == upstream.encode():
+        if _find_responder(response) == upstream:
             # Health responses may never carry limits, so that their absence
             # means nothing.
             advisory = read_advisory(response).without_absence()
@@ -263,18 +260,27 @@
     response: httpcore.Response, upstream: UpstreamEntry, *, plain: bool
 ) -> LifeEvidence:
     """Return what a response to a check says of an upstream."""
+    if _find_responder(response) not in {'', upstream.upstream}:
+        return LifeEvidence.OTHER_UPSTREAM
     if plain:
         return LifeEvidence.RESPONSE
     match read_report(response):
-        case Success(report) if not report.born:
-            return LifeEvidence.RESPONSE
         case Success(report) if report.born == upstream.born:
             return LifeEvidence.RESPONSE
-        case Success() if upstream.born:
+        case Success(report) if report.born and upstream.born:
             return LifeEvidence.OTHER_INCARNATION
     return LifeEvidence.NO_REPORT
 
 
+def _find_responder(response: httpcore.Response) -> str:
+    """Return the id of the upstream that responded; empty if it names none."""
+    name = HEADER_INSTANCE.encode()
+    for each, value in response.headers:
+        if each.lower() == name:
+            return value.decode('latin-1')
+    return ''
+
+
 def _find_patience(evidence: LifeEvidence) -> Millis:
     """Return how long an upstream is asked while this is all that is known."""
     match evidence:
