Crash probes: ask again if an answer is older than the end of the link

A probe covers all links of an upstream, also those that end while it is in progress. An engine that answered and then crashed counted as alive for a stream that ended with it.

test_check_asks_again_if_the_answer_is_older_than_the_end failed before (asked once, 50 ms before the end) and passes.

--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -96,13 +96,21 @@
         self._probes_by_upstream[name] = pending
 
     async def check(self, link: BrokenLink) -> LifeCheck:
-        """Probe the upstream of a link, and tell whether it has ended."""
-        self.probe(link)
-        pending = self._probes_by_upstream.get(link.upstream.upstream)
-        if pending is None:
-            return LifeCheck(LifeEvidence.NOT_ASKED, link.broke_at)
-        await pending.ended.wait()
-        return pending.checks[0]
+        """Probe the upstream of a link, and tell whether it has ended.
+
+        A probe that is in progress may have found the upstream alive before
+        the link ended; it is asked again then.
+        """
+        while True:
+            self.probe(link)
+            pending = self._probes_by_upstream.get(link.upstream.upstream)
+            if pending is None:
+                return LifeCheck(LifeEvidence.NOT_ASKED, link.broke_at)
+            await pending.ended.wait()
+            check = pending.checks[0]
+            alive = check.state is LifeState.ALIVE
+            if not alive or check.asked_at >= link.broke_at:
+                return check
 
     async def settle(self, fingerprint: Fingerprint) -> None:
         """Wait for the pending probes that concern a suspect request.
