Plain answers: an end without framing is complete only if its upstream lives

Callers got 200, the seal and a part of the body, with a length of that part, when an upstream was killed while it wrote an answer that ends with its connection. The crash probe was queued but not waited for. Its answer waits now, for at most 50 ms at a service that keeps the connection open without answering.

Three tests failed before (200 with a part of the body) and pass.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -63,6 +63,9 @@
 
 #: Maximum wait for a report.
 _REPORT_TIMEOUT: Millis = 500
+#: Maximum wait for a plain service to respond to a check or to close its
+#: connection, which one that ended does at once. Answers wait for it.
+_HEALTH_TIMEOUT: Millis = 50
 #: Between two checks whether a silent upstream has ended.
 _CHECK_PAUSE: Millis = 100
 #: Time for which an upstream is asked that perhaps only the path from here does
@@ -198,8 +201,9 @@
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
         sent_at = self._advisories.now()
+        timeout = _HEALTH_TIMEOUT if plain else _REPORT_TIMEOUT
         answer = await self._request(
-            'GET', upstream.address, path, b'', _REPORT_TIMEOUT
+            'GET', upstream.address, path, b'', timeout
         )
         if plain:
             answer.map(partial(self._record_health, upstream.upstream, sent_at))
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -151,7 +151,10 @@
         except LinkBrokeError as error:
             return self._break(error.detail), None
         ran = answer.status < _FIRST_REDIRECT
-        self._link.note_complete(framed=answer.framed, good=ran)
+        if answer.framed or not ran:
+            self._link.note_complete(framed=answer.framed, good=ran)
+        elif not await self._link.ends_whole():
+            return Broken('ended without proof of its end'), None
         good = answer.status < _FIRST_SERVER_ERROR
         response = CompleteResponse(answer.status, answer.headers, body)
         return Answered(good=good), response
