Crash probes: the failure of an intermediary tells nothing of the upstream

A question that an instance carried to an upstream came back as a time-out on an open connection, and so as alive, when the connection to that instance broke, and as closed, and so as ended, when it answered without a genuine reply. A time-out of the upstream at the intermediary came back as closed. Each is told apart now, and the intermediary has time to say so before the own time-out.

--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -23,6 +23,8 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    IntermediaryLostError,
+    IntermediaryReplyError,
     is_refusal,
     make_timeouts,
 )
@@ -42,6 +44,9 @@
 )
 #: Maximum wait for a connection to another instance.
 _CONNECT_WAIT: Millis = 250
+#: Time for which the reply may come later than the upstream's response, so that
+#: the intermediary is the one to say that there is none.
+_REPLY_SLACK: Millis = 100
 
 Released = Callable[[], None]
 
@@ -71,8 +76,8 @@
         :param released: called once the peer no longer carries the request.
         :returns: the upstream's response, with the body unread; why there is
             none; or ``None`` if the peer did not answer.
-        :raises httpcore.ReadTimeout: if the request may have run.
-        :raises httpcore.RemoteProtocolError: the same, as the peer failed.
+        :raises IntermediaryLostError: if the request may have run.
+        :raises IntermediaryReplyError: the same, as the peer failed.
         """
         try:
             response = await self._call(peer, request, observer)
@@ -86,7 +91,7 @@
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
             released()
             detail = f'{peer.name} lost: {format_error(error)}'
-            raise httpcore.ReadTimeout(detail) from error
+            raise IntermediaryLostError(detail) from error
         except BaseException:
             released()
             raise
@@ -102,7 +107,7 @@
             reply = DetourReply(DetourOutcome.BUSY, detail=str(response.status))
         if reply is None:
             detail = f'{peer.name}: {response.status} without a genuine reply'
-            raise httpcore.RemoteProtocolError(detail)
+            raise IntermediaryReplyError(detail)
         if observer is not None and reply.proves_unsent:
             observer.retract()
         return reply
@@ -124,7 +129,10 @@
             f'http://{peer.address}:{peer.port}{PATH}',
             headers=headers,
             content=signed,
-            extensions=make_timeouts(request.timeout, _CONNECT_WAIT),
+            extensions=make_timeouts(
+                request.timeout and request.timeout + _REPLY_SLACK,
+                _CONNECT_WAIT,
+            ),
         )
         return await send_observed(self._pool, outgoing, observer)
 
--- a/src/cartdale/detours/carrier.py
+++ b/src/cartdale/detours/carrier.py
@@ -77,8 +77,12 @@
             yield Failure(await self._describe_unreached(request, error))
             return
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
-            broken = format_error(late_error)
-            yield Failure(DetourReply(DetourOutcome.BROKEN, detail=broken))
+            reply = DetourReply(
+                DetourOutcome.BROKEN,
+                detail=format_error(late_error),
+                timed_out=isinstance(late_error, httpcore.TimeoutException),
+            )
+            yield Failure(reply)
             return
         if request.is_work:
             self._record(request, response, guard.sent_at)
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -382,6 +382,8 @@
             peer, self._request, self._observer
         )
         match answer:
+            case DetourReply(outcome=DetourOutcome.BROKEN, timed_out=True):
+                raise httpcore.ReadTimeout(answer.detail)
             case DetourReply(outcome=DetourOutcome.BROKEN, detail=detail):
                 raise httpcore.ReadError(detail)
             case DetourReply(outcome=DetourOutcome.UNREACHED):
--- a/src/cartdale/detours/types.py
+++ b/src/cartdale/detours/types.py
@@ -62,6 +62,8 @@
         another upstream, so that not its own paths are to blame.
     :param refused: for ``UNREACHED``: whether connections were refused, not
         left without an answer.
+    :param timed_out: for ``BROKEN``: whether the upstream did not respond in
+        time over an intact connection.
     :param alternatives: names of instances that recently served it as
         intermediaries.
     """
@@ -73,6 +75,7 @@
     backoff: Millis = 0
     reaches_others: bool = False
     refused: bool = False
+    timed_out: bool = False
     alternatives: tuple[str, ...] = ()
 
     @property
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -57,6 +57,7 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    IntermediaryError,
     PathUnclearError,
     is_refusal,
 )
@@ -247,8 +248,13 @@
         except HTTPCORE_NOT_SENT_ERRORS as error:
             return Failure(_describe_not_sent(error))
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
-            timed_out = isinstance(late_error, httpcore.TimeoutException)
-            return Failure(LinkBroke(format_error(late_error), timed_out))
+            return Failure(
+                LinkBroke(
+                    format_error(late_error),
+                    timed_out=isinstance(late_error, httpcore.TimeoutException),
+                    by_intermediary=isinstance(late_error, IntermediaryError),
+                )
+            )
         return Success(response)
 
     async def _read_whole(self, request: UpstreamRequest) -> httpcore.Response:
@@ -303,6 +309,8 @@
 def _judge_failure(failure: SendFailure, *, plain: bool) -> LifeEvidence:
     """Return what a check that failed says of an upstream."""
     match failure:
+        case LinkBroke(by_intermediary=True):
+            return LifeEvidence.INTERMEDIARY
         case LinkBroke(timed_out=True) if plain:
             return LifeEvidence.OPEN_CONNECTION
         case LinkBroke(timed_out=True):
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -189,10 +189,12 @@
     """The request may have run; no complete response was received.
 
     :param timed_out: whether the read timed out on an intact connection.
+    :param by_intermediary: whether the instance failed that carried it.
     """
 
     detail: str
     timed_out: bool = False
+    by_intermediary: bool = False
 
 
 SendFailure = NotSent | SendWithheld | LinkBroke
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -44,6 +44,21 @@
     """
 
 
+class IntermediaryError(Exception):
+    """Raised when an instance failed that carried a request.
+
+    The request may have run. Nothing is known of the upstream.
+    """
+
+
+class IntermediaryLostError(IntermediaryError, httpcore.ReadTimeout):
+    """Raised when the connection to an intermediary broke or timed out."""
+
+
+class IntermediaryReplyError(IntermediaryError, httpcore.RemoteProtocolError):
+    """Raised when an intermediary answered without a genuine reply."""
+
+
 #: Failures before a request left this process: it certainly had no effect.
 HTTPCORE_NOT_SENT_ERRORS = (
     httpcore.ConnectError,
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -22,13 +22,18 @@
 from cartdale.relay.crash_probes import BrokenLink, CrashProber
 from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
 from cartdale.routes.types import EngineSpec, ServiceSpec
-from cartdale.transport import PathUnclearError
+from cartdale.transport import (
+    IntermediaryLostError,
+    IntermediaryReplyError,
+    PathUnclearError,
+)
 from cartdale_standins.unframed import EarlyEnd
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
     PlatformStage,
     ask,
     count_runs,
+    find_runner,
     make_headers,
     open_platform,
     until,
@@ -104,6 +109,40 @@
         assert count_runs(stage, 'r1') == 1
 
 
+# Guards against a carried stream with framing that looks whole: its engine ended,
+# or the instance that carries it.
+@pytest.mark.parametrize('ends', ['engine', 'intermediary'])
+async def test_framed_stream_that_breaks_on_its_way_is_not_whole(
+    monkeypatch, ends: str
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(1, 1, 2, proxied=True) as stage:
+        await until(
+            lambda: all(
+                runtime.peers.news.state.received_by_name
+                for runtime in stage.runtimes
+            )
+        )
+        ports = [
+            int(upstream.entry.address.rpartition(':')[2])
+            for upstream in list_upstreams(stage)
+        ]
+        cuts.cut('entry-0', ports, CutWay.REFUSE)
+
+        async def end_once_begun() -> None:
+            engine = await find_runner(stage, 'r1')
+            if ends == 'engine':
+                engine.crash('r1')
+            else:
+                stage.scopes[1].cancel()
+
+        stage.nursery.start_soon(end_once_begun)
+        received, complete = await stream(stage, 'r1')
+        assert stage.runtimes[0].detours.router.detours
+        assert not complete
+        assert whole('r1', EVENTS).startswith(received)
+
+
 # Guards against a lost answer where another upstream could still give it.
 async def test_plain_answer_that_ends_with_its_upstream_runs_again_where_it_may(
     monkeypatch,
@@ -175,6 +214,8 @@
     [
         (PathUnclearError('x'), LifeState.UNKNOWN),
         (ReadTimeout('x'), LifeState.UNKNOWN),
+        (IntermediaryLostError('x'), LifeState.UNKNOWN),
+        (IntermediaryReplyError('x'), LifeState.UNKNOWN),
         (report(b'{"born":1000}', 503), LifeState.UNKNOWN),
         (report(b'no report'), LifeState.UNKNOWN),
         (report(b''), LifeState.UNKNOWN),
@@ -212,6 +253,8 @@
     [
         (PathUnclearError('x'), LifeState.UNKNOWN),
         (ReadTimeout('x'), LifeState.ALIVE),
+        (IntermediaryLostError('x'), LifeState.UNKNOWN),
+        (IntermediaryReplyError('x'), LifeState.UNKNOWN),
         (report(b'', 503), LifeState.ALIVE),
         (report(b'', name='a'), LifeState.ALIVE),
         (report(b'', name='b'), LifeState.ENDED),
