Connections: an application that has responded does not stall its connection

A body in many parts that its application does not read fills the queue of its events. The server then waits with the event of the request's end inside the application's last send, and so does the reader, so that neither the connection nor a stop ends. From the last event of a response on, what comes for the application is discarded; the end of the request is kept for it.

--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -5,6 +5,8 @@
 finds a closed socket.
 """
 
+from collections.abc import Callable
+from functools import partial
 from math import inf
 from typing import Any, cast
 
@@ -15,10 +17,19 @@
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import AppWrapper, ConnectionState
+from hypercorn.typing import (
+    AppWrapper,
+    ASGIReceiveCallable,
+    ASGIReceiveEvent,
+    ASGISendCallable,
+    ASGISendEvent,
+    ConnectionState,
+    Scope,
+)
 
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
+_LAST_EVENTS = frozenset(('http.disconnect', 'websocket.disconnect'))
 
 
 class ConnectionConfig(Config):
@@ -28,6 +39,41 @@
     head_timeout: float = 10
 
 
+class _Inbox:
+    """Events of one request for its application.
+
+    Their queue is bounded, and whoever adds to a full one waits: the reader of
+    the connection, and the application itself where its last event ends the
+    request, which it is told of.
+    """
+
+    def __init__(self, receive: ASGIReceiveCallable) -> None:
+        self._receive = receive
+        self._lock = trio.Lock()
+        #: The event that ends the request, once it was received.
+        self._last: ASGIReceiveEvent | None = None
+
+    async def receive(self) -> ASGIReceiveEvent:
+        """Receive the next event; the last one as often as it is asked for."""
+        async with self._lock:
+            if self._last is not None:
+                return self._last
+            event = await self._receive()
+            if event['type'] in _LAST_EVENTS:
+                self._last = event
+            return event
+
+    async def discard_rest(self) -> None:
+        """Empty the queue of an application that has responded."""
+        while self._last is None:
+            await self.receive()
+
+
+def _ends_response(event: ASGISendEvent) -> bool:
+    is_body = event['type'] == 'http.response.body'
+    return is_body and not event.get('more_body', False)
+
+
 class Connection(TCPServer):
     """One connection of a listener.
 
@@ -79,14 +125,35 @@
             case _:
                 await super().protocol_send(event)
 
-    async def _count_running(self, *arguments: Any) -> None:
+    async def _count_running(
+        self,
+        scope: Scope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+        *spawners: Callable[..., Any],
+    ) -> None:
         """Call the application, and count it while it runs."""
         self._running += 1
         self._begun += 1
+        inbox = _Inbox(receive)
         try:
-            await self._application(*arguments)
+            await self._application(
+                scope,
+                inbox.receive,
+                partial(self._send_event, send, inbox),
+                *spawners,
+            )
         finally:
             self._running -= 1
+            self._task_group.spawn(inbox.discard_rest)
+
+    async def _send_event(
+        self, send: ASGISendCallable, inbox: _Inbox, event: ASGISendEvent
+    ) -> None:
+        """Send an event; after the last one the application need not read."""
+        if _ends_response(event):
+            self._task_group.spawn(inbox.discard_rest)
+        await send(event)
 
     def _note_rest(self, *, resting: bool) -> None:
         """Bound the reader's wait while no request is in progress."""
