Peers: measure the own clocks in one reading; tests of it on a loop that stands still

The wall clock and the monotonic one are cut to milliseconds and were read one after the other, so that a reading between two milliseconds was one off. They are read again if the monotonic one went on. What is left is the millisecond within which a peer's answer was sent: the two tests of exact offsets run on a loop whose clock stands still between waits; their checks are as they were.

--- a/src/cartdale/peers/client.py
+++ b/src/cartdale/peers/client.py
@@ -160,9 +160,23 @@
         clocks = self._clocks_by_peer.values()
         if len(clocks) < _MIN_OFFSETS:
             return 0
-        own = self._clock.wall_time() - self._clock.now()
+        own = self._measure_own()
         return int(abs(median(clock.ahead for clock in clocks) - own))
 
+    def _measure_own(self) -> Millis:
+        """Return how far the wall clock is ahead of the monotonic one.
+
+        Both are cut to milliseconds and read one after the other; they are read
+        again if the monotonic one went on in between.
+        """
+        before = self._clock.now()
+        for _ in range(_MAX_READINGS):
+            wall, after = self._clock.wall_time(), self._clock.now()
+            if after == before:
+                break
+            before = after
+        return wall - before
+
     def _record_clock(
         self, peer: str, peer_wall: Millis, sent_at: Millis
     ) -> None:
@@ -186,3 +200,7 @@
     seconds = as_seconds(timeout)
     limits = {'connect': seconds, 'read': seconds, 'write': seconds}
     return {'timeout': limits}
+
+
+#: Readings of both clocks after which they are taken as they are.
+_MAX_READINGS = 3
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -187,7 +187,9 @@
         )
 
 
-async def test_clock_error_is_the_median_offset_to_peers() -> None:
+async def test_clock_error_is_the_median_offset_to_peers(
+    autojump_clock: MockClock,
+) -> None:
     pool = PoolOfPeers({'b': 900, 'c': 1000, 'd': -1})
     client = PeerClient(pool, 'a', SIGNER, SkewedClock(), 1)
     assert client.clock_error() == 0
@@ -197,7 +199,9 @@
     assert client.clock_error() == 900
 
 
-async def test_clock_error_follows_a_step_of_the_own_clock_at_once() -> None:
+async def test_clock_error_follows_a_step_of_the_own_clock_at_once(
+    autojump_clock: MockClock,
+) -> None:
     # Guards against trusting a clock that is wrong by now, and the reverse.
     clock = SkewedClock()
     client = PeerClient(PoolOfPeers({'b': 0, 'c': 0}), 'a', SIGNER, clock, 1)
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -109,8 +109,8 @@
         assert count_runs(stage, 'r1') == 1
 
 
-# Guards against a carried stream with framing that looks whole: its engine ended,
-# or the instance that carries it.
+# Guards against a carried stream with framing that looks whole: its engine
+# ended, or the instance that carries it.
 @pytest.mark.parametrize('ends', ['engine', 'intermediary'])
 async def test_framed_stream_that_breaks_on_its_way_is_not_whole(
     monkeypatch, ends: str
