--- a/tests/test_unreached_upstreams.py
+++ b/tests/test_unreached_upstreams.py
@@ -5,12 +5,16 @@
 import pytest
 import trio
 
-from cartdale.clock import as_seconds
+from cartdale.clock import SystemClock, as_seconds
 from cartdale.detours.calls import PATH
 from cartdale.detours.types import UpstreamRequest
+from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.evacuation import Evacuation
 from cartdale.fleet.types import BackoffRequested, EvacuationsReceived
 from cartdale.peers.authentication import Authenticator, wrap
+from cartdale.platform.upstreams import PlatformUpstreams
+from cartdale.relay.liveness import LifeState
+from cartdale_standins.platform_engine import PlatformEngine
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
     PlatformStage,
@@ -200,6 +204,25 @@
             assert not runtime.fleet.quarantine.list_news()
 
 
+# Guards against an engine of which more is believed than is known: it responded
+# too late to the instance that carried a check of it.
+async def test_late_response_to_an_intermediary_is_no_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    monkeypatch.setattr(PlatformEngine, '_report', _stand_still)
+    async with open_platform(engines=1, instances=2) as stage:
+        await _await_news(stage)
+        cuts.cut('entry-0', list_upstream_ports(stage), CutWay.REFUSE)
+        cut = stage.runtimes[0]
+        engine = cut.fleet.find('engine-0').entry
+        spec = cut.fleet.table.services_by_name[engine.service]
+        recorder = AdvisoryRecorder(cut.fleet, SystemClock())
+        upstreams = PlatformUpstreams(recorder, cut.detours.router)
+        found = await upstreams.check_life(engine, spec)
+        assert found.state is LifeState.UNKNOWN
+
+
 # Guards against requests that wait for an upstream which nobody reaches, and
 # against taking its end for a lost path.
 async def test_upstream_that_nobody_reaches_is_refused_at_once(
