Own interface: an answer without framing is complete only if its service lives

The cause of the platform's truncated answers elsewhere: a plain service that ended as it wrote an answer with neither a length nor chunks, and its part was passed on with 200. It is asked by a connection now, as where its link broke.

test_unframed_answer_is_whole_only_if_its_service_lives[True] failed before (200) and passes; 42 tests of the own interface around it pass.

--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -35,6 +35,8 @@
 #: One that is still open after so long is served.
 _CLOSED_WITHIN: Millis = 50
 _PORTS_BY_SCHEME = MappingProxyType({'http': 80, 'https': 443})
+#: Headers that delimit a body.
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _PASSED_ON = ('content-type', 'accept')
 
 
@@ -97,6 +99,8 @@
         if response.status_code in _REFUSALS:
             backoff = find_backoff(response)
             return Failure(EngineRefused(response.status_code, backoff))
+        if _is_unframed(response) and await self.is_unreachable():
+            return Failure(LinkLost('ended without proof of its end'))
         return Success(
             PlainResponse(
                 response.status_code,
@@ -120,6 +124,11 @@
         return False
 
 
+def _is_unframed(response: httpx.Response) -> bool:
+    """Tell whether a body ends with its connection, as a part of it would."""
+    return response.is_success and _FRAMING_HEADERS.isdisjoint(response.headers)
+
+
 async def _is_closed(stream: trio.SocketStream) -> bool:
     """Wait until the other end closes or says something."""
     try:
