Transport: a short wait for a response does not shorten that for a connection

The check of a plain service waits 50 ms for a response, and so waited 50 ms for its connection too. A connection that takes longer blocks the path to the upstream for other requests, and where peers say the same, the upstream counts as ended.

Found by reading; test_short_timeout_does_not_shorten_the_wait_for_a_connection fails without the change and passes.

--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -9,12 +9,13 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     MAX_CONNECT_WAIT,
+    MIN_CONNECT_WAIT,
     SendTrace,
     make_timeouts,
 )
 
 #: Maximum wait if another instance may carry the request instead.
-SHORT_CONNECT_WAIT: Millis = 250
+SHORT_CONNECT_WAIT: Millis = MIN_CONNECT_WAIT
 
 
 class DirectTransport:
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -10,6 +10,9 @@
 #: Maximum wait for a connection if there is no other way: it is established in
 #: a few milliseconds, or its SYN was dropped and is sent again after a second.
 MAX_CONNECT_WAIT: Millis = 1500
+#: A connection is waited for at least so long, however soon a response is due:
+#: a path counts as blocked after that.
+MIN_CONNECT_WAIT: Millis = 250
 #: httpcore trace event: the connection is open and the request is sent next.
 _BEFORE_SENDING = 'http11.send_request_headers.started'
 
@@ -93,7 +96,8 @@
     :param connect_wait: maximum wait for a connection.
     """
     seconds = as_seconds(timeout) if timeout else None
-    connect = as_seconds(min(timeout or connect_wait, connect_wait))
+    longest = max(timeout, MIN_CONNECT_WAIT) if timeout else connect_wait
+    connect = as_seconds(min(longest, connect_wait))
     return {'timeout': {'connect': connect, 'read': seconds, 'write': seconds}}
 
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -30,6 +30,7 @@
 )
 from cartdale.peers.pool import make_peer_pool
 from cartdale.settings.types import Listener, Tls
+from cartdale.transport import make_timeouts
 from tests.fakes import SkewedClock
 from tests.stage import open_stage
 
@@ -228,3 +229,12 @@
     assert client.clock_error() > CLOCK_ERROR_MS, 'one alone may be wrong'
     await meet(client, 'f')
     assert client.clock_error() == 0
+
+
+# Guards against a path that counts as blocked since a short wait for a response
+# also bounded the wait for the connection.
+def test_short_timeout_does_not_shorten_the_wait_for_a_connection() -> None:
+    timeouts = make_timeouts(50, 1500)['timeout']
+    assert timeouts == {'connect': 0.25, 'read': 0.05, 'write': 0.05}
+    assert make_timeouts(500, 1500)['timeout']['connect'] == 0.5
+    assert make_timeouts(500, 250)['timeout']['connect'] == 0.25
