Streams: log what proves an end, its status and who carried it

No line told which of an end's grounds made a stream complete, nor whether the response came over another instance. 'stream ended' tells proof, status and carrier, 'end without framing' the carrier. The instance that carries a response names the request where it ended or broke.

--- a/src/cartdale/detours/app.py
+++ b/src/cartdale/detours/app.py
@@ -25,7 +25,7 @@
     UpstreamRequest,
 )
 from cartdale.formatting import format_error
-from cartdale.transport import HTTPCORE_UNKNOWN_OUTCOME_ERRORS
+from cartdale.transport import HTTPCORE_UNKNOWN_OUTCOME_ERRORS, is_framed
 
 #: Room for the headers of a request, and for its envelope.
 _HEAD_BYTES = 65536
@@ -90,7 +90,7 @@
                 case Failure(refusal):
                     await reply.refuse(refusal)
                 case Success(response):
-                    await reply.pass_response(response)
+                    await reply.pass_response(response, request)
 
 
 class _ReplyWriter:
@@ -109,7 +109,9 @@
         await self._start(reply)
         await self._send(_make_part(b'', more=False))
 
-    async def pass_response(self, response: httpcore.Response) -> None:
+    async def pass_response(
+        self, response: httpcore.Response, request: UpstreamRequest
+    ) -> None:
         """Pass a response on; it ends early here if it does there."""
         opened = DetourReply(
             DetourOutcome.OPENED, response.status, tuple(response.headers)
@@ -121,8 +123,21 @@
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
             # The body is left without its end, so that the server closes the
             # connection and the other side sees it broken too.
-            logger.info('carried response broke', detail=format_error(error))
+            logger.info(
+                'carried response broke',
+                request=request.request_id,
+                upstream=request.upstream,
+                detail=format_error(error),
+            )
             return
+        if request.is_work:
+            logger.info(
+                'carried response ended',
+                request=request.request_id,
+                upstream=request.upstream,
+                status=response.status,
+                framed=is_framed(response),
+            )
         await self._send(_make_part(b'', more=False))
 
     async def _start(self, reply: DetourReply) -> None:
--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -21,6 +21,7 @@
 from cartdale.formatting import format_error
 from cartdale.news.types import PeerEntry
 from cartdale.transport import (
+    CARRIER_EXTENSION,
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     IntermediaryLostError,
@@ -99,7 +100,10 @@
         if reply is not None and reply.outcome is DetourOutcome.OPENED:
             body = _CarriedBody(response, released)
             return httpcore.Response(
-                reply.status, headers=reply.headers, content=body
+                reply.status,
+                headers=reply.headers,
+                content=body,
+                extensions={CARRIER_EXTENSION: peer.name},
             )
         released()
         await response.aclose()
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -298,6 +298,7 @@
             first_after=first,
             first_event=first_event,
             longest_gap=gap,
+            **forwarder.describe_end(),
         )
 
     async def _refuse_size(self) -> None:
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -43,7 +43,11 @@
     UpstreamCall,
 )
 from cartdale.retries.backoffs import parse_retry_after
-from cartdale.transport import HTTPCORE_UNKNOWN_OUTCOME_ERRORS
+from cartdale.transport import (
+    CARRIER_EXTENSION,
+    HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    is_framed,
+)
 
 _DROPPED_HEADERS = CONNECTION_HEADERS | {
     HEADER_LOAD.encode(),
@@ -53,8 +57,6 @@
     HEADER_LIMIT.encode(),
     HEADER_BRITTLE.encode(),
 }
-#: Headers that delimit a body.
-_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
 class CopyRequest(msgspec.Struct, rename='camel', omit_defaults=True):
@@ -145,8 +147,9 @@
             headers=_filter_headers(response.headers),
             execution=execution,
             chunks=_read_chunks(response),
-            framed=not _FRAMING_HEADERS.isdisjoint(values_by_name),
+            framed=is_framed(response),
             backoff=advisory.backoff,
+            carrier=response.extensions.get(CARRIER_EXTENSION, ''),
         )
     )
 
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -6,6 +6,7 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.decide import EVENTS_PAST_START
 from cartdale.relay.crash_probes import BrokenLink
+from cartdale.relay.end_proof import EndProof
 from cartdale.relay.liveness import LifeState
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import RoutedRequest
@@ -62,16 +63,19 @@
         if link is not None:
             self._ports.crash_prober.probe(link)
 
-    async def ends_whole(self) -> bool:
-        """Tell whether a response is complete that its framing does not prove.
+    async def prove_end(self, carrier: str) -> EndProof:
+        """Return what shows that a response without framing is complete.
 
         An upstream that crashes may end its responses as if they were whole.
+
+        :param carrier: instance that carried the response; empty for none.
         """
         link = self._describe()
         if link is None:
-            return False
+            return EndProof.NONE
         check = await self._ports.crash_prober.check(link)
-        whole = check.state is LifeState.ALIVE
+        alive = check.state is LifeState.ALIVE
+        proof = EndProof.ALIVE if alive else EndProof.NONE
         logger.info(
             'end without framing',
             request=link.request_id,
@@ -81,9 +85,10 @@
             evidence=check.evidence,
             asked_after=check.asked_at - link.broke_at,
             took=self._ports.clock.now() - link.broke_at,
-            whole=whole,
+            proof=proof,
+            carrier=carrier,
         )
-        return whole
+        return proof
 
     def _describe(self) -> BrokenLink | None:
         if self._upstream is None:
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -30,6 +30,7 @@
     begin,
     refuse,
 )
+from cartdale.relay.end_proof import EndProof
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
@@ -153,7 +154,7 @@
         ran = answer.status < _FIRST_REDIRECT
         if answer.framed or not ran:
             self._link.note_complete(framed=answer.framed, good=ran)
-        elif not await self._link.ends_whole():
+        elif await self._link.prove_end(answer.carrier) is EndProof.NONE:
             return Broken('ended without proof of its end'), None
         good = answer.status < _FIRST_SERVER_ERROR
         response = CompleteResponse(answer.status, answer.headers, body)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -9,6 +9,7 @@
 
 from cartdale.clock import Millis, as_seconds
 from cartdale.fleet.types import RequestEnded, Upstream, UpstreamEntry
+from cartdale.formatting import Plain
 from cartdale.problems.types import NotRunReason, OutcomeUnknown, Problem
 from cartdale.quarantine.driver import Guard
 from cartdale.relay.attempts import (
@@ -36,6 +37,7 @@
     begin,
     refuse,
 )
+from cartdale.relay.end_proof import EndProof
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
@@ -114,6 +116,9 @@
         #: An upstream's failure response, passed on if no attempt follows.
         self._failure: CompleteResponse | None = None
         self._started = False
+        #: Head of the last response, and what shows that it is complete.
+        self._head: OpenedResponse | None = None
+        self._proof = EndProof.NONE
 
     @property
     def longest_gap(self) -> Millis:
@@ -125,6 +130,15 @@
         """Return when the first event came; 0 if none did."""
         return self._passer.first_at
 
+    def describe_end(self) -> dict[str, Plain]:
+        """Return how the last response ended, for a log line."""
+        head = self._head
+        return {
+            'proof': self._proof,
+            'status': head.status if head else 0,
+            'carrier': head.carrier if head else '',
+        }
+
     async def forward(self) -> Result[StreamEnd, Problem]:
         """Stream the response, or return why nothing was streamed."""
         self._ports.budget.count(self._routed.service, self._ports.clock.now())
@@ -311,6 +325,7 @@
         if declined is not None:
             return declined
         self._link.note_head()
+        self._head = answer
         if answer.status >= _FIRST_SERVER_ERROR:
             return await self._read_failure(answer)
         if not self._started:
@@ -378,9 +393,12 @@
             return 'ended inside an event'
         if answer.framed or not good:
             self._link.note_complete(framed=answer.framed, good=good)
+            self._proof = EndProof.FRAMED if answer.framed else EndProof.NONE
             return ''
-        whole = await self._link.ends_whole()
-        return '' if whole else 'ended without proof of its end'
+        self._proof = await self._link.prove_end(answer.carrier)
+        if self._proof is EndProof.NONE:
+            return 'ended without proof of its end'
+        return ''
 
     def _may_be_stopped(self) -> bool:
         """Tell whether its engine may have stopped the generation."""
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -144,6 +144,7 @@
     :param framed: whether the body is delimited; otherwise it ends with its
         connection.
     :param backoff: back-off that the upstream requests from this instance.
+    :param carrier: instance that carries the response; empty for none.
     :param chunks: raises ``LinkBrokeError`` unless the body is complete.
     """
 
@@ -153,6 +154,7 @@
     chunks: AsyncIterator[bytes]
     framed: bool = True
     backoff: Millis = 0
+    carrier: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -13,6 +13,10 @@
 #: A connection is waited for at least so long, however soon a response is due:
 #: a path counts as blocked after that.
 MIN_CONNECT_WAIT: Millis = 250
+#: Headers that delimit a body.
+_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+#: httpcore response extension: name of the instance that carried a response.
+CARRIER_EXTENSION = 'cartdale.carrier'
 #: httpcore trace event: the connection is open and the request is sent next.
 _BEFORE_SENDING = 'http11.send_request_headers.started'
 
@@ -75,6 +79,12 @@
     return not isinstance(error, httpcore.TimeoutException)
 
 
+def is_framed(response: httpcore.Response) -> bool:
+    """Tell whether a body is delimited; otherwise it ends as its connection."""
+    names = {name.lower() for name, _ in response.headers}
+    return not _FRAMING_HEADERS.isdisjoint(names)
+
+
 def make_connect_error(
     detail: str, *, refused: bool
 ) -> httpcore.ConnectError | httpcore.ConnectTimeout:
