Tests: ends of streams that nothing proves though their upstream answers

The stand-in of unframed answers closes them in order and lingers, goes on with what it no longer passes on, and answers resumes with a given status.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -61,6 +61,8 @@
     :param withhold_headers: whether answers don't begin while they are made.
     :param end_before_stop: whether generations end by themselves just before
         they are stopped.
+    :param resume_status: status that resumed requests are answered with,
+        though nothing says that they did not run; 0 to serve them.
     :param padding: bytes that each event has more, so that few fill a
         connection that nobody reads.
     :param unread_seconds: time after which a stream that is not read is cut.
@@ -72,6 +74,7 @@
     lose_requests: bool = False
     withhold_headers: bool = False
     end_before_stop: bool = False
+    resume_status: int = 0
     padding: int = 0
     unread_seconds: float = inf
 
@@ -164,6 +167,12 @@
         if not self._has_memory(request_id):
             return reject()
         resumed = 'Kv-From' in request.headers
+        if resumed and self.stream_faults.resume_status:
+            return Response(
+                'failed',
+                status=self.stream_faults.resume_status,
+                headers=self._sign(request_id),
+            )
         counter = self.resumed_by_request if resumed else self.runs_by_request
         counter[request_id] += 1
         vanishes = self.stream_faults.lose_requests
--- a/src/cartdale_standins/unframed.py
+++ b/src/cartdale_standins/unframed.py
@@ -41,12 +41,17 @@
         that has no events.
     :param reset: whether the connection is reset, not closed.
     :param crashes: whether the stand-in ends in the same moment.
+    :param lingers: whether it shuts down instead: it closes all its answers,
+        and ends so many seconds later. Negative for no.
+    :param runs_on: whether it goes on with what it no longer passes on.
     """
 
     events: int = 0
     inside: bool = False
     reset: bool = False
     crashes: bool = False
+    lingers: float = -1
+    runs_on: bool = False
 
 
 #: Stands for no early end.
@@ -70,6 +75,7 @@
         self.port: int = self._bound.getsockname()[1]
         self._open: set[trio.SocketStream] = set()
         self._down = False
+        self._nursery: trio.Nursery | None = None
         #: Whether answers that the stand-in breaks off are reset.
         self.resets = True
         #: Ends the stand-in.
@@ -86,12 +92,30 @@
         for stream in tuple(self._open) if down else ():
             _end(stream, reset=True)
 
+    def shut_down(self, seconds: float) -> None:
+        """Close all answers in order, and end the stand-in some time later."""
+        self.close_answers()
+        if self._nursery is not None:
+            self._nursery.start_soon(self._crash_after, seconds)
+
+    def close_answers(self) -> None:
+        """Close all connections in order, as a path may."""
+        for stream in tuple(self._open):
+            _end(stream, reset=False)
+
     async def run(self) -> None:
         """Serve until cancelled."""
         listener = trio.SocketListener(
             trio.socket.from_stdlib_socket(self._bound)
         )
-        await trio.serve_listeners(self._serve, [listener])
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.serve_listeners(self._serve, [listener])
+
+    async def _crash_after(self, seconds: float) -> None:
+        await trio.sleep(seconds)
+        if self.crash is not None:
+            self.crash()
 
     async def _serve(self, caller: trio.SocketStream) -> None:
         if self._down:
@@ -123,10 +147,15 @@
             await caller.send_all(_write_head(response))
             early = self._take_early_end(response)
             await _Answer(caller, early).pass_on_from(response)
+            if early.runs_on:
+                await caller.send_eof()
+                await _read_out(response)
             await response.aclose()
         if early is _NEVER:
             return False
         _end(caller, reset=early.reset)
+        if early.lingers >= 0:
+            self.shut_down(early.lingers)
         if early.crashes and self.crash is not None:
             self.crash()
         return early.reset
@@ -198,6 +227,12 @@
     return httpcore.Request(method, url, headers=headers, content=body)
 
 
+async def _read_out(response: httpcore.Response) -> None:
+    """Read what is left of an answer, and drop it."""
+    async for _ in response.aiter_stream():
+        """Nobody gets it."""
+
+
 def _parse_headers(lines: bytes) -> dict[bytes | str, bytes | str]:
     headers: dict[bytes | str, bytes | str] = {}
     for line in lines.split(b'\r\n'):
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -79,13 +79,20 @@
     request_id: str,
     path: str = '/draft/a',
     events: int = EVENTS,
+    deadline: int = 15000,
 ) -> tuple[bytes, bool]:
-    """Ask for a stream; return what arrives, and whether it looks whole."""
+    """Ask for a stream; return what arrives, and whether it looks whole.
+
+    :param deadline: its time limit, in milliseconds.
+    """
     parts: list[bytes] = []
     asked = stage.client.stream(
         'POST',
         stage.url(path),
-        headers=make_draft(request_id, events * STRIDE),
+        headers={
+            **make_draft(request_id, events * STRIDE),
+            'Deadline-Ms': str(deadline),
+        },
         content=b'brief',
     )
     try:
--- /dev/null
+++ b/tests/test_unproved_ends.py
@@ -0,0 +1,178 @@
+"""Ends of streams that nothing proves though their upstream answers.
+
+Guards against streams that end as complete since evidence of something else,
+such as that the engine lived, was taken for evidence of the whole.
+"""
+
+from http import HTTPStatus
+
+import pytest
+import trio
+
+from cartdale_standins.unframed import EarlyEnd
+from tests.platform_stage import (
+    PlatformStage,
+    count_runs,
+    find_runner,
+    open_platform,
+    until,
+    whole,
+)
+from tests.test_unframed_answers import (
+    DIRECTLY_OR_NOT,
+    EVENTS,
+    PASSED,
+    open_unframed,
+    stream,
+)
+
+Ended = tuple[bytes, bool]
+
+
+async def stream_together(
+    stage: PlatformStage, names: list[str]
+) -> dict[str, Ended]:
+    """Ask for streams at the same time; return what arrived of each."""
+    ended_by_name: dict[str, Ended] = {}
+
+    async def ask(name: str) -> None:
+        ended_by_name[name] = await stream(stage, name)
+
+    async with trio.open_nursery() as nursery:
+        for name in names:
+            nursery.start_soon(ask, name)
+    return ended_by_name
+
+
+def count_backups(stage: PlatformStage, name: str) -> int:
+    return sum(name in each.memory.backed_up for each in stage.engines)
+
+
+def check_cut(ended_by_name: dict[str, Ended]) -> None:
+    """Assert that no stream ended as complete, and that each is a prefix."""
+    for name, (received, complete) in ended_by_name.items():
+        assert not complete
+        assert received
+        assert whole(name, EVENTS).startswith(received)
+
+
+# Guards against streams that look whole since their engine, which shut down,
+# still answered when it was asked after their end.
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('streams', [1, 3])
+@pytest.mark.parametrize('linger', [0, 0.005, 0.05, 0.2])
+async def test_streams_of_an_engine_that_shuts_down_are_not_whole(
+    monkeypatch, detour: bool, streams: int, linger: float
+) -> None:
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, lingers=linger))
+        names = [f'r{number}' for number in range(streams)]
+        check_cut(await stream_together(stage, names))
+
+
+# Guards against a stream that looks whole, and is not resumed, since its engine
+# answered while it shut down.
+async def test_stream_of_an_engine_that_shuts_down_resumes_from_its_backup(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch, 3) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED, lingers=0.05))
+        assert await stream(stage, 'r1') == (whole('r1', EVENTS), True)
+        assert count_runs(stage, 'r1') == 1
+
+
+# Guards against streams that look whole since their engine, which leaves,
+# closed them at the end of its grace and answers on.
+@pytest.mark.parametrize('announced', ['entry', 'report', 'answers'])
+async def test_streams_of_an_engine_that_leaves_are_not_whole(
+    monkeypatch, announced: str
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        engine = stage.engines[0]
+
+        async def leave_once_begun() -> None:
+            await find_runner(stage, 'r0')
+            match announced:
+                case 'entry':
+                    stage.drain(engine)
+                case 'report':
+                    engine.leaves_ms = 5000
+                case _:
+                    engine.leaving = True
+
+        stage.nursery.start_soon(leave_once_begun)
+        stage.early_ends.append(EarlyEnd(EVENTS - 10))
+        check_cut(await stream_together(stage, ['r0']))
+
+
+# Guards against streams that look whole since a path closed all of them
+# in order and their engines live.
+async def test_streams_that_a_path_ends_together_are_not_whole(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch, 2) as stage:
+
+        async def close_all() -> None:
+            for name in names:
+                await find_runner(stage, name)
+            for front in stage.fronts:
+                front.close_answers()
+
+        names = ['r0', 'r1', 'r2', 'r3']
+        stage.nursery.start_soon(close_all)
+        check_cut(await stream_together(stage, names))
+
+
+# Guards against a stream that looks whole though its engine still runs it.
+@DIRECTLY_OR_NOT
+async def test_stream_that_its_engine_still_runs_is_not_whole(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(3, runs_on=True))
+        check_cut(await stream_together(stage, ['r0']))
+
+
+# Guards against a stream that looks whole since its engine stopped it at the
+# time limit and lives.
+async def test_stream_that_ends_at_its_time_limit_is_not_whole(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        stage.early_ends.append(EarlyEnd(PASSED))
+        check_cut({'r1': await stream(stage, 'r1', deadline=700)})
+
+
+# Guards against a stream that looks whole and has a failure appended to it: its
+# engine ended, and the engine that it resumed at answered with the failure.
+@pytest.mark.parametrize(
+    'status',
+    [
+        HTTPStatus.NO_CONTENT,
+        HTTPStatus.PARTIAL_CONTENT,
+        HTTPStatus.FOUND,
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.GONE,
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+    ],
+)
+async def test_resume_that_is_answered_by_a_failure_is_not_whole(
+    status: HTTPStatus,
+) -> None:
+    async with open_platform(2, proxied=True) as stage:
+        ended_by_name: dict[str, Ended] = {}
+
+        async def ask() -> None:
+            ended_by_name['r1'] = await stream(stage, 'r1')
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            engine = await find_runner(stage, 'r1')
+            await until(lambda: count_backups(stage, 'r1'))
+            for each in stage.engines:
+                each.stream_faults.resume_status = status
+            engine.crash('r1')
+        check_cut(ended_by_name)
+        assert count_runs(stage, 'r1') == 1
