Streams: an end without framing needs an engine that served on without it

Callers saw streams end as complete that their engine had cut short: one report within milliseconds of the end made a stream whole. Evidence that the engine lived was taken for evidence of the whole; an engine that shuts down closes its streams before its listener, and one that leaves or stops at a time limit, or a path that closes connections, looks the same.

The engine is now asked again 600 ms after the end, once its report shows the time after it, and what speaks against the stream is weighed (relay/end_proof.py): the engine ended, still runs it or made more of it; it leaves and runs nothing else; all that it ran ended; other links of this instance ended within 100 ms and none goes on. As many tokens as the request allows need no question. Only the end of the body waits, and an end in the last part of the time limit is cut. A carried response without framing keeps its connection open meanwhile, or the engine would drop what it still runs. Plain responses without framing wait 300 ms in the same way.

--- a/src/cartdale/detours/app.py
+++ b/src/cartdale/detours/app.py
@@ -16,6 +16,7 @@
     read_body,
     send_response,
 )
+from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.detours.calls import REPLY_HEADER, encode_header
 from cartdale.detours.capacity import CarryingCapacity
 from cartdale.detours.ports import DetourCarrier, DetourPeers
@@ -29,6 +30,9 @@
 
 #: Room for the headers of a request, and for its envelope.
 _HEAD_BYTES = 65536
+#: Time for which the connection of a response without framing stays open after
+#: its end: the other instance finds out meanwhile whether it is complete.
+_KEPT_OPEN: Millis = SECOND_MS
 
 
 class DetourApp:
@@ -75,7 +79,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    _watch_disconnect, receive, nursery.cancel_scope
+                    _watch_disconnect, receive, reply, nursery.cancel_scope
                 )
                 await self._carry(verified.message, reply)
                 nursery.cancel_scope.cancel()
@@ -103,6 +107,8 @@
         self._peers = peers
         self._peer = peer
         self._send = send
+        #: Whether the reply was passed on whole.
+        self.ended = False
 
     async def refuse(self, reply: DetourReply) -> None:
         """Say why there is no response of the upstream."""
@@ -138,7 +144,12 @@
                 status=response.status,
                 framed=is_framed(response),
             )
+        self.ended = True
         await self._send(_make_part(b'', more=False))
+        if request.is_work and not is_framed(response):
+            # An engine that still runs what its stream no longer shows would
+            # drop it with the connection, before the other instance asks.
+            await trio.sleep(as_seconds(_KEPT_OPEN))
 
     async def _start(self, reply: DetourReply) -> None:
         signed = self._peers.sign_message(self._peer, reply)
@@ -159,10 +170,13 @@
     return {TYPE: 'http.response.body', 'body': chunk, 'more_body': more}
 
 
-async def _watch_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
-    """Cancel a carried request when the other instance disconnects."""
+async def _watch_disconnect(
+    receive: Receive, reply: _ReplyWriter, scope: trio.CancelScope
+) -> None:
+    """Cancel a carried request when the other instance disconnects early."""
     while True:
         event = await receive()
         if event[TYPE] == 'http.disconnect':
-            scope.cancel()
+            if not reply.ended:
+                scope.cancel()
             return
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -208,12 +208,16 @@
         )
         if plain:
             answer.map(partial(self._record_health, upstream.upstream, sent_at))
+        report: EngineReport | None = None
         match answer:
+            case Success(response) if plain:
+                evidence = _judge_health(response, upstream)
             case Success(response):
-                evidence = _judge_response(response, upstream, plain=plain)
+                report = read_report(response).value_or(None)
+                evidence = _judge_report(response, report, upstream)
             case Failure(failure):
                 evidence = _judge_failure(failure, plain=plain)
-        return LifeCheck(evidence, sent_at)
+        return LifeCheck(evidence, sent_at, report)
 
     def _record_health(
         self, upstream: str, sent_at: Millis, response: httpcore.Response
@@ -266,20 +270,29 @@
         return response
 
 
-def _judge_response(
-    response: httpcore.Response, upstream: UpstreamEntry, *, plain: bool
+def _judge_health(
+    response: httpcore.Response, upstream: UpstreamEntry
 ) -> LifeEvidence:
-    """Return what a response to a check says of an upstream."""
-    if _find_responder(response) not in {'', upstream.upstream}:
-        return LifeEvidence.OTHER_UPSTREAM
-    if plain:
+    """Return what a plain service's response to a check says of it."""
+    if _find_responder(response) in {'', upstream.upstream}:
         return LifeEvidence.RESPONSE
-    match read_report(response):
-        case Success(report) if report.born == upstream.born:
-            return LifeEvidence.RESPONSE
-        case Success(report) if report.born and upstream.born:
-            return LifeEvidence.OTHER_INCARNATION
-    return LifeEvidence.NO_REPORT
+    return LifeEvidence.OTHER_UPSTREAM
+
+
+def _judge_report(
+    response: httpcore.Response,
+    report: EngineReport | None,
+    upstream: UpstreamEntry,
+) -> LifeEvidence:
+    """Return what an engine's response to a check says of it."""
+    responder = _find_responder(response)
+    if responder not in {'', upstream.upstream}:
+        return LifeEvidence.OTHER_UPSTREAM
+    if report is None or bool(report.born) is not bool(upstream.born):
+        return LifeEvidence.NO_REPORT
+    if report.born != upstream.born:
+        return LifeEvidence.OTHER_INCARNATION
+    return LifeEvidence.RESPONSE
 
 
 def _find_responder(response: httpcore.Response) -> str:
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -95,11 +95,13 @@
             return
         self._probes_by_upstream[name] = pending
 
-    async def check(self, link: BrokenLink) -> LifeCheck:
+    async def check(self, link: BrokenLink, since: Millis) -> LifeCheck:
         """Probe the upstream of a link, and tell whether it has ended.
 
-        A probe that is in progress may have found the upstream alive before
-        the link ended; it is asked again then.
+        A probe that is in progress may have asked too early; the upstream is
+        asked again then, unless it has ended.
+
+        :param since: earliest time at which it may have been asked.
         """
         while True:
             self.probe(link)
@@ -108,8 +110,8 @@
                 return LifeCheck(LifeEvidence.NOT_ASKED, link.broke_at)
             await pending.ended.wait()
             check = pending.checks[0]
-            alive = check.state is LifeState.ALIVE
-            if not alive or check.asked_at >= link.broke_at:
+            ended = check.state is LifeState.ENDED
+            if ended or check.asked_at >= since:
                 return check
 
     async def settle(self, fingerprint: Fingerprint) -> None:
--- /dev/null
+++ b/src/cartdale/relay/end_checks.py
@@ -0,0 +1,107 @@
+"""Find out whether a response without framing is complete."""
+
+from dataclasses import dataclass
+
+import trio
+
+from cartdale.clock import Millis, as_seconds
+from cartdale.fleet.types import Lifecycle
+from cartdale.relay.crash_probes import BrokenLink
+from cartdale.relay.end_proof import (
+    ENGINE_SETTLES,
+    PLAIN_SETTLES,
+    EndDoubt,
+    EndedStream,
+    EndProof,
+    find_doubt,
+)
+from cartdale.relay.end_record import LinkEnd
+from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
+from cartdale.relay.ports import RelayPorts
+from cartdale.relay.types import MAX_SOUND_SILENCE
+
+#: Pause before an engine is asked again that still lists the generation.
+_ASK_AGAIN: Millis = 100
+
+
+@dataclass(frozen=True, slots=True)
+class EndCheck:
+    """Result of a check.
+
+    :param life: the check of the upstream that decided it.
+    """
+
+    doubt: EndDoubt
+    life: LifeCheck
+
+    @property
+    def proof(self) -> EndProof:
+        """Return what shows that the response is complete."""
+        if self.doubt is EndDoubt.NONE:
+            return EndProof.SERVED_ON
+        return EndProof.NONE
+
+
+async def check_plain_end(ports: RelayPorts, link: BrokenLink) -> EndCheck:
+    """Check the end of a plain response: its service must serve on."""
+    life = await ports.crash_prober.check(link, link.broke_at)
+    if life.state is LifeState.ALIVE:
+        life = await _ask_later(ports, link, PLAIN_SETTLES)
+    alive = life.state is LifeState.ALIVE
+    return EndCheck(EndDoubt.NONE if alive else EndDoubt.NOT_ALIVE, life)
+
+
+async def check_stream_end(
+    ports: RelayPorts, link: BrokenLink, events: int
+) -> EndCheck:
+    """Check the end of a stream: its engine must serve on without it.
+
+    :param events: number of events received, from all engines.
+    """
+    first = await ports.crash_prober.check(link, link.broke_at)
+    if not _may_live(first):
+        return EndCheck(EndDoubt.NOT_ALIVE, first)
+    last_at = link.broke_at + MAX_SOUND_SILENCE
+    settles = ENGINE_SETTLES
+    while True:
+        later = await _ask_later(ports, link, settles)
+        doubt = find_doubt(
+            EndedStream(
+                link.request_id,
+                link.broke_at,
+                events,
+                _is_leaving(ports, link),
+            ),
+            first,
+            later,
+            ports.end_record.look_around(describe_end(link)),
+        )
+        now = ports.clock.now()
+        if doubt is not EndDoubt.STILL_RUNS or now >= last_at:
+            return EndCheck(doubt, later)
+        settles = now + _ASK_AGAIN - link.broke_at
+
+
+def describe_end(link: BrokenLink) -> LinkEnd:
+    """Return the end of a link as it is recorded."""
+    return LinkEnd(link.upstream.upstream, link.request_id, link.broke_at)
+
+
+async def _ask_later(
+    ports: RelayPorts, link: BrokenLink, settles: Millis
+) -> LifeCheck:
+    """Ask an upstream some time after a link to it ended."""
+    since = link.broke_at + settles
+    await trio.sleep(as_seconds(max(since - ports.clock.now(), 0)))
+    return await ports.crash_prober.check(link, since)
+
+
+def _may_live(check: LifeCheck) -> bool:
+    unidentified = check.evidence is LifeEvidence.UNIDENTIFIED
+    return unidentified or check.state is LifeState.ALIVE
+
+
+def _is_leaving(ports: RelayPorts, link: BrokenLink) -> bool:
+    """Tell whether an upstream leaves, or has left."""
+    known = ports.fleet.find(link.upstream.upstream)
+    return known is None or known.lifecycle is Lifecycle.LEAVING
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -6,8 +6,12 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.quarantine.decide import EVENTS_PAST_START
 from cartdale.relay.crash_probes import BrokenLink
+from cartdale.relay.end_checks import (
+    check_plain_end,
+    check_stream_end,
+    describe_end,
+)
 from cartdale.relay.end_proof import EndProof
-from cartdale.relay.liveness import LifeState
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import RoutedRequest
 
@@ -41,6 +45,9 @@
     def note_event(self) -> None:
         """Note that an event was received."""
         self._events += 1
+        if self._upstream is not None:
+            now = self._ports.clock.now()
+            self._ports.end_record.note_event(self._upstream.upstream, now)
         if self._events == EVENTS_PAST_START + 1:
             self._record_survival()
 
@@ -61,34 +68,41 @@
         """Queue a crash probe of the upstream of the current link."""
         link = self._describe()
         if link is not None:
+            self._ports.end_record.note_end(describe_end(link))
             self._ports.crash_prober.probe(link)
 
-    async def prove_end(self, carrier: str) -> EndProof:
+    async def prove_end(
+        self, carrier: str, events: int | None = None
+    ) -> EndProof:
         """Return what shows that a response without framing is complete.
 
-        An upstream that crashes may end its responses as if they were whole.
-
         :param carrier: instance that carried the response; empty for none.
+        :param events: events received of a stream, from all engines; ``None``
+            for a plain response.
         """
         link = self._describe()
         if link is None:
             return EndProof.NONE
-        check = await self._ports.crash_prober.check(link)
-        alive = check.state is LifeState.ALIVE
-        proof = EndProof.ALIVE if alive else EndProof.NONE
+        self._ports.end_record.note_end(describe_end(link))
+        if events is None:
+            check = await check_plain_end(self._ports, link)
+        else:
+            check = await check_stream_end(self._ports, link, events)
+        life = check.life
         logger.info(
             'end without framing',
             request=link.request_id,
             upstream=link.upstream.upstream,
             events=link.events,
-            state=check.state,
-            evidence=check.evidence,
-            asked_after=check.asked_at - link.broke_at,
+            state=life.state,
+            evidence=life.evidence,
+            asked_after=life.asked_at - link.broke_at,
             took=self._ports.clock.now() - link.broke_at,
-            proof=proof,
+            proof=check.proof,
+            doubt=check.doubt,
             carrier=carrier,
         )
-        return proof
+        return check.proof
 
     def _describe(self) -> BrokenLink | None:
         if self._upstream is None:
--- a/src/cartdale/relay/liveness.py
+++ b/src/cartdale/relay/liveness.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from cartdale.clock import Millis
+from cartdale.fleet.types import EngineReport
 
 
 class LifeState(StrEnum):
@@ -39,6 +40,8 @@
     #: What answers for an engine is no report, or one that can't be told from
     #: that of another incarnation.
     NO_REPORT = 'no report'
+    #: An engine answers, and nothing says which one it is.
+    UNIDENTIFIED = 'unidentified'
     #: Perhaps only the path from here is at fault.
     PATH_UNCLEAR = 'path unclear'
     #: The instance that carried the question failed.
@@ -52,10 +55,12 @@
     """Hold the result of a check.
 
     :param asked_at: when the question that decided it was sent.
+    :param report: report of the engine that answers, if one was read.
     """
 
     evidence: LifeEvidence
     asked_at: Millis
+    report: EngineReport | None = None
 
     @property
     def state(self) -> LifeState:
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -1,12 +1,13 @@
 """Dependencies of every relayed request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cartdale.clock import Clock
 from cartdale.fleet.driver import Fleet
 from cartdale.relay.admission import Admission
 from cartdale.relay.copy_release import CopyReleaser
 from cartdale.relay.crash_probes import CrashProber
+from cartdale.relay.end_record import EndRecord
 from cartdale.relay.types import UpstreamPort
 from cartdale.retries.window import RepeatBudget
 
@@ -18,6 +19,7 @@
     :param upstreams: connects to upstreams.
     :param copy_releaser: frees copies that are not resumed from.
     :param crash_prober: probes whether an upstream crashed as its link broke.
+    :param end_record: remembers ends of links, which may have a common cause.
     """
 
     clock: Clock
@@ -27,3 +29,4 @@
     budget: RepeatBudget
     copy_releaser: CopyReleaser
     crash_prober: CrashProber
+    end_record: EndRecord = field(default_factory=EndRecord)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -37,7 +37,7 @@
     begin,
     refuse,
 )
-from cartdale.relay.end_proof import EndProof
+from cartdale.relay.end_proof import EndProof, is_exhausted
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
@@ -395,7 +395,13 @@
             self._link.note_complete(framed=answer.framed, good=good)
             self._proof = EndProof.FRAMED if answer.framed else EndProof.NONE
             return ''
-        self._proof = await self._link.prove_end(answer.carrier)
+        if is_exhausted(self._routed.request, self._generation.most_left):
+            self._link.note_complete(framed=False, good=good)
+            self._proof = EndProof.ALL_TOKENS
+            return ''
+        self._proof = await self._link.prove_end(
+            answer.carrier, self._generation.events
+        )
         if self._proof is EndProof.NONE:
             return 'ended without proof of its end'
         return ''
