Crash probes: an engine that names no start must say which one it is

The health response names the id, so that it is asked for it.

Five of the ten cases of test_engine_whose_entry_names_no_start fail before. The case that expected an engine without any name to count as alive asserted the fault; it is replaced by one for each way in which an engine is named or not.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -217,8 +217,27 @@
                 evidence = _judge_report(response, report, upstream)
             case Failure(failure):
                 evidence = _judge_failure(failure, plain=plain)
+        if evidence is LifeEvidence.UNIDENTIFIED and spec is not None:
+            evidence = await self._identify(upstream, spec.health_path)
         return LifeCheck(evidence, sent_at, report)
 
+    async def _identify(
+        self, upstream: UpstreamEntry, health_path: str
+    ) -> LifeEvidence:
+        """Ask an engine for its id, which its health response names.
+
+        While all its slots are in use, the engine lets the question wait.
+        """
+        answer = await self._request(
+            'GET', upstream.address, health_path, b'', _HEALTH_TIMEOUT
+        )
+        responder = answer.map(_find_responder).value_or('')
+        if responder == upstream.upstream:
+            return LifeEvidence.RESPONSE
+        if responder:
+            return LifeEvidence.OTHER_UPSTREAM
+        return LifeEvidence.UNIDENTIFIED
+
     def _record_health(
         self, upstream: str, sent_at: Millis, response: httpcore.Response
     ) -> None:
@@ -284,7 +303,11 @@
     report: EngineReport | None,
     upstream: UpstreamEntry,
 ) -> LifeEvidence:
-    """Return what an engine's response to a check says of it."""
+    """Return what an engine's response to a check says of it.
+
+    Without start times only its id distinguishes it from another engine at the
+    same address.
+    """
     responder = _find_responder(response)
     if responder not in {'', upstream.upstream}:
         return LifeEvidence.OTHER_UPSTREAM
@@ -292,7 +315,9 @@
         return LifeEvidence.NO_REPORT
     if report.born != upstream.born:
         return LifeEvidence.OTHER_INCARNATION
-    return LifeEvidence.RESPONSE
+    if report.born or responder:
+        return LifeEvidence.RESPONSE
+    return LifeEvidence.UNIDENTIFIED
 
 
 def _find_responder(response: httpcore.Response) -> str:
@@ -307,6 +332,8 @@
 def _find_patience(evidence: LifeEvidence) -> Millis:
     """Return how long an upstream is asked while this is all that is known."""
     match evidence:
+        case LifeEvidence.UNIDENTIFIED:
+            return 0
         case LifeEvidence.PATH_UNCLEAR | LifeEvidence.INTERMEDIARY:
             return _MAX_UNCLEAR
     return MAX_SOUND_SILENCE
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -293,13 +293,24 @@
 
 # Guards against an engine that started again unseen: its entry names no start.
 @pytest.mark.parametrize(
-    'body, state',
-    [(b'{"born":7}', LifeState.UNKNOWN), (b'{}', LifeState.ALIVE)],
+    'answer, health, state',
+    [
+        (report(b'{"born":7}'), report(b'', name='a'), LifeState.UNKNOWN),
+        (report(b'{}'), report(b''), LifeState.UNKNOWN),
+        (report(b'{}'), report(b'', 503), LifeState.UNKNOWN),
+        (report(b'{}'), ReadTimeout('x'), LifeState.UNKNOWN),
+        (report(b'{}'), ConnectError('x'), LifeState.UNKNOWN),
+        (report(b'{}'), report(b'', name='b'), LifeState.ENDED),
+        (report(b'{}'), report(b'', name='a'), LifeState.ALIVE),
+        (report(b'{}'), report(b'', 503, name='a'), LifeState.ALIVE),
+        (report(b'{}', name='a'), report(b''), LifeState.ALIVE),
+        (report(b'{}', name='b'), report(b'', name='a'), LifeState.ENDED),
+    ],
 )
 async def test_engine_whose_entry_names_no_start(
-    autojump_clock, body: bytes, state: LifeState
+    autojump_clock, answer, health, state: LifeState
 ) -> None:
-    assert await check(report(body), WRITERS, born=0) is state
+    assert await check(answer, WRITERS, born=0, health=health) is state
 
 
 # Guards against a plain service that counts as ended since it lets its check
