Streams: streams of one length that began together may end together

Links that one cause ends stand at different events; those of one length that began together at the same. Only the former count now, and only links that began before the end show that others go on.

What it lets through: a path that closes, in order, streams that all stand at the same event.

--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -20,8 +20,14 @@
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import MAX_SOUND_SILENCE
 
-#: Pause before an engine is asked again that still lists the generation.
+#: Pause before an engine is asked again about which there is a doubt that later
+#: reports and events may remove.
 _ASK_AGAIN: Millis = 100
+#: What later reports don't change: the other doubts may be of an old report, or
+#: of an engine that has not begun its next work.
+_FINAL_DOUBTS = frozenset(
+    (EndDoubt.NONE, EndDoubt.NOT_ALIVE, EndDoubt.MORE_EVENTS)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,14 +83,16 @@
             ports.end_record.look_around(describe_end(link)),
         )
         now = ports.clock.now()
-        if doubt is not EndDoubt.STILL_RUNS or now >= last_at:
+        if doubt in _FINAL_DOUBTS or now >= last_at:
             return EndCheck(doubt, later)
         settles = now + _ASK_AGAIN - link.broke_at
 
 
 def describe_end(link: BrokenLink) -> LinkEnd:
     """Return the end of a link as it is recorded."""
-    return LinkEnd(link.upstream.upstream, link.request_id, link.broke_at)
+    return LinkEnd(
+        link.upstream.upstream, link.request_id, link.broke_at, link.events
+    )
 
 
 async def _ask_later(
--- a/src/cartdale/relay/end_record.py
+++ b/src/cartdale/relay/end_record.py
@@ -15,23 +15,38 @@
     """End of a link that its framing does not explain.
 
     :param upstream: id of the upstream at the other end.
+    :param events: number of events received over the link.
     """
 
     upstream: str
     request_id: str
     ended_at: Millis
+    events: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LinkEvent:
+    """Last event of a link.
+
+    :param began_at: when the request was sent over the link.
+    :param heard_at: when the event arrived.
+    """
+
+    upstream: str
+    began_at: Millis
+    heard_at: Millis
 
 
 class EndRecord:
-    """Remember the ends of links, and the last event of each upstream."""
+    """Remember the ends of links, and the last event of each link."""
 
     def __init__(self) -> None:
         self._ends: deque[LinkEnd] = deque()
-        self._heard_at_by_upstream: dict[str, Millis] = {}
+        self._events_by_request: dict[str, LinkEvent] = {}
 
-    def note_event(self, upstream: str, now: Millis) -> None:
+    def note_event(self, request_id: str, event: LinkEvent) -> None:
         """Note that an event of a stream arrived."""
-        self._heard_at_by_upstream[upstream] = now
+        self._events_by_request[request_id] = event
 
     def note_end(self, end: LinkEnd) -> None:
         """Note that a link ended, or broke."""
@@ -39,26 +54,28 @@
         kept_from = end.ended_at - _KEPT
         while self._ends[0].ended_at < kept_from:
             self._ends.popleft()
-        for name, heard_at in tuple(self._heard_at_by_upstream.items()):
-            if heard_at < kept_from:
-                self._heard_at_by_upstream.pop(name)
+        for request_id, event in tuple(self._events_by_request.items()):
+            if event.heard_at < kept_from:
+                self._events_by_request.pop(request_id)
 
     def look_around(self, end: LinkEnd) -> Surroundings:
         """Return what was seen of other links around an end.
 
-        Events that had arrived before a common end may be read just after it,
-        so that only later ones show a link that goes on.
+        Links that end by one cause stand at different events, while streams of
+        one length that began together also end together. Events that had
+        arrived before a common end may be read just after it, so that only
+        later ones show a link that goes on.
         """
         together = [
             other.upstream
             for other in self._ends
-            if other.request_id != end.request_id
+            if other.events != end.events
             and abs(other.ended_at - end.ended_at) <= TOGETHER
         ]
         heard = {
-            name
-            for name, heard_at in self._heard_at_by_upstream.items()
-            if heard_at > end.ended_at + TOGETHER
+            event.upstream
+            for event in self._events_by_request.values()
+            if event.began_at <= end.ended_at < event.heard_at - TOGETHER
         }
         return Surroundings(
             ended_here=end.upstream in together,
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -12,6 +12,7 @@
     describe_end,
 )
 from cartdale.relay.end_proof import EndProof
+from cartdale.relay.end_record import LinkEvent
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import RoutedRequest
 
@@ -46,8 +47,14 @@
         """Note that an event was received."""
         self._events += 1
         if self._upstream is not None:
-            now = self._ports.clock.now()
-            self._ports.end_record.note_event(self._upstream.upstream, now)
+            self._ports.end_record.note_event(
+                self._routed.request.request_id,
+                LinkEvent(
+                    self._upstream.upstream,
+                    self._began_at,
+                    self._ports.clock.now(),
+                ),
+            )
         if self._events == EVENTS_PAST_START + 1:
             self._record_survival()
 
