Streams: a report without the generation tells of the time after its end

With five of six engines killed as processes, two streams that had ended soundly or not were doubted since all that their engine ran had ended 1.5 s later. What a report still lists that no longer lists the stream went on after its end, so that the engine did not end all at once.

--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -147,14 +147,17 @@
 
 
 def _count_apart(end: EndedStream, report: EngineReport | None) -> int:
-    """Count the other generations that did not begin with one that ended.
+    """Count the generations that did not begin with one that ended.
 
-    Streams of one length that began together also end together.
+    Streams of one length that began together also end together. A report
+    without the generation shows the time after its end, when they went on.
     """
     if report is None:
         return 0
     events_by_request = {run.request_id: run.events for run in report.runs}
-    stood_at = events_by_request.pop(end.request_id, end.events)
+    stood_at = events_by_request.get(end.request_id)
+    if stood_at is None:
+        return 0
     return sum(
         abs(events - stood_at) > _ABREAST
         for events in events_by_request.values()
--- a/tests/test_end_proof.py
+++ b/tests/test_end_proof.py
@@ -60,7 +60,7 @@
     assert judge(make_check(before), make_check(after)) is EndDoubt.NONE
 
 
-@pytest.mark.parametrize('before', [NO_RUNS, {'a': 19}, ONE])
+@pytest.mark.parametrize('before', [NO_RUNS, {'a': 19}, {'a': 19, **ONE}, TWO])
 def test_idle_engine_that_lives_on_proves_the_end(
     before: Runs,
 ) -> None:
@@ -132,7 +132,8 @@
 
 # Guards against an engine that closes all streams unannounced and answers on.
 def test_engine_whose_runs_all_ended_proves_nothing() -> None:
-    assert judge(make_check(TWO), make_check(NO_RUNS)) is EndDoubt.ALL_ENDED
+    first = make_check({'a': EVENTS, **TWO})
+    assert judge(first, make_check(NO_RUNS)) is EndDoubt.ALL_ENDED
 
 
 # Guards against a path whose end of several links looks like theirs.
@@ -194,8 +195,6 @@
     for number in range(4):
         record.note_end(LinkEnd('x', f'r{number}', 1000, 30))
     assert record.look_around(LinkEnd('x', 'r1', 1000, 30)) == CALM
-    mates = make_check({'b': EVENTS - 2, 'c': EVENTS - 1, 'd': EVENTS})
-    assert judge(mates, make_check(NO_RUNS)) is EndDoubt.NONE
     mates = make_check({'a': 9, 'b': 9, 'c': 11})
     assert judge(mates, make_check(NO_RUNS)) is EndDoubt.NONE
 
