Streams: a failure that answers a resume is not the rest of the stream

Callers got a stream that ended as complete, with the body of a failure appended: a generation whose engine had crashed resumed at its backup, and a status under 500 there was passed on as the rest. So was one that answered a further attempt of a stream that had begun. Only a success continues a response that has begun, or a generation that runs; any other status breaks the link. Failures of a first attempt are read whole and get a length.

--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -326,21 +326,24 @@
             return declined
         self._link.note_head()
         self._head = answer
-        if answer.status >= _FIRST_SERVER_ERROR:
-            return await self._read_failure(answer)
+        resumed = call.resume is not None
+        if answer.status != _SUCCESS:
+            if self._started or resumed:
+                # It is not the rest of the response that has begun.
+                return self._break(f'status {answer.status}')
+            return await self._read_failure(answer, upstream)
         if not self._started:
             await self._sink.start(answer.status, answer.headers)
             self._started = True
-        if call.resume is not None:
+        if resumed:
             self._generation.resumed()
-        fleet.dispatch(RequestEnded(upstream, good=answer.status == _SUCCESS))
-        resumed = call.resume is not None
+        fleet.dispatch(RequestEnded(upstream, good=True))
         return await self._pass_events(answer, resumed=resumed)
 
-    async def _read_failure(self, answer: OpenedResponse) -> LinkEnd:
+    async def _read_failure(
+        self, answer: OpenedResponse, upstream: str
+    ) -> LinkEnd:
         """Keep an upstream's failure response; another attempt may follow."""
-        if self._started:
-            return self._break(f'status {answer.status}')
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
@@ -348,7 +351,11 @@
             return self._break(error.detail)
         self._link.note_complete(framed=answer.framed, good=False)
         self._failure = CompleteResponse(answer.status, answer.headers, body)
-        return Answered(good=False)
+        if answer.status >= _FIRST_SERVER_ERROR:
+            return Answered(good=False)
+        self._ports.fleet.dispatch(RequestEnded(upstream, good=False))
+        await self._sink.answer(answer.status, answer.headers, body)
+        return StreamEnd.FAILED
 
     async def _pass_events(
         self, answer: OpenedResponse, *, resumed: bool = False
@@ -366,8 +373,6 @@
         failure = failure or await self._find_early_end(answer)
         if failure:
             return await self._lose_link(failure)
-        if self._passer.pending:
-            await self._sink.write(self._passer.pending)
         await self._sink.finish()
         return StreamEnd.WHOLE
 
@@ -377,7 +382,7 @@
         It may be complete without one if its engine says so by the framing, or
         if the caller resumed it and has all events.
         """
-        if answer.framed or answer.status != _SUCCESS or self._may_be_stopped():
+        if answer.framed or self._may_be_stopped():
             return False
         begun = self._passer.pending or self._passer.last_event
         return not (begun or self._generation.events)
@@ -388,15 +393,14 @@
             # A stopped stream closes without its end, and so does a complete
             # one whose body is not delimited.
             return 'stopped'
-        good = answer.status == _SUCCESS
-        if good and self._passer.pending:
+        if self._passer.pending:
             return 'ended inside an event'
-        if answer.framed or not good:
-            self._link.note_complete(framed=answer.framed, good=good)
-            self._proof = EndProof.FRAMED if answer.framed else EndProof.NONE
+        if answer.framed:
+            self._link.note_complete(framed=True, good=True)
+            self._proof = EndProof.FRAMED
             return ''
         if is_exhausted(self._routed.request, self._generation.most_left):
-            self._link.note_complete(framed=False, good=good)
+            self._link.note_complete(framed=False, good=True)
             self._proof = EndProof.ALL_TOKENS
             return ''
         self._proof = await self._link.prove_end(
