Relay: a failure without framing is complete only if its upstream served on

Callers got a part of a failure response as if it were whole: statuses over 299 without a length or chunks were passed on as they came, plain ones and those of engines. The same class as the streams; they are now proved in the same way, and one that is not ends as outcome unknown. Responses that have no body (204, 304, to HEAD) are complete with their head and need no proof.

test_crash_with_the_end_of_a_failure_counts expected such a part to arrive as a 500; it expects a 502 without a seal now, and the crash to count as before. A whole failure without framing has a test of its own.

--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -147,7 +147,7 @@
             headers=_filter_headers(response.headers),
             execution=execution,
             chunks=_read_chunks(response),
-            framed=is_framed(response),
+            framed=is_framed(response) or _has_no_body(call, response),
             backoff=advisory.backoff,
             carrier=response.extensions.get(CARRIER_EXTENSION, ''),
         )
@@ -233,6 +233,13 @@
     )
 
 
+def _has_no_body(call: UpstreamCall, response: httpcore.Response) -> bool:
+    """Tell whether a response is complete with its head."""
+    status = response.status
+    is_bare = status in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
+    return is_bare or call.routed.request.method == 'HEAD'
+
+
 def _read_execution_status(
     status: int, values_by_name: dict[bytes, bytes]
 ) -> ExecutionStatus:
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -17,6 +17,8 @@
 from cartdale.relay.liveness import LifeCheck, LifeState
 from cartdale.relay.types import CallerRequest
 
+#: Why a response that ended in order does not count as complete.
+UNPROVED = 'ended without proof of its end'
 #: Time after its end from which the report of an engine shows the state after
 #: it: reports are about half a second old.
 ENGINE_SETTLES: Millis = 600
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -30,7 +30,7 @@
     begin,
     refuse,
 )
-from cartdale.relay.end_proof import EndProof
+from cartdale.relay.end_proof import UNPROVED, EndProof
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import (
@@ -152,10 +152,10 @@
         except LinkBrokeError as error:
             return self._break(error.detail), None
         ran = answer.status < _FIRST_REDIRECT
-        if answer.framed or not ran:
-            self._link.note_complete(framed=answer.framed, good=ran)
+        if answer.framed:
+            self._link.note_complete(framed=True, good=ran)
         elif await self._link.prove_end(answer.carrier) is EndProof.NONE:
-            return Broken('ended without proof of its end'), None
+            return Broken(UNPROVED), None
         good = answer.status < _FIRST_SERVER_ERROR
         response = CompleteResponse(answer.status, answer.headers, body)
         return Answered(good=good), response
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -37,7 +37,7 @@
     begin,
     refuse,
 )
-from cartdale.relay.end_proof import EndProof, is_exhausted
+from cartdale.relay.end_proof import UNPROVED, EndProof, is_exhausted
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.passing import EventPasser
@@ -349,7 +349,10 @@
         except LinkBrokeError as error:
             self._link.probe_upstream()
             return self._break(error.detail)
-        self._link.note_complete(framed=answer.framed, good=False)
+        if not answer.framed:
+            self._proof = await self._link.prove_end(answer.carrier, 0)
+            if self._proof is EndProof.NONE:
+                return self._break(UNPROVED)
         self._failure = CompleteResponse(answer.status, answer.headers, body)
         if answer.status >= _FIRST_SERVER_ERROR:
             return Answered(good=False)
@@ -407,7 +410,7 @@
             answer.carrier, self._generation.events
         )
         if self._proof is EndProof.NONE:
-            return 'ended without proof of its end'
+            return UNPROVED
         return ''
 
     def _may_be_stopped(self) -> bool:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -364,7 +364,7 @@
 
 
 # Guards against a crash that goes unseen since a failure that looks complete
-# came just before it.
+# came just before it, and against a part of that failure that is passed on.
 @pytest.mark.parametrize('plain', [False, True])
 async def test_crash_with_the_end_of_a_failure_counts(
     monkeypatch, plain: bool
@@ -377,10 +377,30 @@
         answer = await stage.client.post(
             stage.url(path), headers=make_draft('r1'), content=b'brief'
         )
-        assert answer.status_code == 500
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
         await until(lambda: list_crashes(stage) == [worker.name])
 
 
+# Guards against a failure that is lost since it has no framing.
+@pytest.mark.parametrize('plain', [False, True])
+async def test_failure_without_framing_arrives(
+    monkeypatch, plain: bool
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        worker = stage.plains[0] if plain else stage.engines[0]
+        worker.faults.errors = 1
+        path, body = (
+            ('/cut/a', b'cut/a of r1') if plain else ('/draft/a', b'failed')
+        )
+        answer = await stage.client.post(
+            stage.url(path), headers=make_draft('r1'), content=b'brief'
+        )
+        assert answer.status_code == 500
+        assert answer.content == body
+        assert answer.headers['response-seal'] == f'{worker.name}.r1'
+
+
 async def test_unframed_end_is_no_survival(monkeypatch) -> None:
     async with open_unframed(monkeypatch) as stage:
         worker = stage.plains[0]
