Own interface: an answer without framing needs a service that served on

A part of an answer looked whole where its service shut down and its listener was there for 50 or 200 ms more, and a part of a failure always: the same class as on the platform.

--- a/src/cartdale/engines/plain.py
+++ b/src/cartdale/engines/plain.py
@@ -19,6 +19,7 @@
     LinkLost,
 )
 from cartdale.formatting import format_error
+from cartdale.relay.end_proof import PLAIN_SETTLES
 
 HEADER_FENCE = 'X-Fence'
 HEADER_KEY = 'Idempotency-Key'
@@ -37,6 +38,7 @@
 _PORTS_BY_SCHEME = MappingProxyType({'http': 80, 'https': 443})
 #: Headers that delimit a body.
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _PASSED_ON = ('content-type', 'accept')
 
 
@@ -99,7 +101,7 @@
         if response.status_code in _REFUSALS:
             backoff = find_backoff(response)
             return Failure(EngineRefused(response.status_code, backoff))
-        if _is_unframed(response) and await self.is_unreachable():
+        if _is_unframed(response) and not await self._serves_on():
             return Failure(LinkLost('ended without proof of its end'))
         return Success(
             PlainResponse(
@@ -123,10 +125,22 @@
                 return await _is_closed(stream)
         return False
 
+    async def _serves_on(self) -> bool:
+        """Tell whether the service takes connections, and some time later too.
+
+        One that shuts down closes its answers before its process ends.
+        """
+        if await self.is_unreachable():
+            return False
+        await trio.sleep(as_seconds(PLAIN_SETTLES))
+        return not await self.is_unreachable()
+
 
 def _is_unframed(response: httpx.Response) -> bool:
     """Tell whether a body ends with its connection, as a part of it would."""
-    return response.is_success and _FRAMING_HEADERS.isdisjoint(response.headers)
+    if response.status_code in _WITHOUT_BODY:
+        return False
+    return _FRAMING_HEADERS.isdisjoint(response.headers)
 
 
 async def _is_closed(stream: trio.SocketStream) -> bool:
--- a/tests/test_unproved_ends.py
+++ b/tests/test_unproved_ends.py
@@ -12,6 +12,7 @@
 from cartdale_standins.unframed import EarlyEnd
 from tests.platform_stage import (
     PlatformStage,
+    ask,
     count_runs,
     find_runner,
     open_platform,
@@ -151,6 +152,21 @@
         check_ends({'r1': await stream(stage, 'r1', deadline=700)})
 
 
+# Guards against a plain answer that looks whole since its service, which shut
+# down, still answered when it was asked after the end.
+@DIRECTLY_OR_NOT
+@pytest.mark.parametrize('linger', [0.005, 0.05, 0.2])
+async def test_plain_answer_of_a_service_that_shuts_down_is_not_whole(
+    monkeypatch, detour: bool, linger: float
+) -> None:
+    async with open_unframed(monkeypatch, plains=2, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(inside=True, lingers=linger))
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
+        assert count_runs(stage, 'r1') == 1
+
+
 # Guards against a stream that looks whole and has a failure appended to it: its
 # engine ended, and the engine that it resumed at answered with the failure.
 @pytest.mark.parametrize(
