Crash probes: an end that is proved counts as survived, with framing or without

Sound requests were refused as ones that end upstreams: where answers have no framing none of them ever counted as survived, and engines that shut down in parts are seen to end now.

Both cases of test_proved_end_without_framing_is_a_survival failed before.

--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -58,18 +58,12 @@
         if self._events == EVENTS_PAST_START + 1:
             self._record_survival()
 
-    def note_complete(self, *, framed: bool, good: bool) -> None:
-        """Note that a response ended and appears complete.
+    def note_complete(self) -> None:
+        """Note that a success is complete.
 
-        :param framed: whether the response delimits its body; without that, a
-            response cut short by a crash looks the same.
-        :param good: whether it is a success; a failure may come from an
-            upstream that did not run the request.
+        A failure may come from an upstream that did not run the request.
         """
-        if not framed:
-            self.probe_upstream()
-        elif good:
-            self._record_survival()
+        self._record_survival()
 
     def probe_upstream(self) -> None:
         """Queue a crash probe of the upstream of the current link."""
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -151,11 +151,12 @@
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail), None
-        ran = answer.status < _FIRST_REDIRECT
-        if answer.framed:
-            self._link.note_complete(framed=True, good=ran)
-        elif await self._link.prove_end(answer.carrier) is EndProof.NONE:
-            return Broken(UNPROVED), None
+        if not answer.framed:
+            proof = await self._link.prove_end(answer.carrier)
+            if proof is EndProof.NONE:
+                return Broken(UNPROVED), None
+        if answer.status < _FIRST_REDIRECT:
+            self._link.note_complete()
         good = answer.status < _FIRST_SERVER_ERROR
         response = CompleteResponse(answer.status, answer.headers, body)
         return Answered(good=good), response
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -399,18 +399,16 @@
         if self._passer.pending:
             return 'ended inside an event'
         if answer.framed:
-            self._link.note_complete(framed=True, good=True)
             self._proof = EndProof.FRAMED
-            return ''
-        if is_exhausted(self._routed.request, self._generation.most_left):
-            self._link.note_complete(framed=False, good=True)
+        elif is_exhausted(self._routed.request, self._generation.most_left):
             self._proof = EndProof.ALL_TOKENS
-            return ''
-        self._proof = await self._link.prove_end(
-            answer.carrier, self._generation.events
-        )
+        else:
+            self._proof = await self._link.prove_end(
+                answer.carrier, self._generation.events
+            )
         if self._proof is EndProof.NONE:
             return UNPROVED
+        self._link.note_complete()
         return ''
 
     def _may_be_stopped(self) -> bool:
--- a/tests/fault_soak/run.py
+++ b/tests/fault_soak/run.py
@@ -39,6 +39,7 @@
 from tests.fault_soak.paths import Paths
 from tests.fault_soak.proxy import LOCAL, FaultProxy
 from tests.fault_soak.stops import Stops
+from tests.fault_soak.unframed import UnframedEnds
 from tests.fault_soak.watch import DOMAINS, Upstream, Watch
 from tests.platform_stage import make_configuration
 
@@ -71,6 +72,8 @@
         while.
     :param stops: whether instances stop and idle time-outs change, again and
         again, beside callers that keep connections open.
+    :param unframed: whether answers end with their connection, and upstreams
+        close them in order and answer on before they end.
     """
 
     limits: bool = False
@@ -79,6 +82,7 @@
     uneven: bool = False
     slow_readers: bool = False
     stops: bool = False
+    unframed: bool = False
 
 
 _NO_MODES = Modes()
@@ -106,6 +110,7 @@
         self._paths = Paths(self, seed) if modes.paths else None
         self._parts = Parts(self, seed) if modes.parts else None
         self._stops = Stops(self, seed) if modes.stops else None
+        self._unframed = UnframedEnds(self, seed) if modes.unframed else None
         self.checks = Checks()
         self.faults: Counter[str] = Counter()
         self._timeline: list[str] = []
@@ -229,8 +234,11 @@
     def add(self, kind: type[PlatformWorker], service: str) -> None:
         """Start an upstream and list it as ready."""
         bound = BoundListener(Listener(LOCAL, 0))
-        proxy = FaultProxy(bound.port)
         name = f'{service}-{self.next_number()}'
+        port = bound.port
+        if self._unframed is not None:
+            port = self._unframed.open_front(name, port)
+        proxy = FaultProxy(port)
         if kind is PlatformEngine:
             worker = PlatformEngine(name, proxy.address, _HARDWARE)
         else:
@@ -240,6 +248,8 @@
             worker.crashes.crashing_parts.update(self._parts.deadly)
         if self._stops is not None:
             self._stops.prepare(worker)
+        if self._unframed is not None:
+            self._unframed.prepare(worker)
         if self.load is not None:
             self.load.prepare(worker)
             self.nursery.start_soon(worker.speed.run)
@@ -268,6 +278,8 @@
 
     def _go_down(self, upstream: Upstream) -> None:
         upstream.proxy.go_down(down=True)
+        if self._unframed is not None:
+            self._unframed.go_down(upstream, down=True)
         upstream.disturbed_at = trio.current_time()
         upstream.ends.append(trio.current_time())
 
@@ -276,6 +288,8 @@
             upstream.worker.die()
             return
         upstream.proxy.go_down(down=False)
+        if self._unframed is not None:
+            self._unframed.go_down(upstream, down=False)
         if upstream.drained_at is None:
             self.list_upstream(upstream, 'ready')
 
@@ -294,6 +308,8 @@
                     callers.start_soon(self._parts.run, stopping)
                 if self._stops is not None:
                     callers.start_soon(self._stops.run, stopping)
+                if self._unframed is not None:
+                    callers.start_soon(self._unframed.run, stopping)
                 if self._stops is not None and self._stops.alone:
                     await trio.sleep_forever()
                 await Faults(self).disturb()
@@ -402,6 +418,7 @@
             uneven=options.uneven,
             slow_readers=options.slow_readers,
             stops=options.stops,
+            unframed=options.unframed,
         )
         faults.update(soak.faults)
         ends.update(soak.checks.ends)
@@ -428,6 +445,7 @@
     parser.add_argument('--uneven', action='store_true')
     parser.add_argument('--slow-readers', action='store_true')
     parser.add_argument('--stops', action='store_true')
+    parser.add_argument('--unframed', action='store_true')
     return parser.parse_args()
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -44,6 +44,9 @@
 #: Instances stop and idle time-outs change, and nothing else: it is odd.
 SEED_WITH_STOPS = 12901
 STOPS_SECONDS = 25
+#: Answers end with their connection, and upstreams shut down in parts.
+SEED_WITH_UNFRAMED = 15100
+UNFRAMED_SECONDS = 15
 
 
 def test_short_soak_breaks_no_promise() -> None:
@@ -97,6 +100,15 @@
     assert soak.faults['answered after SIGTERM']
 
 
+# Guards against streams that look whole since the engine that closed them still
+# answered, or another one at its address.
+def test_soak_with_unframed_ends_breaks_no_promise() -> None:
+    soak = run_seed(SEED_WITH_UNFRAMED, UNFRAMED_SECONDS, unframed=True)
+    assert not soak.checks.violations
+    assert soak.faults['shuts down']
+    assert soak.checks.ends['draft 200 whole']
+
+
 def test_checks_tell_a_request_that_ran_without_a_response() -> None:
     checks = Checks()
     checks.check_lost(make_asked(), ['portal-1'], excused=True)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -412,3 +412,22 @@
         answer = await ask(stage, 'r2')
         assert answer.status_code == 200
         assert list_crashes(stage) == ['plain-0']
+
+
+# Guards against sound requests that are blamed for crashes since none of their
+# answers, which have no framing, ever counted as survived.
+@pytest.mark.parametrize('path', ['/cut/a', '/draft/a'])
+async def test_proved_end_without_framing_is_a_survival(
+    monkeypatch, path: str
+) -> None:
+    survived: list[object] = []
+    async with open_unframed(monkeypatch) as stage:
+        quarantine = stage.runtimes[0].fleet.quarantine
+        monkeypatch.setattr(
+            quarantine, 'record_survival', lambda *told: survived.append(told)
+        )
+        answer = await stage.client.post(
+            stage.url(path), headers=make_draft('r1', STRIDE), content=b'brief'
+        )
+        assert answer.status_code == 200
+        assert len(survived) == 1
