Streams: one end of each stream is recorded, and what was heard is forgotten

A plain response that ended within 100 ms of a stream, at another upstream, counted as an end of the same cause, though it says nothing of where it stood; a lone sound stream beside unframed plain answers would have been cut. A stream that was doubted was recorded a second time as its link was given up.

--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -94,6 +94,7 @@
 class EndedStream:
     """End of a generation's stream without framing.
 
+    :param ended_at: when the end was seen.
     :param events: number of events received, from all engines.
     :param leaving: whether its engine is known to leave.
     """
--- a/src/cartdale/relay/end_record.py
+++ b/src/cartdale/relay/end_record.py
@@ -21,7 +21,7 @@
     upstream: str
     request_id: str
     ended_at: Millis
-    events: int = 0
+    events: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,17 +46,20 @@
 
     def note_event(self, request_id: str, event: LinkEvent) -> None:
         """Note that an event of a stream arrived."""
+        if request_id not in self._events_by_request:
+            self._forget(event.heard_at - _KEPT)
         self._events_by_request[request_id] = event
 
     def note_end(self, end: LinkEnd) -> None:
-        """Note that a link ended, or broke."""
-        self._ends.append(end)
-        kept_from = end.ended_at - _KEPT
-        while self._ends[0].ended_at < kept_from:
-            self._ends.popleft()
-        for request_id, event in tuple(self._events_by_request.items()):
-            if event.heard_at < kept_from:
-                self._events_by_request.pop(request_id)
+        """Note that a link ended, or broke; once for each link.
+
+        One without events, such as that of a plain request, is left out: it
+        does not tell where it stood.
+        """
+        noted = {(each.upstream, each.request_id) for each in self._ends}
+        if end.events and (end.upstream, end.request_id) not in noted:
+            self._forget(end.ended_at - _KEPT)
+            self._ends.append(end)
 
     def look_around(self, end: LinkEnd) -> Surroundings:
         """Return what was seen of other links around an end.
@@ -83,3 +86,11 @@
             ended_elsewhere=any(name != end.upstream for name in together),
             heard_anywhere=bool(heard),
         )
+
+    def _forget(self, before: Millis) -> None:
+        """Drop what happened before a time."""
+        while self._ends and self._ends[0].ended_at < before:
+            self._ends.popleft()
+        for request_id, event in tuple(self._events_by_request.items()):
+            if event.heard_at < before:
+                self._events_by_request.pop(request_id)
--- a/tests/test_end_proof.py
+++ b/tests/test_end_proof.py
@@ -199,6 +199,27 @@
     assert judge(mates, make_check(NO_RUNS)) is EndDoubt.NONE
 
 
+# Guards against a sound stream that is cut since plain requests end beside it,
+# and against one end that is taken for two.
+def test_record_keeps_one_end_of_each_stream() -> None:
+    record = EndRecord()
+    stream = LinkEnd('x', 'r1', 1000, 30)
+    record.note_end(stream)
+    record.note_end(LinkEnd('y', 'plain', 1000, 0))
+    record.note_end(LinkEnd('x', 'r1', 2500, 31))
+    assert record.look_around(stream) == CALM
+    assert record.look_around(LinkEnd('x', 'r2', 2500, 40)) == CALM
+
+
+# Guards against a record that grows while no link breaks.
+def test_record_forgets_events_as_streams_begin() -> None:
+    record = EndRecord()
+    for number in range(100):
+        event = LinkEvent('x', 0, number * 1000)
+        record.note_event(f'r{number}', event)
+        assert len(record._events_by_request) <= 12
+
+
 def test_record_forgets() -> None:
     record = EndRecord()
     record.note_event('r1', LinkEvent('x', 500, 1000))
