Tests: a failure that answers a further attempt is not the rest of the stream

The branch of the resume also served a request that runs again after what its caller has; it had no test of its own.

--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -167,7 +167,7 @@
         if not self._has_memory(request_id):
             return reject()
         resumed = 'Kv-From' in request.headers
-        if resumed and self.stream_faults.resume_status:
+        if (resumed or made) and self.stream_faults.resume_status:
             return Response(
                 'failed',
                 status=self.stream_faults.resume_status,
--- a/tests/test_unproved_ends.py
+++ b/tests/test_unproved_ends.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from cartdale_standins.platform_engine import STRIDE
 from cartdale_standins.unframed import EarlyEnd
 from tests.platform_stage import (
     PlatformStage,
@@ -200,3 +201,27 @@
             engine.crash('r1')
         check_ends(ended_by_name)
         assert count_runs(stage, 'r1') == 1
+
+
+# Guards against the same where the request runs again after what its caller has.
+@pytest.mark.parametrize('status', [HTTPStatus.NOT_FOUND, HTTPStatus.FOUND])
+async def test_further_attempt_that_is_answered_by_a_failure_is_not_whole(
+    status: HTTPStatus,
+) -> None:
+    async with open_platform(2, proxied=True) as stage:
+        for each in stage.engines:
+            each.stream_faults.resume_status = status
+
+        async def crash_early() -> None:
+            (await find_runner(stage, 'r1', 3 * STRIDE)).crash('r1')
+
+        stage.nursery.start_soon(crash_early)
+        received, complete = await stream(stage, 'r1', '/tag/a')
+        assert not complete
+        assert received
+        assert whole('r1', EVENTS).startswith(received)
+        assert any(
+            head.get('Last-Event-Id')
+            for engine in stage.engines
+            for head in engine.heads
+        )
