Ends without framing: the upstream must be reached the way that the response took

Callers saw a stream end as complete, directly and through another instance, and a plain answer, that a path had closed as it was cut: the upstream was asked over whatever path worked, so that another instance's path was taken for the one that had ended the response. Of a path's streams only several at different events were doubted.

The question takes the response's way now, at once and again later: through the instance that carried it, or directly. Where it is answered another way, the response is not proved, and a stream resumes from its backup or is cut. One probe serves the links of one path. A timeout that an intermediary reports says which one it was.

--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -32,9 +32,12 @@
         request: UpstreamRequest,
         observer: SendObserver | None = None,
         connect_wait: Millis = MAX_CONNECT_WAIT,
+        *,
+        through: str = '',
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
 
+        :param through: without effect: there is no other instance.
         :raises httpcore.ConnectError: or another error of
             ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
         """
--- a/src/cartdale/detours/driver.py
+++ b/src/cartdale/detours/driver.py
@@ -55,6 +55,7 @@
 from cartdale.news.types import PeerEntry
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
+    CarriedTimeoutError,
     PathUnclearError,
     is_refusal,
     make_connect_error,
@@ -132,9 +133,12 @@
         self,
         request: UpstreamRequest,
         observer: SendObserver | None = None,
+        *,
+        through: str = '',
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
 
+        :param through: instance to try first; empty for the direct path.
         :raises httpcore.ConnectError: or another error of
             ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent, among them
             ``PathUnclearError``.
@@ -142,10 +146,10 @@
         peers = self._list_peers()
         if not peers:
             return await self._direct.send(request, observer)
-        if self.find_blocked(request.address) is None:
+        if not through and self.find_blocked(request.address) is None:
             with suppress(*HTTPCORE_NOT_SENT_ERRORS):
                 return await self.send_directly(request, observer)
-        return await _Detour(self, request, observer).send(peers)
+        return await _Detour(self, request, observer, through).send(peers)
 
     async def send_directly(
         self,
@@ -308,6 +312,8 @@
     """Send one request through an intermediary that reaches its upstream.
 
     Intermediaries use their direct paths only, so that it takes one hop.
+
+    :param preferred: the first one to ask; empty for none.
     """
 
     def __init__(
@@ -315,12 +321,13 @@
         router: PathRouter,
         request: UpstreamRequest,
         observer: SendObserver | None,
+        preferred: str,
     ) -> None:
         self._router = router
         self._request = request
         self._observer = observer
         self._asked: set[str] = set()
-        self._hinted: list[str] = []
+        self._hinted: list[str] = [preferred]
         #: Intermediaries that don't reach the upstream, and those of them that
         #: reach others.
         self._blind = 0
@@ -383,7 +390,7 @@
         )
         match answer:
             case DetourReply(outcome=DetourOutcome.BROKEN, timed_out=True):
-                raise httpcore.ReadTimeout(answer.detail)
+                raise CarriedTimeoutError(answer.detail, peer.name)
             case DetourReply(outcome=DetourOutcome.BROKEN, detail=detail):
                 raise httpcore.ReadError(detail)
             case DetourReply(outcome=DetourOutcome.UNREACHED):
--- a/src/cartdale/detours/ports.py
+++ b/src/cartdale/detours/ports.py
@@ -60,9 +60,12 @@
         self,
         request: UpstreamRequest,
         observer: SendObserver | None = None,
+        *,
+        through: str = '',
     ) -> httpcore.Response:
         """Send a request and return its response, with the body unread.
 
+        :param through: instance to try first; empty for the direct path.
         :raises httpcore.ConnectError: or another error of
             ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
         """
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -44,8 +44,8 @@
 )
 from cartdale.retries.backoffs import parse_retry_after
 from cartdale.transport import (
-    CARRIER_EXTENSION,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    find_carrier,
     is_framed,
 )
 
@@ -149,7 +149,7 @@
             chunks=_read_chunks(response),
             framed=is_framed(response) or _has_no_body(call, response),
             backoff=advisory.backoff,
-            carrier=response.extensions.get(CARRIER_EXTENSION, ''),
+            carrier=find_carrier(response),
         )
     )
 
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -59,6 +59,7 @@
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     IntermediaryError,
     PathUnclearError,
+    find_carrier,
     is_refusal,
 )
 
@@ -173,7 +174,10 @@
         return answer.bind(read_report)
 
     async def check_life(
-        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+        self,
+        upstream: UpstreamEntry,
+        spec: ServiceSpec | None,
+        through: str = '',
     ) -> LifeCheck:
         """Check whether an upstream ended, or restarted since its entry.
 
@@ -187,7 +191,7 @@
         """
         began_at = self._advisories.now()
         while True:
-            check = await self._ask_whether_alive(upstream, spec)
+            check = await self._ask_whether_alive(upstream, spec, through)
             if check.state is not LifeState.UNKNOWN:
                 return check
             waited = self._advisories.now() - began_at
@@ -196,7 +200,10 @@
             await trio.sleep(as_seconds(_CHECK_PAUSE))
 
     async def _ask_whether_alive(
-        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+        self,
+        upstream: UpstreamEntry,
+        spec: ServiceSpec | None,
+        through: str,
     ) -> LifeCheck:
         """Ask an upstream once."""
         plain = spec is not None and spec.engine is None
@@ -204,7 +211,7 @@
         sent_at = self._advisories.now()
         timeout = _HEALTH_TIMEOUT if plain else _REPORT_TIMEOUT
         answer = await self._request(
-            'GET', upstream.address, path, b'', timeout
+            'GET', upstream.address, path, b'', timeout, through
         )
         if plain:
             answer.map(partial(self._record_health, upstream.upstream, sent_at))
@@ -218,18 +225,23 @@
             case Failure(failure):
                 evidence = _judge_failure(failure, plain=plain)
         if evidence is LifeEvidence.UNIDENTIFIED and spec is not None:
-            evidence = await self._identify(upstream, spec.health_path)
-        return LifeCheck(evidence, sent_at, report)
+            evidence = await self._identify(upstream, spec.health_path, through)
+        return LifeCheck(evidence, sent_at, report, _find_path(answer))
 
     async def _identify(
-        self, upstream: UpstreamEntry, health_path: str
+        self, upstream: UpstreamEntry, health_path: str, through: str
     ) -> LifeEvidence:
         """Ask an engine for its id, which its health response names.
 
         While all its slots are in use, the engine lets the question wait.
         """
         answer = await self._request(
-            'GET', upstream.address, health_path, b'', _HEALTH_TIMEOUT
+            'GET',
+            upstream.address,
+            health_path,
+            b'',
+            _HEALTH_TIMEOUT,
+            through,
         )
         responder = answer.map(_find_responder).value_or('')
         if responder == upstream.upstream:
@@ -255,6 +267,7 @@
         path: str,
         body: bytes,
         timeout: Millis,
+        through: str = '',
     ) -> Result[httpcore.Response, SendFailure]:
         headers = [
             (b'host', address.encode()),
@@ -267,7 +280,7 @@
             address, method, path.encode(), tuple(headers), body, timeout
         )
         try:
-            response = await self._read_whole(request)
+            response = await self._read_whole(request, through)
         except HTTPCORE_NOT_SENT_ERRORS as error:
             return Failure(_describe_not_sent(error))
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
@@ -276,12 +289,15 @@
                     format_error(late_error),
                     timed_out=isinstance(late_error, httpcore.TimeoutException),
                     by_intermediary=isinstance(late_error, IntermediaryError),
+                    carrier=getattr(late_error, 'carrier', ''),
                 )
             )
         return Success(response)
 
-    async def _read_whole(self, request: UpstreamRequest) -> httpcore.Response:
-        response = await self._transport.send(request)
+    async def _read_whole(
+        self, request: UpstreamRequest, through: str
+    ) -> httpcore.Response:
+        response = await self._transport.send(request, through=through)
         try:
             await response.aread()
         finally:
@@ -346,6 +362,16 @@
     return check
 
 
+def _find_path(answer: Result[httpcore.Response, SendFailure]) -> str:
+    """Return the instance over which a check went; empty for none."""
+    match answer:
+        case Success(response):
+            return find_carrier(response)
+        case Failure(LinkBroke(carrier=carrier)):
+            return carrier
+    return ''
+
+
 def _judge_failure(failure: SendFailure, *, plain: bool) -> LifeEvidence:
     """Return what a check that failed says of an upstream."""
     match failure:
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -23,6 +23,9 @@
 #: links, which share one probe.
 _MAX_PENDING = 1024
 
+#: Way to an upstream: its id, and the instance that carries; empty for none.
+Path = tuple[str, str]
+
 
 @dataclass(frozen=True, slots=True)
 class BrokenLink:
@@ -34,6 +37,7 @@
     :param events: events received over this link; 0 for a plain request.
     :param begun_at: when the response head was received; ``None`` if it was
         not.
+    :param carrier: instance that carried its response; empty for none.
     """
 
     request_id: str
@@ -43,6 +47,12 @@
     broke_at: Millis
     events: int = 0
     begun_at: Millis | None = None
+    carrier: str = ''
+
+    @property
+    def path(self) -> Path:
+        """Return the path that its response took."""
+        return self.upstream.upstream, self.carrier
 
     @property
     def begun(self) -> bool:
@@ -60,40 +70,43 @@
 class _Probe:
     """Hold the links that one crash probe covers.
 
+    :param path: the path that all their responses took.
     :param checks: contains the result once it is known.
     """
 
     upstream: UpstreamEntry
+    path: Path
     links: list[BrokenLink]
     ended: trio.Event
     checks: list[LifeCheck] = field(default_factory=list)
 
 
 class CrashProber:
-    """Probe upstreams whose links broke, once for all links of an upstream."""
+    """Probe upstreams whose links broke, once for all links of a path."""
 
     def __init__(self, upstreams: UpstreamPort, fleet: Fleet) -> None:
         self._upstreams = upstreams
         self._fleet = fleet
-        self._probes_by_upstream: dict[str, _Probe] = {}
+        self._probes_by_path: dict[Path, _Probe] = {}
         channel = trio.open_memory_channel[_Probe](_MAX_PENDING)
         self._sender = channel[0]
         self._receiver = channel[1]
 
     def probe(self, link: BrokenLink) -> None:
         """Queue a crash probe of the upstream of a link."""
-        name = link.upstream.upstream
-        pending = self._probes_by_upstream.get(name)
+        pending = self._probes_by_path.get(link.path)
         if pending is not None:
             pending.links.append(link)
             return
-        pending = _Probe(link.upstream, [link], trio.Event())
+        pending = _Probe(link.upstream, link.path, [link], trio.Event())
         try:
             self._sender.send_nowait(pending)
         except trio.WouldBlock:
-            logger.warning('crash probe not queued', upstream=name)
+            logger.warning(
+                'crash probe not queued', upstream=link.upstream.upstream
+            )
             return
-        self._probes_by_upstream[name] = pending
+        self._probes_by_path[link.path] = pending
 
     async def check(self, link: BrokenLink, since: Millis) -> LifeCheck:
         """Probe the upstream of a link, and tell whether it has ended.
@@ -105,7 +118,7 @@
         """
         while True:
             self.probe(link)
-            pending = self._probes_by_upstream.get(link.upstream.upstream)
+            pending = self._probes_by_path.get(link.path)
             if pending is None:
                 return LifeCheck(LifeEvidence.NOT_ASKED, link.broke_at)
             await pending.ended.wait()
@@ -121,7 +134,7 @@
         """
         if not self._fleet.quarantine.is_suspect(fingerprint):
             return
-        for pending in tuple(self._probes_by_upstream.values()):
+        for pending in tuple(self._probes_by_path.values()):
             if any(link.concerns(fingerprint) for link in pending.links):
                 await pending.ended.wait()
 
@@ -134,10 +147,11 @@
     async def _run_probe(self, pending: _Probe) -> None:
         upstream = pending.upstream
         spec = self._fleet.table.services_by_name.get(upstream.service)
-        check = await self._upstreams.check_life(upstream, spec)
+        carrier = pending.path[1]
+        check = await self._upstreams.check_life(upstream, spec, carrier)
         pending.checks.append(check)
         gone = check.state is LifeState.ENDED
-        self._probes_by_upstream.pop(upstream.upstream)
+        self._probes_by_path.pop(pending.path)
         for link in pending.links:
             logger.info(
                 'link broke',
--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -14,9 +14,10 @@
     EndedStream,
     EndProof,
     find_doubt,
+    find_life_doubt,
 )
 from cartdale.relay.end_record import LinkEnd
-from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
+from cartdale.relay.liveness import LifeCheck
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import MAX_SOUND_SILENCE
 
@@ -26,7 +27,12 @@
 #: What later reports don't change: the other doubts may be of an old report, or
 #: of an engine that has not begun its next work.
 _FINAL_DOUBTS = frozenset(
-    (EndDoubt.NONE, EndDoubt.NOT_ALIVE, EndDoubt.MORE_EVENTS)
+    (
+        EndDoubt.NONE,
+        EndDoubt.NOT_ALIVE,
+        EndDoubt.OTHER_PATH,
+        EndDoubt.MORE_EVENTS,
+    )
 )
 
 
@@ -51,10 +57,11 @@
 async def check_plain_end(ports: RelayPorts, link: BrokenLink) -> EndCheck:
     """Check the end of a plain response: its service must serve on."""
     life = await ports.crash_prober.check(link, link.broke_at)
-    if life.state is LifeState.ALIVE:
+    doubt = find_life_doubt(life, link.carrier)
+    if doubt is EndDoubt.NONE:
         life = await _ask_later(ports, link, PLAIN_SETTLES)
-    alive = life.state is LifeState.ALIVE
-    return EndCheck(EndDoubt.NONE if alive else EndDoubt.NOT_ALIVE, life)
+        doubt = find_life_doubt(life, link.carrier)
+    return EndCheck(doubt, life)
 
 
 async def check_stream_end(
@@ -65,8 +72,9 @@
     :param events: number of events received, from all engines.
     """
     first = await ports.crash_prober.check(link, link.broke_at)
-    if not _may_live(first):
-        return EndCheck(EndDoubt.NOT_ALIVE, first)
+    doubt = find_life_doubt(first, link.carrier)
+    if doubt is not EndDoubt.NONE:
+        return EndCheck(doubt, first)
     last_at = link.broke_at + MAX_SOUND_SILENCE
     settles = ENGINE_SETTLES
     while True:
@@ -77,6 +85,7 @@
                 link.broke_at,
                 events,
                 _is_leaving(ports, link),
+                link.carrier,
             ),
             first,
             later,
@@ -104,11 +113,6 @@
     return await ports.crash_prober.check(link, since)
 
 
-def _may_live(check: LifeCheck) -> bool:
-    unidentified = check.evidence is LifeEvidence.UNIDENTIFIED
-    return unidentified or check.state is LifeState.ALIVE
-
-
 def _is_leaving(ports: RelayPorts, link: BrokenLink) -> bool:
     """Tell whether an upstream leaves, or has left."""
     known = ports.fleet.find(link.upstream.upstream)
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -14,7 +14,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.types import EngineReport
-from cartdale.relay.liveness import LifeCheck, LifeState
+from cartdale.relay.liveness import LifeCheck, LifeEvidence, LifeState
 from cartdale.relay.types import CallerRequest
 
 #: Why a response that ended in order does not count as complete.
@@ -54,6 +54,9 @@
     NONE = 'none'
     #: The upstream ended, or it is not known whether it did.
     NOT_ALIVE = 'not alive'
+    #: It is no longer reached the way that the response took, so that the path
+    #: may have ended the response.
+    OTHER_PATH = 'other path'
     #: Perhaps another incarnation answers: neither it nor its report says which
     #: it is, and it runs nothing of before.
     UNIDENTIFIED = 'unidentified'
@@ -97,12 +100,14 @@
     :param ended_at: when the end was seen.
     :param events: number of events received, from all engines.
     :param leaving: whether its engine is known to leave.
+    :param carrier: instance that carried it; empty for none.
     """
 
     request_id: str
     ended_at: Millis
     events: int
     leaving: bool
+    carrier: str = ''
 
 
 def is_exhausted(request: CallerRequest, most_left: int) -> bool:
@@ -115,6 +120,19 @@
     return counted and not most_left
 
 
+def find_life_doubt(check: LifeCheck, carrier: str) -> EndDoubt:
+    """Return whether an upstream lives, and is reached as it was before.
+
+    :param carrier: instance that carried the response; empty for none.
+    """
+    unidentified = check.evidence is LifeEvidence.UNIDENTIFIED
+    if not unidentified and check.state is not LifeState.ALIVE:
+        return EndDoubt.NOT_ALIVE
+    if check.carrier != carrier:
+        return EndDoubt.OTHER_PATH
+    return EndDoubt.NONE
+
+
 def find_doubt(
     end: EndedStream,
     first: LifeCheck,
@@ -126,8 +144,11 @@
     :param first: check right after the end, of an engine that had not ended.
     :param later: check that shows the state after the end.
     """
+    doubt = find_life_doubt(later, end.carrier)
+    if doubt is not EndDoubt.NONE:
+        return doubt
     report = later.report
-    if report is None or later.state is LifeState.ENDED:
+    if report is None:
         return EndDoubt.NOT_ALIVE
     for run in report.runs:
         if run.request_id == end.request_id:
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -31,6 +31,8 @@
         self._events = 0
         #: When the response head was received; ``None`` before.
         self._begun_at: Millis | None = None
+        #: Instance that carried the response; empty for none.
+        self._carrier = ''
 
     def begin(self, upstream: UpstreamEntry) -> None:
         """Start to track a link."""
@@ -38,10 +40,15 @@
         self._began_at = self._ports.clock.now()
         self._events = 0
         self._begun_at = None
+        self._carrier = ''
 
-    def note_head(self) -> None:
-        """Note that the response head was received."""
+    def note_head(self, carrier: str) -> None:
+        """Note that the response head was received.
+
+        :param carrier: instance that carried it; empty for none.
+        """
         self._begun_at = self._ports.clock.now()
+        self._carrier = carrier
 
     def note_event(self) -> None:
         """Note that an event was received."""
@@ -72,12 +79,9 @@
             self._ports.end_record.note_end(describe_end(link))
             self._ports.crash_prober.probe(link)
 
-    async def prove_end(
-        self, carrier: str, events: int | None = None
-    ) -> EndProof:
+    async def prove_end(self, events: int | None = None) -> EndProof:
         """Return what shows that a response without framing is complete.
 
-        :param carrier: instance that carried the response; empty for none.
         :param events: events received of a stream, from all engines; ``None``
             for a plain response.
         """
@@ -101,7 +105,8 @@
             took=self._ports.clock.now() - link.broke_at,
             proof=check.proof,
             doubt=check.doubt,
-            carrier=carrier,
+            carrier=link.carrier,
+            asked_through=life.carrier,
         )
         return check.proof
 
@@ -116,6 +121,7 @@
             broke_at=self._ports.clock.now(),
             events=self._events,
             begun_at=self._begun_at,
+            carrier=self._carrier,
         )
 
     def _record_survival(self) -> None:
--- a/src/cartdale/relay/liveness.py
+++ b/src/cartdale/relay/liveness.py
@@ -56,11 +56,13 @@
 
     :param asked_at: when the question that decided it was sent.
     :param report: report of the engine that answers, if one was read.
+    :param carrier: instance that carried the response; empty for none.
     """
 
     evidence: LifeEvidence
     asked_at: Millis
     report: EngineReport | None = None
+    carrier: str = ''
 
     @property
     def state(self) -> LifeState:
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -146,13 +146,13 @@
         declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined, None
-        self._link.note_head()
+        self._link.note_head(answer.carrier)
         try:
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail), None
         if not answer.framed:
-            proof = await self._link.prove_end(answer.carrier)
+            proof = await self._link.prove_end()
             if proof is EndProof.NONE:
                 return Broken(UNPROVED), None
         if answer.status < _FIRST_REDIRECT:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -324,7 +324,7 @@
         declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined
-        self._link.note_head()
+        self._link.note_head(answer.carrier)
         self._head = answer
         resumed = call.resume is not None
         if answer.status != _SUCCESS:
@@ -350,7 +350,7 @@
             self._link.probe_upstream()
             return self._break(error.detail)
         if not answer.framed:
-            self._proof = await self._link.prove_end(answer.carrier, 0)
+            self._proof = await self._link.prove_end(0)
             if self._proof is EndProof.NONE:
                 return self._break(UNPROVED)
         self._failure = CompleteResponse(answer.status, answer.headers, body)
@@ -403,9 +403,7 @@
         elif is_exhausted(self._routed.request, self._generation.most_left):
             self._proof = EndProof.ALL_TOKENS
         else:
-            self._proof = await self._link.prove_end(
-                answer.carrier, self._generation.events
-            )
+            self._proof = await self._link.prove_end(self._generation.events)
         if self._proof is EndProof.NONE:
             return UNPROVED
         self._link.note_complete()
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -192,11 +192,13 @@
 
     :param timed_out: whether the read timed out on an intact connection.
     :param by_intermediary: whether the instance failed that carried it.
+    :param carrier: instance over which the read timed out; empty for none.
     """
 
     detail: str
     timed_out: bool = False
     by_intermediary: bool = False
+    carrier: str = ''
 
 
 SendFailure = NotSent | SendWithheld | LinkBroke
@@ -283,11 +285,16 @@
         """Fetch the report of an engine."""
 
     async def check_life(
-        self, upstream: UpstreamEntry, spec: ServiceSpec | None
+        self,
+        upstream: UpstreamEntry,
+        spec: ServiceSpec | None,
+        through: str = '',
     ) -> LifeCheck:
         """Check whether an upstream ended or restarted since its entry.
 
         :param spec: its service in the configuration.
+        :param through: instance to ask through first; empty for the direct
+            path.
         """
 
 
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -51,6 +51,17 @@
     """
 
 
+class CarriedTimeoutError(httpcore.ReadTimeout):
+    """Raised when an upstream does not respond in time over an intermediary.
+
+    :param carrier: name of the intermediary.
+    """
+
+    def __init__(self, detail: str, carrier: str) -> None:
+        super().__init__(detail)
+        self.carrier = carrier
+
+
 class IntermediaryError(Exception):
     """Raised when an instance failed that carried a request.
 
@@ -79,6 +90,12 @@
     return not isinstance(error, httpcore.TimeoutException)
 
 
+def find_carrier(response: httpcore.Response) -> str:
+    """Return the instance that carried a response; empty for none."""
+    carrier: str = response.extensions.get(CARRIER_EXTENSION, '')
+    return carrier
+
+
 def is_framed(response: httpcore.Response) -> bool:
     """Tell whether a body is delimited; otherwise it ends as its connection."""
     names = {name.lower() for name, _ in response.headers}
--- a/tests/test_end_proof.py
+++ b/tests/test_end_proof.py
@@ -1,6 +1,7 @@
 """What speaks for and against ends without framing, without a network."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from types import MappingProxyType
 
 import pytest
@@ -86,6 +87,18 @@
     assert judge(make_check(ONE), later) is EndDoubt.NOT_ALIVE
 
 
+# Guards against a path that ended a stream and counts as one that works since
+# its engine is reached in another way.
+@pytest.mark.parametrize('carrier', ['', 'entry-1'])
+def test_engine_must_be_reached_as_it_was_before(carrier: str) -> None:
+    end = EndedStream('a', ENDED_AT, EVENTS, leaving=False, carrier=carrier)
+    first = make_check(ONE)
+    for asked_through in ('', 'entry-1', 'entry-2'):
+        later = replace(make_check(ONE), carrier=asked_through)
+        doubt = find_doubt(end, first, later, CALM)
+        assert (doubt is EndDoubt.OTHER_PATH) is (asked_through != carrier)
+
+
 # Guards against a stream that looks complete though its engine runs it on.
 @pytest.mark.parametrize(
     'events, doubt',
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -223,7 +223,9 @@
         self._answer = answer
         self._health = answer if health is None else health
 
-    async def send(self, request, observer=None) -> httpcore.Response:
+    async def send(
+        self, request, observer=None, *, through=''
+    ) -> httpcore.Response:
         is_health = request.target == b'/health'
         answer = self._health if is_health else self._answer
         if isinstance(answer, Exception):
@@ -341,7 +343,7 @@
         self._clock = clock
         self.asked = 0
 
-    async def check_life(self, upstream, spec) -> LifeCheck:
+    async def check_life(self, upstream, spec, through='') -> LifeCheck:
         self.asked += 1
         asked_at = self._clock.now()
         await trio.sleep(0.1)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -55,21 +55,30 @@
         engines, plains, 1 + detour, unframed=True
     ) as stage:
         if detour:
-            await until(
-                lambda: all(
-                    runtime.peers.news.state.received_by_name
-                    for runtime in stage.runtimes
-                )
-            )
-            ports = [
-                int(upstream.entry.address.rpartition(':')[2])
-                for upstream in list_upstreams(stage)
-            ]
-            cuts.cut('entry-0', ports, CutWay.REFUSE)
+            await meet(stage)
+            cuts.cut('entry-0', list_ports(stage), CutWay.REFUSE)
         yield stage
         assert bool(stage.runtimes[0].detours.router.detours) is detour
 
 
+async def meet(stage: PlatformStage) -> None:
+    """Wait until each instance has heard of all others."""
+    await until(
+        lambda: all(
+            len(runtime.peers.news.state.received_by_name)
+            >= len(stage.runtimes) - 1
+            for runtime in stage.runtimes
+        )
+    )
+
+
+def list_ports(stage: PlatformStage) -> list[int]:
+    return [
+        int(upstream.entry.address.rpartition(':')[2])
+        for upstream in list_upstreams(stage)
+    ]
+
+
 def list_upstreams(stage: PlatformStage) -> list[Upstream]:
     return list(stage.runtimes[-1].fleet.state.upstreams_by_id.values())
 
--- a/tests/test_unproved_ends.py
+++ b/tests/test_unproved_ends.py
@@ -11,6 +11,7 @@
 
 from cartdale_standins.platform_engine import STRIDE
 from cartdale_standins.unframed import EarlyEnd
+from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
     PlatformStage,
     ask,
@@ -24,6 +25,8 @@
     DIRECTLY_OR_NOT,
     EVENTS,
     PASSED,
+    list_ports,
+    meet,
     open_unframed,
     stream,
 )
@@ -54,6 +57,15 @@
     return sum(name in each.memory.backed_up for each in stage.engines)
 
 
+def find_carrier(stage: PlatformStage) -> str:
+    """Return the name of the instance that carries a response now."""
+    return next(
+        f'entry-{number}'
+        for number, runtime in enumerate(stage.runtimes)
+        if runtime.detours.capacity.carried
+    )
+
+
 def check_ends(ended_by_name: dict[str, Ended]) -> None:
     """Assert that streams end as complete with all events only.
 
@@ -133,6 +145,29 @@
         check_ends(await stream_together(stage, names, pause))
 
 
+# Guards against a stream that looks whole since its path, which was cut, closed
+# it in order, and its engine answered over another instance.
+@DIRECTLY_OR_NOT
+async def test_stream_that_a_cut_path_ends_is_not_whole(
+    monkeypatch, detour: bool
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(1, 1, 3, unframed=True) as stage:
+        await meet(stage)
+        if detour:
+            cuts.cut('entry-0', list_ports(stage), CutWay.REFUSE)
+
+        async def cut_off() -> None:
+            await find_runner(stage, 'r0')
+            name = find_carrier(stage) if detour else 'entry-0'
+            cuts.cut(name, list_ports(stage), CutWay.REFUSE)
+            for front in stage.fronts:
+                front.close_answers()
+
+        stage.nursery.start_soon(cut_off)
+        check_ends(await stream_together(stage, ['r0']))
+
+
 # Guards against a stream that looks whole though its engine still runs it.
 @DIRECTLY_OR_NOT
 async def test_stream_that_its_engine_still_runs_is_not_whole(
@@ -168,6 +203,26 @@
         assert count_runs(stage, 'r1') == 1
 
 
+# Guards against a plain answer that looks whole since its path, which was cut,
+# closed it in order, and its service answered over another instance.
+async def test_plain_answer_that_a_cut_path_ends_is_not_whole(
+    monkeypatch,
+) -> None:
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(1, 1, 2, unframed=True) as stage:
+        await meet(stage)
+
+        async def cut_off() -> None:
+            await until(lambda: count_runs(stage, 'r1'))
+            cuts.cut('entry-0', list_ports(stage), CutWay.REFUSE)
+
+        stage.nursery.start_soon(cut_off)
+        stage.early_ends.append(EarlyEnd(inside=True))
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
+
+
 # Guards against a stream that looks whole and has a failure appended to it: its
 # engine ended, and the engine that it resumed at answered with the failure.
 @pytest.mark.parametrize(
@@ -203,7 +258,7 @@
         assert count_runs(stage, 'r1') == 1
 
 
-# Guards against the same where the request runs again after what its caller has.
+# Guards against the same where the request runs again after what it has sent.
 @pytest.mark.parametrize('status', [HTTPStatus.NOT_FOUND, HTTPStatus.FOUND])
 async def test_further_attempt_that_is_answered_by_a_failure_is_not_whole(
     status: HTTPStatus,
