Routes: keys are asked for wherever customers are named; an empty list of regions is none

Once the last key of the last customer was taken away, any key and none were accepted, and such requests ran without a customer: a configuration asked for keys only while one was left, and kept customers by their keys. It asks now wherever customers are named, with or without keys. The same class: an empty list of allowed regions bound nothing, so that a route or a customer whose last region was taken away was served everywhere; only an absent list binds nothing now. test_regions gave an empty list for an absent one and does not any more. Looked at besides: cluster keys and the own interface, where an empty list accepts nothing.

--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -88,7 +88,7 @@
     allow_anonymous: bool = False
     #: Whether any engine may resume a stream.
     resumable: bool = False
-    allowed_regions: frozenset[str] = frozenset()
+    allowed_regions: frozenset[str] | None = None
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -124,7 +124,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
-    allowed_regions: frozenset[str] = frozenset()
+    allowed_regions: frozenset[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -172,8 +172,11 @@
         services_by_name={
             service.name: _to_service(service) for service in stored.services
         },
+        customers_by_name={
+            tenant.name: _to_customer(tenant) for tenant in stored.tenants
+        },
         customers_by_key={
-            key: Customer(tenant.name, tenant.priority, tenant.allowed_regions)
+            key: _to_customer(tenant)
             for tenant in stored.tenants
             for key in tenant.api_keys
         },
@@ -236,6 +239,10 @@
         raise BadDocumentError(key, str(error)) from error
 
 
+def _to_customer(stored: _Tenant) -> Customer:
+    return Customer(stored.name, stored.priority, stored.allowed_regions)
+
+
 def _to_route(stored: _Route) -> Route:
     kind = _KINDS_BY_NAME.get(stored.kind, RouteKind.UNSAFE)
     shares = tuple(
--- a/src/cartdale/routes/match.py
+++ b/src/cartdale/routes/match.py
@@ -28,7 +28,7 @@
 
 def needs_key(table: RoutingTable, route: Route) -> bool:
     """Return whether requests on the route must carry a known key."""
-    return bool(table.customers_by_key) and not route.anonymous
+    return bool(table.customers_by_name) and not route.anonymous
 
 
 def rank_request(route: Route, customer: Customer | None) -> int:
@@ -48,7 +48,7 @@
     bounds = [route.regions]
     if customer is not None:
         bounds.append(customer.regions)
-    given = [regions for regions in bounds if regions]
+    given = [regions for regions in bounds if regions is not None]
     return frozenset.intersection(*given) if given else None
 
 
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -46,7 +46,7 @@
     :param resumable: whether any engine may resume a stream of this route
         after the last event that the caller received.
     :param regions: regions that its requests and their bodies may be sent to;
-        empty for all.
+        ``None`` for all.
     """
 
     name: str
@@ -62,7 +62,7 @@
     max_attempts: int = 1
     anonymous: bool = False
     resumable: bool = False
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -116,12 +116,12 @@
     """The customer that owns a key.
 
     :param priority: overrides the route's priority; ``None`` keeps it.
-    :param regions: regions that its requests may be sent to; empty for all.
+    :param regions: regions that its requests may be sent to; ``None`` for all.
     """
 
     name: str
     priority: int | None = None
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,10 +142,12 @@
     """One version of the configuration, indexed for look-ups.
 
     :param routes_by_host: the routes of each host, longest prefix first.
+    :param customers_by_name: all customers, also those without a key.
     """
 
     version: int = 0
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services_by_name: dict[str, ServiceSpec] = field(default_factory=dict)
+    customers_by_name: dict[str, Customer] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -45,7 +45,7 @@
         1000,
         300,
         (),
-        regions=frozenset(regions),
+        regions=frozenset(regions) or None,
     )
 
 
@@ -60,7 +60,7 @@
     ],
 )
 def test_route_and_customer_both_bind(route, customer, allowed) -> None:
-    owner = Customer('c', regions=frozenset(customer))
+    owner = Customer('c', regions=frozenset(customer) or None)
     assert find_regions(make_route(*route), owner) == allowed
 
 
@@ -137,7 +137,7 @@
         for route in routes
     }
     assert routes['draft'].regions == {'here'}
-    assert not routes['cut'].regions
+    assert routes['cut'].regions is None
     assert table.customers_by_key[KEY].regions == {'here', 'there'}
     spec = table.services_by_name['writers']
     assert (spec.cold_start, spec.cold_rate) == (1500, 25.0)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -41,7 +41,10 @@
 
 
 def test_keys_are_needed_only_with_customers_and_not_on_open_routes() -> None:
-    keyed = RoutingTable(1, customers_by_key={'k': Customer('c')})
+    customer = Customer('c')
+    keyed = RoutingTable(
+        1, customers_by_name={'c': customer}, customers_by_key={'k': customer}
+    )
     assert needs_key(keyed, make_route('/a/'))
     assert not needs_key(keyed, make_route('/a/', anonymous=True))
     assert not needs_key(RoutingTable(1), make_route('/a/'))
