Tests: prompt parts that crash engines are played with instances as processes

All eight shared one process with 12 engines and all callers, which took 11 s of one core and more of the stage's 25 s: beside a load of 16 to 20 on 8 cores four of eight failed in one run. Instances are processes as in the fault soak now; requests, checks and bounds are as they were.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -3,19 +3,25 @@
 Guards against a failure in which engines crashed for minutes, each as it began
 to answer a new request: no two of these requests were alike, but all of their
 prompts held one part. Sound requests shared their customer, their first part
-and all other parts.
+and all other parts. Instances are processes of their own, so that those who
+play engines and callers have a core for themselves.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from itertools import count
 from math import inf
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import httpx
 import trio
 
 from cartdale_standins.platform_engine import STRIDE
 from tests.fault_soak.checks import CONTACT_SECONDS
+from tests.fault_soak.instances import Instance
+from tests.fault_soak.proxy import FaultProxy
 from tests.platform_stage import (
     PlatformStage,
     make_draft,
@@ -73,14 +79,76 @@
 
 
 @dataclass
-class Callers:
-    """Send requests at all instances in turn, no two alike.
+class Group:
+    """Instances that run as processes before the engines of a stage.
 
-    :param instances: numbers of those that are not stopped.
+    :param folder: of their settings and logs.
+    :param store: their way to the store.
+    :param instances: those that are not stopped.
     """
 
     stage: PlatformStage
-    instances: list[int]
+    folder: Path
+    store: FaultProxy
+    instances: list[Instance] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
+    _names: count = field(default_factory=count)
+
+    async def add(self, number: int = 1) -> None:
+        """Start instances; take them in once they serve."""
+        added = [
+            Instance(f'entry-{next(self._names)}', self.folder, self.store)
+            for _ in range(number)
+        ]
+        seeds = [each.control_address for each in (*self.instances, *added)]
+        for instance in added:
+            instance.seeds = seeds
+            self.stage.nursery.start_soon(instance.run, self.ended)
+        for instance in added:
+            await self._wait_until_it_serves(instance)
+        self.instances.extend(added)
+
+    def end(self, instance: Instance) -> None:
+        """End an instance for good."""
+        self.instances.remove(instance)
+        instance.end()
+
+    async def _wait_until_it_serves(self, instance: Instance) -> None:
+        served = False
+        while not served:
+            await trio.sleep(0.05)
+            asked = self.stage.client.post(
+                f'{instance.caller_url}/draft/a',
+                headers=make_draft(instance.name, TOKENS),
+                content=b'first',
+            )
+            try:
+                answer = await asked
+            except httpx.TransportError:
+                continue
+            served = answer.status_code == httpx.codes.OK
+
+
+@asynccontextmanager
+async def open_group() -> AsyncIterator[Group]:
+    """Run engines, and instances as processes, while the context is open."""
+    async with open_platform(
+        engines=ENGINES, plains=0, instances=0, proxied=True
+    ) as stage:
+        store = FaultProxy(stage.store_port)
+        stage.nursery.start_soon(store.run)
+        with TemporaryDirectory() as folder:
+            group = Group(stage, Path(folder), store)
+            await group.add(INSTANCES)
+            yield group
+            assert not group.ended
+
+
+@dataclass
+class Callers:
+    """Send requests at all instances in turn, no two alike."""
+
+    group: Group
     sound: list[SoundRequest] = field(default_factory=list)
     #: The deadly part of each request that holds one, by its id.
     deadly_by_request: dict[str, str] = field(default_factory=dict)
@@ -119,7 +187,7 @@
         """Return when engines crashed on a part."""
         return sorted(
             at
-            for engine in self.stage.engines
+            for engine in self.group.stage.engines
             for name, at in zip(
                 engine.crashes.crashed_by,
                 engine.crashes.crashed_at,
@@ -140,7 +208,7 @@
         known_at = self.find_deciding(part) + CONTACT_SECONDS
         return sum(
             self.deadly_by_request.get(arrival.request_id) == part
-            for engine in self.stage.engines
+            for engine in self.group.stage.engines
             for arrival in engine.arrivals
             if arrival.at > known_at
         )
@@ -193,10 +261,11 @@
             'Token-Count': f'{len(prompt) * PART_TOKENS},{TOKENS}',
             'Prompt-Prefix': ','.join(f'{id_}:{PART_TOKENS}' for id_ in prompt),
         }
-        instance = self.instances[number % len(self.instances)]
+        instances = self.group.instances
+        instance = instances[number % len(instances)]
         try:
-            return await self.stage.client.post(
-                self.stage.url('/draft/a', instance),
+            return await self.group.stage.client.post(
+                f'{instance.caller_url}/draft/a',
                 headers=headers,
                 content=f'brief {number}'.encode(),
             )
@@ -240,10 +309,8 @@
 
 async def play(course: Course) -> Outcome:
     """Send sound requests, then deadly ones beside them."""
-    async with open_platform(
-        engines=ENGINES, plains=0, instances=INSTANCES, proxied=True
-    ) as stage:
-        callers = Callers(stage, list(range(INSTANCES)))
+    async with open_group() as group:
+        callers = Callers(group)
         began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(callers.send_sound, course.sound)
@@ -271,7 +338,7 @@
 async def send_deadly(course: Course, callers: Callers) -> float:
     """Send what engines crash on; return from when sound ones are counted."""
     parts = (DEADLY, OTHER_DEADLY)[: len(course.deadly)]
-    for engine in callers.stage.engines:
+    for engine in callers.group.stage.engines:
         engine.crashes.down_seconds = DOWN_SECONDS
         engine.crashes.reading_seconds = course.reading_seconds
         engine.crashes.crashing_parts.update(parts)
@@ -297,19 +364,14 @@
 
 async def restart_instances(callers: Callers) -> None:
     """Restart one instance after the second crash, and one after the third."""
-    await restart_after(callers, crashes=2, number=0)
-    await restart_after(callers, crashes=3, number=1)
+    await restart_after(callers, crashes=2)
+    await restart_after(callers, crashes=3)
 
 
-async def restart_after(callers: Callers, crashes: int, number: int) -> None:
+async def restart_after(callers: Callers, crashes: int) -> None:
     await until(lambda: len(callers.list_crashes(DEADLY)) >= crashes)
-    stage = callers.stage
-    callers.instances.remove(number)
-    stage.scopes[number].cancel()
-    started = len(stage.runtimes)
-    stage.add_instance()
-    await stage.settle()
-    callers.instances.append(started)
+    callers.group.end(callers.group.instances[0])
+    await callers.group.add()
 
 
 async def check(course: Course) -> None:
