--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -163,6 +163,10 @@
         route = _to_route(stored_route)
         routes_by_host.setdefault(route.host, []).append(route)
     limits = stored.limits
+    customers = [
+        Customer(tenant.name, tenant.priority, tenant.allowed_regions)
+        for tenant in stored.tenants
+    ]
     return RoutingTable(
         version=stored.version,
         routes_by_host={
@@ -172,12 +176,10 @@
         services_by_name={
             service.name: _to_service(service) for service in stored.services
         },
-        customers_by_name={
-            tenant.name: _to_customer(tenant) for tenant in stored.tenants
-        },
+        customers_by_name={each.name: each for each in customers},
         customers_by_key={
-            key: _to_customer(tenant)
-            for tenant in stored.tenants
+            key: customer
+            for tenant, customer in zip(stored.tenants, customers, strict=True)
             for key in tenant.api_keys
         },
         limits=RequestLimits(
@@ -239,10 +241,6 @@
         raise BadDocumentError(key, str(error)) from error
 
 
-def _to_customer(stored: _Tenant) -> Customer:
-    return Customer(stored.name, stored.priority, stored.allowed_regions)
-
-
 def _to_route(stored: _Route) -> Route:
     kind = _KINDS_BY_NAME.get(stored.kind, RouteKind.UNSAFE)
     shares = tuple(
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -57,6 +57,7 @@
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
+    CarriedTimeoutError,
     IntermediaryError,
     PathUnclearError,
     find_carrier,
@@ -226,7 +227,7 @@
                 evidence = _judge_failure(failure, plain=plain)
         if evidence is LifeEvidence.UNIDENTIFIED and spec is not None:
             evidence = await self._identify(upstream, spec.health_path, through)
-        return LifeCheck(evidence, sent_at, report, _find_path(answer))
+        return LifeCheck(evidence, sent_at, report, _find_check_carrier(answer))
 
     async def _identify(
         self, upstream: UpstreamEntry, health_path: str, through: str
@@ -283,13 +284,17 @@
             response = await self._read_whole(request, through)
         except HTTPCORE_NOT_SENT_ERRORS as error:
             return Failure(_describe_not_sent(error))
+        except CarriedTimeoutError as carried:
+            detail = format_error(carried)
+            return Failure(
+                LinkBroke(detail, timed_out=True, carrier=carried.carrier)
+            )
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
             return Failure(
                 LinkBroke(
                     format_error(late_error),
                     timed_out=isinstance(late_error, httpcore.TimeoutException),
                     by_intermediary=isinstance(late_error, IntermediaryError),
-                    carrier=getattr(late_error, 'carrier', ''),
                 )
             )
         return Success(response)
@@ -362,7 +367,7 @@
     return check
 
 
-def _find_path(answer: Result[httpcore.Response, SendFailure]) -> str:
+def _find_check_carrier(answer: Result[httpcore.Response, SendFailure]) -> str:
     """Return the instance over which a check went; empty for none."""
     match answer:
         case Success(response):
--- a/src/cartdale/relay/crash_probes.py
+++ b/src/cartdale/relay/crash_probes.py
@@ -23,8 +23,16 @@
 #: links, which share one probe.
 _MAX_PENDING = 1024
 
-#: Way to an upstream: its id, and the instance that carries; empty for none.
-Path = tuple[str, str]
+
+@dataclass(frozen=True, slots=True)
+class ResponsePath:
+    """Way that a response took from an upstream.
+
+    :param carrier: instance that carried it; empty for the direct path.
+    """
+
+    upstream: str
+    carrier: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,9 +58,9 @@
     carrier: str = ''
 
     @property
-    def path(self) -> Path:
-        """Return the path that its response took."""
-        return self.upstream.upstream, self.carrier
+    def path(self) -> ResponsePath:
+        """Return the way that its response took."""
+        return ResponsePath(self.upstream.upstream, self.carrier)
 
     @property
     def begun(self) -> bool:
@@ -70,12 +78,12 @@
 class _Probe:
     """Hold the links that one crash probe covers.
 
-    :param path: the path that all their responses took.
+    :param path: the way that all their responses took.
     :param checks: contains the result once it is known.
     """
 
     upstream: UpstreamEntry
-    path: Path
+    path: ResponsePath
     links: list[BrokenLink]
     ended: trio.Event
     checks: list[LifeCheck] = field(default_factory=list)
@@ -87,7 +95,7 @@
     def __init__(self, upstreams: UpstreamPort, fleet: Fleet) -> None:
         self._upstreams = upstreams
         self._fleet = fleet
-        self._probes_by_path: dict[Path, _Probe] = {}
+        self._probes_by_path: dict[ResponsePath, _Probe] = {}
         channel = trio.open_memory_channel[_Probe](_MAX_PENDING)
         self._sender = channel[0]
         self._receiver = channel[1]
@@ -147,8 +155,9 @@
     async def _run_probe(self, pending: _Probe) -> None:
         upstream = pending.upstream
         spec = self._fleet.table.services_by_name.get(upstream.service)
-        carrier = pending.path[1]
-        check = await self._upstreams.check_life(upstream, spec, carrier)
+        check = await self._upstreams.check_life(
+            upstream, spec, pending.path.carrier
+        )
         pending.checks.append(check)
         gone = check.state is LifeState.ENDED
         self._probes_by_path.pop(pending.path)
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -121,7 +121,7 @@
 
 
 def find_life_doubt(check: LifeCheck, carrier: str) -> EndDoubt:
-    """Return whether an upstream lives, and is reached as it was before.
+    """Return what speaks against an upstream that lives, reached as before.
 
     :param carrier: instance that carried the response; empty for none.
     """
