Plain answers: an accepted connection does not prove an end without framing

Callers saw a plain answer without a body end as whole: its service had ended, but what stands before it accepted the connection of the check 301 ms after the end and had not closed it 50 ms later, which counted as a sign of life. A kernel, a proxy or a process that hangs accepts connections as well.

The question of 300 ms after the end has to be answered, for which it has the rest of the time that a sound upstream may be silent, 1.2 s, since a service lets it wait for a slot.

Both cases of test_plain_answer_of_a_service_that_hangs_is_not_whole failed before; a busy service's answer stays whole.

--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -179,6 +179,7 @@
         upstream: UpstreamEntry,
         spec: ServiceSpec | None,
         through: str = '',
+        patience: Millis = 0,
     ) -> LifeCheck:
         """Check whether an upstream ended, or restarted since its entry.
 
@@ -192,7 +193,9 @@
         """
         began_at = self._advisories.now()
         while True:
-            check = await self._ask_whether_alive(upstream, spec, through)
+            check = await self._ask_whether_alive(
+                upstream, spec, through, patience
+            )
             if check.state is not LifeState.UNKNOWN:
                 return check
             waited = self._advisories.now() - began_at
@@ -205,12 +208,13 @@
         upstream: UpstreamEntry,
         spec: ServiceSpec | None,
         through: str,
+        patience: Millis,
     ) -> LifeCheck:
         """Ask an upstream once."""
         plain = spec is not None and spec.engine is None
         path = spec.health_path if spec is not None and plain else PATH_REPORT
         sent_at = self._advisories.now()
-        timeout = _HEALTH_TIMEOUT if plain else _REPORT_TIMEOUT
+        timeout = max(_HEALTH_TIMEOUT, patience) if plain else _REPORT_TIMEOUT
         answer = await self._request(
             'GET', upstream.address, path, b'', timeout, through
         )
--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -17,7 +17,7 @@
     find_life_doubt,
 )
 from cartdale.relay.end_record import LinkEnd
-from cartdale.relay.liveness import LifeCheck
+from cartdale.relay.liveness import LifeCheck, LifeEvidence
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import MAX_SOUND_SILENCE
 
@@ -55,12 +55,26 @@
 
 
 async def check_plain_end(ports: RelayPorts, link: BrokenLink) -> EndCheck:
-    """Check the end of a plain response: its service must serve on."""
+    """Check the end of a plain response: its service must answer later too."""
     life = await ports.crash_prober.check(link, link.broke_at)
     doubt = find_life_doubt(life, link.carrier)
-    if doubt is EndDoubt.NONE:
-        life = await _ask_later(ports, link, PLAIN_SETTLES)
-        doubt = find_life_doubt(life, link.carrier)
+    if doubt is not EndDoubt.NONE:
+        return EndCheck(doubt, life)
+    since = link.broke_at + PLAIN_SETTLES
+    await trio.sleep(as_seconds(max(since - ports.clock.now(), 0)))
+    upstream = link.upstream
+    life = await ports.upstreams.check_life(
+        upstream,
+        ports.fleet.table.services_by_name.get(upstream.service),
+        link.carrier,
+        MAX_SOUND_SILENCE - PLAIN_SETTLES,
+    )
+    doubt = find_life_doubt(life, link.carrier)
+    match doubt:
+        case EndDoubt.NOT_ALIVE:
+            ports.crash_prober.probe(link)
+        case EndDoubt.NONE if life.evidence is LifeEvidence.OPEN_CONNECTION:
+            doubt = EndDoubt.UNANSWERED
     return EndCheck(doubt, life)
 
 
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -60,6 +60,9 @@
     #: Perhaps another incarnation answers: neither it nor its report says which
     #: it is, and it runs nothing of before.
     UNIDENTIFIED = 'unidentified'
+    #: A connection to a plain service was accepted, which may be by what stands
+    #: before it, and got no answer.
+    UNANSWERED = 'unanswered'
     #: The engine made more events, or still runs the generation.
     MORE_EVENTS = 'more events'
     STILL_RUNS = 'still runs'
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -289,12 +289,15 @@
         upstream: UpstreamEntry,
         spec: ServiceSpec | None,
         through: str = '',
+        patience: Millis = 0,
     ) -> LifeCheck:
         """Check whether an upstream ended or restarted since its entry.
 
         :param spec: its service in the configuration.
         :param through: instance to ask through first; empty for the direct
             path.
+        :param patience: time that a plain service may let the question wait
+            for a slot; 0 for no longer than an idle one takes.
         """
 
 
--- a/src/cartdale_standins/unframed.py
+++ b/src/cartdale_standins/unframed.py
@@ -44,6 +44,8 @@
     :param lingers: whether it shuts down instead: it closes all its answers,
         and ends so many seconds later. Negative for no.
     :param runs_on: whether it goes on with what it no longer passes on.
+    :param hangs: seconds from then on in which connections are accepted, and
+        nothing is answered.
     """
 
     events: int = 0
@@ -52,6 +54,7 @@
     crashes: bool = False
     lingers: float = -1
     runs_on: bool = False
+    hangs: float = 0
 
 
 #: Stands for no early end.
@@ -75,6 +78,8 @@
         self.port: int = self._bound.getsockname()[1]
         self._open: set[trio.SocketStream] = set()
         self._down = False
+        #: Until when connections are accepted and nothing is answered.
+        self._hangs_until: float = 0
         self._nursery: trio.Nursery | None = None
         #: Whether answers that the stand-in breaks off are reset.
         self.resets = True
@@ -98,6 +103,10 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._crash_after, seconds)
 
+    def hang(self, seconds: float) -> None:
+        """Accept connections for some time, and answer nothing meanwhile."""
+        self._hangs_until = trio.current_time() + seconds
+
     def close_answers(self) -> None:
         """Close all connections in order, as a path may."""
         for stream in tuple(self._open):
@@ -131,6 +140,7 @@
     async def _answer(self, caller: trio.SocketStream) -> bool:
         """Answer one request; return whether its end is a reset."""
         request = await _read_request(caller, self._target)
+        await trio.sleep_until(self._hangs_until)
         reset: bool | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_await_close, caller, nursery.cancel_scope)
@@ -151,6 +161,7 @@
         if early is _NEVER:
             return False
         _end(caller, reset=early.reset)
+        self.hang(early.hangs)
         if early.lingers >= 0:
             self.shut_down(early.lingers)
         if early.crashes and self.crash is not None:
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -20,7 +20,9 @@
     def __init__(self) -> None:
         self.asked = 0
 
-    async def check_life(self, upstream, spec, through='') -> LifeCheck:
+    async def check_life(
+        self, upstream, spec, through='', patience=0
+    ) -> LifeCheck:
         self.asked += 1
         await trio.sleep(0.1)
         return LifeCheck(LifeEvidence.REFUSED, 0)
--- a/tests/test_truncated_streams.py
+++ b/tests/test_truncated_streams.py
@@ -343,7 +343,9 @@
         self._clock = clock
         self.asked = 0
 
-    async def check_life(self, upstream, spec, through='') -> LifeCheck:
+    async def check_life(
+        self, upstream, spec, through='', patience=0
+    ) -> LifeCheck:
         self.asked += 1
         asked_at = self._clock.now()
         await trio.sleep(0.1)
--- a/tests/test_unproved_ends.py
+++ b/tests/test_unproved_ends.py
@@ -223,6 +223,36 @@
         assert 'response-seal' not in answer.headers
 
 
+# Guards against a plain answer that looks whole since its service accepted
+# connections still, though it answered none any more.
+@DIRECTLY_OR_NOT
+async def test_plain_answer_of_a_service_that_hangs_is_not_whole(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, plains=1, detour=detour) as stage:
+        stage.early_ends.append(EarlyEnd(inside=True, hangs=4))
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 502
+        assert 'response-seal' not in answer.headers
+        assert count_runs(stage, 'r1') == 1
+
+
+# Guards against a sound plain answer that is cut since its service, whose slots
+# are all in use, lets questions wait.
+async def test_plain_answer_of_a_busy_service_is_whole(monkeypatch) -> None:
+    async with open_unframed(monkeypatch, plains=1) as stage:
+
+        async def take_all_slots() -> None:
+            await until(lambda: count_runs(stage, 'r1'))
+            for front in stage.fronts:
+                front.hang(0.9)
+
+        stage.nursery.start_soon(take_all_slots)
+        answer = await ask(stage, 'r1')
+        assert answer.status_code == 200
+        assert 'response-seal' in answer.headers
+
+
 # Guards against a stream that looks whole and has a failure appended to it: its
 # engine ended, and the engine that it resumed at answered with the failure.
 @pytest.mark.parametrize(
