Plain answers: the wait for a proof is not the upstream's time

The time of an attempt ends as the body has arrived, and so does what is learnt of the upstream.

test_plain_answer_is_not_given_up_while_its_end_is_proved fails before.

--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -70,6 +70,10 @@
         self._link = CarriedLink(ports, routed)
         #: The upstream of the current attempt; empty between attempts.
         self._current = ''
+        #: Bounds the wait for the response of the current attempt.
+        self._response_wait = trio.CancelScope()
+        #: When the body of the last response had arrived.
+        self._arrived_at: Millis = 0
         self._state: AttemptState = begin(routed.route)
         self._sends = record_sends(ports, routed, self._state)
 
@@ -117,7 +121,10 @@
         sent_at = self._ports.clock.now()
         self._current = call.upstream.upstream
         try:
-            with trio.move_on_after(self._attempt_timeout()):
+            self._response_wait = trio.CancelScope(
+                deadline=trio.current_time() + self._attempt_timeout()
+            )
+            with self._response_wait:
                 ended = await self._send(call)
                 self._note_answer(ended, call, sent_at)
                 return ended
@@ -151,6 +158,9 @@
             body = b''.join([chunk async for chunk in answer.chunks])
         except LinkBrokeError as error:
             return self._break(error.detail), None
+        # What follows is no longer the upstream's time.
+        self._arrived_at = self._ports.clock.now()
+        self._response_wait.deadline = inf
         if not answer.framed:
             proof = await self._link.prove_end()
             if proof is EndProof.NONE:
@@ -165,14 +175,14 @@
         self, ended: EndedAttempt, call: UpstreamCall, sent_at: Millis
     ) -> None:
         """Report how long an upstream took for a complete response."""
-        fleet, now = self._ports.fleet, self._ports.clock.now()
+        fleet, took = self._ports.fleet, self._arrived_at - sent_at
         if not isinstance(ended[0], Answered):
             return
-        fleet.note_answer(self._routed.service, now - sent_at)
+        fleet.note_answer(self._routed.service, took)
         response = ended[1]
         if response is not None and response.status < _FIRST_REDIRECT:
             upstream = call.upstream.upstream
-            fleet.speeds.note_answer(upstream, now - sent_at, now)
+            fleet.speeds.note_answer(upstream, took, self._ports.clock.now())
 
     def _break(self, detail: str) -> Broken:
         """Return a broken link, and queue a crash probe of its upstream."""
--- a/tests/test_unproved_ends.py
+++ b/tests/test_unproved_ends.py
@@ -10,6 +10,7 @@
 import trio
 
 from cartdale_standins.platform_engine import STRIDE
+from cartdale_standins.uneven import UnevenSpeed
 from cartdale_standins.unframed import EarlyEnd
 from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
@@ -17,6 +18,7 @@
     ask,
     count_runs,
     find_runner,
+    make_headers,
     open_platform,
     until,
     whole,
@@ -253,6 +255,27 @@
         assert 'response-seal' in answer.headers
 
 
+# Guards against a sound plain answer that is given up, and asked for elsewhere,
+# since its upstream had no more time while its end was being proved.
+async def test_plain_answer_is_not_given_up_while_its_end_is_proved(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch, plains=1) as stage:
+        stage.plains[0].speed = UnevenSpeed(work_seconds=0.5)
+
+        async def take_all_slots() -> None:
+            await until(lambda: count_runs(stage, 'r1'))
+            for front in stage.fronts:
+                front.hang(1.7)
+
+        stage.nursery.start_soon(take_all_slots)
+        answer = await stage.client.post(
+            stage.url('/look/a'), headers=make_headers('r1'), content=b'x'
+        )
+        assert answer.status_code == 200
+        assert count_runs(stage, 'r1') == 1
+
+
 # Guards against a stream that looks whole and has a failure appended to it: its
 # engine ended, and the engine that it resumed at answered with the failure.
 @pytest.mark.parametrize(
