Plain answers: a question that waits is asked once; a carrier without capacity again

The first question waits for its answer now, up to the time that a sound upstream may be silent; its connection ends with the service. One that is answered at once is followed by a second. An entry that tells another start ends the upstream.

--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -55,29 +55,60 @@
 
 
 async def check_plain_end(ports: RelayPorts, link: BrokenLink) -> EndCheck:
-    """Check the end of a plain response: its service must answer later too."""
-    life = await ports.crash_prober.check(link, link.broke_at)
-    doubt = find_life_doubt(life, link.carrier)
-    if doubt is not EndDoubt.NONE:
-        return EndCheck(doubt, life)
-    since = link.broke_at + PLAIN_SETTLES
-    await trio.sleep(as_seconds(max(since - ports.clock.now(), 0)))
+    """Check the end of a plain response: its service must serve on.
+
+    A question that waits for a slot is not asked again: its connection ends
+    with the service, while a new one may be another incarnation's.
+    """
+    settled_at = link.broke_at + PLAIN_SETTLES
+    last_at = link.broke_at + MAX_SOUND_SILENCE
+    while True:
+        check = await _question_service(ports, link, last_at)
+        now = ports.clock.now()
+        if check.doubt is EndDoubt.NONE and now < settled_at:
+            await trio.sleep(as_seconds(settled_at - now))
+        elif now < last_at and not _is_final(check.doubt, link):
+            await trio.sleep(as_seconds(_ASK_AGAIN))
+        else:
+            break
+    if check.doubt is EndDoubt.NOT_ALIVE:
+        ports.crash_prober.probe(link)
+    return check
+
+
+async def _question_service(
+    ports: RelayPorts, link: BrokenLink, last_at: Millis
+) -> EndCheck:
+    """Ask a plain service.
+
+    :param last_at: until when it may let the question wait.
+    """
     upstream = link.upstream
     life = await ports.upstreams.check_life(
         upstream,
         ports.fleet.table.services_by_name.get(upstream.service),
         link.carrier,
-        MAX_SOUND_SILENCE - PLAIN_SETTLES,
+        max(last_at - ports.clock.now(), 0),
     )
     doubt = find_life_doubt(life, link.carrier)
-    match doubt:
-        case EndDoubt.NOT_ALIVE:
-            ports.crash_prober.probe(link)
-        case EndDoubt.NONE if life.evidence is LifeEvidence.OPEN_CONNECTION:
-            doubt = EndDoubt.UNANSWERED
+    known = ports.fleet.find(upstream.upstream)
+    if known is not None and known.entry.born != upstream.born:
+        doubt = EndDoubt.NOT_ALIVE
+    if doubt is EndDoubt.NONE and life.evidence is LifeEvidence.OPEN_CONNECTION:
+        doubt = EndDoubt.UNANSWERED
     return EndCheck(doubt, life)
 
 
+def _is_final(doubt: EndDoubt, link: BrokenLink) -> bool:
+    """Tell whether later reports don't remove a doubt.
+
+    An instance that carried a response may have no capacity for the question.
+    """
+    return doubt in _FINAL_DOUBTS and not (
+        doubt is EndDoubt.OTHER_PATH and link.carrier
+    )
+
+
 async def check_stream_end(
     ports: RelayPorts, link: BrokenLink, events: int
 ) -> EndCheck:
@@ -87,7 +118,7 @@
     """
     first = await ports.crash_prober.check(link, link.broke_at)
     doubt = find_life_doubt(first, link.carrier)
-    if doubt is not EndDoubt.NONE:
+    if doubt is not EndDoubt.NONE and _is_final(doubt, link):
         return EndCheck(doubt, first)
     last_at = link.broke_at + MAX_SOUND_SILENCE
     settles = ENGINE_SETTLES
@@ -106,7 +137,7 @@
             ports.end_record.look_around(describe_end(link)),
         )
         now = ports.clock.now()
-        if doubt in _FINAL_DOUBTS or now >= last_at:
+        if now >= last_at or _is_final(doubt, link):
             return EndCheck(doubt, later)
         settles = now + _ASK_AGAIN - link.broke_at
 
