--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -21,8 +21,8 @@
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import MAX_SOUND_SILENCE
 
-#: Pause before an engine is asked again about which there is a doubt that later
-#: reports and events may remove.
+#: Pause before an upstream is asked again about which there is a doubt that
+#: later reports and events may remove.
 _ASK_AGAIN: Millis = 100
 #: What later reports don't change: the other doubts may be of an old report, or
 #: of an engine that has not begun its next work.
@@ -104,9 +104,9 @@
 
     An instance that carried a response may have no capacity for the question.
     """
-    return doubt in _FINAL_DOUBTS and not (
-        doubt is EndDoubt.OTHER_PATH and link.carrier
-    )
+    if doubt is EndDoubt.OTHER_PATH and link.carrier:
+        return False
+    return doubt in _FINAL_DOUBTS
 
 
 async def check_stream_end(
