Plain answers: an entry without a start time tells of no other incarnation

The entry's start was compared apart from the rule that all else uses, so that a sound answer was doubted where one of two entries names no start. It is is_other_incarnation now.

--- a/src/cartdale/relay/end_checks.py
+++ b/src/cartdale/relay/end_checks.py
@@ -5,6 +5,7 @@
 import trio
 
 from cartdale.clock import Millis, as_seconds
+from cartdale.fleet.departures import is_other_incarnation
 from cartdale.fleet.types import Lifecycle
 from cartdale.relay.crash_probes import BrokenLink
 from cartdale.relay.end_proof import (
@@ -92,7 +93,7 @@
     )
     doubt = find_life_doubt(life, link.carrier)
     known = ports.fleet.find(upstream.upstream)
-    if known is not None and known.entry.born != upstream.born:
+    if known is not None and is_other_incarnation(upstream.born, known):
         doubt = EndDoubt.NOT_ALIVE
     if doubt is EndDoubt.NONE and life.evidence is LifeEvidence.OPEN_CONNECTION:
         doubt = EndDoubt.UNANSWERED
