--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -180,6 +180,8 @@
             _bind(settings.control, 'control') if settings.control else None
         )
         self._leaving = False
+        #: When it was told to leave.
+        self._left_at: Millis = 0
         self._told_to_leave = trio.Event()
         #: Whether the callers' listener is served.
         self._takes_callers = False
@@ -218,7 +220,11 @@
 
     def leave(self) -> None:
         """Take no new connections; stop once running work has ended."""
+        if self._leaving:
+            return
         self._leaving = True
+        self._left_at = self._clock.now()
+        self._schedule_stop()
         self._told_to_leave.set()
 
     def reload(self) -> None:
@@ -242,6 +248,8 @@
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
         )
+        if self._leaving:
+            self._schedule_stop()
         logger.info(
             'settings reloaded',
             **format_log_fields('settings', settings.bounds),
@@ -353,6 +361,11 @@
         logger.info('left', in_flight=self._app.count, carried=carried)
         await self.peers.withdraw()
 
+    def _schedule_stop(self) -> None:
+        """Let nothing begin that would be cut as this instance ends."""
+        stops_at = self._left_at + self._settings.bounds.grace - _STOP_MARGIN
+        self._relaying.ports.stop.schedule(stops_at, self._clock.now())
+
     def _read_newest(self) -> int:
         return self.peers.versions.newest
 
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -285,6 +285,9 @@
         stream = partial(self._stream, forwarder, generation)
         match await self._sink.carry(stream, routed.ends_at):
             case Success(end):
+                if end is StreamEnd.WHOLE:
+                    tokens = generation.events * event_tokens
+                    relay.lengths.note(routed, tokens)
                 self._record_stream(end, generation, forwarder)
             case Failure(problem):
                 await self._refuse(problem)
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -19,7 +19,7 @@
     UpstreamEntry,
 )
 from cartdale.formatting import format_log_fields
-from cartdale.problems.types import NotRun
+from cartdale.problems.types import NotRun, NotRunReason
 from cartdale.relay.decide import (
     Answered,
     AttemptEnd,
@@ -40,17 +40,19 @@
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.request_needs import make_request_needs
 from cartdale.relay.send_record import NewRun, NoRunProof, SendRecord
+from cartdale.relay.stop_needs import describe_work
 from cartdale.relay.types import (
     ExecutionStatus,
     OpenedResponse,
     RoutedRequest,
     UpstreamCall,
 )
-from cartdale.relay.waiting import NoCapacity, Waiting
+from cartdale.relay.waiting import MIN_RETRY_AFTER, NoCapacity, Waiting
 from cartdale.routes.types import RouteKind
 from cartdale.scheduling.pace import Pace
 from cartdale.scheduling.types import RequestNeeds
 from cartdale.speeds.decide import describe_belief
+from cartdale.stopping.types import Work
 from cartdale.switches import Mechanism
 
 
@@ -62,10 +64,25 @@
     All sends except those of a moving generation start here, so that a
     quarantined request is never sent: it would crash another upstream, with
     the requests of other callers there. A request that is quarantined while it
-    waits stops waiting.
+    waits stops waiting, and so does one that would outlast this instance.
 
     :param tried: upstreams to exclude.
     """
+    work = describe_work(ports, routed)
+    with ports.stop.bound_wait(work, ports.clock.now()):
+        placed = await _find_capacity(ports, routed, tried)
+        if isinstance(placed, NoCapacity):
+            return placed
+        work = describe_work(ports, routed, placed)
+        if ports.stop.allows(work, ports.clock.now()):
+            return placed
+    _log_stop(ports, routed, work)
+    return NoCapacity(MIN_RETRY_AFTER, NotRunReason.LEAVING)
+
+
+async def _find_capacity(
+    ports: RelayPorts, routed: RoutedRequest, tried: Iterable[str]
+) -> Upstream | NoCapacity:
     refusal = await find_refusal(ports, routed)
     if refusal is None:
         quarantine = ports.fleet.quarantine
@@ -162,6 +179,7 @@
         version=ports.fleet.table.version,
         waited=now - routed.arrived_at,
         left=left,
+        stops_in=ports.stop.time_left(now),
         failing=round(find_failing(upstream, now), 2),
         **describe_belief(
             ports.fleet.speeds.find(upstream.entry.upstream, now)
@@ -236,6 +254,19 @@
             return False
 
 
+def _log_stop(ports: RelayPorts, routed: RoutedRequest, work: Work) -> None:
+    """Log why a request is not taken on during a stop."""
+    now = ports.clock.now()
+    logger.info(
+        'outlasts this instance',
+        request=routed.request.request_id,
+        waited=now - routed.arrived_at,
+        left=routed.ends_at - now,
+        stops_in=ports.stop.time_left(now),
+        **format_log_fields('work', work),
+    )
+
+
 def _delay_return(
     ports: RelayPorts, routed: RoutedRequest, step: GiveUp
 ) -> GiveUp:
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -10,9 +10,11 @@
 from cartdale.relay.copy_release import CopyReleaser
 from cartdale.relay.crash_probes import CrashProber
 from cartdale.relay.end_record import EndRecord
+from cartdale.relay.output_lengths import OutputLengths
 from cartdale.relay.types import LinkBrokeError, UpstreamPort
 from cartdale.relay.unframed import UnframedServices
 from cartdale.retries.window import RepeatBudget
+from cartdale.stopping.driver import PlannedStop
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,8 @@
     :param end_record: remembers ends of links, which may have a common cause.
     :param account: bounds responses that are read whole; ``None`` for none.
     :param unframed: remembers services whose streams have no framing.
+    :param stop: knows when this instance ends, once it was told to.
+    :param lengths: learns how long streams get.
     """
 
     clock: Clock
@@ -37,6 +41,8 @@
     end_record: EndRecord = field(default_factory=EndRecord)
     unframed: UnframedServices = field(default_factory=UnframedServices)
     account: Account | None = None
+    stop: PlannedStop = field(default_factory=PlannedStop)
+    lengths: OutputLengths = field(default_factory=OutputLengths)
 
     async def read_whole(
         self, request_id: str, chunks: AsyncIterable[bytes]
--- /dev/null
+++ b/src/cartdale/relay/stop_needs.py
@@ -0,0 +1,36 @@
+"""Estimate how long a request takes, for an instance that is to stop."""
+
+from cartdale.fleet.types import Upstream
+from cartdale.relay.ports import RelayPorts
+from cartdale.relay.types import RoutedRequest
+from cartdale.routes.types import RouteKind
+from cartdale.scheduling.types import USUAL_SPEED
+from cartdale.stopping.decide import MAX_RISK
+from cartdale.stopping.types import PlainWork, StreamWork, Work
+
+
+def describe_work(
+    ports: RelayPorts, routed: RoutedRequest, upstream: Upstream | None = None
+) -> Work:
+    """Return what is known of how long a request takes once it is sent.
+
+    :param upstream: where it is to be sent; ``None`` while that is open.
+    """
+    pace = ports.fleet.pace(routed.service)
+    slowness = _find_slowness(ports, upstream)
+    if routed.route.kind is not RouteKind.STREAM:
+        return PlainWork(routed.ends_at, pace.answer_time * slowness)
+    return StreamWork(
+        ends_at=routed.ends_at,
+        read_time=pace.read_time(routed.request.prompt_tokens) * slowness,
+        tokens=ports.lengths.find_bound(routed, MAX_RISK),
+        token_time=pace.token_time * slowness,
+    )
+
+
+def _find_slowness(ports: RelayPorts, upstream: Upstream | None) -> float:
+    """Return how many times as long as usual work takes, at least 1."""
+    if upstream is None:
+        return 1
+    speed = ports.fleet.speeds.find(upstream.entry.upstream, ports.clock.now())
+    return max((speed or USUAL_SPEED).present, 1)
--- /dev/null
+++ b/src/cartdale/stopping/decide.py
@@ -0,0 +1,44 @@
+"""Decide until when work may begin, so that it ends before its instance.
+
+A caller who is refused goes to another instance at the cost of a round trip. A
+request that is cut is lost if it may run only once. So work is taken on only if
+it is all but sure to end in time.
+"""
+
+from math import ceil, inf, log
+
+from cartdale.clock import Millis
+from cartdale.stopping.types import PlainWork, StreamWork, Work
+
+#: Accepted chance that work which is taken on does not end in time.
+MAX_RISK = 0.01
+#: A sound upstream may be silent for so long and go on as before.
+_SILENCE: Millis = 1500
+#: Times of single generations exceed the mean of their service by this factor.
+_SLOW_FACTOR = 1.3
+#: Time that exceeds the mean with the chance ``MAX_RISK``, in means, if it is
+#: distributed exponentially.
+_LONGEST_ANSWER = -log(MAX_RISK)
+
+
+def find_last_start(work: Work, stops_at: Millis) -> float:
+    """Return the latest time at which work may begin, in milliseconds.
+
+    :param stops_at: when what still runs is cut.
+    :returns: ``-inf`` if only its time limit bounds it, and that is later.
+    """
+    if work.ends_at <= stops_at:
+        return work.ends_at
+    return stops_at - _find_longest(work)
+
+
+def _find_longest(work: Work) -> float:
+    """Return how long work may take, in milliseconds."""
+    match work:
+        case PlainWork(answer_time=answer_time):
+            return _SILENCE + ceil(answer_time * _LONGEST_ANSWER)
+        case StreamWork(read_time=read_time, tokens=int(tokens)):
+            usual = read_time + tokens * work.token_time
+            return _SILENCE + ceil(usual * _SLOW_FACTOR)
+        case StreamWork():
+            return inf
--- /dev/null
+++ b/src/cartdale/stopping/types.py
@@ -0,0 +1,37 @@
+"""Work that may have to end before its instance does."""
+
+from dataclasses import dataclass
+
+from cartdale.clock import Millis
+
+
+@dataclass(frozen=True, slots=True)
+class PlainWork:
+    """A request whose response is passed on once it is complete.
+
+    :param ends_at: time limit of the request.
+    :param answer_time: mean time of a response, in milliseconds.
+    """
+
+    ends_at: Millis
+    answer_time: float
+
+
+@dataclass(frozen=True, slots=True)
+class StreamWork:
+    """A streamed generation.
+
+    :param ends_at: time limit of the request.
+    :param read_time: mean time to read the prompt, in milliseconds.
+    :param tokens: number of tokens that it hardly ever exceeds; ``None`` if
+        nothing bounds them.
+    :param token_time: mean time of a token, in milliseconds.
+    """
+
+    ends_at: Millis
+    read_time: float
+    tokens: int | None
+    token_time: float
+
+
+Work = PlainWork | StreamWork
--- /dev/null
+++ b/tests/test_last_start.py
@@ -0,0 +1,103 @@
+"""Until when work may begin at an instance that is to stop."""
+
+from dataclasses import replace
+from math import inf
+
+import pytest
+import trio
+
+from cartdale.relay.output_lengths import OutputLengths
+from cartdale.relay.types import CallerRequest, RoutedRequest
+from cartdale.routes.types import Route, RouteKind
+from cartdale.routing.lengths import MIN_OBSERVATIONS
+from cartdale.stopping.decide import MAX_RISK, find_last_start
+from cartdale.stopping.driver import PlannedStop
+from cartdale.stopping.types import PlainWork, StreamWork
+
+STOPS_AT = 10_000
+LATER = 50_000
+STREAM = StreamWork(ends_at=LATER, read_time=200, tokens=100, token_time=8)
+PLAIN = PlainWork(ends_at=LATER, answer_time=40)
+REQUEST = CallerRequest(
+    request_id='r',
+    method='POST',
+    host='mill.example',
+    target=b'/draft/a',
+    key='',
+    deadline=0,
+    headers=(),
+    max_tokens=4000,
+    expected_tokens=100,
+)
+ROUTE = Route('draft', 'mill.example', '/draft/', RouteKind.STREAM, 0, 0, ())
+ROUTED = RoutedRequest(REQUEST, ROUTE, 'writers', '', 0, 0, LATER)
+
+
+@pytest.mark.parametrize('work', [STREAM, PLAIN])
+def test_time_limit_before_the_stop_is_enough(work) -> None:
+    in_time = replace(work, ends_at=STOPS_AT)
+    assert find_last_start(in_time, STOPS_AT) == STOPS_AT
+
+
+# Guards against streams that are taken on with less time than they take.
+def test_stream_begins_early_enough_for_all_its_tokens() -> None:
+    last = find_last_start(STREAM, STOPS_AT)
+    assert last <= STOPS_AT - STREAM.read_time - 100 * STREAM.token_time
+    longer = find_last_start(replace(STREAM, tokens=200), STOPS_AT)
+    assert longer <= last - 100 * STREAM.token_time
+
+
+def test_stream_that_nothing_bounds_never_begins() -> None:
+    unbounded = replace(STREAM, tokens=None)
+    assert find_last_start(unbounded, STOPS_AT) == -inf
+
+
+# Guards against refusals of short streams through most of a stop.
+def test_short_stream_begins_until_two_seconds_before_the_stop() -> None:
+    short = replace(STREAM, tokens=16)
+    assert find_last_start(short, STOPS_AT) >= STOPS_AT - 2000
+
+
+# Guards against a plain request that is cut where its upstream falls silent
+# for a moment.
+def test_plain_request_leaves_time_for_a_silence() -> None:
+    last = find_last_start(PLAIN, STOPS_AT)
+    assert STOPS_AT - 2000 <= last <= STOPS_AT - 1500
+
+
+def test_maximum_bounds_a_stream_of_an_unknown_route() -> None:
+    assert OutputLengths().find_bound(ROUTED, MAX_RISK) == 4000
+    unbounded = replace(ROUTED, request=replace(REQUEST, max_tokens=0))
+    assert OutputLengths().find_bound(unbounded, MAX_RISK) is None
+
+
+# Guards against hints that are taken at their word.
+def test_streams_that_outran_their_hints_raise_the_bound() -> None:
+    lengths = OutputLengths()
+    for number in range(2 * MIN_OBSERVATIONS):
+        lengths.note(ROUTED, 300 if number % 4 == 0 else 100)
+    assert lengths.find_bound(ROUTED, MAX_RISK) == 301
+    twice = replace(ROUTED, request=replace(REQUEST, expected_tokens=200))
+    assert lengths.find_bound(twice, MAX_RISK) == 601
+
+
+def test_route_bounds_streams_without_a_hint() -> None:
+    lengths = OutputLengths()
+    unhinted = replace(ROUTED, request=replace(REQUEST, expected_tokens=0))
+    for _ in range(2 * MIN_OBSERVATIONS):
+        lengths.note(unhinted, 120)
+    assert lengths.find_bound(unhinted, MAX_RISK) == 120
+
+
+# Guards against waits that go on after a stop has begun, or has moved.
+async def test_wait_ends_once_its_work_would_outlast_the_stop(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    stop = PlannedStop()
+    now = int(trio.current_time() * 1000)
+    with stop.bound_wait(replace(STREAM, ends_at=now + LATER), now):
+        stop.schedule(now + STOPS_AT, now)
+        stop.schedule(now + STOPS_AT // 2, now)
+        await trio.sleep_forever()
+    waited = int(trio.current_time() * 1000) - now
+    assert 0 < waited < STOPS_AT // 2 - 1000
--- a/tests/test_work_past_the_end.py
+++ b/tests/test_work_past_the_end.py
@@ -1,7 +1,7 @@
 """Planned stops: an instance takes on no work that outlasts it."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, replace
 
 import pytest
@@ -56,28 +56,29 @@
         yield StoppingStage(stage, instance._stopping)
 
 
-def make_head(request_id: str, tokens: int) -> bytes:
-    """Return the head of a draft whose body is one byte."""
+def make_request(request_id: str, tokens: int, body: str = 'x') -> bytes:
+    """Return a request for a draft.
+
+    :param body: of one byte; empty if it comes later.
+    """
     headers = {**make_draft(request_id, tokens), 'Content-Length': '1'}
     lines = [f'{name}: {text}' for name, text in headers.items()]
-    return '\r\n'.join(('POST /draft/a HTTP/1.1', *lines, '', '')).encode()
+    return '\r\n'.join(('POST /draft/a HTTP/1.1', *lines, '', body)).encode()
 
 
 async def read_all(stream: trio.SocketStream) -> bytes:
     """Return what arrives until the connection ends."""
-    received = b''
-    try:
+    chunks: list[bytes] = []
+    with suppress(trio.BrokenResourceError):
         async for chunk in stream:
-            received += chunk
-    except trio.BrokenResourceError:
-        return received
-    return received
+            chunks.append(chunk)
+    return b''.join(chunks)
 
 
 async def ask(port: int, request_id: str, tokens: int = LONG) -> bytes:
     """Ask on a new connection; return all that arrives."""
     async with await trio.open_tcp_stream(LOCAL, port) as stream:
-        await stream.send_all(make_head(request_id, tokens) + b'x')
+        await stream.send_all(make_request(request_id, tokens))
         return await read_all(stream)
 
 
@@ -111,7 +112,7 @@
         async with stream:
             await stopping.closing.wait()
             await trio.sleep(0.2)
-            await stream.send_all(make_head('first', LONG) + b'x')
+            await stream.send_all(make_request('first', LONG))
             received = await read_all(stream)
         check_not_run(stopping, 'first', received)
 
@@ -123,7 +124,7 @@
     async with open_stopping(monkeypatch) as stopping:
         stream = await trio.open_tcp_stream(LOCAL, stopping.port)
         async with stream:
-            await stream.send_all(make_head('body', LONG))
+            await stream.send_all(make_request('body', LONG, ''))
             await until(lambda: stopping.stage.runtimes[0]._app.count)
             stopping.leave()
             await stopping.closing.wait()
