--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -76,7 +76,11 @@
         self._occupancy = Occupancy(ports.fleet, routed, event_tokens)
         #: Times its events.
         self.meter = PaceMeter(
-            ports.fleet, ports.clock, routed.service, event_tokens
+            ports.fleet,
+            ports.clock,
+            routed.service,
+            event_tokens,
+            ports.token_times,
         )
         #: Set once the pending copy has ended.
         self._copy_ended = trio.Event()
--- a/src/cartdale/relay/pacing.py
+++ b/src/cartdale/relay/pacing.py
@@ -2,9 +2,13 @@
 
 from cartdale.clock import Clock, Millis
 from cartdale.fleet.driver import Fleet
+from cartdale.relay.token_times import TokenTimes
 from cartdale.scheduling.pace import Progress
 from cartdale.speeds.windows import GenerationTimer
 
+#: Events after which the time of a token is told for the first time.
+_EARLY_EVENTS = 10
+
 
 class PaceMeter:
     """Time a generation's events, and report to the fleet.
@@ -12,14 +16,22 @@
     The pace of the service is reported at the end at the first engine, the
     speed of each engine during the generation.
 
+    :param token_times: told soon after the begin.
+
     :param service: service whose engines are timed.
     :param event_tokens: tokens per event.
     """
 
     def __init__(
-        self, fleet: Fleet, clock: Clock, service: str, event_tokens: int
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        service: str,
+        event_tokens: int,
+        token_times: TokenTimes,
     ) -> None:
         self._fleet = fleet
+        self._token_times = token_times
         self._clock = clock
         self._service = service
         self._event_tokens = event_tokens
@@ -45,6 +57,10 @@
         self._last_at = self._clock.now()
         if not self._events:
             self._first_at = self._last_at
+        if self._events == _EARLY_EVENTS:
+            tokens = self._events * self._event_tokens
+            span = self._last_at - self._first_at
+            self._token_times.note(self._service, span / tokens)
         self._events += 1
 
     def time_event(self, upstream: str) -> None:
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -11,6 +11,7 @@
 from cartdale.relay.crash_probes import CrashProber
 from cartdale.relay.end_record import EndRecord
 from cartdale.relay.output_lengths import OutputLengths
+from cartdale.relay.token_times import TokenTimes
 from cartdale.relay.types import LinkBrokeError, UpstreamPort
 from cartdale.relay.unframed import UnframedServices
 from cartdale.retries.window import RepeatBudget
@@ -29,6 +30,7 @@
     :param unframed: remembers services whose streams have no framing.
     :param stop: knows when this instance ends, once it was told to.
     :param lengths: learns how long streams get.
+    :param token_times: learns how fast they are generated.
     """
 
     clock: Clock
@@ -43,6 +45,7 @@
     account: Account | None = None
     stop: PlannedStop = field(default_factory=PlannedStop)
     lengths: OutputLengths = field(default_factory=OutputLengths)
+    token_times: TokenTimes = field(default_factory=TokenTimes)
 
     async def read_whole(
         self, request_id: str, chunks: AsyncIterable[bytes]
--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -24,7 +24,8 @@
         ends_at=routed.ends_at,
         read_time=pace.read_time(routed.request.prompt_tokens) * slowness,
         tokens=ports.lengths.find_bound(routed, MAX_RISK),
-        token_time=pace.token_time * slowness,
+        token_time=slowness
+        * ports.token_times.find(routed.service, pace.token_time),
     )
 
 
--- a/src/cartdale/stopping/decide.py
+++ b/src/cartdale/stopping/decide.py
@@ -14,8 +14,8 @@
 MAX_RISK = 0.01
 #: A sound upstream may be silent for so long and go on as before.
 _SILENCE: Millis = 1500
-#: Times of single generations exceed the mean of their service by this factor.
-_SLOW_FACTOR = 1.3
+#: Times of single generations exceed the usual by this share.
+_SLOWER_SHARE = 0.3
 #: Time that exceeds the mean with the chance ``MAX_RISK``, in means, if it is
 #: distributed exponentially.
 _LONGEST_ANSWER = -log(MAX_RISK)
@@ -39,6 +39,6 @@
             return _SILENCE + ceil(answer_time * _LONGEST_ANSWER)
         case StreamWork(read_time=read_time, tokens=int(tokens)):
             usual = read_time + tokens * work.token_time
-            return _SILENCE + ceil(usual * _SLOW_FACTOR)
+            return ceil(usual + max(usual * _SLOWER_SHARE, _SILENCE))
         case StreamWork():
             return inf
--- a/src/cartdale/stopping/types.py
+++ b/src/cartdale/stopping/types.py
@@ -25,7 +25,7 @@
     :param read_time: mean time to read the prompt, in milliseconds.
     :param tokens: number of tokens that it hardly ever exceeds; ``None`` if
         nothing bounds them.
-    :param token_time: mean time of a token, in milliseconds.
+    :param token_time: usual time of a token, in milliseconds.
     """
 
     ends_at: Millis
--- a/tests/test_last_start.py
+++ b/tests/test_last_start.py
@@ -7,6 +7,7 @@
 import trio
 
 from cartdale.relay.output_lengths import OutputLengths
+from cartdale.relay.token_times import TokenTimes
 from cartdale.relay.types import CallerRequest, RoutedRequest
 from cartdale.routes.types import Route, RouteKind
 from cartdale.routing.lengths import MIN_OBSERVATIONS
@@ -101,3 +102,16 @@
         await trio.sleep_forever()
     waited = int(trio.current_time() * 1000) - now
     assert 0 < waited < STOPS_AT // 2 - 1000
+
+
+# Guards against refusals at the pace that is assumed before any generation has
+# ended, while others show that their engines are faster.
+def test_token_time_follows_the_latest_generations() -> None:
+    times = TokenTimes()
+    assert times.find('writers', 9) == 9
+    for token_time in (20.0, *(4.0 for _ in range(40))):
+        times.note('writers', token_time)
+    assert times.find('writers', 9) == 4
+    for _ in range(8):
+        times.note('writers', 12)
+    assert times.find('writers', 9) == 12
