--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -33,6 +33,7 @@
     REGION = 'refused: nothing serves it in the regions that it may enter'
     QUARANTINED = 'refused: upstreams ended as they began to run it'
     NOT_READY = 'refused: the instance had no configuration yet'
+    STOPPING = 'refused: its instance was to stop before it would have ended'
     TURNED_AWAY = 'refused: every upstream that was asked turned it away'
     NOT_CURRENT = (
         'refused: a newer configuration was known but not in force here'
@@ -247,6 +248,10 @@
         chance = room.details.get('chance')
         detail = f'{held}, chance {chance}'
         return Verdict(cause, detail + _describe_order(room))
+    late = by_event.get('outlasts this instance')
+    if late is not None:
+        left = late.details.get('stops_in', 0)
+        return Verdict(Cause.STOPPING, f'{held}, {left} ms before the stop')
     if reason == NotRunReason.HELD_BYTES:
         return _judge_unread_body(by_event)
     if reason == NotRunReason.NOT_CURRENT:
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -145,6 +145,13 @@
         Cause.NOT_READ,
         (PLACED, {'event': 'response not read in its time'}, CUT),
     ),
+    (
+        Cause.STOPPING,
+        (
+            {'event': 'outlasts this instance', 'stops_in': 4600},
+            {**NOT_RUN, 'reason': NotRunReason.LEAVING},
+        ),
+    ),
 )
 
 
