Cut what still runs at a stop without waiting for the store

An instance whose streams outlast the grace could be killed before it had cut them: no line of its log then named their requests.

Cause: 300 ms before SIGKILL the instance first took itself off the store's list, up to 150 ms with a silent store, and only then cut and logged what still ran. A process with half a processor, or beside other load, was past SIGKILL by then.

The list is now left beside the cut, and both begin an eighth of the grace before SIGKILL (1 s of 8), at least 300 ms before.

The second test runs the daemon as a process, stopped for 10 of each 20 ms, and kills it at graceS as the platform does.

The soak's mutant that ends at a count of zero takes the same bound.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -60,8 +60,11 @@
 #: After SIGTERM the balancer asks twice, a second apart, until it sends no
 #: new connections; what still comes in that time is served.
 LEAVE_PAUSE: Millis = 3 * SECOND_MS
-#: Before the platform's SIGKILL, what still runs is cut and logged.
-_STOP_MARGIN: Millis = 300
+#: Part of the grace that is kept for the end, and the shortest time for it:
+#: what still runs is cut and logged, and the process is gone before SIGKILL
+#: with half a processor and a store that does not answer.
+_END_SHARE = 8
+_SHORTEST_END: Millis = 300
 #: How long a new instance leaves connections unread while its first
 #: configuration is on the way: a caller who is refused instead must come back,
 #: and one whose request is not read within a second goes elsewhere.
@@ -208,12 +211,18 @@
         return self._ready.port
 
     async def run(self) -> None:
-        """Serve until the instance was told to leave and all work ended."""
+        """Serve until the instance was told to leave and all work ended.
+
+        The others list it while it has work, since it needs their news; what
+        still runs is cut without waiting for the store.
+        """
         logger.info('started', instance=self._settings.name)
-        async with trio.open_nursery() as nursery:
-            self._start(nursery)
-            await self._left.wait()
-            nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as ending:
+            async with trio.open_nursery() as nursery:
+                self._start(nursery)
+                await self._left.wait()
+                nursery.cancel_scope.cancel()
+                ending.start_soon(run_guarded, 'leaving', self.peers.withdraw)
         logger.info('stopped', instance=self._settings.name)
 
     def leave(self) -> None:
@@ -344,14 +353,13 @@
             self._callers_served.set()
         logger.info('closing connections', in_flight=self._app.count)
         self._stopping.set()
-        last = began + self._settings.bounds.grace - _STOP_MARGIN
+        last = began + find_cut(self._settings.bounds.grace)
         remaining = max(last - self._clock.now(), 0)
         with trio.move_on_after(as_seconds(remaining)):
             await self._callers_served.wait()
             await self.peers.served.wait()
         carried = self.detours.capacity.carried
         logger.info('left', in_flight=self._app.count, carried=carried)
-        await self.peers.withdraw()
 
     def _read_newest(self) -> int:
         return self.peers.versions.newest
@@ -406,6 +414,14 @@
         return serving and (self.account is None or self.account.is_ready())
 
 
+def find_cut(grace: Millis) -> Millis:
+    """Return how long after SIGTERM what still runs is cut.
+
+    :param grace: time from SIGTERM to SIGKILL.
+    """
+    return max(grace - max(grace // _END_SHARE, _SHORTEST_END), 0)
+
+
 def _open_account(settings: PlatformSettings, clock: Clock) -> Account | None:
     """Return the account of bytes held; ``None`` if nothing bounds them."""
     if not settings.pressure and not settings.memory_bytes:
--- a/tests/fault_soak/mutants.py
+++ b/tests/fault_soak/mutants.py
@@ -205,7 +205,7 @@
         self.peers.hand_over()
         await trio.sleep(gateway.as_seconds(gateway.LEAVE_PAUSE))
         self._stopping.set()
-        last = began + self._settings.bounds.grace - gateway._STOP_MARGIN
+        last = began + gateway.find_cut(self._settings.bounds.grace)
         carrying = self.detours.capacity
         while self._app.count + carrying.carried and self._clock.now() < last:
             await trio.sleep(_STOP_POLL_SECONDS)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,9 +2,12 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
+import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -20,6 +23,8 @@
 from tests.platform_stage import LOCAL, PlatformStage, make_headers, until
 
 _PORTS = 5
+#: Of a throttled process, in seconds: how long it stands still, and then runs.
+_THROTTLE_SECONDS = 0.01
 
 
 @dataclass
@@ -165,6 +170,42 @@
     await until(lambda: instance.read_lines(event))
 
 
+async def stop_as_the_platform(
+    instance: ProcessInstance, grace_seconds: float
+) -> None:
+    """Tell an instance to stop, and kill its process at the grace's end."""
+    process = instance.process
+    assert process is not None
+    process.send_signal(signal.SIGTERM)
+    with trio.move_on_after(grace_seconds):
+        await until(lambda: instance.ended)
+    process.kill()
+    await until(lambda: instance.ended)
+
+
+@contextmanager
+def throttled(instance: ProcessInstance) -> Iterator[None]:
+    """Let a process run for half of the time, as with half a processor."""
+    process = instance.process
+    assert process is not None
+    ended = threading.Event()
+
+    def throttle() -> None:
+        while not ended.is_set():
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(_THROTTLE_SECONDS)
+            process.send_signal(signal.SIGCONT)
+            time.sleep(_THROTTLE_SECONDS)
+
+    thread = threading.Thread(target=throttle)
+    thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        thread.join()
+
+
 @contextmanager
 def hold_port(port: int, kind: socket.SocketKind) -> Iterator[None]:
     """Hold a port as a connection of another program does."""
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,7 +1,7 @@
 """Stops: a request that was read is answered before the process ends."""
 
 import os
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import replace
 from functools import partial
@@ -9,22 +9,35 @@
 from typing import Any
 
 import h11
+import httpx
 import pytest
 import trio
 from loguru import logger
 from trio.lowlevel import checkpoint
 
-from cartdale.daemon import gateway, runtime
+from cartdale.daemon import gateway, peers, runtime
 from cartdale.daemon.inflight import InFlight
+from cartdale.model.types import Hardware
 from cartdale_standins.plain import HEADER_KEY
 from cartdale_standins.platform_store import PlatformStoreFaults
 from tests.platform_stage import (
     LOCAL,
+    PlatformStage,
     count_runs,
+    draft,
+    make_draft,
     make_headers,
     open_platform,
+    until,
+)
+from tests.processes import (
+    ProcessInstance,
+    open_instances,
+    stop_as_the_platform,
+    throttled,
 )
 from tests.stage import CALLER_KEY, open_stage
+from tests.test_log_fields import recorded
 
 #: Tasks of one pass of the loop run in random order.
 ROUNDS = 5
@@ -37,6 +50,15 @@
 STORE_DELAY = 100
 #: Longer than an instance takes from its last look to its end.
 WORK_SECONDS = 0.4
+#: Of an instance that runs as a process.
+GRACE_SECONDS = 8
+#: Makes a token in so long that a stream of `LONG_TOKENS` outlasts a grace.
+SLOW_HARDWARE = Hardware(
+    memory_tokens=20000, step_base_ms=60, step_per_sequence_ms=0.01
+)
+LONG_TOKENS = 300
+#: As many as one engine of the stage runs at once.
+STREAMS = 60
 
 
 @contextmanager
@@ -183,6 +205,78 @@
             await stage.stopped[0].wait()
 
 
+# Guards against a stop whose last work is cut, and logged, only after the store
+# has answered or its time is over.
+async def test_what_still_runs_is_cut_without_a_wait_for_the_store(
+    handed: list[bytes], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(peers, '_WITHDRAW_TIMEOUT', 3000)
+    async with open_platform(engines=0) as stage:
+        stage.add_engine(SLOW_HARDWARE)
+        await stage.settle()
+        instance = stage.runtimes[0]
+        bounds = replace(instance.bounds, grace=1500)
+        instance._settings = replace(instance._settings, bounds=bounds)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_cut_stream, partial(draft, stage, 'r1'))
+            await until(lambda: count_runs(stage, 'r1'))
+            stage.store.faults = PlatformStoreFaults(silent=True)
+            with recorded() as lines:
+                instance.leave()
+                await trio.sleep(bounds.grace / 1000)
+            cut = [each for each in lines if each['event'] == 'request cut']
+            assert [each['request'] for each in cut] == ['r1']
+            await stage.stopped[0].wait()
+
+
+# Guards against an end that SIGKILL overtakes, whose last lines are lost: by
+# half a processor, many streams and a store that does not answer.
+async def test_a_slow_process_ends_within_the_grace(tmp_path: Path) -> None:
+    async with open_platform(engines=0, instances=0) as stage:
+        stage.add_engine(SLOW_HARDWARE)
+        with open_instances(stage, tmp_path, 'one') as started:
+            one = started[0]
+            one.start()
+            await one.wait_ready(stage.client)
+            names = [f'r{number}' for number in range(STREAMS)]
+            async with trio.open_nursery() as nursery:
+                for name in names:
+                    ask = partial(ask_process, stage.client, one, name)
+                    nursery.start_soon(read_cut_stream, ask)
+                await until(lambda: have_begun(stage, names))
+                stage.store.faults = PlatformStoreFaults(silent=True)
+                with throttled(one):
+                    await stop_as_the_platform(one, GRACE_SECONDS)
+        cut = one.read_lines('request cut')
+        assert sorted(each['request'] for each in cut) == sorted(names)
+        assert one.read_lines('stopped')
+        assert one.process is not None
+        assert one.process.returncode == 0
+
+
+def have_begun(stage: PlatformStage, names: list[str]) -> bool:
+    return all(count_runs(stage, name) for name in names)
+
+
+async def ask_process(
+    client: httpx.AsyncClient, instance: ProcessInstance, request_id: str
+) -> httpx.Response:
+    """Ask for a stream that outlasts the grace, and read it."""
+    return await client.post(
+        f'http://{LOCAL}:{instance.ports[0]}/draft/a',
+        headers=make_draft(request_id, LONG_TOKENS),
+        content=b'brief',
+    )
+
+
+async def read_cut_stream(
+    ask: Callable[[], Awaitable[httpx.Response]],
+) -> None:
+    """Ask for a stream that is to end before it is whole."""
+    with pytest.raises(httpx.RemoteProtocolError):
+        await ask()
+
+
 async def stop_on_the_platform(handed: list[bytes]) -> None:
     first = make_request('/cut/a', make_headers('first'))
     async with open_platform(engines=0) as stage:
