Stops end by the grace that is in force

Callers saw: streams cut by a grace that is no longer in force, and with one that was made shorter, or is shorter than the wait for the balancer, by SIGKILL, without a line 'request cut'. Requests were taken on until the end by the new grace, which the stop did not keep.

Cause: the stop computed its end once, after its pause for the balancer; only the question what may begin followed new settings.

The stop now has one end, which new settings move, the pause included.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -186,6 +186,8 @@
         #: When it was told to leave.
         self._left_at: Millis = 0
         self._told_to_leave = trio.Event()
+        #: Holds the stop; ends when what still runs is cut.
+        self._stop_scope = trio.CancelScope()
         #: Whether the callers' listener is served.
         self._takes_callers = False
         self._stopping = trio.Event()
@@ -351,28 +353,28 @@
         self._left.set()
 
     async def _leave(self) -> None:
-        began = self._clock.now()
         logger.info('leaving', in_flight=self._app.count)
         with contain('leaving'):
             self.peers.hand_over()
-        if self._callers.was_bound:
-            await trio.sleep(as_seconds(LEAVE_PAUSE))
-        else:
-            self._callers_served.set()
-        logger.info('closing connections', in_flight=self._app.count)
-        self._stopping.set()
-        last = began + find_cut(self._settings.bounds.grace)
-        remaining = max(last - self._clock.now(), 0)
-        with trio.move_on_after(as_seconds(remaining)):
+        with self._stop_scope:
+            if self._callers.was_bound:
+                await trio.sleep(as_seconds(LEAVE_PAUSE))
+            else:
+                self._callers_served.set()
+            logger.info('closing connections', in_flight=self._app.count)
+            self._stopping.set()
             await self._callers_served.wait()
             await self.peers.served.wait()
         carried = self.detours.capacity.carried
         logger.info('left', in_flight=self._app.count, carried=carried)
 
     def _schedule_stop(self) -> None:
-        """Let nothing begin that would be cut as this instance ends."""
+        """Cut what runs in time, and let nothing begin that would be cut."""
+        now = self._clock.now()
         stops_at = self._left_at + find_cut(self._settings.bounds.grace)
-        self._relaying.ports.stop.schedule(stops_at, self._clock.now())
+        left = as_seconds(stops_at - now)
+        self._stop_scope.deadline = trio.current_time() + left
+        self._relaying.ports.stop.schedule(stops_at, now)
 
     def _read_newest(self) -> int:
         return self.peers.versions.newest
