--- a/src/cartdale/relay/pacing.py
+++ b/src/cartdale/relay/pacing.py
@@ -6,7 +6,7 @@
 from cartdale.scheduling.pace import Progress
 from cartdale.speeds.windows import GenerationTimer
 
-#: Events after which the time of a token is told for the first time.
+#: Events after the first, over which the time of a token is measured.
 _EARLY_EVENTS = 10
 
 
@@ -14,12 +14,12 @@
     """Time a generation's events, and report to the fleet.
 
     The pace of the service is reported at the end at the first engine, the
-    speed of each engine during the generation.
-
-    :param token_times: told soon after the begin.
+    speed of each engine during the generation. The time of a token is recorded
+    once some events have come.
 
     :param service: service whose engines are timed.
     :param event_tokens: tokens per event.
+    :param token_times: records the time of a token.
     """
 
     def __init__(
@@ -40,6 +40,8 @@
         self._first_at: Millis = 0
         self._last_at: Millis = 0
         self._events = 0
+        #: Whether its caller delayed any events.
+        self._delayed = False
         self._timer = GenerationTimer(fleet.speeds, event_tokens)
 
     def begin(self, tokens_to_read: int) -> None:
@@ -57,7 +59,7 @@
         self._last_at = self._clock.now()
         if not self._events:
             self._first_at = self._last_at
-        if self._events == _EARLY_EVENTS:
+        if self._events == _EARLY_EVENTS and not self._delayed:
             tokens = self._events * self._event_tokens
             span = self._last_at - self._first_at
             self._token_times.note(self._service, span / tokens)
@@ -69,6 +71,7 @@
 
     def skip(self) -> None:
         """Note that the events so far were delayed by their caller."""
+        self._delayed = True
         self._timer.skip()
 
     def end(self) -> None:
