--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -18,17 +18,25 @@
     """
     pace = ports.fleet.pace(routed.service)
     slowness = _find_slowness(ports, upstream)
+    reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
     if routed.route.kind is not RouteKind.STREAM:
         return PlainWork(routed.ends_at, pace.answer_time * slowness)
     return StreamWork(
         ends_at=routed.ends_at,
-        read_time=pace.read_time(routed.request.prompt_tokens) * slowness,
+        read_time=pace.read_time(reads) * slowness,
         tokens=ports.lengths.find_bound(routed, MAX_RISK),
         token_time=slowness
         * ports.token_times.find(routed.service, pace.token_time),
     )
 
 
+def _count_reading(ports: RelayPorts, upstream: Upstream | None) -> int:
+    """Return the prompt tokens that an engine reads before further ones."""
+    if upstream is None:
+        return 0
+    return ports.fleet.load_at(upstream.entry.upstream).reading
+
+
 def _find_slowness(ports: RelayPorts, upstream: Upstream | None) -> float:
     """Return how many times as long as usual work takes, at least 1."""
     if upstream is None:
--- a/src/cartdale/stopping/types.py
+++ b/src/cartdale/stopping/types.py
@@ -22,7 +22,7 @@
     """A streamed generation.
 
     :param ends_at: time limit of the request.
-    :param read_time: mean time to read the prompt, in milliseconds.
+    :param read_time: mean time until the prompt is read, in milliseconds.
     :param tokens: number of tokens that it hardly ever exceeds; ``None`` if
         nothing bounds them.
     :param token_time: usual time of a token, in milliseconds.
