HTTP/2: tell callers of a stop, and which streams are served

Seen: callers of a connection of HTTP/2 were told nothing at any moment of a stop. They went on opening streams, which were taken, run and cut as the process ended; and a stream that met the closing connection left its caller without a word on whether it had run.

Cause: hypercorn's protocol is not told of a stop (it would reset new requests and fail on their bodies), and nothing else sends GOAWAY. The library's own call can't be used: after it, nothing more is sent on streams in progress.

Now: a wrapper around the library's state adds GOAWAY frames to what it sends (RFC 9113, 6.8), and passes over streams above the last one that was taken. A connection where no stream is in progress is told as the stop begins, with the last stream that was served; one in use as soon as its caller opens another, with 2^31-1, which is still served, and at the latest as connections are closed with the last one. Streams in progress go on to their end. A connection is told before the server closes it, also at the end of its keep-alive time, and stays open for a second after the last GOAWAY of a stop.

--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
 from math import inf
@@ -13,6 +14,7 @@
 
 import h11
 import trio
+from h2.connection import H2Connection
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h2 import H2Protocol
@@ -29,6 +31,8 @@
     Scope,
 )
 
+from cartdale.daemon.goaway import LimitedConnection
+
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
 _LAST_EVENTS = frozenset(('http.disconnect', 'websocket.disconnect'))
@@ -43,6 +47,18 @@
     serves_http2 = True
 
 
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """What the connections of a listener are told of a planned stop.
+
+    :param leaving: set as it begins; callers are asked to go elsewhere.
+    :param stopping: set when connections at rest are to be closed.
+    """
+
+    leaving: trio.Event
+    stopping: trio.Event
+
+
 class _Http1Connection(h11.Connection):
     """Read HTTP/1.1 requests, and pass over wishes for another protocol.
 
@@ -118,14 +134,14 @@
 class Connection(TCPServer):
     """One connection of a listener.
 
-    :param stopping: set when connections at rest are to be closed.
+    :param stop: what it is told of a planned stop.
     """
 
     def __init__(
         self,
         app: AppWrapper,
         config: ConnectionConfig,
-        stopping: trio.Event,
+        stop: Stop,
         state: ConnectionState,
         stream: trio.SSLStream[trio.SocketStream],
     ) -> None:
@@ -141,7 +157,10 @@
         #: How often the reader began to wait for bytes.
         self._receives = 0
         self._head_timeout = config.head_timeout
-        self._stopping = stopping
+        self._leaving = stop.leaving
+        self._stopping = stop.stopping
+        #: State of HTTP/2, once the caller speaks that.
+        self._http2: LimitedConnection | None = None
         #: Whether no request is in progress.
         self._resting = True
         #: Whether the head of the next request has begun to arrive.
@@ -166,7 +185,9 @@
             case Closed():
                 self._reading.cancel()
             case RawData(data=raw):
+                self._limit_http2()
                 await self._write(raw)
+                self._announce_if_due()
 
     async def _write(self, raw: bytes) -> None:
         """Write bytes, whole whatever ends their sender.
@@ -224,22 +245,69 @@
             keep_alive = self.config.keep_alive_timeout
             ends_at = trio.current_time() + keep_alive
             if self._stopping.is_set():
-                ends_at = -inf
+                ends_at = self._end_rest_at()
         self._bound_wait(ends_at)
 
+    def _end_rest_at(self) -> float:
+        """Return when a rest ends at a stop, on the loop's clock.
+
+        Streams of HTTP/2 that cross the last GOAWAY are refused until then.
+        """
+        if self._http2 is None:
+            return -inf
+        return trio.current_time() + _UNUSED_SECONDS
+
     def _bound_wait(self, ends_at: float) -> None:
         self._wait_ends_at = ends_at
         self._waiting.deadline = ends_at
 
     async def _read_data(self) -> None:
-        self._limit_protocols()
+        self._limit_http1()
+        announcing = trio.CancelScope()
+        self._task_group.spawn(self._announce_stop, announcing)
         with self._reading:
             await self._read_until_end()
+        announcing.cancel()
         await self.idle_task.stop()
         await self.protocol.handle(Closed())
         await self._release_senders()
 
-    def _limit_protocols(self) -> None:
+    async def _announce_stop(self, scope: trio.CancelScope) -> None:
+        """Tell a caller of HTTP/2 of a stop as it begins, and of its end."""
+        with scope:
+            for event in (self._leaving, self._stopping):
+                await event.wait()
+                self._announce_if_due()
+
+    def _announce_if_due(self) -> None:
+        """Tell a caller of HTTP/2 of a stop; one that sent a request before.
+
+        A connection in use is told once its caller opens another stream: some
+        libraries fail the requests in progress at any GOAWAY.
+        """
+        http2 = self._http2
+        is_leaving = self._leaving.is_set()
+        if http2 is None or not (is_leaving and http2.has_streams):
+            return
+        if http2.is_resting or self._stopping.is_set():
+            http2.refuse_further()
+        else:
+            http2.announce_to_openers()
+        if http2.has_unsent:
+            self._task_group.spawn(self._flush_http2)
+
+    async def _flush_http2(self) -> None:
+        if self._http2 is not None:
+            await self._write(self._http2.data_to_send())
+
+    def _limit_http2(self) -> None:
+        """Have further streams refused, once HTTP/2 is spoken."""
+        protocol = self.protocol.protocol
+        if self._http2 is None and isinstance(protocol, H2Protocol):
+            self._http2 = LimitedConnection(protocol.connection)
+            protocol.connection = cast(H2Connection, self._http2)
+
+    def _limit_http1(self) -> None:
         """Read HTTP/1.1 without upgrades, unless TLS has chosen another."""
         protocol = self.protocol.protocol
         if isinstance(protocol, H11Protocol):
@@ -260,7 +328,12 @@
             if not raw:
                 return
             self._bound_head()
+            self._announce_if_due()
             raw = await self._receive()
+        if self._http2 is not None:
+            self._http2.refuse_further()
+            with trio.move_on_after(_UNUSED_SECONDS):
+                await self._flush_http2()
 
     async def _receive(self) -> bytes | None:
         """Return what arrives; ``None`` once the connection is to be closed.
@@ -288,7 +361,7 @@
         await self._end_stalled_until_stop()
         is_used = self._resting and self._begun > 0
         if is_used and not self._has_partial_head():
-            self._bound_wait(-inf)
+            self._bound_wait(self._end_rest_at())
         while True:
             await self._wait_until_unused()
             self._end_unused()
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -219,6 +219,7 @@
     def leave(self) -> None:
         """Take no new connections; stop once running work has ended."""
         self._leaving = True
+        self._callers.leaving.set()
         self._told_to_leave.set()
 
     def reload(self) -> None:
--- /dev/null
+++ b/src/cartdale/daemon/goaway.py
@@ -0,0 +1,100 @@
+"""Tell callers of HTTP/2 which of their streams are served before an end.
+
+As RFC 9113, 6.8, has it: a first GOAWAY asks a caller to open no further
+streams while those on the way are served; a last one says up to which stream
+they are. Where none is in progress, the last one is enough.
+"""
+
+from typing import Any
+
+from h2.connection import H2Connection
+from h2.errors import ErrorCodes
+from h2.events import DataReceived, Event
+from hyperframe.frame import GoAwayFrame
+
+#: Says that any stream may still be served.
+_HIGHEST_STREAM = 0x7FFFFFFF
+
+
+class LimitedConnection:
+    """State of an HTTP/2 connection that may refuse further streams.
+
+    The library's own way to announce an end allows nothing more to be sent, so
+    the frames are added to what it sends.
+
+    :param connection: the library's state; all else is left to it.
+    """
+
+    def __init__(self, connection: H2Connection) -> None:
+        self._connection = connection
+        #: The last stream that is served.
+        self._last_stream = _HIGHEST_STREAM
+        #: The last stream that was opened before a stop was to be announced.
+        self._last_before: int | None = None
+        self._is_announced = False
+        self._unsent = b''
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the library's state."""
+        return getattr(self._connection, name)
+
+    @property
+    def has_streams(self) -> bool:
+        """Return whether any stream was opened."""
+        return self._connection.highest_inbound_stream_id > 0
+
+    @property
+    def is_resting(self) -> bool:
+        """Return whether no stream is in progress."""
+        return not self._connection.open_inbound_streams
+
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a GOAWAY is to be sent."""
+        return bool(self._unsent)
+
+    def announce_to_openers(self) -> None:
+        """Ask for no further streams once there is one since the first call.
+
+        Streams that come meanwhile are served.
+        """
+        newest = self._connection.highest_inbound_stream_id
+        if self._last_before is None:
+            self._last_before = newest
+        if newest > self._last_before and not self._is_announced:
+            self._add_goaway(_HIGHEST_STREAM)
+
+    def refuse_further(self) -> None:
+        """Refuse streams that were not received yet."""
+        if self._last_stream == _HIGHEST_STREAM:
+            self._last_stream = self._connection.highest_inbound_stream_id
+            self._add_goaway(self._last_stream)
+
+    def data_to_send(self) -> bytes:
+        """Return the bytes to send, and take them to be sent."""
+        raw = self._connection.data_to_send() + self._unsent
+        self._unsent = b''
+        return raw
+
+    def receive_data(self, raw: bytes) -> list[Event]:
+        """Return the events of received bytes, but for refused streams.
+
+        Their callers know from the last GOAWAY that they are not served;
+        some libraries fail at any frame that follows it.
+        """
+        events = self._connection.receive_data(raw)
+        return [event for event in events if not self._refuses(event)]
+
+    def _refuses(self, event: Event) -> bool:
+        stream_id: int = getattr(event, 'stream_id', 0) or 0
+        is_refused = stream_id > self._last_stream
+        if is_refused and isinstance(event, DataReceived):
+            self._connection.acknowledge_received_data(
+                event.flow_controlled_length, stream_id
+            )
+        return is_refused
+
+    def _add_goaway(self, last_stream: int) -> None:
+        self._is_announced = True
+        frame = GoAwayFrame(0, last_stream, ErrorCodes.NO_ERROR)
+        self._unsent += frame.serialize()
--- a/src/cartdale/daemon/runtime.py
+++ b/src/cartdale/daemon/runtime.py
@@ -140,6 +140,7 @@
             return
         self.leaving = True
         self._group.leaving = True
+        self._callers.leaving.set()
         self._told_to_leave.set()
         logger.info('leaving')
         with contain('leaving'):
--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -23,7 +23,7 @@
     bind_socket,
     bind_with_retries,
 )
-from cartdale.daemon.connections import Connection, ConnectionConfig
+from cartdale.daemon.connections import Connection, ConnectionConfig, Stop
 from cartdale.failures import is_exhaustion, log_failure
 from cartdale.settings.types import Listener
 
@@ -91,6 +91,8 @@
         self._exhausted = RetryLog('connection not accepted', self._place)
         self._socket: socket.socket | None = None
         self._tls: SSLContext | None = None
+        #: Set by the owner as a stop begins: callers are asked to go elsewhere.
+        self.leaving = trio.Event()
         #: Whether connections could have arrived yet.
         self.was_bound = False
         with suppress(*BIND_ERRORS):
@@ -158,13 +160,15 @@
         self, app: AppWrapper, state: LifespanState, stopping: trio.Event
     ) -> None:
         """Accept connections until told to stop; wait for their ends."""
-        serve = partial(self._serve_connection, app, state, stopping)
+        stop = Stop(self.leaving, stopping)
+        serve = partial(self._serve_connection, app, state, stop)
         async with trio.open_nursery() as connections:
             start = partial(connections.start_soon, serve)
             try:
                 async with trio.open_nursery() as accepting:
                     accepting.start_soon(self._accept, start)
                     await stopping.wait()
+                    self.leaving.set()
                     accepting.cancel_scope.cancel()
                 await self._accept_waiting(start)
             finally:
@@ -227,13 +231,13 @@
         self,
         app: AppWrapper,
         state: LifespanState,
-        stopping: trio.Event,
+        stop: Stop,
         stream: Any,
     ) -> None:
         """Serve one connection; its failure ends no other."""
         own_state = ConnectionState(state.copy())
         try:
-            await Connection(app, self._config, stopping, own_state, stream)
+            await Connection(app, self._config, stop, own_state, stream)
         except Exception as error:
             logger.error('connection failed', error=_name_errors(error))
         finally:
