HTTP/2: a caller's GOAWAY does not cut its requests in progress

Seen: a caller that says GOAWAY without an error, to open no further streams, had all its requests in progress cut: they had run, and their applications were told that the caller had left. Some libraries say it in answer to a server's GOAWAY, which is sent at a stop now.

Cause: the library takes either side's GOAWAY for the end of the connection, and hypercorn closes upon it.

Now: while streams are in progress, such a GOAWAY ends nothing; the caller closes the connection, or its keep-alive time does. If further frames come in the same read behind it, the library fails as before.

--- a/src/cartdale/daemon/goaway.py
+++ b/src/cartdale/daemon/goaway.py
@@ -7,9 +7,9 @@
 
 from typing import Any
 
-from h2.connection import H2Connection
+from h2.connection import ConnectionState, H2Connection
 from h2.errors import ErrorCodes
-from h2.events import DataReceived, Event
+from h2.events import ConnectionTerminated, DataReceived, Event
 from hyperframe.frame import GoAwayFrame
 
 #: Says that any stream may still be served.
@@ -83,7 +83,23 @@
         some libraries fail at any frame that follows it.
         """
         events = self._connection.receive_data(raw)
-        return [event for event in events if not self._refuses(event)]
+        return [event for event in events if self._passes(event)]
+
+    def _passes(self, event: Event) -> bool:
+        if self._is_last_word(event):
+            self._connection.state_machine.state = ConnectionState.SERVER_OPEN
+            return False
+        return not self._refuses(event)
+
+    def _is_last_word(self, event: Event) -> bool:
+        """Tell whether the caller opens no more, and waits for responses.
+
+        The library would not let them be sent.
+        """
+        match event:
+            case ConnectionTerminated(error_code=ErrorCodes.NO_ERROR):
+                return self.has_streams and not self.is_resting
+        return False
 
     def _refuses(self, event: Event) -> bool:
         stream_id: int = getattr(event, 'stream_id', 0) or 0
--- a/tests/test_goaway.py
+++ b/tests/test_goaway.py
@@ -12,6 +12,7 @@
 import trustme
 from h2.errors import ErrorCodes
 from h2.events import ConnectionTerminated, StreamEnded
+from hyperframe.frame import GoAwayFrame
 from trio.testing import wait_all_tasks_blocked
 
 from cartdale.daemon import gateway
@@ -286,3 +287,26 @@
         'client_addr'
     )[1]
     return port
+
+
+def make_goaway(last_stream: int = 0) -> bytes:
+    return GoAwayFrame(0, last_stream, ErrorCodes.NO_ERROR).serialize()
+
+
+# Guards against requests that run and are cut as their caller, who opens no
+# further ones, says so: some libraries do in answer to a GOAWAY.
+async def test_caller_that_says_goaway_gets_what_is_in_progress() -> None:
+    async with open_server() as server:
+        caller = await open_h2(server.listener.port)
+        server.app.answering = trio.Event()
+        numbers = [caller.begin(b'brief') for _ in range(2)]
+        await caller.flush()
+        await wait_all_tasks_blocked(0.02)
+        await caller.stream.send_all(make_goaway())
+        await wait_all_tasks_blocked(0.02)
+        assert not server.app.left
+        server.app.answering.set()
+        for number in numbers:
+            assert await caller.read_until_ended(number) == 'ended'
+        server.stopping.set()
+        await server.ended.wait()
