HTTP/2: the last request of a connection is answered

Seen: a connection of HTTP/2 serves 1000 requests. The next one was handed over and ran, its response was never sent, and all that was in progress beside it was lost; a request after that ended the connection with an error.

Cause: hypercorn closes the library's state as it hands that request over, after which nothing can be sent.

Now: that call refuses further streams and says so with the last one that is served; those in progress are answered. The connection is closed by its caller, or at the end of its keep-alive time.

Evidence: test_last_requests_of_a_connection_are_answered, with a limit of ten, failed before this change: 'closed' in place of 'ended'.

--- a/src/cartdale/daemon/goaway.py
+++ b/src/cartdale/daemon/goaway.py
@@ -70,6 +70,10 @@
             self._last_stream = self._connection.highest_inbound_stream_id
             self._add_goaway(self._last_stream)
 
+    def close_connection(self) -> None:
+        """Serve what was received, when the server wants no more."""
+        self.refuse_further()
+
     def data_to_send(self) -> bytes:
         """Return the bytes to send, and take them to be sent."""
         raw = self._connection.data_to_send() + self._unsent
--- a/tests/test_goaway.py
+++ b/tests/test_goaway.py
@@ -310,3 +310,24 @@
             assert await caller.read_until_ended(number) == 'ended'
         server.stopping.set()
         await server.ended.wait()
+
+
+# Guards against requests that run and whose responses are never sent, as their
+# connection of HTTP/2 has served many.
+async def test_last_requests_of_a_connection_are_answered() -> None:
+    async with open_server() as server:
+        server.listener._config.keep_alive_max_requests = 10
+        caller = await open_h2(server.listener.port)
+        numbers = []
+        while not caller.goaways:
+            numbers.append(caller.begin(b'brief'))
+            await caller.flush()
+            assert await caller.read_until_ended(numbers[-1]) == 'ended'
+        assert 10 <= server.app.handed <= 12
+        assert caller.goaways == [numbers[-1]]
+        late = caller.begin(b'brief')
+        await caller.flush()
+        server.stopping.set()
+        assert await caller.read_until_ended(late) == 'closed'
+        assert server.app.handed == len(numbers)
+        await server.ended.wait()
