Connections: at a stop, a request sent ahead of a response is answered

Seen: two requests sent at once on a connection while the instance leaves. The first was answered with Connection: close, the second got neither an answer nor a run, after its caller had waited for the first one's upstream.

Cause: responses written while leaving say close without regard to what was taken from the socket already; HTTP forbids to process what follows close (RFC 9112, 9.6), so that the server dropped it.

Now: the connection, which knows what is buffered, takes the header off while bytes of a next request are, and the last response closes. The caller is served for what it had sent before it could know of the stop. At most 32 requests of a connection are answered so, and a head that never comes whole ends as at any stop. Bytes that arrive after the head of a closing response are dropped as before: that head tells that they are not processed. A close without a stop, or with a request whose body was not read to its end, stays.

--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -17,6 +17,7 @@
 from h2.connection import H2Connection
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol import ProtocolWrapper
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
@@ -28,6 +29,7 @@
     ASGISendCallable,
     ASGISendEvent,
     ConnectionState,
+    HTTPResponseStartEvent,
     Scope,
 )
 
@@ -35,6 +37,9 @@
 
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
+#: At a stop, a connection answers so many requests that were sent before the
+#: response ahead of them, so that a flood doesn't hold up the stop.
+_SENT_AHEAD = 32
 _LAST_EVENTS = frozenset(('http.disconnect', 'websocket.disconnect'))
 
 
@@ -131,6 +136,26 @@
     return is_body and not event.get('more_body', False)
 
 
+def _without_close(event: ASGISendEvent) -> ASGISendEvent:
+    """Return the start of a response without its wish to close."""
+    start = cast(HTTPResponseStartEvent, event)
+    headers = [
+        (name, text)
+        for name, text in start['headers']
+        if (name.lower(), text.lower()) != (b'connection', b'close')
+    ]
+    return {**start, 'headers': headers}
+
+
+def _get_http1(wrapper: ProtocolWrapper) -> h11.Connection | None:
+    """Return the state of HTTP/1.1; ``None`` if another is spoken."""
+    protocol = wrapper.protocol
+    if not isinstance(protocol, H11Protocol):
+        return None
+    connection = protocol.connection
+    return connection if isinstance(connection, h11.Connection) else None
+
+
 class Connection(TCPServer):
     """One connection of a listener.
 
@@ -154,6 +179,8 @@
         #: Requests that the application answers now, and has begun to answer.
         self._running = 0
         self._begun = 0
+        #: Requests that were sent ahead of responses since a stop began.
+        self._sent_ahead = 0
         #: How often the reader began to wait for bytes.
         self._receives = 0
         self._head_timeout = config.head_timeout
@@ -234,8 +261,24 @@
         """Send an event; after the last one the application need not read."""
         if _ends_response(event):
             self._task_group.spawn(inbox.discard_rest)
+        if event['type'] == 'http.response.start' and self._stays_open():
+            event = _without_close(event)
         await send(event)
 
+    def _stays_open(self) -> bool:
+        """Tell whether a response is to be followed by another at a stop.
+
+        That is so if bytes of the next request were taken: it is answered.
+        """
+        if not self._leaving.is_set() or self._sent_ahead >= _SENT_AHEAD:
+            return False
+        connection = _get_http1(self.protocol)
+        if connection is None or connection.their_state is not h11.DONE:
+            return False
+        is_followed = bool(connection.trailing_data[0].strip())
+        self._sent_ahead += is_followed
+        return is_followed
+
     def _note_rest(self, *, resting: bool) -> None:
         """Bound the reader's wait while no request is in progress."""
         self._resting = resting
@@ -410,10 +453,5 @@
 
     def _has_partial_head(self) -> bool:
         """Tell whether bytes were taken that are no request yet."""
-        protocol = self.protocol.protocol
-        if not isinstance(protocol, H11Protocol):
-            return False
-        connection = protocol.connection
-        return isinstance(connection, h11.Connection) and bool(
-            connection.trailing_data[0]
-        )
+        connection = _get_http1(self.protocol)
+        return connection is not None and bool(connection.trailing_data[0])
