HTTP/2: a response before the body cuts no other request

Seen: a request of HTTP/2 that is refused before its body has come ended its connection as the body went on, with all other requests there.

Cause: hypercorn looks for the stream of each part of a body among those that are still open, and fails if it is not there.

Now: parts of a body for a stream that has ended are passed over, and counted for flow control as before.

Evidence: test_h2_refusal_before_the_body_cuts_no_other failed before this change: 'closed' for 'ended', with the line "connection failed".

Beside it, tests that passed before: a refusal over HTTP/1.1 whose body was not read reaches its caller whole with Connection: close and ends the connection, whether the body has not come, has come in part or is being sent; connections that never send anything end within 1.5 s of a stop.

--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -33,7 +33,7 @@
     Scope,
 )
 
-from cartdale.daemon.goaway import LimitedConnection
+from cartdale.daemon.http2 import LimitedConnection, OpenStreams
 
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
@@ -349,6 +349,7 @@
         if self._http2 is None and isinstance(protocol, H2Protocol):
             self._http2 = LimitedConnection(protocol.connection)
             protocol.connection = cast(H2Connection, self._http2)
+            protocol.streams = OpenStreams(protocol.streams)
 
     def _limit_http1(self) -> None:
         """Read HTTP/1.1 without upgrades, unless TLS has chosen another."""
--- a/src/cartdale/daemon/goaway.py
+++ b/src/cartdale/daemon/http2.py
@@ -1,4 +1,4 @@
-"""Tell callers of HTTP/2 which of their streams are served before an end.
+"""State of a connection of HTTP/2: which streams are served, and told so.
 
 As RFC 9113, 6.8, has it: a first GOAWAY asks a caller to open no further
 streams while those on the way are served; a last one says up to which stream
@@ -10,12 +10,33 @@
 from h2.connection import ConnectionState, H2Connection
 from h2.errors import ErrorCodes
 from h2.events import ConnectionTerminated, DataReceived, Event
+from hypercorn.protocol.events import Event as StreamEvent
+from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.protocol.ws_stream import WSStream
 from hyperframe.frame import GoAwayFrame
 
 #: Says that any stream may still be served.
 _HIGHEST_STREAM = 0x7FFFFFFF
 
 
+class _EndedStream(HTTPStream):
+    """A stream whose response ended before its request."""
+
+    def __init__(self) -> None:
+        """Leave out what answers a request."""
+
+    async def handle(self, event: StreamEvent) -> None:
+        """Pass over the rest of the request."""
+
+
+class OpenStreams(dict[int, HTTPStream | WSStream]):
+    """Streams of a connection by id, for events of ended ones as well."""
+
+    def __missing__(self, stream_id: int) -> HTTPStream:
+        """Return a stream that passes over what comes."""
+        return _EndedStream()
+
+
 class LimitedConnection:
     """State of an HTTP/2 connection that may refuse further streams.
 
