Soak: streams that outlast a stop, and the platform's SIGKILL

Callers saw streams that may not be sent again begin at an instance that leaves, run at an engine and be cut with its end.

One seed of four now asks for streams of 2 to 12 s around each SIGTERM, on connections kept since before it, opened before the close, with a late body, new ones, and on HTTP/1.1 and HTTP/2 connections until the process is gone. The new check goes by the caller's clock, with no slack: what is sent later than 3 s after SIGTERM and ran is whole, what is sent before may be cut only in the last sixth of graceS, and what was read is run or refused.

The stage sent no SIGKILL: it does now, 8 s after the first SIGTERM of a process, in all modes. A request that it cuts is not excused by it.

--- a/src/cartdale_standins/driver.py
+++ b/src/cartdale_standins/driver.py
@@ -60,6 +60,8 @@
         self.records_by_generation: dict[str, Record] = {}
         self.lagged = self.model.report(0)
         self.events: list[CacheEvent] = []
+        #: When work on each generation last ended, in seconds of the loop.
+        self.dropped_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Drive the model by the clock."""
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -237,6 +237,7 @@
 
     def _drop(self, request_id: str) -> None:
         """Stop working on a request."""
+        self.driver.dropped_at[request_id] = trio.current_time()
         self.driver.model.cancel(request_id)
         self.driver.records_by_generation.pop(request_id, None)
 
--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 
 from cartdale_standins.platform_engine import STRIDE, format_event
+from tests.fault_soak.instances import GRACE
 
 #: An instance is held to its bounds once it was undisturbed for so long.
 CONTACT_SECONDS = 3.0
@@ -13,6 +14,10 @@
 DRAIN_SECONDS = 2.0
 #: The same after its failure domain was evacuated.
 EVACUATE_SECONDS = 2.0
+#: What is sent so long after SIGTERM may be cut while it is still worked on in
+#: the last sixth of the grace, from this time on; what is sent later may not.
+SERVED_SECONDS = 3.0
+LAST_SIXTH_SECONDS = GRACE * 5 / 6
 #: A configuration is in force so long after the store has taken it.
 CONFIGURE_SECONDS = 2.0
 #: A generation may run at two engines for no longer.
@@ -80,6 +85,25 @@
     padding: int = 0
 
 
+@dataclass(frozen=True)
+class AtStop:
+    """Hold what became of a stream around a stop, in seconds from SIGTERM.
+
+    :param sent_after: when its last byte was sent; ``None`` if it ended before
+        its instance was told to stop, if that was.
+    :param worked_until: when work on it ended at an upstream.
+    :param ran: whether an upstream ran it.
+    :param read: whether its caller knows that it was read, or can't tell.
+    :param excused: whether what else was disturbed may have cut it.
+    """
+
+    sent_after: float | None
+    worked_until: float
+    ran: bool
+    read: bool
+    excused: bool
+
+
 @dataclass
 class Checks:
     """Collect requests and violations."""
@@ -172,6 +196,20 @@
         if not excused:
             self._add(f'{asked.name}: ran at {upstreams}, no whole response')
 
+    def check_at_stop(self, asked: Asked, seen: AtStop) -> None:
+        """Check a stream that may outlast the stop of its instance."""
+        if asked.whole or seen.excused:
+            return
+        after = seen.sent_after
+        if not seen.ran:
+            if seen.read:
+                self._add(f'{asked.name}: read, not run, and not refused')
+            return
+        early = after is not None and after <= SERVED_SECONDS
+        if not early or seen.worked_until < LAST_SIXTH_SECONDS:
+            told = 'no stop' if after is None else f'{after:.3f} s'
+            self._add(f'{asked.name}: ran and was cut, sent after {told}')
+
     def check_closed(self, name: str, upstream: str, excused: bool) -> None:
         """Check a request that reached an upstream after its bound."""
         if not excused:
--- a/tests/fault_soak/instances.py
+++ b/tests/fault_soak/instances.py
@@ -6,6 +6,7 @@
 from contextlib import closing
 from dataclasses import dataclass, field
 from functools import partial
+from math import inf
 from pathlib import Path
 
 import trio
@@ -17,7 +18,7 @@
 _DAEMON = ROOT / 'deploy' / 'cartdaled.py'
 _MUTANT = Path(__file__).with_name('mutants.py')
 _CUT_PROGRAM = Path(__file__).with_name('cut_program.py')
-_GRACE = 8
+GRACE = 8
 #: A process that is killed is started again after so long, in seconds.
 _RESTART_AFTER = 0.3
 _PORTS = 5
@@ -87,6 +88,9 @@
     ends: list[float] = field(default_factory=list)
     #: When it was killed.
     kills: list[float] = field(default_factory=list)
+    #: When the platform killed it, since it outlasted its grace.
+    overruns: list[float] = field(default_factory=list)
+    _told: trio.Event = field(default_factory=trio.Event)
     #: When it stood still, from and until.
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
@@ -135,7 +139,7 @@
             ports=self.ports,
             store=self.store.address,
             seeds=','.join(self.seeds),
-            grace=_GRACE,
+            grace=GRACE,
         )
 
     def describe_start(self) -> str:
@@ -165,6 +169,7 @@
                 self.killed = False
                 self.reloaded_early = False
                 self.stopped_at = None
+                self._told = trio.Event()
                 self.disturb()
                 self.process = await trio.lowlevel.open_process(
                     command, env=env, cwd=ROOT, stdout=log, stderr=log
@@ -184,6 +189,7 @@
             self.kills.append(trio.current_time())
         if number is signal.SIGTERM:
             self.stopped_at = trio.current_time()
+            self._told.set()
         if number is signal.SIGHUP and not self.takes_reload():
             self.reloaded_early = True
         if number in _ENDING or self.reloaded_early:
@@ -192,6 +198,12 @@
         self.process.send_signal(number)
         return True
 
+    def find_stop(self, life: int) -> float | None:
+        """Return when the process of a life was first told to stop."""
+        began = self.starts[life - 1]
+        later = (*self.starts, inf)[life]
+        return next((at for at in self.ends if began < at < later), None)
+
     def is_sound(self, since: float, until: float, settled: float) -> bool:
         """Tell whether it ran all the time, and for some seconds before.
 
@@ -232,9 +244,20 @@
             self.killed = True
             process.kill()
         try:
-            return await process.wait()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._kill_after_grace, process)
+                code = await process.wait()
+                nursery.cancel_scope.cancel()
         finally:
             process.kill()
+        return code
+
+    async def _kill_after_grace(self, process: trio.Process) -> None:
+        """Do as the platform does with who is still there."""
+        await self._told.wait()
+        await trio.sleep(GRACE)
+        self.overruns.append(trio.current_time())
+        process.kill()
 
     def _is_expected(self, code: int) -> bool:
         """Tell whether an exit is that of a program that was told to stop.
@@ -246,4 +269,8 @@
             code == 0
             or (self.stopped_at is not None and code == -signal.SIGTERM)
             or (self.reloaded_early and code == -signal.SIGHUP)
+            or (self._overran() and code == -signal.SIGKILL)
         )
+
+    def _overran(self) -> bool:
+        return max(self.overruns, default=0) > self.starts[-1]
--- a/tests/fault_soak/stops.py
+++ b/tests/fault_soak/stops.py
@@ -12,15 +12,23 @@
 import h11
 import trio
 
-from cartdale.clock import SECOND_MS, as_seconds
+from cartdale.clock import SECOND_MS, SystemClock, as_seconds
 from cartdale.daemon.gateway import LEAVE_PAUSE
+from cartdale_standins.driver import EngineDriver
 from cartdale_standins.platform_engine import STRIDE, PlatformEngine
 from cartdale_standins.platform_worker import PlatformWorker
 from cartdale_standins.uneven import UnevenSpeed
 from tests.fault_soak.checks import CONTACT_SECONDS, STREAMS, Asked
 from tests.fault_soak.instances import Instance
 from tests.fault_soak.notices import list_up
+from tests.fault_soak.outlasting import (
+    FEW_EVENTS,
+    HARDWARE,
+    IDLE_MS,
+    OutlastingStreams,
+)
 from tests.fault_soak.proxy import LOCAL, LinkState
+from tests.fault_soak.wire import ends_before, read_answer
 from tests.platform_stage import make_headers
 
 #: Kept connections of each instance.
@@ -62,6 +70,8 @@
 _RECONNECT_SECONDS = 0.05
 #: Idle time-outs of configurations, in milliseconds.
 _IDLE_MS = (300, 450, 700, 1000, 1500)
+#: Of so many seeds one asks for streams that outlast stops.
+_OUTLASTING_EVERY = 4
 #: Routes that a configuration has beside those of its versions.
 _MOST_ROUTES = 40
 #: Time that plain requests take, for one upstream after another: short, and
@@ -79,7 +89,6 @@
 _CONFIGURATION_PAUSE = (0.8, 2.5)
 _SILENCE = (0.5, 1.3)
 _SILENCE_PAUSE = (1.0, 3.5)
-_RECEIVED = 65536
 
 
 @dataclass
@@ -118,11 +127,18 @@
         #: Whether all other faults stay away: most lost requests are excused by
         #: one of them otherwise.
         self.alone = bool(seed % 2)
+        #: Streams that outlast stops, in seeds in which no engine is disturbed.
+        self._outlasting: OutlastingStreams | None = None
+        if seed % _OUTLASTING_EVERY == _OUTLASTING_EVERY - 1:
+            self._outlasting = OutlastingStreams(soak, seed)
+            self._idle_ms = IDLE_MS[-1]
 
     def prepare(self, worker: PlatformWorker) -> None:
         """Set an upstream up before it runs."""
         if not isinstance(worker, PlatformEngine):
             worker.speed = UnevenSpeed(work_seconds=next(self._work))
+        elif self._outlasting is not None:
+            worker.driver = EngineDriver(HARDWARE, SystemClock())
 
     def fill(self, document: dict) -> None:
         """Give a configuration its idle time-out and its further routes."""
@@ -141,7 +157,8 @@
     def shorten(self, asked: Asked) -> None:
         """Make a stream so short that it does not outlast a stop."""
         if asked.kind in STREAMS:
-            asked.tokens = STRIDE * self._moments.randrange(*_EVENTS)
+            events = _EVENTS if self._outlasting is None else FEW_EVENTS
+            asked.tokens = STRIDE * self._moments.randrange(*events)
 
     async def run(self, stopping: trio.Event) -> None:
         """Disturb and ask until told to stop."""
@@ -152,17 +169,25 @@
                     nursery.start_soon(
                         self._keep_asking, instance, rests, stopping
                     )
+            if self._outlasting is not None:
+                nursery.start_soon(self._outlasting.run, stopping)
             async with trio.open_nursery() as faults:
                 faults.start_soon(self._stop_instances)
                 faults.start_soon(self._configure)
-                for service in ('portal', 'writers'):
-                    faults.start_soon(self._silence, service)
+                faults.start_soon(self._silence, 'portal')
+                if self._outlasting is None:
+                    faults.start_soon(self._silence, 'writers')
                 await stopping.wait()
                 faults.cancel_scope.cancel()
 
     def check(self) -> None:
         """Check at the end that no request ran and lost its response."""
         self._count_bursts()
+        self._soak.faults['killed at graceS'] = sum(
+            len(each.overruns) for each in self._soak.instances
+        )
+        if self._outlasting is not None:
+            self._outlasting.check()
         for sent in self.sent:
             asked = sent.asked
             ran_at = {
@@ -177,6 +202,33 @@
             self._soak.faults['lost, excused'] += excused
             self._soak.checks.check_lost(asked, sorted(ran_at), excused)
 
+    def list_excused(
+        self,
+        asked: Asked,
+        stopped_at: float | None,
+        instance: Instance,
+        time_limit: float,
+    ) -> list[str]:
+        """Return what was disturbed near a request that has just ended."""
+        since = asked.at - CONTACT_SECONDS
+        began = min(asked.at, stopped_at or asked.at) - CONTACT_SECONDS
+        excused = [
+            each.worker.name
+            for each in self._soak.upstreams
+            if each.disturbed_at > since
+        ]
+        if self._soak.store_disturbed_at > since:
+            excused.append('store')
+        killed = any(at >= asked.at for at in instance.kills)
+        paused = any(
+            start < asked.ended_at and end > began
+            for start, end in instance.pauses
+        )
+        late = asked.ended_at - asked.at >= time_limit
+        if killed or paused or late:
+            excused.append('instance')
+        return excused
+
     def _count(self, sent: Sent, *, ran: bool) -> None:
         faults, asked = self._soak.faults, sent.asked
         faults['sent on kept connections'] += 1
@@ -214,7 +266,8 @@
         """Confirm configurations, several soon after each other."""
         while True:
             for _ in range(self._random.randrange(*_CONFIGURATIONS)):
-                self._idle_ms = self._random.choice(_IDLE_MS)
+                times = _IDLE_MS if self._outlasting is None else IDLE_MS
+                self._idle_ms = self._random.choice(times)
                 self._routes = self._random.randrange(_MOST_ROUTES)
                 self._soak.faults['idle time-out changed'] += 1
                 self._soak.note(
@@ -312,7 +365,7 @@
         aimed = False
         moment = self._choose_moment(instance, life, aimed)
         while not stopping.is_set():
-            closed = await _ends_before(stream, moment)
+            closed = await ends_before(stream, moment)
             if aimed:
                 self._learn(closed)
             if closed:
@@ -324,7 +377,9 @@
                 await _ask(stream, wire, asked)
             asked.ended_at = trio.current_time()
             self._soak.checks.check_answer(asked)
-            sent.excused = frozenset(self._list_excused(sent, instance))
+            sent.excused = frozenset(
+                self.list_excused(asked, sent.stopped_at, instance, _TIME_LIMIT)
+            )
             if wire.our_state is not h11.DONE or not asked.whole:
                 return
             if wire.their_state is not h11.DONE:
@@ -350,8 +405,7 @@
         """Return when the process of a connection was first told to stop."""
         if instance.life != life:
             return None
-        started_at = instance.starts[-1]
-        return next((at for at in instance.ends if at > started_at), None)
+        return instance.find_stop(life)
 
     def _choose_moment(
         self, instance: Instance, life: int, aimed: bool
@@ -395,43 +449,12 @@
     def _draw_pause(self, hurries: bool) -> float:
         return self._moments.uniform(*(_HURRY if hurries else _PAUSE))
 
-    def _list_excused(self, sent: Sent, instance: Instance) -> list[str]:
-        """Return what was disturbed near a request that has just ended."""
-        asked = sent.asked
-        since = asked.at - CONTACT_SECONDS
-        began = min(asked.at, sent.stopped_at or asked.at) - CONTACT_SECONDS
-        excused = [
-            each.worker.name
-            for each in self._soak.upstreams
-            if each.disturbed_at > since
-        ]
-        if self._soak.store_disturbed_at > since:
-            excused.append('store')
-        killed = any(at >= asked.at for at in instance.kills)
-        paused = any(
-            start < asked.ended_at and end > began
-            for start, end in instance.pauses
-        )
-        late = asked.ended_at - asked.at >= _TIME_LIMIT
-        if killed or paused or late:
-            excused.append('instance')
-        return excused
-
 
 def _find_close(stopped_at: float) -> float:
     """Return when an instance closes connections that rest."""
     return stopped_at + as_seconds(LEAVE_PAUSE)
 
 
-async def _ends_before(stream: trio.SocketStream, moment: float) -> bool:
-    """Wait for a moment; tell whether the connection has ended by then."""
-    with trio.CancelScope(deadline=moment):
-        with suppress(trio.BrokenResourceError):
-            await stream.receive_some(_RECEIVED)
-        return True
-    return False
-
-
 async def _ask(
     stream: trio.SocketStream, wire: h11.Connection, asked: Asked
 ) -> None:
@@ -447,23 +470,4 @@
     raw = (wire.send(head) or b'') + (wire.send(h11.EndOfMessage()) or b'')
     with suppress(trio.BrokenResourceError, h11.RemoteProtocolError):
         await stream.send_all(raw)
-        await _read(stream, wire, asked)
-
-
-async def _read(
-    stream: trio.SocketStream, wire: h11.Connection, asked: Asked
-) -> None:
-    while True:
-        event = wire.next_event()
-        match event:
-            case h11.NEED_DATA:
-                wire.receive_data(await stream.receive_some(_RECEIVED))
-            case h11.Response():
-                asked.status = event.status_code
-            case h11.Data():
-                asked.body += event.data
-            case h11.EndOfMessage():
-                asked.whole = True
-                return
-            case _:
-                return
+        await read_answer(stream, wire, asked)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, closing, suppress
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from types import SimpleNamespace
@@ -15,10 +16,11 @@
 import trio
 
 from cartdale_standins.platform_worker import LinkCutError, PlatformWorker
-from tests.fault_soak.checks import Asked, Checks
+from tests.fault_soak.checks import Asked, AtStop, Checks
 from tests.fault_soak.cut_network import Cuts, CutStream
 from tests.fault_soak.deadly import DeadlyRequest, Submission
 from tests.fault_soak.instances import Instance
+from tests.fault_soak.outlasting import WAYS
 from tests.fault_soak.paths import Cut, Paths
 from tests.fault_soak.ports import find_outgoing_ports, reserve_ports
 from tests.fault_soak.proxy import LOCAL, FaultProxy
@@ -50,6 +52,10 @@
 #: Instances stop and idle time-outs change, and nothing else: it is odd.
 SEED_WITH_STOPS = 12901
 STOPS_SECONDS = 25
+#: Instances stop beside streams that outlast their grace: three more than a
+#: multiple of four.
+SEED_WITH_OUTLASTING = 13103
+OUTLASTING_SECONDS = 18
 #: Answers end with their connection, and upstreams shut down in parts.
 SEED_WITH_UNFRAMED = 15100
 UNFRAMED_SECONDS = 15
@@ -117,6 +123,42 @@
     assert soak.faults['answered after SIGTERM']
 
 
+# Guards against streams that a leaving instance begins and can't end in time.
+def test_soak_with_outlasting_streams_breaks_no_promise() -> None:
+    soak = run_seed(SEED_WITH_OUTLASTING, OUTLASTING_SECONDS, stops=True)
+    assert not soak.checks.violations
+    for way in ('HTTP/2', *WAYS):
+        assert any(f'stream, {way}, ' in name for name in soak.faults)
+
+
+# Guards against cut streams that the check of stops takes for ones that may be.
+@pytest.mark.parametrize(
+    ('sent_after', 'worked_until', 'found'),
+    [
+        (-1, 6.7, 0),
+        (2.99, 6.7, 0),
+        (2.99, 6.6, 1),
+        (3.01, 7.7, 1),
+        (None, 0, 1),
+    ],
+)
+def test_checks_find_streams_that_a_stop_may_not_cut(
+    sent_after: float | None, worked_until: float, found: int
+) -> None:
+    checks = Checks()
+    seen = AtStop(sent_after, worked_until, ran=True, read=True, excused=False)
+    checks.check_at_stop(Asked('draft-1', 'draft', 'entry-0', 0), seen)
+    assert len(checks.violations) == found
+    checks = Checks()
+    unrun = replace(seen, ran=False)
+    checks.check_at_stop(Asked('draft-1', 'draft', 'entry-0', 0), unrun)
+    assert len(checks.violations) == 1
+    unread = replace(unrun, read=False)
+    checks = Checks()
+    checks.check_at_stop(Asked('draft-1', 'draft', 'entry-0', 0), unread)
+    assert not checks.violations
+
+
 # Guards against streams that look whole since the engine that closed them still
 # answered, or another one at its address.
 def test_soak_with_unframed_ends_breaks_no_promise() -> None:
