Soak: a process that has just begun keeps no limit of the one before

The check that an ended limit is kept by nobody reads the instance's log up to the moment at which all must know, and took the last change there for what the process believes, although that process had ended: only the line `started` of the next one put it back.

A process is now held to what its own log says since its launch, which the soak knows. What a process has heard itself counts as before, also before it logs `started`.

test_new_process_does_not_keep_a_limit_of_the_one_before fails with the reset left out. The log reading and the span of a limit move to a module of their own, unchanged but for this.

--- a/tests/fault_soak/limits.py
+++ b/tests/fault_soak/limits.py
@@ -1,23 +1,20 @@
 """Upstreams that name rate limits, and callers that ask for more."""
 
 import time
-from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
 import trio
 
-from cartdale.codec import decode_json
 from tests.fault_soak.callers import Callers
 from tests.fault_soak.checks import (
     CONTACT_SECONDS,
     LIMIT_OVERAGE,
     LIMIT_WINDOW_SECONDS,
 )
-from tests.fault_soak.instances import Instance
+from tests.fault_soak.limit_ends import Limited, keeps_limit
 from tests.fault_soak.notices import list_up, stood_still
 from tests.fault_soak.watch import SLACK_SECONDS, Upstream
 
@@ -32,59 +29,14 @@
 _CALLERS, _CALL_EVERY = 6, 0.15
 #: Longest that a failure domain stays evacuated.
 EVACUATED_SECONDS = 8
-#: A limit that has ended is known to have, everywhere, so long after the first
-#: answer without it.
-_ENDED_SECONDS = 1.0
-#: How long requests are counted from then on.
-_COUNTED_SECONDS = 2.5
 #: More come in the rest of the time than a limit up to this would let pass.
 _LOW_LIMIT = 1.6
 _LEAST_AFTER = 2
-#: Taken for a lower limit: without requests there are no answers.
-_LEAST_PER_SECOND = 0.1
 #: Which kind of request asks which service for little.
 _KIND_BY_SERVICE = (('portal', 'cut'), ('writers', 'tag'))
 _KINDS_BY_SERVICE = MappingProxyType(
     {'portal': ('cut', 'look'), 'writers': ('tag', 'draft')}
 )
-#: Changes after which nothing is known of an upstream's limit.
-_FORGETTING = frozenset(('Restarted', 'Vanished'))
-
-
-class _LogLine(msgspec.Struct):
-    """Hold what a log line says of a limit."""
-
-    at: float = 0
-    event: str = ''
-    upstream: str = ''
-    change: str = ''
-    per_second: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Limited:
-    """Hold that an upstream named a limit, and until when."""
-
-    upstream: Upstream
-    per_second: float
-    since: float
-    until: float
-    #: Whether it named another one right after.
-    changed: bool
-
-    @property
-    def heard_by(self) -> float:
-        """Return when all must know that it has ended.
-
-        A limit lets one request pass in so long, whose answer tells.
-        """
-        waits = 1 / max(self.per_second, _LEAST_PER_SECOND)
-        return self.until + waits + _ENDED_SECONDS + SLACK_SECONDS
-
-    @property
-    def checked_until(self) -> float:
-        """Return until when requests are counted after its end."""
-        return self.heard_by + _COUNTED_SECONDS
 
 
 class Limits:
@@ -211,7 +163,7 @@
             each.name
             for each in self._soak.instances
             if each.name not in excused
-            and _keeps_limit(each, name, start + self._wall_offset)
+            and keeps_limit(each, name, start, self._wall_offset)
         ]
 
     def _count_refused(self, service: str, start: float, end: float) -> int:
@@ -269,26 +221,3 @@
             if any(since - SLACK_SECONDS <= at <= end for at in each.starts)
             or stood_still(self._soak, each.name, since, end)
         }
-
-
-def _keeps_limit(instance: Instance, upstream: str, at: float) -> bool:
-    """Read from an instance's log whether it keeps to an upstream's limit.
-
-    :param at: the moment, by the wall clock in seconds.
-    """
-    keeps = False
-    for line in instance.log_path.read_bytes().splitlines():
-        if not line.startswith(b'{'):
-            continue
-        event = decode_json(line, _LogLine)
-        if event.at > at:
-            break
-        if event.event == 'started':
-            keeps = False
-        if event.upstream != upstream:
-            continue
-        if event.change == 'LimitChanged':
-            keeps = event.per_second is not None
-        if event.change in _FORGETTING:
-            keeps = False
-    return keeps
