--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -62,7 +62,7 @@
         :raises InvariantError: if it may be running already.
         """
         if self._permit is not None and self._permit.is_barred:
-            raise WithheldError('the request is quarantined')
+            raise WithheldError('the request is quarantined, or too late')
         if self._advisories.must_withhold(
             self._request.upstream,
             resumes=self._request.resumes,
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -57,7 +57,11 @@
 
 
 async def place(
-    ports: RelayPorts, routed: RoutedRequest, tried: Iterable[str]
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    tried: Iterable[str],
+    *,
+    begun: bool = False,
 ) -> Upstream | NoCapacity:
     """Wait for an upstream with capacity while one is likely to come in time.
 
@@ -67,16 +71,20 @@
     waits stops waiting, and so does one that would outlast this instance.
 
     :param tried: upstreams to exclude.
+    :param begun: whether its caller has a part of the response. It is cut
+        otherwise, so that any time is enough.
     """
-    work = describe_work(ports, routed)
-    with ports.stop.bound_wait(work, ports.clock.now()):
+    if begun:
+        return await _find_capacity(ports, routed, tried)
+    find_work = partial(describe_work, ports, routed)
+    with ports.stop.bound_wait(find_work, ports.clock.now()):
         placed = await _find_capacity(ports, routed, tried)
         if isinstance(placed, NoCapacity):
             return placed
-        work = describe_work(ports, routed, placed)
-        if ports.stop.allows(work, ports.clock.now()):
+        find_work = partial(find_work, placed)
+        if ports.stop.allows(find_work, ports.clock.now()):
             return placed
-    _log_stop(ports, routed, work)
+    _log_stop(ports, routed, find_work())
     return NoCapacity(MIN_RETRY_AFTER, NotRunReason.LEAVING)
 
 
@@ -117,7 +125,18 @@
 ) -> SendRecord:
     """Return the record of a request that was not sent yet."""
     is_barred = partial(ports.fleet.quarantine.is_barred, routed.fingerprint)
-    return SendRecord(routed.request.request_id, state.may_run, is_barred)
+    return SendRecord(
+        routed.request.request_id,
+        state.may_run,
+        is_barred,
+        partial(_ends_in_time, ports, routed),
+    )
+
+
+def _ends_in_time(ports: RelayPorts, routed: RoutedRequest) -> bool:
+    """Tell whether a request that is sent now ends before this instance."""
+    find_work = partial(describe_work, ports, routed)
+    return ports.stop.allows(find_work, ports.clock.now())
 
 
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
--- a/src/cartdale/relay/output_lengths.py
+++ b/src/cartdale/relay/output_lengths.py
@@ -3,12 +3,14 @@
 from dataclasses import dataclass
 
 from cartdale.relay.types import CallerRequest, RoutedRequest
-from cartdale.routing.lengths import MIN_OBSERVATIONS, LengthProfile
+from cartdale.routing.lengths import LengthProfile
 
 #: Routes whose lengths are kept; the one that was added first is dropped.
 _MAX_ROUTES = 256
 _PERCENT = 100
 _NOTHING_OBSERVED = LengthProfile()
+#: A service and a route of it, whose name a configuration may give to another.
+_RouteKey = tuple[str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +30,7 @@
     """Learn from whole streams how many tokens further ones may get."""
 
     def __init__(self) -> None:
-        self._lengths_by_route: dict[str, RouteLengths] = {}
+        self._lengths_by_route: dict[_RouteKey, RouteLengths] = {}
 
     def note(self, routed: RoutedRequest, tokens: int) -> None:
         """Record the length of a whole stream.
@@ -38,7 +40,7 @@
         request = routed.request
         if not tokens or request.last_event:
             return
-        route = routed.route.name
+        route = _make_key(routed)
         known = self._lengths_by_route.get(route)
         if known is None and len(self._lengths_by_route) >= _MAX_ROUTES:
             self._lengths_by_route.pop(next(iter(self._lengths_by_route)))
@@ -59,22 +61,27 @@
         :returns: ``None`` if nothing bounds it.
         """
         request = routed.request
-        learnt = self._find_learnt(routed.route.name, request, risk)
+        learnt = self._find_learnt(_make_key(routed), request, risk)
         bounds = (learnt, request.max_tokens)
         return min((bound for bound in bounds if bound), default=None)
 
     def _find_learnt(
-        self, route: str, request: CallerRequest, risk: float
+        self, route: _RouteKey, request: CallerRequest, risk: float
     ) -> int:
         """Return what was learnt of a route; 0 if that is too little."""
         known = self._lengths_by_route.get(route, RouteLengths())
-        if request.expected_tokens and _is_known(known.percent):
+        if request.expected_tokens and _is_known(known.percent, risk):
             percent = known.percent.quantile(1 - risk)
             return request.expected_tokens * percent // _PERCENT + 1
-        if _is_known(known.tokens):
+        if _is_known(known.tokens, risk):
             return known.tokens.quantile(1 - risk)
         return 0
 
 
-def _is_known(profile: LengthProfile) -> bool:
-    return len(profile.recent) >= MIN_OBSERVATIONS
+def _is_known(profile: LengthProfile, risk: float) -> bool:
+    """Tell whether the longest observation is exceeded with this chance."""
+    return len(profile.recent) * risk >= 1
+
+
+def _make_key(routed: RoutedRequest) -> _RouteKey:
+    return routed.service, routed.route.name
--- a/src/cartdale/relay/pacing.py
+++ b/src/cartdale/relay/pacing.py
@@ -2,7 +2,7 @@
 
 from cartdale.clock import Clock, Millis
 from cartdale.fleet.driver import Fleet
-from cartdale.relay.token_times import TokenTimes
+from cartdale.relay.recent_times import RecentTimes
 from cartdale.scheduling.pace import Progress
 from cartdale.speeds.windows import GenerationTimer
 
@@ -28,7 +28,7 @@
         clock: Clock,
         service: str,
         event_tokens: int,
-        token_times: TokenTimes,
+        token_times: RecentTimes,
     ) -> None:
         self._fleet = fleet
         self._token_times = token_times
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from cartdale.clock import Clock
 from cartdale.fleet.driver import Fleet
@@ -11,12 +12,16 @@
 from cartdale.relay.crash_probes import CrashProber
 from cartdale.relay.end_record import EndRecord
 from cartdale.relay.output_lengths import OutputLengths
-from cartdale.relay.token_times import TokenTimes
+from cartdale.relay.recent_times import RecentTimes
 from cartdale.relay.types import LinkBrokeError, UpstreamPort
 from cartdale.relay.unframed import UnframedServices
 from cartdale.retries.window import RepeatBudget
 from cartdale.stopping.driver import PlannedStop
 
+#: Share of the generations that are at least as fast as the time of a token
+#: that is told.
+_MOST_TOKENS = 0.9
+
 
 @dataclass(frozen=True, slots=True)
 class RelayPorts:
@@ -30,7 +35,8 @@
     :param unframed: remembers services whose streams have no framing.
     :param stop: knows when this instance ends, once it was told to.
     :param lengths: learns how long streams get.
-    :param token_times: learns how fast they are generated.
+    :param token_times: learns the time of a token, which most don't exceed.
+    :param answer_times: learns the longest times of plain responses.
     """
 
     clock: Clock
@@ -45,7 +51,10 @@
     account: Account | None = None
     stop: PlannedStop = field(default_factory=PlannedStop)
     lengths: OutputLengths = field(default_factory=OutputLengths)
-    token_times: TokenTimes = field(default_factory=TokenTimes)
+    token_times: RecentTimes = field(
+        default_factory=partial(RecentTimes, _MOST_TOKENS)
+    )
+    answer_times: RecentTimes = field(default_factory=partial(RecentTimes, 1))
 
     async def read_whole(
         self, request_id: str, chunks: AsyncIterable[bytes]
--- a/src/cartdale/relay/send_record.py
+++ b/src/cartdale/relay/send_record.py
@@ -120,8 +120,14 @@
 
     @property
     def is_barred(self) -> bool:
-        """Tell whether the request may be sent to no upstream."""
-        return self._record.is_barred()
+        """Tell whether the request may be sent to no upstream.
+
+        Time to its end is asked for only while it may be refused.
+        """
+        if self._record.is_barred():
+            return True
+        is_first = isinstance(self._grounds, NewRun) and not self._record.runs
+        return is_first and not self._record.ends_in_time()
 
     def use(self) -> None:
         """Count the send, just before the first byte leaves.
@@ -145,13 +151,19 @@
     :param request_id: the caller's id of the request.
     :param may_run: maximum number of runs.
     :param is_barred: returns whether it may be sent to no upstream.
+    :param ends_in_time: returns whether it ends before this instance does.
     """
 
     def __init__(
-        self, request_id: str, may_run: int, is_barred: Callable[[], bool]
+        self,
+        request_id: str,
+        may_run: int,
+        is_barred: Callable[[], bool],
+        ends_in_time: Callable[[], bool],
     ) -> None:
         self._request_id = request_id
         self.is_barred = is_barred
+        self.ends_in_time = ends_in_time
         self._state = SendState(may_run)
 
     @property
--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -18,15 +18,17 @@
     """
     pace = ports.fleet.pace(routed.service)
     slowness = _find_slowness(ports, upstream)
-    reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
     if routed.route.kind is not RouteKind.STREAM:
-        return PlainWork(routed.ends_at, pace.answer_time * slowness)
+        return PlainWork(
+            routed.ends_at, ports.answer_times.find(routed.service)
+        )
+    reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
     return StreamWork(
         ends_at=routed.ends_at,
         read_time=pace.read_time(reads) * slowness,
         tokens=ports.lengths.find_bound(routed, MAX_RISK),
         token_time=slowness
-        * ports.token_times.find(routed.service, pace.token_time),
+        * ports.token_times.find_from(routed.service, pace.token_time),
     )
 
 
--- a/src/cartdale/stopping/decide.py
+++ b/src/cartdale/stopping/decide.py
@@ -5,7 +5,7 @@
 it is all but sure to end in time.
 """
 
-from math import ceil, inf, log
+from math import ceil, inf
 
 from cartdale.clock import Millis
 from cartdale.stopping.types import PlainWork, StreamWork, Work
@@ -14,11 +14,8 @@
 MAX_RISK = 0.01
 #: A sound upstream may be silent for so long and go on as before.
 _SILENCE: Millis = 1500
-#: Times of single generations exceed the usual by this share.
+#: Times of single requests exceed the usual by this share.
 _SLOWER_SHARE = 0.3
-#: Time that exceeds the mean with the chance ``MAX_RISK``, in means, if it is
-#: distributed exponentially.
-_LONGEST_ANSWER = -log(MAX_RISK)
 
 
 def find_last_start(work: Work, stops_at: Millis) -> float:
@@ -29,16 +26,17 @@
     """
     if work.ends_at <= stops_at:
         return work.ends_at
-    return stops_at - _find_longest(work)
+    usual = _find_usual(work)
+    if usual is None:
+        return -inf
+    return stops_at - ceil(usual + max(usual * _SLOWER_SHARE, _SILENCE))
 
 
-def _find_longest(work: Work) -> float:
-    """Return how long work may take, in milliseconds."""
+def _find_usual(work: Work) -> float | None:
+    """Return how long work takes, in milliseconds; ``None`` if unknown."""
     match work:
         case PlainWork(answer_time=answer_time):
-            return _SILENCE + ceil(answer_time * _LONGEST_ANSWER)
-        case StreamWork(read_time=read_time, tokens=int(tokens)):
-            usual = read_time + tokens * work.token_time
-            return ceil(usual + max(usual * _SLOWER_SHARE, _SILENCE))
-        case StreamWork():
-            return inf
+            return answer_time
+        case StreamWork(tokens=int(tokens)):
+            return work.read_time + tokens * work.token_time
+    return None
--- a/src/cartdale/stopping/types.py
+++ b/src/cartdale/stopping/types.py
@@ -10,11 +10,12 @@
     """A request whose response is passed on once it is complete.
 
     :param ends_at: time limit of the request.
-    :param answer_time: mean time of a response, in milliseconds.
+    :param answer_time: time of a response that few exceed, in milliseconds;
+        ``None`` if its service has not responded yet.
     """
 
     ends_at: Millis
-    answer_time: float
+    answer_time: float | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_detour_calls.py
+++ b/tests/test_detour_calls.py
@@ -100,7 +100,8 @@
     None
 ):
     advisories = Advisories()
-    permit = SendRecord('r', 1, lambda: bool(advisories)).permit(NewRun())
+    record = SendRecord('r', 1, lambda: bool(advisories), lambda: True)
+    permit = record.permit(NewRun())
     guard = SendGuard(advisories, REQUEST, permit)
     with pytest.raises(WithheldError, match='quarantined'):
         await guard()
--- a/tests/test_last_start.py
+++ b/tests/test_last_start.py
@@ -7,16 +7,17 @@
 import trio
 
 from cartdale.relay.output_lengths import OutputLengths
-from cartdale.relay.token_times import TokenTimes
+from cartdale.relay.recent_times import RecentTimes
 from cartdale.relay.types import CallerRequest, RoutedRequest
 from cartdale.routes.types import Route, RouteKind
-from cartdale.routing.lengths import MIN_OBSERVATIONS
 from cartdale.stopping.decide import MAX_RISK, find_last_start
 from cartdale.stopping.driver import PlannedStop
 from cartdale.stopping.types import PlainWork, StreamWork
 
 STOPS_AT = 10_000
 LATER = 50_000
+#: Streams of a route from which its lengths are known.
+ENOUGH = 105
 STREAM = StreamWork(ends_at=LATER, read_time=200, tokens=100, token_time=8)
 PLAIN = PlainWork(ends_at=LATER, answer_time=40)
 REQUEST = CallerRequest(
@@ -75,7 +76,7 @@
 # Guards against hints that are taken at their word.
 def test_streams_that_outran_their_hints_raise_the_bound() -> None:
     lengths = OutputLengths()
-    for number in range(2 * MIN_OBSERVATIONS):
+    for number in range(ENOUGH):
         lengths.note(ROUTED, 300 if number % 4 == 0 else 100)
     assert lengths.find_bound(ROUTED, MAX_RISK) == 301
     twice = replace(ROUTED, request=replace(REQUEST, expected_tokens=200))
@@ -85,7 +86,7 @@
 def test_route_bounds_streams_without_a_hint() -> None:
     lengths = OutputLengths()
     unhinted = replace(ROUTED, request=replace(REQUEST, expected_tokens=0))
-    for _ in range(2 * MIN_OBSERVATIONS):
+    for _ in range(ENOUGH):
         lengths.note(unhinted, 120)
     assert lengths.find_bound(unhinted, MAX_RISK) == 120
 
@@ -96,7 +97,8 @@
 ) -> None:
     stop = PlannedStop()
     now = int(trio.current_time() * 1000)
-    with stop.bound_wait(replace(STREAM, ends_at=now + LATER), now):
+    work = replace(STREAM, ends_at=now + LATER)
+    with stop.bound_wait(lambda: work, now):
         stop.schedule(now + STOPS_AT, now)
         stop.schedule(now + STOPS_AT // 2, now)
         await trio.sleep_forever()
@@ -107,11 +109,25 @@
 # Guards against refusals at the pace that is assumed before any generation has
 # ended, while others show that their engines are faster.
 def test_token_time_follows_the_latest_generations() -> None:
-    times = TokenTimes()
-    assert times.find('writers', 9) == 9
-    for token_time in (20.0, *(4.0 for _ in range(40))):
+    times = RecentTimes(0.9)
+    assert times.find_from('writers', 9) == 9
+    for token_time in (20.0, *(4.0 for _ in range(10))):
         times.note('writers', token_time)
-    assert times.find('writers', 9) == 4
+    assert times.find_from('writers', 9) == 9
+    for _ in range(22):
+        times.note('writers', 4)
+    assert times.find_from('writers', 9) == 4
     for _ in range(8):
         times.note('writers', 12)
-    assert times.find('writers', 9) == 12
+    assert times.find_from('writers', 9) == 12
+
+
+# Guards against plain requests of a service that never answered, taken on as if
+# its time were known.
+def test_nothing_is_known_of_a_service_without_observations() -> None:
+    times = RecentTimes(1)
+    assert times.find('portal') is None
+    times.note('portal', 40)
+    assert times.find('portal') == 40
+    unknown = replace(PLAIN, answer_time=None)
+    assert find_last_start(unknown, STOPS_AT) == -inf
--- a/tests/test_peer_reported_departures.py
+++ b/tests/test_peer_reported_departures.py
@@ -248,7 +248,7 @@
     request = CallerRequest('r', 'GET', HOST, b'/cut/a', '', 1000, headers)
     route = fleet.table.routes_by_host[HOST][0]
     routed = RoutedRequest(request, route, 'portal', '', 0, 0, 1000)
-    permit = SendRecord('r', 1, bool).permit(NewRun())
+    permit = SendRecord('r', 1, bool, lambda: True).permit(NewRun())
     return UpstreamCall(routed, fleet.find(name).entry, permit, 1000)
 
 
--- a/tests/test_speed_news.py
+++ b/tests/test_speed_news.py
@@ -20,7 +20,7 @@
     PeerEntry,
 )
 from cartdale.relay.pacing import PaceMeter
-from cartdale.relay.token_times import TokenTimes
+from cartdale.relay.recent_times import RecentTimes
 from cartdale.speeds.driver import SpeedBook
 from cartdale.speeds.types import (
     LoadSample,
@@ -175,7 +175,7 @@
     fleet = make_fleet('a')
     book = fleet.speeds
     clock = VirtualClock(1000)
-    meter = PaceMeter(fleet, clock, SERVICE, 4, TokenTimes())
+    meter = PaceMeter(fleet, clock, SERVICE, 4, RecentTimes(1))
     book.note_sample('a', LoadSample(1, 0, 8, 1), 1000)
     meter.begin(100)
     for number in range(60):
@@ -193,7 +193,7 @@
 def test_events_that_a_slow_caller_delayed_do_not_count() -> None:
     fleet = make_fleet('a')
     clock = VirtualClock()
-    meter = PaceMeter(fleet, clock, SERVICE, 4, TokenTimes())
+    meter = PaceMeter(fleet, clock, SERVICE, 4, RecentTimes(1))
     fleet.speeds.note_sample('a', LoadSample(1, 0, 8, 1), 0)
     meter.begin(100)
     for _ in range(60):
--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -6,8 +6,8 @@
 from cartdale.clock import VirtualClock
 from cartdale.relay.output_lengths import OutputLengths
 from cartdale.relay.pacing import PaceMeter
+from cartdale.relay.recent_times import RecentTimes
 from cartdale.relay.stop_needs import describe_work
-from cartdale.relay.token_times import TokenTimes
 from cartdale.relay.types import CallerRequest, RoutedRequest
 from cartdale.routes.types import Route, RouteKind
 from cartdale.routing.lengths import MIN_OBSERVATIONS
@@ -35,9 +35,9 @@
 ROUTED = RoutedRequest(REQUEST, ROUTE, 'writers', '', 0, 0, 50_000)
 
 
-def time_events(pause: int, *, slow_caller: bool = False) -> TokenTimes:
+def time_events(pause: int, *, slow_caller: bool = False) -> RecentTimes:
     """Return what is learnt from the first events of one generation."""
-    times, clock = TokenTimes(), VirtualClock(1000)
+    times, clock = RecentTimes(0.9), VirtualClock(1000)
     meter = PaceMeter(make_fleet('a'), clock, SERVICE, EVENT_TOKENS, times)
     meter.begin(100)
     for _ in range(20):
@@ -53,14 +53,14 @@
 # its callers read slowly.
 def test_events_that_a_slow_caller_delayed_do_not_tell_the_pace() -> None:
     times = time_events(500, slow_caller=True)
-    assert times.find(SERVICE, ASSUMED) == ASSUMED
+    assert times.find_from(SERVICE, ASSUMED) == ASSUMED
 
 
 # Guards against streams that are taken on as if tokens took no time, after one
 # generation whose first events arrived together.
 def test_one_generation_does_not_tell_the_pace_of_most() -> None:
     times = time_events(0)
-    assert times.find(SERVICE, ASSUMED) >= ASSUMED
+    assert times.find_from(SERVICE, ASSUMED) >= ASSUMED
 
 
 # Guards against streams that are cut since the prompts before theirs are read
