--- a/tests/test_goaway.py
+++ b/tests/test_goaway.py
@@ -25,6 +25,7 @@
     make_headers,
     open_platform,
 )
+from tests.stage import open_stage
 from tests.test_connection_ends import NotingApplication, open_server
 from tests.test_connection_faults import (
     HEADERS,
@@ -80,6 +81,21 @@
         await stage.stopped[0].wait()
 
 
+# Guards against the same at the own interface.
+async def test_own_interface_that_leaves_tells_callers_of_h2(
+    tmp_path: Path,
+) -> None:
+    async with open_stage(tmp_path) as stage:
+        instance = stage.runtimes[0]
+        caller = await open_h2(instance.caller_port)
+        number = caller.begin(b'brief')
+        await caller.flush()
+        assert await caller.read_until_ended(number) == 'ended'
+        instance.leave()
+        with trio.fail_after(1):
+            await caller.read_until_goaways(number)
+
+
 def _count_all(stage: PlatformStage, *names: str) -> list[int]:
     return [count_runs(stage, name) for name in names]
 
