--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -188,8 +188,9 @@
         self._told_to_leave = trio.Event()
         #: Holds the stop; ends when what still runs is cut.
         self._stop_scope = trio.CancelScope()
-        #: Whether the callers' listener is served.
+        #: Whether the callers' listener is served, and whether it ever was.
         self._takes_callers = False
+        self._has_served = False
         self._stopping = trio.Event()
         self._callers_served = trio.Event()
         self._left = trio.Event()
@@ -307,10 +308,18 @@
         return apps
 
     async def _serve_callers(self) -> None:
-        """Read connections once there is a configuration, or soon anyway."""
+        """Read connections once there is a configuration, or soon anyway.
+
+        Not at all if told to leave before: connections that wait are closed
+        unread, which tells their callers that nothing of theirs ran.
+        """
         with trio.move_on_after(as_seconds(_FIRST_CONFIGURATION)):
             await self.follower.configured.wait()
         await self._callers.bind()
+        if self._leaving:
+            self._callers.close()
+            return
+        self._has_served = True
         logger.info('serving', version=self.fleet.table.version)
         self._takes_callers = True
         try:
@@ -358,7 +367,7 @@
         with contain('leaving'):
             self.peers.hand_over()
         with self._stop_scope:
-            if self._callers.was_bound:
+            if self._has_served:
                 await trio.sleep(as_seconds(LEAVE_PAUSE))
             else:
                 self._callers_served.set()
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -71,6 +71,7 @@
         runtime = stage.runtimes[0]
         monkeypatch.setattr(runtime.peers, 'hand_over', fail)
         monkeypatch.setattr(runtime.peers, 'withdraw', fail)
+        assert (await ask(stage, 'r0')).is_success
         with recorded() as lines:
             runtime.leave()
             runtime.leave()
--- a/tests/test_stops_in_time.py
+++ b/tests/test_stops_in_time.py
@@ -125,7 +125,6 @@
             nursery.start_soon(ask, stage, 'first')
             await until(lambda: count_runs(stage, 'first'))
             instance.leave()
-            await trio.sleep(SENT_AFTER)
             await ask(stage, 'second')
         assert not count_runs(stage, 'second')
         assert REFUSED in statuses
