End a stop by the grace in force, also when it changes meanwhile

An operator who shortens graceS while an instance stops had its process killed with work uncut and unlogged; one who lengthens it had streams cut that would have ended in time.

Cause: the end was computed once, 3 s after SIGTERM, and the pause of 3 s was not bounded by the grace at all.

The stop's work now runs beside a look at the grace every 20 ms; whichever ends first ends the other. A grace that has passed ends the stop at once.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -65,6 +65,8 @@
 #: with half a processor and a store that does not answer.
 _END_SHARE = 8
 _SHORTEST_END: Millis = 300
+#: Between looks at the grace in force, which may change during a stop.
+_GRACE_EVERY: Millis = 20
 #: How long a new instance leaves connections unread while its first
 #: configuration is on the way: a caller who is refused instead must come back,
 #: and one whose request is not read within a second goes elsewhere.
@@ -347,19 +349,25 @@
         logger.info('leaving', in_flight=self._app.count)
         with contain('leaving'):
             self.peers.hand_over()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._finish_work, nursery.cancel_scope)
+            while self._clock.now() < began + find_cut(self.bounds.grace):
+                await trio.sleep(as_seconds(_GRACE_EVERY))
+            nursery.cancel_scope.cancel()
+        carried = self.detours.capacity.carried
+        logger.info('left', in_flight=self._app.count, carried=carried)
+
+    async def _finish_work(self, waiting: trio.CancelScope) -> None:
+        """Stop taking work, wait for the end of all, and end another wait."""
         if self._callers.was_bound:
             await trio.sleep(as_seconds(LEAVE_PAUSE))
         else:
             self._callers_served.set()
         logger.info('closing connections', in_flight=self._app.count)
         self._stopping.set()
-        last = began + find_cut(self._settings.bounds.grace)
-        remaining = max(last - self._clock.now(), 0)
-        with trio.move_on_after(as_seconds(remaining)):
-            await self._callers_served.wait()
-            await self.peers.served.wait()
-        carried = self.detours.capacity.carried
-        logger.info('left', in_flight=self._app.count, carried=carried)
+        await self._callers_served.wait()
+        await self.peers.served.wait()
+        waiting.cancel()
 
     def _read_newest(self) -> int:
         return self.peers.versions.newest
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,6 +1,8 @@
 """Stops: a request that was read is answered before the process ends."""
 
 import os
+import signal
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import replace
@@ -254,6 +256,68 @@
         assert one.process.returncode == 0
 
 
+# Guards against an end by bounds that are not in force any more: a process that
+# SIGKILL overtakes, or one that cuts what would have ended in time.
+@pytest.mark.parametrize(
+    ('at_first', 'changed_after', 'changed', 'earliest', 'latest'),
+    [
+        pytest.param(8, 0.3, 2, 1.6, 2, id='shorter in the pause'),
+        pytest.param(8, 1.5, 1, 1.5, 2, id='passed in the pause'),
+        pytest.param(8, 3.3, 5, 4.3, 5, id='shorter after the pause'),
+        pytest.param(8, 3.3, 3, 3.3, 3.8, id='passed after the pause'),
+        pytest.param(4, 3.2, 6, 5.2, 6, id='longer'),
+    ],
+)
+async def test_end_is_that_of_the_bounds_in_force(
+    tmp_path: Path,
+    at_first: float,
+    changed_after: float,
+    changed: float,
+    earliest: float,
+    latest: float,
+) -> None:
+    async with open_long_stream(tmp_path, at_first) as one:
+        one.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        await trio.sleep(changed_after)
+        one.write_settings(bounds__graceS=changed)
+        one.process.send_signal(signal.SIGHUP)
+        with trio.move_on_after(began + latest - time.monotonic()):
+            await until(lambda: one.ended)
+        took = time.monotonic() - began
+        one.process.kill()
+    assert earliest <= took <= latest
+    check_end(one)
+
+
+@asynccontextmanager
+async def open_long_stream(
+    folder: Path, grace_seconds: float
+) -> AsyncIterator[ProcessInstance]:
+    """Run an instance as a process, with a stream that it will cut."""
+    async with open_platform(engines=0, instances=0) as stage:
+        stage.add_engine(SLOW_HARDWARE)
+        with open_instances(stage, folder, 'one') as started:
+            one = started[0]
+            one.settings['bounds.graceS'] = grace_seconds
+            one.start()
+            await one.wait_ready(stage.client)
+            async with trio.open_nursery() as nursery:
+                ask = partial(ask_process, stage.client, one, 'r1')
+                nursery.start_soon(read_cut_stream, ask)
+                await until(lambda: count_runs(stage, 'r1'))
+                yield one
+
+
+def check_end(instance: ProcessInstance) -> None:
+    """Check that a process cut its stream, logged that, and ended."""
+    cut = [each['request'] for each in instance.read_lines('request cut')]
+    assert cut == ['r1']
+    assert len(instance.read_lines('stopped')) == 1
+    assert instance.process is not None
+    assert instance.process.returncode == 0
+
+
 def have_begun(stage: PlatformStage, names: list[str]) -> bool:
     return all(count_runs(stage, name) for name in names)
 
