Let no further signal end a process that has stopped in order

A second SIGTERM in the last moments of a stop ended the process with the signal's own status (-15), without the last lines of its log if their pipe was full.

Cause: the handlers are taken back as the loop ends, and the signals act as by default until the interpreter is gone.

SIGTERM and SIGINT are now blocked from the end of the stop on; SIGHUP is ignored again by then, as before. Earlier second signals were harmless.

--- a/src/cartdale/platform/main.py
+++ b/src/cartdale/platform/main.py
@@ -1,6 +1,7 @@
 """Start an entry instance on the platform."""
 
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -27,6 +28,7 @@
 #: How long a start waits for a file that lacks fields, and between looks.
 _SETTINGS_TIMEOUT: Millis = 3 * SECOND_MS
 _SETTINGS_EVERY: Millis = 50
+_ENDING = (signal.SIGTERM, signal.SIGINT)
 _DEFAULT_PATH = '/etc/cartdale/local.conf'
 
 
@@ -85,4 +87,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(obey_signals, runtime.leave, runtime.reload)
         await runtime.run()
+        # Nobody obeys one from here on, and it would end the process before
+        # its last lines are written.
+        signal.pthread_sigmask(signal.SIG_BLOCK, _ENDING)
         nursery.cancel_scope.cancel()
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -290,6 +290,19 @@
     check_end(one)
 
 
+# Guards against a stop that a second signal ends, holds up or begins again.
+async def test_further_signals_do_not_disturb_a_stop(tmp_path: Path) -> None:
+    async with open_long_stream(tmp_path, 4) as one:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_as_the_platform, one, 4)
+            while not one.ended:
+                one.process.send_signal(signal.SIGTERM)
+                one.process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.002)
+    assert len(one.read_lines('leaving')) == 1
+    check_end(one)
+
+
 @asynccontextmanager
 async def open_long_stream(
     folder: Path, grace_seconds: float
