Tell lost log lines by a line like all others

Nobody could tell which process had lost lines of its log, or when: a filter by level, time or instance passed over `lines dropped`, and so did `cartdale explain`, which reads only lines with a time.

Cause: the line was written with its event and count alone.

It is a warning now with at, time, level and node like all others; the node is that of the record that is written, or was last. `explain` lists it among the lines of an instance already and needed no change.

--- a/src/cartdale/logs.py
+++ b/src/cartdale/logs.py
@@ -5,6 +5,7 @@
 import select
 import sys
 import time
+from datetime import datetime
 from typing import Any
 
 import msgspec
@@ -56,6 +57,8 @@
         self._descriptor = descriptor
         self._rest = b''
         self._failed = False
+        #: Name of this instance, for the lines that tell of lost ones.
+        self.node = ''
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
@@ -65,10 +68,15 @@
             self.dropped += 1
             return
         if self.dropped:
-            line = _format_dropped(self.dropped) + line
+            line = _format_dropped(self.dropped, self.node) + line
             self.dropped = 0
         self._flush(line)
 
+    def write_record(self, record: Any) -> None:
+        """Write a record of loguru as a JSON line."""
+        self.node = record['extra'].get('node', '')
+        self.write(_format_line(record))
+
     def close(self, timeout: Millis) -> None:
         """Write what still waits, and how many lines were dropped.
 
@@ -88,7 +96,7 @@
             return False
         if not self.dropped:
             return True
-        line = _format_dropped(self.dropped)
+        line = _format_dropped(self.dropped, self.node)
         self.dropped = 0
         return self._flush(line)
 
@@ -117,7 +125,7 @@
     logger.remove()
     name_logs(instance)
     logger.add(
-        lambda message: sink.write(_format_line(message.record)),
+        lambda message: sink.write_record(message.record),
         level='INFO',
         format='{message}',
         catch=False,
@@ -142,14 +150,21 @@
     logger.configure(extra={'node': instance})
 
 
-def _format_dropped(count: int) -> bytes:
-    return b'{"event":"lines dropped","count":%d}\n' % count
+def _format_dropped(count: int, node: str) -> bytes:
+    now = datetime.now().astimezone()
+    line = {
+        **_describe_moment(now),
+        'level': 'WARNING',
+        'event': 'lines dropped',
+        'node': node,
+        'count': count,
+    }
+    return b'%s\n' % _encode_line(line)
 
 
 def _format_line(record: Any) -> bytes:
     line = {
-        'at': record['time'].timestamp(),
-        'time': record['time'].isoformat(timespec='milliseconds'),
+        **_describe_moment(record['time']),
         'level': record['level'].name,
         'event': record['message'],
         **record['extra'],
@@ -157,6 +172,13 @@
     return b'%s\n' % _encode_line(line)
 
 
+def _describe_moment(moment: datetime) -> dict[str, Any]:
+    return {
+        'at': moment.timestamp(),
+        'time': moment.isoformat(timespec='milliseconds'),
+    }
+
+
 def _encode_line(line: dict[str, Any]) -> bytes:
     try:
         return msgspec.json.encode(line, enc_hook=_name_type)
