--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -57,7 +57,11 @@
 
 
 async def place(
-    ports: RelayPorts, routed: RoutedRequest, tried: Iterable[str]
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    tried: Iterable[str],
+    *,
+    started: bool = False,
 ) -> Upstream | NoCapacity:
     """Wait for an upstream with capacity while one is likely to come in time.
 
@@ -67,7 +71,11 @@
     waits stops waiting, and so does one that would outlast this instance.
 
     :param tried: upstreams to exclude.
+    :param started: whether the caller has a part of the response, which a
+        refusal would cut.
     """
+    if started:
+        return await _find_capacity(ports, routed, tried)
     work = describe_work(ports, routed)
     with ports.stop.bound_wait(work, ports.clock.now()):
         placed = await _find_capacity(ports, routed, tried)
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -171,7 +171,9 @@
     async def _try_upstreams(self) -> Result[StreamEnd, Problem]:
         tried: set[str] = set()
         while True:
-            upstream = await place(self._ports, self._routed, tried)
+            upstream = await place(
+                self._ports, self._routed, tried, started=self._started
+            )
             if isinstance(upstream, NoCapacity):
                 wait = upstream.retry_after
                 refused = refuse(self._attempts, upstream.reason, wait)
