--- a/src/cartdale/relay/output_lengths.py
+++ b/src/cartdale/relay/output_lengths.py
@@ -10,6 +10,10 @@
 _PERCENT = 100
 _NOTHING_OBSERVED = LengthProfile()
 
+#: Name of a route and of the service that ran its request: a configuration may
+#: give the name to another route.
+_RouteKey = tuple[str, str]
+
 
 @dataclass(frozen=True, slots=True)
 class RouteLengths:
@@ -28,7 +32,7 @@
     """Learn from whole streams how many tokens further ones may get."""
 
     def __init__(self) -> None:
-        self._lengths_by_route: dict[str, RouteLengths] = {}
+        self._lengths_by_route: dict[_RouteKey, RouteLengths] = {}
 
     def note(self, routed: RoutedRequest, tokens: int) -> None:
         """Record the length of a whole stream.
@@ -38,7 +42,7 @@
         request = routed.request
         if not tokens or request.last_event:
             return
-        route = routed.route.name
+        route = _find_key(routed)
         known = self._lengths_by_route.get(route)
         if known is None and len(self._lengths_by_route) >= _MAX_ROUTES:
             self._lengths_by_route.pop(next(iter(self._lengths_by_route)))
@@ -59,12 +63,12 @@
         :returns: ``None`` if nothing bounds it.
         """
         request = routed.request
-        learnt = self._find_learnt(routed.route.name, request, risk)
+        learnt = self._find_learnt(_find_key(routed), request, risk)
         bounds = (learnt, request.max_tokens)
         return min((bound for bound in bounds if bound), default=None)
 
     def _find_learnt(
-        self, route: str, request: CallerRequest, risk: float
+        self, route: _RouteKey, request: CallerRequest, risk: float
     ) -> int:
         """Return what was learnt of a route; 0 if that is too little."""
         known = self._lengths_by_route.get(route, RouteLengths())
@@ -76,5 +80,9 @@
         return 0
 
 
+def _find_key(routed: RoutedRequest) -> _RouteKey:
+    return routed.route.name, routed.service
+
+
 def _is_known(profile: LengthProfile) -> bool:
     return len(profile.recent) >= MIN_OBSERVATIONS
