--- a/src/cartdale/detours/guard.py
+++ b/src/cartdale/detours/guard.py
@@ -63,6 +63,8 @@
         """
         if self._permit is not None and self._permit.is_barred:
             raise WithheldError('the request is quarantined')
+        if self._permit is not None and self._permit.is_late:
+            raise WithheldError('the request would outlast this instance')
         if self._advisories.must_withhold(
             self._request.upstream,
             resumes=self._request.resumes,
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -125,7 +125,12 @@
 ) -> SendRecord:
     """Return the record of a request that was not sent yet."""
     is_barred = partial(ports.fleet.quarantine.is_barred, routed.fingerprint)
-    return SendRecord(routed.request.request_id, state.may_run, is_barred)
+    return SendRecord(
+        routed.request.request_id,
+        state.may_run,
+        is_barred,
+        partial(_is_late, ports, routed),
+    )
 
 
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
@@ -262,6 +267,12 @@
             return False
 
 
+def _is_late(ports: RelayPorts, routed: RoutedRequest) -> bool:
+    """Tell whether a request that is sent now would outlast this instance."""
+    work = describe_work(ports, routed)
+    return not ports.stop.allows(work, ports.clock.now())
+
+
 def _log_stop(ports: RelayPorts, routed: RoutedRequest, work: Work) -> None:
     """Log why a request is not taken on during a stop."""
     now = ports.clock.now()
--- a/src/cartdale/relay/send_record.py
+++ b/src/cartdale/relay/send_record.py
@@ -123,6 +123,12 @@
         """Tell whether the request may be sent to no upstream."""
         return self._record.is_barred()
 
+    @property
+    def is_late(self) -> bool:
+        """Tell whether a first run would outlast this instance."""
+        is_first = isinstance(self._grounds, NewRun) and not self._record.runs
+        return is_first and self._record.is_late()
+
     def use(self) -> None:
         """Count the send, just before the first byte leaves.
 
@@ -145,13 +151,19 @@
     :param request_id: the caller's id of the request.
     :param may_run: maximum number of runs.
     :param is_barred: returns whether it may be sent to no upstream.
+    :param is_late: returns whether it would outlast this instance.
     """
 
     def __init__(
-        self, request_id: str, may_run: int, is_barred: Callable[[], bool]
+        self,
+        request_id: str,
+        may_run: int,
+        is_barred: Callable[[], bool],
+        is_late: Callable[[], bool] = bool,
     ) -> None:
         self._request_id = request_id
         self.is_barred = is_barred
+        self.is_late = is_late
         self._state = SendState(may_run)
 
     @property
