Stops: a caller who does not read does not hold up the end

Cause: writes to callers are shielded from cancellation, so that what has begun to be sent is sent whole. At the end of the server such a write waited for its caller for ever.

A connection is now closed as its server is cancelled, which ends the write.

--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -233,7 +233,10 @@
         """Serve one connection; its failure ends no other."""
         own_state = ConnectionState(state.copy())
         try:
-            await Connection(app, self._config, stopping, own_state, stream)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_close_when_cancelled, stream)
+                await Connection(app, self._config, stopping, own_state, stream)
+                nursery.cancel_scope.cancel()
         except Exception as error:
             logger.error('connection failed', error=_name_errors(error))
         finally:
@@ -287,6 +290,17 @@
         return config
 
 
+async def _close_when_cancelled(stream: trio.abc.AsyncResource) -> None:
+    """Close a connection as its server ends.
+
+    Writes are shielded, and would wait for a caller who does not read.
+    """
+    try:
+        await trio.sleep_forever()
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
 def _name_errors(error: Exception) -> str:
     """Return the types of an error, or of all in a group."""
     if isinstance(error, ExceptionGroup):
--- a/tests/test_stop_grace.py
+++ b/tests/test_stop_grace.py
@@ -12,6 +12,7 @@
 from cartdale.daemon.gateway import GatewayRuntime
 from cartdale_standins.platform_engine import STRIDE
 from tests.platform_stage import (
+    LOCAL,
     PlatformStage,
     count_runs,
     draft,
@@ -20,11 +21,16 @@
     until,
     whole,
 )
+from tests.test_stops import call_at
+from tests.test_work_past_the_end import make_request
 
 GRACE = 8 * SECOND_MS
 SHORT_GRACE = 2 * SECOND_MS
 #: Takes about 6 s.
 LONG = 1500
+#: Bytes of an event; a few fill the buffers of a connection.
+MORE_THAN_BUFFERS = 400_000
+FILLING_SECONDS = 1
 
 
 def set_grace(runtime: GatewayRuntime, grace: Millis) -> None:
@@ -97,3 +103,25 @@
         set_grace(stage.runtimes[0], SHORT_GRACE)
         stage.runtimes[0].leave()
         assert await is_stopped_within(stage, SHORT_GRACE)
+
+
+# Guards against an instance that SIGKILL overtakes, and a stream without a line
+# `request cut`, where a caller does not read.
+async def test_stop_ends_beside_a_caller_that_does_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gateway, 'LEAVE_PAUSE', SECOND_MS // 2)
+    cut = trio.Event()
+    async with open_platform(plains=0) as stage:
+        stage.engines[0].stream_faults.padding = MORE_THAN_BUFFERS
+        instance = stage.runtimes[0]
+        set_grace(instance, SHORT_GRACE)
+        stream = await trio.open_tcp_stream(LOCAL, instance.caller_port)
+        async with stream:
+            await stream.send_all(make_request('r1', LONG))
+            await until(lambda: count_runs(stage, 'r1'))
+            await trio.sleep(FILLING_SECONDS)
+            with call_at('request cut', cut.set):
+                instance.leave()
+                assert await is_stopped_within(stage, SHORT_GRACE)
+        assert cut.is_set()
