--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -236,6 +236,7 @@
         self._leaving = True
         self._left_at = self._clock.now()
         self._schedule_stop()
+        self._callers.leaving.set()
         self._told_to_leave.set()
 
     def reload(self) -> None:
--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -61,7 +61,7 @@
     routed: RoutedRequest,
     tried: Iterable[str],
     *,
-    started: bool = False,
+    begun: bool = False,
 ) -> Upstream | NoCapacity:
     """Wait for an upstream with capacity while one is likely to come in time.
 
@@ -71,20 +71,20 @@
     waits stops waiting, and so does one that would outlast this instance.
 
     :param tried: upstreams to exclude.
-    :param started: whether the caller has a part of the response, which a
-        refusal would cut.
+    :param begun: whether its caller has a part of the response. It is cut
+        otherwise, so that any time is enough.
     """
-    if started:
+    if begun:
         return await _find_capacity(ports, routed, tried)
-    work = describe_work(ports, routed)
-    with ports.stop.bound_wait(work, ports.clock.now()):
+    find_work = partial(describe_work, ports, routed)
+    with ports.stop.bound_wait(find_work, ports.clock.now()):
         placed = await _find_capacity(ports, routed, tried)
         if isinstance(placed, NoCapacity):
             return placed
-        work = describe_work(ports, routed, placed)
-        if ports.stop.allows(work, ports.clock.now()):
+        find_work = partial(find_work, placed)
+        if ports.stop.allows(find_work, ports.clock.now()):
             return placed
-    _log_stop(ports, routed, work)
+    _log_stop(ports, routed, find_work())
     return NoCapacity(MIN_RETRY_AFTER, NotRunReason.LEAVING)
 
 
@@ -129,10 +129,16 @@
         routed.request.request_id,
         state.may_run,
         is_barred,
-        partial(_is_late, ports, routed),
+        partial(_ends_in_time, ports, routed),
     )
 
 
+def _ends_in_time(ports: RelayPorts, routed: RoutedRequest) -> bool:
+    """Tell whether a request that is sent now ends before this instance."""
+    find_work = partial(describe_work, ports, routed)
+    return ports.stop.allows(find_work, ports.clock.now())
+
+
 def withdraw(routed: RoutedRequest, upstream: str) -> Withdrawn:
     """Log that a request was withdrawn from an engine."""
     logger.info(
@@ -267,12 +273,6 @@
             return False
 
 
-def _is_late(ports: RelayPorts, routed: RoutedRequest) -> bool:
-    """Tell whether a request that is sent now would outlast this instance."""
-    work = describe_work(ports, routed)
-    return not ports.stop.allows(work, ports.clock.now())
-
-
 def _log_stop(ports: RelayPorts, routed: RoutedRequest, work: Work) -> None:
     """Log why a request is not taken on during a stop."""
     now = ports.clock.now()
--- a/src/cartdale/relay/send_record.py
+++ b/src/cartdale/relay/send_record.py
@@ -120,14 +120,14 @@
 
     @property
     def is_barred(self) -> bool:
-        """Tell whether the request may be sent to no upstream."""
-        return self._record.is_barred()
+        """Tell whether the request may be sent to no upstream.
 
-    @property
-    def is_late(self) -> bool:
-        """Tell whether a first run would outlast this instance."""
+        Time to its end is asked for only while it may be refused.
+        """
+        if self._record.is_barred():
+            return True
         is_first = isinstance(self._grounds, NewRun) and not self._record.runs
-        return is_first and self._record.is_late()
+        return is_first and not self._record.ends_in_time()
 
     def use(self) -> None:
         """Count the send, just before the first byte leaves.
@@ -151,7 +151,7 @@
     :param request_id: the caller's id of the request.
     :param may_run: maximum number of runs.
     :param is_barred: returns whether it may be sent to no upstream.
-    :param is_late: returns whether it would outlast this instance.
+    :param ends_in_time: returns whether it ends before this instance does.
     """
 
     def __init__(
@@ -159,11 +159,11 @@
         request_id: str,
         may_run: int,
         is_barred: Callable[[], bool],
-        is_late: Callable[[], bool] = bool,
+        ends_in_time: Callable[[], bool],
     ) -> None:
         self._request_id = request_id
         self.is_barred = is_barred
-        self.is_late = is_late
+        self.ends_in_time = ends_in_time
         self._state = SendState(may_run)
 
     @property
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -172,7 +172,7 @@
         tried: set[str] = set()
         while True:
             upstream = await place(
-                self._ports, self._routed, tried, started=self._started
+                self._ports, self._routed, tried, begun=self._started
             )
             if isinstance(upstream, NoCapacity):
                 wait = upstream.retry_after
