Tests: the instances of a crashing-parts stage are awaited at once

Each of four instances was asked for a whole stream before the next was asked (0.35 to 0.4 s each on a quiet machine, seconds beside load), and with a request each 50 ms while its process still loaded. All are asked at once now, each once it accepts connections: the same stream from each must come whole before the test goes on, and the limit of 25 s stays.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -21,7 +21,7 @@
 from cartdale_standins.platform_engine import STRIDE
 from tests.fault_soak.checks import CONTACT_SECONDS
 from tests.fault_soak.instances import Instance
-from tests.fault_soak.proxy import FaultProxy
+from tests.fault_soak.proxy import LOCAL, FaultProxy
 from tests.platform_stage import (
     PlatformStage,
     make_draft,
@@ -104,8 +104,9 @@
         for instance in added:
             instance.seeds = seeds
             self.stage.nursery.start_soon(instance.run, self.ended)
-        for instance in added:
-            await self._wait_until_it_serves(instance)
+        async with trio.open_nursery() as nursery:
+            for instance in added:
+                nursery.start_soon(self._wait_until_it_serves, instance)
         self.instances.extend(added)
 
     def end(self, instance: Instance) -> None:
@@ -115,6 +116,7 @@
 
     async def _wait_until_it_serves(self, instance: Instance) -> None:
         served = False
+        await wait_until_it_listens(instance)
         while not served:
             await trio.sleep(0.05)
             asked = self.stage.client.post(
@@ -129,6 +131,18 @@
             served = answer.status_code == httpx.codes.OK
 
 
+async def wait_until_it_listens(instance: Instance) -> None:
+    """Wait until callers can connect, which costs less than a request."""
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(LOCAL, instance.ports[0])
+        except OSError:
+            await trio.sleep(0.05)
+            continue
+        await stream.aclose()
+        return
+
+
 @asynccontextmanager
 async def open_group() -> AsyncIterator[Group]:
     """Run engines, and instances as processes, while the context is open."""
