Store: an instance that the store answers writes the cluster's key again

The store may come back from a copy without the key by which instances seal their news. Those that watch the store write it again as their listing lapses. Whether one watches was judged at that moment by whether any of its calls had failed: with one read that had failed and another instance whose news told of no failure yet, it left the key to the other. Where reads failed at both at once, each left it to the other, and nobody wrote it again: an instance that starts then makes a key of its own, and news between it and the others is not verified until they read it.

The store has just answered an instance that learns that its listing lapsed, so that it counts as one that the store answers.

--- a/src/cartdale/daemon/peers.py
+++ b/src/cartdale/daemon/peers.py
@@ -278,11 +278,14 @@
     def _write_again(self) -> None:
         """Write what the store may have lost with this instance's listing.
 
-        Each writes only its own, and the few that watch the store the key.
+        Each writes only its own, and the few that watch the store the key. The
+        store has just answered: an instance whose reads still fail must not
+        leave the key to others, which may leave it to this one.
         """
         with contain('quarantine records'):
             self._lasting.write_again()
-        if self.key and self.news.is_watcher() and self._nursery is not None:
+        watches = self.news.is_watcher(answered=True)
+        if self.key and watches and self._nursery is not None:
             self._nursery.start_soon(
                 keep_running, 'cluster key', self._keep_key
             )
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -131,13 +131,18 @@
             with contain('news', action=type(action).__name__):
                 self._perform(action, raw)
 
-    def is_watcher(self) -> bool:
-        """Return whether this instance watches the store for the others."""
+    def is_watcher(self, *, answered: bool = False) -> bool:
+        """Return whether this instance watches the store for the others.
+
+        :param answered: whether the store has just answered this instance,
+            even if other calls have failed.
+        """
         now = self._clock.now()
         timeout = find_silence_timeout(self.state, self._own, now)
         started_at = self._started_at
         young = started_at is None or now - started_at <= timeout
-        view = StoreView(lost=self._store_lost(), young=young)
+        lost = not answered and self._store_lost()
+        view = StoreView(lost=lost, young=young)
         return is_watcher(self.state, self._own, now, view)
 
     def is_prober(self, upstream: str, failure_domain: str) -> bool:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -183,6 +183,28 @@
         assert {runtime.peers.key for runtime in stage.runtimes} == {key}
 
 
+async def test_key_is_restored_by_instances_whose_reads_failed() -> None:
+    """Guards against a key that each instance leaves to the other to write.
+
+    The store answers again, but no news tells yet whose reads failed.
+    """
+    async with open_platform(instances=2) as stage:
+        state = stage.store.state
+        await until(lambda: all(each.peers.key for each in stage.runtimes))
+        news = [runtime.peers.news for runtime in stage.runtimes]
+        await until(lambda: all(each.count_alive() == 2 for each in news))
+        key = state.find(KEY_NAME).value
+        stage.store.remove(KEY_NAME)
+        for runtime in stage.runtimes:
+            runtime.follower.failing = True
+        for runtime in stage.runtimes:
+            # As when the store no longer knows its lease.
+            runtime.peers._registration._on_lapsed()
+        with trio.fail_after(2):
+            await until(lambda: state.find(KEY_NAME) is not None)
+        assert state.find(KEY_NAME).value == key
+
+
 async def test_a_departure_before_the_restore_stays_in_force() -> None:
     """Its entry is restored, which doesn't show whether it is alive."""
     async with open_platform(plains=2) as stage:
