Cut ends without proof where a service's ends have proof

Callers got streams without framing as whole that their engine had closed early: one that closes its streams one after another, and answers on for over 600 ms, looks sound, and where no backup told otherwise such an end counted as complete, whatever the service's other streams were like.

That nothing of a stream shows its end says little where many sound streams end so, and much where hardly any does. An instance now remembers the latest 128 ends of each service: while four in five were proved (all tokens, no copy left, nothing left for a second engine to make), an end without proof is not complete. It runs again where it may, else it is cut, and `end not proved` tells which (`whole`). An unproved end counts as usual only 5 s later, if its engine lives on, so that the first streams that an engine closes do not excuse the next. Before four proved ends, and where over a fifth end without proof, all is as it was: those would be sound streams cut.

A run that a second engine resumed and had nothing more of is proved now, and no longer only served on.

--- /dev/null
+++ b/src/cartdale/relay/end_habits.py
@@ -0,0 +1,86 @@
+"""Remember how many ends of streams without framing were proved.
+
+An end that nothing of its stream proves is a sound one's or an early one's. At
+a service whose streams mostly end with proof it is probably early; where many
+sound streams end without, the lack says nothing.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cartdale.clock import SECOND_MS, Millis
+from cartdale.fleet.types import UpstreamEntry
+
+#: Latest ends that count.
+_WINDOW = 128
+#: Proved ends for each unproved one from which proof is expected. An early end
+#: that is taken for the whole is worse than a sound one that is shown as cut.
+_PROVED_FOR_EACH = 4
+#: Time after which an end without proof counts as usual if its engine lives on.
+#: An engine that shuts down closes many streams, none of which does.
+_SETTLES: Millis = 5 * SECOND_MS
+
+
+@dataclass(frozen=True, slots=True)
+class UnprovedEnd:
+    """End of a stream that nothing proves, nor disproves.
+
+    :param upstream: engine that ran the stream.
+    """
+
+    upstream: UpstreamEntry
+    ended_at: Millis
+
+
+@dataclass(slots=True)
+class _Service:
+    """Hold what is remembered of one service.
+
+    :param ends: whether each of the latest ends was proved.
+    :param unsettled: ends without proof that don't count yet.
+    """
+
+    ends: deque[bool] = field(default_factory=lambda: deque(maxlen=_WINDOW))
+    unsettled: deque[UnprovedEnd] = field(
+        default_factory=lambda: deque(maxlen=_WINDOW)
+    )
+
+
+class EndHabits:
+    """Remember the latest ends of each service's streams without framing."""
+
+    def __init__(self) -> None:
+        self._services_by_name: dict[str, _Service] = {}
+
+    def note_proved(self, service: str) -> None:
+        """Note an end that something of its stream shows to be good."""
+        self._find(service).ends.append(True)
+
+    def note_unproved(self, end: UnprovedEnd) -> None:
+        """Note an end that nothing of its stream shows."""
+        self._find(end.upstream.service).unsettled.append(end)
+
+    def expects_proof(
+        self,
+        service: str,
+        now: Millis,
+        lives_on: Callable[[UpstreamEntry], bool],
+    ) -> bool:
+        """Tell whether an end without proof is rare, counted with the others.
+
+        Until some ends were proved, nothing is expected.
+
+        :param lives_on: tells whether an engine has not ended, and stays.
+        """
+        known = self._find(service)
+        while known.unsettled and now - known.unsettled[0].ended_at >= _SETTLES:
+            end = known.unsettled.popleft()
+            if lives_on(end.upstream):
+                known.ends.append(False)
+        proved = sum(known.ends)
+        unproved = len(known.ends) - proved
+        return proved >= _PROVED_FOR_EACH * (unproved + 1)
+
+    def _find(self, service: str) -> _Service:
+        return self._services_by_name.setdefault(service, _Service())
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -48,6 +48,8 @@
     #: The engine of its backup, which is kept until a run has ended well, keeps
     #: no copy.
     NO_COPY = 'no copy'
+    #: The engine of its backup went on with it, and made nothing more.
+    NOTHING_LEFT = 'nothing left'
     #: The same incarnation served on, and nothing speaks against the response.
     #: This says nothing of the response itself.
     SERVED_ON = 'served on'
--- a/src/cartdale/relay/ports.py
+++ b/src/cartdale/relay/ports.py
@@ -9,6 +9,7 @@
 from cartdale.relay.admission import Admission
 from cartdale.relay.copy_release import CopyReleaser
 from cartdale.relay.crash_probes import CrashProber
+from cartdale.relay.end_habits import EndHabits
 from cartdale.relay.end_record import EndRecord
 from cartdale.relay.types import LinkBrokeError, UpstreamPort
 from cartdale.relay.unframed import UnframedServices
@@ -24,6 +25,8 @@
     :param crash_prober: probes whether an upstream crashed as its link broke.
     :param end_record: remembers ends of links, which may have a common cause.
     :param account: bounds responses that are read whole; ``None`` for none.
+    :param end_habits: remembers how many of the ends without framing of each
+        service were proved.
     :param unframed: remembers services whose streams have no framing.
     """
 
@@ -35,6 +38,7 @@
     copy_releaser: CopyReleaser
     crash_prober: CrashProber
     end_record: EndRecord = field(default_factory=EndRecord)
+    end_habits: EndHabits = field(default_factory=EndHabits)
     unframed: UnframedServices = field(default_factory=UnframedServices)
     account: Account | None = None
 
--- a/src/cartdale/relay/rest.py
+++ b/src/cartdale/relay/rest.py
@@ -5,13 +5,18 @@
 """
 
 from enum import StrEnum
+from functools import partial
 
 from loguru import logger
 
 from cartdale.clock import Millis
-from cartdale.fleet.types import UpstreamEntry
+from cartdale.fleet.departures import is_other_incarnation
+from cartdale.fleet.driver import Fleet
+from cartdale.fleet.types import Lifecycle, UpstreamEntry
 from cartdale.relay.attempts import time_left
 from cartdale.relay.decide import AttemptState
+from cartdale.relay.end_habits import UnprovedEnd
+from cartdale.relay.end_proof import UNPROVED, EndProof
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.types import MAX_SOUND_SILENCE, RoutedRequest
@@ -64,7 +69,25 @@
     return in_time and generation.link_events > 0
 
 
+def has_nothing_left(
+    generation: RunningGeneration, proof: EndProof, *, resumed: bool
+) -> bool:
+    """Tell whether a second engine, which serves on, found nothing to make."""
+    unproved = proof is EndProof.SERVED_ON
+    return unproved and resumed and not generation.link_events
+
+
+def note_proof(
+    ports: RelayPorts, routed: RoutedRequest, proof: EndProof
+) -> EndProof:
+    """Note what of a stream without framing shows that it is complete."""
+    ports.end_habits.note_proved(routed.service)
+    return proof
+
+
 def find_loss(
+    ports: RelayPorts,
+    routed: RoutedRequest,
     generation: RunningGeneration,
     upstream: UpstreamEntry | None,
     attempts: AttemptState,
@@ -81,7 +104,9 @@
         return 'its engine answers no more'
     if generation.backup_lost and _may_rerun(attempts):
         return 'its backup was lost'
-    return ''
+    if judge_unproved(ports, routed, generation):
+        return ''
+    return UNPROVED
 
 
 def is_unproved(
@@ -99,13 +124,46 @@
     return True
 
 
-def log_unproved(
-    generation: RunningGeneration, answer: BackupAnswer | None = None
-) -> None:
-    """Log that nothing of a stream that ends as complete shows that it is.
+def conclude_rest(
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    generation: RunningGeneration,
+    attempts: AttemptState,
+    answer: BackupAnswer,
+) -> EndProof:
+    """Return what shows that a run which its backup did not continue is over.
+
+    :param answer: what the engine of its backup said.
+    """
+    if is_unproved(answer, attempts, generation):
+        return EndProof.NONE
+    if answer is BackupAnswer.NO_COPY:
+        return note_proof(ports, routed, EndProof.NO_COPY)
+    if judge_unproved(ports, routed, generation, answer):
+        return EndProof.SERVED_ON
+    return EndProof.NONE
+
+
+def judge_unproved(
+    ports: RelayPorts,
+    routed: RoutedRequest,
+    generation: RunningGeneration,
+    answer: BackupAnswer | None = None,
+) -> bool:
+    """Tell whether a stream of which nothing shows its end counts as complete.
+
+    It does unless the streams of its service rarely end so. It is logged
+    either way.
 
     :param answer: what the engine of its backup said, if it was asked.
     """
+    now = ports.clock.now()
+    whole = not ports.end_habits.expects_proof(
+        routed.service, now, partial(_lives_on, ports.fleet)
+    )
+    known = ports.fleet.find(generation.upstream)
+    if known is not None:
+        ports.end_habits.note_unproved(UnprovedEnd(known.entry, now))
     kept = 'not asked' if generation.backup else 'never had'
     if generation.backup_lost:
         kept = 'lost'
@@ -115,7 +173,17 @@
         upstream=generation.upstream,
         events=generation.events,
         backup=answer or kept,
+        whole=whole,
     )
+    return whole
+
+
+def _lives_on(fleet: Fleet, upstream: UpstreamEntry) -> bool:
+    """Tell whether an engine is listed as before, and not as leaving."""
+    known = fleet.find(upstream.upstream)
+    if known is None or known.lifecycle is Lifecycle.LEAVING:
+        return False
+    return not is_other_incarnation(upstream.born, known)
 
 
 def _may_rerun(attempts: AttemptState) -> bool:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -48,11 +48,12 @@
 from cartdale.relay.rest import (
     QUESTION_TIME,
     BackupAnswer,
+    conclude_rest,
     find_loss,
     find_rest,
-    is_unproved,
-    log_unproved,
+    has_nothing_left,
     may_ask_backup,
+    note_proof,
 )
 from cartdale.relay.silence import await_loss
 from cartdale.relay.types import (
@@ -252,13 +253,15 @@
         )
         if ended is not None and self._answer is BackupAnswer.GOES_ON:
             return ended
-        if is_unproved(self._answer, self._attempts, self._generation):
-            self._proof = EndProof.NONE
+        self._proof = conclude_rest(
+            self._ports,
+            self._routed,
+            self._generation,
+            self._attempts,
+            self._answer,
+        )
+        if self._proof is EndProof.NONE:
             return self._break(f'its backup: {self._answer}')
-        if self._answer is BackupAnswer.NO_COPY:
-            self._proof = EndProof.NO_COPY
-        else:
-            log_unproved(self._generation, self._answer)
         await self._sink.finish()
         return StreamEnd.WHOLE
 
@@ -434,17 +437,21 @@
         failure = failure or await self._find_early_end(answer)
         if failure:
             return await self._lose_link(failure)
+        if has_nothing_left(self._generation, self._proof, resumed=resumed):
+            self._proof = note_proof(
+                self._ports, self._routed, EndProof.NOTHING_LEFT
+            )
         if self._proof is EndProof.SERVED_ON:
-            upstream = await find_rest(
-                self._ports, self._routed, self._generation
+            ports, routed = self._ports, self._routed
+            upstream = await find_rest(ports, routed, self._generation)
+            failure = find_loss(
+                ports, routed, self._generation, upstream, self._attempts
             )
-            failure = find_loss(self._generation, upstream, self._attempts)
             if failure:
                 self._proof = EndProof.NONE
                 return await self._lose_link(failure)
             if upstream is not None:
                 return upstream
-            log_unproved(self._generation)
         await self._sink.finish()
         return StreamEnd.WHOLE
 
@@ -470,7 +477,9 @@
         if answer.framed:
             self._proof = EndProof.FRAMED
         elif is_exhausted(self._routed.request, self._generation.most_left):
-            self._proof = EndProof.ALL_TOKENS
+            self._proof = note_proof(
+                self._ports, self._routed, EndProof.ALL_TOKENS
+            )
         else:
             self._proof = await self._link.prove_end(
                 self._generation.events,
--- a/tests/test_successive_ends.py
+++ b/tests/test_successive_ends.py
@@ -34,6 +34,8 @@
 #: the first one when it is closed: by then all are past their start.
 MANY_EVENTS = 120
 MIDDLE = 30
+#: Streams with all their tokens after which an end without proof is unusual.
+PROVED = 4
 
 
 def count_kept(stage: PlatformStage) -> int:
@@ -247,6 +249,55 @@
         assert complete is (received == whole('r1', MANY_EVENTS))
 
 
+# Guards against the same where the engine answers on for longer than its end is
+# watched: the other streams of the service end with proof.
+@DIRECTLY_OR_NOT
+async def test_early_end_is_cut_where_others_have_all_their_tokens(
+    monkeypatch, detour: bool
+) -> None:
+    lines = collect_lines('end not proved')
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE, lingers=4))
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', MIDDLE), False)
+        assert count_runs(stage, 'early') == 1
+    assert [line['whole'] for line in lines] == [False]
+
+
+# Guards against the same where there is a backup, and its engine wants rest.
+@DIRECTLY_OR_NOT
+async def test_early_end_is_cut_though_its_backup_tells_nothing(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE))
+        stage.nursery.start_soon(rest_backup, stage)
+        ended = await stream(stage, 'r1', events=MANY_EVENTS)
+        assert ended == (whole('r1', MIDDLE), False)
+
+
+# Guards against sound streams that are cut since nothing shows their ends, at a
+# service at which that is usual.
+async def test_sound_ends_without_proof_are_whole_where_they_are_usual(
+    monkeypatch,
+) -> None:
+    lines = collect_lines('end not proved')
+    async with open_unframed(monkeypatch) as stage:
+        stage.engines[0].stream_faults.ends_after = ENOUGH
+        for number in range(PROVED):
+            for kind, events in (('short', EVENTS), ('full', ENOUGH)):
+                name = f'{kind}-{number}'
+                ended = await stream(stage, name, events=events)
+                assert ended == (whole(name, ENOUGH), True)
+    assert [line['whole'] for line in lines] == [True] * PROVED
+
+
 # Guards against a stream that looks whole since its engine closed it alone, in
 # order, and lives.
 @DIRECTLY_OR_NOT
