Take a missing copy for a good end only where copies are kept

Callers got streams as whole that their engine closed early, at services whose engines keep no copies: the engine of the backup refused to go on with them, and its having no copy (`no copy`) counted as proof that the run had ended well. Nothing told whether there had ever been one.

Engines report how many copies they keep (`handles`), and the reports that are read at each end without framing are used: while none of a service has shown any, and none has gone on with a run, the answer proves nothing, and such an end is weighed as any other without proof. Where engines don't report them, it counts as before.

--- a/src/cartdale/fleet/types.py
+++ b/src/cartdale/fleet/types.py
@@ -76,6 +76,8 @@
     :param leaves_in: time until the engine is gone, if known.
     :param leaving: whether the engine announces that it is leaving.
     :param born: Unix milliseconds of its start; 0 if it does not report it.
+    :param copies: copies and backups that it keeps for others; ``None`` if it
+        does not report them.
     """
 
     running: int
@@ -86,6 +88,7 @@
     leaving: bool = False
     runs: tuple[RunReport, ...] = ()
     born: Millis = 0
+    copies: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -100,6 +100,7 @@
     #: can't be read is refused as a whole.
     runs: tuple[tuple[str, Size, Size, SmallInteger], ...] = ()
     born: Ordinal = 0
+    handles: Count | None = None
 
 
 def write_headers(call: UpstreamCall) -> list[tuple[bytes, bytes]]:
@@ -243,6 +244,7 @@
             or read_advisory(response).leaving,
             runs=tuple(RunReport(*row) for row in stored.runs),
             born=stored.born,
+            copies=stored.handles,
         )
     )
 
--- a/src/cartdale/relay/end_habits.py
+++ b/src/cartdale/relay/end_habits.py
@@ -3,6 +3,9 @@
 An end that nothing of its stream proves is a sound one's or an early one's. At
 a service whose streams mostly end with proof it is probably early; where many
 sound streams end without, the lack says nothing.
+
+That an engine keeps no copy of a run shows the run's good end only where copies
+are kept at all.
 """
 
 from collections import deque
@@ -39,12 +42,15 @@
 
     :param ends: whether each of the latest ends was proved.
     :param unsettled: ends without proof that don't count yet.
+    :param most_copies: most copies that an engine kept; ``None`` if none
+        reports any.
     """
 
     ends: deque[bool] = field(default_factory=lambda: deque(maxlen=_WINDOW))
     unsettled: deque[UnprovedEnd] = field(
         default_factory=lambda: deque(maxlen=_WINDOW)
     )
+    most_copies: int | None = None
 
 
 class EndHabits:
@@ -82,5 +88,14 @@
         unproved = len(known.ends) - proved
         return proved >= _PROVED_FOR_EACH * (unproved + 1)
 
+    def note_copies(self, service: str, copies: int) -> None:
+        """Note how many copies an engine keeps for others."""
+        known = self._find(service)
+        known.most_copies = max(known.most_copies or 0, copies)
+
+    def keeps_copies(self, service: str) -> bool:
+        """Tell whether engines keep copies, or may, since none reports any."""
+        return self._find(service).most_copies != 0
+
     def _find(self, service: str) -> _Service:
         return self._services_by_name.setdefault(service, _Service())
--- a/src/cartdale/relay/rest.py
+++ b/src/cartdale/relay/rest.py
@@ -137,7 +137,8 @@
     """
     if is_unproved(answer, attempts, generation):
         return EndProof.NONE
-    if answer is BackupAnswer.NO_COPY:
+    keeps_copies = ports.end_habits.keeps_copies(routed.service)
+    if answer is BackupAnswer.NO_COPY and keeps_copies:
         return note_proof(ports, routed, EndProof.NO_COPY)
     if judge_unproved(ports, routed, generation, answer):
         return EndProof.SERVED_ON
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -394,6 +394,7 @@
         if resumed:
             self._question.deadline = inf
             self._answer = BackupAnswer.GOES_ON
+            self._ports.end_habits.note_copies(self._routed.service, 1)
             self._proof = EndProof.NONE
             self._generation.resumed()
         fleet.dispatch(RequestEnded(upstream, good=True))
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -73,6 +73,7 @@
         limit; 0 for never.
     :param unlisted: whether reports leave running generations out.
     :param keeps_backups: whether backups are kept though their runs ended well.
+    :param keeps_none: whether no copies and backups are kept, as reports tell.
     :param odd_report: body of reports; empty for a sound one.
     :param odd_copy: body of answers to copies, which do not take place; empty
         for a sound one.
@@ -90,6 +91,7 @@
     ends_after: int = 0
     unlisted: bool = False
     keeps_backups: bool = False
+    keeps_none: bool = False
     odd_report: bytes = b''
     odd_copy: bytes = b''
 
@@ -385,6 +387,8 @@
     async def _take_copy(self) -> Response:
         copy = msgspec.json.decode(await request.get_data())
         match copy:
+            case {'backup': _} if self.stream_faults.keeps_none:
+                return _answer({})
             case {'backup': name}:
                 self.memory.backed_up.add(name)
             case {'ended': name}:
@@ -419,6 +423,8 @@
                 for name, record in records.items()
             ],
         }
+        if self.stream_faults.keeps_none:
+            report['handles'] = 0
         if self.leaves_ms is not None:
             report['leaves_ms'] = self.leaves_ms
             report['state'] = 'draining'
--- a/tests/test_end_habits.py
+++ b/tests/test_end_habits.py
@@ -73,3 +73,18 @@
 def test_services_are_told_apart() -> None:
     habits = remember(*(True,) * 8)
     assert not habits.expects_proof('other', LATER, lambda engine: True)
+
+
+# Guards against a run that looks over since an engine keeps no copy of it,
+# though it never kept any.
+@pytest.mark.parametrize(
+    ('reported', 'kept'),
+    [((), True), ((0,), False), ((0, 2, 0), True), ((0, 0), False)],
+)
+def test_copies_are_kept_unless_engines_report_none(
+    reported: tuple[int, ...], kept: bool
+) -> None:
+    habits = EndHabits()
+    for copies in reported:
+        habits.note_copies('s', copies)
+    assert habits.keeps_copies('s') is kept
--- a/tests/test_successive_ends.py
+++ b/tests/test_successive_ends.py
@@ -282,6 +282,24 @@
         assert ended == (whole('r1', MIDDLE), False)
 
 
+# Guards against a stream that looks whole since its engine's peer keeps no copy
+# of it, though no engine of the service ever kept any.
+@DIRECTLY_OR_NOT
+async def test_missing_copy_is_no_proof_where_none_are_kept(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for engine in stage.engines:
+            engine.stream_faults.keeps_none = True
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE))
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', MIDDLE), False)
+        assert count_runs(stage, 'early') == 1
+
+
 # Guards against sound streams that are cut since nothing shows their ends, at a
 # service at which that is usual.
 async def test_sound_ends_without_proof_are_whole_where_they_are_usual(
