Look for kept copies while streams run

Sound streams were shown as cut at a service that keeps copies, reports how many, and runs so little that no report showed any: the reports that are read at an end without framing are those of the engine of the run, which keeps copies of others only.

The engine of a backup is asked once for its report a second after a link with a backup began, until one shows copies, or does not tell them; only where streams have no framing. So one report for each service and instance where copies are kept, and one a stream where engines report that they keep none.

Evidence: test_missing_copy_is_a_proof_where_copies_are_kept fails without the question (both) and passes with it.

--- a/src/cartdale/relay/end_habits.py
+++ b/src/cartdale/relay/end_habits.py
@@ -42,8 +42,9 @@
 
     :param ends: whether each of the latest ends was proved.
     :param unsettled: ends without proof that don't count yet.
-    :param most_copies: most copies that an engine kept; ``None`` if none
-        reports any.
+    :param most_copies: most copies that an engine kept; ``None`` before any
+        report told how many.
+    :param untold: whether a report did not tell.
     """
 
     ends: deque[bool] = field(default_factory=lambda: deque(maxlen=_WINDOW))
@@ -51,6 +52,7 @@
         default_factory=lambda: deque(maxlen=_WINDOW)
     )
     most_copies: int | None = None
+    untold: bool = False
 
 
 class EndHabits:
@@ -88,14 +90,25 @@
         unproved = len(known.ends) - proved
         return proved >= _PROVED_FOR_EACH * (unproved + 1)
 
-    def note_copies(self, service: str, copies: int) -> None:
-        """Note how many copies an engine keeps for others."""
+    def note_copies(self, service: str, copies: int | None) -> None:
+        """Note how many copies an engine keeps for others.
+
+        :param copies: ``None`` if its report does not tell.
+        """
         known = self._find(service)
-        known.most_copies = max(known.most_copies or 0, copies)
+        if copies is None:
+            known.untold = True
+        else:
+            known.most_copies = max(known.most_copies or 0, copies)
 
     def keeps_copies(self, service: str) -> bool:
-        """Tell whether engines keep copies, or may, since none reports any."""
+        """Tell whether engines keep copies, or may, since no report tells."""
         return self._find(service).most_copies != 0
 
+    def may_tell_copies(self, service: str) -> bool:
+        """Tell whether a report may show the first copies."""
+        known = self._find(service)
+        return not (known.most_copies or known.untold)
+
     def _find(self, service: str) -> _Service:
         return self._services_by_name.setdefault(service, _Service())
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -99,7 +99,7 @@
                 self._ports, link, events, backed_up=backed_up
             )
         life = check.life
-        if life.report is not None and life.report.copies is not None:
+        if life.report is not None:
             self._ports.end_habits.note_copies(
                 link.upstream.service, life.report.copies
             )
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -15,6 +15,7 @@
     read_id,
 )
 from cartdale.relay.generation import RunningGeneration
+from cartdale.relay.kept_copies import look_for_backup
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
 from cartdale.relay.silence import (
@@ -117,11 +118,18 @@
         self.next_upstream = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_silence)
+            look = trio.CancelScope()
+            nursery.start_soon(self._look_for_backup, look)
             failure = await self._pass_chunks(chunks)
+            look.cancel()
             if not self._abandoning_link:
                 nursery.cancel_scope.cancel()
         return failure
 
+    async def _look_for_backup(self, look: trio.CancelScope) -> None:
+        with look:
+            await look_for_backup(self._ports, self._generation)
+
     async def _pass_chunks(self, chunks: AsyncIterator[bytes]) -> str:
         """Pass events on until the link ends, breaks or is abandoned.
 
--- a/tests/test_successive_ends.py
+++ b/tests/test_successive_ends.py
@@ -291,6 +291,7 @@
     async with open_unframed(monkeypatch, 2, detour=detour) as stage:
         for engine in stage.engines:
             engine.stream_faults.keeps_none = True
+            engine.stream_faults.tells_copies = True
         for number in range(PROVED):
             name = f'r{number}'
             assert await stream(stage, name) == (whole(name, EVENTS), True)
@@ -300,6 +301,28 @@
         assert count_runs(stage, 'early') == 1
 
 
+# Guards against a sound stream that is cut since no copy of it is left, at a
+# service that keeps copies, and runs so little that no report showed any.
+@DIRECTLY_OR_NOT
+async def test_missing_copy_is_a_proof_where_copies_are_kept(
+    monkeypatch, detour: bool
+) -> None:
+    ends = collect_lines('stream ended')
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for engine in stage.engines:
+            engine.stream_faults.tells_copies = True
+            engine.stream_faults.ends_after = MANY_EVENTS
+        for number in range(PROVED):
+            name = f'r{number}'
+            ended = await stream(stage, name, events=MANY_EVENTS)
+            assert ended == (whole(name, MANY_EVENTS), True)
+        for engine in stage.engines:
+            engine.stream_faults.ends_after = ENOUGH
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', ENOUGH), True)
+    assert ends[-1]['proof'] == EndProof.NO_COPY
+
+
 # Guards against sound streams that are cut since nothing shows their ends, at a
 # service at which that is usual.
 async def test_sound_ends_without_proof_are_whole_where_they_are_usual(
