Count a rest without events as whole

A caller that resumed a stream it already had all of was cut, and so asked again, at a service whose streams mostly end with proof: the answer without events has no tokens to count, and perhaps no backup. A second run that began after an event the caller has, and had nothing to make, shows that nothing is left, as a resumed run does.

Evidence: test_rest_of_a_whole_stream_is_whole_where_ends_have_proof fails without this (once) and passes with it.

--- a/src/cartdale/relay/rest.py
+++ b/src/cartdale/relay/rest.py
@@ -72,7 +72,10 @@
 def has_nothing_left(
     generation: RunningGeneration, proof: EndProof, *, resumed: bool
 ) -> bool:
-    """Tell whether a second engine, which serves on, found nothing to make."""
+    """Tell whether a second run, whose engine serves on, had nothing to make.
+
+    :param resumed: whether it began after an event that the caller had.
+    """
     unproved = proof is EndProof.SERVED_ON
     return unproved and resumed and not generation.link_events
 
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -438,6 +438,7 @@
         failure = failure or await self._find_early_end(answer)
         if failure:
             return await self._lose_link(failure)
+        resumed = resumed or bool(self._passer.last_event)
         if has_nothing_left(self._generation, self._proof, resumed=resumed):
             self._proof = note_proof(
                 self._ports, self._routed, EndProof.NOTHING_LEFT
--- a/tests/test_successive_ends.py
+++ b/tests/test_successive_ends.py
@@ -8,10 +8,12 @@
 import trio
 
 from cartdale.relay.end_proof import EndProof
+from cartdale_standins.platform_engine import STRIDE
 from cartdale_standins.unframed import EarlyEnd
 from tests.platform_stage import (
     PlatformStage,
     count_runs,
+    draft,
     find_runner,
     until,
     whole,
@@ -301,6 +303,22 @@
         assert count_runs(stage, 'early') == 1
 
 
+# Guards against a caller that has all events, and is cut each time that it asks
+# for the rest.
+async def test_rest_of_a_whole_stream_is_whole_where_ends_have_proof(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        answer = await draft(
+            stage, 'rest', EVENTS * STRIDE, '/tag/a', str(EVENTS)
+        )
+        assert answer.status_code == 200
+        assert not answer.content
+
+
 # Guards against a sound stream that is cut since no copy of it is left, at a
 # service that keeps copies, and runs so little that no report showed any.
 @DIRECTLY_OR_NOT
