--- a/tests/test_successive_ends.py
+++ b/tests/test_successive_ends.py
@@ -8,10 +8,12 @@
 import trio
 
 from cartdale.relay.end_proof import EndProof
+from cartdale_standins.platform_engine import STRIDE
 from cartdale_standins.unframed import EarlyEnd
 from tests.platform_stage import (
     PlatformStage,
     count_runs,
+    draft,
     find_runner,
     until,
     whole,
@@ -34,6 +36,8 @@
 #: the first one when it is closed: by then all are past their start.
 MANY_EVENTS = 120
 MIDDLE = 30
+#: Streams with all their tokens after which an end without proof is unusual.
+PROVED = 4
 
 
 def count_kept(stage: PlatformStage) -> int:
@@ -247,6 +251,112 @@
         assert complete is (received == whole('r1', MANY_EVENTS))
 
 
+# Guards against the same where the engine answers on for longer than its end is
+# watched: the other streams of the service end with proof.
+@DIRECTLY_OR_NOT
+async def test_early_end_is_cut_where_others_have_all_their_tokens(
+    monkeypatch, detour: bool
+) -> None:
+    lines = collect_lines('end not proved')
+    async with open_unframed(monkeypatch, detour=detour) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE, lingers=4))
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', MIDDLE), False)
+        assert count_runs(stage, 'early') == 1
+    assert [line['whole'] for line in lines] == [False]
+
+
+# Guards against the same where there is a backup, and its engine wants rest.
+@DIRECTLY_OR_NOT
+async def test_early_end_is_cut_though_its_backup_tells_nothing(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE))
+        stage.nursery.start_soon(rest_backup, stage)
+        ended = await stream(stage, 'r1', events=MANY_EVENTS)
+        assert ended == (whole('r1', MIDDLE), False)
+
+
+# Guards against a stream that looks whole since its engine's peer keeps no copy
+# of it, though no engine of the service ever kept any.
+@DIRECTLY_OR_NOT
+async def test_missing_copy_is_no_proof_where_none_are_kept(
+    monkeypatch, detour: bool
+) -> None:
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for engine in stage.engines:
+            engine.stream_faults.keeps_none = True
+            engine.stream_faults.tells_copies = True
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        stage.early_ends.append(EarlyEnd(MIDDLE))
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', MIDDLE), False)
+        assert count_runs(stage, 'early') == 1
+
+
+# Guards against a caller that has all events, and is cut each time that it asks
+# for the rest.
+async def test_rest_of_a_whole_stream_is_whole_where_ends_have_proof(
+    monkeypatch,
+) -> None:
+    async with open_unframed(monkeypatch) as stage:
+        for number in range(PROVED):
+            name = f'r{number}'
+            assert await stream(stage, name) == (whole(name, EVENTS), True)
+        answer = await draft(
+            stage, 'rest', EVENTS * STRIDE, '/tag/a', str(EVENTS)
+        )
+        assert answer.status_code == 200
+        assert not answer.content
+
+
+# Guards against a sound stream that is cut since no copy of it is left, at a
+# service that keeps copies, and runs so little that no report showed any.
+@DIRECTLY_OR_NOT
+async def test_missing_copy_is_a_proof_where_copies_are_kept(
+    monkeypatch, detour: bool
+) -> None:
+    ends = collect_lines('stream ended')
+    async with open_unframed(monkeypatch, 2, detour=detour) as stage:
+        for engine in stage.engines:
+            engine.stream_faults.tells_copies = True
+            engine.stream_faults.ends_after = MANY_EVENTS
+        for number in range(PROVED):
+            name = f'r{number}'
+            ended = await stream(stage, name, events=MANY_EVENTS)
+            assert ended == (whole(name, MANY_EVENTS), True)
+        for engine in stage.engines:
+            engine.stream_faults.ends_after = ENOUGH
+        ended = await stream(stage, 'early', events=MANY_EVENTS)
+        assert ended == (whole('early', ENOUGH), True)
+    assert ends[-1]['proof'] == EndProof.NO_COPY
+
+
+# Guards against sound streams that are cut since nothing shows their ends, at a
+# service at which that is usual.
+async def test_sound_ends_without_proof_are_whole_where_they_are_usual(
+    monkeypatch,
+) -> None:
+    lines = collect_lines('end not proved')
+    async with open_unframed(monkeypatch) as stage:
+        stage.engines[0].stream_faults.ends_after = ENOUGH
+        for number in range(PROVED):
+            for kind, events in (('short', EVENTS), ('full', ENOUGH)):
+                name = f'{kind}-{number}'
+                ended = await stream(stage, name, events=events)
+                assert ended == (whole(name, ENOUGH), True)
+    assert [line['whole'] for line in lines] == [True] * PROVED
+
+
 # Guards against a stream that looks whole since its engine closed it alone, in
 # order, and lives.
 @DIRECTLY_OR_NOT
