Judge the end of a stop by the instance's own log

The test of changed bounds measured the end by the clock of its own loop, which also runs the stand-ins: once, at a load of over 30, it saw 6.4 s where at most 6 s were asked. It now compares `left` with `leaving` and `settings reloaded` in the log, with 0.3 s to spare where it had 0.4 to 0.8 s, and the process has to end by itself with status 0 as before. The last case leaves the signal a second instead of 0.3 s to come in time.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import replace
@@ -17,6 +16,7 @@
 from loguru import logger
 from trio.lowlevel import checkpoint
 
+from cartdale.clock import SECOND_MS
 from cartdale.daemon import gateway, peers, runtime
 from cartdale.daemon.inflight import InFlight
 from cartdale.model.types import Hardware
@@ -59,6 +59,9 @@
     memory_tokens=20000, step_base_ms=60, step_per_sequence_ms=0.01
 )
 LONG_TOKENS = 300
+#: Of times in log lines, in seconds; and how late a step may come.
+CLOCK_ERROR = 0.02
+LATENESS = 0.3
 #: As many as one engine of the stage runs at once.
 STREAMS = 60
 
@@ -259,35 +262,32 @@
 # Guards against an end by bounds that are not in force any more: a process that
 # SIGKILL overtakes, or one that cuts what would have ended in time.
 @pytest.mark.parametrize(
-    ('at_first', 'changed_after', 'changed', 'earliest', 'latest'),
+    ('at_first', 'changed_after', 'changed'),
     [
-        pytest.param(8, 0.3, 2, 1.6, 2, id='shorter in the pause'),
-        pytest.param(8, 1.5, 1, 1.5, 2, id='passed in the pause'),
-        pytest.param(8, 3.3, 5, 4.3, 5, id='shorter after the pause'),
-        pytest.param(8, 3.3, 3, 3.3, 3.8, id='passed after the pause'),
-        pytest.param(4, 3.2, 6, 5.2, 6, id='longer'),
+        pytest.param(8, 0.3, 2, id='shorter in the pause'),
+        pytest.param(8, 1.5, 1, id='passed in the pause'),
+        pytest.param(8, 3.3, 5, id='shorter after the pause'),
+        pytest.param(8, 3.3, 3, id='passed after the pause'),
+        pytest.param(5, 3.2, 7, id='longer'),
     ],
 )
 async def test_end_is_that_of_the_bounds_in_force(
-    tmp_path: Path,
-    at_first: float,
-    changed_after: float,
-    changed: float,
-    earliest: float,
-    latest: float,
+    tmp_path: Path, at_first: float, changed_after: float, changed: float
 ) -> None:
     async with open_long_stream(tmp_path, at_first) as one:
         one.process.send_signal(signal.SIGTERM)
-        began = time.monotonic()
         await trio.sleep(changed_after)
         one.write_settings(bounds__graceS=changed)
         one.process.send_signal(signal.SIGHUP)
-        with trio.move_on_after(began + latest - time.monotonic()):
-            await until(lambda: one.ended)
-        took = time.monotonic() - began
-        one.process.kill()
-    assert earliest <= took <= latest
+        await until(lambda: one.ended)
     check_end(one)
+    leaving, reloaded, left = (
+        one.read_lines(event)[0]['at']
+        for event in ('leaving', 'settings reloaded', 'left')
+    )
+    cut_after = gateway.find_cut(int(changed * SECOND_MS)) / SECOND_MS
+    due = max(leaving + cut_after, reloaded)
+    assert due - CLOCK_ERROR <= left <= due + LATENESS
 
 
 # Guards against a stop that a second signal ends, holds up or begins again.
