Log what a stop cuts before it is cut

A request whose end took long was killed without `request cut`: one whose caller reads nothing, or any of many on a loaded machine.

Cause: each request logged its cut at the end of its own unwinding, after several passes of the loop in which all others unwind too, and after writes, which are not given up, to a caller who reads nothing.

The lines are now written in the step that begins to cut. A request whose response was complete by then has none, as before, and none has two.

Such a process still ends by SIGKILL: the unread write is not given up.

--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -166,7 +166,8 @@
             self._briefings.take,
             self._briefings.knows_enough,
         )
-        self._app = InFlight(self._make_app())
+        self._gateway = self._make_app()
+        self._app = InFlight(self._gateway)
         self._callers = _bind(settings.callers, 'callers', http2=True)
         self._shares = Shares(
             settings,
@@ -223,6 +224,8 @@
             async with trio.open_nursery() as nursery:
                 self._start(nursery)
                 await self._left.wait()
+                with contain('cuts'):
+                    self._gateway.log_cuts()
                 nursery.cancel_scope.cancel()
                 ending.start_soon(run_guarded, 'leaving', self.peers.withdraw)
         logger.info('stopped', instance=self._settings.name)
--- a/src/cartdale/gateway/app.py
+++ b/src/cartdale/gateway/app.py
@@ -24,6 +24,8 @@
 
     def __init__(self, ports: GatewayPorts) -> None:
         self._ports = ports
+        #: Requests in progress; those that were logged as cut are left out.
+        self._running: set[Exchange] = set()
 
     async def __call__(
         self, scope: AsgiEvent, receive: Receive, send: Send
@@ -37,11 +39,36 @@
             log_failure('request failed', error, request='')
             await self._refuse_unread(send)
             return
+        self._running.add(exchange)
         try:
             await exchange.answer()
         except BaseException as error:
-            await _end_failed(exchange, error)
+            await self._end_failed(exchange, error)
             raise
+        finally:
+            self._running.discard(exchange)
+
+    def log_cuts(self) -> None:
+        """Log that all requests in progress are cut, just before they are.
+
+        Their own ends may take long, as of writes that nobody reads.
+        """
+        for exchange in tuple(self._running):
+            exchange.log_cut()
+        self._running.clear()
+
+    async def _end_failed(
+        self, exchange: Exchange, error: BaseException
+    ) -> None:
+        """Log why a request ended, and answer it if the error is our own."""
+        failure = _find_failure(error)
+        if failure is None:
+            if exchange in self._running:
+                exchange.log_cut()
+            return
+        log_failure('request failed', failure, request=exchange.request_id)
+        with contain('answers to failed requests', request=exchange.request_id):
+            await exchange.answer_failure()
 
     async def _refuse_unread(self, send: Send) -> None:
         """Refuse a request whose head can't be read: it did not run."""
@@ -50,17 +77,6 @@
         await send_response(send, status, headers)
 
 
-async def _end_failed(exchange: Exchange, error: BaseException) -> None:
-    """Log why a request ended, and answer it if the error is our own."""
-    failure = _find_failure(error)
-    if failure is None:
-        exchange.log_cut()
-        return
-    log_failure('request failed', failure, request=exchange.request_id)
-    with contain('answers to failed requests', request=exchange.request_id):
-        await exchange.answer_failure()
-
-
 def _find_failure(error: BaseException) -> Exception | None:
     """Return what of an error is no cancellation; ``None`` for nothing."""
     match error:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -64,6 +64,8 @@
 LATENESS = 0.3
 #: As many as one engine of the stage runs at once.
 STREAMS = 60
+#: Of each event: a few of them fill a connection.
+UNREAD_BYTES = 1_000_000
 
 
 @contextmanager
@@ -335,6 +337,29 @@
     return all(count_runs(stage, name) for name in names)
 
 
+# Guards against a cut that no line names, since its end takes too long: what is
+# written to a caller who reads nothing holds up the process until SIGKILL.
+async def test_a_cut_is_logged_before_its_work_has_ended(
+    tmp_path: Path,
+) -> None:
+    async with open_platform(instances=0) as stage:
+        stage.engines[0].stream_faults.padding = UNREAD_BYTES
+        with open_instances(stage, tmp_path, 'one') as started:
+            one = started[0]
+            one.settings['bounds.graceS'] = 2
+            one.start()
+            await one.wait_ready(stage.client)
+            async with stage.client.stream(
+                'POST',
+                f'http://{LOCAL}:{one.ports[0]}/draft/a',
+                headers=make_draft('r1', LONG_TOKENS),
+                content=b'brief',
+            ):
+                await stop_as_the_platform(one, 2)
+        cut = [each['request'] for each in one.read_lines('request cut')]
+        assert cut == ['r1']
+
+
 async def ask_process(
     client: httpx.AsyncClient, instance: ProcessInstance, request_id: str
 ) -> httpx.Response:
