--- a/src/cartdale/relay/attempts.py
+++ b/src/cartdale/relay/attempts.py
@@ -198,8 +198,8 @@
         version=ports.fleet.table.version,
         waited=now - routed.arrived_at,
         left=left,
-        stops_in=ports.stop.time_left(now),
         failing=round(find_failing(upstream, now), 2),
+        **ports.stop.describe(now),
         **describe_belief(
             ports.fleet.speeds.find(upstream.entry.upstream, now)
         ),
@@ -281,7 +281,7 @@
         request=routed.request.request_id,
         waited=now - routed.arrived_at,
         left=routed.ends_at - now,
-        stops_in=ports.stop.time_left(now),
+        **ports.stop.describe(now),
         **format_log_fields('work', work),
     )
 
--- a/src/cartdale/relay/recent_times.py
+++ b/src/cartdale/relay/recent_times.py
@@ -31,11 +31,6 @@
             self._times_by_kind[kind] = times
         times.append(took)
 
-    def find(self, kind: str) -> float | None:
-        """Return the time that few exceed; ``None`` if nothing is known."""
-        times = self._times_by_kind.get(kind)
-        return self._pick(tuple(times)) if times else None
-
     def knows(self, kind: str) -> bool:
         """Tell whether anything was observed."""
         return bool(self._times_by_kind.get(kind))
--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -19,9 +19,9 @@
     pace = ports.fleet.pace(routed.service)
     slowness = _find_slowness(ports, upstream)
     if routed.route.kind is not RouteKind.STREAM:
-        return PlainWork(
-            routed.ends_at, ports.answer_times.find(routed.route_key)
-        )
+        times, route = ports.answer_times, routed.route_key
+        answer_time = times.find_from(route, pace.answer_time)
+        return PlainWork(routed.ends_at, answer_time, times.knows(route))
     reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
     return StreamWork(
         ends_at=routed.ends_at,
--- a/src/cartdale/stopping/decide.py
+++ b/src/cartdale/stopping/decide.py
@@ -30,10 +30,7 @@
         return -inf
     longest = ceil(usual + max(usual * _SLOWER_SHARE, _SILENCE))
     last = schedule.stops_at - longest
-    match work:
-        case StreamWork(is_timed=False):
-            return min(last, schedule.sure_from)
-    return last
+    return last if work.is_timed else min(last, schedule.sure_from)
 
 
 def _find_usual(work: Work) -> float | None:
--- a/src/cartdale/stopping/driver.py
+++ b/src/cartdale/stopping/driver.py
@@ -7,6 +7,7 @@
 import trio
 
 from cartdale.clock import SECOND_MS, Millis
+from cartdale.formatting import Plain
 from cartdale.stopping.decide import find_last_start
 from cartdale.stopping.types import Schedule, Work
 
@@ -44,10 +45,10 @@
         for wait, find_work in self._finders_by_wait.items():
             self._bound(wait, find_work, now)
 
-    def time_left(self, now: Millis) -> Millis | None:
-        """Return the time that is left; ``None`` if no stop has begun."""
+    def describe(self, now: Millis) -> dict[str, Plain]:
+        """Return the time that is left, for a log line, if a stop began."""
         schedule = self._schedule
-        return None if schedule is None else schedule.stops_at - now
+        return {} if schedule is None else {'stops_in': schedule.stops_at - now}
 
     def allows(self, find_work: FindWork, now: Millis) -> bool:
         """Tell whether work that begins now ends in time.
--- a/src/cartdale/stopping/types.py
+++ b/src/cartdale/stopping/types.py
@@ -10,12 +10,13 @@
     """A request whose response is passed on once it is complete.
 
     :param ends_at: time limit of the request.
-    :param answer_time: time of a response that few exceed, in milliseconds;
-        ``None`` if its service has not responded yet.
+    :param answer_time: time of a response that few exceed, in milliseconds.
+    :param is_timed: whether that was observed, not assumed.
     """
 
     ends_at: Millis
-    answer_time: float | None
+    answer_time: float
+    is_timed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_stop_commitments.py
+++ b/tests/test_stop_commitments.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from cartdale.clock import SECOND_MS
+from cartdale.clock import SECOND_MS, as_seconds
 from cartdale.daemon import gateway
 from cartdale.daemon.gateway import GatewayRuntime
 from cartdale_standins.platform_engine import STRIDE
@@ -133,14 +133,15 @@
         assert answer.status_code == OUTCOME_UNKNOWN
 
 
-# Guards against plain requests that are taken on at the assumed time of a
-# service that has not answered yet, and are cut.
+# Guards against plain requests that are taken on late in a stop at the assumed
+# time of a service that has not answered yet, and are cut.
 async def test_plain_request_of_an_unknown_service_is_not_cut(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async with open_stopping(monkeypatch, plains=1) as (stage, instance):
         stage.plains[0].speed.work_seconds = 5
         instance.leave()
+        await trio.sleep(as_seconds(gateway.LEAVE_PAUSE // 2) + 0.05)
         answer = await ask(stage, 'r1')
         assert answer.status_code == NOT_RUN
         assert not count_runs(stage, 'r1')
