--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -13,7 +13,13 @@
     send_response,
 )
 from cartdale.daemon import gateway
-from tests.platform_stage import LOCAL, count_runs, make_headers, open_platform
+from tests.platform_stage import (
+    LOCAL,
+    ask,
+    count_runs,
+    make_headers,
+    open_platform,
+)
 from tests.test_connection_ends import (
     LAST,
     REQUEST,
@@ -150,6 +156,7 @@
     names = [f'r{number}' for number in range(10)]
     async with open_platform(engines=0) as stage:
         instance = stage.runtimes[0]
+        assert (await ask(stage, 'first')).is_success
         stage.plains[0].speed.work_seconds = 0.1
         callers = [
             Caller(await trio.open_tcp_stream(LOCAL, instance.caller_port))
