--- a/src/cartdale/relay/output_lengths.py
+++ b/src/cartdale/relay/output_lengths.py
@@ -1,27 +1,34 @@
 """Learn how long the streams of each route get."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+from functools import partial
+from math import ceil
 
 from cartdale.relay.types import CallerRequest, RoutedRequest
-from cartdale.routing.lengths import LengthProfile
 
 #: Routes whose lengths are kept; the one that was added first is dropped.
 _MAX_ROUTES = 256
+#: Streams of a route that count, the latest ones.
+_KEPT = 512
 _PERCENT = 100
-_NOTHING_OBSERVED = LengthProfile()
+
+
+def _make_window() -> deque[int]:
+    return deque(maxlen=_KEPT)
 
 
 @dataclass(frozen=True, slots=True)
 class RouteLengths:
-    """Hold the lengths of the streams of one route.
+    """Hold the lengths of the latest whole streams of one route.
 
-    :param tokens: of whole streams.
-    :param percent: tokens of whole streams, in percent of what their callers
-        had expected.
+    :param tokens: of each stream.
+    :param percent: tokens in percent of what the caller had expected, of each
+        stream whose caller told.
     """
 
-    tokens: LengthProfile = _NOTHING_OBSERVED
-    percent: LengthProfile = _NOTHING_OBSERVED
+    tokens: deque[int] = field(default_factory=_make_window)
+    percent: deque[int] = field(default_factory=_make_window)
 
 
 class OutputLengths:
@@ -38,19 +45,10 @@
         request = routed.request
         if not tokens or request.last_event:
             return
-        route = routed.route_key
-        known = self._lengths_by_route.get(route)
-        if known is None and len(self._lengths_by_route) >= _MAX_ROUTES:
-            self._lengths_by_route.pop(next(iter(self._lengths_by_route)))
-        known = known or RouteLengths()
-        percent = known.percent
+        known = self._find_or_add(routed.route_key)
+        known.tokens.append(tokens)
         if request.expected_tokens:
-            percent = percent.observe(
-                tokens * _PERCENT // request.expected_tokens
-            )
-        self._lengths_by_route[route] = RouteLengths(
-            known.tokens.observe(tokens), percent
-        )
+            known.percent.append(tokens * _PERCENT // request.expected_tokens)
 
     def find_bound(self, routed: RoutedRequest, risk: float) -> int | None:
         """Return a number of tokens that a stream hardly ever exceeds.
@@ -63,19 +61,32 @@
         bounds = (learnt, request.max_tokens)
         return min((bound for bound in bounds if bound), default=None)
 
+    def _find_or_add(self, route: str) -> RouteLengths:
+        known = self._lengths_by_route.get(route)
+        if known is None:
+            if len(self._lengths_by_route) >= _MAX_ROUTES:
+                self._lengths_by_route.pop(next(iter(self._lengths_by_route)))
+            known = RouteLengths()
+            self._lengths_by_route[route] = known
+        return known
+
     def _find_learnt(
         self, route: str, request: CallerRequest, risk: float
     ) -> int:
         """Return what was learnt of a route; 0 if that is too little."""
-        known = self._lengths_by_route.get(route, RouteLengths())
-        if request.expected_tokens and _is_known(known.percent, risk):
-            percent = known.percent.quantile(1 - risk)
+        known = self._lengths_by_route.get(route)
+        if known is None:
+            return 0
+        find = partial(_find_quantile, risk=risk)
+        percent = find(known.percent) if request.expected_tokens else 0
+        if percent:
             return request.expected_tokens * percent // _PERCENT + 1
-        if _is_known(known.tokens, risk):
-            return known.tokens.quantile(1 - risk)
-        return 0
+        return find(known.tokens)
 
 
-def _is_known(profile: LengthProfile, risk: float) -> bool:
-    """Tell whether there are enough observations for such a chance."""
-    return len(profile.recent) * risk >= 1
+def _find_quantile(lengths: deque[int], risk: float) -> int:
+    """Return what few lengths exceed; 0 with too few for such a chance."""
+    count = len(lengths)
+    if count * risk < 1:
+        return 0
+    return sorted(lengths)[ceil((1 - risk) * count) - 1]
--- a/src/cartdale/routing/lengths.py
+++ b/src/cartdale/routing/lengths.py
@@ -8,7 +8,6 @@
 from bisect import bisect_right
 from dataclasses import dataclass, field, replace
 from functools import cache
-from math import ceil
 
 WINDOW_SIZE = 512
 #: Shapes with fewer observations fall back to the service's profile.
@@ -80,14 +79,6 @@
             self.rows_by_bucket[bucket] = row
         return row
 
-    def quantile(self, share: float) -> int:
-        """Return the length that this share of the observations doesn't exceed.
-
-        :param share: 0 to 1.
-        """
-        index = ceil(share * len(self.ordered)) - 1
-        return self.ordered[max(index, 0)]
-
     def mean(self) -> float:
         """Return the mean length."""
         return sum(self.ordered) / len(self.ordered)
