--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -8,6 +8,10 @@
 from cartdale.stopping.decide import MAX_RISK
 from cartdale.stopping.types import PlainWork, StreamWork, Work
 
+#: So few tokens take less than the allowance for a silence at any engine. The
+#: pace of a service whose streams are all so short is never observed.
+_SHORT_TOKENS = 32
+
 
 def describe_work(
     ports: RelayPorts, routed: RoutedRequest, upstream: Upstream | None = None
@@ -23,13 +27,15 @@
         answer_time = times.find_from(route, pace.answer_time)
         return PlainWork(routed.ends_at, answer_time, times.knows(route))
     reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
+    tokens = ports.lengths.find_bound(routed, MAX_RISK)
+    is_short = tokens is not None and tokens <= _SHORT_TOKENS
     return StreamWork(
         ends_at=routed.ends_at,
         read_time=pace.read_time(reads) * slowness,
-        tokens=ports.lengths.find_bound(routed, MAX_RISK),
+        tokens=tokens,
         token_time=slowness
         * ports.token_times.find_from(routed.service, pace.token_time),
-        is_timed=ports.token_times.knows(routed.service),
+        is_timed=is_short or ports.token_times.knows(routed.service),
     )
 
 
--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -79,6 +79,17 @@
         assert work.read_time >= fleet.pace('writers').read_time(waiting)
 
 
+# Guards against refusals of short streams in the later part of a stop, at a
+# service whose streams are all too short to tell its pace.
+async def test_pace_of_short_streams_need_not_be_observed() -> None:
+    async with open_platform(plains=0) as stage:
+        ports = stage.runtimes[0]._relaying.ports
+        request = replace(REQUEST, max_tokens=16)
+        short = replace(ROUTED, request=request)
+        assert describe_work(ports, short).is_timed
+        assert not describe_work(ports, ROUTED).is_timed
+
+
 # Guards against streams that exceed the learnt bound more often than accepted,
 # on routes with few streams.
 def test_bound_of_a_route_with_few_streams_is_rarely_exceeded() -> None:
