--- a/tests/test_engine_driver.py
+++ b/tests/test_engine_driver.py
@@ -27,6 +27,7 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against an idle engine that misses what it is given.
 async def test_idle_engine_begins_and_ends_what_it_accepts(
     autojump_clock,
 ) -> None:
--- a/tests/test_last_start.py
+++ b/tests/test_last_start.py
@@ -36,6 +36,7 @@
 ROUTED = RoutedRequest(REQUEST, ROUTE, 'writers', '', 0, 0, LATER)
 
 
+# Guards against refusals of requests that their own limit ends in time.
 @pytest.mark.parametrize('work', [STREAM, PLAIN])
 def test_time_limit_before_the_stop_is_enough(work) -> None:
     in_time = replace(work, ends_at=STOPS_AT)
@@ -59,6 +60,7 @@
     assert find_last_start(longer, SCHEDULE) < SCHEDULE.sure_from
 
 
+# Guards against streams of unknown length that are taken on, and are cut.
 def test_stream_that_nothing_bounds_never_begins() -> None:
     unbounded = replace(STREAM, tokens=None)
     assert find_last_start(unbounded, SCHEDULE) == -inf
@@ -77,6 +79,7 @@
     assert STOPS_AT - 2000 <= last <= STOPS_AT - 1500
 
 
+# Guards against bounds that are told of routes without enough streams.
 def test_maximum_bounds_a_stream_of_an_unknown_route() -> None:
     assert OutputLengths().find_bound(ROUTED, MAX_RISK) == 4000
     unbounded = replace(ROUTED, request=replace(REQUEST, max_tokens=0))
@@ -93,6 +96,7 @@
     assert lengths.find_bound(twice, MAX_RISK) == 601
 
 
+# Guards against refusals of all streams without a hint by their maximum.
 def test_route_bounds_streams_without_a_hint() -> None:
     lengths = OutputLengths()
     unhinted = replace(ROUTED, request=replace(REQUEST, expected_tokens=0))
--- a/tests/test_limit_ends.py
+++ b/tests/test_limit_ends.py
@@ -87,6 +87,7 @@
     assert not keeps_limit(instance, NAME, 33, WALL_OFFSET)
 
 
+# Guards against a check that passes over limits that a process itself heard.
 def test_new_process_may_keep_a_limit_that_it_heard_of(tmp_path: Path) -> None:
     instance = make_instance(
         tmp_path,
@@ -104,12 +105,14 @@
     return find_heard_by(soak, limited, WALL_OFFSET)
 
 
+# Guards against a check that waits longer than the next permit takes.
 def test_end_must_be_known_after_the_next_permit(tmp_path: Path) -> None:
     limited = make_limited()
     soak = make_soak(limited, make_instance(tmp_path, (1, 'started')))
     assert find(limited, soak) == ASKED_BY
 
 
+# Guards against a check that waits on once an answer has told of the end.
 def test_end_must_be_known_soon_after_an_answer_without_limit(
     tmp_path: Path,
 ) -> None:
@@ -147,6 +150,7 @@
     assert find(limited, soak) == pytest.approx(told.ended_at + TOLD_SECONDS)
 
 
+# Guards against an end that counts as told by an instance that ended.
 def test_instance_that_ends_tells_nobody(tmp_path: Path) -> None:
     limited = make_limited()
     instance = make_instance(tmp_path, (1, 'started'), (35, 'started'))
@@ -156,6 +160,7 @@
     assert find(limited, soak) == pytest.approx(35 + AWAY_SECONDS)
 
 
+# Guards against a check that waits for instances that were back in time.
 def test_earlier_absence_delays_nothing(tmp_path: Path) -> None:
     limited = make_limited()
     instance = make_instance(tmp_path, (1, 'started'), (12, 'started'))
