--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -259,7 +259,11 @@
         except BadInputError as error:
             logger.error('settings refused', detail=error.format_message())
             return
-        self._settings = replace(self._settings, bounds=settings.bounds)
+        self._settings = replace(
+            self._settings,
+            bounds=settings.bounds,
+            expects_customers=settings.expects_customers,
+        )
         self.fleet.cold_gate.bound = settings.bounds.cold
         self._relaying.budget.bound(
             settings.bounds.retry_ratio,
@@ -355,6 +359,7 @@
                 leaving=self._is_leaving,
                 metrics=self.metrics,
                 generator=random.Random(self._seed),
+                expects_customers=lambda: self._settings.expects_customers,
                 region_map=RegionMap(self._settings.regions_by_domain),
                 account=self.account,
                 body_account=self._held_account,
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -49,7 +49,7 @@
 from cartdale.routes.match import (
     find_regions,
     find_route,
-    needs_key,
+    identify_customer,
     pick_service,
     rank_request,
 )
@@ -69,9 +69,10 @@
 class _Refused(Exception):
     """Raised while routing a request that is refused with a status."""
 
-    def __init__(self, status: HTTPStatus) -> None:
-        super().__init__(status)
+    def __init__(self, status: HTTPStatus, reason: str = '') -> None:
+        super().__init__(status, reason)
         self.status = status
+        self.reason = reason
 
 
 class Exchange:
@@ -162,7 +163,7 @@
         try:
             routed = await self._route_by_newest()
         except _Refused as refused:
-            await self._refuse_with_status(refused.status)
+            await self._refuse_with_status(refused.status, refused.reason)
             return
         if isinstance(routed, NotRun):
             await self._refuse(routed)
@@ -215,12 +216,14 @@
         route = find_route(table, request.host, request.path)
         if route is None:
             raise _Refused(HTTPStatus.NOT_FOUND)
-        if request.key in table.refused_keys:
-            raise _Refused(HTTPStatus.UNAUTHORIZED)
-        customer = table.customers_by_key.get(request.key)
-        if customer is None and needs_key(table, route):
-            raise _Refused(HTTPStatus.UNAUTHORIZED)
-        return self._make_routed(route, customer)
+        expects_customers = self._ports.expects_customers()
+        identified = identify_customer(
+            table, route, request.key, expects_customers=expects_customers
+        )
+        if isinstance(identified, Failure):
+            reason = identified.failure().value
+            raise _Refused(HTTPStatus.UNAUTHORIZED, reason)
+        return self._make_routed(route, identified.unwrap())
 
     def _make_routed(
         self, route: Route, customer: Customer | None
@@ -372,11 +375,14 @@
         )
         return document
 
-    async def _refuse_with_status(self, status: HTTPStatus) -> None:
+    async def _refuse_with_status(
+        self, status: HTTPStatus, reason: str = ''
+    ) -> None:
         logger.info(
             'refused',
             request=self._request.request_id,
             status=int(status),
+            reason=reason,
             version=self._ports.table().version,
             newest=self._ports.newest(),
         )
--- a/src/cartdale/gateway/ports.py
+++ b/src/cartdale/gateway/ports.py
@@ -37,6 +37,8 @@
     :param wait_for_newest: waits until the newest version is in force, or the
         wait may take long.
     :param leaving: returns whether connections should be closed.
+    :param expects_customers: returns whether the deployment has customers, also
+        if the table lists none.
     :param region_map: maps failure domains to regions.
     :param account: of the bytes held for slow peers; ``None`` for none.
     :param body_account: of the bodies of requests; ``None`` for none.
@@ -52,6 +54,7 @@
     leaving: Callable[[], bool]
     metrics: GatewayMetrics
     generator: random.Random
+    expects_customers: Callable[[], bool]
     region_map: RegionMap = RegionMap()
     account: Account | None = None
     body_account: Account | None = None
--- a/src/cartdale/platform/callers.py
+++ b/src/cartdale/platform/callers.py
@@ -24,7 +24,7 @@
 from cartdale.ranges import clamp
 from cartdale.relay.types import CallerRequest, Headers
 
-_KEY_SCHEME = 'token '
+_KEY_SCHEME = 'token'
 #: A part of a prompt: its ID in hexadecimal and its number of tokens.
 _PART = re.compile('([0-9a-f]+):[0-9]+')
 #: Hop-by-hop headers; they are not forwarded.
@@ -88,7 +88,7 @@
         method=method,
         host=values_by_name.get('host', ''),
         target=target,
-        key=_read_key(values_by_name.get(HEADER_AUTHORIZATION, '')),
+        key=_read_key(listed),
         deadline=_read_number(values_by_name.get(HEADER_DEADLINE, '')),
         headers=tuple(forwarded),
         prompt_tokens=prompt,
@@ -128,10 +128,24 @@
     return frozenset(options) - {b'host', HEADER_REQUEST_ID.encode()}
 
 
-def _read_key(raw: str) -> str:
-    if not raw.lower().startswith(_KEY_SCHEME):
-        return raw
-    return raw[len(_KEY_SCHEME) :].strip()
+def _read_key(headers: list[tuple[bytes, bytes]]) -> str | None:
+    """Return the caller's key; empty for none.
+
+    :returns: ``None`` for another scheme, an empty key, or several credentials
+        that differ.
+    """
+    credentials = {
+        value.strip()
+        for name, value in headers
+        if name == HEADER_AUTHORIZATION.encode() and value.strip()
+    }
+    if not credentials:
+        return ''
+    credential = credentials.pop().decode('latin-1')
+    scheme, _, key = credential.partition(' ')
+    if credentials or scheme.lower() != _KEY_SCHEME:
+        return None
+    return key.strip() or None
 
 
 def _read_number(raw: str) -> int:
--- a/src/cartdale/platform/customers.py
+++ b/src/cartdale/platform/customers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Final
 
 import msgspec
 
@@ -20,7 +21,11 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: SmallInteger | None = None
-    allowed_regions: frozenset[str] | None = None
+    allowed_regions: frozenset[str] | None | msgspec.UnsetType = msgspec.UNSET
+
+
+#: What is wrong with an empty key: requests without a key would match it.
+_EMPTY_KEY: Final = 'an empty key'
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,33 +34,42 @@
 
     customers_by_name: dict[str, Customer]
     customers_by_key: dict[str, Customer]
-    refused_keys: frozenset[str]
     faults: tuple[TableFault, ...]
 
 
 def index_customers(tenants: Sequence[Tenant]) -> CustomerIndex:
     """Index customers by name and by key.
 
-    Customers that are refused keep their names, so that routes need a key even
-    if no other customer is left.
+    Customers whose names can't be used lose their keys; empty keys are left
+    out.
     """
     customers_by_name: dict[str, Customer] = {}
     customers_by_key: dict[str, Customer] = {}
-    refused_keys: set[str] = set()
     faults: list[TableFault] = []
     for number, tenant in enumerate(tenants):
         customer = Customer(
-            tenant.name, tenant.priority, tenant.allowed_regions
+            tenant.name, tenant.priority, read_regions(tenant.allowed_regions)
         )
         customers_by_name[tenant.name] = customer
         if not fits_header(tenant.name):
-            refused_keys.update(tenant.api_keys)
             faults.append(TableFault(f'$.tenants[{number}].name', NO_HEADER))
             continue
-        customers_by_key.update(dict.fromkeys(tenant.api_keys, customer))
-    return CustomerIndex(
-        customers_by_name,
-        customers_by_key,
-        frozenset(refused_keys.difference(customers_by_key)),
-        tuple(faults),
-    )
+        for index, key in enumerate(tenant.api_keys):
+            if key:
+                customers_by_key[key] = customer
+                continue
+            field = f'$.tenants[{number}].apiKeys[{index}]'
+            faults.append(TableFault(field, _EMPTY_KEY))
+    return CustomerIndex(customers_by_name, customers_by_key, tuple(faults))
+
+
+def read_regions(
+    stored: frozenset[str] | None | msgspec.UnsetType,
+) -> frozenset[str] | None:
+    """Return the regions that a stored value allows; ``None`` for all.
+
+    Only a value that is absent allows all regions; ``null`` allows none.
+    """
+    if isinstance(stored, msgspec.UnsetType):
+        return None
+    return stored or frozenset()
--- a/src/cartdale/platform/documents.py
+++ b/src/cartdale/platform/documents.py
@@ -17,7 +17,11 @@
     fits_header,
     fits_request_line,
 )
-from cartdale.platform.customers import Tenant, index_customers
+from cartdale.platform.customers import (
+    Tenant,
+    index_customers,
+    read_regions,
+)
 from cartdale.platform.names import STATE_DRAINING, STATE_READY
 from cartdale.ranges import (
     LARGEST,
@@ -118,7 +122,7 @@
     allow_anonymous: bool = False
     #: Whether any engine may resume a stream.
     resumable: bool = False
-    allowed_regions: frozenset[str] | None = None
+    allowed_regions: frozenset[str] | None | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -157,7 +161,7 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: tuple[Tenant, ...] = ()
+    tenants: tuple[Tenant, ...] | None | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Upstream(msgspec.Struct, rename='camel'):
@@ -190,7 +194,7 @@
         route = _to_route(stored_route)
         routes_by_host.setdefault(route.host, []).append(route)
     limits = stored.limits
-    index = index_customers(stored.tenants)
+    index = index_customers(stored.tenants or ())
     return RoutingTable(
         version=stored.version,
         routes_by_host={
@@ -208,7 +212,7 @@
             header_timeout=limits.header_timeout_ms,
             idle_timeout=limits.idle_timeout_ms,
         ),
-        refused_keys=index.refused_keys,
+        lists_customers=stored.tenants is not msgspec.UNSET,
         faults=(*index.faults, *_list_odd_paths(stored)),
     )
 
@@ -290,7 +294,7 @@
         max_attempts=stored.max_attempts,
         anonymous=stored.allow_anonymous,
         resumable=stored.resumable,
-        regions=stored.allowed_regions,
+        regions=read_regions(stored.allowed_regions),
     )
 
 
--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -37,6 +37,8 @@
 
 #: In the list of the rules in force: peers may be slow to read.
 _PRESSURE_CONTRACT = 'pressure'
+#: In the same list: requests carry the keys of customers.
+_CUSTOMERS_CONTRACT = 'tenants'
 #: What systems allow a process unless they are told otherwise.
 _DEFAULT_DESCRIPTORS = 1024
 
@@ -91,6 +93,8 @@
     :param memory_bytes: memory of the process at most; 0 if it is not told.
     :param pressure: whether callers compete for room, and they and upstreams
         may be slow to read.
+    :param expects_customers: whether requests carry keys of customers, which
+        holds too if the file does not tell.
     """
 
     name: str
@@ -109,6 +113,7 @@
     max_descriptors: int = _DEFAULT_DESCRIPTORS
     memory_bytes: int = 0
     pressure: bool = False
+    expects_customers: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +193,7 @@
 
 def _parse_fields(reader: FieldReader) -> PlatformSettings:
     """Return the settings; faults are left with the reader."""
+    contracts = reader.parse_optional('contracts', parse_names, _NO_NAMES)
     return PlatformSettings(
         name=reader.parse_required('node', parse_text, ''),
         address=reader.parse_required('ip', parse_text, ''),
@@ -216,8 +222,8 @@
         memory_bytes=reader.parse_optional(
             'limits.memoryMb', parse_megabytes, 0
         ),
-        pressure=_PRESSURE_CONTRACT
-        in reader.parse_optional('contracts', parse_names, _NO_NAMES),
+        pressure=_PRESSURE_CONTRACT in contracts,
+        expects_customers=not contracts or _CUSTOMERS_CONTRACT in contracts,
     )
 
 
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -33,7 +33,8 @@
     """Hold a request as the caller sent it, independent of the protocol.
 
     :param target: path and query, unchanged.
-    :param key: the caller's credential; empty for none.
+    :param key: the caller's credential; empty for none, ``None`` for one that
+        holds no key.
     :param deadline: how long the caller waits; 0 if unspecified.
     :param prompt_tokens: tokens to read; 0 for a plain request.
     :param max_tokens: maximum number of tokens to generate.
@@ -51,7 +52,7 @@
     method: str
     host: str
     target: bytes
-    key: str
+    key: str | None
     deadline: Millis
     headers: Headers
     body: bytes = b''
--- a/src/cartdale/routes/match.py
+++ b/src/cartdale/routes/match.py
@@ -2,7 +2,9 @@
 
 import random
 
-from cartdale.routes.types import Customer, Route, RoutingTable
+from returns.result import Failure, Result, Success
+
+from cartdale.routes.types import Customer, KeyFault, Route, RoutingTable
 
 _PORT_SEPARATOR = ':'
 
@@ -26,9 +28,28 @@
     )
 
 
-def needs_key(table: RoutingTable, route: Route) -> bool:
-    """Return whether requests on the route must carry a known key."""
-    return bool(table.customers_by_name) and not route.anonymous
+def identify_customer(
+    table: RoutingTable,
+    route: Route,
+    key: str | None,
+    *,
+    expects_customers: bool,
+) -> Result[Customer | None, KeyFault]:
+    """Return the customer that a request's key belongs to.
+
+    Keys are ignored where neither the table nor the deployment has customers.
+
+    :param key: empty for none; ``None`` for credentials that hold no key.
+    :param expects_customers: whether the deployment has customers, also if the
+        table does not list any.
+    :returns: ``None`` for a request that needs no key and carries none.
+    """
+    if not table.lists_customers and not expects_customers:
+        return Success(None)
+    if key == '':
+        return Success(None) if route.anonymous else Failure(KeyFault.MISSING)
+    customer = table.customers_by_key.get(key) if key else None
+    return Failure(KeyFault.UNKNOWN) if customer is None else Success(customer)
 
 
 def rank_request(route: Route, customer: Customer | None) -> int:
--- a/src/cartdale/routes/types.py
+++ b/src/cartdale/routes/types.py
@@ -18,6 +18,13 @@
     STREAM = 'stream'
 
 
+class KeyFault(StrEnum):
+    """Why a request's key names no customer."""
+
+    MISSING = 'missing key'
+    UNKNOWN = 'unknown key'
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
     """A service's share of a route's requests.
@@ -154,8 +161,8 @@
 
     :param routes_by_host: the routes of each host, longest prefix first.
     :param customers_by_name: all customers, also those without a key.
-    :param refused_keys: keys of customers that can't be served, nor be taken
-        for callers without a key, who may be sent to any region.
+    :param lists_customers: whether the configuration has a list of customers,
+        be it empty; a list without any customer accepts no key.
     :param faults: parts without which it is in force.
     """
 
@@ -165,5 +172,5 @@
     customers_by_name: dict[str, Customer] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
-    refused_keys: frozenset[str] = frozenset()
+    lists_customers: bool = False
     faults: tuple[TableFault, ...] = ()
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -2,14 +2,18 @@
 
 from random import Random
 
+import pytest
+from returns.result import Failure, Success
+
 from cartdale.routes.match import (
     find_route,
-    needs_key,
+    identify_customer,
     pick_service,
     rank_request,
 )
 from cartdale.routes.types import (
     Customer,
+    KeyFault,
     Route,
     RouteKind,
     RoutingTable,
@@ -40,14 +44,45 @@
     assert find_route(table, 'b.example', '/a/') is None
 
 
-def test_keys_are_needed_only_with_customers_and_not_on_open_routes() -> None:
-    customer = Customer('c')
-    keyed = RoutingTable(
-        1, customers_by_name={'c': customer}, customers_by_key={'k': customer}
-    )
-    assert needs_key(keyed, make_route('/a/'))
-    assert not needs_key(keyed, make_route('/a/', anonymous=True))
-    assert not needs_key(RoutingTable(1), make_route('/a/'))
+CUSTOMER = Customer('c')
+KEYED = RoutingTable(
+    1,
+    customers_by_name={'c': CUSTOMER},
+    customers_by_key={'k': CUSTOMER},
+    lists_customers=True,
+)
+#: Lists customers, of whom none is left.
+EMPTIED = RoutingTable(1, lists_customers=True)
+WITHOUT_LIST = RoutingTable(1)
+MISSING, UNKNOWN = Failure(KeyFault.MISSING), Failure(KeyFault.UNKNOWN)
+
+
+# Guards against a list of customers that opens routes once it is empty or left
+# out, and against keys without a customer on routes that need none.
+@pytest.mark.parametrize(
+    ('table', 'expects_customers', 'key', 'closed', 'anonymous'),
+    [
+        (KEYED, False, 'k', Success(CUSTOMER), Success(CUSTOMER)),
+        (KEYED, False, 'other', UNKNOWN, UNKNOWN),
+        (KEYED, False, '', MISSING, Success(None)),
+        (KEYED, False, None, UNKNOWN, UNKNOWN),
+        (EMPTIED, False, 'k', UNKNOWN, UNKNOWN),
+        (EMPTIED, False, '', MISSING, Success(None)),
+        (WITHOUT_LIST, True, 'k', UNKNOWN, UNKNOWN),
+        (WITHOUT_LIST, True, '', MISSING, Success(None)),
+        (WITHOUT_LIST, False, 'k', Success(None), Success(None)),
+        (WITHOUT_LIST, False, '', Success(None), Success(None)),
+    ],
+)
+def test_customers_are_identified_by_known_keys(
+    table: RoutingTable, expects_customers: bool, key, closed, anonymous
+) -> None:
+    for is_open, expected in ((False, closed), (True, anonymous)):
+        route = make_route('/a/', anonymous=is_open)
+        identified = identify_customer(
+            table, route, key, expects_customers=expects_customers
+        )
+        assert identified == expected
 
 
 def test_customer_priority_overrides_that_of_the_route() -> None:
