--- a/src/cartdale/callers/read.py
+++ b/src/cartdale/callers/read.py
@@ -62,7 +62,7 @@
     scheme, _, key = authorization.partition(' ')
     hashed = hashlib.sha256(key.strip().encode()).hexdigest()
     caller = directory.callers_by_hash.get(hashed)
-    if scheme.lower() != 'bearer' or caller is None:
+    if scheme.lower() != 'bearer' or not key.strip() or caller is None:
         return Failure(Unauthorised())
     return Success(caller)
 
