--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -12,6 +12,7 @@
     accept_http_request,
     send_response,
 )
+from cartdale.bounded_pool import count_endless_heads
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.pressure.driver import Account
 from cartdale.pressure.types import Holding
@@ -217,6 +218,9 @@
         self._unverified = registry.gauge(
             'unverified_datagrams', 'Not verified since the start.'
         )
+        self._endless = registry.gauge(
+            'endless_response_heads', 'Given up since the start.'
+        )
         self._failures = registry.gauge(
             'task_failures', 'Unexpected errors since the start, by task.'
         )
@@ -261,6 +265,7 @@
         constraints = self._read_constraints()
         for field, gauge in self._gauges_by_field.items():
             gauge.set({}, getattr(constraints, field))
+        self._endless.set({}, count_endless_heads())
         for task, count in count_task_failures().items():
             self._failures.set({'task': task}, count)
         if self._pressure is not None:
--- a/src/cartdale/peers/pool.py
+++ b/src/cartdale/peers/pool.py
@@ -2,6 +2,7 @@
 
 import httpcore
 
+from cartdale.bounded_pool import BoundedPool
 from cartdale.settings.types import Tls
 from cartdale.transport import SHARE_PORT
 
@@ -15,13 +16,11 @@
     step of an instance's start.
     """
     if tls is None:
-        return httpcore.AsyncConnectionPool(
-            max_connections=None, socket_options=_SOCKET_OPTIONS
-        )
+        return BoundedPool(max_connections=None, socket_options=_SOCKET_OPTIONS)
     from ssl import create_default_context  # noqa: PLC0415
 
     context = create_default_context(cafile=tls.authority or None)
     context.load_cert_chain(tls.certificate, tls.key)
-    return httpcore.AsyncConnectionPool(
+    return BoundedPool(
         context, max_connections=None, socket_options=_SOCKET_OPTIONS
     )
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -57,6 +57,7 @@
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     find_carrier,
     is_framed,
+    take_turns,
 )
 
 _DROPPED_HEADERS = CONNECTION_HEADERS | {
@@ -276,7 +277,7 @@
 
 async def _read_chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
     try:
-        async for chunk in response.aiter_stream():
+        async for chunk in take_turns(response.aiter_stream()):
             yield chunk
     except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as error:
         raise LinkBrokeError(format_error(error)) from error
--- a/src/cartdale/platform/pools.py
+++ b/src/cartdale/platform/pools.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from cartdale.bounded_pool import BoundedPool
 from cartdale.clock import SECOND_MS, Millis
 from cartdale.transport import SHARE_PORT
 
@@ -35,7 +36,7 @@
         ``None`` for no bound.
     :param backend: opens the connections.
     """
-    return httpcore.AsyncConnectionPool(
+    return BoundedPool(
         max_connections=None,
         max_keepalive_connections=max_idle,
         socket_options=_SOCKET_OPTIONS,
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -1,7 +1,15 @@
 """Tell failures before sending from failures after it."""
 
 import socket
-from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from collections.abc import (
+    AsyncIterable,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from contextlib import AbstractAsyncContextManager, contextmanager
 from typing import Any, Final
 
@@ -22,6 +30,8 @@
 SHARE_PORT: Final = (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 #: Maximum size of an answer of the store or of another instance, in bytes.
 MAX_ANSWER: Final = 16777216
+#: Time after which a task that reads a body lets others run.
+_TURN_SECONDS: Final = 0.005
 #: Time-outs of a read within which an answer is whole.
 _READS = 2
 #: Headers that delimit a body.
@@ -180,6 +190,20 @@
             return await read_bounded(response, MAX_ANSWER)
 
 
+async def take_turns(chunks: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
+    """Iterate over the parts of a body, letting other tasks run in between.
+
+    Many small parts may have been received at once, so that the client library
+    passes them on without a checkpoint.
+    """
+    turn_ends = trio.current_time() + _TURN_SECONDS
+    async for chunk in chunks:
+        yield chunk
+        if trio.current_time() >= turn_ends:
+            await trio.lowlevel.checkpoint()
+            turn_ends = trio.current_time() + _TURN_SECONDS
+
+
 async def read_bounded(
     response: httpcore.Response, limit: int
 ) -> httpcore.Response:
@@ -190,7 +214,7 @@
     """
     parts: list[bytes] = []
     size = 0
-    async for chunk in response.aiter_stream():
+    async for chunk in take_turns(response.aiter_stream()):
         size += len(chunk)
         if size > limit:
             raise httpcore.RemoteProtocolError(f'over {limit} bytes')
