--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -1,6 +1,6 @@
 """Handle one request: route it, forward it and write the response."""
 
-from contextlib import AbstractContextManager, nullcontext, suppress
+from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
@@ -281,10 +281,9 @@
                 self._ports.metrics.record_response(
                     routed.route, response.status
                 )
-                with _hold_written(self._ports, len(response.body)):
-                    await self._sink.answer(
-                        response.status, response.headers, response.body
-                    )
+                await self._sink.answer(
+                    response.status, response.headers, response.body
+                )
             case Failure(problem):
                 await self._refuse(problem)
 
@@ -396,25 +395,12 @@
 def _make_sink(
     ports: GatewayPorts, send: Send, request_id: str
 ) -> AsgiSink | ReadAheadSink:
-    sink = AsgiSink(send, ports.leaving, ports.clock)
     if ports.account is None:
-        return sink
+        return AsgiSink(send, ports.leaving, ports.clock, ports.body_account)
+    sink = AsgiSink(send, ports.leaving, ports.clock)
     return ReadAheadSink(sink, ports.account, request_id, ports.clock)
 
 
-def _hold_written(
-    ports: GatewayPorts, size: int
-) -> AbstractContextManager[None]:
-    """Count a response as held while it is written.
-
-    A response that is read ahead is counted as such.
-    """
-    account = ports.body_account
-    if account is None or ports.account is not None:
-        return nullcontext()
-    return account.hold_written(size)
-
-
 def _find_seconds_left(request: CallerRequest, passed: Millis) -> float:
     """Return the time until the caller's deadline; infinite for none.
 
--- a/src/cartdale/gateway/metrics.py
+++ b/src/cartdale/gateway/metrics.py
@@ -163,6 +163,7 @@
         totals, counts = account.totals, account.counts
         self._held.set({'reason': Holding.RESPONSE.value}, totals.responses)
         self._held.set({'reason': Holding.BODY.value}, totals.bodies)
+        self._held.set({'reason': Holding.EVENT.value}, totals.events)
         self._limit.set({}, account.limits.total)
         self._waiting.set({}, account.waiting_responses)
         for kind, count in (
@@ -170,6 +171,7 @@
             ('unfinished', counts.unfinished),
             ('held_up', counts.held_up),
             ('body_refused', counts.refused),
+            ('event_given_up', account.events.ended),
         ):
             self._decisions.set({'kind': kind}, count)
 
--- a/src/cartdale/gateway/sink.py
+++ b/src/cartdale/gateway/sink.py
@@ -1,15 +1,20 @@
 """Write a response to a caller as ASGI events."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager, nullcontext
+from typing import Final
 
 from returns.result import Result
 
 from cartdale.asgi import TYPE, Send
 from cartdale.clock import Clock, Millis
+from cartdale.pressure.driver import Account
 from cartdale.problems.types import Problem
 from cartdale.relay.stream import StreamEnd
 from cartdale.relay.types import Headers
 
+#: Smaller parts are not counted as held: there is one for each response.
+_COUNTED_FROM: Final = 8192
 #: Streams a response to a sink, and returns how that ended.
 Streaming = Callable[[], Awaitable[Result[StreamEnd, Problem]]]
 
@@ -18,12 +23,19 @@
     """Writer of one response as ASGI events.
 
     :param leaving: returns whether to close the connection after the response.
+    :param account: counts what is written as held; ``None`` if nothing bounds
+        that, or if it is counted elsewhere.
     """
 
     def __init__(
-        self, send: Send, leaving: Callable[[], bool], clock: Clock
+        self,
+        send: Send,
+        leaving: Callable[[], bool],
+        clock: Clock,
+        account: Account | None = None,
     ) -> None:
         self._send = send
+        self._account = account
         self._leaving = leaving
         self._clock = clock
         self._created_at = clock.now()
@@ -78,9 +90,15 @@
             'body': chunk,
             'more_body': True,
         }
-        await self._send(event)
+        with self._hold_written(len(chunk)):
+            await self._send(event)
 
     async def finish(self) -> None:
         """Mark the body as complete."""
         self.finished = True
         await self._send({TYPE: 'http.response.body', 'body': b''})
+
+    def _hold_written(self, size: int) -> AbstractContextManager[None]:
+        if self._account is None or size < _COUNTED_FROM:
+            return nullcontext()
+        return self._account.hold_written(size)
--- a/src/cartdale/pressure/driver.py
+++ b/src/cartdale/pressure/driver.py
@@ -20,6 +20,7 @@
     find_excess,
     fits_response,
 )
+from cartdale.pressure.events import IncompleteEvents
 from cartdale.pressure.types import (
     Bear,
     GiveWay,
@@ -77,6 +78,7 @@
     resident: int
     limits: Limits = field(init=False)
     counts: PressureCounts = field(default_factory=PressureCounts)
+    events: IncompleteEvents = field(default_factory=IncompleteEvents)
     _responses: int = 0
     _bodies: int = 0
     _collected: int = 0
@@ -95,7 +97,9 @@
     @property
     def totals(self) -> HeldTotals:
         """Return the bytes held by reason."""
-        return HeldTotals(self._responses, self._bodies, self._collected)
+        return HeldTotals(
+            self._responses, self._bodies, self._collected, self.events.count
+        )
 
     @property
     def waiting_responses(self) -> int:
--- a/src/cartdale/pressure/types.py
+++ b/src/cartdale/pressure/types.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 from cartdale.clock import Millis
 
+#: Maximum size of an event, in bytes.
+MAX_EVENT: Final = 4194304
+_EVENT_SHARE: Final = 0.25
+
 
 class Holding(StrEnum):
     """Why bytes are held."""
@@ -15,6 +20,8 @@
     BODY = 'body'
     #: A response that is read whole before any of it is passed on.
     COLLECTED = 'collected'
+    #: A part of an event whose rest has not been received.
+    EVENT = 'event'
 
 
 @dataclass(slots=True)
@@ -58,6 +65,11 @@
     own_bodies: int
     small_body: int
 
+    @property
+    def events(self) -> int:
+        """Return the limit for all incomplete events together, in bytes."""
+        return max(int(self.total * _EVENT_SHARE), MAX_EVENT)
+
 
 @dataclass(frozen=True, slots=True)
 class HeldTotals:
@@ -66,16 +78,18 @@
     :param responses: for callers, not read yet.
     :param bodies: of requests.
     :param collected: of responses that are being read whole.
+    :param events: of events of which only a part has been received.
     """
 
     responses: int = 0
     bodies: int = 0
     collected: int = 0
+    events: int = 0
 
     @property
     def total(self) -> int:
         """Return the bytes held for all requests."""
-        return self.responses + self.bodies + self.collected
+        return self.responses + self.bodies + self.collected + self.events
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cartdale/relay/frames.py
+++ b/src/cartdale/relay/frames.py
@@ -4,8 +4,6 @@
 delimited here, never decoded and re-encoded.
 """
 
-#: Maximum size of an event, in bytes.
-MAX_EVENT = 4194304
 _TERMINATORS = (b'\n\n', b'\r\n\r\n')
 _LONGEST_TERMINATOR = 4
 _ID_FIELD = b'id:'
@@ -15,12 +13,17 @@
     """Split received bytes into complete events."""
 
     def __init__(self) -> None:
-        self._pending = b''
+        self._pending = bytearray()
 
     @property
     def pending(self) -> bytes:
         """Return the bytes of the incomplete event."""
-        return self._pending
+        return bytes(self._pending)
+
+    @property
+    def pending_size(self) -> int:
+        """Return the number of bytes of the incomplete event."""
+        return len(self._pending)
 
     def feed(self, received: bytes) -> list[bytes]:
         """Append bytes and return the events that are complete."""
@@ -29,13 +32,17 @@
         start = max(len(self._pending) - _LONGEST_TERMINATOR + 1, 0)
         self._pending += received
         events: list[bytes] = []
+        position = 0
         while True:
             end = _find_end(self._pending, start)
             if not end:
-                return events
-            events.append(self._pending[:end])
-            self._pending = self._pending[end:]
-            start = 0
+                break
+            events.append(bytes(self._pending[position:end]))
+            position = end
+            start = end
+        if position:
+            self._pending = self._pending[position:]
+        return events
 
 
 def read_id(event: bytes) -> bytes:
@@ -62,7 +69,7 @@
     return len(significant), significant
 
 
-def _find_end(raw: bytes, start: int) -> int:
+def _find_end(raw: bytearray, start: int) -> int:
     ends = [
         position + len(terminator)
         for terminator in _TERMINATORS
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -8,12 +8,8 @@
 from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.invariants import ONCE_IN_ORDER, check_invariant
-from cartdale.relay.frames import (
-    MAX_EVENT,
-    EventFrames,
-    follows,
-    read_id,
-)
+from cartdale.relay.event_intake import EventIntake
+from cartdale.relay.frames import follows, read_id
 from cartdale.relay.generation import RunningGeneration
 from cartdale.relay.kept_copies import look_for_backup
 from cartdale.relay.links import CarriedLink
@@ -65,7 +61,7 @@
         self._ports = ports
         self._sink = sink
         self._generation = generation
-        self._frames = EventFrames()
+        self._intake = EventIntake(ports.account, self._stop_reading)
         self._repeatable = False
         self._resumed = False
         #: Id of the last event that the caller has.
@@ -94,7 +90,7 @@
     @property
     def pending(self) -> bytes:
         """Return the bytes of the incomplete event."""
-        return self._frames.pending
+        return self._intake.pending
 
     async def pass_until_end(
         self,
@@ -109,7 +105,7 @@
         :param resumed: whether the engine resumes from a copy.
         """
         self._resumed = resumed
-        self._frames = EventFrames()
+        self._intake = EventIntake(self._ports.account, self._stop_reading)
         self._repeatable = repeatable
         self._link_since = self._ports.clock.now()
         self._absent_reports = 0
@@ -120,7 +116,8 @@
             nursery.start_soon(self._watch_silence)
             look = trio.CancelScope()
             nursery.start_soon(self._look_for_backup, look)
-            failure = await self._pass_chunks(chunks)
+            with self._intake.open(self._generation.request_id):
+                failure = await self._pass_chunks(chunks)
             look.cancel()
             if not self._abandoning_link:
                 nursery.cancel_scope.cancel()
@@ -145,15 +142,17 @@
             except LinkBrokeError as error:
                 return error.detail
             self._reading_since = None
+            if self._intake.is_exceeded():
+                return 'an event is too large'
             if self._reading.cancelled_caught:
                 break
             if chunk is None:
                 return ''
-            for event in self._frames.feed(chunk):
+            for event in self._intake.feed(chunk):
                 if self._skips_first_events(event):
                     return 'its first event is not the first'
                 await self._pass(event)
-            if len(self._frames.pending) > MAX_EVENT:
+            if self._intake.is_exceeded():
                 return 'an event is too large'
         return 'silence'
 
@@ -169,6 +168,9 @@
             event_id.isdigit() and follows(event_id, _FIRST_ID)
         )
 
+    def _stop_reading(self) -> None:
+        self._reading.cancel()
+
     async def _watch_silence(self) -> None:
         """Abandon the link once it is silent though more events are due.
 
@@ -186,7 +188,7 @@
         self._abandoning_link = True
         self.next_upstream = await self._generation.lose_link()
         self._link_abandoned = True
-        self._reading.cancel()
+        self._stop_reading()
 
     async def _is_silent(self) -> bool:
         if self._reading_since is None:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -23,6 +23,7 @@
     open_platform,
     until,
 )
+from tests.pouring import PouringServer, chunk
 from tests.test_pressure_processes import (
     FAST,
     MEGABYTE,
@@ -59,6 +60,14 @@
         'state': 'ready',
     }
 )
+#: Something waits there: a request that it does not list may be among that.
+BUSY_REPORT = REPORT.replace(b'{', b'{"queued":1,', 1)
+WHOLE_REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+    len(BUSY_REPORT),
+    BUSY_REPORT,
+)
+#: Engines whose events have no end.
+POURING = 16
 #: In which what has no end comes.
 SECONDS = 6
 
@@ -239,3 +248,40 @@
             await trio.sleep(SECONDS)
             nursery.cancel_scope.cancel()
         assert instance.most < MEMORY_MB
+
+
+# Guards against events without an end, each below the largest size, that are
+# kept for many streams until the memory of the instance is exceeded.
+async def test_events_without_an_end_end_no_instance(tmp_path: Path) -> None:
+    servers = [
+        PouringServer(chunk(b'a' * 65536), HEAD.replace(b'%s', b'%(id)s'), 0.15)
+        for _ in range(POURING)
+    ]
+    for server in servers:
+        server.path = b'/draft/'
+        server.whole = WHOLE_REPORT
+    async with open_platform(0, 0, 0) as stage:
+        stage.add_engine(FAST)
+        for number, server in enumerate(servers):
+            await stage.nursery.start(server.run)
+            address = f'{LOCAL}:{server.port}'
+            stage.list_upstream(f'pouring-{number}', 'writers', address)
+        async with (
+            open_instance(stage, tmp_path, 'base') as instance,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(instance.watch_memory)
+            for number in range(CALLERS):
+                nursery.start_soon(
+                    send_request,
+                    instance.port,
+                    '/draft/a',
+                    make_draft(f'poured-{number}'),
+                    b'brief',
+                )
+            await trio.sleep(SECONDS)
+            nursery.cancel_scope.cancel()
+            assert instance.process.poll() is None
+        assert sum(server.poured for server in servers) >= CALLERS // 4
+        assert instance.count_lines('event too large to be held')
+        assert instance.most < MEMORY_MB
