--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -37,6 +37,8 @@
 
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
+#: At a stop, a connection of HTTP/2 without a request for so long is told.
+_REST_SECONDS = 0.05
 #: At a stop, a connection answers so many requests that were sent before the
 #: response ahead of them, so that a flood doesn't hold up the stop.
 _SENT_AHEAD = 32
@@ -214,7 +216,6 @@
             case RawData(data=raw):
                 self._limit_http2()
                 await self._write(raw)
-                self._announce_if_due()
 
     async def _write(self, raw: bytes) -> None:
         """Write bytes, whole whatever ends their sender.
@@ -289,6 +290,7 @@
             ends_at = trio.current_time() + keep_alive
             if self._stopping.is_set():
                 ends_at = self._end_rest_at()
+                self._task_group.spawn(self._refuse_further)
         self._bound_wait(ends_at)
 
     def _end_rest_at(self) -> float:
@@ -316,31 +318,32 @@
         await self._release_senders()
 
     async def _announce_stop(self, scope: trio.CancelScope) -> None:
-        """Tell a caller of HTTP/2 of a stop as it begins, and of its end."""
-        with scope:
-            for event in (self._leaving, self._stopping):
-                await event.wait()
-                self._announce_if_due()
-
-    def _announce_if_due(self) -> None:
-        """Tell a caller of HTTP/2 of a stop; one that sent a request before.
+        """Tell a caller of HTTP/2 of a stop once its requests have ended.
 
-        A connection in use is told once its caller opens another stream: some
-        libraries fail the requests in progress at any GOAWAY.
+        Some libraries fail the requests in progress at any GOAWAY, and those
+        that they are about to send.
         """
-        http2 = self._http2
-        is_leaving = self._leaving.is_set()
-        if http2 is None or not (is_leaving and http2.has_streams):
+        with scope:
+            await self._leaving.wait()
+            newest = 0
+            while self._http2 is None or not self._http2.has_rested(newest):
+                newest = self._http2.newest_stream if self._http2 else 0
+                await self._await_rest()
+            await self._refuse_further()
+
+    async def _await_rest(self) -> None:
+        """Wait a moment; bound further streams once connections are closed."""
+        if not self._stopping.is_set():
+            with trio.move_on_after(_REST_SECONDS):
+                await self._stopping.wait()
             return
-        if http2.is_resting or self._stopping.is_set():
-            http2.refuse_further()
-        else:
-            http2.announce_to_openers()
-        if http2.has_unsent:
-            self._task_group.spawn(self._flush_http2)
+        if self._http2 is not None:
+            self._http2.bound_further()
+        await trio.sleep(_REST_SECONDS)
 
-    async def _flush_http2(self) -> None:
+    async def _refuse_further(self) -> None:
         if self._http2 is not None:
+            self._http2.refuse_further()
             await self._write(self._http2.data_to_send())
 
     def _limit_http2(self) -> None:
@@ -372,12 +375,9 @@
             if not raw:
                 return
             self._bound_head()
-            self._announce_if_due()
             raw = await self._receive()
-        if self._http2 is not None:
-            self._http2.refuse_further()
-            with trio.move_on_after(_UNUSED_SECONDS):
-                await self._flush_http2()
+        with trio.move_on_after(_UNUSED_SECONDS):
+            await self._refuse_further()
 
     async def _receive(self) -> bytes | None:
         """Return what arrives; ``None`` once the connection is to be closed.
--- a/src/cartdale/daemon/http2.py
+++ b/src/cartdale/daemon/http2.py
@@ -1,15 +1,23 @@
 """State of a connection of HTTP/2: which streams are served, and told so.
 
-As RFC 9113, 6.8, has it: a first GOAWAY asks a caller to open no further
-streams while those on the way are served; a last one says up to which stream
-they are. Where none is in progress, the last one is enough.
+A GOAWAY says up to which stream they are (RFC 9113, 6.8). It is sent once no
+stream is in progress: common client libraries fail all of a connection that was
+told. Until then the application decides about further streams, and those beyond
+a bound are reset as not processed.
 """
 
+from contextlib import suppress
 from typing import Any
 
 from h2.connection import ConnectionState, H2Connection
 from h2.errors import ErrorCodes
-from h2.events import ConnectionTerminated, DataReceived, Event
+from h2.events import (
+    ConnectionTerminated,
+    DataReceived,
+    Event,
+    RequestReceived,
+)
+from h2.exceptions import ProtocolError
 from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.protocol.ws_stream import WSStream
@@ -17,6 +25,9 @@
 
 #: Says that any stream may still be served.
 _HIGHEST_STREAM = 0x7FFFFFFF
+#: Streams that the application is handed once connections at rest are closed,
+#: so that a flood doesn't hold up a stop.
+OPENED_SINCE = 32
 
 
 class _EndedStream(HTTPStream):
@@ -50,9 +61,12 @@
         self._connection = connection
         #: The last stream that is served.
         self._last_stream = _HIGHEST_STREAM
-        #: The last stream that was opened before a stop was to be announced.
+        #: The last stream before the stop; ``None`` until it begins.
         self._last_before: int | None = None
-        self._is_announced = False
+        #: Streams that were opened since.
+        self._opened_since = 0
+        #: Streams that were reset as not processed.
+        self._reset: set[int] = set()
         self._unsent = b''
 
     def __getattr__(self, name: str) -> Any:
@@ -62,38 +76,39 @@
     @property
     def has_streams(self) -> bool:
         """Return whether any stream was opened."""
-        return self._connection.highest_inbound_stream_id > 0
+        return self.newest_stream > 0
+
+    @property
+    def newest_stream(self) -> int:
+        """Return the id of the last stream that was opened; 0 for none."""
+        newest: int = self._connection.highest_inbound_stream_id
+        return newest
 
     @property
     def is_resting(self) -> bool:
         """Return whether no stream is in progress."""
         return not self._connection.open_inbound_streams
 
-    @property
-    def has_unsent(self) -> bool:
-        """Return whether a GOAWAY is to be sent."""
-        return bool(self._unsent)
-
-    def announce_to_openers(self) -> None:
-        """Ask for no further streams once there is one since the first call.
+    def has_rested(self, newest: int) -> bool:
+        """Tell whether no request is in progress, and none was since a look.
 
-        Streams that come meanwhile are served.
+        :param newest: the last stream at that look; 0 for none.
         """
-        newest = self._connection.highest_inbound_stream_id
+        return bool(newest) and self.is_resting and self.newest_stream == newest
+
+    def bound_further(self) -> None:
+        """Bound the number of streams that are opened from now on."""
         if self._last_before is None:
-            self._last_before = newest
-        if newest > self._last_before and not self._is_announced:
-            self._add_goaway(_HIGHEST_STREAM)
+            self._last_before = self.newest_stream
 
     def refuse_further(self) -> None:
         """Refuse streams that were not received yet."""
         if self._last_stream == _HIGHEST_STREAM:
-            self._last_stream = self._connection.highest_inbound_stream_id
+            self._last_stream = self.newest_stream
             self._add_goaway(self._last_stream)
 
     def close_connection(self) -> None:
-        """Serve what was received, when the server wants no more."""
-        self.refuse_further()
+        """Pass over that the server wants no more, which ends in a stop."""
 
     def data_to_send(self) -> bytes:
         """Return the bytes to send, and take them to be sent."""
@@ -114,6 +129,8 @@
         if self._is_last_word(event):
             self._connection.state_machine.state = ConnectionState.SERVER_OPEN
             return False
+        if isinstance(event, RequestReceived):
+            self._bound_opened(event)
         return not self._refuses(event)
 
     def _is_last_word(self, event: Event) -> bool:
@@ -126,9 +143,24 @@
                 return self.has_streams and not self.is_resting
         return False
 
+    def _bound_opened(self, event: RequestReceived) -> None:
+        """Count a stream; reset it if too many were opened since the stop."""
+        stream_id = event.stream_id
+        if self._last_before is None or stream_id is None:
+            return
+        if not self._last_before < stream_id <= self._last_stream:
+            return
+        self._opened_since += 1
+        if self._opened_since > OPENED_SINCE:
+            self._reset.add(stream_id)
+            with suppress(ProtocolError):
+                self._connection.reset_stream(
+                    stream_id, ErrorCodes.REFUSED_STREAM
+                )
+
     def _refuses(self, event: Event) -> bool:
         stream_id: int = getattr(event, 'stream_id', 0) or 0
-        is_refused = stream_id > self._last_stream
+        is_refused = stream_id > self._last_stream or stream_id in self._reset
         if is_refused and isinstance(event, DataReceived):
             self._connection.acknowledge_received_data(
                 event.flow_controlled_length, stream_id
@@ -136,6 +168,5 @@
         return is_refused
 
     def _add_goaway(self, last_stream: int) -> None:
-        self._is_announced = True
         frame = GoAwayFrame(0, last_stream, ErrorCodes.NO_ERROR)
         self._unsent += frame.serialize()
