--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -398,7 +398,12 @@
         left = as_seconds(stops_at - now)
         self._stop_scope.deadline = trio.current_time() + left
         sure_from = self._left_at + LEAVE_PAUSE // 2
-        self._relaying.ports.stop.schedule(sure_from, stops_at, now)
+        self._relaying.ports.stop.schedule(
+            sure_from,
+            stops_at,
+            now,
+            has_others=self.peers.news.count_alive() > 1,
+        )
 
     def _read_newest(self) -> int:
         return self.peers.versions.newest
--- a/src/cartdale/relay/stop_needs.py
+++ b/src/cartdale/relay/stop_needs.py
@@ -25,7 +25,12 @@
     if routed.route.kind is not RouteKind.STREAM:
         times, route = ports.answer_times, routed.route_key
         answer_time = times.find_from(route, pace.answer_time)
-        return PlainWork(routed.ends_at, answer_time, times.knows(route))
+        return PlainWork(
+            routed.ends_at,
+            answer_time,
+            is_timed=times.knows(route),
+            is_repeatable=routed.route.repeatable,
+        )
     reads = routed.request.prompt_tokens + _count_reading(ports, upstream)
     tokens = ports.lengths.find_bound(routed, MAX_RISK)
     is_short = tokens is not None and tokens <= _SHORT_TOKENS
@@ -36,6 +41,7 @@
         token_time=slowness
         * ports.token_times.find_from(routed.service, pace.token_time),
         is_timed=is_short or ports.token_times.knows(routed.service),
+        is_repeatable=routed.route.repeatable,
     )
 
 
--- a/src/cartdale/stopping/decide.py
+++ b/src/cartdale/stopping/decide.py
@@ -30,7 +30,12 @@
         return -inf
     longest = ceil(usual + max(usual * _SLOWER_SHARE, _SILENCE))
     last = schedule.stops_at - longest
-    return last if work.is_timed else min(last, schedule.sure_from)
+    if work.is_timed:
+        return last
+    if schedule.has_others and not work.is_repeatable:
+        # A refusal costs its caller a round trip, and a cut the request.
+        return -inf
+    return min(last, schedule.sure_from)
 
 
 def _find_usual(work: Work) -> float | None:
--- a/src/cartdale/stopping/driver.py
+++ b/src/cartdale/stopping/driver.py
@@ -32,7 +32,12 @@
         self._responses_by_answer: dict[trio.CancelScope, Response] = {}
 
     def schedule(
-        self, sure_from: Millis, stops_at: Millis, now: Millis
+        self,
+        sure_from: Millis,
+        stops_at: Millis,
+        now: Millis,
+        *,
+        has_others: bool = False,
     ) -> None:
         """Begin the stop, or change when it cuts what is left.
 
@@ -40,8 +45,9 @@
 
         :param sure_from: from then on nothing begins by an assumed time.
         :param stops_at: when what still runs is cut.
+        :param has_others: whether another instance serves meanwhile.
         """
-        self._schedule = Schedule(sure_from, stops_at)
+        self._schedule = Schedule(sure_from, stops_at, has_others)
         for wait, find_work in self._finders_by_wait.items():
             self._bound(wait, find_work, now)
 
--- a/src/cartdale/stopping/types.py
+++ b/src/cartdale/stopping/types.py
@@ -12,11 +12,13 @@
     :param ends_at: time limit of the request.
     :param answer_time: time of a response that few exceed, in milliseconds.
     :param is_timed: whether that was observed, not assumed.
+    :param is_repeatable: whether it may run again elsewhere once it was cut.
     """
 
     ends_at: Millis
     answer_time: float
     is_timed: bool = True
+    is_repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,7 @@
         nothing bounds them.
     :param token_time: usual time of a token, in milliseconds.
     :param is_timed: whether that was observed, not assumed.
+    :param is_repeatable: whether it may run again elsewhere once it was cut.
     """
 
     ends_at: Millis
@@ -36,6 +39,7 @@
     tokens: int | None
     token_time: float
     is_timed: bool = True
+    is_repeatable: bool = True
 
 
 Work = PlainWork | StreamWork
@@ -47,7 +51,9 @@
 
     :param sure_from: from then on nothing begins by an assumed time.
     :param stops_at: when what still runs is cut.
+    :param has_others: whether another instance serves meanwhile.
     """
 
     sure_from: Millis
     stops_at: Millis
+    has_others: bool = False
--- a/tests/test_last_start.py
+++ b/tests/test_last_start.py
@@ -66,6 +66,20 @@
     assert find_last_start(unbounded, SCHEDULE) == -inf
 
 
+# Guards against requests that may run only once, that nothing tells the length
+# of, and that are cut though another instance would have served them.
+@pytest.mark.parametrize('work', [STREAM, PLAIN])
+def test_work_of_unknown_time_that_runs_once_is_left_to_others(work) -> None:
+    unknown = replace(work, is_timed=False)
+    single = replace(unknown, is_repeatable=False)
+    beside = replace(SCHEDULE, has_others=True)
+    assert find_last_start(single, beside) == -inf
+    assert find_last_start(unknown, beside) == SCHEDULE.sure_from
+    assert find_last_start(single, SCHEDULE) == SCHEDULE.sure_from
+    timed = replace(work, is_repeatable=False)
+    assert find_last_start(timed, beside) == find_last_start(work, SCHEDULE)
+
+
 # Guards against refusals of short streams through most of a stop.
 def test_short_stream_begins_until_two_seconds_before_the_stop() -> None:
     short = replace(STREAM, tokens=16)
--- a/tests/test_stop_commitments.py
+++ b/tests/test_stop_commitments.py
@@ -20,6 +20,7 @@
     draft,
     draft_meanwhile,
     find_runner,
+    make_headers,
     open_platform,
     until,
     whole,
@@ -145,3 +146,27 @@
         answer = await ask(stage, 'r1')
         assert answer.status_code == NOT_RUN
         assert not count_runs(stage, 'r1')
+
+
+# Guards against requests that may run only once, sent early in a stop, that are
+# cut at its end though an idle instance beside would have served them.
+@pytest.mark.parametrize(
+    ('path', 'instances', 'status'),
+    [('/cut/a', 2, NOT_RUN), ('/cut/a', 1, 200), ('/look/a', 2, 200)],
+)
+async def test_request_of_unknown_length_is_left_to_another_instance(
+    path: str,
+    instances: int,
+    status: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gateway, 'LEAVE_PAUSE', 1000)
+    async with open_platform(0, 1, instances) as stage:
+        news = stage.runtimes[0].peers.news
+        await until(lambda: news.count_alive() == instances)
+        stage.runtimes[0].leave()
+        answer = await stage.client.post(
+            stage.url(path), headers=make_headers('r1')
+        )
+        assert answer.status_code == status
+        assert count_runs(stage, 'r1') == (status != NOT_RUN)
