--- a/src/cartdale/daemon/http2.py
+++ b/src/cartdale/daemon/http2.py
@@ -7,6 +7,7 @@
 """
 
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 
 from h2.connection import ConnectionState, H2Connection
@@ -16,6 +17,7 @@
     DataReceived,
     Event,
     RequestReceived,
+    StreamEnded,
 )
 from h2.exceptions import ProtocolError
 from hypercorn.protocol.events import Event as StreamEvent
@@ -25,6 +27,16 @@
 
 #: Says that any stream may still be served.
 _HIGHEST_STREAM = 0x7FFFFFFF
+#: Frames of a connection beside requests and bodies: at once, and for each time
+#: that something is sent.
+_MAX_FRAMES = 500
+_FRAMES_PER_WRITE = 4
+#: Bytes of a head or another frame that is not complete.
+_MAX_SILENT = 131072
+#: Received bytes that are looked through at once.
+_SLICE_BYTES = 1024
+#: What requests and their bodies consist of.
+_REQUEST_EVENTS = (RequestReceived, DataReceived, StreamEnded)
 #: Streams that the application is handed once connections at rest are closed,
 #: so that a flood doesn't hold up a stop.
 OPENED_SINCE = 32
@@ -48,6 +60,37 @@
         return _EndedStream()
 
 
+@dataclass(slots=True)
+class _FloodBudget:
+    """Bound what a caller sends beside requests and their bodies.
+
+    Frames such as WINDOW_UPDATE answer what was sent to it.
+
+    :param frames: that are left.
+    :param silent: bytes since the last frame that is complete: parts of a head
+        may come in frames without an end.
+    """
+
+    frames: int = _MAX_FRAMES
+    silent: int = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether nothing is left."""
+        return self.frames < 0 or self.silent > _MAX_SILENT
+
+    def note(self, size: int, events: list[Event]) -> None:
+        """Count what was received."""
+        self.silent = 0 if events else self.silent + size
+        self.frames -= sum(
+            not isinstance(event, _REQUEST_EVENTS) for event in events
+        )
+
+    def note_sent(self) -> None:
+        """Allow for answers to what is sent."""
+        self.frames = min(self.frames + _FRAMES_PER_WRITE, _MAX_FRAMES)
+
+
 class LimitedConnection:
     """State of an HTTP/2 connection that may refuse further streams.
 
@@ -68,6 +111,7 @@
         #: Streams that were reset as not processed.
         self._reset: set[int] = set()
         self._unsent = b''
+        self._flood = _FloodBudget()
 
     def __getattr__(self, name: str) -> Any:
         """Return an attribute of the library's state."""
@@ -114,6 +158,8 @@
         """Return the bytes to send, and take them to be sent."""
         raw = self._connection.data_to_send() + self._unsent
         self._unsent = b''
+        if raw:
+            self._flood.note_sent()
         return raw
 
     def receive_data(self, raw: bytes) -> list[Event]:
@@ -121,9 +167,20 @@
 
         Their callers know from the last GOAWAY that they are not served;
         some libraries fail at any frame that follows it.
+
+        :raises ProtocolError: also if a caller sends too much that is neither
+            a request nor its body.
         """
-        events = self._connection.receive_data(raw)
-        return [event for event in events if self._passes(event)]
+        passed: list[Event] = []
+        for start in range(0, len(raw), _SLICE_BYTES):
+            part = raw[start : start + _SLICE_BYTES]
+            events = self._connection.receive_data(part)
+            self._flood.note(len(part), events)
+            if self._flood.is_exceeded:
+                self._connection.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
+                raise ProtocolError('too many frames beside requests')
+            passed.extend(event for event in events if self._passes(event))
+        return passed
 
     def _passes(self, event: Event) -> bool:
         if self._is_last_word(event):
