--- a/src/cartdale/client_transport.py
+++ b/src/cartdale/client_transport.py
@@ -4,11 +4,18 @@
 below httpx does not load it at its start.
 """
 
+from math import inf
+from typing import Final
+
 import httpx
+import trio
 
+from cartdale.bodies import OversizedBodyError, join_bounded
 from cartdale.formatting import format_error
-from cartdale.transport import SendTrace
+from cartdale.transport import MAX_ANSWER, SendTrace
 
+#: Time-outs of a read within which a body is whole.
+_READS: Final = 2
 #: Failures before a request left this process: it certainly had no effect.
 HTTPX_NOT_SENT_ERRORS = (
     httpx.ConnectError,
@@ -28,12 +35,45 @@
     :param stream: whether to leave the body unread.
     :raises httpx.ConnectError: or another error of
         ``HTTPX_NOT_SENT_ERRORS`` if nothing was sent.
+    :raises httpx.ReadTimeout: if the body is not whole in time.
+    :raises httpx.RemoteProtocolError: if it is larger than ``MAX_ANSWER``.
     """
     trace = SendTrace()
     request.extensions['trace'] = trace
     try:
-        return await client.send(request, stream=stream)
+        response = await client.send(request, stream=True)
+        return response if stream else await _read_whole(response)
     except HTTPX_NOT_SENT_ERRORS as error:
         if trace.began:
             raise httpx.WriteError(format_error(error)) from error
         raise
+
+
+async def _read_whole(response: httpx.Response) -> httpx.Response:
+    """Return a response with its body, read within its bounds.
+
+    Time-outs of the client are those of each read; twice as long is allowed for
+    the whole body.
+    """
+    timeouts: dict[str, float | None] = response.request.extensions['timeout']
+    timeout = timeouts.get('read')
+    try:
+        with trio.fail_after(inf if timeout is None else _READS * timeout):
+            body = await join_bounded(response.aiter_raw(), MAX_ANSWER)
+    except OversizedBodyError as oversized:
+        raise httpx.RemoteProtocolError(str(oversized)) from oversized
+    except trio.TooSlowError as error:
+        detail = 'the answer is not whole in time'
+        raise httpx.ReadTimeout(detail) from error
+    finally:
+        await response.aclose()
+    whole = httpx.Response(
+        response.status_code,
+        headers=response.headers,
+        content=body,
+        request=response.request,
+        extensions=response.extensions,
+    )
+    # The library adds a length, which would count as the upstream's framing.
+    whole.headers = response.headers
+    return whole
--- a/src/cartdale/engines/http.py
+++ b/src/cartdale/engines/http.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 from sseclient import SSEClient
 
+from cartdale.bodies import take_turns
 from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS, send_traced
 from cartdale.clock import Millis, as_seconds
 from cartdale.codec import decode_integer, decode_json, encode_json
@@ -30,6 +31,7 @@
 from cartdale.exceptions import UndecodableError
 from cartdale.formatting import format_error
 from cartdale.model.types import LoadReport
+from cartdale.pressure.types import MAX_EVENT
 from cartdale.retries.backoffs import parse_retry_after
 from cartdale.streams.chunks import decode_chunk
 
@@ -205,13 +207,19 @@
 
 
 async def _read_events(response: httpx.Response) -> Events:
-    pending = b''
-    received = response.aiter_raw()
+    pending = bytearray()
+    received = take_turns(response.aiter_raw())
     async for raw in received:
-        complete, separator, pending = (pending + raw).rpartition(_EVENT_END)
-        if not separator:
+        searched = max(len(pending) - len(_EVENT_END), 0)
+        pending += raw
+        end = pending.rfind(_EVENT_END, searched)
+        if end < 0:
+            if len(pending) > MAX_EVENT:
+                raise httpx.ReadError('an event is too large')
             continue
-        batch = tuple(_parse_events(complete + separator))
+        complete = bytes(pending[: end + len(_EVENT_END)])
+        pending = pending[len(complete) :]
+        batch = tuple(_parse_events(complete))
         yield tuple(event for event in batch if event is not None)
         if batch and batch[-1] is None:
             await _drain(received)
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from cartdale.bodies import take_turns
 from cartdale.codec import decode_json
 from cartdale.exceptions import UndecodableError
 from cartdale.fleet.brittleness import parse_tolerance
@@ -57,7 +58,6 @@
     HTTPCORE_UNKNOWN_OUTCOME_ERRORS,
     find_carrier,
     is_framed,
-    take_turns,
 )
 
 _DROPPED_HEADERS = CONNECTION_HEADERS | {
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -15,6 +15,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from cartdale.bodies import read_bounded
 from cartdale.clock import Millis, as_seconds
 from cartdale.detours.decide import UNREACHED_FOR
 from cartdale.detours.direct import DirectTransport
@@ -66,7 +67,6 @@
     find_carrier,
     find_longest,
     is_refusal,
-    read_bounded,
 )
 
 #: Maximum wait for a report.
--- a/src/cartdale/store/etcd.py
+++ b/src/cartdale/store/etcd.py
@@ -1,7 +1,7 @@
 """Adapter to a key-value service that speaks the etcd v3 JSON gateway."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from functools import partial
 from http import HTTPStatus
 from typing import TypeVar, assert_never
@@ -11,7 +11,8 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS
+from cartdale.bodies import take_turns
+from cartdale.client_transport import HTTPX_NOT_SENT_ERRORS, send_traced
 from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.codec import decode_integer, decode_json, decode_text, encode_json
 from cartdale.exceptions import UndecodableError
@@ -33,6 +34,7 @@
     Write,
     WriteUnknown,
 )
+from cartdale.transport import MAX_ANSWER
 
 Answer = TypeVar('Answer')
 Converted = TypeVar('Converted')
@@ -131,7 +133,7 @@
         async with stream as response:
             if response.is_error:
                 return Failure(StoreUnavailable(str(response.status_code)))
-            async for line in response.aiter_lines():
+            async for line in _read_lines(response):
                 if decode_json(line, wire.WatchResponse).result.events:
                     return Success(True)
         return Failure(StoreUnavailable('the watch ended'))
@@ -146,10 +148,11 @@
         self, path: str, request: object, shape: type[Answer]
     ) -> Result[Answer, StoreFailure]:
         self.calls_by_path[path] += 1
+        outgoing = self._client.build_request(
+            'POST', path, content=encode_json(request), timeout=self._timeout
+        )
         try:
-            response = await self._client.post(
-                path, content=encode_json(request), timeout=self._timeout
-            )
+            response = await send_traced(self._client, outgoing)
         except HTTPX_NOT_SENT_ERRORS as error:
             return Failure(StoreUnavailable(format_error(error)))
         except httpx.HTTPError as late_error:
@@ -157,6 +160,22 @@
         return _decode(response, shape)
 
 
+async def _read_lines(response: httpx.Response) -> AsyncIterator[bytes]:
+    """Iterate over the lines of a watch.
+
+    :raises httpx.RemoteProtocolError: if one is larger than ``MAX_ANSWER``.
+    """
+    pending = bytearray()
+    async for part in take_turns(response.aiter_raw()):
+        *ended, rest = part.split(b'\n')
+        for end in ended:
+            yield bytes(pending + end)
+            pending.clear()
+        pending += rest
+        if len(pending) > MAX_ANSWER:
+            raise httpx.RemoteProtocolError(f'over {MAX_ANSWER} bytes')
+
+
 def _decode(
     response: httpx.Response, shape: type[Answer]
 ) -> Result[Answer, StoreFailure]:
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -2,8 +2,6 @@
 
 import socket
 from collections.abc import (
-    AsyncIterable,
-    AsyncIterator,
     Awaitable,
     Callable,
     Iterator,
@@ -17,6 +15,7 @@
 import httpcore
 import trio
 
+from cartdale.bodies import read_bounded
 from cartdale.clock import Millis, as_seconds
 
 #: Maximum wait for a connection if there is no other way: it is established in
@@ -30,8 +29,6 @@
 SHARE_PORT: Final = (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 #: Maximum size of an answer of the store or of another instance, in bytes.
 MAX_ANSWER: Final = 16777216
-#: Time after which a task that reads a body lets others run.
-_TURN_SECONDS: Final = 0.005
 #: Time-outs of a read within which an answer is whole.
 _READS = 2
 #: Headers that delimit a body.
@@ -190,45 +187,6 @@
             return await read_bounded(response, MAX_ANSWER)
 
 
-async def take_turns(chunks: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
-    """Iterate over the parts of a body, letting other tasks run in between.
-
-    Many small parts may have been received at once, so that the client library
-    passes them on without a checkpoint.
-    """
-    turn_ends = trio.current_time() + _TURN_SECONDS
-    async for chunk in chunks:
-        yield chunk
-        if trio.current_time() >= turn_ends:
-            await trio.lowlevel.checkpoint()
-            turn_ends = trio.current_time() + _TURN_SECONDS
-
-
-async def read_bounded(
-    response: httpcore.Response, limit: int
-) -> httpcore.Response:
-    """Return a response with its body, which is read whole.
-
-    :param limit: of the body, in bytes.
-    :raises httpcore.RemoteProtocolError: if the body is larger.
-    """
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in take_turns(response.aiter_stream()):
-        size += len(chunk)
-        if size > limit:
-            raise httpcore.RemoteProtocolError(f'over {limit} bytes')
-        parts.append(chunk)
-    whole = httpcore.Response(
-        response.status,
-        headers=response.headers,
-        content=b''.join(parts),
-        extensions=response.extensions,
-    )
-    await whole.aread()
-    return whole
-
-
 def make_connect_error(
     detail: str, *, refused: bool
 ) -> httpcore.ConnectError | httpcore.ConnectTimeout:
--- a/tests/test_endless_heads.py
+++ b/tests/test_endless_heads.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from cartdale.bodies import read_bounded, take_turns
 from cartdale.bounded_pool import (
     MAX_HEAD,
     MAX_INFORMATIONAL,
@@ -19,7 +20,7 @@
 from cartdale.daemon.clients import make_client
 from cartdale.peers.pool import make_peer_pool
 from cartdale.platform.pools import make_pool
-from cartdale.transport import make_timeouts, read_bounded, take_turns
+from cartdale.transport import make_timeouts
 from tests.platform_stage import LOCAL, make_headers, open_platform
 from tests.pouring import INFORMATIONAL, LoopTicker, PouringServer
 from tests.processes import open_instances
