--- a/tests/test_endless_heads.py
+++ b/tests/test_endless_heads.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from pathlib import Path
 
 import httpcore
@@ -21,15 +22,33 @@
 from cartdale.peers.pool import make_peer_pool
 from cartdale.platform.pools import make_pool
 from cartdale.transport import make_timeouts
-from tests.platform_stage import LOCAL, make_headers, open_platform
-from tests.pouring import INFORMATIONAL, LoopTicker, PouringServer
-from tests.processes import open_instances
+from tests.platform_stage import (
+    LOCAL,
+    PlatformStage,
+    make_draft,
+    make_headers,
+    open_platform,
+    until,
+)
+from tests.pouring import INFORMATIONAL, LoopTicker, PouringServer, chunk
+from tests.processes import (
+    ProcessInstance,
+    open_instances,
+    stop_as_the_platform,
+)
 
 #: Longest time that one task may keep others from running, in seconds.
 HELD = 0.1
 REQUESTS = 40
 #: Time in which sound upstreams answer them, beside a faulty one, in seconds.
 IN_TIME = 1.5
+PLAIN_HEAD = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: %(id)s\r\nResponse-Seal: x\r\n'
+    b'transfer-encoding: chunked\r\n\r\n'
+)
+STREAM_HEAD = b'%s\r\ncontent-type: text/event-stream\r\n\r\n' % (
+    PLAIN_HEAD.rstrip()
+)
 GIVEN_UP = (httpcore.RemoteProtocolError, httpcore.ReadTimeout)
 LONG_FIELD = b'x: %s\r\n' % (b'y' * 1000)
 
@@ -172,3 +191,47 @@
     assert statuses[httpx.codes.OK]
     assert len(lines) == len({line['address'] for line in lines})
     assert lines
+
+
+# Guards against a stop that is held up, or a process that is killed at the end
+# of its grace, while upstreams send without an end.
+@pytest.mark.parametrize(
+    ('service', 'path', 'prefix', 'piece'),
+    [
+        ('portal', '/look/a', b'', INFORMATIONAL),
+        ('portal', '/look/a', PLAIN_HEAD, chunk(b'x' * 1000)),
+        ('writers', '/draft/a', STREAM_HEAD, chunk(b'x' * 1000)),
+    ],
+)
+async def test_a_stop_beside_faulty_upstreams_ends_in_time(
+    service: str, path: str, prefix: bytes, piece: bytes, tmp_path: Path
+) -> None:
+    server = PouringServer(piece, prefix, 0.02, path.encode())
+    async with open_platform(engines=0, plains=0, instances=0) as stage:
+        await stage.nursery.start(server.run)
+        stage.list_upstream('faulty', service, f'{LOCAL}:{server.port}')
+        with open_instances(stage, tmp_path, 'one') as started:
+            instance = started[0]
+            instance.settings['bounds.graceS'] = 5
+            instance.start()
+            await instance.wait_ready(stage.client)
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(
+                        ask_in_vain, stage, instance, path, number
+                    )
+                await until(lambda: server.poured)
+                await stop_as_the_platform(instance, 5)
+                nursery.cancel_scope.cancel()
+            assert instance.process.returncode == 0
+            assert instance.read_lines('stopped')
+
+
+async def ask_in_vain(
+    stage: PlatformStage, instance: ProcessInstance, path: str, number: int
+) -> None:
+    with suppress(httpx.TransportError):
+        await stage.client.get(
+            f'http://{LOCAL}:{instance.ports[0]}{path}',
+            headers=make_draft(f'r{number}'),
+        )
