--- a/src/cartdale/platform/settings.py
+++ b/src/cartdale/platform/settings.py
@@ -31,6 +31,7 @@
     parse_text,
     parse_window,
 )
+from cartdale.pressure.decide import DEFAULT_MEMORY
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_PATH_VARIABLE: Final = 'CARTDALE_BOOT'
@@ -90,7 +91,7 @@
     :param link_mbps: bandwidth of the machine's link, in megabits per second;
         infinite if it is not told.
     :param max_descriptors: open files and connections of the process at most.
-    :param memory_bytes: memory of the process at most; 0 if it is not told.
+    :param memory_bytes: memory of the process at most; 0 for no bound.
     :param pressure: whether callers compete for room, and they and upstreams
         may be slow to read.
     :param expects_customers: whether requests carry keys of customers, which
@@ -220,7 +221,7 @@
             'limits.maxFds', parse_count, _DEFAULT_DESCRIPTORS
         ),
         memory_bytes=reader.parse_optional(
-            'limits.memoryMb', parse_megabytes, 0
+            'limits.memoryMb', parse_megabytes, DEFAULT_MEMORY
         ),
         pressure=_PRESSURE_CONTRACT in contracts,
         expects_customers=not contracts or _CUSTOMERS_CONTRACT in contracts,
--- a/tests/test_missing_values.py
+++ b/tests/test_missing_values.py
@@ -12,11 +12,14 @@
 from cartdale.limits.rates import derive_rates
 from cartdale.peers.authentication import Authenticator, wrap
 from cartdale.platform.documents import decode_table
+from cartdale.platform.settings import parse_platform_settings
 from cartdale.platform.translate import decode_change
+from cartdale.pressure.decide import DEFAULT_MEMORY
 from cartdale.routes.regions import RegionMap
 from cartdale.routes.types import RouteKind, ServiceShare
 from cartdale.store.types import Entry
 from tests.platform_stage import (
+    SETTINGS,
     count_runs,
     make_configuration,
     make_headers,
@@ -119,6 +122,13 @@
     assert change.evacuation.active
 
 
+# Guards against bytes held without a bound where the settings tell no memory.
+@pytest.mark.parametrize('line', ['', 'limits.memoryMb='])
+def test_memory_that_is_not_told_is_bounded(line: str) -> None:
+    settings = parse_platform_settings(f'{SETTINGS}\n{line}\n', 'f')
+    assert settings.memory_bytes == DEFAULT_MEMORY
+
+
 # Guards against messages that are taken from anybody while no key is known.
 def test_without_a_cluster_key_no_message_is_genuine() -> None:
     signed = Authenticator((b'key',)).sign(wrap('a', 'b', 'text', 0))
