--- a/src/cartdale/client_transport.py
+++ b/src/cartdale/client_transport.py
@@ -59,7 +59,7 @@
     timeout = timeouts.get('read')
     try:
         with trio.fail_after(inf if timeout is None else _READS * timeout):
-            body = await join_bounded(response.aiter_raw(), MAX_ANSWER)
+            body = await join_bounded(response.aiter_bytes(), MAX_ANSWER)
     except OversizedBodyError as oversized:
         raise httpx.RemoteProtocolError(str(oversized)) from oversized
     except trio.TooSlowError as error:
@@ -69,11 +69,11 @@
         await response.aclose()
     whole = httpx.Response(
         response.status_code,
-        headers=response.headers,
         content=body,
         request=response.request,
         extensions=response.extensions,
     )
-    # The library adds a length, which would count as the upstream's framing.
+    # Given before, the library would decode the body again, and add a length,
+    # which would count as the upstream's framing.
     whole.headers = response.headers
     return whole
--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -190,6 +190,8 @@
         self._stopping = stop.stopping
         #: State of HTTP/2, once the caller speaks that.
         self._http2: LimitedConnection | None = None
+        #: Holds what tells its caller of a stop.
+        self._announcing = trio.CancelScope()
         #: Whether no request is in progress.
         self._resting = True
         #: Whether the head of the next request has begun to arrive.
@@ -308,37 +310,34 @@
 
     async def _read_data(self) -> None:
         self._limit_http1()
-        announcing = trio.CancelScope()
-        self._task_group.spawn(self._announce_stop, announcing)
         with self._reading:
             await self._read_until_end()
-        announcing.cancel()
+        self._announcing.cancel()
         await self.idle_task.stop()
         await self.protocol.handle(Closed())
         await self._release_senders()
 
-    async def _announce_stop(self, scope: trio.CancelScope) -> None:
+    async def _announce_stop(self, http2: LimitedConnection) -> None:
         """Tell a caller of HTTP/2 of a stop once its requests have ended.
 
         Some libraries fail the requests in progress at any GOAWAY, and those
         that they are about to send.
         """
-        with scope:
+        with self._announcing:
             await self._leaving.wait()
             newest = 0
-            while self._http2 is None or not self._http2.has_rested(newest):
-                newest = self._http2.newest_stream if self._http2 else 0
-                await self._await_rest()
+            while not http2.has_rested(newest):
+                newest = http2.newest_stream
+                await self._await_rest(http2)
             await self._refuse_further()
 
-    async def _await_rest(self) -> None:
+    async def _await_rest(self, http2: LimitedConnection) -> None:
         """Wait a moment; bound further streams once connections are closed."""
         if not self._stopping.is_set():
             with trio.move_on_after(_REST_SECONDS):
                 await self._stopping.wait()
             return
-        if self._http2 is not None:
-            self._http2.bound_further()
+        http2.bound_further()
         await trio.sleep(_REST_SECONDS)
 
     async def _refuse_further(self) -> None:
@@ -350,8 +349,10 @@
         """Have further streams refused, once HTTP/2 is spoken."""
         protocol = self.protocol.protocol
         if self._http2 is None and isinstance(protocol, H2Protocol):
-            self._http2 = LimitedConnection(protocol.connection)
-            protocol.connection = cast(H2Connection, self._http2)
+            http2 = LimitedConnection(protocol.connection)
+            self._http2 = http2
+            protocol.connection = cast(H2Connection, http2)
+            self._task_group.spawn(self._announce_stop, http2)
             protocol.streams = OpenStreams(protocol.streams)
 
     def _limit_http1(self) -> None:
