--- a/src/cartdale/daemon/shares.py
+++ b/src/cartdale/daemon/shares.py
@@ -19,6 +19,8 @@
 
 #: Between looks at what the configuration and the peers bound.
 _LOOK_EVERY: Millis = SECOND_MS
+#: Between two looks as many join together.
+_SHORTEST_PAUSE: Millis = 20
 #: A service, and a region in which it has upstreams.
 _Place = tuple[str, str]
 
@@ -48,13 +50,19 @@
         self._callers = callers
 
     async def run(self) -> None:
-        """Look once a second, for ever, and as soon as others are known."""
+        """Look once a second, for ever, and as soon as others are known.
+
+        Until then an instance that joins has a part of what this one uses.
+        """
         self._look()
         with trio.move_on_after(as_seconds(_LOOK_EVERY)):
             await self._follower.synced.wait()
         while True:
+            joined = self._peers.news.joined
             self._look()
-            await trio.sleep(as_seconds(_LOOK_EVERY))
+            await trio.sleep(as_seconds(_SHORTEST_PAUSE))
+            with trio.move_on_after(as_seconds(_LOOK_EVERY)):
+                await joined.wait()
 
     def _look(self) -> None:
         limits = self._fleet.table.limits
--- a/src/cartdale/news/driver.py
+++ b/src/cartdale/news/driver.py
@@ -109,6 +109,8 @@
         )
         self._stopped = False
         self.state = NewsState()
+        #: Set, and replaced, when an instance or its news become known.
+        self.joined = trio.Event()
         #: Messages that were not applied or sent.
         self.drops = DropLog()
         self.authenticator: Authenticator | None = None
@@ -125,8 +127,12 @@
         """
         now = self._clock.now()
         version = self._fleet.table.version
-        after, actions = decide(self.state, message, now, version)
+        before = self.state
+        after, actions = decide(before, message, now, version)
         self.state = after
+        if _count_known(after) > _count_known(before):
+            self.joined.set()
+            self.joined = trio.Event()
         for action in actions:
             with contain('news', action=type(action).__name__):
                 self._perform(action, raw)
@@ -343,3 +349,12 @@
             return DomainNewsArrived(decode_binary(body, DomainNews), direct)
         case _:
             return None
+
+
+def _count_known(state: NewsState) -> int:
+    """Return a number that rises as instances or their news become known."""
+    return (
+        len(state.peers_by_name)
+        + len(state.received_by_name)
+        + len(state.domains_by_name)
+    )
--- a/tests/test_limit_news.py
+++ b/tests/test_limit_news.py
@@ -4,9 +4,11 @@
 from math import inf
 
 import pytest
+import trio
 
 from cartdale.clock import VirtualClock
 from cartdale.codec import decode_binary
+from cartdale.daemon import shares
 from cartdale.fleet.advisories import AdvisoryRecorder
 from cartdale.fleet.decide import decide
 from cartdale.fleet.driver import Fleet
@@ -184,6 +186,26 @@
     assert participants.groups['west'] == {'s': 8}
 
 
+# Guards against a limit that is exceeded as an instance joins, whose part the
+# others still use.
+async def test_a_part_is_given_up_as_an_instance_joins(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with open_platform(engines=0, plains=1) as stage:
+        first = stage.runtimes[0].fleet.limits.gate
+        stage.plains[0].limit = '4'
+        await ask(stage, 'r')
+        await until(lambda: first.find('plain-0'))
+        assert first.count_rate() == pytest.approx(4)
+        monkeypatch.setattr(shares, '_LOOK_EVERY', 60_000)
+        await trio.sleep(1.1)
+        second = stage.add_instance().fleet.limits.gate
+        await until(lambda: second.find('plain-0'))
+        await until(lambda: first.count_rate() < 4)
+        total = first.count_rate() + second.count_rate()
+        assert total == pytest.approx(4)
+
+
 @pytest.mark.parametrize('store_is_away', [False, True])
 async def test_a_peer_without_responses_obeys_a_limit(
     *, store_is_away: bool
