--- a/tests/pouring.py
+++ b/tests/pouring.py
@@ -1,7 +1,7 @@
 """Peers that send bytes for as long as their connection stands."""
 
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -34,8 +34,6 @@
     port: int = 0
     #: Connections on which it poured.
     poured: int = 0
-    #: Bytes that the peers took, by connection.
-    taken: list[int] = field(default_factory=list)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         listeners = await trio.open_tcp_listeners(0, host=LOCAL)
@@ -60,11 +58,8 @@
         if not self.pause:
             piece *= max(_BLOCK // len(piece), 1)
         with trio.move_on_after(_LONGEST_SECONDS):
-            number = len(self.taken)
-            self.taken.append(0)
             while True:
                 await stream.send_all(piece)
-                self.taken[number] += len(piece)
                 await trio.sleep(self.pause)
 
 
