--- a/tests/test_missing_values.py
+++ b/tests/test_missing_values.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from cartdale.callers.read import identify_caller
-from cartdale.callers.types import Caller, Directory
+from cartdale.callers.types import Caller, Directory, make_directory
 from cartdale.declarations.types import Customer, Declarations, Limits
 from cartdale.limits.rates import derive_rates
 from cartdale.peers.authentication import Authenticator, wrap
@@ -39,6 +39,19 @@
     assert not is_successful(identify_caller(directory, authorization))
 
 
+# Guards against callers of the own interface who are let in once the last key,
+# or the last customer, was taken away.
+@pytest.mark.parametrize(
+    'customers', [{}, {'mill': Customer((), ('writers',))}]
+)
+def test_without_keys_nobody_is_a_customer(
+    customers: dict[str, Customer],
+) -> None:
+    directory = make_directory(Declarations(customers=customers))
+    for authorization in ('Bearer key', 'Bearer ', ''):
+        assert not is_successful(identify_caller(directory, authorization))
+
+
 # Guards against regions that hold every failure domain if no settings map them.
 def test_no_failure_domain_is_in_a_region_that_is_not_mapped() -> None:
     assert RegionMap().find_domains(frozenset(('here',))) == frozenset()
