--- a/tests/test_caller_floods.py
+++ b/tests/test_caller_floods.py
@@ -102,8 +102,8 @@
     await send({TYPE: 'http.response.body', 'body': b''})
 
 
-# Guards against callers who read long responses, or take many requests back,
-# and whose connection is ended for the frames that this takes.
+# Guards against callers who read long responses, and whose connection is ended
+# for the frames that this takes.
 async def test_frames_that_answer_responses_are_no_flood() -> None:
     async with open_server(respond_with_much) as server:
         caller = await open_h2(server.listener.port)
@@ -124,6 +124,8 @@
         assert received == BODY
 
 
+# Guards against callers who take many requests back, and whose connection is
+# ended for that.
 async def test_requests_that_are_taken_back_are_no_flood() -> None:
     async with open_server() as server:
         server.app.answering = trio.Event()
--- a/tests/test_endless_heads.py
+++ b/tests/test_endless_heads.py
@@ -193,6 +193,24 @@
     assert lines
 
 
+# Guards against an upstream that answers nothing and goes on getting work.
+async def test_a_faulty_upstream_loses_work() -> None:
+    server = PouringServer(INFORMATIONAL)
+    async with open_platform(engines=0, plains=1) as stage:
+        await stage.nursery.start(server.run)
+        stage.list_upstream('faulty', 'portal', f'{LOCAL}:{server.port}')
+        fleet = stage.runtimes[0].fleet
+        await until(lambda: fleet.find('faulty'))
+        for number in range(REQUESTS):
+            answer = await stage.client.get(
+                stage.url('/look/a'), headers=make_headers(f'r{number}')
+            )
+            assert answer.status_code == httpx.codes.OK
+        assert 0 < server.poured < REQUESTS // 4
+        assert fleet.find('faulty').failing
+        assert not fleet.find('plain-0').failing
+
+
 # Guards against a stop that is held up, or a process that is killed at the end
 # of its grace, while upstreams send without an end.
 @pytest.mark.parametrize(
--- a/tests/test_goaway.py
+++ b/tests/test_goaway.py
@@ -82,7 +82,7 @@
 
 
 # Guards against requests in progress of the most used client of this language,
-# which it fails at a GOAWAY; against a stop, and a connection that served many.
+# which it fails at a GOAWAY.
 async def test_client_loses_no_request_in_progress_at_a_stop(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -122,6 +122,7 @@
         await stage.stopped[0].wait()
 
 
+# Guards against the same at a connection that has served many requests.
 async def test_client_loses_no_request_as_its_connection_has_served_many() -> (
     None
 ):
