--- a/review/kit-2/instances.py
+++ b/review/kit-2/instances.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
-import sys
+import subprocess
 import time
 import tomllib
 from pathlib import Path
@@ -71,16 +72,30 @@
 
 
 def free_ports(count):
-    """Return ports that were free a moment ago."""
-    bound = []
-    for _ in range(count):
-        each = socket.socket()
-        each.bind(('127.0.0.1', 0))
-        bound.append(each)
-    ports = [each.getsockname()[1] for each in bound]
-    for each in bound:
-        each.close()
-    return ports
+    """Return ports that are free for channels and for datagrams.
+
+    They are below those that systems give to outgoing channels.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(16000, 30000)
+        if port not in _taken and _is_free(port):
+            _taken.add(port)
+            found.append(port)
+    return found
+
+
+_taken = set()
+
+
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as trial:
+            try:
+                trial.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
 
 
 class Instance:
@@ -121,8 +136,6 @@
         deps = ROOT / 'target' / 'deps'
         env['PYTHONPATH'] = str(deps)
         self.log = (self.folder / f'{self.name}.log').open('ab')
-        import subprocess
-
         self.process = subprocess.Popen(
             [program, *arguments], cwd=ROOT, env=env,
             stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL,
