--- a/review/kit-2/store.py
+++ b/review/kit-2/store.py
@@ -134,6 +134,8 @@
                     finally:
                         waiting.discard(writer)
                     mode = self.mode_by_machine.get(machine, self.mode)
+                    if mode == 'silent':
+                        await asyncio.sleep(3600)
                     if mode == 'busy':
                         status, message = 503, {}
                 else:
