Review: see a watcher also between two of its calls

A watcher has no call that waits for a moment between two of them, in which the script of case 5 missed it.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,6 +29,27 @@
     )
 
 
+async def see_watching(store):
+    """Return who watches; between two calls a watcher has none that waits."""
+    seen = set()
+    for _ in range(20):
+        seen.update(store.list_watching())
+        await asyncio.sleep(0.02)
+    return sorted(seen)
+
+
+async def cut_all(store):
+    """Cut one watch of each machine that watches; return whose."""
+    names = await see_watching(store)
+    for name in names:
+        for _ in range(20):
+            if store.watches[name]:
+                break
+            await asyncio.sleep(0.01)
+        store.cut_watches(name)
+    return names
+
+
 async def case(record, place):
     store = Store()
     await store.start()
@@ -54,14 +75,14 @@
         # The store cuts watches that wait, as it may, until all have had it.
         had_it = set()
         for _ in range(6):
-            cut = store.cut_watches()
+            cut = await cut_all(store)
             had_it.update(cut)
             record.note(f'the store cuts the watches of {" ".join(cut)}')
             await asyncio.sleep(3)
             if len(had_it) == MACHINES:
                 break
         await asyncio.sleep(2)
-        watching = store.list_watching()
+        watching = await see_watching(store)
         record.note(f'the store is watched by {" ".join(watching)}')
         away = watching[:int(SHARE * MACHINES)] if stage.TROUBLE else []
         for name in away:
--- a/review/kit-2/store.py
+++ b/review/kit-2/store.py
@@ -52,13 +52,10 @@
         """Return the names of the machines that watch now."""
         return sorted(name for name, each in self.watches.items() if each)
 
-    def cut_watches(self):
-        """Cut the watches that wait; return whose."""
-        cut = self.list_watching()
-        for channels in self.watches.values():
-            for writer in list(channels):
-                wire.reset(writer)
-        return cut
+    def cut_watches(self, machine):
+        """Cut the watches of a machine that wait."""
+        for writer in list(self.watches[machine]):
+            wire.reset(writer)
 
     @property
     def address(self):
