--- a/review/kit-2/preempting.py
+++ b/review/kit-2/preempting.py
@@ -38,6 +38,9 @@
             if not each['waits']
         )
 
+    def has_room(self, tokens):
+        return self.used() + tokens <= self.capacity
+
     def newest(self):
         running = [
             (each['began'], name)
@@ -106,7 +109,7 @@
         self.sizes[request_id] = int(prompt)
         self.streams[request_id] = stream
         backup = workers.Engine.peers.get(named.get('kv-backup', ''))
-        if backup is not None:
+        if backup is not None and backup.has_room(int(prompt)):
             backup.backups[request_id] = made
         closing = asyncio.create_task(reader.read(1))
         why, since = 'broke', began
@@ -168,7 +171,9 @@
                     continue
                 stream['made'] += 1
                 if backup is not None and request_id in backup.backups:
-                    backup.backups[request_id] = stream['made']
+                    # It grows as long as there is room.
+                    if backup.has_room(4):
+                        backup.backups[request_id] = stream['made']
                 await self.send_event(request_id, stream['made'], writer)
             writer.write(b'0\r\n\r\n')
             await writer.drain()
