--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -15,12 +15,17 @@
 from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves.holders import find_copy, find_holder, lose_backup
+from cartdale.moves.rescue import (
+    begin_rescue,
+    decide_rescue,
+    lose,
+    reject_rescue,
+)
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
     BackupLost,
     ChooseAgain,
-    ChooseRescue,
     Copy,
     CopyEnded,
     CopyRejected,
@@ -29,6 +34,7 @@
     LinkBusy,
     LinkEnded,
     LinkQuiet,
+    LinkRecovered,
     Message,
     MovePhase,
     MoveState,
@@ -37,9 +43,9 @@
     Resume,
     Resumed,
     ResumeRejected,
+    SourceChecked,
     TargetChosen,
 )
-from cartdale.quarantine.decide import EVENTS_PAST_START
 from cartdale.relay.types import CopyFault
 
 #: Refused or unanswered copies at one engine after which its generation stays
@@ -51,21 +57,11 @@
 #: waiting gains less each time. With the pauses below, five renewals span the
 #: notice of an engine.
 MAX_RENEWALS = 5
-#: Refused or unanswered stops of one rescue after which no other is requested.
-#: With the pauses between them they span the time of a rescue.
-MAX_RESCUE_TRIES = 6
 #: First pause before a refused copy is retried, first pause before a copy is
 #: renewed, and the maximum of both. The pauses double.
 _RETRY_PAUSE: Millis = 30
 _RENEWAL_PAUSE: Millis = 40
 _MAX_PAUSE: Millis = 480
-#: Pause before a refused or unanswered stop of a rescue is retried.
-_RESCUE_PAUSE: Millis = 60
-
-#: Faults of a copy whose source does not run the generation or is unreachable.
-_NOT_RUNNING = frozenset((CopyFault.UNREACHABLE, CopyFault.UNKNOWN_RUN))
-#: Faults of a stop whose source runs on.
-_RUNNING_ON = frozenset((CopyFault.BUSY, CopyFault.NO_ROOM))
 _ENDING = frozenset((MovePhase.STOPPING, MovePhase.RESCUING))
 _COPYING = frozenset((MovePhase.COPYING, MovePhase.REFRESHING))
 _STOPPED = frozenset(
@@ -103,8 +99,13 @@
             return _reject_copy(state, message)
         case LinkEnded():
             return _end_link(state, message)
-        case RescueTarget() | RescueTimedOut():
-            return _rescue(state, message)
+        case (
+            RescueTarget()
+            | RescueTimedOut()
+            | SourceChecked()
+            | LinkRecovered()
+        ):
+            return decide_rescue(state, message)
         case Resumed(backup=backup):
             return MoveState(find_holder(state), backup=backup), ()
         case ResumeRejected():
@@ -184,7 +185,7 @@
         )
         return after, ()
     if state.phase is MovePhase.RESCUING:
-        return _reject_rescue(state, rejected.fault)
+        return reject_rescue(state, rejected.fault)
     if state.tries >= MAX_TRIES:
         return _give_up(state), ()
     tried = replace(state, tries=state.tries + 1)
@@ -211,79 +212,12 @@
 
 def _end_link(state: MoveState, ended: LinkEnded) -> Decision:
     if state.phase in _ENDING or state.phase is MovePhase.COPYING:
-        return state, (AwaitCopy(),)
+        return replace(state, link_open=ended.link_open), (AwaitCopy(),)
     if state.phase in _STOPPED:
         return state, (Resume(find_holder(state)),)
     if state.phase is MovePhase.LOST:
         return state, (Cut(),)
-    rescued = replace(
-        state,
-        phase=MovePhase.RESCUING,
-        tries=0,
-        backup_events=ended.received,
-        outlived=ended.outlived,
-    )
-    return rescued, (ChooseRescue(),)
-
-
-def _rescue(
-    state: MoveState, message: RescueTarget | RescueTimedOut
-) -> Decision:
-    """Stop the generation at its source, where it may still be running."""
-    if state.phase is not MovePhase.RESCUING:
-        return state, ()
-    if isinstance(message, RescueTimedOut):
-        return _end_rescue(state)
-    chosen = find_copy(state) or message.target
-    if chosen is None:
-        after, actions = _fall_back(state)
-        if after.phase is MovePhase.LOST or state.backup is None:
-            return after, actions
-        chosen = state.backup
-    return replace(state, target=chosen), (Copy(last=True),)
-
-
-def _reject_rescue(state: MoveState, fault: CopyFault) -> Decision:
-    """Request the stop again, unless the source no longer runs it.
-
-    A source that stopped would have named the memory that it keeps, so that
-    one which refuses without a handle runs on.
-    """
-    tried = replace(state, tries=state.tries + 1, refused=fault in _RUNNING_ON)
-    if fault in _NOT_RUNNING or state.tries >= MAX_RESCUE_TRIES:
-        return _end_rescue(tried)
-    return tried, (Copy(last=True, pause=_RESCUE_PAUSE),)
-
-
-def _end_rescue(state: MoveState) -> Decision:
-    """Resume from a copy or the backup, unless the source runs on.
-
-    An instance that gets no answer doesn't reach the source, and only one that
-    reaches it must wait until the source has stopped.
-    """
-    holder = find_copy(state)
-    if state.refused:
-        return _lose(state)
-    if holder is None:
-        return _fall_back(state)
-    return replace(state, phase=MovePhase.AT_COPY), (Resume(holder),)
-
-
-def _lose(state: MoveState) -> Decision:
-    return replace(state, phase=MovePhase.LOST), (Cut(),)
-
-
-def _fall_back(state: MoveState) -> Decision:
-    """Resume from the backup; the source has nothing to resume from.
-
-    A source that ended before or just after its first events may have ended by
-    the request itself, with little in the backup. Another engine would run the
-    request from its start, or end by it too. One that lives on did not.
-    """
-    harmless = state.outlived or state.backup_events > EVENTS_PAST_START
-    if state.backup is None or not harmless:
-        return replace(state, phase=MovePhase.LOST), (Cut(),)
-    return replace(state, phase=MovePhase.AT_BACKUP), (Resume(state.backup),)
+    return begin_rescue(state, ended)
 
 
 def _give_up(state: MoveState) -> MoveState:
@@ -296,4 +230,4 @@
     if state.phase is MovePhase.AT_TARGET:
         after = replace(state, phase=MovePhase.AT_SOURCE)
         return after, (Resume(state.source),)
-    return _lose(state)
+    return lose(state)
--- a/src/cartdale/moves/types.py
+++ b/src/cartdale/moves/types.py
@@ -5,6 +5,7 @@
 
 from cartdale.clock import Millis
 from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay.run_state import RunState
 from cartdale.relay.types import CopyFault
 
 
@@ -46,6 +47,9 @@
     :param renewals: renewals of its copy over a busy link.
     :param refused: whether its source refused the latest request of a rescue
         to stop it.
+    :param unconfirmed: whether its source answered a request to stop it that it
+        has no such run, and no report has shown yet that none waits there.
+    :param link_open: whether its link is silent, but still open.
     :param backup: engine that holds an up-to-date backup of its memory.
     :param backup_events: events that the source had sent as its link ended;
         after a few only, its backup is not resumed from, unless it lived on.
@@ -60,6 +64,8 @@
     tries: int = 0
     renewals: int = 0
     refused: bool = False
+    unconfirmed: bool = False
+    link_open: bool = False
     backup: UpstreamEntry | None = None
     backup_events: int = 0
     outlived: bool = False
@@ -108,14 +114,28 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkEnded:
-    """The stream broke off before its final event.
+    """The stream broke off or fell silent before its final event.
 
     :param received: number of events received over the link.
     :param outlived: whether the source was seen to live on afterwards.
+    :param link_open: whether the link is silent, but still open.
     """
 
     received: int
     outlived: bool = False
+    link_open: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LinkRecovered:
+    """Events arrive again over a link that was silent."""
+
+
+@dataclass(frozen=True, slots=True)
+class SourceChecked:
+    """A report tells whether the source may still have the generation."""
+
+    run: RunState
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +180,16 @@
     pause: Millis = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CheckSource:
+    """Find out whether the source may still have the generation.
+
+    :param pause: delay before the check.
+    """
+
+    pause: Millis = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ChooseAgain:
     """Choose another target."""
@@ -204,6 +234,8 @@
     | LinkBusy
     | CopyRejected
     | LinkEnded
+    | LinkRecovered
+    | SourceChecked
     | RescueTarget
     | RescueTimedOut
     | Resumed
@@ -211,6 +243,13 @@
     | BackupLost
 )
 Action = (
-    Copy | ChooseAgain | AwaitQuiet | AwaitCopy | ChooseRescue | Resume | Cut
+    Copy
+    | CheckSource
+    | ChooseAgain
+    | AwaitQuiet
+    | AwaitCopy
+    | ChooseRescue
+    | Resume
+    | Cut
 )
 Decision = tuple[MoveState, tuple[Action, ...]]
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -31,8 +31,6 @@
     Message,
     MovePhase,
     MoveState,
-    RescueTarget,
-    RescueTimedOut,
     Resume,
     Resumed,
     ResumeRejected,
@@ -42,7 +40,10 @@
 from cartdale.relay.occupancy import Occupancy
 from cartdale.relay.pacing import PaceMeter
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.rescuing import Rescue
 from cartdale.relay.send_record import ConfirmedCopy, StartedBackup
+from cartdale.relay.silent_link import SilentLink
+from cartdale.relay.source_check import SourceCheck
 from cartdale.relay.targets import choose_target
 from cartdale.relay.types import (
     COPY_TIMEOUT,
@@ -50,15 +51,11 @@
     ResumePoint,
     RoutedRequest,
 )
-from cartdale.switches import Mechanism
 
 #: First pause before a generation that must leave looks for a target again.
 #: Each further pause is twice as long, so that engines which refuse get only a
 #: few requests within the drain notice of the source.
 _FIRST_RETRY_PAUSE: Millis = 40
-#: Maximum wait for the copy response of an engine whose link broke, and time
-#: during which a refused or unanswered stop is requested again.
-_RESCUE_TIMEOUT: Millis = 400
 
 
 class RunningGeneration:
@@ -85,7 +82,8 @@
         #: Set once the pending copy has ended.
         self._copy_ended = trio.Event()
         self._next_backup: UpstreamEntry | None = None
-        self._state: MoveState | None = None
+        #: Its engines and the phase of its move; ``None`` if it runs nowhere.
+        self.state: MoveState | None = None
         self._ended = False
         self._moving = False
         #: Events received over the current link.
@@ -99,6 +97,7 @@
         self.backup_lost = False
         #: Whether its engine still ran it as its link had ended.
         self.ran_on = False
+        self._source_check = SourceCheck(ports, self.request_id)
         self._copier = Copier(ports.upstreams, ports.clock, self.request_id)
         #: Number of times it resumed at another engine.
         self.moves = 0
@@ -111,7 +110,7 @@
     @property
     def upstream(self) -> str:
         """Return the id of the engine that runs it; empty if none does."""
-        return self._state.source.upstream if self._state else ''
+        return self.state.source.upstream if self.state else ''
 
     @property
     def tokens(self) -> int:
@@ -133,13 +132,13 @@
     @property
     def backup(self) -> str:
         """Return the id of its backup engine; empty if it has none."""
-        kept = self._state.backup if self._state else None
+        kept = self.state.backup if self.state else None
         return kept.upstream if kept else ''
 
     @property
     def is_stopped(self) -> bool:
         """Tell whether it was stopped: its link then ends prematurely."""
-        return self._state is not None and moves.is_stopped(self._state)
+        return self.state is not None and moves.is_stopped(self.state)
 
     def begin(self, upstream: UpstreamEntry) -> str:
         """Start at an engine.
@@ -150,7 +149,8 @@
         self.meter.begin(before.reading + self._routed.request.prompt_tokens)
         self._occupancy.assign(upstream)
         backup = _choose_backup(self._ports, self._occupancy, upstream)
-        self._state = moves.begin(upstream, backup)
+        self.state = moves.begin(upstream, backup)
+        self._source_check.begin()
         self.link_events = 0
         self.stop_sent = False
         self.source_silent = False
@@ -165,9 +165,9 @@
         self._ended = over
         self.meter.end()
         self._occupancy.end()
-        if self._state is not None:
-            _discard(self._ports, self._state, self._state.handle)
-        self._state = None
+        if self.state is not None:
+            _discard(self._ports, self.state, self.state.handle)
+        self.state = None
 
     def advance(self) -> None:
         """Count an event passed on to the caller."""
@@ -192,7 +192,7 @@
         pause = _FIRST_RETRY_PAUSE
         try:
             while not self._ended and self._ports.clock.now() < departure.until:
-                target = self._choose_target(refused)
+                target = self._find_target(refused)
                 if target is None:
                     # Other copies need not wait until this one finds capacity.
                     self._occupancy.exempt()
@@ -212,34 +212,36 @@
 
     def lose_backup(self) -> None:
         """Drop its backup, since the backup's engine leaves."""
-        self._dispatch(BackupLost())
+        self.dispatch(BackupLost())
         self.backup_lost = True
         self._occupancy.lose_backup()
 
     # Resuming after the link has ended.
 
     async def lose_link(
-        self, *, outlived: bool = False
+        self, *, outlived: bool = False, silent: SilentLink | None = None
     ) -> UpstreamEntry | None:
         """Return the engine to resume at after its link ended, if any.
 
         :param outlived: whether its engine was seen to live on afterwards.
+        :param silent: the link, if it is silent, but still open.
         """
-        ended = LinkEnded(self.link_events, outlived)
-        action = self._dispatch(ended)
+        is_open = silent is not None
+        ended = LinkEnded(self.link_events, outlived, link_open=is_open)
+        action = self.dispatch(ended)
         if isinstance(action, AwaitCopy):
             await self._copy_ended.wait()
-            action = self._dispatch(ended)
+            action = self.dispatch(ended)
         if isinstance(action, ChooseRescue):
-            action = await self._rescue()
-        self.ran_on = self._state is not None and ran_on(self._state)
+            action = await self._rescue(silent)
+        self.ran_on = self.state is not None and ran_on(self.state)
         return action.upstream if isinstance(action, Resume) else None
 
     def prepare_resume(
         self, upstream: UpstreamEntry
     ) -> tuple[ResumePoint, str]:
         """Return the resume point and the address of the next backup."""
-        state = self._state or moves.begin(upstream)
+        state = self.state or moves.begin(upstream)
         self._occupancy.assign(upstream)
         self._next_backup = _choose_backup(
             self._ports, self._occupancy, upstream
@@ -259,18 +261,63 @@
     def resumed(self) -> None:
         """Note that the engine has resumed it."""
         self.moves += 1
+        self._source_check.begin()
         self.link_events = 0
         self.stop_sent = False
         self.source_silent = False
         self.backup_lost = False
-        self._dispatch(Resumed(self._next_backup))
+        self.dispatch(Resumed(self._next_backup))
 
     def resume_rejected(self) -> UpstreamEntry | None:
         """Return another engine to resume at, if any."""
-        action = self._dispatch(ResumeRejected())
+        action = self.dispatch(ResumeRejected())
         return action.upstream if isinstance(action, Resume) else None
 
-    # Copying.
+    # Running the actions of its moves.
+
+    def dispatch(self, message: Message) -> Action | None:
+        """Apply a message, and return the action to perform."""
+        before = self.state
+        if before is None:
+            return Cut()
+        after, actions = moves.decide(before, message)
+        self.state = after
+        logger.info(
+            'move',
+            request=self.request_id,
+            before=before.phase,
+            after=after.phase,
+            events=self.events,
+            **format_log_fields('message', message),
+        )
+        return actions[0] if actions else None
+
+    async def copy(
+        self, action: Copy, timeout: Millis = COPY_TIMEOUT
+    ) -> Action | None:
+        """Copy its memory, and return the action to perform next.
+
+        :param timeout: maximum wait for the engine's response.
+        """
+        if action.pause:
+            await trio.sleep(as_seconds(action.pause))
+        state = self.state
+        if state is None or state.target is None or self._ended:
+            return None
+        sent_before = self.stop_sent
+        self.stop_sent = sent_before or action.last
+        outcome = await self._copier.copy(
+            state, state.target, last=action.last, timeout=timeout
+        )
+        if _denies_run(outcome):
+            self.stop_sent = sent_before
+        if action.last:
+            self.source_silent = _is_unanswered(outcome)
+        if outcome is None:
+            return None
+        if self.state is None and isinstance(outcome, CopyEnded):
+            _discard(self._ports, state, outcome.handle)
+        return self.dispatch(outcome)
 
     async def _copy_to(
         self, target: UpstreamEntry, departure: Departure
@@ -279,7 +326,7 @@
         self._copy_ended = trio.Event()
         try:
             with self._occupancy.reserve(target):
-                action = self._dispatch(TargetChosen(target))
+                action = self.dispatch(TargetChosen(target))
                 while isinstance(action, Copy | AwaitQuiet):
                     action = await self._run_action(action, departure)
             return not isinstance(action, ChooseAgain)
@@ -290,80 +337,36 @@
         self, action: Copy | AwaitQuiet, departure: Departure
     ) -> Action | None:
         if isinstance(action, Copy):
-            return await self._copy(action)
+            return await self.copy(action)
         left = departure.stop_at - self._ports.clock.now()
         if left <= 0 or self._copier.link_free:
             self._occupancy.exempt()
-            return self._dispatch(LinkQuiet())
-        if self._copier.renewed and self._state is not None:
-            pause = moves.choose_pause(self._state)
+            return self.dispatch(LinkQuiet())
+        if self._copier.renewed and self.state is not None:
+            pause = moves.choose_pause(self.state)
             await trio.sleep(as_seconds(min(left, pause)))
-        return self._dispatch(LinkBusy())
+        return self.dispatch(LinkBusy())
 
-    async def _copy(
-        self, action: Copy, timeout: Millis = COPY_TIMEOUT
-    ) -> Action | None:
-        if action.pause:
-            await trio.sleep(as_seconds(action.pause))
-        state = self._state
-        if state is None or state.target is None or self._ended:
-            return None
-        sent_before = self.stop_sent
-        self.stop_sent = sent_before or action.last
-        outcome = await self._copier.copy(
-            state, state.target, last=action.last, timeout=timeout
-        )
-        if _denies_run(outcome):
-            self.stop_sent = sent_before
-        if action.last:
-            self.source_silent = _is_unanswered(outcome)
-        if outcome is None:
-            return None
-        if self._state is None and isinstance(outcome, CopyEnded):
-            _discard(self._ports, state, outcome.handle)
-        return self._dispatch(outcome)
-
-    async def _rescue(self) -> Action | None:
+    async def _rescue(self, silent: SilentLink | None) -> Action | None:
         """Stop it at its source, where it may still run without its link."""
-        holder = find_partial_holder(self._state) if self._state else None
-        target = holder or self._choose_target(set())
-        action = self._dispatch(RescueTarget(target))
-        retry_until = self._ports.clock.now() + _RESCUE_TIMEOUT
-        enabled = self._ports.fleet.switches.is_enabled(Mechanism.RESCUE)
-        while isinstance(action, Copy):
-            starts_at = self._ports.clock.now() + action.pause
-            if enabled and starts_at <= retry_until:
-                action = await self._copy(action, _RESCUE_TIMEOUT)
-            else:
-                action = self._dispatch(RescueTimedOut())
-        if action is None:
-            action = self._dispatch(LinkEnded(self.link_events))
-        return action
-
-    def _choose_target(self, refused: set[str]) -> UpstreamEntry | None:
-        state, load = self._state, self._occupancy.load
+        holder = find_partial_holder(self.state) if self.state else None
+        target = holder or self._find_target(set())
+        route = self._routed.route
+        rescue = Rescue(self._ports, self, self._source_check, silent)
+        return await rescue.run(target, route.caller_read_timeout)
+
+    def _find_target(self, refused: set[str]) -> UpstreamEntry | None:
+        """Return an engine with capacity for it, if any; none before it began.
+
+        :param refused: engines that have refused it.
+        """
+        state, load = self.state, self._occupancy.load
         if state is None or load is None or not self.events:
             return None
         return choose_target(
             self._ports.fleet, self._routed, load, state.source, refused
         )
 
-    def _dispatch(self, message: Message) -> Action | None:
-        before = self._state
-        if before is None:
-            return Cut()
-        after, actions = moves.decide(before, message)
-        self._state = after
-        logger.info(
-            'move',
-            request=self.request_id,
-            before=before.phase,
-            after=after.phase,
-            events=self.events,
-            **format_log_fields('message', message),
-        )
-        return actions[0] if actions else None
-
 
 def _choose_backup(
     ports: RelayPorts, occupancy: Occupancy, upstream: UpstreamEntry
--- a/src/cartdale/relay/passing.py
+++ b/src/cartdale/relay/passing.py
@@ -14,12 +14,13 @@
 from cartdale.relay.kept_copies import look_for_backup
 from cartdale.relay.links import CarriedLink
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.silence import (
+from cartdale.relay.run_state import (
     MIN_ABSENT_REPORTS,
     MIN_REPORT_WAIT,
     RunState,
-    fetch_run_state,
 )
+from cartdale.relay.silence import fetch_run_state
+from cartdale.relay.silent_link import SilentLink
 from cartdale.relay.types import (
     MAX_SOUND_SILENCE,
     LinkBrokeError,
@@ -83,9 +84,11 @@
         self._link_since: Millis = 0
         #: Consecutive reports of the engine that did not list the generation.
         self._absent_reports = 0
-        #: Whether a silent link is being abandoned, and whether it has been.
-        self._abandoning_link = False
+        #: The link that is being abandoned, if any.
+        self._silent_link: SilentLink | None = None
         self._link_abandoned = False
+        #: Whether the current link has ended.
+        self._link_over = False
 
     @property
     def pending(self) -> bytes:
@@ -109,8 +112,9 @@
         self._repeatable = repeatable
         self._link_since = self._ports.clock.now()
         self._absent_reports = 0
-        self._abandoning_link = False
+        self._silent_link = None
         self._link_abandoned = False
+        self._link_over = False
         self.next_upstream = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_silence)
@@ -119,10 +123,17 @@
             with self._intake.open(self._generation.request_id):
                 failure = await self._pass_chunks(chunks)
             look.cancel()
-            if not self._abandoning_link:
-                nursery.cancel_scope.cancel()
+            self._end_link(failure, nursery.cancel_scope)
         return failure
 
+    def _end_link(self, failure: str, watch: trio.CancelScope) -> None:
+        """End the watch, unless it abandons the link at the moment."""
+        self._link_over = True
+        if self._silent_link is None:
+            watch.cancel()
+        else:
+            self._silent_link.end(broken=bool(failure))
+
     async def _look_for_backup(self, look: trio.CancelScope) -> None:
         with look:
             await look_for_backup(self._ports, self._generation)
@@ -175,8 +186,21 @@
         """Abandon the link once it is silent though more events are due.
 
         The link stays open until the generation has stopped: an engine drops
-        the request of a connection that closes.
+        the request of a connection that closes. Events may arrive again until
+        then, for example those of a request that was preempted.
         """
+        while not self._link_over:
+            await self._await_silence()
+            link = SilentLink()
+            self._silent_link = link
+            self.next_upstream = await self._generation.lose_link(silent=link)
+            self._silent_link = None
+            if not link.recovered:
+                self._link_abandoned = True
+                self._stop_reading()
+                return
+
+    async def _await_silence(self) -> None:
         on_schedule = False
         while not on_schedule or not await self._is_silent():
             slept_at = self._ports.clock.now()
@@ -185,10 +209,6 @@
             # has arrived.
             slept = self._ports.clock.now() - slept_at
             on_schedule = slept < 2 * _STATUS_CHECK_AFTER
-        self._abandoning_link = True
-        self.next_upstream = await self._generation.lose_link()
-        self._link_abandoned = True
-        self._stop_reading()
 
     async def _is_silent(self) -> bool:
         if self._reading_since is None:
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -47,10 +47,12 @@
     :param events_by_handle: copies, by the copy's name.
     :param backed_up: ids of the requests whose backup is kept here, until their
         run has ended well.
+    :param preempted: ids of the requests that wait here to be read anew.
     """
 
     events_by_handle: dict[str, int] = field(default_factory=dict)
     backed_up: set[str] = field(default_factory=set)
+    preempted: set[str] = field(default_factory=set)
 
     def count(self) -> int:
         """Return the number of copies and backups."""
@@ -79,6 +81,7 @@
     :param keeps_backups: whether backups are kept though their runs ended well.
     :param keeps_none: whether no copies and backups are kept.
     :param tells_copies: whether reports tell how many are kept.
+    :param works_on: whether generations go on after their connection closed.
     :param odd_report: body of reports; empty for a sound one.
     :param odd_copy: body of answers to copies, which do not take place; empty
         for a sound one.
@@ -98,6 +101,7 @@
     keeps_backups: bool = False
     keeps_none: bool = False
     tells_copies: bool = False
+    works_on: bool = False
     odd_report: bytes = b''
     odd_copy: bytes = b''
 
@@ -173,6 +177,13 @@
             self.driver.model.cancel(name)
             self.driver.records_by_generation.pop(name)
 
+    def has(self, request_id: str) -> bool:
+        """Tell whether a generation runs, or waits to be read anew."""
+        record = self.driver.records_by_generation.get(request_id)
+        if record is None or request_id in self._stopped:
+            return False
+        return record.produced < record.length
+
     async def _run(self, path: str) -> Response:
         if self.dead:
             raise LinkCutError
@@ -244,8 +255,11 @@
             raise LinkCutError
 
     def _drop(self, request_id: str) -> None:
-        """Stop working on a request."""
+        """Stop working on a request, unless it goes on without a connection."""
+        if self.stream_faults.works_on and self.has(request_id):
+            return
         self.driver.dropped_at[request_id] = trio.current_time()
+        self.memory.preempted.discard(request_id)
         self.driver.model.cancel(request_id)
         self.driver.records_by_generation.pop(request_id, None)
 
@@ -303,7 +317,7 @@
         try:
             while sent * STRIDE < record.length:
                 if self.dead or request_id in self._stopped:
-                    yield self._tear(request_id, made + sent + 1)
+                    yield _tear(self.stream_faults, request_id, made + sent + 1)
                     raise LinkCutError
                 if record.produced < min((sent + 1) * STRIDE, record.length):
                     await record.changed.wait()
@@ -343,20 +357,13 @@
         # Not even the end is seen behind a connection that is silent.
         await trio.sleep_forever()
 
-    def _tear(self, request_id: str, number: int) -> bytes:
-        """Return the part of an event that is sent before the cut."""
-        event = format_event(request_id, number)
-        return (
-            event[: len(event) // 2]
-            if self.stream_faults.cut_inside_event
-            else b''
-        )
-
     async def _move(self) -> Response:
+        if self.dead:
+            return Response(_break_off(), headers={'Content-Length': '1'})
         order = msgspec.json.decode(await request.get_data())
         request_id: str = order['id']
         record = self.driver.records_by_generation.get(request_id)
-        if record is None:
+        if record is None or request_id in self.memory.preempted:
             return _refuse_copy(HTTPStatus.NOT_FOUND)
         if request_id in self._copying:
             self.conflicts += 1
@@ -416,12 +423,16 @@
         self.reports_asked += 1
         if self.stream_faults.odd_report:
             return _answer_raw(self.stream_faults.odd_report)
-        records = dict(self.driver.records_by_generation)
+        records = {
+            name: record
+            for name, record in self.driver.records_by_generation.items()
+            if name not in self.memory.preempted
+        }
         if self.stream_faults.unlisted:
             records.clear()
         report: dict[str, Any] = {
             'running': len(records),
-            'queued': 0,
+            'queued': len(self.memory.preempted),
             'kvUsed': 0,
             'kvTotal': self.driver.model.hardware.memory_tokens,
             'born': self.crashes.born,
@@ -438,6 +449,26 @@
         return _answer(report)
 
 
+def _tear(faults: StreamFaults, request_id: str, number: int) -> bytes:
+    """Return the part of an event that is sent before the cut."""
+    event = format_event(request_id, number)
+    return event[: len(event) // 2] if faults.cut_inside_event else b''
+
+
+def preempt(engine: PlatformEngine, request_id: str) -> None:
+    """Take the memory of a generation, which then waits in the queue."""
+    engine.memory.preempted.add(request_id)
+    engine.driver.model.cancel(request_id)
+
+
+def read_anew(engine: PlatformEngine, request_id: str) -> None:
+    """Go on with a generation that was preempted."""
+    engine.memory.preempted.discard(request_id)
+    record = engine.driver.records_by_generation[request_id]
+    left = record.length - record.produced
+    engine.driver.accept(Job(request_id, record.produced + 1, left))
+
+
 def format_event(request_id: str, number: int, padding: int = 0) -> bytes:
     """Return the event with a number of a request's one generation.
 
@@ -468,6 +499,12 @@
     return Response('', status=status.value)
 
 
+async def _break_off() -> AsyncIterator[bytes]:
+    """Begin a body whose connection ends inside it."""
+    yield b''
+    raise LinkCutError
+
+
 def _answer(message: object) -> Response:
     return _answer_raw(msgspec.json.encode(message))
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -9,16 +9,17 @@
 from cartdale.fleet.types import UpstreamEntry
 from cartdale.moves.decide import (
     MAX_RENEWALS,
-    MAX_RESCUE_TRIES,
     MAX_TRIES,
     begin,
     choose_pause,
     decide,
 )
+from cartdale.moves.rescue import MAX_RESCUE_TRIES
 from cartdale.moves.types import (
     AwaitCopy,
     AwaitQuiet,
     BackupLost,
+    CheckSource,
     ChooseAgain,
     ChooseRescue,
     Copy,
@@ -28,15 +29,18 @@
     LinkBusy,
     LinkEnded,
     LinkQuiet,
+    LinkRecovered,
     MovePhase,
     RescueTarget,
     RescueTimedOut,
     Resume,
     Resumed,
     ResumeRejected,
+    SourceChecked,
     TargetChosen,
 )
 from cartdale.quarantine.decide import EVENTS_PAST_START
+from cartdale.relay.run_state import RunState
 from cartdale.relay.types import CopyFault
 
 
@@ -83,7 +87,8 @@
     assert state.phase is MovePhase.SETTLED
 
 
-#: Faults of a last copy that show that the source does not run it.
+#: Faults of a last copy of a source that does not run it: one that can't be
+#: reached, and one that also has nothing of it in its queue.
 ENDED = (CopyFault.UNREACHABLE, CopyFault.UNKNOWN_RUN)
 #: Faults of a last copy whose source says that it runs on.
 REFUSED = (CopyFault.BUSY, CopyFault.NO_ROOM)
@@ -92,6 +97,9 @@
 def reject_rescue(state, fault: CopyFault):
     """Reject a rescue until no time is left."""
     state, action = play(state, CopyRejected(fault, last=True))
+    if fault is CopyFault.UNKNOWN_RUN:
+        assert action == CheckSource()
+        return play(state, SourceChecked(RunState.GONE))
     if fault in ENDED:
         return state, action
     assert isinstance(action, Copy)
@@ -146,6 +154,69 @@
     assert state.phase is MovePhase.LOST
 
 
+# Guards against a preempted run that goes on at two engines: a source denies a
+# run that waits there, and reads it anew later.
+@pytest.mark.parametrize('copied', [True, False])
+@pytest.mark.parametrize('run', set(RunState) - {RunState.GONE})
+def test_source_that_denies_a_run_and_has_others_waiting_is_asked_again(
+    run: RunState, *, copied: bool
+) -> None:
+    copy = (TargetChosen(TARGET), CopyEnded('h')) if copied else ()
+    state, _ = play(
+        begin(SOURCE, SPARE), *copy, LinkEnded(PAST_START), RescueTarget(SPARE)
+    )
+    denied = CopyRejected(CopyFault.UNKNOWN_RUN, last=True)
+    for _ in range(MAX_RESCUE_TRIES + 1):
+        state, action = play(state, denied)
+        assert action == CheckSource()
+        state, action = play(state, SourceChecked(run))
+        assert isinstance(action, Copy)
+        assert action.last
+        assert action.pause
+    stopped, _ = play(state, CopyEnded('h2', last=True))
+    assert stopped.phase is MovePhase.AT_TARGET
+    unreached = CopyRejected(CopyFault.UNREACHABLE, last=True)
+    assert isinstance(play(state, unreached)[1], Resume)
+    assert play(state, RescueTimedOut())[1] == Cut()
+
+
+# Guards against an answer that is lost once, and lets a run that waits at its
+# source go on elsewhere.
+def test_run_that_may_wait_is_not_resumed_for_one_lost_answer() -> None:
+    state, action = play(
+        begin(SOURCE, SPARE),
+        LinkEnded(PAST_START),
+        RescueTarget(SPARE),
+        CopyRejected(CopyFault.UNKNOWN_RUN, last=True),
+        SourceChecked(RunState.WAITING),
+        CopyRejected(CopyFault.NO_ANSWER, last=True),
+    )
+    assert isinstance(action, Copy)
+    assert play(state, RescueTimedOut())[1] == Cut()
+
+
+# Guards against a move of a preempted run that is back over its own link.
+@pytest.mark.parametrize('run', [RunState.RUNNING, RunState.WAITING])
+def test_run_that_is_back_over_its_silent_link_stays(run: RunState) -> None:
+    state, action = play(
+        begin(SOURCE, SPARE),
+        LinkEnded(PAST_START, link_open=True),
+        RescueTarget(SPARE),
+        CopyRejected(CopyFault.UNKNOWN_RUN, last=True),
+        SourceChecked(run),
+    )
+    assert isinstance(action, CheckSource)
+    assert action.pause
+    back, action = play(state, LinkRecovered())
+    assert (back.phase, action) == (MovePhase.SETTLED, None)
+    state, action = play(state, SourceChecked(RunState.AHEAD))
+    assert isinstance(action, Copy)
+    # A link that breaks after all brings nothing more.
+    state, _ = play(state, LinkEnded(PAST_START))
+    assert play(state, LinkRecovered()) == (state, None)
+    assert isinstance(play(state, SourceChecked(run))[1], Copy)
+
+
 # Guards against a request that goes back to a source that still runs it.
 def test_older_copy_whose_resume_is_rejected_does_not_return() -> None:
     state, _ = play(
@@ -202,8 +273,7 @@
     state, action = play(state, CopyEnded('h2'))
     assert (state.phase, action) == (MovePhase.RESCUING, None)
     assert state.handle == 'h2'
-    ended = CopyRejected(CopyFault.UNKNOWN_RUN, last=True)
-    assert play(state, ended)[1] == Resume(TARGET)
+    assert reject_rescue(state, CopyFault.UNKNOWN_RUN)[1] == Resume(TARGET)
 
 
 def test_copy_is_renewed_while_others_use_the_link() -> None:
@@ -230,8 +300,7 @@
     assert action == Copy(last=True)
     late, action = play(state, CopyRejected(CopyFault.NO_ANSWER))
     assert (late, action) == (state, None)
-    ended = CopyRejected(CopyFault.UNKNOWN_RUN, last=True)
-    state, action = play(state, ended)
+    state, action = reject_rescue(state, CopyFault.UNKNOWN_RUN)
     assert action == Resume(TARGET)
     assert state.handle == 'h'
     late, action = play(state, CopyRejected(CopyFault.NO_ANSWER))
@@ -251,8 +320,7 @@
     state, action = play(state, LinkEnded(PAST_START), RescueTarget(SPARE))
     assert action == Copy(last=True)
     assert state.target == TARGET
-    ended = CopyRejected(CopyFault.UNKNOWN_RUN, last=True)
-    assert play(state, ended)[1] == Resume(TARGET)
+    assert reject_rescue(state, CopyFault.UNKNOWN_RUN)[1] == Resume(TARGET)
 
 
 def test_refused_target_is_replaced() -> None:
@@ -340,6 +408,9 @@
     for _ in range(MAX_RESCUE_TRIES + 1):
         state, action = play(state, refused)
         assert not isinstance(action, Resume)
+    if fault is CopyFault.UNKNOWN_RUN:
+        state, action = play(state, SourceChecked(RunState.GONE))
+        assert action == Cut()
     assert play(state, LinkEnded(0))[1] == Cut()
     assert state.phase is MovePhase.LOST
     state, action = play(begin(SOURCE, SPARE), ended, RescueTarget(None))
@@ -359,8 +430,7 @@
     )
     assert action == Copy(last=True)
     assert state.target == SPARE
-    ended = CopyRejected(CopyFault.UNKNOWN_RUN, last=True)
-    state, action = play(state, ended)
+    state, action = reject_rescue(state, CopyFault.UNKNOWN_RUN)
     assert action == Resume(SPARE)
     state, _ = play(state, BackupLost())
     assert state.backup == SPARE
@@ -397,7 +467,14 @@
             st.sampled_from(('', 'kept')),
             st.booleans(),
         ),
-        st.builds(LinkEnded, st.sampled_from((0, PAST_START))),
+        st.builds(
+            LinkEnded,
+            st.sampled_from((0, PAST_START)),
+            st.booleans(),
+            st.booleans(),
+        ),
+        st.just(LinkRecovered()),
+        st.builds(SourceChecked, st.sampled_from(RunState)),
         st.sampled_from((RescueTarget(None), RescueTarget(TARGET))),
         st.just(RescueTimedOut()),
         st.just(ResumeRejected()),
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -10,7 +10,7 @@
 from cartdale.fleet.types import EngineReport, RunReport
 from cartdale.platform.upstreams import PlatformUpstreams
 from cartdale.relay import stream
-from cartdale.relay.silence import RunState, find_run_state
+from cartdale.relay.run_state import RunState, find_run_state
 from tests.platform_stage import draft, open_platform, whole
 
 
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -14,6 +14,7 @@
 from cartdale.relay.crash_probes import CrashProber
 from cartdale.relay.decide import Broken
 from cartdale.relay.ports import RelayPorts
+from cartdale.relay.silent_link import SilentLink
 from cartdale.relay.stream import StreamEnd, StreamForwarder
 from cartdale.relay.types import (
     CallerRequest,
@@ -74,7 +75,7 @@
         """Count an event."""
         self.events += 1
 
-    async def lose_link(self) -> UpstreamEntry:
+    async def lose_link(self, *, silent: SilentLink) -> UpstreamEntry:
         """Leave the engine."""
         self.left += 1
         await trio.sleep(0.3)
@@ -175,7 +176,7 @@
 
     backup = ''
 
-    async def lose_link(self) -> None:
+    async def lose_link(self, *, silent: SilentLink | None = None) -> None:
         """Return no engine to resume at."""
         self.left += 1
 
