--- a/src/cartdale/fleet/store_follower.py
+++ b/src/cartdale/fleet/store_follower.py
@@ -50,6 +50,7 @@
     Removed,
     StoreFailure,
     StoreUnavailable,
+    WatchCut,
     WatchedStore,
 )
 from cartdale.supervision import contain
@@ -80,6 +81,11 @@
 #: Read interval once no news arrives: a change missed meanwhile is published
 #: for only 3 s.
 _SILENT_READ_INTERVAL: Millis = SECOND_MS // 2
+#: Read interval of an instance whose last call failed. The others leave it out
+#: of what they leave to each other, until the store has answered it.
+_FAILED_READ_INTERVAL: Millis = SECOND_MS
+#: Consecutive watches that are cut after which the store counts as failing.
+_MAX_CUT_WATCHES = 3
 #: Initial pause between calls while the store fails; the reads of a
 #: watcher back off exponentially with jitter, up to ``max``.
 _RETRY_PAUSE_SECONDS = 0.1
@@ -135,7 +141,8 @@
         self._failed_at: Millis | None = None
         #: The configuration in force, in its stored form.
         self.raw_table = b''
-        #: Whether the last call to the store failed.
+        #: Whether the store did not answer the last read or watch. The cut of a
+        #: watch that waits is none of these: the store may cut it at any time.
         self.failing = False
         #: Set once a configuration is in force.
         self.configured = trio.Event()
@@ -218,7 +225,7 @@
     async def _wait_for_read(self) -> None:
         """Wait until this instance has to watch or to read all keys again."""
         waited: Millis = 0
-        until = _READ_INTERVAL
+        until = _FAILED_READ_INTERVAL if self.failing else _READ_INTERVAL
         while waited < until and not self._must_read():
             await trio.sleep(as_seconds(_CHECK_INTERVAL))
             waited += _CHECK_INTERVAL
@@ -350,18 +357,23 @@
         restore is due, or when this instance no longer has to watch.
         """
         pause: float = _UNWATCHABLE_PAUSE_SECONDS
+        cuts = 0
         while self._is_watcher() and not self._is_reread_due():
             result = await self._store.watch(
                 _ALL_KEYS, revision, self._watch_for
             )
             match result:
                 case Success(changes):
-                    pause = 0
+                    pause, cuts = 0, 0
                     revision = await self._apply_changes(changes, revision)
                 case Failure(HistoryLost()):
                     logger.info('store forgot history', revision=revision)
                     await trio.sleep(pause)
                     return
+                case Failure(WatchCut(detail)) if cuts < _MAX_CUT_WATCHES:
+                    logger.info('watch cut', detail=detail, revision=revision)
+                    cuts += 1
+                    await trio.sleep(_RETRY_PAUSE_SECONDS)
                 case Failure(failure):
                     self._record_failure(failure)
                     await trio.sleep(_RETRY_PAUSE_SECONDS)
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -50,6 +50,7 @@
     StoreFailure,
     StoreUnavailable,
     TransactionOutcome,
+    WatchCut,
     Write,
     WriteUnknown,
 )
@@ -137,7 +138,7 @@
             timeout=timeout + _MAX_WATCH_DELAY,
         )
         return answer.bind(partial(_read_events, watched_era=era)).alt(
-            _as_unavailable
+            _as_watch_failure
         )
 
     async def transact(
@@ -231,7 +232,8 @@
         except HTTPCORE_NOT_SENT_ERRORS as error:
             return Failure(StoreUnavailable(format_error(error)))
         except HTTPCORE_UNKNOWN_OUTCOME_ERRORS as late_error:
-            return Failure(WriteUnknown(format_error(late_error)))
+            timed_out = isinstance(late_error, httpcore.TimeoutException)
+            return Failure(WriteUnknown(format_error(late_error), timed_out))
         self._eras.update(response, changes)
         if response.status in _NO_EFFECT_STATUSES:
             return Failure(StoreUnavailable(str(response.status)))
@@ -257,6 +259,15 @@
     return PlatformStore(make_pool(), address, timeout)
 
 
+def _as_watch_failure(failure: StoreFailure) -> StoreFailure:
+    """Tell a watch that was cut from one that the store left unanswered."""
+    match failure:
+        case WriteUnknown(detail=detail, timed_out=False):
+            return WatchCut(detail)
+        case _:
+            return _as_unavailable(failure)
+
+
 def _as_unavailable(failure: StoreFailure) -> StoreFailure:
     """Turn an unknown outcome into a plain failure: a read changes nothing."""
     if isinstance(failure, WriteUnknown):
--- a/src/cartdale/store/types.py
+++ b/src/cartdale/store/types.py
@@ -89,7 +89,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteUnknown:
-    """The write may have taken effect; its answer was lost."""
+    """The write may have taken effect; its answer was lost.
+
+    :param timed_out: whether nothing came in time; else the connection broke.
+    """
+
+    detail: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WatchCut:
+    """The connection of a watch broke, which does not show an outage."""
 
     detail: str
 
@@ -130,7 +141,9 @@
 
 Write = Put | Delete
 TransactionOutcome = Committed | CompareFailed
-StoreFailure = StoreUnavailable | WriteUnknown | LeaseLost | HistoryLost
+StoreFailure = (
+    StoreUnavailable | WriteUnknown | LeaseLost | HistoryLost | WatchCut
+)
 
 
 class LeasedStore(Protocol):
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -42,6 +42,7 @@
     Removed,
     StoreFailure,
     StoreUnavailable,
+    WatchCut,
     Write,
 )
 from cartdale_standins.platform_entries import describe_upstream
@@ -133,6 +134,10 @@
     #: Whether calls of this instance are turned away.
     refuses: bool = False
     trouble: Trouble = field(default_factory=Trouble)
+    #: Whether a watch of this instance waits.
+    watches: bool = False
+    #: Cuts the watch that waits.
+    cut: trio.Event = field(default_factory=trio.Event)
     #: Waits until so many bytes have arrived here.
     receive: Callable[[float], Awaitable[None]] = receive_at_once
 
@@ -151,9 +156,10 @@
         with trio.move_on_after(as_seconds(timeout + LONGEST_WATCH_DELAY)):
             if await self._refuse('watch', timeout + LONGEST_WATCH_DELAY):
                 return Failure(StoreUnavailable('busy'))
-            with trio.move_on_after(as_seconds(timeout)):
-                while not self._list_changes(after):
-                    await trio.sleep(as_seconds(STORE_TAKES))
+            if not await self._await_changes(after, timeout):
+                return Failure(WatchCut('reset'))
+            if self.refuses:
+                return Failure(StoreUnavailable('busy'))
             await self.trouble.hold_store_call()
             changes = self._list_changes(after)
             revision = self.state.revision
@@ -161,6 +167,11 @@
             return Success(Changes(changes, revision))
         return Failure(StoreUnavailable('no answer'))
 
+    def cut_watch(self) -> None:
+        """Reset the connection of the watch that waits, if any."""
+        self.cut.set()
+        self.cut = trio.Event()
+
     async def transact(
         self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
     ):
@@ -184,6 +195,17 @@
         self.state.revoke(lease)
         return Success(None)
 
+    async def _await_changes(self, after: int, timeout: Millis) -> bool:
+        """Wait for changes; return whether the connection stayed."""
+        cut, self.watches = self.cut, True
+        try:
+            with trio.move_on_after(as_seconds(timeout)):
+                while not (self._list_changes(after) or cut.is_set()):
+                    await trio.sleep(as_seconds(STORE_TAKES))
+        finally:
+            self.watches = False
+        return not cut.is_set()
+
     async def _refuse(self, kind: str, timeout: Millis = STORE_TIMEOUT) -> bool:
         self.calls[kind] += 1
         with trio.move_on_after(as_seconds(timeout)):
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -21,8 +21,10 @@
     Changes,
     Entry,
     Listing,
+    Removed,
     StoreFailure,
     StoreUnavailable,
+    WatchCut,
 )
 from cartdale_standins.platform_entries import describe_upstream
 from tests.platform_stage import make_configuration
@@ -270,3 +272,70 @@
     assert not any('value' in line for line in lines)
     assert len(lines) == 3
     assert count_failures('store changes') == before + 3
+
+
+class CutStore(ScriptedStore):
+    """Cut watches, or turn them away, before it serves them."""
+
+    def __init__(self, failures: list[StoreFailure], removed: Removed) -> None:
+        super().__init__([Success(Listing((ENTRY,), 1))])
+        self._failures = failures
+        self._removed = removed
+        #: Revisions that were watched from.
+        self.watched_from: list[int] = []
+
+    async def watch(
+        self, prefix: str, after: int, timeout: int
+    ) -> Result[Changes, StoreFailure]:
+        await trio.sleep(0.05)
+        self.watched_from.append(after)
+        if self._failures:
+            return Failure(self._failures.pop(0))
+        if after < self._removed.mod_revision:
+            return Success(Changes((self._removed,), 2))
+        await trio.sleep(timeout / 1000)
+        return Success(Changes((), after))
+
+
+# Guards against an instance that says that the store is lost, and takes
+# departures for the store's fault, though only a watch was cut.
+@pytest.mark.parametrize(
+    ('failures', 'lifecycle'),
+    [
+        ([WatchCut('reset')], Lifecycle.LEAVING),
+        ([WatchCut('reset')] * 3, Lifecycle.LEAVING),
+        ([WatchCut('reset')] * 4, Lifecycle.LAPSED),
+        ([StoreUnavailable('503')], Lifecycle.LAPSED),
+    ],
+)
+async def test_watch_that_is_cut_is_no_outage(
+    autojump_clock, failures: list[StoreFailure], lifecycle: Lifecycle
+) -> None:
+    outage = lifecycle is Lifecycle.LAPSED
+    store = CutStore(list(failures), Removed(ENTRY.key, 2))
+    follower = make_follower(store, lambda: True, bool)
+    failing = []
+    with trio.move_on_after(2):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            while True:
+                failing.append(follower.failing)
+                await trio.sleep(0.01)
+    assert any(failing) == outage
+    assert not follower.failing
+    assert len(store.fetched) == 1 + outage
+    assert set(store.watched_from) == {1, 2}
+    assert follower._fleet.find('i').lifecycle is lifecycle
+
+
+# Guards against one failed call that keeps an instance from watching the store
+# for others until its next read, a minute later.
+async def test_instance_whose_call_failed_reads_again_soon(
+    autojump_clock,
+) -> None:
+    store = CutStore([StoreUnavailable('503')], Removed(ENTRY.key, 2))
+    follower = make_follower(store, lambda: not follower.failing, bool)
+    with trio.move_on_after(3):
+        await follower.run()
+    assert not follower.failing
+    assert len(store.fetched) == 2
