--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -137,9 +137,8 @@
             params=params,
             timeout=timeout + _MAX_WATCH_DELAY,
         )
-        return answer.bind(partial(_read_events, watched_era=era)).alt(
-            _as_watch_failure
-        )
+        read = partial(_read_events, watched_era=era)
+        return answer.alt(_as_watch_failure).bind(read).alt(_as_unavailable)
 
     async def transact(
         self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
@@ -265,7 +264,7 @@
         case WriteUnknown(detail=detail, timed_out=False):
             return WatchCut(detail)
         case _:
-            return _as_unavailable(failure)
+            return failure
 
 
 def _as_unavailable(failure: StoreFailure) -> StoreFailure:
--- a/tests/test_cut_watches.py
+++ b/tests/test_cut_watches.py
@@ -6,6 +6,7 @@
 
 import socket
 import struct
+from types import MappingProxyType
 
 import pytest
 import trio
@@ -18,6 +19,9 @@
 LOCAL = '127.0.0.1'
 #: A response that ends inside its body.
 PARTIAL = b'HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\n{"asOf"'
+STATUSES = MappingProxyType(
+    {'busy': b'503', 'limited': b'429', 'failed': b'500'}
+)
 #: Linger for no time: the peer sees a reset instead of an end.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -34,8 +38,8 @@
             reset(stream)
         case 'body':
             await stream.send_all(PARTIAL)
-        case 'busy' | 'limited':
-            status = b'503' if how == 'busy' else b'429'
+        case 'busy' | 'limited' | 'failed':
+            status = STATUSES[how]
             await stream.send_all(
                 b'HTTP/1.1 %b \r\ncontent-length: 0\r\n\r\n' % status
             )
@@ -64,7 +68,7 @@
     assert isinstance(answer.failure(), WatchCut)
 
 
-@pytest.mark.parametrize('how', ['busy', 'limited', 'silent'])
+@pytest.mark.parametrize('how', ['busy', 'limited', 'failed', 'silent'])
 async def test_watch_that_is_turned_away_shows_an_outage(how: str) -> None:
     answer = await watch_once(how)
     assert isinstance(answer, Failure)
