--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -68,6 +68,15 @@
     HEADER_LIMIT.encode(),
     HEADER_BRITTLE.encode(),
 }
+#: Statuses which promise a caller that its request did not run.
+_PROMISES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
 
 
 class CopyRequest(msgspec.Struct, rename='camel', omit_defaults=True):
@@ -166,6 +175,8 @@
             framed=is_framed(response) or _has_no_body(call, response),
             backoff=advisory.backoff,
             carrier=find_carrier(response),
+            denies_run=execution is ExecutionStatus.RAN
+            and response.status in _PROMISES,
         )
     )
 
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -100,9 +100,12 @@
     """A complete response was received, a success or a failure.
 
     :param good: whether the upstream processed the request successfully.
+    :param denied_run: whether the response promises that the request did not
+        run, though it did. It is not passed on.
     """
 
     good: bool
+    denied_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +129,9 @@
     Unsent | Withheld | Unwritten | Declined | Broken | Withdrawn | Answered
 )
 Step = TryAgain | PassOn | GiveUp
+_DENIED_RUN = GiveUp(
+    OutcomeUnknown('the upstream ran it, and answered as if it had not')
+)
 
 
 def begin(route: Route) -> AttemptState:
@@ -160,14 +166,21 @@
         case Withdrawn():
             after = _count_run(state)
             return after, GiveUp(refuse(after, NotRunReason.QUARANTINED))
-        case Answered(good=good):
+        case Answered():
             after = _count_run(state)
-            again = not good and affordable and _may_repeat(after)
-            return after, TryAgain() if again else PassOn()
+            return after, _follow_answer(after, ended, affordable=affordable)
         case _:
             assert_never(ended)
 
 
+def _follow_answer(
+    state: AttemptState, ended: Answered, *, affordable: bool
+) -> Step:
+    if not ended.good and affordable and _may_repeat(state):
+        return TryAgain()
+    return _DENIED_RUN if ended.denied_run else PassOn()
+
+
 def refuse(
     state: AttemptState,
     reason: NotRunReason,
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -159,6 +159,8 @@
         if declined is not None:
             return declined, None
         self._link.note_head(answer.carrier)
+        if answer.denies_run:
+            return Answered(good=False, denied_run=True), None
         try:
             body = await self._ports.read_whole(
                 self._routed.request.request_id, answer.chunks
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -406,6 +406,8 @@
         self, answer: OpenedResponse, upstream: str
     ) -> LinkEnd:
         """Keep an upstream's failure response; another attempt may follow."""
+        if answer.denies_run:
+            return Answered(good=False, denied_run=True)
         try:
             body = await self._ports.read_whole(
                 self._routed.request.request_id, answer.chunks
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -152,6 +152,8 @@
     :param backoff: back-off that the upstream requests from this instance.
     :param carrier: instance that carries the response; empty for none.
     :param chunks: raises ``LinkBrokeError`` unless the body is complete.
+    :param denies_run: whether the status promises that the request did not run,
+        though it did: callers would send it again.
     """
 
     status: int
@@ -161,6 +163,7 @@
     framed: bool = True
     backoff: Millis = 0
     carrier: str = ''
+    denies_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
