--- a/src/cartdale/client_transport.py
+++ b/src/cartdale/client_transport.py
@@ -12,6 +12,7 @@
 
 from cartdale.bodies import OversizedBodyError, join_bounded
 from cartdale.formatting import format_error
+from cartdale.statuses import is_final
 from cartdale.transport import MAX_ANSWER, SendTrace
 
 #: Time-outs of a read within which a body is whole.
@@ -36,12 +37,13 @@
     :raises httpx.ConnectError: or another error of
         ``HTTPX_NOT_SENT_ERRORS`` if nothing was sent.
     :raises httpx.ReadTimeout: if the body is not whole in time.
-    :raises httpx.RemoteProtocolError: if it is larger than ``MAX_ANSWER``.
+    :raises httpx.RemoteProtocolError: if it is larger than ``MAX_ANSWER``, or
+        its status is not that of a final response.
     """
     trace = SendTrace()
     request.extensions['trace'] = trace
     try:
-        response = await client.send(request, stream=True)
+        response = await _open(client, request)
         return response if stream else await _read_whole(response)
     except HTTPX_NOT_SENT_ERRORS as error:
         if trace.began:
@@ -49,6 +51,18 @@
         raise
 
 
+async def _open(
+    client: httpx.AsyncClient, request: httpx.Request
+) -> httpx.Response:
+    """Return a final response, with its body unread."""
+    response = await client.send(request, stream=True)
+    if is_final(response.status_code):
+        return response
+    await response.aclose()
+    detail = f'{response.status_code} is no status of a final response'
+    raise httpx.RemoteProtocolError(detail)
+
+
 async def _read_whole(response: httpx.Response) -> httpx.Response:
     """Return a response with its body, read within its bounds.
 
--- a/src/cartdale/detours/calls.py
+++ b/src/cartdale/detours/calls.py
@@ -22,6 +22,7 @@
 from cartdale.exceptions import UndecodableError
 from cartdale.formatting import format_error
 from cartdale.news.types import PeerEntry
+from cartdale.statuses import is_final
 from cartdale.transport import (
     CARRIER_EXTENSION,
     HTTPCORE_NOT_SENT_ERRORS,
@@ -112,7 +113,7 @@
         if reply is None and response.status in _REFUSED_STATUSES:
             reply = DetourReply(DetourOutcome.BUSY, detail=str(response.status))
         if reply is None:
-            detail = f'{peer.name}: {response.status} without a genuine reply'
+            detail = f'{peer.name}: {response.status} without a sound reply'
             raise IntermediaryReplyError(detail)
         if observer is not None and reply.proves_unsent:
             observer.retract()
@@ -145,7 +146,7 @@
     def _read_reply(
         self, peer: PeerEntry, response: httpcore.Response
     ) -> DetourReply | None:
-        """Return a peer's reply; ``None`` if there is no genuine one."""
+        """Return a peer's reply; ``None`` if there is no sound, genuine one."""
         for name, value in response.headers:
             if name.lower() == REPLY_HEADER:
                 return self._open_reply(peer, decode_header(value))
@@ -155,7 +156,10 @@
         verified = self._peers.open_message(signed, DetourReply)
         if verified is None or verified.sender != peer.name:
             return None
-        return verified.message
+        reply = verified.message
+        if reply.outcome is DetourOutcome.OPENED and not is_final(reply.status):
+            return None
+        return reply
 
 
 class _CarriedBody:
--- a/src/cartdale/detours/direct.py
+++ b/src/cartdale/detours/direct.py
@@ -7,6 +7,7 @@
 from cartdale.detours.ports import RequestHandler, SendObserver
 from cartdale.detours.types import UpstreamRequest
 from cartdale.formatting import format_error
+from cartdale.statuses import check_final
 from cartdale.transport import (
     HTTPCORE_NOT_SENT_ERRORS,
     MAX_CONNECT_WAIT,
@@ -42,12 +43,20 @@
         :param through: without effect: there is no other instance.
         :raises httpcore.ConnectError: or another error of
             ``HTTPCORE_NOT_SENT_ERRORS`` if nothing was sent.
+        :raises httpcore.RemoteProtocolError: if it is answered with what is no
+            status of a final response.
         :raises UnwritableError: if the request can be sent to nobody.
         """
         outgoing = _make_outgoing(request)
         timeouts = make_timeouts(request.timeout, connect_wait)
         outgoing.extensions.update(timeouts)
-        return await send_observed(self._pool, outgoing, observer)
+        response = await send_observed(self._pool, outgoing, observer)
+        try:
+            check_final(response)
+        except httpcore.RemoteProtocolError:
+            await response.aclose()
+            raise
+        return response
 
 
 async def send_observed(
--- a/src/cartdale/membership/driver.py
+++ b/src/cartdale/membership/driver.py
@@ -229,6 +229,7 @@
             response = await self._ports.client.get(
                 self._ports.list_url, timeout=as_seconds(_LIST_TIMEOUT)
             )
+            response.raise_for_status()
             listed = decode_json(response.content, InstanceList)
         except (httpx.HTTPError, UndecodableError):
             return
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -150,7 +150,7 @@
     """Parse the head of a response.
 
     A response to another request, or a success without the seal header, counts
-    as a broken link.
+    as a broken link, and so does a success that says that nothing ran.
 
     :param advisory: the advisory in the response's headers.
     """
@@ -166,6 +166,8 @@
         has_seal = HEADER_SEAL.encode() in values_by_name
         if response.status < HTTPStatus.MULTIPLE_CHOICES and not has_seal:
             return Failure(LinkBroke('a success without its seal'))
+    elif response.status < HTTPStatus.BAD_REQUEST:
+        return Failure(LinkBroke('a success that says that nothing ran'))
     return Success(
         OpenedResponse(
             status=response.status,
--- a/src/cartdale/platform/store.py
+++ b/src/cartdale/platform/store.py
@@ -277,7 +277,7 @@
 def _decode(
     response: httpcore.Response, shape: type[Answer]
 ) -> Result[Answer, StoreFailure]:
-    if response.status >= HTTPStatus.BAD_REQUEST:
+    if response.status != HTTPStatus.OK:
         return Failure(WriteUnknown(f'status {response.status}'))
     try:
         return Success(decode_json(response.content, shape))
--- a/src/cartdale/relay/decide.py
+++ b/src/cartdale/relay/decide.py
@@ -40,6 +40,11 @@
         """Tell whether another run may follow the current attempt."""
         return self.runs + 1 < self.may_run
 
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether it may run again after all runs so far."""
+        return self.repeatable and self.runs < self.may_run
+
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
@@ -160,7 +165,7 @@
             return after, GiveUp(refuse(after, NotRunReason.REFUSED))
         case Broken(detail=detail):
             after = _count_run(state)
-            if affordable and _may_repeat(after):
+            if affordable and after.may_repeat:
                 return after, TryAgain()
             return after, GiveUp(OutcomeUnknown(detail))
         case Withdrawn():
@@ -176,7 +181,7 @@
 def _follow_answer(
     state: AttemptState, ended: Answered, *, affordable: bool
 ) -> Step:
-    if not ended.good and affordable and _may_repeat(state):
+    if not ended.good and affordable and state.may_repeat:
         return TryAgain()
     return _DENIED_RUN if ended.denied_run else PassOn()
 
@@ -225,7 +230,3 @@
         detail=f'{after.runs} runs of {after.may_run}',
     )
     return after
-
-
-def _may_repeat(state: AttemptState) -> bool:
-    return state.repeatable and state.runs < state.may_run
--- a/src/cartdale/store/etcd.py
+++ b/src/cartdale/store/etcd.py
@@ -131,7 +131,7 @@
             'POST', wire.PATH_WATCH, content=body, timeout=None
         )
         async with stream as response:
-            if response.is_error:
+            if not response.is_success:
                 return Failure(StoreUnavailable(str(response.status_code)))
             async for line in _read_lines(response):
                 if decode_json(line, wire.WatchResponse).result.events:
@@ -181,7 +181,7 @@
 ) -> Result[Answer, StoreFailure]:
     if response.status_code in _REFUSED:
         return Failure(StoreUnavailable(str(response.status_code)))
-    if response.is_error:
+    if not response.is_success:
         return Failure(WriteUnknown(str(response.status_code)))
     try:
         return Success(decode_json(response.content, shape))
--- a/src/cartdale/transport.py
+++ b/src/cartdale/transport.py
@@ -17,6 +17,7 @@
 
 from cartdale.bodies import read_bounded
 from cartdale.clock import Millis, as_seconds
+from cartdale.statuses import check_final
 
 #: Maximum wait for a connection if there is no other way: it is established in
 #: a few milliseconds, or its SYN was dropped and is sent again after a second.
@@ -94,7 +95,7 @@
 
 
 class IntermediaryReplyError(IntermediaryError, httpcore.RemoteProtocolError):
-    """Raised when an intermediary answered without a genuine reply."""
+    """Raised when an intermediary answered without a sound reply."""
 
 
 #: Failures before a request left this process: it certainly had no effect.
@@ -180,10 +181,12 @@
     :param opened: sends the call.
     :param longest: time for all of it.
     :raises httpcore.ReadTimeout: if the answer is not whole in time.
-    :raises httpcore.RemoteProtocolError: if it is larger than ``MAX_ANSWER``.
+    :raises httpcore.RemoteProtocolError: if it is larger than ``MAX_ANSWER``,
+        or its status is not that of a final response.
     """
     with bound_answer(longest):
         async with opened as response:
+            check_final(response)
             return await read_bounded(response, MAX_ANSWER)
 
 
--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -25,6 +25,7 @@
 
     status: bytes
     headers: tuple[bytes, ...] = ()
+    body: bytes = BODY
     report_status: bytes = b'200'
     copy_status: bytes = b'404'
     runs_by_request: Counter[str] = field(default_factory=Counter)
@@ -42,12 +43,12 @@
         path = head.split(b' ')[1]
         if path == b'/cartdale/report':
             return _write(self.report_status, (), REPORT)
-        if path.startswith(b'/cartdale/'):
+        if path == b'/cartdale/kv-move':
             return _write(self.copy_status, (), b'{}')
         request_id = _find_header(head, b'request-id')
         self.runs_by_request[request_id.decode()] += 1
         headers = (b'Request-Id: %b' % request_id, *self.headers)
-        return _write(self.status, headers, BODY)
+        return _write(self.status, headers, self.body)
 
 
 async def add_raw(
--- a/tests/test_upstream_statuses.py
+++ b/tests/test_upstream_statuses.py
@@ -25,6 +25,22 @@
 #: Statuses that tell a caller that its request did not run.
 PROMISES = (b'408', b'429', b'503')
 PASSED_ON = (b'400', b'404', b'409', b'413', b'500', b'502', b'504', b'599')
+#: What is no status of a final answer.
+NO_STATUSES = (
+    b'000',
+    b'099',
+    b'100',
+    b'101',
+    b'199',
+    b'600',
+    b'700',
+    b'999',
+    b'2000',
+    b'2',
+    b'-20',
+    b'2e2',
+    b'',
+)
 SERVICES = MappingProxyType(
     {
         '/cut/a': 'portal',
@@ -99,10 +115,28 @@
     assert answer.content == BODY
 
 
+# Guards against a status that is none, and that many clients can't read.
+@pytest.mark.parametrize('path', SERVICES)
+@pytest.mark.parametrize('status', NO_STATUSES)
+async def test_what_is_no_status_is_no_answer(status: bytes, path: str) -> None:
+    check_promises_nothing(await ask_raw(path, RawUpstream(status, (SEAL,))))
+
+
+# Guards against a request that runs again, since an answer that shows that it
+# ran, or that is none, says that it did not.
+@pytest.mark.parametrize('path', ['/cut/a', '/draft/a'])
+@pytest.mark.parametrize('status', [b'200', b'204', b'302', b'700', b'000'])
+async def test_promise_in_a_success_or_in_no_answer_counts_for_nothing(
+    status: bytes, path: str
+) -> None:
+    upstream = RawUpstream(status, (SEAL, NOT_RUN))
+    check_promises_nothing(await ask_raw(path, upstream))
+
+
 # Guards against another instance, whose connection carries the answer, that
 # passes on what the first one would not.
 @pytest.mark.parametrize('path', ['/cut/a', '/draft/a'])
-@pytest.mark.parametrize('status', [b'503', b'429'])
+@pytest.mark.parametrize('status', [b'503', b'429', b'700', b'000'])
 async def test_carried_answer_is_judged_too(
     status: bytes, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
