--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -282,14 +282,16 @@
             return Cut()
         after, actions = moves.decide(before, message)
         self.state = after
-        logger.info(
-            'move',
-            request=self.request_id,
-            before=before.phase,
-            after=after.phase,
-            events=self.events,
-            **format_log_fields('message', message),
-        )
+        # While the source may have it in its queue, each check is the same.
+        if after != before or not after.unconfirmed:
+            logger.info(
+                'move',
+                request=self.request_id,
+                before=before.phase,
+                after=after.phase,
+                events=self.events,
+                **format_log_fields('message', message),
+            )
         return actions[0] if actions else None
 
     async def copy(
@@ -351,20 +353,29 @@
         """Stop it at its source, where it may still run without its link."""
         holder = find_partial_holder(self.state) if self.state else None
         target = holder or self._find_target(set())
+        target = target or self._find_target(set(), full=True)
         route = self._routed.route
         rescue = Rescue(self._ports, self, self._source_check, silent)
         return await rescue.run(target, route.caller_read_timeout)
 
-    def _find_target(self, refused: set[str]) -> UpstreamEntry | None:
+    def _find_target(
+        self, refused: set[str], *, full: bool = False
+    ) -> UpstreamEntry | None:
         """Return an engine with capacity for it, if any; none before it began.
 
         :param refused: engines that have refused it.
+        :param full: whether an engine without capacity will do.
         """
         state, load = self.state, self._occupancy.load
         if state is None or load is None or not self.events:
             return None
         return choose_target(
-            self._ports.fleet, self._routed, load, state.source, refused
+            self._ports.fleet,
+            self._routed,
+            load,
+            state.source,
+            refused,
+            full=full,
         )
 
 
--- a/src/cartdale/relay/source_check.py
+++ b/src/cartdale/relay/source_check.py
@@ -25,11 +25,14 @@
         self._sent_at: Millis = 0
         #: Consecutive reports in which it was neither running nor queued.
         self._absent = 0
+        #: The state that was logged last.
+        self._logged: RunState | None = None
 
     def begin(self) -> None:
         """Note that the request is sent to another engine."""
         self._sent_at = self._ports.clock.now()
         self._absent = 0
+        self._logged = None
 
     async def fetch(self, source: UpstreamEntry, events: int) -> RunState:
         """Return the state of the request at its engine.
@@ -46,14 +49,16 @@
             run = RunState.GONE
         elif run is RunState.GONE and not self._is_certain(report, asked_at):
             run = RunState.WAITING
-        logger.info(
-            'unknown run',
-            request=self._request_id,
-            upstream=source.upstream,
-            events=events,
-            queued=report.waiting if report else None,
-            state=run,
-        )
+        if run is not self._logged:
+            self._logged = run
+            logger.info(
+                'unknown run',
+                request=self._request_id,
+                upstream=source.upstream,
+                events=events,
+                queued=report.waiting if report else None,
+                state=run,
+            )
         return run
 
     def _is_certain(
--- a/src/cartdale/relay/targets.py
+++ b/src/cartdale/relay/targets.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from math import inf
 
 from cartdale.fleet.driver import Fleet
 from cartdale.fleet.types import UpstreamEntry
@@ -35,6 +36,8 @@
     load: Load,
     source: UpstreamEntry,
     refused: Iterable[str],
+    *,
+    full: bool = False,
 ) -> UpstreamEntry | None:
     """Return an engine that can hold a generation now.
 
@@ -46,6 +49,8 @@
 
     :param load: load of the generation at its source.
     :param refused: engines that refused the copy.
+    :param full: whether an engine may be full: it refuses the copy, and the
+        source, which has stopped by then, keeps the memory.
     """
     needs = RequestNeeds(
         service=source.service,
@@ -54,7 +59,7 @@
         excluded=frozenset((source.upstream, *refused)),
         domains=routed.domains,
         far_cost=_FAR_MOVE_COST,
-        filled=1,
+        filled=inf if full else 1,
         reserved=0,
         compare_all=True,
     )
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -81,6 +81,7 @@
     :param keeps_backups: whether backups are kept though their runs ended well.
     :param keeps_none: whether no copies and backups are kept.
     :param tells_copies: whether reports tell how many are kept.
+    :param full: whether the targets of copies have no room for them.
     :param works_on: whether generations go on after their connection closed.
     :param odd_report: body of reports; empty for a sound one.
     :param odd_copy: body of answers to copies, which do not take place; empty
@@ -101,6 +102,7 @@
     keeps_backups: bool = False
     keeps_none: bool = False
     tells_copies: bool = False
+    full: bool = False
     works_on: bool = False
     odd_report: bytes = b''
     odd_copy: bytes = b''
@@ -393,6 +395,10 @@
         handle = f'{self.name}-{request_id}'
         if self.stream_faults.odd_copy:
             return _answer_raw(self.stream_faults.odd_copy)
+        if self.stream_faults.full:
+            self.memory.events_by_handle[handle] = events
+            kept = {'handle': handle} if stops[-1] else {}
+            return _answer(kept, HTTPStatus.SERVICE_UNAVAILABLE)
         await _tell(
             order['targetVersion'], {'handle': handle, 'events': events}
         )
@@ -505,9 +511,9 @@
     raise LinkCutError
 
 
-def _answer(message: object) -> Response:
-    return _answer_raw(msgspec.json.encode(message))
+def _answer(message: object, status: HTTPStatus = HTTPStatus.OK) -> Response:
+    return _answer_raw(msgspec.json.encode(message), status)
 
 
-def _answer_raw(raw: bytes) -> Response:
-    return Response(raw, content_type='application/json')
+def _answer_raw(raw: bytes, status: HTTPStatus = HTTPStatus.OK) -> Response:
+    return Response(raw, status.value, content_type='application/json')
--- a/tests/test_preempted_generations.py
+++ b/tests/test_preempted_generations.py
@@ -7,6 +7,9 @@
 import pytest
 import trio
 
+from cartdale.fleet.types import UpstreamEntry
+from cartdale.relay import generation
+from cartdale.relay.targets import choose_target
 from cartdale_standins.platform_engine import (
     STRIDE,
     PlatformEngine,
@@ -109,6 +112,33 @@
         assert most == [1]
 
 
+# Guards against a stream that is cut, while its engine works on it for nobody,
+# since no other engine has room for it: its own may go on with it.
+@pytest.mark.parametrize('preempted', [True, False])
+async def test_generation_without_room_elsewhere_goes_on_at_its_engine(
+    monkeypatch: pytest.MonkeyPatch, *, preempted: bool
+) -> None:
+    def choose_any(*asked: object, full: bool = False) -> UpstreamEntry | None:
+        return choose_target(*asked, full=full) if full else None
+
+    monkeypatch.setattr(generation, 'choose_target', choose_any)
+    monkeypatch.setattr(generation, '_choose_backup', lambda *_: None)
+    async with open_platform(engines=2, proxied=True) as stage:
+        async with draft_meanwhile(stage, 'r1', LONG) as answers:
+            source = await find_runner(stage, 'r1')
+            source.stream_faults.works_on = True
+            source.stream_faults.full = True
+            if preempted:
+                preempt(source, 'r1')
+            reset_connections(source)
+            await trio.sleep(1)
+            if preempted:
+                read_anew(source, 'r1')
+        assert answers[0].content == whole('r1', LONG // STRIDE)
+        assert count_runs(stage, 'r1') == 1
+        assert source.resumed_by_request['r1'] == 1
+
+
 # Guards against a generation that ended at an engine where others wait: whether
 # it waits there too can't be told, so that it must not go on elsewhere; nor may
 # its caller be held to its time limit.
