--- a/src/cartdale/asgi.py
+++ b/src/cartdale/asgi.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 from typing import Any, Final
 
 import trio
@@ -14,6 +15,10 @@
 #: Names the kind of a scope or event.
 TYPE: Final = 'type'
 
+#: Name in the state of a scope of the request line as it was received. The
+#: specification's own keys don't tell an empty query from none.
+REQUEST_LINE: Final = 'request_line'
+
 #: Who sends a body on for longer after its refusal finds the connection closed.
 _LONGEST_DISCARD: Millis = 2 * SECOND_MS
 
@@ -27,6 +32,29 @@
 Header = tuple[bytes, bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLine:
+    """Hold what a caller asks for, unchanged.
+
+    :param target: path and query.
+    """
+
+    method: str
+    target: bytes
+
+
+def read_request_line(scope: AsgiEvent) -> RequestLine:
+    """Return the request line of a request."""
+    received = scope.get('state', {}).get(REQUEST_LINE)
+    if isinstance(received, RequestLine):
+        return received
+    query: bytes = scope['query_string']
+    target: bytes = scope['raw_path']
+    if query:
+        target = b'?'.join((target, query))
+    return RequestLine(scope['method'], target)
+
+
 async def accept_http_request(
     scope: AsgiEvent, receive: Receive, send: Send
 ) -> bool:
--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -33,6 +33,7 @@
     Scope,
 )
 
+from cartdale.asgi import REQUEST_LINE, RequestLine
 from cartdale.daemon.http2 import LimitedConnection, OpenStreams
 
 #: At a stop, a connection without a request in progress ends after this time.
@@ -69,25 +70,36 @@
 class _Http1Connection(h11.Connection):
     """Read HTTP/1.1 requests, and pass over wishes for another protocol.
 
+    Requests are read one after another, so that each one's line may be kept in
+    the state of the connection, which its scope gets a copy of.
+
     :param config: of the connection's listener.
+    :param state: of the connection.
     """
 
-    def __init__(self, config: ConnectionConfig) -> None:
+    def __init__(
+        self, config: ConnectionConfig, state: ConnectionState
+    ) -> None:
         super().__init__(
             h11.SERVER, max_incomplete_event_size=config.h11_max_incomplete_size
         )
         self._serves_http2 = config.serves_http2
+        self._state = state
 
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event, a request without its upgrade."""
         event = super().next_event()
         if not isinstance(event, h11.Request):
             return event
+        self._state.pop(REQUEST_LINE, None)
         if event.http_version == b'2.0' and not self._serves_http2:
             raise h11.RemoteProtocolError(
                 'HTTP/2 is not served here',
                 error_status_hint=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
             )
+        if event.http_version != b'2.0':
+            method = event.method.decode('ascii')
+            self._state[REQUEST_LINE] = RequestLine(method, event.target)
         return _without_upgrade(event)
 
 
@@ -360,7 +372,9 @@
         protocol = self.protocol.protocol
         if isinstance(protocol, H11Protocol):
             config = cast(ConnectionConfig, self.config)
-            protocol.connection = _Http1Connection(config)
+            protocol.connection = _Http1Connection(
+                config, protocol.connection_state
+            )
 
     async def _release_senders(self) -> None:
         """End waits for a write of HTTP/2, which stops with the connection."""
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -18,6 +18,7 @@
     Send,
     discard_body,
     read_announced_size,
+    read_request_line,
 )
 from cartdale.clock import SECOND_MS, Millis, as_seconds
 from cartdale.codec import encode_json
@@ -93,12 +94,9 @@
         self._arrived_at = ports.clock.now()
         self._routed: RoutedRequest | None = None
         self._forwarder: PlainForwarder | StreamForwarder | None = None
-        query: bytes = scope['query_string']
-        target: bytes = scope['raw_path']
-        if query:
-            target = b'?'.join((target, query))
+        line = read_request_line(scope)
         self._request = ports.wire.read_request(
-            scope['method'], target, tuple(scope['headers'])
+            line.method, line.target, tuple(scope['headers'])
         )
         self._headers: tuple[Header, ...] = tuple(scope['headers'])
         self._sink = _make_sink(ports, send, self.request_id)
--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -19,6 +19,7 @@
     """Answer all requests in one way.
 
     :param status: the status of each answer, as it is written.
+    :param lines: first lines of the requests that it ran.
     :param headers: headers beside the id of the request and the framing.
     :param runs_by_request: how often it ran each request.
     """
@@ -29,6 +30,7 @@
     report_status: bytes = b'200'
     copy_status: bytes = b'404'
     runs_by_request: Counter[str] = field(default_factory=Counter)
+    lines: list[bytes] = field(default_factory=list)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer one request, and close its connection."""
@@ -47,6 +49,7 @@
             return _write(self.copy_status, (), b'{}')
         request_id = _find_header(head, b'request-id')
         self.runs_by_request[request_id.decode()] += 1
+        self.lines.append(head.partition(b'\r\n')[0])
         headers = (b'Request-Id: %b' % request_id, *self.headers)
         return _write(self.status, headers, self.body)
 
