--- a/src/cartdale/moves/rescue.py
+++ b/src/cartdale/moves/rescue.py
@@ -35,9 +35,11 @@
 #: Pause before a refused or unanswered stop of a rescue is retried.
 _RESCUE_PAUSE: Millis = 60
 
-#: Between two requests to stop a generation that may wait at its source: half
-#: the age of a report, so that the run is stopped soon after it begins again.
+#: Between two requests to stop a generation that may wait at its source: it is
+#: to be stopped soon after it begins again.
 _WAITING_PAUSE: Millis = SECOND_MS // 4
+#: Between two reports on one whose link is open; they are half a second old.
+_REPORT_PAUSE: Millis = SECOND_MS // 2
 #: Faults of a stop whose source runs on.
 _RUNNING_ON = frozenset((CopyFault.BUSY, CopyFault.NO_ROOM))
 
@@ -143,7 +145,7 @@
         case RunState.GONE:
             return _end_rescue(replace(state, unconfirmed=False))
         case RunState.RUNNING | RunState.WAITING if state.link_open:
-            return state, (CheckSource(pause=_WAITING_PAUSE),)
+            return state, (CheckSource(pause=_REPORT_PAUSE),)
     return state, (Copy(last=True, pause=_WAITING_PAUSE),)
 
 
