--- a/src/cartdale/fleet/store_follower.py
+++ b/src/cartdale/fleet/store_follower.py
@@ -81,8 +81,8 @@
 #: Read interval once no news arrives: a change missed meanwhile is published
 #: for only 3 s.
 _SILENT_READ_INTERVAL: Millis = SECOND_MS // 2
-#: Read interval of an instance whose last call failed. The others leave it out
-#: of what they leave to each other, until the store has answered it.
+#: Read interval of an instance whose last call failed: until it has read the
+#: store, the others don't count it among those that can watch.
 _FAILED_READ_INTERVAL: Millis = SECOND_MS
 #: Consecutive watches that are cut after which the store counts as failing.
 _MAX_CUT_WATCHES = 3
@@ -141,8 +141,8 @@
         self._failed_at: Millis | None = None
         #: The configuration in force, in its stored form.
         self.raw_table = b''
-        #: Whether the store did not answer the last read or watch. The cut of a
-        #: watch that waits is none of these: the store may cut it at any time.
+        #: Whether the store did not answer the last read or watch. A watch that
+        #: was cut does not count: the store may cut those that wait.
         self.failing = False
         #: Set once a configuration is in force.
         self.configured = trio.Event()
--- a/src/cartdale/moves/rescue.py
+++ b/src/cartdale/moves/rescue.py
@@ -34,7 +34,6 @@
 MAX_RESCUE_TRIES = 6
 #: Pause before a refused or unanswered stop of a rescue is retried.
 _RESCUE_PAUSE: Millis = 60
-
 #: Between two requests to stop a generation that may wait at its source: it is
 #: to be stopped soon after it begins again.
 _WAITING_PAUSE: Millis = SECOND_MS // 4
