--- a/src/cartdale/moves/rescue.py
+++ b/src/cartdale/moves/rescue.py
@@ -95,7 +95,7 @@
         case CopyFault.UNREACHABLE:
             return _end_rescue(replace(tried, unconfirmed=False))
         case CopyFault.UNKNOWN_RUN if state.outlived:
-            # Its engine ended the stream itself, and has nothing that waits.
+            # Its engine ended the stream; the backup tells whether it is over.
             return _end_rescue(tried)
         case CopyFault.UNKNOWN_RUN:
             unknown = replace(tried, tries=0, unconfirmed=True)
