--- a/tests/fault_soak/checks.py
+++ b/tests/fault_soak/checks.py
@@ -95,6 +95,7 @@
     :param ran: whether an upstream ran it.
     :param read: whether its caller knows that it was read, or can't tell.
     :param excused: whether what else was disturbed may have cut it.
+    :param way: how it was sent.
     """
 
     sent_after: float | None
@@ -102,6 +103,7 @@
     ran: bool
     read: bool
     excused: bool
+    way: str = ''
 
 
 @dataclass
@@ -201,14 +203,16 @@
         if asked.whole or seen.excused:
             return
         after = seen.sent_after
+        told = 'no stop' if after is None else f'{after:.3f} s'
+        sent = f'sent after {told}, {seen.way}'
         if not seen.ran:
             if seen.read:
-                self._add(f'{asked.name}: read, not run, and not refused')
+                found = f'read, not run, and not refused, {sent}'
+                self._add(f'{asked.name}: {found}, status {asked.status}')
             return
         early = after is not None and after <= SERVED_SECONDS
         if not early or seen.worked_until < LAST_SIXTH_SECONDS:
-            told = 'no stop' if after is None else f'{after:.3f} s'
-            self._add(f'{asked.name}: ran and was cut, sent after {told}')
+            self._add(f'{asked.name}: ran and was cut, {sent}')
 
     def check_closed(self, name: str, upstream: str, excused: bool) -> None:
         """Check a request that reached an upstream after its bound."""
--- a/tests/fault_soak/http2.py
+++ b/tests/fault_soak/http2.py
@@ -1,5 +1,6 @@
 """A caller that sends requests on one HTTP/2 connection."""
 
+from math import inf
 from typing import Any
 
 import trio
@@ -46,10 +47,17 @@
         self._ended_by_number: dict[int, trio.Event] = {}
         #: Streams that their instance says it has not taken.
         self._unread: set[int] = set()
+        #: The last stream that a GOAWAY says is served.
+        self._last_served: float = inf
 
     async def ask(self, asked: Asked, headers: dict[str, str]) -> bool:
-        """Ask and wait for the end; tell whether the request was read."""
+        """Ask and wait for the end; tell whether the request was read.
+
+        Its task may begin after a GOAWAY that came once it was started.
+        """
         number = self._wire.get_next_available_stream_id()
+        if number > self._last_served:
+            return False
         lines = dict(headers)
         host = (':authority', lines.pop('Host'))
         more = [(name.lower(), text) for name, text in lines.items()]
@@ -112,6 +120,7 @@
 
     def _end_after(self, last: int) -> None:
         """End the requests that their instance will not read."""
+        self._last_served = last
         for number in self._asked_by_number:
             if number > last:
                 self._end(number, unread=True)
--- a/tests/fault_soak/outlasting.py
+++ b/tests/fault_soak/outlasting.py
@@ -139,6 +139,7 @@
                 ran=bool(upstreams),
                 read=sent.read,
                 excused=sent.excused,
+                way=sent.way,
             )
             self._soak.faults[_describe(sent, seen)] += 1
             self._soak.checks.check_at_stop(asked, seen)
