--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -35,6 +35,7 @@
 
 from cartdale.asgi import REQUEST_LINE, RequestLine
 from cartdale.daemon.http2 import LimitedConnection, OpenStreams
+from cartdale.daemon.request_counts import RequestCounts, ResponseStart
 
 #: At a stop, a connection without a request in progress ends after this time.
 _UNUSED_SECONDS = 1
@@ -170,6 +171,12 @@
     return connection if isinstance(connection, h11.Connection) else None
 
 
+def _has_partial_head(wrapper: ProtocolWrapper) -> bool:
+    """Tell whether bytes were taken that are no request yet."""
+    connection = _get_http1(wrapper)
+    return connection is not None and bool(connection.trailing_data[0])
+
+
 class Connection(TCPServer):
     """One connection of a listener.
 
@@ -190,9 +197,9 @@
         counted = cast(AppWrapper, self._count_running)
         super().__init__(counted, config, context, state, stream)
         self._application = app
-        #: Requests that the application answers now, and has begun to answer.
-        self._running = 0
-        self._begun = 0
+        self._requests = RequestCounts()
+        #: Whether nothing more is to be read.
+        self._has_read_last = False
         #: Requests that were sent ahead of responses since a stop began.
         self._sent_ahead = 0
         #: How often the reader began to wait for bytes.
@@ -216,6 +223,15 @@
         self._waiting = trio.CancelScope()
         self._wait_ends_at = trio.current_time() + config.keep_alive_timeout
 
+    def end_reading(self) -> None:
+        """Read nothing more, since what runs here is about to be cut.
+
+        What was read is answered. A caller of HTTP/2 is told what was not.
+        """
+        self._has_read_last = True
+        if self._is_receiving:
+            self._waiting.cancel()
+
     async def protocol_send(self, event: Event) -> None:
         """Write what the protocol sends; leave rests and ends to the reader.
 
@@ -256,22 +272,24 @@
         *spawners: Callable[..., Any],
     ) -> None:
         """Call the application, and count it while it runs."""
-        self._running += 1
-        self._begun += 1
         inbox = _Inbox(receive)
-        try:
-            await self._application(
-                scope,
-                inbox.receive,
-                partial(self._send_event, send, inbox),
-                *spawners,
-            )
-        finally:
-            self._running -= 1
-            self._task_group.spawn(inbox.discard_rest)
+        with self._requests.count() as response:
+            try:
+                await self._application(
+                    scope,
+                    inbox.receive,
+                    partial(self._send_event, send, inbox, response),
+                    *spawners,
+                )
+            finally:
+                self._task_group.spawn(inbox.discard_rest)
 
     async def _send_event(
-        self, send: ASGISendCallable, inbox: _Inbox, event: ASGISendEvent
+        self,
+        send: ASGISendCallable,
+        inbox: _Inbox,
+        response: ResponseStart,
+        event: ASGISendEvent,
     ) -> None:
         """Send an event; after the last one the application need not read."""
         if _ends_response(event):
@@ -279,6 +297,7 @@
         if event['type'] == 'http.response.start' and self._stays_open():
             event = _without_close(event)
         await send(event)
+        response.note()
 
     def _stays_open(self) -> bool:
         """Tell whether a response is to be followed by another at a stop.
@@ -391,8 +410,12 @@
                 return
             self._bound_head()
             raw = await self._receive()
+        if self._has_read_last:
+            await self._requests.await_responses()
         with trio.move_on_after(_UNUSED_SECONDS):
             await self._refuse_further()
+        if self._has_read_last:
+            await self._requests.await_ends()
 
     async def _receive(self) -> bytes | None:
         """Return what arrives; ``None`` once the connection is to be closed.
@@ -400,6 +423,8 @@
         Bytes that were taken from the socket are returned even if the wait ends
         at the same moment.
         """
+        if self._has_read_last:
+            return None
         self._waiting = trio.CancelScope(deadline=self._wait_ends_at)
         self._is_receiving = True
         self._receives += 1
@@ -418,8 +443,8 @@
         The first request of a new connection may wait to be read.
         """
         await self._end_stalled_until_stop()
-        is_used = self._resting and self._begun > 0
-        if is_used and not self._has_partial_head():
+        is_used = self._resting and self._requests.begun > 0
+        if is_used and not _has_partial_head(self.protocol):
             self._bound_wait(self._end_rest_at())
         while True:
             await self._wait_until_unused()
@@ -434,8 +459,8 @@
         interval = max(self.config.keep_alive_timeout, _UNUSED_SECONDS)
         seen: tuple[int, int] | None = None
         while not self._stopping.is_set():
-            counts = (self._begun, self._receives)
-            is_stalled = not (self._running or self._is_receiving)
+            counts = (self._requests.begun, self._receives)
+            is_stalled = not (self._requests.running or self._is_receiving)
             if is_stalled and seen == counts:
                 self._reading.cancel()
             seen = counts if is_stalled else None
@@ -454,20 +479,15 @@
 
         HTTP/2 never calls a connection at rest without a request.
         """
-        begun = -1
-        while self._running or self._has_begun_head or begun != self._begun:
-            begun = self._begun
+        begun, counts = -1, self._requests
+        while counts.running or self._has_begun_head or begun != counts.begun:
+            begun = counts.begun
             await trio.sleep(_UNUSED_SECONDS)
 
     def _bound_head(self) -> None:
         """Bound the wait for the rest of a head that has begun to arrive."""
         if self._has_begun_head or not self._resting:
             return
-        if self._has_partial_head():
+        if _has_partial_head(self.protocol):
             self._has_begun_head = True
             self._bound_wait(trio.current_time() + self._head_timeout)
-
-    def _has_partial_head(self) -> bool:
-        """Tell whether bytes were taken that are no request yet."""
-        connection = _get_http1(self.protocol)
-        return connection is not None and bool(connection.trailing_data[0])
--- a/src/cartdale/daemon/gateway.py
+++ b/src/cartdale/daemon/gateway.py
@@ -65,7 +65,8 @@
 #: with half a processor and a store that does not answer.
 _END_SHARE = 8
 _SHORTEST_END: Millis = 300
-#: For the answers to requests whose responses have not begun by the end.
+#: For the answers to requests whose responses have not begun by the end. No
+#: further ones are read meanwhile.
 _LAST_ANSWERS: Millis = 100
 #: How long a new instance leaves connections unread while its first
 #: configuration is on the way: a caller who is refused instead must come back,
@@ -385,9 +386,10 @@
             self._stopping.set()
             await self._callers_served.wait()
             await self.peers.served.wait()
-        if self._relaying.ports.stop.end():
-            with trio.move_on_after(as_seconds(_LAST_ANSWERS)):
-                await self._callers_served.wait()
+        self._relaying.ports.stop.end()
+        self._callers.end_reading()
+        with trio.move_on_after(as_seconds(_LAST_ANSWERS)):
+            await self._callers_served.wait()
         carried = self.detours.capacity.carried
         logger.info('left', in_flight=self._app.count, carried=carried)
 
--- a/src/cartdale/daemon/serve.py
+++ b/src/cartdale/daemon/serve.py
@@ -93,6 +93,8 @@
         self._tls: SSLContext | None = None
         #: Set by the owner as a stop begins: callers are asked to go elsewhere.
         self.leaving = trio.Event()
+        self._connections: set[Connection] = set()
+        self._reads = True
         #: Whether connections could have arrived yet.
         self.was_bound = False
         with suppress(*BIND_ERRORS):
@@ -139,6 +141,12 @@
             await lifespan.wait_for_shutdown()
             nursery.cancel_scope.cancel()
 
+    def end_reading(self) -> None:
+        """Read no further requests, just before those that run are cut."""
+        self._reads = False
+        for connection in self._connections:
+            connection.end_reading()
+
     def limit(
         self, header_bytes: int, header_timeout: Millis, idle_timeout: Millis
     ) -> None:
@@ -236,14 +244,19 @@
     ) -> None:
         """Serve one connection; its failure ends no other."""
         own_state = ConnectionState(state.copy())
+        connection = Connection(app, self._config, stop, own_state, stream)
+        if not self._reads:
+            connection.end_reading()
+        self._connections.add(connection)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_close_when_cancelled, stream)
-                await Connection(app, self._config, stop, own_state, stream)
+                await connection
                 nursery.cancel_scope.cancel()
         except Exception as error:
             logger.error('connection failed', error=_name_errors(error))
         finally:
+            self._connections.discard(connection)
             await trio.aclose_forcefully(stream)
 
     def _bind(self) -> socket.socket:
--- a/src/cartdale/gateway/exchange.py
+++ b/src/cartdale/gateway/exchange.py
@@ -1,6 +1,6 @@
 """Handle one request: route it, forward it and write the response."""
 
-from contextlib import suppress
+from contextlib import AbstractContextManager, nullcontext, suppress
 from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
@@ -108,14 +108,9 @@
 
     async def answer(self) -> None:
         """Read the request, forward it and write the response."""
-        account = self._ports.body_account
-        if account is None:
-            await self._answer()
-            return
-        limit = self._ports.table().limits.body_bytes
-        announced = read_announced_size(self._headers, limit)
-        with account.open_body(self.request_id, announced) as intake:
-            await self._answer(intake)
+        stop = self._ports.relay.stop
+        if await stop.bound_answer(self._sink, self._answer):
+            await self.answer_failure('this instance stopped', _STOPPED)
 
     async def answer_failure(
         self, detail: str = 'this instance failed', not_run: NotRun = _FAILED
@@ -146,15 +141,17 @@
             **_describe_routed(self._routed),
         )
 
-    async def _answer(self, intake: BodyIntake | None = None) -> None:
-        body = await self._read_body(intake)
-        if body is None:
-            return
-        self._request = replace(self._request, body=body)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_disconnect, nursery.cancel_scope)
-            await self._answer_read()
-            nursery.cancel_scope.cancel()
+    async def _answer(self) -> None:
+        opened = _open_intake(self._ports, self.request_id, self._headers)
+        with opened as intake:
+            body = await self._read_body(intake)
+            if body is None:
+                return
+            self._request = replace(self._request, body=body)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_disconnect, nursery.cancel_scope)
+                await self._answer_read()
+                nursery.cancel_scope.cancel()
 
     async def _answer_read(self) -> None:
         """Forward the request, whose body was read, and write the response."""
@@ -167,10 +164,7 @@
             await self._refuse(routed)
             return
         self._routed = routed
-        forward = partial(self._forward, routed)
-        stop = self._ports.relay.stop
-        if await stop.bound_answer(self._sink, forward):
-            await self.answer_failure('this instance stopped', _STOPPED)
+        await self._forward(routed)
 
     async def _read_body(self, intake: BodyIntake | None) -> bytes | None:
         """Return the body; ``None`` if the caller left or was refused."""
@@ -399,6 +393,17 @@
     return ReadAheadSink(sink, ports.account, request_id, ports.clock)
 
 
+def _open_intake(
+    ports: GatewayPorts, request_id: str, headers: tuple[Header, ...]
+) -> AbstractContextManager[BodyIntake | None]:
+    """Account for the body of a request, if held bytes are bounded."""
+    account = ports.body_account
+    if account is None:
+        return nullcontext()
+    limit = ports.table().limits.body_bytes
+    return account.open_body(request_id, read_announced_size(headers, limit))
+
+
 def _find_seconds_left(request: CallerRequest, passed: Millis) -> float:
     """Return the time until the caller's deadline; infinite for none.
 
--- a/src/cartdale/gateway/sink.py
+++ b/src/cartdale/gateway/sink.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import Final
 
+import trio
 from returns.result import Result
 
 from cartdale.asgi import TYPE, Send
@@ -39,7 +40,7 @@
         self._leaving = leaving
         self._clock = clock
         self._created_at = clock.now()
-        #: Whether the head was sent.
+        #: Whether the head is being sent, or was.
         self.started = False
         #: Whether the response is complete; the server then signals a
         #: disconnect, as if the caller had left.
@@ -65,8 +66,10 @@
             'status': status,
             'headers': response_headers,
         }
-        await self._send(event)
+        # Nothing cancels a response for its lateness once it has started.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
+        await self._send(event)
 
     async def carry(
         self, stream: Streaming, ends_at: Millis
--- a/src/cartdale/stopping/driver.py
+++ b/src/cartdale/stopping/driver.py
@@ -20,7 +20,7 @@
 
     @property
     def started(self) -> bool:
-        """Return whether its head was sent."""
+        """Return whether its head is being sent, or was."""
 
 
 class PlannedStop:
@@ -30,6 +30,8 @@
         self._schedule: Schedule | None = None
         self._finders_by_wait: dict[trio.CancelScope, FindWork] = {}
         self._responses_by_answer: dict[trio.CancelScope, Response] = {}
+        #: Whether what still runs is about to be cut.
+        self._ended = False
 
     def schedule(
         self,
@@ -79,31 +81,29 @@
                 self._finders_by_wait.pop(wait)
 
     async def bound_answer(
-        self, response: Response, forward: Callable[[], Awaitable[None]]
+        self, response: Response, respond: Callable[[], Awaitable[None]]
     ) -> bool:
-        """Forward a request; tell whether the stop ended before its response.
+        """Respond to a request; tell whether the stop ended before that.
 
         A response that has begun by then can only be cut.
         """
+        if self._ended:
+            return True
         answer = trio.CancelScope()
         self._responses_by_answer[answer] = response
         try:
             with answer:
-                await forward()
+                await respond()
         finally:
             self._responses_by_answer.pop(answer)
         return answer.cancelled_caught
 
-    def end(self) -> int:
-        """Cancel what has no response yet; return how many requests that is."""
-        unanswered = [
-            answer
-            for answer, response in self._responses_by_answer.items()
-            if not response.started
-        ]
-        for answer in unanswered:
-            answer.cancel()
-        return len(unanswered)
+    def end(self) -> None:
+        """Cancel what has no response yet, and respond to nothing more."""
+        self._ended = True
+        for answer, response in self._responses_by_answer.items():
+            if not response.started:
+                answer.cancel()
 
     def _bound(
         self, wait: trio.CancelScope, find_work: FindWork, now: Millis
--- a/tests/test_connection_faults.py
+++ b/tests/test_connection_faults.py
@@ -57,6 +57,8 @@
         self.ends: dict[int, str] = {}
         #: The last streams that GOAWAYs named.
         self.goaways: list[int] = []
+        #: Whether the connection was reset: something was not read.
+        self.was_reset = False
         self._received = b''
 
     async def flush(self) -> None:
@@ -95,6 +97,7 @@
         try:
             raw = await self.stream.receive_some()
         except trio.BrokenResourceError:
+            self.was_reset = True
             return False
         self._received += raw
         for event in self.connection.receive_data(self._take_frames()):
