Callers: a response that is given up breaks no other of its connection

Callers of HTTP/2 lost all streams of a connection, or could have got headers of another response, once a request was given up while its head waited to be written: behind a caller who reads slowly, or as a planned stop ends what has no response.

Cause: the state of the connection counts bytes as sent that a task has taken. That task could be cancelled while it waited for the lock of the writes, and took the bytes along, those of other streams as well. Both sides then disagree on the table of headers (RFC 7541, 2.3).

Change: the wait for the lock is shielded like the write itself. As before, the end of the process closes connections whose callers don't read.

--- a/src/cartdale/daemon/connections.py
+++ b/src/cartdale/daemon/connections.py
@@ -250,12 +250,15 @@
     async def _write(self, raw: bytes) -> None:
         """Write bytes, whole whatever ends their sender.
 
+        The protocol counts them as sent, so that a sender which is cancelled
+        still waits for its turn.
+
         Once that fails, nothing that is read can be answered. The reader may
         wait for the end of a response, which its application gives up.
         """
         try:
-            async with self.send_lock:
-                with trio.CancelScope(shield=True):
+            with trio.CancelScope(shield=True):
+                async with self.send_lock:
                     await self.stream.send_all(raw)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # Applications are told before the reader ends, whose task may be
@@ -450,6 +453,13 @@
             await self._wait_until_unused()
             self._end_unused()
 
+    def _end_unused(self) -> None:
+        """End the reader's wait for bytes, or what keeps it from waiting."""
+        if self._is_receiving:
+            self._bound_wait(-inf)
+        else:
+            self._reading.cancel()
+
     async def _end_stalled_until_stop(self) -> None:
         """Until a stop, end a reader that stays where it can't go on.
 
@@ -467,13 +477,6 @@
             with trio.move_on_after(interval):
                 await self._stopping.wait()
 
-    def _end_unused(self) -> None:
-        """End the reader's wait for bytes, or what keeps it from waiting."""
-        if self._is_receiving:
-            self._bound_wait(-inf)
-        else:
-            self._reading.cancel()
-
     async def _wait_until_unused(self) -> None:
         """Wait until no request was answered or began for a while.
 
