--- a/tests/test_failed_requests.py
+++ b/tests/test_failed_requests.py
@@ -22,6 +22,7 @@
 from cartdale.relay.passing import EventPasser
 from cartdale.relay.plain import PlainForwarder
 from cartdale.relay.types import CallerRequest
+from cartdale.stopping.driver import PlannedStop
 from tests.platform_stage import (
     LOCAL,
     PlatformStage,
@@ -45,6 +46,7 @@
     }
 )
 PORTS = SimpleNamespace(
+    relay=SimpleNamespace(stop=PlannedStop()),
     clock=VirtualClock(),
     leaving=bool,
     account=None,
