--- a/src/cartdale/moves/decide.py
+++ b/src/cartdale/moves/decide.py
@@ -192,11 +192,11 @@
     match rejected.fault:
         case CopyFault.UNREACHABLE:
             return _give_up(state), ()
-        case CopyFault.BUSY | CopyFault.NO_ANSWER if (
+        case CopyFault.BUSY | CopyFault.BROKEN | CopyFault.NO_ANSWER if (
             state.phase is MovePhase.REFRESHING
         ):
             return replace(tried, phase=MovePhase.COPIED), (AwaitQuiet(),)
-        case CopyFault.BUSY | CopyFault.NO_ANSWER:
+        case CopyFault.BUSY | CopyFault.BROKEN | CopyFault.NO_ANSWER:
             pause = _double_pause(_RETRY_PAUSE, state.tries)
             return tried, (Copy(last=stopping, pause=pause),)
         case CopyFault.NO_ROOM | CopyFault.UNKNOWN_RUN:
--- a/src/cartdale/moves/rescue.py
+++ b/src/cartdale/moves/rescue.py
@@ -2,7 +2,8 @@
 
 Its source may still run it, or read it anew: a source that preempted it has no
 run to stop either. What a source says of an unknown run therefore counts as its
-end only with a report that shows neither the run nor any request that waits.
+end only with a report that shows neither the run nor any request that waits. So
+does an order whose connection broke, if the source answers others.
 """
 
 from dataclasses import replace
@@ -100,6 +101,8 @@
         case CopyFault.UNKNOWN_RUN:
             unknown = replace(tried, tries=0, unconfirmed=True)
             return unknown, (CheckSource(),)
+        case CopyFault.BROKEN:
+            return tried, (CheckSource(),)
         case CopyFault.NO_ANSWER if exhausted:
             return _end_rescue(replace(tried, unconfirmed=False))
         case _ if exhausted:
@@ -136,16 +139,23 @@
 def _check_source(state: MoveState, run: RunState) -> Decision:
     """Resume elsewhere once the source has nothing, else stop it again.
 
-    Over an open link, a run that is not ahead needs no stop.
+    Over an open link, a run that is not ahead needs no stop. A source that
+    closes each connection without an answer is not reached.
     """
-    if not state.unconfirmed:
+    if not (state.unconfirmed or state.tries):
         return state, ()
     match run:
         case RunState.GONE:
             return _end_rescue(replace(state, unconfirmed=False))
-        case RunState.RUNNING | RunState.WAITING if state.link_open:
-            return state, (CheckSource(pause=_REPORT_PAUSE),)
-    return state, (Copy(last=True, pause=_WAITING_PAUSE),)
+        case RunState.UNREADABLE if not state.unconfirmed:
+            if state.tries > MAX_RESCUE_TRIES:
+                return _end_rescue(state)
+            return state, (Copy(last=True, pause=_RESCUE_PAUSE),)
+    after = replace(state, tries=0, unconfirmed=True)
+    listed = run in {RunState.RUNNING, RunState.WAITING}
+    if listed and state.link_open:
+        return after, (CheckSource(pause=_REPORT_PAUSE),)
+    return after, (Copy(last=True, pause=_WAITING_PAUSE),)
 
 
 def _end_rescue(state: MoveState) -> Decision:
--- a/src/cartdale/platform/upstreams.py
+++ b/src/cartdale/platform/upstreams.py
@@ -167,6 +167,8 @@
                 return read_copy(response)
             case Failure(NotSent()):
                 return Failure(CopyFailed(CopyFault.UNREACHABLE))
+            case Failure(LinkBroke(timed_out=False, by_intermediary=False)):
+                return Failure(CopyFailed(CopyFault.BROKEN))
         return Failure(CopyFailed(CopyFault.NO_ANSWER))
 
     async def release_copy(self, address: str, handle: str) -> None:
--- a/src/cartdale/relay/generation.py
+++ b/src/cartdale/relay/generation.py
@@ -396,7 +396,7 @@
 
 def _is_unanswered(outcome: CopyEnded | CopyRejected | None) -> bool:
     """Tell whether an engine did not answer an order to copy a generation."""
-    faults = (CopyFault.NO_ANSWER, CopyFault.UNREACHABLE)
+    faults = (CopyFault.NO_ANSWER, CopyFault.BROKEN, CopyFault.UNREACHABLE)
     return isinstance(outcome, CopyRejected) and outcome.fault in faults
 
 
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -273,7 +273,10 @@
     NO_ROOM = 'no_room'
     #: The engine can't be reached: no request was sent.
     UNREACHABLE = 'unreachable'
-    #: No response was received.
+    #: The connection or its response broke. An engine that lives may close
+    #: connections beyond a number.
+    BROKEN = 'broken'
+    #: No response was received in time.
     NO_ANSWER = 'no_answer'
 
 
--- a/src/cartdale_standins/platform_engine.py
+++ b/src/cartdale_standins/platform_engine.py
@@ -82,6 +82,8 @@
     :param keeps_none: whether no copies and backups are kept.
     :param tells_copies: whether reports tell how many are kept.
     :param full: whether the targets of copies have no room for them.
+    :param breaks_off_moves: whether connections of orders to move end without
+        an answer.
     :param works_on: whether generations go on after their connection closed.
     :param odd_report: body of reports; empty for a sound one.
     :param odd_copy: body of answers to copies, which do not take place; empty
@@ -103,6 +105,7 @@
     keeps_none: bool = False
     tells_copies: bool = False
     full: bool = False
+    breaks_off_moves: bool = False
     works_on: bool = False
     odd_report: bytes = b''
     odd_copy: bytes = b''
@@ -360,7 +363,7 @@
         await trio.sleep_forever()
 
     async def _move(self) -> Response:
-        if self.dead:
+        if self.dead or self.stream_faults.breaks_off_moves:
             return Response(_break_off(), headers={'Content-Length': '1'})
         order = msgspec.json.decode(await request.get_data())
         request_id: str = order['id']
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -102,6 +102,9 @@
         return play(state, SourceChecked(RunState.GONE))
     if fault in ENDED:
         return state, action
+    if fault is CopyFault.BROKEN:
+        assert action == CheckSource()
+        state, action = play(state, SourceChecked(RunState.UNREADABLE))
     assert isinstance(action, Copy)
     assert action.last
     assert action.pause
@@ -407,6 +410,8 @@
     refused = CopyRejected(fault, last=True)
     for _ in range(MAX_RESCUE_TRIES + 1):
         state, action = play(state, refused)
+        if fault is CopyFault.BROKEN:
+            state, action = play(state, SourceChecked(RunState.UNREADABLE))
         assert not isinstance(action, Resume)
     if fault is CopyFault.UNKNOWN_RUN:
         state, action = play(state, SourceChecked(RunState.GONE))
@@ -417,6 +422,45 @@
     assert action == Cut()
 
 
+# Guards against a run that goes on elsewhere while its engine, which lets no
+# orders in, works on: its reports tell.
+@pytest.mark.parametrize(
+    'run', [RunState.AHEAD, RunState.RUNNING, RunState.WAITING]
+)
+def test_run_whose_engine_lets_no_order_in_stays_there(run: RunState) -> None:
+    broken = CopyRejected(CopyFault.BROKEN, last=True)
+    state, action = play(
+        begin(SOURCE, SPARE), LinkEnded(PAST_START), RescueTarget(SPARE)
+    )
+    for _ in range(2 * MAX_RESCUE_TRIES):
+        state, action = play(state, broken)
+        assert action == CheckSource()
+        state, action = play(state, SourceChecked(run))
+        assert isinstance(action, Copy)
+        assert action.last
+    assert play(state, RescueTimedOut())[1] == Cut()
+    state, action = play(state, broken, SourceChecked(RunState.GONE))
+    assert action == Resume(SPARE)
+
+
+# Guards against a stream that is cut since its engine is gone and what answers
+# at its address closes all connections.
+def test_run_whose_engine_closes_all_connections_goes_on_at_its_backup() -> (
+    None
+):
+    state, action = play(
+        begin(SOURCE, SPARE), LinkEnded(PAST_START), RescueTarget(SPARE)
+    )
+    for _ in range(MAX_RESCUE_TRIES + 1):
+        assert isinstance(action, Copy)
+        state, action = play(
+            state,
+            CopyRejected(CopyFault.BROKEN, last=True),
+            SourceChecked(RunState.UNREADABLE),
+        )
+    assert action == Resume(SPARE)
+
+
 def test_backup_at_an_engine_that_left_is_not_resumed() -> None:
     state, _ = play(begin(SOURCE, SPARE), BackupLost())
     assert state.backup is None
--- a/tests/test_preempted_generations.py
+++ b/tests/test_preempted_generations.py
@@ -4,6 +4,8 @@
 that waits in its queue, just as one that has ended.
 """
 
+from contextlib import suppress
+
 import pytest
 import trio
 
@@ -175,3 +177,35 @@
             with trio.fail_after(3):
                 await until(lambda: len(list_workers(stage, 'r1')))
         assert answers[0].content == whole('r1', LONG // STRIDE)
+
+
+# Guards against a run that goes on at its backup while its engine, which
+# answers otherwise, works on: the orders to stop it are not let in.
+@pytest.mark.parametrize('closed_for', [1.5, CALLER_SECONDS])
+async def test_generation_whose_engine_lets_no_order_in_stays_there(
+    closed_for: float,
+) -> None:
+    most = [0]
+    async with open_platform(engines=2, proxied=True) as stage:
+        async with trio.open_nursery() as nursery:
+            ended = trio.Event()
+            nursery.start_soon(_draft_to_its_end, stage, ended)
+            source = await find_runner(stage, 'r1')
+            stage.nursery.start_soon(watch_workers, stage, most)
+            source.stream_faults.works_on = True
+            source.stream_faults.breaks_off_moves = True
+            reset_connections(source)
+            with trio.move_on_after(closed_for):
+                await ended.wait()
+            source.stream_faults.breaks_off_moves = False
+            with trio.fail_after(CALLER_SECONDS):
+                await ended.wait()
+        assert most == [1]
+        assert count_runs(stage, 'r1') == 1
+
+
+async def _draft_to_its_end(stage: PlatformStage, ended: trio.Event) -> None:
+    with suppress(ExceptionGroup):
+        async with draft_meanwhile(stage, 'r1', LONG):
+            await trio.sleep(0)
+    ended.set()
