--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -162,5 +162,5 @@
             MemoryCopy('r0000', address, address, last=True)
         )
         assert isinstance(copied, Failure)
-        assert copied.failure().fault is CopyFault.NO_ANSWER
+        assert copied.failure().fault is CopyFault.BROKEN
     assert is_successful(await upstreams.report(address))
