--- a/src/cartdale/moves/rescue.py
+++ b/src/cartdale/moves/rescue.py
@@ -2,8 +2,8 @@
 
 Its source may still run it, or read it anew: a source that preempted it has no
 run to stop either. What a source says of an unknown run therefore counts as its
-end only with a report that shows neither the run nor any request that waits. So
-does an order whose connection broke, if the source answers others.
+end only with a report that shows neither the run nor any request that waits. A
+report decides in the same way if only the connections of orders break.
 """
 
 from dataclasses import replace
