--- a/src/cartdale/gateway/sink.py
+++ b/src/cartdale/gateway/sink.py
@@ -66,7 +66,7 @@
             'status': status,
             'headers': response_headers,
         }
-        # Nothing cancels a response for its lateness once it has started.
+        # The end of a stop answers what it cancels, unless that has started.
         await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         await self._send(event)
