--- a/src/cartdale/command/causes.py
+++ b/src/cartdale/command/causes.py
@@ -185,7 +185,9 @@
         return _judge_barred(by_event)
     departures = _DEPARTURES & by_event.keys()
     if not departures:
-        return Verdict(Cause.ENGINE_LOST, events)
+        lost = by_event.get('stream lost')
+        seen = '' if lost is None else f', {lost.details.get("detail", "")}'
+        return Verdict(Cause.ENGINE_LOST, f'{events}{seen}')
     left = by_event[min(departures)]
     ahead = left.details.get('ahead', 0)
     upstream = left.details.get('upstream', '')
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -180,6 +180,19 @@
     assert judge_request(parsed, 'r1').cause is cause
 
 
+# Guards against a cut answer whose cause is in the logs and is not named.
+@pytest.mark.parametrize(
+    'lines',
+    [
+        (PLACED, {**UNKNOWN, 'detail': 'not written whole'}),
+        (PLACED, {'event': 'stream lost', 'detail': 'not written whole'}, CUT),
+    ],
+)
+def test_what_the_transport_saw_is_named(lines: tuple) -> None:
+    parsed = parse_lines((write_lines(lines),))
+    assert 'not written whole' in judge_request(parsed, 'r1').detail
+
+
 @pytest.mark.parametrize(
     'lines',
     [
