--- a/src/cartdale/bounded_pool.py
+++ b/src/cartdale/bounded_pool.py
@@ -1,9 +1,13 @@
-"""Connection pool that bounds the heads of responses.
+"""Connection pool that bounds the heads of responses, and tells cut ones.
 
 The client library reads past informational responses for as long as they come,
 and each of them counts as a sign of life for its time-outs. Here the bytes, the
 informational responses and the time until the head of the final response are
 bounded, and it is read in parts so small that other tasks run in between.
+
+The library also drops the error of a failed write, since a response may have
+come before it. The system reports the error of a connection only once, so that
+the reads after it end as if the response had ended in order.
 """
 
 import ssl
@@ -39,6 +43,13 @@
     """
 
 
+class UnwrittenRequestError(httpcore.WriteError):
+    """Raised when a connection ends whose request was not written whole.
+
+    A response without framing may be cut there. The request may have run.
+    """
+
+
 @dataclass(slots=True)
 class _HeadBudget:
     """Bound what is read before the head of one response is complete.
@@ -151,23 +162,28 @@
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        #: Whether a write failed, whose error is told only once.
+        self._write_failed = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read some bytes.
 
         :raises EndlessHeadError: if a head exceeds its bounds.
+        :raises UnwrittenRequestError: at the end of the connection, if a write
+            failed.
         """
-        budget = _budget.get()
-        if budget is None:
-            return await self._stream.read(max_bytes, timeout)
-        left = budget.check(timeout)
-        received = await self._stream.read(min(max_bytes, _READ_BYTES), left)
-        budget.note(received)
+        received = await self._read_within_budget(max_bytes, timeout)
+        if not received and self._write_failed:
+            raise UnwrittenRequestError('the request was not written whole')
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes."""
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self._write_failed = True
+            raise
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -189,6 +205,17 @@
         """Return what the connection tells of itself."""
         return self._stream.get_extra_info(kind)
 
+    async def _read_within_budget(
+        self, max_bytes: int, timeout: float | None
+    ) -> bytes:
+        budget = _budget.get()
+        if budget is None:
+            return await self._stream.read(max_bytes, timeout)
+        left = budget.check(timeout)
+        received = await self._stream.read(min(max_bytes, _READ_BYTES), left)
+        budget.note(received)
+        return received
+
 
 def _note_fault(url: httpcore.URL, detail: str) -> None:
     """Count a fault, and log the first one of an address."""
