--- a/src/cartdale/bounded_pool.py
+++ b/src/cartdale/bounded_pool.py
@@ -7,12 +7,14 @@
 
 The library also drops the error of a failed write, since a response may have
 come before it. The system reports the error of a connection only once, so that
-the reads after it end as if the response had ended in order.
+the reads after it end as if the response had ended in order. A reset that
+follows an end in order is reported to no read at all.
 """
 
+import socket
 import ssl
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import Any, Final
@@ -127,6 +129,18 @@
             _budget.reset(token)
 
 
+def was_reset(extensions: Mapping[str, Any]) -> bool:
+    """Tell whether a connection was reset after a response on it had ended.
+
+    One that is closed already can't tell, and counts as reset.
+
+    :param extensions: those of the response; without a connection among them
+        there is nothing to be reset.
+    """
+    stream = extensions.get('network_stream')
+    return stream is not None and _has_failed(stream)
+
+
 def count_endless_heads() -> int:
     """Return how many responses had no head within its bounds so far."""
     return _faults_by_address.total()
@@ -171,10 +185,15 @@
         :raises EndlessHeadError: if a head exceeds its bounds.
         :raises UnwrittenRequestError: at the end of the connection, if a write
             failed.
+        :raises httpcore.ReadError: at its end, if it was reset since.
         """
         received = await self._read_within_budget(max_bytes, timeout)
-        if not received and self._write_failed:
+        if received:
+            return received
+        if self._write_failed:
             raise UnwrittenRequestError('the request was not written whole')
+        if _has_failed(self):
+            raise httpcore.ReadError('the connection was reset after its end')
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -217,6 +236,16 @@
         return received
 
 
+def _has_failed(stream: httpcore.AsyncNetworkStream) -> bool:
+    """Tell whether a connection has an error that nobody was told yet."""
+    connection = stream.get_extra_info('socket')
+    try:
+        error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError:
+        return True
+    return bool(error)
+
+
 def _note_fault(url: httpcore.URL, detail: str) -> None:
     """Count a fault, and log the first one of an address."""
     address = f'{url.host.decode("latin-1")}:{url.port}'
--- a/src/cartdale/platform/exchanges.py
+++ b/src/cartdale/platform/exchanges.py
@@ -1,6 +1,7 @@
 """Build the requests to upstreams, and parse their responses."""
 
 from collections.abc import AsyncIterator
+from functools import partial
 from http import HTTPStatus
 
 import httpcore
@@ -8,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from cartdale.bodies import take_turns
+from cartdale.bounded_pool import was_reset
 from cartdale.codec import decode_json
 from cartdale.exceptions import UndecodableError
 from cartdale.fleet.brittleness import parse_tolerance
@@ -179,6 +181,7 @@
             carrier=find_carrier(response),
             denies_run=execution is ExecutionStatus.RAN
             and response.status in _PROMISES,
+            was_reset=partial(was_reset, response.extensions),
         )
     )
 
--- a/src/cartdale/relay/end_proof.py
+++ b/src/cartdale/relay/end_proof.py
@@ -66,6 +66,8 @@
     #: It is no longer reached the way that the response took, so that the path
     #: may have ended the response.
     OTHER_PATH = 'other path'
+    #: Its connection was reset after its end.
+    RESET = 'reset'
     #: Perhaps another incarnation answers: neither it nor its report says which
     #: it is, and it runs nothing of before.
     UNIDENTIFIED = 'unidentified'
--- a/src/cartdale/relay/links.py
+++ b/src/cartdale/relay/links.py
@@ -1,5 +1,7 @@
 """Track one link to an upstream, and probe the upstream when it breaks."""
 
+from dataclasses import replace
+
 from loguru import logger
 
 from cartdale.clock import Millis
@@ -11,10 +13,10 @@
     check_stream_end,
     describe_end,
 )
-from cartdale.relay.end_proof import EndProof
+from cartdale.relay.end_proof import EndDoubt, EndProof
 from cartdale.relay.end_record import LinkEvent
 from cartdale.relay.ports import RelayPorts
-from cartdale.relay.types import RoutedRequest
+from cartdale.relay.types import OpenedResponse, RoutedRequest
 
 
 class CarriedLink:
@@ -31,8 +33,8 @@
         self._events = 0
         #: When the response head was received; ``None`` before.
         self._begun_at: Millis | None = None
-        #: Instance that carried the response; empty for none.
-        self._carrier = ''
+        #: The response; ``None`` before its head was received.
+        self._answer: OpenedResponse | None = None
 
     def begin(self, upstream: UpstreamEntry) -> None:
         """Start to track a link."""
@@ -40,15 +42,12 @@
         self._began_at = self._ports.clock.now()
         self._events = 0
         self._begun_at = None
-        self._carrier = ''
-
-    def note_head(self, carrier: str) -> None:
-        """Note that the response head was received.
+        self._answer = None
 
-        :param carrier: instance that carried it; empty for none.
-        """
+    def note_head(self, answer: OpenedResponse) -> None:
+        """Note that the response head was received."""
         self._begun_at = self._ports.clock.now()
-        self._carrier = carrier
+        self._answer = answer
 
     def note_event(self) -> None:
         """Note that an event was received."""
@@ -98,6 +97,8 @@
             check = await check_stream_end(
                 self._ports, link, events, backed_up=backed_up
             )
+        if self._answer is not None and self._answer.was_reset():
+            check = replace(check, doubt=EndDoubt.RESET)
         life = check.life
         if life.report is not None:
             self._ports.end_habits.note_copies(
@@ -130,7 +131,7 @@
             broke_at=self._ports.clock.now(),
             events=self._events,
             begun_at=self._begun_at,
-            carrier=self._carrier,
+            carrier=self._answer.carrier if self._answer else '',
         )
 
     def _record_survival(self) -> None:
--- a/src/cartdale/relay/plain.py
+++ b/src/cartdale/relay/plain.py
@@ -158,7 +158,7 @@
         declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined, None
-        self._link.note_head(answer.carrier)
+        self._link.note_head(answer)
         if answer.denies_run:
             return Answered(good=False, denied_run=True), None
         try:
--- a/src/cartdale/relay/stream.py
+++ b/src/cartdale/relay/stream.py
@@ -378,7 +378,7 @@
         declined = find_decline(fleet, answer, call)
         if declined is not None:
             return declined
-        self._link.note_head(answer.carrier)
+        self._link.note_head(answer)
         self._head = answer
         resumed = call.resume is not None
         if answer.status != _SUCCESS:
--- a/src/cartdale/relay/types.py
+++ b/src/cartdale/relay/types.py
@@ -1,6 +1,6 @@
 """Messages between the gateway, the relay and the upstreams."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from enum import StrEnum
@@ -142,6 +142,10 @@
     REPLACED = 'replaced'
 
 
+def _never_reset() -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class OpenedResponse:
     """Hold the head of a response and read its body.
@@ -154,6 +158,8 @@
     :param chunks: raises ``LinkBrokeError`` unless the body is complete.
     :param denies_run: whether the status promises that the request did not run,
         though it did: callers would send it again.
+    :param was_reset: tells whether its connection was reset since its end;
+        never of one that another instance carries, which is not known here.
     """
 
     status: int
@@ -164,6 +170,7 @@
     backoff: Millis = 0
     carrier: str = ''
     denies_run: bool = False
+    was_reset: Callable[[], bool] = _never_reset
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_unread_uploads.py
+++ b/tests/test_unread_uploads.py
@@ -9,6 +9,7 @@
 import httpx
 import pytest
 
+from cartdale.relay.end_proof import EndDoubt
 from tests.early_upstream import (
     LONG_BODY,
     AnswerEnd,
@@ -82,7 +83,10 @@
 
 
 async def ask_carried(
-    path: str, upstream: EarlyUpstream, monkeypatch: pytest.MonkeyPatch
+    path: str,
+    upstream: EarlyUpstream,
+    monkeypatch: pytest.MonkeyPatch,
+    body: bytes = LONG_BODY,
 ) -> tuple[int, bytes, bool]:
     """Upload through another instance, which alone reaches the upstream."""
     cuts = NetworkCuts(monkeypatch)
@@ -90,7 +94,7 @@
         port = await add_early(stage, SERVICES[path], upstream)
         await until(lambda: all(map(carries, stage.runtimes)))
         cuts.cut('entry-0', [port], CutWay.REFUSE)
-        answer = await upload(stage, path)
+        answer = await upload(stage, path, body)
         assert stage.runtimes[0].detours.router.detours
     return answer
 
@@ -170,3 +174,30 @@
         status, received, complete = await upload(stage, path, body)
     assert (status, complete) == (httpx.codes.OK, True)
     assert received == (upstream.body or b'answer to r1')
+
+
+# Guards against an answer that counts as whole, though its connection is reset
+# while its end is proved: its request was written whole, and never read.
+@pytest.mark.parametrize('path', SERVICES)
+async def test_answer_that_is_reset_after_its_end_is_not_whole(
+    path: str,
+) -> None:
+    lines = collect_lines('end without framing')
+    upstream = make_upstream(path, AnswerEnd.HALF_CLOSED_RESET)
+    async with open_platform(engines=0, plains=0) as stage:
+        await add_early(stage, SERVICES[path], upstream)
+        answer = await upload(stage, path, b'brief')
+    check_cut(answer, upstream)
+    assert [line['doubt'] for line in lines] == [EndDoubt.RESET]
+    assert 1 <= upstream.runs_by_request['r1'] <= MOST_RUNS.get(path, 1)
+
+
+# Guards against the same where another instance carries the request.
+@pytest.mark.parametrize('path', ONCE)
+async def test_carried_answer_that_is_reset_after_its_end_is_not_whole(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    upstream = make_upstream(path, AnswerEnd.HALF_CLOSED_RESET)
+    answer = await ask_carried(path, upstream, monkeypatch, b'brief')
+    check_cut(answer, upstream)
+    assert upstream.runs_by_request['r1'] == 1
--- a/tests/test_upload_doors.py
+++ b/tests/test_upload_doors.py
@@ -89,6 +89,21 @@
     assert response.content == b'all of it'
 
 
+# Guards against a reset that no read tells, since it follows an end in order
+# that was not read yet.
+@pytest.mark.parametrize('name', POOLS)
+async def test_pool_tells_that_a_connection_was_reset_after_its_end(
+    name: str,
+) -> None:
+    upstream = EarlyUpstream(AnswerEnd.HALF_CLOSED_RESET)
+    async with listen(upstream) as port, POOLS[name]() as pool:
+        asked = pool.stream('POST', f'http://{LOCAL}:{port}/', content=b'brief')
+        async with asked as response:
+            await trio.sleep(0.2)
+            with pytest.raises(httpcore.ReadError, match='reset'):
+                await response.aread()
+
+
 async def test_client_tells_that_a_request_was_not_written_whole() -> None:
     upstream = EarlyUpstream(AnswerEnd.RESET)
     async with listen(upstream) as port, make_client() as client:
