--- a/src/cartdale/bounded_pool.py
+++ b/src/cartdale/bounded_pool.py
@@ -11,12 +11,13 @@
 follows an end in order is reported to no read at all.
 """
 
+import re
 import socket
 import ssl
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from contextvars import ContextVar
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import httpcore
@@ -30,7 +31,10 @@
 #: Bytes that are read at once until the head is complete.
 _READ_BYTES: Final = 4096
 #: Each head ends with an empty line.
-_HEAD_ENDS: Final = (b'\n\r\n', b'\n\n')
+_HEAD_END: Final = re.compile(rb'\n\r?\n')
+#: Begins a line that continues the field in the one before.
+_FOLD: Final = re.compile(rb'\n[ \t]')
+_INFORMATIONAL: Final = re.compile(rb'HTTP/\d\.\d 1')
 #: Addresses whose faults are counted apart.
 _MAX_ADDRESSES: Final = 1000
 #: Counted together once there are more.
@@ -45,6 +49,15 @@
     """
 
 
+class FoldedHeadError(httpcore.RemoteProtocolError):
+    """Raised when a field of a head continues in another line.
+
+    Who wrote it may have meant a field of its own, such as the length of the
+    body. RFC 9112, section 5.2, has a gateway refuse the response, or join the
+    lines, as the client library does. The request may have run.
+    """
+
+
 class UnwrittenRequestError(httpcore.WriteError):
     """Raised when a connection ends whose request was not written whole.
 
@@ -56,13 +69,13 @@
 class _HeadBudget:
     """Bound what is read before the head of one response is complete.
 
-    :param size: bytes that were read.
+    :param received: what was read.
     :param heads: heads that ended in these bytes.
     :param ends_at: when the head must be complete, in seconds of the loop;
         ``None`` before the first read.
     """
 
-    size: int = 0
+    received: bytearray = field(default_factory=bytearray)
     heads: int = 0
     ends_at: float | None = None
 
@@ -72,9 +85,10 @@
         :param timeout: for the whole head; ``None`` for no bound.
         :raises EndlessHeadError: if nothing is left of the budget.
         """
-        if self.size >= MAX_HEAD or self.heads > MAX_INFORMATIONAL:
+        size = len(self.received)
+        if size >= MAX_HEAD or self.heads > MAX_INFORMATIONAL:
             raise EndlessHeadError(
-                f'no response after {self.size} bytes, {self.heads} heads'
+                f'no response after {size} bytes, {self.heads} heads'
             )
         if timeout is None:
             return None
@@ -84,8 +98,20 @@
 
     def note(self, received: bytes) -> None:
         """Count what was read."""
-        self.size += len(received)
-        self.heads += sum(map(received.count, _HEAD_ENDS))
+        self.received += received
+        self.heads += len(_HEAD_END.findall(received))
+
+    def has_fold(self) -> bool:
+        """Tell whether a head that was read has a folded field.
+
+        What follows the head of a final response is its body.
+        """
+        for head in _HEAD_END.split(self.received):
+            if _FOLD.search(head):
+                return True
+            if not _INFORMATIONAL.match(head):
+                break
+        return False
 
 
 #: The budget of the request whose head this task reads.
@@ -118,15 +144,21 @@
         """Send a request and return its response, with the body unread.
 
         :raises EndlessHeadError: if the head exceeds its bounds.
+        :raises FoldedHeadError: if a field in it is folded.
         """
-        token = _budget.set(_HeadBudget())
+        budget = _HeadBudget()
+        token = _budget.set(budget)
         try:
-            return await super().handle_async_request(request)
+            response = await super().handle_async_request(request)
         except EndlessHeadError as error:
             _note_fault(request.url, str(error))
             raise
         finally:
             _budget.reset(token)
+        if budget.has_fold():
+            await response.aclose()
+            raise FoldedHeadError('a field continues in another line')
+        return response
 
 
 def was_reset(extensions: Mapping[str, Any]) -> bool:
