--- a/tests/test_status_doors.py
+++ b/tests/test_status_doors.py
@@ -118,7 +118,7 @@
 
 # Guards against such answers at the own interface's upstreams.
 @pytest.mark.parametrize('send', [start, command, call_plain])
-@pytest.mark.parametrize('status', [600, 700, 999])
+@pytest.mark.parametrize('status', STATUSES)
 async def test_upstream_of_the_own_interface_answers_with_a_status(
     send, status: int
 ) -> None:
