--- a/src/cartdale/bounded_pool.py
+++ b/src/cartdale/bounded_pool.py
@@ -1,11 +1,12 @@
-"""Connection pool that bounds the heads of responses, and tells cut ones.
+"""Connection pool that guards what the client library reads of responses.
 
 The client library reads past informational responses for as long as they come,
 and each of them counts as a sign of life for its time-outs. Here the bytes, the
 informational responses and the time until the head of the final response are
-bounded, and it is read in parts so small that other tasks run in between.
+bounded, and it is read in parts so small that other tasks run in between. The
+library also joins a folded field to one line; here its response is refused.
 
-The library also drops the error of a failed write, since a response may have
+The library drops the error of a failed write, since a response may have
 come before it. The system reports the error of a connection only once, so that
 the reads after it end as if the response had ended in order. A reset that
 follows an end in order is reported to no read at all.
@@ -119,7 +120,7 @@
 
 
 class BoundedPool(httpcore.AsyncConnectionPool):
-    """Connection pool whose responses have heads of a bounded size.
+    """Connection pool whose responses are bounded, and known to be cut.
 
     :param network_backend: opens the connections.
     :param options: further parameters of the library's pool.
@@ -204,7 +205,10 @@
 
 
 class _BoundedStream(httpcore.AsyncNetworkStream):
-    """Connection that obeys the budget of the task that reads."""
+    """Connection that obeys the budget of the task that reads.
+
+    It also raises in place of an end that may not be that of a response.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -18,19 +18,16 @@
 from cartdale.peers.pool import make_peer_pool
 from cartdale.platform.pools import make_pool
 from cartdale.pressure.connections import PatientBackend
-from tests.network_cuts import CutWay, NetworkCuts
 from tests.platform_stage import (
     LOCAL,
     make_draft,
     open_platform,
-    until,
 )
 from tests.raw_upstream import RawUpstream, add_raw
-from tests.test_accepted_values import carries
 from tests.test_upstream_statuses import (
     SEAL,
     SERVICES,
-    ask,
+    ask_carried,
     ask_raw,
     check_promises_nothing,
 )
@@ -167,14 +164,7 @@
     path: str, line: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     upstream = RawUpstream(b'200', (SEAL, line))
-    cuts = NetworkCuts(monkeypatch)
-    async with open_platform(engines=0, plains=0, instances=2) as stage:
-        port = await add_raw(stage, SERVICES[path], upstream)
-        await until(lambda: all(map(carries, stage.runtimes)))
-        cuts.cut('entry-0', [port], CutWay.REFUSE)
-        answer = await ask(stage, path)
-    assert upstream.runs_by_request['r1'] == 1
-    check_promises_nothing(answer)
+    check_promises_nothing(await ask_carried(path, upstream, monkeypatch))
 
 
 @pytest.mark.parametrize('line', SOME)
--- a/tests/test_unread_uploads.py
+++ b/tests/test_unread_uploads.py
@@ -4,8 +4,6 @@
 end as if the answer had ended in order.
 """
 
-from types import MappingProxyType
-
 import httpx
 import pytest
 
@@ -22,19 +20,10 @@
 from tests.platform_stage import PlatformStage, make_draft, open_platform, until
 from tests.test_accepted_values import carries
 from tests.test_crash_probes import collect_lines
+from tests.test_upstream_statuses import MOST_RUNS, SERVICES
 
-SERVICES = MappingProxyType(
-    {
-        '/cut/a': 'portal',
-        '/look/a': 'portal',
-        '/draft/a': 'writers',
-        '/tag/a': 'writers',
-    }
-)
-#: Of requests that run once.
+#: Paths of requests that run once.
 ONCE = ('/cut/a', '/draft/a')
-#: Of requests that may run again.
-MOST_RUNS = MappingProxyType({'/look/a': 2, '/tag/a': 2})
 #: Ends that reset the connection while the request is written.
 CUT_ENDS = (
     AnswerEnd.RESET,
--- a/tests/test_upstream_statuses.py
+++ b/tests/test_upstream_statuses.py
@@ -68,6 +68,20 @@
     return answer
 
 
+async def ask_carried(
+    path: str, upstream: RawUpstream, monkeypatch: pytest.MonkeyPatch
+) -> httpx.Response:
+    """Return the same, where another instance carries the request."""
+    cuts = NetworkCuts(monkeypatch)
+    async with open_platform(engines=0, plains=0, instances=2) as stage:
+        port = await add_raw(stage, SERVICES[path], upstream)
+        await until(lambda: all(map(carries, stage.runtimes)))
+        cuts.cut('entry-0', [port], CutWay.REFUSE)
+        answer = await ask(stage, path)
+    assert upstream.runs_by_request['r1'] == 1
+    return answer
+
+
 def check_promises_nothing(answer: httpx.Response) -> None:
     """Check that a caller gets a failure that is this instance's own."""
     assert answer.status_code == BAD_GATEWAY
@@ -141,11 +155,4 @@
     status: bytes, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     upstream = RawUpstream(status, (SEAL,))
-    cuts = NetworkCuts(monkeypatch)
-    async with open_platform(engines=0, plains=0, instances=2) as stage:
-        port = await add_raw(stage, SERVICES[path], upstream)
-        await until(lambda: all(map(carries, stage.runtimes)))
-        cuts.cut('entry-0', [port], CutWay.REFUSE)
-        answer = await ask(stage, path)
-    assert upstream.runs_by_request['r1'] == 1
-    check_promises_nothing(answer)
+    check_promises_nothing(await ask_carried(path, upstream, monkeypatch))
