--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -102,6 +102,7 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a line that is passed on, or left out, as a field of that name.
 @pytest.mark.parametrize(
     'write', [write_head, write_informational, write_trailer]
 )
@@ -158,6 +159,7 @@
     )
 
 
+# Guards against the same where another instance carries the answer.
 @pytest.mark.parametrize('path', ['/cut/a', '/draft/a'])
 @pytest.mark.parametrize('line', SOME)
 async def test_carried_answer_has_no_such_line(
@@ -167,6 +169,7 @@
     check_promises_nothing(await ask_carried(path, upstream, monkeypatch))
 
 
+# Guards against the same over HTTP/2, which has no such lines.
 @pytest.mark.parametrize('line', SOME)
 async def test_caller_of_http2_gets_no_answer_with_such_a_line(
     line: bytes,
--- a/tests/test_upload_doors.py
+++ b/tests/test_upload_doors.py
@@ -64,6 +64,7 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a part that any pool returns as a whole answer.
 @pytest.mark.parametrize('end', CUT_ENDS)
 @pytest.mark.parametrize('name', POOLS)
 async def test_pool_tells_that_a_request_was_not_written_whole(
@@ -76,6 +77,7 @@
             )
 
 
+# Guards against whole answers that are lost with the rest of their request.
 @pytest.mark.parametrize('framing', list(AnswerFraming)[1:])
 @pytest.mark.parametrize('name', POOLS)
 async def test_pool_returns_a_delimited_answer(
@@ -104,6 +106,7 @@
                 await response.aread()
 
 
+# Guards against the same at engines and the store of the own interface.
 async def test_client_tells_that_a_request_was_not_written_whole() -> None:
     upstream = EarlyUpstream(AnswerEnd.RESET)
     async with listen(upstream) as port, make_client() as client:
@@ -111,6 +114,7 @@
             await client.post(f'http://{LOCAL}:{port}/', content=LONG_BODY)
 
 
+# Guards against a part that arrives as a whole answer over TLS.
 async def test_encrypted_answer_that_is_cut_is_not_whole(
     tmp_path: Path,
 ) -> None:
